feat: start the monorepo with errors, clock, life cycle, logger, metrics and schemas

Cause: everything else needs one error table, one clock interface, one owner of clean-up and one set of schemas before it can be written side by side.

--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,6 @@
+export default {
+  files: ['*/*/lib/test/**/*.test.js'],
+  timeout: '120s',
+  concurrency: 6,
+  workerThreads: false,
+}
--- /dev/null
+++ b/core/clock/src/index.ts
@@ -0,0 +1,4 @@
+/** The clock interface, the system clock and a manual clock for tests. */
+export type { Clock, Timer } from './clock.js'
+export { ManualClock } from './manualClock.js'
+export { SystemClock } from './systemClock.js'
--- /dev/null
+++ b/core/errors/src/errorAnswers.ts
@@ -0,0 +1,82 @@
+/**
+ * The one table from error kind to answer: the HTTP status a caller gets, whether the work may have run,
+ * the exit code of the command line, and whether coming back later can help.
+ */
+import type { ErrorKind } from './errorKind.js'
+
+/** Whether the work a failed call asked for has run. */
+export type Ran = 'no' | 'unknown' | 'yes'
+
+/** Exit codes of the command line. */
+export const exitCodes = {
+  done: 0,
+  refused: 1,
+  usage: 2,
+  unknown: 3,
+  unreachable: 4,
+} as const
+
+/** What a caller is told for one error kind. */
+export interface ErrorAnswer {
+  readonly httpStatus: number
+  readonly ran: Ran
+  readonly exitCode: number
+  /** True where the same call may succeed later without being changed. */
+  readonly retryable: boolean
+}
+
+const refused = (httpStatus: number): ErrorAnswer =>
+  answer(httpStatus, 'no', exitCodes.refused, false)
+const later = (httpStatus: number): ErrorAnswer => answer(httpStatus, 'no', exitCodes.refused, true)
+const usage = (httpStatus: number): ErrorAnswer => answer(httpStatus, 'no', exitCodes.usage, false)
+const ran = (httpStatus: number): ErrorAnswer => answer(httpStatus, 'yes', exitCodes.refused, false)
+const unknown = (httpStatus: number): ErrorAnswer =>
+  answer(httpStatus, 'unknown', exitCodes.unknown, false)
+
+export const errorAnswers: Readonly<Record<ErrorKind, ErrorAnswer>> = {
+  'malformed-json': refused(400),
+  'malformed-yaml': usage(400),
+  'unknown-field': refused(400),
+  'invalid-field': refused(400),
+  'body-too-large': refused(413),
+  'headers-too-large': refused(431),
+  unauthorized: refused(401),
+  'unknown-workspace': refused(404),
+  'unknown-job': refused(404),
+  'unknown-upstream': refused(404),
+  'unknown-member': refused(404),
+  'unknown-route': refused(404),
+  'stale-revision': refused(412),
+  'change-id-conflict': refused(409),
+  'idempotency-conflict': refused(409),
+  'infeasible-contract': refused(422),
+  'impossible-shape': refused(422),
+  'over-limit': later(429),
+  'queue-full': later(429),
+  'deadline-before-start': later(504),
+  'no-upstream': later(503),
+  'upstream-refused': later(503),
+  'not-leader': later(503),
+  'no-quorum': later(503),
+  'contract-lease-expired': later(503),
+  draining: later(503),
+  'cancelled-before-start': refused(409),
+  'cancelled-after-start': ran(409),
+  'job-failed': ran(502),
+  'upstream-failed': ran(502),
+  'answer-expired': ran(410),
+  'outcome-unknown': unknown(504),
+  'fence-too-low': refused(409),
+  'membership-refused': refused(409),
+  'disk-full': later(507),
+  'storage-damaged': unknown(500),
+  'storage-failed': unknown(500),
+  'invalid-settings': usage(400),
+  'invalid-usage': usage(400),
+  unreachable: answer(503, 'no', exitCodes.unreachable, true),
+  internal: unknown(500),
+}
+
+function answer(httpStatus: number, ran: Ran, exitCode: number, retryable: boolean): ErrorAnswer {
+  return { httpStatus, ran, exitCode, retryable }
+}
--- /dev/null
+++ b/core/logger/src/index.ts
@@ -0,0 +1,3 @@
+/** Typed log events, written by bunyan as key=value lines. */
+export { createLogger, logLevels } from './logger.js'
+export type { CreateLoggerOptions, Logger, LogEvent, LogLevel, LogValue } from './logger.js'
