feat: answer HTTP and tRPC calls from the one error table

Cause: callers, upstreams and peers need the same limits, keys and errors. Change: an HTTP server with routes and body and header limits, a client that tells 'no byte left' (unreachable, ran no) from 'may have arrived' (outcome unknown), bearer keys compared in constant time, and tRPC between our processes over Node's http with a deadline on each call. Conclusion: bad input of each kind gets its own 4xx with ran no, by test.

--- /dev/null
+++ b/http/client/src/callJson.ts
@@ -0,0 +1,32 @@
+/** A call whose body and answer are JSON; an answer other than 2xx becomes the error it stands for. */
+import { parseValue } from '@nettlespur/api.schemas'
+import type { NettlespurError } from '@nettlespur/core.errors'
+import { parseJson } from '@nettlespur/http.server'
+import { EitherAsync, Left, type Either } from 'purify-ts'
+import type { z } from 'zod'
+import { callHttp, toAnswerError, type CallHttpOptions, type HttpAnswer } from './callHttp.js'
+
+export interface CallJsonOptions<T> extends Omit<CallHttpOptions, 'body'> {
+  json?: unknown
+  answer: z.ZodType<T>
+}
+
+/** Errors: those of `callHttp`, and whatever the other side answered. */
+export function callJson<T>(opts: CallJsonOptions<T>): EitherAsync<NettlespurError, T> {
+  const { json, answer, ...call } = opts
+  const body = json === undefined ? {} : { body: JSON.stringify(json) }
+  const headers = {
+    ...call.headers,
+    ...(json === undefined ? {} : { 'content-type': 'application/json' }),
+  }
+  return callHttp({ ...call, ...body, headers }).chain((received) =>
+    EitherAsync.liftEither(readAnswer(received, answer)),
+  )
+}
+
+function readAnswer<T>(received: HttpAnswer, schema: z.ZodType<T>): Either<NettlespurError, T> {
+  if (received.status < 200 || received.status > 299) return Left(toAnswerError(received))
+  return parseJson(received.body)
+    .chain((value) => parseValue(schema, value))
+    .mapLeft(() => toAnswerError({ ...received, body: Buffer.from('') }))
+}
--- /dev/null
+++ b/http/keys/src/readKeyFile.ts
@@ -0,0 +1,35 @@
+/** Key files hold one key a line; blank lines and lines that start with "#" are passed over. */
+import { readFileSync } from 'node:fs'
+import { NettlespurError } from '@nettlespur/core.errors'
+import { Left, Right, type Either } from 'purify-ts'
+
+const shortestKey = 22
+
+/** The keys of a file, the first being the one to send. Errors: `invalid-settings`. */
+export function readKeyFile(file: string): Either<NettlespurError, readonly string[]> {
+  try {
+    return checkKeys(file, readFileSync(file, 'utf8'))
+  } catch (cause) {
+    return Left(new NettlespurError('invalid-settings', `${file}: cannot be read`, { cause }))
+  }
+}
+
+function checkKeys(file: string, text: string): Either<NettlespurError, readonly string[]> {
+  const keys = text
+    .split('\n')
+    .map((line) => line.trim())
+    .filter((line) => line !== '' && !line.startsWith('#'))
+  if (keys.length === 0)
+    return Left(new NettlespurError('invalid-settings', `${file}: holds no key`))
+  const shortest = Math.min(...keys.map((key) => key.length))
+  if (shortest >= shortestKey) return Right(keys)
+  return Left(
+    new NettlespurError(
+      'invalid-settings',
+      `${file}: a key is shorter than ${shortestKey} characters`,
+      {
+        hint: 'make one with: nettlespur key create',
+      },
+    ),
+  )
+}
--- /dev/null
+++ b/http/server/src/createHttpServer.ts
@@ -0,0 +1,218 @@
+/**
+ * Listens on one address and answers its routes. Every failure leaves as the error table says; a caller
+ * that goes away aborts its request's signal; a planned stop closes idle connections at once and the
+ * others after their answer.
+ */
+import http, { type IncomingMessage, type ServerResponse } from 'node:http'
+import https from 'node:https'
+import type { AddressInfo } from 'node:net'
+import type { Duplex } from 'node:stream'
+import { finished } from 'node:stream/promises'
+import {
+  NettlespurError,
+  toErrorBody,
+  toNettlespurError,
+  tryAsync,
+  unwrap,
+} from '@nettlespur/core.errors'
+import { HttpRequest } from './httpRequest.js'
+import { matchRoute, type HttpReply, type Route } from './route.js'
+
+const defaultBodyBytesMax = 1_048_576
+const defaultHeaderBytesMax = 16_384
+const headersTimeoutMs = 10_000
+const millisecondsPerSecond = 1000
+
+export interface TlsFiles {
+  readonly cert: Buffer
+  readonly key: Buffer
+  /** Set where callers must show a certificate signed by this authority. */
+  readonly ca?: Buffer
+}
+
+export interface HttpServerOptions {
+  /** `IP:PORT`; port 0 takes a free one. */
+  address: string
+  routes: readonly Route[]
+  /** Answers what no route matches; the path is unchanged. */
+  fallback?: (request: IncomingMessage, response: ServerResponse) => void
+  bodyBytesMax?: number
+  headerBytesMax?: number
+  tls?: TlsFiles | undefined
+  /** Told of each failure of kind `internal`, whose cause callers do not see. */
+  onInternalError?: (error: NettlespurError) => void
+}
+
+export interface HttpServer {
+  /** `IP:PORT` as bound. */
+  readonly address: string
+  readonly port: number
+  readonly raw: http.Server
+  /** Requests whose answer is not whole yet. */
+  inFlight(): number
+  /** Stops accepting and resolves when every request in flight has its answer. */
+  drain(): Promise<void>
+  /** Cuts every connection. */
+  destroy(): void
+}
+
+/** Errors: rejects where the address cannot be bound. */
+export async function createHttpServer(opts: HttpServerOptions): Promise<HttpServer> {
+  const state = { inFlight: 0, draining: false }
+  const server = createServer(opts, (request, response) => {
+    state.inFlight += 1
+    response.once('close', () => {
+      state.inFlight -= 1
+    })
+    if (state.draining) response.setHeader('connection', 'close')
+    void answer(opts, request, response)
+  })
+  server.on('clientError', answerClientError)
+  await listen(server, opts.address)
+  const bound = server.address() as AddressInfo
+  const host = bound.family === 'IPv6' ? `[${bound.address}]` : bound.address
+  return {
+    address: `${host}:${bound.port}`,
+    port: bound.port,
+    raw: server,
+    inFlight: () => state.inFlight,
+    drain: () => {
+      state.draining = true
+      return close(server)
+    },
+    destroy: () => {
+      server.closeAllConnections()
+    },
+  }
+}
+
+function createServer(opts: HttpServerOptions, listener: http.RequestListener): http.Server {
+  const limits = {
+    maxHeaderSize: opts.headerBytesMax ?? defaultHeaderBytesMax,
+    headersTimeout: headersTimeoutMs,
+  }
+  if (opts.tls === undefined) return http.createServer(limits, listener)
+  const { ca, ...pair } = opts.tls
+  const clientCheck = ca === undefined ? {} : { ca, requestCert: true, rejectUnauthorized: true }
+  return https.createServer({ ...limits, ...pair, ...clientCheck }, listener)
+}
+
+async function answer(
+  opts: HttpServerOptions,
+  raw: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const url = new URL(raw.url ?? '/', 'http://localhost')
+  const matched = matchRoute(opts.routes, raw.method ?? '', url.pathname)
+  if (matched === undefined && opts.fallback !== undefined) {
+    opts.fallback(raw, response)
+    return
+  }
+  const gone = new AbortController()
+  response.once('close', () => {
+    if (!response.writableFinished) gone.abort()
+  })
+  const bodyBytesMax = opts.bodyBytesMax ?? defaultBodyBytesMax
+  try {
+    if (matched === undefined) throw createUnknownRouteError(raw)
+    const request = new HttpRequest({
+      raw,
+      url,
+      params: matched.params,
+      bodyBytesMax,
+      callerGone: gone.signal,
+    })
+    const reply = await unwrap(tryAsync(() => unwrap(matched.route.handle(request))))
+    await writeReply(response, reply)
+  } catch (thrown) {
+    const error = toNettlespurError(thrown)
+    if (error.kind === 'internal') opts.onInternalError?.(error)
+    writeError(response, error)
+  }
+}
+
+function createUnknownRouteError(raw: IncomingMessage): NettlespurError {
+  return new NettlespurError('unknown-route', `no such call: ${raw.method ?? ''} ${raw.url ?? ''}`)
+}
+
+async function writeReply(response: ServerResponse, reply: HttpReply): Promise<void> {
+  if (reply.json !== undefined) {
+    writeBytes(
+      response,
+      reply.status,
+      { 'content-type': 'application/json', ...reply.headers },
+      JSON.stringify(reply.json),
+    )
+    return
+  }
+  if (reply.stream === undefined) {
+    writeBytes(response, reply.status, reply.headers ?? {}, reply.bytes ?? '')
+    return
+  }
+  response.writeHead(reply.status, reply.headers)
+  reply.stream.pipe(response)
+  reply.stream.once('error', () => response.destroy())
+  response.once('close', () => reply.stream?.destroy())
+  await finished(response).catch(() => undefined)
+}
+
+function writeBytes(
+  response: ServerResponse,
+  status: number,
+  headers: Readonly<Record<string, string>>,
+  bytes: Buffer | string,
+): void {
+  const body = Buffer.isBuffer(bytes) ? bytes : Buffer.from(bytes)
+  response.writeHead(status, { 'content-length': body.length, ...headers })
+  response.end(body)
+}
+
+/** Writes the answer the error table gives; a request whose body was not read loses its connection. */
+export function writeError(response: ServerResponse, error: NettlespurError): void {
+  if (response.headersSent) {
+    response.destroy()
+    return
+  }
+  const headers: Record<string, string> = { 'content-type': 'application/json' }
+  if (error.retryAfterMs !== undefined) {
+    headers['retry-after'] = String(Math.ceil(error.retryAfterMs / millisecondsPerSecond))
+  }
+  if (!response.req.complete) headers.connection = 'close'
+  writeBytes(response, error.answer.httpStatus, headers, JSON.stringify(toErrorBody(error)))
+}
+
+/** Answers what Node's parser refuses before a request exists. */
+function answerClientError(cause: NodeJS.ErrnoException, socket: Duplex): void {
+  if (!socket.writable || cause.code === 'ECONNRESET') {
+    socket.destroy()
+    return
+  }
+  const kind = cause.code === 'HPE_HEADER_OVERFLOW' ? 'headers-too-large' : 'malformed-json'
+  const error = new NettlespurError(
+    kind,
+    'the request is not readable HTTP or its headers are too large',
+  )
+  const body = JSON.stringify(toErrorBody(error))
+  const status = `${error.answer.httpStatus} ${http.STATUS_CODES[error.answer.httpStatus] ?? ''}`
+  socket.end(
+    `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
+  )
+}
+
+function listen(server: http.Server, address: string): Promise<void> {
+  const separator = address.lastIndexOf(':')
+  const host = address.slice(0, separator).replace(/^\[|\]$/g, '')
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen({ host, port: Number(address.slice(separator + 1)) }, resolve)
+  })
+}
+
+function close(server: http.Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => {
+      resolve()
+    })
+    server.closeIdleConnections()
+  })
+}
--- /dev/null
+++ b/http/server/src/index.ts
@@ -0,0 +1,10 @@
+/** An HTTP server with routes, limits, keys and answers from the error table. */
+export {
+  createHttpServer,
+  writeError,
+  type HttpServer,
+  type HttpServerOptions,
+  type TlsFiles,
+} from './createHttpServer.js'
+export { HttpRequest, parseJson } from './httpRequest.js'
+export type { HttpMethod, HttpReply, Route } from './route.js'
--- /dev/null
+++ b/rpc/peer/src/index.ts
@@ -0,0 +1,8 @@
+/** tRPC between the product's own processes: keyed, with a deadline on each call. */
+export {
+  callPeer,
+  createRpcClient,
+  type RpcClient,
+  type RpcClientOptions,
+} from './createRpcClient.js'
+export { createRpcServer, type RpcServerOptions } from './createRpcServer.js'
