--- /dev/null
+++ b/control/api/src/createControlRouter.ts
@@ -0,0 +1,48 @@
+/** The tRPC router over a ControlApi: one procedure for each method, each checked by its schema. */
+import { contractChangeSchema, identifierSchema, jobRequestSchema } from '@nettlespur/api.schemas'
+import { toRpcResult } from '@nettlespur/core.errors'
+import { initTRPC } from '@trpc/server'
+import { z } from 'zod'
+import { announcementsSchema, watchRequestSchema } from './clusterView.js'
+import type { ControlApi } from './controlApi.js'
+
+const jobReferenceSchema = z.object({ workspace: identifierSchema, jobId: z.string() })
+const answerRequestSchema = jobReferenceSchema.extend({ waitMs: z.int().nonnegative() })
+const listSchema = z.object({ workspace: identifierSchema.optional() })
+
+export function createControlRouter(api: ControlApi) {
+  const { router, procedure } = initTRPC.create()
+  return router({
+    applyContract: procedure
+      .input(contractChangeSchema)
+      .mutation(({ input }) => toRpcResult(api.applyContract(input))),
+    listContracts: procedure
+      .input(listSchema)
+      .mutation(({ input }) => toRpcResult(api.listContracts(input.workspace))),
+    submitJob: procedure
+      .input(jobRequestSchema)
+      .mutation(({ input }) => toRpcResult(api.submitJob(input))),
+    getJob: procedure
+      .input(jobReferenceSchema)
+      .mutation(({ input }) => toRpcResult(api.getJob(input))),
+    awaitAnswer: procedure
+      .input(answerRequestSchema)
+      .mutation(({ input }) => toRpcResult(api.awaitAnswer(input))),
+    explainJob: procedure
+      .input(jobReferenceSchema)
+      .mutation(({ input }) => toRpcResult(api.explainJob(input))),
+    cancelJob: procedure
+      .input(jobReferenceSchema)
+      .mutation(({ input }) => toRpcResult(api.cancelJob(input))),
+    announce: procedure
+      .input(announcementsSchema)
+      .mutation(({ input }) => toRpcResult(api.announce(input))),
+    watch: procedure
+      .input(watchRequestSchema)
+      .mutation(({ input }) => toRpcResult(api.watch(input))),
+    getStatus: procedure.mutation(() => toRpcResult(api.getStatus())),
+    getReport: procedure.mutation(() => toRpcResult(api.getReport())),
+  })
+}
+
+export type ControlRouter = ReturnType<typeof createControlRouter>
--- /dev/null
+++ b/control/api/src/remoteControlApi.ts
@@ -0,0 +1,119 @@
+/**
+ * A ControlApi that calls the control instances over tRPC. It keeps to the instance that last answered as
+ * leader and tries the others in turn when that one cannot be reached or no longer leads.
+ */
+import type {
+  ContractChange,
+  ContractRecord,
+  JobExplanation,
+  JobRequest,
+  JobView,
+} from '@nettlespur/api.schemas'
+import type { Clock } from '@nettlespur/core.clock'
+import { NettlespurError, type RpcResult } from '@nettlespur/core.errors'
+import { callPeer, createRpcClient, type RpcClient } from '@nettlespur/rpc.peer'
+import { EitherAsync, Left, type Either } from 'purify-ts'
+import type { Announcements, ClusterUpdate, WatchRequest } from './clusterView.js'
+import type { ContractView } from './contractView.js'
+import { ControlApi, type AnswerRequest, type JobOutcome, type JobReference } from './controlApi.js'
+import type { ControlRouter } from './createControlRouter.js'
+import type { ClusterReport, ClusterStatus } from './statusView.js'
+
+export interface RemoteControlApiOptions {
+  clock: Clock
+  /** Peer addresses of all control instances. */
+  addresses: readonly string[]
+  peerKey: string
+  /** Deadline of each call, in milliseconds; long polls get their own wait on top. */
+  timeoutMs: number
+  ca?: Buffer | undefined
+}
+
+type Caller = RpcClient<ControlRouter>['call']
+
+/** Kinds after which another instance may answer, since this one has done nothing. */
+const tryElsewhere = new Set(['not-leader', 'unreachable'])
+
+export class RemoteControlApi extends ControlApi {
+  readonly #clients: readonly RpcClient<ControlRouter>[]
+  #preferred = 0
+
+  constructor(opts: RemoteControlApiOptions) {
+    super()
+    const { addresses, ...rest } = opts
+    this.#clients = addresses.map((address) => createRpcClient<ControlRouter>({ ...rest, address }))
+  }
+
+  close(): void {
+    for (const client of this.#clients) client.close()
+  }
+
+  applyContract(change: ContractChange): EitherAsync<NettlespurError, ContractRecord> {
+    return this.#ask((call) => call.applyContract.mutate(change))
+  }
+
+  listContracts(workspace?: string): EitherAsync<NettlespurError, ContractView[]> {
+    return this.#ask((call) => call.listContracts.mutate({ workspace }))
+  }
+
+  submitJob(request: JobRequest): EitherAsync<NettlespurError, JobView> {
+    return this.#ask((call) => call.submitJob.mutate(request))
+  }
+
+  getJob(reference: JobReference): EitherAsync<NettlespurError, JobView> {
+    return this.#ask((call) => call.getJob.mutate(reference))
+  }
+
+  awaitAnswer(request: AnswerRequest): EitherAsync<NettlespurError, JobOutcome> {
+    return this.#ask((call) => call.awaitAnswer.mutate(request))
+  }
+
+  explainJob(reference: JobReference): EitherAsync<NettlespurError, JobExplanation> {
+    return this.#ask((call) => call.explainJob.mutate(reference))
+  }
+
+  cancelJob(reference: JobReference): EitherAsync<NettlespurError, JobView> {
+    return this.#ask((call) => call.cancelJob.mutate(reference))
+  }
+
+  announce(announcements: Announcements): EitherAsync<NettlespurError, null> {
+    return this.#ask((call) => call.announce.mutate(announcements))
+  }
+
+  watch(request: WatchRequest): EitherAsync<NettlespurError, ClusterUpdate> {
+    return this.#ask((call) => call.watch.mutate(request))
+  }
+
+  getStatus(): EitherAsync<NettlespurError, ClusterStatus> {
+    return this.#ask((call) => call.getStatus.mutate())
+  }
+
+  getReport(): EitherAsync<NettlespurError, ClusterReport> {
+    return this.#ask((call) => call.getReport.mutate())
+  }
+
+  #ask<T>(run: (call: Caller) => Promise<RpcResult<T>>): EitherAsync<NettlespurError, T> {
+    return EitherAsync.fromPromise(() => this.#askEach(run))
+  }
+
+  async #askEach<T>(
+    run: (call: Caller) => Promise<RpcResult<T>>,
+  ): Promise<Either<NettlespurError, T>> {
+    const first = this.#preferred
+    let last: Either<NettlespurError, T> = Left(
+      new NettlespurError('unreachable', 'no control instance is configured'),
+    )
+    for (let step = 0; step < this.#clients.length; step++) {
+      const index = (first + step) % this.#clients.length
+      const client = this.#clients[index]
+      if (client === undefined) continue
+      last = await callPeer(() => run(client.call)).run()
+      const error = last.swap().toMaybe().extractNullable()
+      if (error === null || !tryElsewhere.has(error.kind)) {
+        this.#preferred = index
+        return last
+      }
+    }
+    return last
+  }
+}
