--- a/settings/reader/src/findNearestName.ts
+++ b/settings/reader/src/findNearestName.ts
@@ -1,8 +1,8 @@
 /** Finds the known name that a misspelt one most likely stands for. */
 
-/** Undefined where no known name is close: within a third of the given one's length. */
+/** Undefined where no known name is close: within a third of the given one's length, rounded up. */
 export function findNearestName(given: string, known: readonly string[]): string | undefined {
-  const furthest = Math.max(1, Math.floor(given.length / 3))
+  const furthest = Math.ceil(given.length / 3)
   let nearest: string | undefined
   let nearestEdits = furthest + 1
   for (const name of known) {
--- a/settings/reader/src/parseYaml.ts
+++ b/settings/reader/src/parseYaml.ts
@@ -25,7 +25,9 @@
   try {
     const document = parseDocument(text, { lineCounter: lines, prettyErrors: false })
     const faults = [...listSyntaxFaults(document, text, lines), ...listAliases(document, lines)]
-    return faults.length === 0 ? Right({ document, value: document.toJS(), lines }) : Left(faults)
+    return faults.length === 0
+      ? Right({ document, value: document.toJS() as unknown, lines })
+      : Left(faults)
   } catch (cause) {
     const problem = cause instanceof Error ? cause.message : String(cause)
     return Left([{ path: '', line: 1, problem: `cannot be parsed: ${problem}` }])
