--- a/cli/nettlespur/src/checkArguments.ts
+++ b/cli/nettlespur/src/checkArguments.ts
@@ -1,7 +1,7 @@
 /** Checks a command line against its command's arguments, since citty passes over what it does not know. */
 import { parseArgs } from 'node:util'
 import { findNearestName } from '@nettlespur/settings.reader'
-import type { ArgsDef } from 'citty'
+import type { ArgDef, ArgsDef } from 'citty'
 import type { FoundCommand } from './findCommand.js'
 import { createUsageError } from './usageError.js'
 
@@ -38,7 +38,7 @@
     }
     if (seen.has(token.name)) throw createUsageError(`${token.rawName} is given twice`, hint)
     seen.add(token.name)
-    checkValue(arg.type === 'boolean', token, hint)
+    checkValue(arg, token, hint)
   }
   for (const [name, arg] of Object.entries(args)) {
     if (arg.type === 'positional' || arg.required !== true || seen.has(name)) continue
@@ -47,20 +47,27 @@
 }
 
 function checkValue(
-  isSwitch: boolean,
-  token: { rawName: string; value: string | undefined; inlineValue: boolean | undefined },
+  arg: ArgDef,
+  token: Extract<Tokens[number], { kind: 'option' }>,
   hint: string,
 ): void {
   const { rawName, value, inlineValue } = token
-  if (isSwitch && value !== undefined) throw createUsageError(`${rawName} takes no value`, hint)
-  if (isSwitch) return
+  if (arg.type === 'boolean') {
+    if (value !== undefined) throw createUsageError(`${rawName} takes no value`, hint)
+    return
+  }
   if (value === undefined || value === '') throw createUsageError(`${rawName} needs a value`, hint)
-  if (inlineValue === false && value.startsWith('-')) {
+  if (!inlineValue && value.startsWith('-')) {
     throw createUsageError(
       `${rawName} needs a value; one that starts with "-" is written ${rawName}=${value}`,
       hint,
     )
   }
+  const options = arg.type === 'enum' ? (arg.options ?? []) : [value]
+  if (!options.includes(value)) {
+    const allowed = options.join(', ')
+    throw createUsageError(`${rawName} must be one of ${allowed}, given "${value}"`, hint)
+  }
 }
 
 function createUnknownOptionError(args: ArgsDef, rawName: string, hint: string) {
--- /dev/null
+++ b/cli/nettlespur/src/commands/dev.ts
@@ -0,0 +1,59 @@
+/** `nettlespur dev`: everything in one process, until a signal stops it. */
+import { SystemClock } from '@nettlespur/core.clock'
+import { LifecycleManager, stopOnSignals } from '@nettlespur/core.lifecycle'
+import { createCliCommand } from '../cliCommand.js'
+import { readCount } from '../readArgs.js'
+import { createUsageError } from '../usageError.js'
+
+const defaultUpstreams = 4
+const defaultPort = 7400
+const defaultDataFolder = '.nettlespur/dev'
+const highestPort = 65_535
+const drainDeadlineMs = 30_000
+
+export interface StartDevOptions {
+  upstreams: number
+  port: number
+  dataFolder: string
+}
+
+/** Starts the whole system on loopback; its `stop` drains it. */
+export type StartDev = (opts: StartDevOptions) => Promise<{ stop: () => Promise<void> }>
+
+/** The command over what starts the system, which is handed in so that this package needs no daemon. */
+export function createDevCommand(startDev: StartDev) {
+  return createCliCommand({
+    name: 'dev',
+    description: 'Run control, one entry and stand-in upstreams in one process on loopback',
+    args: {
+      upstreams: {
+        type: 'string',
+        description: 'Stand-in upstreams of 8 accelerators',
+        default: String(defaultUpstreams),
+        valueHint: 'N',
+      },
+      port: {
+        type: 'string',
+        description: 'Port of the entry on 127.0.0.1; 0 takes a free one',
+        default: String(defaultPort),
+        valueHint: 'P',
+      },
+      data: {
+        type: 'string',
+        description: 'Folder of the replicated state',
+        default: defaultDataFolder,
+        valueHint: 'DIR',
+      },
+    },
+    examples: ['nettlespur dev', 'nettlespur dev --upstreams 2 --port 7500'],
+    run: async ({ args }) => {
+      const port = readCount('--port', args.port)
+      if (port > highestPort) throw createUsageError(`--port must be at most ${highestPort}`)
+      const upstreams = readCount('--upstreams', args.upstreams)
+      const lifecycle = new LifecycleManager({ clock: new SystemClock(), drainDeadlineMs })
+      const running = await startDev({ upstreams, port, dataFolder: args.data })
+      lifecycle.own('dev', () => running.stop())
+      stopOnSignals(lifecycle)
+    },
+  })
+}
