test: start daemons as separate processes and wait on their log lines

Cause: failure tests need real processes that can be killed, frozen and restarted, without any bare wait. Change: a test-only package that writes settings into a temporary folder, takes ports from the system and waits for log events.

--- /dev/null
+++ b/daemons/trial/__utils__/daemonProcess.ts
@@ -0,0 +1,104 @@
+/**
+ * One daemon as a process of its own, whose log lines a test can wait for. Nothing here waits for a time:
+ * only for a line, or for the process's end.
+ */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { createInterface } from 'node:readline'
+
+export interface DaemonProcessOptions {
+  /** The daemon's bin, an absolute path. */
+  bin: string
+  settingsFile: string
+}
+
+/** The fields of one log line. */
+export type LogFields = Readonly<Record<string, string>>
+
+interface Waiter {
+  readonly matches: (fields: LogFields) => boolean
+  readonly resolve: (fields: LogFields) => void
+  readonly reject: (cause: Error) => void
+}
+
+export class DaemonProcess {
+  readonly lines: string[] = []
+  readonly #child: ChildProcess
+  readonly #waiters = new Set<Waiter>()
+  readonly #ended: Promise<number | null>
+
+  constructor(opts: DaemonProcessOptions) {
+    this.#child = spawn(process.execPath, [opts.bin, '--settings', opts.settingsFile], {
+      stdio: ['ignore', 'ignore', 'pipe'],
+    })
+    this.#ended = once(this.#child, 'exit').then(([code]) => code as number | null)
+    if (this.#child.stderr !== null) {
+      createInterface({ input: this.#child.stderr }).on('line', (line) => {
+        this.#take(line)
+      })
+    }
+    void this.#ended.then((code) => {
+      this.#failWaiters(new Error(`the process ended with ${code ?? 'a signal'}:\n${this.#tail()}`))
+    })
+  }
+
+  get pid(): number {
+    return this.#child.pid ?? 0
+  }
+
+  /** Resolves with the first line, past or to come, of this event that `matches`. */
+  waitFor(event: string, matches: (fields: LogFields) => boolean = () => true): Promise<LogFields> {
+    const wanted = (fields: LogFields): boolean => fields.event === event && matches(fields)
+    const past = this.lines.map((line) => parseLine(line)).find(wanted)
+    if (past !== undefined) return Promise.resolve(past)
+    return new Promise((resolve, reject) => {
+      this.#waiters.add({ matches: wanted, resolve, reject })
+    })
+  }
+
+  /** Sends a signal, such as SIGSTOP, without waiting. */
+  signal(signal: NodeJS.Signals): void {
+    this.#child.kill(signal)
+  }
+
+  /** Ends the process without warning. */
+  async kill(): Promise<void> {
+    this.#child.kill('SIGKILL')
+    await this.#ended
+  }
+
+  /** A planned stop; resolves with the exit code. */
+  async stop(): Promise<number | null> {
+    this.#child.kill('SIGTERM')
+    return this.#ended
+  }
+
+  #take(line: string): void {
+    this.lines.push(line)
+    const fields = parseLine(line)
+    for (const waiter of this.#waiters) {
+      if (!waiter.matches(fields)) continue
+      this.#waiters.delete(waiter)
+      waiter.resolve(fields)
+    }
+  }
+
+  #failWaiters(cause: Error): void {
+    for (const waiter of this.#waiters) waiter.reject(cause)
+    this.#waiters.clear()
+  }
+
+  #tail(): string {
+    return this.lines.slice(-20).join('\n')
+  }
+}
+
+const fieldPattern = /(\w+)=("(?:[^"\\]|\\.)*"|\S*)/g
+
+function parseLine(line: string): LogFields {
+  const fields: Record<string, string> = {}
+  for (const [, name = '', value = ''] of line.matchAll(fieldPattern)) {
+    fields[name] = value.startsWith('"') ? String(JSON.parse(value)) : value
+  }
+  return fields
+}
--- /dev/null
+++ b/daemons/trial/__utils__/index.ts
@@ -0,0 +1,5 @@
+/** Starts the daemons as separate processes, for tests only. */
+export { DaemonProcess, type LogFields } from './daemonProcess.js'
+export { pickLoopbackHost, reserveAddress } from './reserveAddress.js'
+export { TrialCluster, type TrialClusterOptions, type TrialInstance } from './trialCluster.js'
+export { waitUntil } from './waitUntil.js'
--- /dev/null
+++ b/daemons/trial/__utils__/trialCluster.ts
@@ -0,0 +1,150 @@
+/** A small cluster of separate processes on loopback in a temporary folder, removed at the end. */
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import path from 'node:path'
+import { createKey } from '@nettlespur/http.keys'
+import { stringify } from 'yaml'
+import { DaemonProcess } from './daemonProcess.js'
+import { pickLoopbackHost, reserveAddress } from './reserveAddress.js'
+
+const root = path.resolve(import.meta.dirname, '..', '..', '..', '..')
+const bins = {
+  control: path.join(root, 'daemons', 'control', 'bin', 'nettlespur-control.js'),
+  entry: path.join(root, 'daemons', 'entry', 'bin', 'nettlespur-entry.js'),
+  upstream: path.join(root, 'daemons', 'upstream', 'bin', 'nettlespur-upstream.js'),
+}
+
+export interface TrialClusterOptions {
+  controls: number
+  entries: number
+  upstreams: number
+  /** Merged over each control's settings. */
+  controlSettings?: Readonly<Record<string, unknown>>
+  /** Merged over each entry's settings. */
+  entrySettings?: Readonly<Record<string, unknown>>
+  /** Merged over each upstream's settings. */
+  upstreamSettings?: Readonly<Record<string, unknown>>
+}
+
+/** One process of the cluster, which can be ended and started again on the same address and data. */
+export interface TrialInstance {
+  readonly id: string
+  /** Peer side of a control, caller side of an entry, task side of an upstream. */
+  readonly address: string
+  readonly settingsFile: string
+  readonly dataFolder: string
+  process: DaemonProcess
+}
+
+export class TrialCluster {
+  readonly folder: string
+  readonly operatorKey = createKey()
+  readonly controls: TrialInstance[] = []
+  readonly entries: TrialInstance[] = []
+  readonly upstreams: TrialInstance[] = []
+  readonly #host = pickLoopbackHost()
+  readonly #opts: TrialClusterOptions
+
+  private constructor(opts: TrialClusterOptions) {
+    this.#opts = opts
+    this.folder = mkdtempSync(path.join(tmpdir(), 'nettlespur-trial-'))
+    this.#writeKey('operators', this.operatorKey)
+    this.#writeKey('peers', createKey())
+    this.#writeKey('upstreams', createKey())
+  }
+
+  /** Starts everything; resolves when each process listens. */
+  static async start(opts: TrialClusterOptions): Promise<TrialCluster> {
+    const cluster = new TrialCluster(opts)
+    await cluster.#startControls()
+    await cluster.#startEntries()
+    await cluster.#startUpstreams()
+    return cluster
+  }
+
+  /** Starts an instance that has ended again, with the same settings. */
+  async restart(kind: keyof typeof bins, instance: TrialInstance): Promise<void> {
+    instance.process = new DaemonProcess({ bin: bins[kind], settingsFile: instance.settingsFile })
+    await instance.process.waitFor(`${kind}.listening`)
+  }
+
+  /** Kills all that runs and removes the folder. */
+  async close(): Promise<void> {
+    const all = [...this.upstreams, ...this.entries, ...this.controls]
+    await Promise.all(all.map((instance) => instance.process.kill()))
+    rmSync(this.folder, { recursive: true, force: true })
+  }
+
+  async #startControls(): Promise<void> {
+    const members = []
+    for (let index = 1; index <= this.#opts.controls; index++) {
+      const peerAddress = await reserveAddress(this.#host)
+      members.push({ memberId: `c${index}`, peerAddress, dataCentre: `dc${index}` })
+    }
+    for (const member of members) {
+      const settings = {
+        instanceId: member.memberId,
+        dataCentre: member.dataCentre,
+        peerAddress: member.peerAddress,
+        dataFolder: `data-${member.memberId}`,
+        members,
+        keyFiles: { peers: 'peers.key', upstreams: 'upstreams.key' },
+        ...this.#opts.controlSettings,
+      }
+      this.controls.push(
+        await this.#launch('control', member.memberId, member.peerAddress, settings),
+      )
+    }
+  }
+
+  async #startEntries(): Promise<void> {
+    for (let index = 1; index <= this.#opts.entries; index++) {
+      const listenAddress = await reserveAddress(this.#host)
+      const settings = {
+        instanceId: `e${index}`,
+        dataCentre: `dc${index}`,
+        listenAddress,
+        peerAddress: await reserveAddress(this.#host),
+        control: this.controls.map((control) => control.address),
+        keyFiles: { peers: 'peers.key', operators: 'operators.key', upstreams: 'upstreams.key' },
+        ...this.#opts.entrySettings,
+      }
+      this.entries.push(await this.#launch('entry', `e${index}`, listenAddress, settings))
+    }
+  }
+
+  async #startUpstreams(): Promise<void> {
+    for (let index = 1; index <= this.#opts.upstreams; index++) {
+      const listenAddress = await reserveAddress(this.#host)
+      const settings = {
+        upstreamId: `u${index}`,
+        dataCentre: 'dc1',
+        rack: 'r1',
+        listenAddress,
+        entries: this.entries.map((entry) => entry.address),
+        keyFile: 'upstreams.key',
+        ...this.#opts.upstreamSettings,
+      }
+      this.upstreams.push(await this.#launch('upstream', `u${index}`, listenAddress, settings))
+    }
+  }
+
+  async #launch(
+    kind: keyof typeof bins,
+    id: string,
+    address: string,
+    settings: unknown,
+  ): Promise<TrialInstance> {
+    const settingsFile = path.join(this.folder, `${id}.yaml`)
+    const dataFolder = path.join(this.folder, `data-${id}`)
+    mkdirSync(dataFolder, { recursive: true })
+    writeFileSync(settingsFile, stringify(settings))
+    const daemon = new DaemonProcess({ bin: bins[kind], settingsFile })
+    await daemon.waitFor(`${kind}.listening`)
+    return { id, address, settingsFile, dataFolder, process: daemon }
+  }
+
+  #writeKey(name: string, key: string): void {
+    writeFileSync(path.join(this.folder, `${name}.key`), `${key}\n`, { mode: 0o600 })
+  }
+}
--- a/scripts/syncPackages.mjs
+++ b/scripts/syncPackages.mjs
@@ -57,7 +57,7 @@
   write(path.join(dir, 'tsconfig.json'), {
     extends: path.relative(dir, path.join(root, 'tsconfig.base.json')),
     compilerOptions: { rootDir: '.', outDir: 'lib', tsBuildInfoFile: 'lib/tsconfig.tsbuildinfo' },
-    include: ['src', 'test'],
+    include: ['src', 'test', '__utils__'],
     references,
   })
 }
