feat: add the entry: its view of the cluster, HTTP API, short requests and daemon

First thin form of the whole path on the entry's side: a watched view under a contract lease, routes by group, requests to upstreams with honest outcomes, and a planned stop in phases.

--- /dev/null
+++ b/entry/requests/src/index.ts
@@ -0,0 +1,13 @@
+/** Short requests: limits, queues, choice of an upstream and honest outcomes. */
+export { EqualShareQuotas, type EqualShareQuotasOptions } from './equalShareQuotas.js'
+export { EqualShareSlots } from './equalShareSlots.js'
+export { HttpTaskTransport, type HttpTaskTransportOptions } from './httpTaskTransport.js'
+export { LocalRequestRouter, type LocalRequestRouterOptions } from './localRequestRouter.js'
+export { MostFreePicker } from './mostFreePicker.js'
+export { RequestQueue, type RequestQueueOptions, type SlotGrant } from './requestQueue.js'
+export { RequestRouter } from './requestRouter.js'
+export type { ShortAnswer, ShortRequest } from './shortRequest.js'
+export { SlotSource } from './slotSource.js'
+export { TaskTransport, type TaskAnswer, type TaskOutcome, type TaskRun } from './taskTransport.js'
+export { UpstreamPicker, type PickedUpstream, type SlotCandidate } from './upstreamPicker.js'
+export { WorkspaceQuotas, type WorkspaceQuota } from './workspaceQuotas.js'
--- /dev/null
+++ b/entry/requests/src/localRequestRouter.ts
@@ -0,0 +1,229 @@
+/**
+ * Routes short requests from this entry to upstreams by itself. What may have run is told as such: an
+ * attempt whose answer was lost is repeated only where the request is repeatable.
+ */
+import { randomUUID } from 'node:crypto'
+import type { Clock } from '@nettlespur/core.clock'
+import { NettlespurError, toNettlespurError, tryAsync, unwrap } from '@nettlespur/core.errors'
+import type { Logger } from '@nettlespur/core.logger'
+import type { MetricsRegistry } from '@nettlespur/core.metrics'
+import type { ClusterView } from '@nettlespur/entry.view'
+import type { EitherAsync } from 'purify-ts'
+import { RateLimiter } from './rateLimiter.js'
+import type { RequestQueue, SlotGrant } from './requestQueue.js'
+import { RequestRouter } from './requestRouter.js'
+import type { ShortAnswer, ShortRequest } from './shortRequest.js'
+import type { TaskOutcome, TaskTransport } from './taskTransport.js'
+import type { WorkspaceQuota, WorkspaceQuotas } from './workspaceQuotas.js'
+
+const attemptsMax = 3
+const retryAfterMs = 1000
+
+export interface LocalRequestRouterOptions {
+  clock: Clock
+  logger: Logger
+  metrics: MetricsRegistry
+  view: ClusterView
+  quotas: WorkspaceQuotas
+  queue: RequestQueue
+  transport: TaskTransport
+}
+
+/** What is known of a request between its attempts. */
+interface Progress {
+  readonly request: ShortRequest
+  readonly taskId: string
+  readonly tried: Set<string>
+  attempt: number
+  /** Set once an attempt may have run. */
+  lost: NettlespurError | undefined
+}
+
+type Attempted = Exclude<TaskOutcome, { kind: 'answered' }>
+
+export class LocalRequestRouter extends RequestRouter {
+  readonly #opts: LocalRequestRouterOptions
+  readonly #rates: RateLimiter
+  readonly #retries: RateLimiter
+  readonly #abandoned = new AbortController()
+
+  constructor(opts: LocalRequestRouterOptions) {
+    super()
+    this.#opts = opts
+    this.#rates = new RateLimiter(opts.clock)
+    this.#retries = new RateLimiter(opts.clock)
+  }
+
+  override run(request: ShortRequest): EitherAsync<NettlespurError, ShortAnswer> {
+    return tryAsync(() => this.#observe(request))
+  }
+
+  override abandonAll(): void {
+    const message = 'this entry stopped before the request could start'
+    this.#abandoned.abort()
+    this.#opts.queue.refuseAll(new NettlespurError('draining', message, { retryAfterMs }))
+  }
+
+  async #observe(request: ShortRequest): Promise<ShortAnswer> {
+    const startedMs = this.#opts.clock.monotonicMs()
+    try {
+      const answer = await this.#serve(request)
+      this.#opts.metrics.count('requests_answered_total')
+      this.#opts.metrics.recordMs('request_ms', this.#opts.clock.monotonicMs() - startedMs)
+      return answer
+    } catch (thrown) {
+      const error = toNettlespurError(thrown)
+      this.#opts.metrics.count(`requests_refused_total{kind="${error.kind}"}`)
+      this.#logRefusal(request, error)
+      throw error
+    }
+  }
+
+  async #serve(request: ShortRequest): Promise<ShortAnswer> {
+    this.#admit(request)
+    const slot = await unwrap(this.#opts.queue.enter(request))
+    try {
+      return await this.#attemptAll(request, slot)
+    } finally {
+      this.#opts.queue.leave(request.workspace)
+    }
+  }
+
+  #admit(request: ShortRequest): void {
+    const lapsed = this.#opts.view.lease.refusal()
+    if (lapsed !== undefined) throw lapsed
+    const quota = this.#quotaOf(request.workspace)
+    const rate = { perSecond: quota.requestsPerSecond, burst: quota.requestBurst }
+    const refusal = this.#rates.refusal(request.workspace, rate)
+    if (refusal !== undefined) throw refusal
+  }
+
+  #quotaOf(workspace: string): WorkspaceQuota {
+    const quota = this.#opts.quotas.quotaOf(workspace)
+    if (quota !== undefined) return quota
+    throw new NettlespurError('unknown-workspace', `no contract for workspace ${workspace}`)
+  }
+
+  async #attemptAll(request: ShortRequest, first: SlotGrant): Promise<ShortAnswer> {
+    const progress: Progress = {
+      request,
+      taskId: `request-${randomUUID()}`,
+      tried: new Set(),
+      attempt: 1,
+      lost: undefined,
+    }
+    let slot = first
+    for (;;) {
+      const outcome = await this.#attemptOn(progress, slot)
+      if (outcome.kind === 'answered') return createAnswer(progress, slot, outcome)
+      this.#noteFailure(progress, slot, outcome)
+      this.#checkRetry(progress, outcome)
+      slot = await this.#nextSlot(progress)
+      progress.attempt += 1
+    }
+  }
+
+  async #attemptOn(progress: Progress, slot: SlotGrant): Promise<TaskOutcome> {
+    const { request, taskId, attempt } = progress
+    this.#logRouted(progress, slot)
+    try {
+      return await this.#opts.transport.run({
+        ...request,
+        taskId,
+        attempt,
+        address: slot.upstream.address,
+        fence: slot.fence,
+        givenUp: this.#abandoned.signal,
+        timeoutMs: Math.max(1, request.deadlineAtMs - this.#opts.clock.monotonicMs()),
+      })
+    } finally {
+      this.#opts.queue.releaseSlot(slot.upstream.upstreamId)
+    }
+  }
+
+  #noteFailure(progress: Progress, slot: SlotGrant, outcome: Attempted): void {
+    progress.tried.add(slot.upstream.upstreamId)
+    if (outcome.kind === 'lost') progress.lost = outcome.error
+    this.#opts.metrics.count(`request_attempts_failed_total{outcome="${outcome.kind}"}`)
+    this.#opts.logger.warn({
+      event: 'request.attempt-failed',
+      taskId: progress.taskId,
+      attempt: progress.attempt,
+      upstreamId: slot.upstream.upstreamId,
+      outcome: outcome.kind,
+      kind: outcome.error.kind,
+      reason: outcome.error.message,
+    })
+  }
+
+  /** Throws the final answer where the request may not be tried again. */
+  #checkRetry(progress: Progress, outcome: Attempted): void {
+    const { request } = progress
+    if (progress.lost !== undefined && !request.repeatable)
+      throw createFinalError(progress, outcome)
+    const unwanted = request.callerGone.aborted || this.#abandoned.signal.aborted
+    const spent = progress.attempt >= attemptsMax
+    if (unwanted || spent || (outcome.kind === 'lost' && !this.#takeRetry(request.workspace))) {
+      throw createFinalError(progress, outcome)
+    }
+  }
+
+  /** Only attempts that may have run are charged: the others cost an upstream nothing. */
+  #takeRetry(workspace: string): boolean {
+    const perSecond = this.#quotaOf(workspace).retriesPerSecond
+    const rate = { perSecond, burst: Math.max(1, perSecond) }
+    return perSecond > 0 && this.#retries.refusal(workspace, rate) === undefined
+  }
+
+  async #nextSlot(progress: Progress): Promise<SlotGrant> {
+    const slot = await this.#opts.queue.enterAgain(progress.request, progress.tried).run()
+    if (slot.isRight()) return slot.extract()
+    const error = toNettlespurError(slot.extract())
+    throw progress.lost === undefined ? error : createUnknownError(progress.lost)
+  }
+
+  #logRouted(progress: Progress, slot: SlotGrant): void {
+    this.#opts.logger.info({
+      event: 'request.routed',
+      workspace: progress.request.workspace,
+      taskId: progress.taskId,
+      attempt: progress.attempt,
+      upstreamId: slot.upstream.upstreamId,
+      fence: slot.fence,
+      repeatable: progress.request.repeatable,
+      reason: slot.reason,
+    })
+  }
+
+  #logRefusal(request: ShortRequest, error: NettlespurError): void {
+    this.#opts.logger.info({
+      event: 'request.refused',
+      workspace: request.workspace,
+      kind: error.kind,
+      ran: error.answer.ran,
+      reason: error.message,
+    })
+  }
+}
+
+function createAnswer(
+  progress: Progress,
+  slot: SlotGrant,
+  outcome: Extract<TaskOutcome, { kind: 'answered' }>,
+): ShortAnswer {
+  const { taskId, attempt } = progress
+  return { ...outcome.answer, taskId, attempt, upstreamId: slot.upstream.upstreamId }
+}
+
+function createFinalError(progress: Progress, outcome: Attempted): NettlespurError {
+  if (progress.lost !== undefined) return createUnknownError(progress.lost)
+  const kind = outcome.kind === 'not-sent' ? 'no-upstream' : 'upstream-refused'
+  return new NettlespurError(kind, outcome.error.message, { retryAfterMs, cause: outcome.error })
+}
+
+function createUnknownError(lost: NettlespurError): NettlespurError {
+  return new NettlespurError('outcome-unknown', lost.message, {
+    hint: 'it may have run: ask the service itself before sending it again',
+    cause: lost,
+  })
+}
--- /dev/null
+++ b/entry/service/src/requestRoutes.ts
@@ -0,0 +1,66 @@
+/** Short requests: the upstream's answer comes back whole. */
+import { idempotencyKeySchema, requestHeaders, taskHeaders } from '@nettlespur/api.schemas'
+import { NettlespurError, tryAsync, unwrap } from '@nettlespur/core.errors'
+import type { ShortAnswer } from '@nettlespur/entry.requests'
+import type { HttpReply, HttpRequest, Route } from '@nettlespur/http.server'
+import type { EntryContext } from './entryContext.js'
+import { readHeader, readWholeNumber } from './readParts.js'
+
+const longestDeadlineMs = 3_600_000
+const upstreamHeader = 'nettlespur-upstream-id'
+
+export function createRequestRoutes(context: EntryContext): Route[] {
+  return [
+    {
+      method: 'POST',
+      path: '/v1/requests',
+      handle: (request) => tryAsync(() => runRequest(context, request)),
+    },
+  ]
+}
+
+async function runRequest(context: EntryContext, request: HttpRequest): Promise<HttpReply> {
+  const receivedMs = context.clock.monotonicMs()
+  const workspace = context.access.requireNamedWorkspace(request)
+  const refusal = context.drain.refusal()
+  if (refusal !== undefined) throw refusal
+  const deadlineMs = readDeadlineMs(request) ?? context.requestDeadlineMs
+  const answer = await unwrap(
+    context.router.run({
+      workspace,
+      key: readHeader(request, requestHeaders.key, idempotencyKeySchema),
+      repeatable: readRepeatable(request),
+      deadlineAtMs: receivedMs + deadlineMs,
+      contentType: request.header('content-type'),
+      body: await unwrap(request.readBody()),
+      callerGone: request.callerGone,
+    }),
+  )
+  return createReply(answer)
+}
+
+function readDeadlineMs(request: HttpRequest): number | undefined {
+  const name = requestHeaders.deadlineMs
+  const deadlineMs = readWholeNumber(`header ${name}`, request.header(name))
+  if (deadlineMs === undefined || deadlineMs <= longestDeadlineMs) return deadlineMs
+  throw new NettlespurError('invalid-field', `header ${name}: must be at most ${longestDeadlineMs}`)
+}
+
+function readRepeatable(request: HttpRequest): boolean {
+  const text = request.header(requestHeaders.repeatable) ?? 'false'
+  if (text === 'true' || text === 'false') return text === 'true'
+  throw new NettlespurError(
+    'invalid-field',
+    `header ${requestHeaders.repeatable}: must be true or false`,
+  )
+}
+
+function createReply(answer: ShortAnswer): HttpReply {
+  const headers = {
+    ...(answer.contentType === undefined ? {} : { 'content-type': answer.contentType }),
+    [taskHeaders.taskId]: answer.taskId,
+    [taskHeaders.attempt]: String(answer.attempt),
+    [upstreamHeader]: answer.upstreamId,
+  }
+  return { status: answer.status, headers, bytes: answer.body }
+}
--- /dev/null
+++ b/entry/service/src/statusRoutes.ts
@@ -0,0 +1,55 @@
+/** Health for the balancer, figures, and the state of the cluster for operators. */
+import { tryAsync, unwrap } from '@nettlespur/core.errors'
+import type { HttpReply, HttpRequest, Route } from '@nettlespur/http.server'
+import type { EntryContext } from './entryContext.js'
+
+export function createStatusRoutes(context: EntryContext): Route[] {
+  return [
+    {
+      method: 'GET',
+      path: '/v1/status',
+      handle: (request) => tryAsync(() => getStatus(context, request)),
+    },
+    {
+      method: 'GET',
+      path: '/v1/report',
+      handle: (request) => tryAsync(() => getReport(context, request)),
+    },
+    {
+      method: 'GET',
+      path: '/healthz',
+      handle: () => tryAsync(() => Promise.resolve({ status: 200, json: { live: true } })),
+    },
+    {
+      method: 'GET',
+      path: '/readyz',
+      handle: () => tryAsync(() => getReadiness(context)),
+    },
+    {
+      method: 'GET',
+      path: '/metrics',
+      handle: () => tryAsync(() => getMetrics(context)),
+    },
+  ]
+}
+
+async function getStatus(context: EntryContext, request: HttpRequest): Promise<HttpReply> {
+  context.access.requireOperator(request)
+  return { status: 200, json: await unwrap(context.control.getStatus()) }
+}
+
+async function getReport(context: EntryContext, request: HttpRequest): Promise<HttpReply> {
+  context.access.requireOperator(request)
+  return { status: 200, json: await unwrap(context.control.getReport()) }
+}
+
+function getReadiness(context: EntryContext): Promise<HttpReply> {
+  const fault = context.drain.readinessFault() ?? context.view.lease.refusal()
+  if (fault !== undefined) return Promise.reject(fault)
+  return Promise.resolve({ status: 200, json: { ready: true } })
+}
+
+function getMetrics(context: EntryContext): Promise<HttpReply> {
+  const headers = { 'content-type': 'text/plain; charset=utf-8' }
+  return Promise.resolve({ status: 200, headers, bytes: context.metrics.render() })
+}
--- /dev/null
+++ b/entry/view/src/clusterView.ts
@@ -0,0 +1,132 @@
+/**
+ * The entry's soft copy of the cluster: contracts by workspace, upstreams by id, and the live entries. It
+ * is rebuilt from control after a restart, and a contract never goes back to an older change.
+ */
+import type { Announcement, Contract, ContractRecord, UpstreamView } from '@nettlespur/api.schemas'
+import type { ClusterUpdate, EntryIdentity } from '@nettlespur/control.api'
+import type { Clock } from '@nettlespur/core.clock'
+import type { Logger } from '@nettlespur/core.logger'
+import { BehaviorSubject } from 'rxjs'
+import { ContractLease } from './contractLease.js'
+
+export interface ClusterViewOptions {
+  clock: Clock
+  logger: Logger
+}
+
+/** What this entry holds already, in terms of the leadership it learned it from. */
+export interface WatchPosition {
+  readonly epoch: string
+  readonly contractIndex: number
+  readonly upstreamVersion: number
+}
+
+export class ClusterView {
+  readonly contracts = new BehaviorSubject<ReadonlyMap<string, ContractRecord>>(new Map())
+  readonly upstreams = new BehaviorSubject<ReadonlyMap<string, UpstreamView>>(new Map())
+  readonly entries = new BehaviorSubject<readonly EntryIdentity[]>([])
+  readonly lease: ContractLease
+  readonly #logger: Logger
+  /** Upstreams that told this entry they leave, until control knows it too. */
+  readonly #leaving = new Set<string>()
+  #position: WatchPosition = { epoch: '', contractIndex: 0, upstreamVersion: 0 }
+
+  constructor(opts: ClusterViewOptions) {
+    this.#logger = opts.logger
+    this.lease = new ContractLease(opts.clock)
+  }
+
+  get position(): WatchPosition {
+    return this.#position
+  }
+
+  /** The contract of a workspace; undefined where there is none. */
+  contractOf(workspace: string): Contract | undefined {
+    return this.contracts.value.get(workspace)?.contract
+  }
+
+  /**
+   * Takes an update to a watch request sent at `sentMs`. False where the update is older than what is
+   * held: then nothing of it is taken, and the contract lease is not renewed by it.
+   */
+  apply(update: ClusterUpdate, sentMs: number): boolean {
+    if (update.contractIndex < this.#position.contractIndex) {
+      this.#logStaleUpdate(update)
+      return false
+    }
+    const anew = update.epoch !== this.#position.epoch
+    this.#takeContracts(update.contracts)
+    this.#takeUpstreams(update.upstreams, anew)
+    this.entries.next(update.entries)
+    const { epoch, contractIndex, upstreamVersion } = update
+    this.#position = { epoch, contractIndex, upstreamVersion }
+    this.lease.renew(sentMs, update.contractLeaseMs)
+    return true
+  }
+
+  /** Takes what an upstream told this entry itself: one that leaves gets no new work from now on. */
+  noteAnnouncement(upstreamId: string, announcement: Announcement): void {
+    if (announcement.state === 'ready') {
+      this.#leaving.delete(upstreamId)
+      return
+    }
+    this.#leaving.add(upstreamId)
+    const known = this.upstreams.value.get(upstreamId)
+    if (known?.state !== 'ready') return
+    const upstreams = new Map(this.upstreams.value)
+    this.upstreams.next(upstreams.set(upstreamId, { ...known, state: 'leaving' }))
+  }
+
+  #takeContracts(records: readonly ContractRecord[]): void {
+    if (records.length === 0) return
+    const contracts = new Map(this.contracts.value)
+    for (const record of records) {
+      const { workspace } = record.contract
+      const held = contracts.get(workspace)
+      if (held !== undefined && record.changeIndex < held.changeIndex) {
+        this.#logStaleContract(record, held)
+        continue
+      }
+      contracts.set(workspace, record)
+    }
+    this.contracts.next(contracts)
+  }
+
+  #takeUpstreams(changed: readonly UpstreamView[], anew: boolean): void {
+    if (changed.length === 0 && !anew) return
+    const upstreams = new Map(anew ? [] : this.upstreams.value)
+    for (const upstream of changed) {
+      upstreams.set(upstream.upstreamId, this.#withLocalState(upstream))
+    }
+    this.upstreams.next(upstreams)
+  }
+
+  #withLocalState(upstream: UpstreamView): UpstreamView {
+    if (!this.#leaving.has(upstream.upstreamId)) return upstream
+    if (upstream.state === 'ready') return { ...upstream, state: 'leaving' }
+    this.#leaving.delete(upstream.upstreamId)
+    return upstream
+  }
+
+  #logStaleUpdate(update: ClusterUpdate): void {
+    this.#logger.warn({
+      event: 'view.update-ignored',
+      epoch: update.epoch,
+      contractIndex: update.contractIndex,
+      heldContractIndex: this.#position.contractIndex,
+      reason: 'the update is older than the contracts held here',
+    })
+  }
+
+  #logStaleContract(record: ContractRecord, held: ContractRecord): void {
+    this.#logger.warn({
+      event: 'view.contract-ignored',
+      workspace: record.contract.workspace,
+      revision: record.revision,
+      changeIndex: record.changeIndex,
+      heldRevision: held.revision,
+      heldChangeIndex: held.changeIndex,
+      reason: 'a contract never goes back to an older change',
+    })
+  }
+}
--- a/settings/schemas/src/entrySettings.ts
+++ b/settings/schemas/src/entrySettings.ts
@@ -19,6 +19,8 @@
   announceEveryMs: z.int().positive().default(1000),
   /** Deadline of a request that names none. */
   requestDeadlineMs: z.int().positive().default(30_000),
+  /** How long new work is still taken after readiness has turned, so that the balancer notices. */
+  unreadyNoticeMs: z.int().nonnegative().default(1000),
   /** A connection silent for this long carries no request that must not run twice. */
   connectionProvenMs: z.int().positive().default(2000),
 })
