--- a/http/client/src/callHttp.ts
+++ b/http/client/src/callHttp.ts
@@ -25,6 +25,8 @@
   /** Authority that signed the other side's certificate: set, it makes the call use TLS. */
   ca?: Buffer | undefined
   answerBytesMax?: number
+  /** Told when the call ends because its deadline passed in silence. */
+  onTimeout?: (() => void) | undefined
 }
 
 export interface HttpAnswer {
@@ -54,6 +56,7 @@
     const progress = { mayHaveLeft: false }
     const request = openRequest(opts)
     const timer = opts.clock.setTimer(opts.timeoutMs, () => {
+      opts.onTimeout?.()
       request.destroy(new Error(`no whole answer within ${opts.timeoutMs} ms`))
     })
     const abort = (): void => {
--- /dev/null
+++ b/upstream/client/src/connectionPool.ts
@@ -0,0 +1,58 @@
+/**
+ * The kept connections to one upstream. A pool whose connection went silent is retired: its idle
+ * connections are closed at once, its busy ones after their answer, and no later call uses it.
+ */
+import http from 'node:http'
+import https from 'node:https'
+import type { Duplex } from 'node:stream'
+
+export interface ConnectionPoolOptions {
+  /** Open connections at a time. */
+  connectionsMax: number
+  /** An idle connection is closed after this long, so that no call goes on one not proven lately. */
+  idleMsMax: number
+  tls: boolean
+}
+
+/** Node asks this before it puts a connection among the idle ones; its types leave it out. */
+interface KeepsSockets {
+  keepSocketAlive(socket: Duplex): boolean
+}
+
+export class ConnectionPool {
+  readonly agent: http.Agent
+  #retired = false
+
+  constructor(opts: ConnectionPoolOptions) {
+    const agentOpts = {
+      keepAlive: true,
+      maxSockets: opts.connectionsMax,
+      maxFreeSockets: opts.connectionsMax,
+      timeout: opts.idleMsMax,
+    }
+    this.agent = opts.tls ? new https.Agent(agentOpts) : new http.Agent(agentOpts)
+    this.#askBeforeKeeping(this.agent as unknown as KeepsSockets)
+  }
+
+  /** True where no connection is open and no call waits for one. */
+  get isUnused(): boolean {
+    const { sockets, freeSockets, requests } = this.agent
+    return [sockets, freeSockets, requests].every((held) => Object.keys(held).length === 0)
+  }
+
+  retire(): void {
+    this.#retired = true
+    for (const idle of Object.values(this.agent.freeSockets)) {
+      idle?.forEach((socket) => socket.destroy())
+    }
+  }
+
+  destroy(): void {
+    this.agent.destroy()
+  }
+
+  #askBeforeKeeping(agent: KeepsSockets): void {
+    const keep = agent.keepSocketAlive.bind(agent)
+    agent.keepSocketAlive = (socket) => !this.#retired && keep(socket)
+  }
+}
--- /dev/null
+++ b/upstream/client/src/httpUpstreamClient.ts
@@ -0,0 +1,150 @@
+/**
+ * Calls upstreams over HTTP, with kept connections and a deadline on each call. When a call to an address
+ * ends in silence, that address's connections are distrusted and the next call opens a new one.
+ */
+import { setMaxListeners } from 'node:events'
+import {
+  leasesAnswerSchema,
+  taskStatusSchema,
+  type RenewLeases,
+  type ReserveTask,
+  type TaskStatus,
+} from '@nettlespur/api.schemas'
+import type { Clock } from '@nettlespur/core.clock'
+import type { NettlespurError } from '@nettlespur/core.errors'
+import { callHttp, callJson, type CallHttpOptions } from '@nettlespur/http.client'
+import { formatBearerKey } from '@nettlespur/http.keys'
+import { EitherAsync } from 'purify-ts'
+import { ConnectionPools } from './connectionPools.js'
+import { readWholeAnswer } from './readWholeAnswer.js'
+import { UpstreamClient, type TaskReference } from './upstreamClient.js'
+
+const defaultTimeoutMs = 3000
+const defaultConnectionsMax = 8
+const defaultIdleMsMax = 2000
+const defaultAnswerBytesMax = 67_108_864
+
+export interface HttpUpstreamClientOptions {
+  clock: Clock
+  /** Deadline of each call, in milliseconds. */
+  timeoutMs?: number
+  /** Open connections to one upstream at a time. */
+  connectionsPerUpstream?: number
+  /** An idle connection is closed after this long, in milliseconds. */
+  idleMsMax?: number
+  answerBytesMax?: number
+  /** Sent to upstreams as a bearer key. */
+  key?: string | undefined
+  /** Authority that signed the upstreams' certificates: set, it makes calls use TLS. */
+  ca?: Buffer | undefined
+}
+
+export class HttpUpstreamClient extends UpstreamClient {
+  readonly #opts: HttpUpstreamClientOptions
+  readonly #pools: ConnectionPools
+  readonly #closing = new AbortController()
+
+  constructor(opts: HttpUpstreamClientOptions) {
+    super()
+    this.#opts = opts
+    this.#pools = new ConnectionPools({
+      connectionsMax: opts.connectionsPerUpstream ?? defaultConnectionsMax,
+      idleMsMax: opts.idleMsMax ?? defaultIdleMsMax,
+      tls: opts.ca !== undefined,
+    })
+    setMaxListeners(0, this.#closing.signal)
+  }
+
+  override reserve(
+    address: string,
+    taskId: string,
+    body: ReserveTask,
+  ): EitherAsync<NettlespurError, TaskStatus> {
+    return this.#askStatus(address, 'PUT', taskPath(taskId), body)
+  }
+
+  override start(task: TaskReference): EitherAsync<NettlespurError, TaskStatus> {
+    return this.#post(task, 'start', { fence: task.fence })
+  }
+
+  override checkpoint(task: TaskReference): EitherAsync<NettlespurError, TaskStatus> {
+    return this.#post(task, 'checkpoint', { fence: task.fence })
+  }
+
+  override throttle(
+    task: TaskReference,
+    cpuShare: number,
+  ): EitherAsync<NettlespurError, TaskStatus> {
+    return this.#post(task, 'throttle', { fence: task.fence, cpuShare })
+  }
+
+  override stop(
+    task: TaskReference,
+    opts: { jobId: string; graceMs: number },
+  ): EitherAsync<NettlespurError, TaskStatus> {
+    return this.#post(task, 'stop', { fence: task.fence, ...opts })
+  }
+
+  override renew(address: string, body: RenewLeases): EitherAsync<NettlespurError, TaskStatus[]> {
+    const call = this.#prepare(address, 'POST', '/v1/leases')
+    return callJson({ ...call, json: body, answer: leasesAnswerSchema }).map(({ tasks }) => tasks)
+  }
+
+  override getTask(address: string, taskId: string): EitherAsync<NettlespurError, TaskStatus> {
+    return this.#askStatus(address, 'GET', taskPath(taskId))
+  }
+
+  override getAnswer(task: TaskReference): EitherAsync<NettlespurError, Buffer> {
+    const call = this.#prepare(task.address, 'GET', `${taskPath(task.taskId)}/answer`)
+    const answerBytesMax = this.#opts.answerBytesMax ?? defaultAnswerBytesMax
+    return callHttp({ ...call, answerBytesMax }).chain((answer) =>
+      EitherAsync.liftEither(readWholeAnswer(answer, task)),
+    )
+  }
+
+  /** Gives up the calls in progress and closes every connection. */
+  close(): void {
+    this.#closing.abort()
+    this.#pools.destroyAll()
+  }
+
+  #post(
+    task: TaskReference,
+    verb: string,
+    json: unknown,
+  ): EitherAsync<NettlespurError, TaskStatus> {
+    return this.#askStatus(task.address, 'POST', `${taskPath(task.taskId)}/${verb}`, json)
+  }
+
+  #askStatus(
+    address: string,
+    method: string,
+    path: string,
+    json?: unknown,
+  ): EitherAsync<NettlespurError, TaskStatus> {
+    return callJson({ ...this.#prepare(address, method, path), json, answer: taskStatusSchema })
+  }
+
+  #prepare(address: string, method: string, path: string): CallHttpOptions {
+    const { clock, key, ca } = this.#opts
+    const pool = this.#pools.get(address)
+    return {
+      clock,
+      address,
+      method,
+      path,
+      ca,
+      agent: pool.agent,
+      timeoutMs: this.#opts.timeoutMs ?? defaultTimeoutMs,
+      signal: this.#closing.signal,
+      onTimeout: () => {
+        this.#pools.retire(address, pool)
+      },
+      ...(key === undefined ? {} : { headers: { authorization: formatBearerKey(key) } }),
+    }
+  }
+}
+
+function taskPath(taskId: string): string {
+  return `/v1/tasks/${encodeURIComponent(taskId)}`
+}
