--- a/upstream/standIn/test/requestProtocol.test.ts
+++ b/upstream/standIn/test/requestProtocol.test.ts
@@ -94,6 +94,7 @@
   const stopped = trial.standIn.stop()
   await trial.clock.advance(500)
   t.is(await readText(answer), 'done')
+  t.is((await answer).headers.connection, 'close')
   await stopped
 })
 
