--- a/http/server/src/createHttpServer.ts
+++ b/http/server/src/createHttpServer.ts
@@ -58,13 +58,14 @@
 
 /** Errors: rejects where the address cannot be bound. */
 export async function createHttpServer(opts: HttpServerOptions): Promise<HttpServer> {
-  const state = { inFlight: 0, draining: false }
+  const inFlight = new Set<ServerResponse>()
+  let draining = false
   const server = createServer(opts, (request, response) => {
-    state.inFlight += 1
+    inFlight.add(response)
     response.once('close', () => {
-      state.inFlight -= 1
+      inFlight.delete(response)
     })
-    if (state.draining) response.setHeader('connection', 'close')
+    if (draining) askToClose(response)
     void answer(opts, request, response)
   })
   server.on('clientError', answerClientError)
@@ -75,9 +76,10 @@
     address: `${host}:${bound.port}`,
     port: bound.port,
     raw: server,
-    inFlight: () => state.inFlight,
+    inFlight: () => inFlight.size,
     drain: () => {
-      state.draining = true
+      draining = true
+      inFlight.forEach(askToClose)
       return close(server)
     },
     destroy: () => {
@@ -208,6 +210,11 @@
   })
 }
 
+/** Tells the caller that its connection ends with this answer. */
+function askToClose(response: ServerResponse): void {
+  if (!response.headersSent) response.setHeader('connection', 'close')
+}
+
 function close(server: http.Server): Promise<void> {
   return new Promise((resolve) => {
     server.close(() => {
