--- /dev/null
+++ b/control/fakes/src/fakeUpstreams.ts
@@ -0,0 +1,210 @@
+/**
+ * Upstreams in memory that keep to the task protocol: fences, leases, idempotent calls. Tests break them:
+ * an address may refuse reservations, be unreachable, or take calls without ever answering them.
+ */
+import type { RenewLeases, ReserveTask, TaskState, TaskStatus } from '@nettlespur/api.schemas'
+import type { Clock } from '@nettlespur/core.clock'
+import { NettlespurError, type ErrorKind } from '@nettlespur/core.errors'
+import { UpstreamClient, type TaskReference } from '@nettlespur/upstream.client'
+import { EitherAsync, Left, Right, type Either } from 'purify-ts'
+
+interface FakeTask {
+  readonly address: string
+  readonly taskId: string
+  readonly jobId: string
+  readonly fence: number
+  readonly acceleratorIndexes: readonly number[]
+  state: TaskState
+  leaseEndMs: number
+  answer: string
+  failure: string | undefined
+}
+
+export class FakeUpstreams extends UpstreamClient {
+  /** Addresses that refuse reservations. */
+  readonly refusing = new Set<string>()
+  /** Addresses no byte reaches. */
+  readonly unreachable = new Set<string>()
+  /** Addresses that act on calls, but whose answers are lost. */
+  readonly mute = new Set<string>()
+  /** Task ids in the order in which they began to run. */
+  readonly started: string[] = []
+  readonly #clock: Clock
+  readonly #tasks = new Map<string, FakeTask>()
+
+  constructor(clock: Clock) {
+    super()
+    this.#clock = clock
+  }
+
+  /** The state of a task now. */
+  stateOf(taskId: string): TaskState | undefined {
+    const task = this.#tasks.get(taskId)
+    if (task !== undefined) this.#expire(task)
+    return task?.state
+  }
+
+  /** Tasks that hold accelerators now. */
+  listHolding(): readonly FakeTask[] {
+    return [...this.#tasks.values()].filter((task) => {
+      this.#expire(task)
+      return task.state === 'reserved' || task.state === 'running'
+    })
+  }
+
+  finish(taskId: string, answer: string): void {
+    this.#end(taskId, 'finished', (task) => (task.answer = answer))
+  }
+
+  fail(taskId: string, failure: string): void {
+    this.#end(taskId, 'failed', (task) => (task.failure = failure))
+  }
+
+  /** The upstream restarts: its tasks end, and it has never heard of them. */
+  forget(address: string): void {
+    for (const task of this.#tasks.values()) {
+      if (task.address === address) this.#tasks.delete(task.taskId)
+    }
+  }
+
+  reserve(
+    address: string,
+    taskId: string,
+    body: ReserveTask,
+  ): EitherAsync<NettlespurError, TaskStatus> {
+    return this.#answer(address, () => {
+      if (this.refusing.has(address)) return refuse('upstream-refused')
+      const known = this.#tasks.get(taskId)
+      if (known !== undefined) return Right(toStatus(known))
+      const { jobId, fence, acceleratorIndexes, leaseMs } = body
+      const task: FakeTask = {
+        address,
+        taskId,
+        jobId,
+        fence,
+        acceleratorIndexes,
+        state: 'reserved',
+        leaseEndMs: this.#clock.monotonicMs() + leaseMs,
+        answer: '',
+        failure: undefined,
+      }
+      this.#tasks.set(taskId, task)
+      return Right(toStatus(task))
+    })
+  }
+
+  start(reference: TaskReference): EitherAsync<NettlespurError, TaskStatus> {
+    return this.#withTask(reference, (task) => {
+      if (task.state === 'reserved') {
+        task.state = 'running'
+        this.started.push(task.taskId)
+        return Right(toStatus(task))
+      }
+      return task.state === 'running' ? Right(toStatus(task)) : refuse('upstream-refused')
+    })
+  }
+
+  checkpoint(reference: TaskReference): EitherAsync<NettlespurError, TaskStatus> {
+    return this.#withTask(reference, (task) => Right({ ...toStatus(task), checkpointId: 'c1' }))
+  }
+
+  throttle(reference: TaskReference): EitherAsync<NettlespurError, TaskStatus> {
+    return this.#withTask(reference, (task) => Right(toStatus(task)))
+  }
+
+  stop(
+    { address, taskId, fence }: TaskReference,
+    { jobId }: { jobId: string },
+  ): EitherAsync<NettlespurError, TaskStatus> {
+    return this.#answer(address, () => {
+      const leaseEndMs = 0
+      const never = {
+        address,
+        taskId,
+        jobId,
+        fence,
+        leaseEndMs,
+        acceleratorIndexes: [],
+        answer: '',
+      }
+      const task = this.#tasks.get(taskId) ?? { ...never, state: 'never-runs', failure: undefined }
+      this.#tasks.set(taskId, task)
+      this.#expire(task)
+      if (task.state === 'reserved') task.state = 'never-runs'
+      if (task.state === 'running') task.state = 'stopped'
+      return Right(toStatus(task))
+    })
+  }
+
+  renew(address: string, { leases }: RenewLeases): EitherAsync<NettlespurError, TaskStatus[]> {
+    return this.#answer(address, () => Right(leases.map((lease) => this.#renewOne(lease))))
+  }
+
+  getTask(address: string, taskId: string): EitherAsync<NettlespurError, TaskStatus> {
+    return this.#answer(address, () => Right(this.#describe(taskId)))
+  }
+
+  getAnswer(reference: TaskReference): EitherAsync<NettlespurError, Buffer> {
+    return this.#withTask(reference, (task) => {
+      return task.state === 'finished'
+        ? Right(Buffer.from(task.answer))
+        : refuse('upstream-refused')
+    })
+  }
+
+  #end(taskId: string, state: TaskState, change: (task: FakeTask) => void): void {
+    const task = this.#tasks.get(taskId)
+    if (task?.state !== 'running') throw new Error(`${taskId} does not run`)
+    task.state = state
+    change(task)
+  }
+
+  #renewOne(lease: RenewLeases['leases'][number]): TaskStatus {
+    const task = this.#tasks.get(lease.taskId)
+    if (task === undefined) return this.#describe(lease.taskId)
+    this.#expire(task)
+    task.leaseEndMs = this.#clock.monotonicMs() + lease.leaseMs
+    return toStatus(task)
+  }
+
+  #describe(taskId: string): TaskStatus {
+    const task = this.#tasks.get(taskId)
+    return task === undefined ? { taskId, fence: 0, state: 'unknown' } : toStatus(task)
+  }
+
+  #expire(task: FakeTask): void {
+    const holds = task.state === 'reserved' || task.state === 'running'
+    if (holds && this.#clock.monotonicMs() >= task.leaseEndMs) task.state = 'lease-expired'
+  }
+
+  #withTask<T>(
+    { address, taskId }: TaskReference,
+    act: (task: FakeTask) => Either<NettlespurError, T>,
+  ): EitherAsync<NettlespurError, T> {
+    return this.#answer(address, () => {
+      const task = this.#tasks.get(taskId)
+      if (task === undefined) return refuse('upstream-refused')
+      this.#expire(task)
+      return act(task)
+    })
+  }
+
+  #answer<T>(
+    address: string,
+    act: () => Either<NettlespurError, T>,
+  ): EitherAsync<NettlespurError, T> {
+    return EitherAsync.fromPromise(() => {
+      if (this.unreachable.has(address)) return Promise.resolve(refuse<T>('unreachable'))
+      const acted = act()
+      return Promise.resolve(this.mute.has(address) ? refuse<T>('outcome-unknown') : acted)
+    })
+  }
+}
+
+function toStatus({ taskId, fence, state, failure }: FakeTask): TaskStatus {
+  return { taskId, fence, state, failure }
+}
+
+function refuse<T>(kind: ErrorKind): Either<NettlespurError, T> {
+  return Left(new NettlespurError(kind, `the fake answers ${kind}`))
+}
--- /dev/null
+++ b/control/gangs/src/collectAnswer.ts
@@ -0,0 +1,48 @@
+/** Collects the whole answer of a finished gang, one part for each member in rank order. */
+import type { JobAnswer } from '@nettlespur/api.schemas'
+import { isUtf8 } from 'node:buffer'
+import type { GangMember } from './gangMember.js'
+import type { GangOptions } from './gangOptions.js'
+import type { GangOutcome } from './gangOutcome.js'
+
+const collectRetryMs = 250
+
+/** Collecting is repeatable: a part is asked for again until it is whole or its member is lost. */
+export async function collectAnswer(
+  opts: GangOptions,
+  members: readonly GangMember[],
+  signal: AbortSignal,
+): Promise<GangOutcome> {
+  const bodies = await Promise.all(members.map((member) => collectPart(opts, member, signal)))
+  const parts: JobAnswer['parts'] = []
+  for (const [rank, member] of members.entries()) {
+    const body = bodies[rank]
+    if (body === undefined)
+      return describeFault('lost', `the answer of ${member.upstreamId} is gone`)
+    if (!isUtf8(body))
+      return describeFault('failed', `the answer of ${member.upstreamId} is not UTF-8`)
+    const { taskId } = member.task
+    parts.push({ taskId, upstreamId: member.upstreamId, body: body.toString('utf8') })
+  }
+  return { kind: 'finished', parts }
+}
+
+function describeFault(kind: 'lost' | 'failed', reason: string): GangOutcome {
+  return { kind, reason, startSent: true }
+}
+
+async function collectPart(
+  opts: GangOptions,
+  member: GangMember,
+  signal: AbortSignal,
+): Promise<Buffer | undefined> {
+  const endMs = opts.clock.monotonicMs() + opts.timings.taskLeaseMs
+  for (;;) {
+    signal.throwIfAborted()
+    const answer = await member.getAnswer().run()
+    if (answer.isRight()) return answer.extract()
+    await member.renew()
+    if (member.isLost || opts.clock.monotonicMs() >= endMs) return undefined
+    await opts.clock.sleep(collectRetryMs, signal)
+  }
+}
--- /dev/null
+++ b/control/log/src/recordFrame.ts
@@ -0,0 +1,42 @@
+/**
+ * How records lie in a file: length and CRC-32 of the content, four bytes each, then the content. A frame
+ * cut off at the end of the file was never acknowledged; a damaged one with others behind it was.
+ */
+import { crc32 } from 'node:zlib'
+import { NettlespurError } from '@nettlespur/core.errors'
+
+const headerBytes = 8
+const crcOffset = 4
+
+export interface FramesRead {
+  readonly contents: readonly Buffer[]
+  /** Bytes up to the end of the last whole frame. */
+  readonly wholeBytes: number
+}
+
+export function frameRecord(content: Buffer): Buffer {
+  const header = Buffer.alloc(headerBytes)
+  header.writeUInt32BE(content.length, 0)
+  header.writeUInt32BE(crc32(content), crcOffset)
+  return Buffer.concat([header, content])
+}
+
+/** Errors: throws `storage-damaged` where a damaged frame is not the last one. */
+export function readFrames(file: Buffer): FramesRead {
+  const contents: Buffer[] = []
+  let offset = 0
+  while (offset + headerBytes <= file.length) {
+    const end = offset + headerBytes + file.readUInt32BE(offset)
+    if (end > file.length) break
+    const content = file.subarray(offset + headerBytes, end)
+    if (crc32(content) !== file.readUInt32BE(offset + crcOffset)) {
+      if (end === file.length) break
+      throw new NettlespurError('storage-damaged', `the record at byte ${offset} is damaged`, {
+        hint: 'restore the data folder, or start this instance with an empty one',
+      })
+    }
+    contents.push(content)
+    offset = end
+  }
+  return { contents, wholeBytes: offset }
+}
--- /dev/null
+++ b/control/service/src/controlNode.ts
@@ -0,0 +1,197 @@
+/**
+ * One control instance. It answers while it leads; otherwise every call is refused with the leader's
+ * address as the hint. What it knows only as leader lives in a LeaderSession.
+ */
+import type {
+  ContractChange,
+  ContractRecord,
+  JobExplanation,
+  JobRequest,
+  JobView,
+} from '@nettlespur/api.schemas'
+import {
+  ControlApi,
+  type Announcements,
+  type AnswerRequest,
+  type ClusterReport,
+  type ClusterStatus,
+  type ClusterUpdate,
+  type ContractView,
+  type JobOutcome,
+  type JobReference,
+  type WatchRequest,
+} from '@nettlespur/control.api'
+import type { Leadership } from '@nettlespur/control.log'
+import { readContract } from '@nettlespur/control.state'
+import { NettlespurError, tryAsync, unwrap } from '@nettlespur/core.errors'
+import { EitherAsync } from 'purify-ts'
+import type { Subscription } from 'rxjs'
+import { createReport } from './createReport.js'
+import { createStatus } from './createStatus.js'
+import { JobCalls } from './jobCalls.js'
+import { LeaderSession } from './leaderSession.js'
+import type { ControlNodeOptions } from './nodeOptions.js'
+import { watchCluster } from './watchCluster.js'
+
+const electionRetryAfterMs = 250
+
+export class ControlNode extends ControlApi {
+  readonly #opts: ControlNodeOptions
+  readonly #following: Subscription
+  #session: LeaderSession | undefined
+  #leadership: Leadership | undefined
+  /** The end of the former leadership: the next one starts after it. */
+  #switched: Promise<void> = Promise.resolve()
+
+  constructor(opts: ControlNodeOptions) {
+    super()
+    this.#opts = opts
+    opts.metrics.gauge('control_leads', () => Number(this.isLeader))
+    opts.metrics.gauge('jobs_live', () => opts.holder.state.listLiveJobs().length)
+    opts.metrics.gauge('contract_index', () => opts.holder.state.contractIndex)
+    this.#following = opts.log.leadership.subscribe((leadership) => {
+      this.#follow(leadership)
+    })
+  }
+
+  /** Whether this instance leads now. */
+  get isLeader(): boolean {
+    return this.#session !== undefined
+  }
+
+  /** Whether this instance leads, or can tell who does. */
+  get knowsLeader(): boolean {
+    return this.isLeader || this.#leadership?.leaderId !== undefined
+  }
+
+  /** Ends the leadership here; calls that wait are answered. The log is left to its owner. */
+  async stop(): Promise<void> {
+    this.#following.unsubscribe()
+    this.#endSession()
+    await this.#switched
+  }
+
+  applyContract(change: ContractChange): EitherAsync<NettlespurError, ContractRecord> {
+    return this.#lead(async () => {
+      const at = this.#opts.clock.now().toISOString()
+      const committed = this.#opts.log
+        .propose({ type: 'contract.apply', at, change })
+        .chain((result) => EitherAsync.liftEither(readContract(result)))
+      const record = await unwrap(committed)
+      const { workspace } = record.contract
+      this.#opts.logger.info({
+        event: 'contract.accepted',
+        workspace,
+        revision: record.revision,
+        changeId: change.changeId,
+      })
+      return record
+    })
+  }
+
+  listContracts(workspace?: string): EitherAsync<NettlespurError, ContractView[]> {
+    return this.#lead(async (session) => {
+      await unwrap(this.#opts.log.readBarrier())
+      const records = this.#opts.holder.state
+        .listContracts()
+        .filter(({ contract }) => workspace === undefined || contract.workspace === workspace)
+      if (workspace !== undefined && records.length === 0) {
+        throw new NettlespurError('unknown-workspace', `no contract for workspace ${workspace}`)
+      }
+      return records.map((record) => ({
+        ...record,
+        ...session.entries.splitByChange(record.changeIndex),
+      }))
+    })
+  }
+
+  submitJob(request: JobRequest): EitherAsync<NettlespurError, JobView> {
+    return this.#lead((session) => new JobCalls(this.#opts, session).submit(request))
+  }
+
+  getJob(reference: JobReference): EitherAsync<NettlespurError, JobView> {
+    return this.#lead((session) => new JobCalls(this.#opts, session).get(reference))
+  }
+
+  awaitAnswer(request: AnswerRequest): EitherAsync<NettlespurError, JobOutcome> {
+    return this.#lead((session) => new JobCalls(this.#opts, session).awaitAnswer(request))
+  }
+
+  explainJob(reference: JobReference): EitherAsync<NettlespurError, JobExplanation> {
+    return this.#lead((session) => new JobCalls(this.#opts, session).explain(reference))
+  }
+
+  cancelJob(reference: JobReference): EitherAsync<NettlespurError, JobView> {
+    return this.#lead((session) => new JobCalls(this.#opts, session).cancel(reference))
+  }
+
+  announce(announcements: Announcements): EitherAsync<NettlespurError, null> {
+    return this.#lead((session) => {
+      session.announce(announcements)
+      return Promise.resolve(null)
+    })
+  }
+
+  watch(request: WatchRequest): EitherAsync<NettlespurError, ClusterUpdate> {
+    return this.#lead((session) => watchCluster(this.#opts, session, request))
+  }
+
+  getStatus(): EitherAsync<NettlespurError, ClusterStatus> {
+    return this.#lead((session) => Promise.resolve(createStatus(this.#opts, session)))
+  }
+
+  getReport(): EitherAsync<NettlespurError, ClusterReport> {
+    return this.#lead(async (session) => {
+      await unwrap(this.#opts.log.readBarrier())
+      const { holder, clock } = this.#opts
+      return createReport(holder.state, session.upstreams.list(), clock.now())
+    })
+  }
+
+  #lead<T>(run: (session: LeaderSession) => Promise<T>): EitherAsync<NettlespurError, T> {
+    return tryAsync(() => {
+      if (this.#session === undefined) return Promise.reject(this.#createNotLeader())
+      return run(this.#session)
+    })
+  }
+
+  #createNotLeader(): NettlespurError {
+    const leader = this.#leadership?.leaderAddress
+    const known = leader !== undefined && this.#leadership?.isLeader === false
+    const hint = known
+      ? `ask ${leader}`
+      : 'ask another control instance; an election may be under way'
+    return new NettlespurError('not-leader', `${this.#opts.instanceId} does not lead`, {
+      hint,
+      retryAfterMs: electionRetryAfterMs,
+    })
+  }
+
+  #follow(leadership: Leadership): void {
+    this.#leadership = leadership
+    const { isLeader, term } = leadership
+    if (this.#session !== undefined && (!isLeader || this.#session.term !== term)) {
+      this.#endSession()
+    }
+    if (isLeader && this.#session === undefined) this.#startSession(term)
+  }
+
+  #startSession(term: number): void {
+    const session = new LeaderSession(this.#opts, term)
+    this.#session = session
+    const { instanceId } = this.#opts
+    this.#opts.logger.info({ event: 'control.leads', instanceId, term, epoch: session.epoch })
+    this.#switched = this.#switched.then(() => {
+      if (this.#session === session) session.start()
+    })
+  }
+
+  #endSession(): void {
+    const session = this.#session
+    if (session === undefined) return
+    this.#session = undefined
+    this.#opts.logger.info({ event: 'control.leads-no-more', term: session.term })
+    const stopped = session.stop()
+    this.#switched = this.#switched.then(() => stopped)
+  }
+}
--- /dev/null
+++ b/control/service/src/createReport.ts
@@ -0,0 +1,83 @@
+/** Completion times of the jobs that are kept, and the fragmentation of what is free now. */
+import type { Shape, UpstreamView } from '@nettlespur/api.schemas'
+import type { ClusterReport } from '@nettlespur/control.api'
+import type { ControlState, JobRecord } from '@nettlespur/control.state'
+import { measureUnusableShare, type PlacementView } from '@nettlespur/placement.engine'
+import * as hdr from 'hdr-histogram-js'
+import { createPlacementView } from './createPlacementView.js'
+
+const highestTrackableMs = 604_800_000
+const middlePercentile = 50
+const highPercentile = 99
+
+type Quantiles = ClusterReport['cluster']['completion']
+
+export function createReport(
+  state: ControlState,
+  upstreams: readonly UpstreamView[],
+  now: Date,
+): ClusterReport {
+  const view = createPlacementView(state, upstreams, now)
+  const finished = state.listEndedJobs().filter((job) => job.state === 'finished')
+  const workspaces = state.listContracts().map(({ contract }) => contract.workspace)
+  return {
+    cluster: {
+      completion: measureCompletion(finished),
+      freeAccelerators: countReady(view) - countHeldOnReady(view),
+      totalAccelerators: countReady(view),
+    },
+    workspaces: workspaces.map((workspace) => ({
+      workspace,
+      completion: measureCompletion(finished.filter((job) => job.request.workspace === workspace)),
+    })),
+    fragmentation: listShapes(state).map((shape) => ({
+      ...shape,
+      unusableShare: measureUnusableShare(view, shape),
+    })),
+  }
+}
+
+/** From submission to end, in milliseconds. */
+function measureCompletion(jobs: readonly JobRecord[]): Quantiles {
+  const histogram = hdr.build({
+    highestTrackableValue: highestTrackableMs,
+    numberOfSignificantValueDigits: 3,
+  })
+  for (const job of jobs) {
+    const durationMs = Date.parse(job.endedAt ?? job.submittedAt) - Date.parse(job.submittedAt)
+    histogram.recordValue(Math.min(Math.max(0, durationMs), highestTrackableMs))
+  }
+  const count = histogram.totalCount
+  return {
+    count,
+    meanMs: count === 0 ? 0 : histogram.mean,
+    p50Ms: count === 0 ? 0 : histogram.getValueAtPercentile(middlePercentile),
+    p99Ms: count === 0 ? 0 : histogram.getValueAtPercentile(highPercentile),
+  }
+}
+
+function countReady({ upstreams }: PlacementView): number {
+  return upstreams
+    .filter((upstream) => upstream.state === 'ready')
+    .reduce((sum, upstream) => sum + upstream.accelerators, 0)
+}
+
+function countHeldOnReady({ upstreams, held }: PlacementView): number {
+  const ready = upstreams.filter((upstream) => upstream.state === 'ready')
+  const readyIds = new Set(ready.map((upstream) => upstream.upstreamId))
+  return held
+    .filter((block) => readyIds.has(block.upstreamId))
+    .reduce((sum, block) => sum + block.acceleratorIndexes.length, 0)
+}
+
+/** The guaranteed and the waiting shapes, each once. */
+function listShapes(state: ControlState): Shape[] {
+  const guaranteed = state.listContracts().flatMap(({ contract }) => contract.guarantees)
+  const queued = state.listLiveJobs().filter((job) => job.state === 'queued')
+  const shapes = [...guaranteed, ...queued.map((job) => job.request.gang)]
+  const byName = new Map<string, Shape>()
+  for (const { accelerators, adjacency } of shapes) {
+    byName.set(`${accelerators} ${adjacency}`, { accelerators, adjacency })
+  }
+  return [...byName.values()]
+}
--- /dev/null
+++ b/control/service/src/entryTable.ts
@@ -0,0 +1,90 @@
+/**
+ * The entries that watch this leader, and the contracts each of them holds. An entry that is silent for
+ * longer than its contract lease refuses work by itself, and so is dropped here.
+ */
+import type { EntryIdentity, WatchRequest } from '@nettlespur/control.api'
+import type { Clock } from '@nettlespur/core.clock'
+import type { BehaviorSubject } from 'rxjs'
+
+/** Stands for entries that watched a former leader and may enforce old contracts for a little longer. */
+export const entriesNotHeardYet = 'entries-not-heard-yet'
+
+export interface EntryTableOptions {
+  clock: Clock
+  /** From an entry's last request to the certain end of its lease. */
+  dropAfterMs: number
+  /** Whether entries may hold a lease from a former leader. */
+  mayHaveFormerEntries: boolean
+  /** Raised with each change that entries must learn of. */
+  version: BehaviorSubject<number>
+}
+
+interface Row {
+  readonly entry: EntryIdentity
+  readonly contractIndex: number
+  readonly heardMs: number
+}
+
+export class EntryTable {
+  readonly #opts: EntryTableOptions
+  readonly #rows = new Map<string, Row>()
+  readonly #startMs: number
+
+  constructor(opts: EntryTableOptions) {
+    this.#opts = opts
+    this.#startMs = opts.clock.monotonicMs()
+  }
+
+  hear({ entry, contractIndex, leaving }: WatchRequest): void {
+    const former = this.#rows.get(entry.entryId)
+    if (leaving) {
+      if (this.#rows.delete(entry.entryId)) this.#raise()
+      return
+    }
+    const heardMs = this.#opts.clock.monotonicMs()
+    this.#rows.set(entry.entryId, { entry, contractIndex, heardMs })
+    if (JSON.stringify(former?.entry) !== JSON.stringify(entry)) this.#raise()
+  }
+
+  /** Drops entries whose lease has ended; called often. */
+  refresh(): void {
+    const nowMs = this.#opts.clock.monotonicMs()
+    for (const [entryId, row] of this.#rows) {
+      if (nowMs - row.heardMs < this.#opts.dropAfterMs) continue
+      this.#rows.delete(entryId)
+      this.#raise()
+    }
+  }
+
+  list(): EntryIdentity[] {
+    return [...this.#rows.values()].map((row) => row.entry)
+  }
+
+  listPositions(): { entryId: string; contractIndex: number }[] {
+    return [...this.#rows.values()].map(({ entry, contractIndex }) => {
+      return { entryId: entry.entryId, contractIndex }
+    })
+  }
+
+  /** Entries that enforce the change at `changeIndex`, and those that may still enforce an older one. */
+  splitByChange(changeIndex: number): { inForceAt: string[]; notYetInForceAt: string[] } {
+    this.refresh()
+    const rows = [...this.#rows.values()]
+    const inForce = rows.filter((row) => row.contractIndex >= changeIndex)
+    const notYet = rows.filter((row) => row.contractIndex < changeIndex)
+    const former = this.#mayHaveUnheard() ? [entriesNotHeardYet] : []
+    return {
+      inForceAt: inForce.map((row) => row.entry.entryId),
+      notYetInForceAt: [...notYet.map((row) => row.entry.entryId), ...former],
+    }
+  }
+
+  #mayHaveUnheard(): boolean {
+    const { clock, dropAfterMs, mayHaveFormerEntries } = this.#opts
+    return mayHaveFormerEntries && clock.monotonicMs() - this.#startMs < dropAfterMs
+  }
+
+  #raise(): void {
+    this.#opts.version.next(this.#opts.version.value + 1)
+  }
+}
--- /dev/null
+++ b/control/service/src/index.ts
@@ -0,0 +1,3 @@
+/** The control node: what entries call, the placement loop and the table of upstreams. */
+export { ControlNode } from './controlNode.js'
+export type { ControlNodeOptions, NodeTimings } from './nodeOptions.js'
--- /dev/null
+++ b/control/service/src/jobCalls.ts
@@ -0,0 +1,106 @@
+/** What callers ask about jobs, answered by the leader. */
+import {
+  finalJobStates,
+  type JobExplanation,
+  type JobRequest,
+  type JobView,
+} from '@nettlespur/api.schemas'
+import type { AnswerRequest, JobOutcome, JobReference } from '@nettlespur/control.api'
+import { waitForWake } from '@nettlespur/control.gangs'
+import { readJob, toJobView, type Command, type JobRecord } from '@nettlespur/control.state'
+import { NettlespurError, unwrap } from '@nettlespur/core.errors'
+import { EitherAsync } from 'purify-ts'
+import { filter } from 'rxjs'
+import type { LeaderSession } from './leaderSession.js'
+import type { ControlNodeOptions } from './nodeOptions.js'
+
+export class JobCalls {
+  readonly #opts: ControlNodeOptions
+  readonly #session: LeaderSession
+
+  constructor(opts: ControlNodeOptions, session: LeaderSession) {
+    this.#opts = opts
+    this.#session = session
+  }
+
+  async submit(request: JobRequest): Promise<JobView> {
+    this.#checkFeasible(request)
+    return this.#view(await this.#commit({ type: 'job.submit', at: this.#now(), request }))
+  }
+
+  async get(reference: JobReference): Promise<JobView> {
+    return this.#view(await this.#read(reference))
+  }
+
+  async cancel({ workspace, jobId }: JobReference): Promise<JobView> {
+    const at = this.#now()
+    return this.#view(await this.#commit({ type: 'job.cancel', at, workspace, jobId }))
+  }
+
+  async explain(reference: JobReference): Promise<JobExplanation> {
+    const job = await this.#read(reference)
+    const waits = this.#session.placements.getWaitReason(job.jobId)
+    const waitsFor = job.state === 'queued' ? [waits ?? job.reason] : []
+    return { job: this.#view(job), waitsFor, decisions: job.decisions }
+  }
+
+  async awaitAnswer({ waitMs, ...reference }: AnswerRequest): Promise<JobOutcome> {
+    const { clock, holder } = this.#opts
+    await this.#read(reference)
+    const ended = holder.applied.pipe(filter(() => !this.#isLive(reference)))
+    await waitForWake(clock, waitMs, ended, this.#session.ended)
+    const job = await this.#read(reference)
+    if (job.state !== 'finished') return { job: this.#view(job) }
+    const answer = holder.state.getAnswer(reference.workspace, reference.jobId)
+    if (answer !== undefined) return { job: this.#view(job), answer }
+    throw new NettlespurError(
+      'answer-expired',
+      `${job.jobId} finished; its answer is no longer kept`,
+    )
+  }
+
+  /** Refuses at once what no known upstreams could hold, unless they are not known yet. */
+  #checkFeasible(request: JobRequest): void {
+    const { holder, policy } = this.#opts
+    const { workspace, jobKey, gang } = request
+    if (!this.#session.knowsUpstreams) return
+    if (holder.state.getContract(workspace) === undefined) return
+    if (jobKey !== undefined && holder.state.knowsJobKey(workspace, jobKey)) return
+    const upstreams = this.#session.upstreams.list()
+    if (policy.canEverFit(request, upstreams)) return
+    throw new NettlespurError(
+      'impossible-shape',
+      `none of the ${upstreams.length} known upstreams, nor several of them together, can hold ${gang.accelerators} accelerators with adjacency ${gang.adjacency}, ${request.cpuCores} cores and ${request.memoryBytes} bytes`,
+    )
+  }
+
+  async #read({ workspace, jobId }: JobReference): Promise<JobRecord> {
+    await unwrap(this.#opts.log.readBarrier())
+    const job = this.#opts.holder.state.getJob(workspace, jobId)
+    if (job !== undefined) return job
+    throw new NettlespurError('unknown-job', `no job ${jobId} of workspace ${workspace}`)
+  }
+
+  #isLive({ workspace, jobId }: JobReference): boolean {
+    const job = this.#opts.holder.state.getJob(workspace, jobId)
+    return job !== undefined && !finalJobStates.has(job.state)
+  }
+
+  #commit(command: Command): Promise<JobRecord> {
+    const committed = this.#opts.log
+      .propose(command)
+      .chain((result) => EitherAsync.liftEither(readJob(result)))
+    return unwrap(committed)
+  }
+
+  /** A queued job's reason is what the last placement round found. */
+  #view(job: JobRecord): JobView {
+    const view = toJobView(job)
+    const waits = this.#session.placements.getWaitReason(job.jobId)
+    return job.state === 'queued' && waits !== undefined ? { ...view, reason: waits } : view
+  }
+
+  #now(): string {
+    return this.#opts.clock.now().toISOString()
+  }
+}
--- /dev/null
+++ b/control/service/src/leaderSession.ts
@@ -0,0 +1,104 @@
+/**
+ * What an instance does and knows for as long as it leads: the placed gangs, the placement loop, and the
+ * tables of upstreams and entries. A new leadership starts a new one with empty tables.
+ */
+import { randomUUID } from 'node:crypto'
+import type { TaskReport } from '@nettlespur/api.schemas'
+import type { Announcements } from '@nettlespur/control.api'
+import { GangManager } from '@nettlespur/control.gangs'
+import { LifecycleManager } from '@nettlespur/core.lifecycle'
+import { BehaviorSubject, Subject } from 'rxjs'
+import { EntryTable } from './entryTable.js'
+import type { ControlNodeOptions } from './nodeOptions.js'
+import { PlacementLoop } from './placementLoop.js'
+import { UpstreamTable } from './upstreamTable.js'
+
+const refreshEveryMs = 250
+const barrierRetryMs = 100
+const stopDeadlineMs = 10_000
+const epochSuffixLength = 8
+
+export class LeaderSession {
+  readonly term: number
+  /** Names this leadership, and the positions that belong to it. */
+  readonly epoch: string
+  /** Raised with each change of the upstreams or entries. */
+  readonly version = new BehaviorSubject(1)
+  readonly upstreams: UpstreamTable
+  readonly entries: EntryTable
+  readonly placements: PlacementLoop
+  readonly #opts: ControlNodeOptions
+  readonly #gangs: GangManager
+  readonly #taskReports = new Subject<TaskReport>()
+  readonly #lifecycle: LifecycleManager
+  readonly #startMs: number
+
+  constructor(opts: ControlNodeOptions, term: number) {
+    const { clock, logger, timings, holder, version } = { ...opts, version: this.version }
+    this.#opts = opts
+    this.term = term
+    this.epoch = `${opts.instanceId}-${term}-${randomUUID().slice(0, epochSuffixLength)}`
+    this.#startMs = clock.monotonicMs()
+    const { upstreamSuspectMs: suspectMs, upstreamGoneMs: goneMs } = timings
+    this.upstreams = new UpstreamTable({ clock, logger, suspectMs, goneMs, version })
+    const dropAfterMs = timings.contractLeaseMs + timings.clockDriftMarginMs
+    const mayHaveFormerEntries = holder.state.appliedIndex > 0
+    this.entries = new EntryTable({ clock, dropAfterMs, mayHaveFormerEntries, version })
+    const random = opts.random ?? Math.random
+    this.#gangs = new GangManager({ ...opts, random, taskReports: this.#taskReports })
+    const { upstreams } = this
+    this.placements = new PlacementLoop({ node: opts, gangs: this.#gangs, upstreams, version })
+    const onFault = ({ name, cause }: { name: string; cause: unknown }): void => {
+      logger.error({ event: 'control.leadership-fault', name, reason: String(cause) })
+    }
+    this.#lifecycle = new LifecycleManager({ clock, drainDeadlineMs: stopDeadlineMs, onFault })
+  }
+
+  /** Aborted when this leadership ends. */
+  get ended(): AbortSignal {
+    return this.#lifecycle.stopSignal
+  }
+
+  /** Whether upstreams have had the time to announce themselves to this leader. */
+  get knowsUpstreams(): boolean {
+    const { clock, timings } = this.#opts
+    return clock.monotonicMs() - this.#startMs >= timings.upstreamSuspectMs
+  }
+
+  start(): void {
+    this.#lifecycle.ownTask('placement', (signal) => this.#place(signal))
+    this.#lifecycle.ownTask('refresh', (signal) => this.#refresh(signal))
+    // Registered last so that it runs first: who leads no more renews no lease.
+    this.#lifecycle.own('gangs', () => this.#gangs.stop())
+  }
+
+  stop(): Promise<void> {
+    return this.#lifecycle.stop()
+  }
+
+  announce({ items }: Announcements): void {
+    for (const { upstreamId, announcement } of items) {
+      this.upstreams.hear(upstreamId, announcement)
+      for (const report of announcement.tasks) this.#taskReports.next(report)
+    }
+  }
+
+  /** Gangs of a former leader are taken over before anything new is placed. */
+  async #place(signal: AbortSignal): Promise<void> {
+    const { log, clock } = this.#opts
+    while ((await log.readBarrier().run()).isLeft()) {
+      await clock.sleep(barrierRetryMs, signal)
+      if (signal.aborted) return
+    }
+    this.#gangs.recover()
+    await this.placements.run(signal)
+  }
+
+  async #refresh(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.upstreams.refresh()
+      this.entries.refresh()
+      await this.#opts.clock.sleep(refreshEveryMs, signal)
+    }
+  }
+}
--- /dev/null
+++ b/control/service/src/nodeOptions.ts
@@ -0,0 +1,31 @@
+/** What a control node is made of. */
+import type { GangTimings } from '@nettlespur/control.gangs'
+import type { ReplicatedLog } from '@nettlespur/control.log'
+import type { StateHolder } from '@nettlespur/control.state'
+import type { Clock } from '@nettlespur/core.clock'
+import type { Logger } from '@nettlespur/core.logger'
+import type { MetricsRegistry } from '@nettlespur/core.metrics'
+import type { PlacementPolicy } from '@nettlespur/placement.engine'
+import type { UpstreamClient } from '@nettlespur/upstream.client'
+
+export interface NodeTimings extends GangTimings {
+  /** How long an entry may enforce its contracts without hearing from control. */
+  readonly contractLeaseMs: number
+  readonly upstreamSuspectMs: number
+  readonly upstreamGoneMs: number
+}
+
+export interface ControlNodeOptions {
+  instanceId: string
+  clock: Clock
+  logger: Logger
+  metrics: MetricsRegistry
+  log: ReplicatedLog
+  /** The state that `log` applies to. */
+  holder: StateHolder
+  policy: PlacementPolicy
+  client: UpstreamClient
+  timings: NodeTimings
+  /** Between 0 and 1, for jitter; Math.random by default. */
+  random?: () => number
+}
--- /dev/null
+++ b/control/state/src/commandResult.ts
@@ -0,0 +1,52 @@
+/** What applying a command gave: the record it made or changed, or why it changed nothing. */
+import type { ContractRecord } from '@nettlespur/api.schemas'
+import {
+  NettlespurError,
+  type ErrorKind,
+  type NettlespurErrorOptions,
+} from '@nettlespur/core.errors'
+import { Left, Right, type Either } from 'purify-ts'
+import type { JobRecord } from './jobRecord.js'
+
+export interface ContractAccepted {
+  readonly type: 'contract'
+  readonly record: ContractRecord
+}
+
+export interface JobChanged {
+  readonly type: 'job'
+  readonly job: JobRecord
+}
+
+/** The state is as it was before. */
+export interface Refused {
+  readonly type: 'refused'
+  readonly error: NettlespurError
+}
+
+export type CommandResult = ContractAccepted | JobChanged | Refused
+
+export function refuse(
+  kind: ErrorKind,
+  message: string,
+  opts: NettlespurErrorOptions = {},
+): Refused {
+  return { type: 'refused', error: new NettlespurError(kind, message, opts) }
+}
+
+/** The job of a result. Errors: the refusal's own. */
+export function readJob(result: CommandResult): Either<NettlespurError, JobRecord> {
+  if (result.type === 'job') return Right(result.job)
+  return Left(toError(result))
+}
+
+/** The contract of a result. Errors: the refusal's own. */
+export function readContract(result: CommandResult): Either<NettlespurError, ContractRecord> {
+  if (result.type === 'contract') return Right(result.record)
+  return Left(toError(result))
+}
+
+function toError(result: CommandResult): NettlespurError {
+  if (result.type === 'refused') return result.error
+  return new NettlespurError('internal', `a ${result.type} was not what this command gives`)
+}
--- /dev/null
+++ b/control/state/src/controlState.ts
@@ -0,0 +1,117 @@
+/**
+ * The replicated state: contracts, operator changes and jobs. Equal commands in equal order give equal
+ * states on every instance; nothing here reads a clock, a random number or a file.
+ */
+import type { ContractRecord, JobAnswer } from '@nettlespur/api.schemas'
+import { applyContract } from './applyContract.js'
+import { cancelJob } from './cancelJob.js'
+import type { Command } from './command.js'
+import type { CommandResult } from './commandResult.js'
+import { endJob } from './endJob.js'
+import { finishJob } from './finishJob.js'
+import type { JobRecord } from './jobRecord.js'
+import { markStarted } from './markStarted.js'
+import { placeJob } from './placeJob.js'
+import { requeueJob } from './requeueJob.js'
+import { createStateData, type StateData } from './stateData.js'
+import { readSnapshot, takeSnapshot, type StateSnapshot } from './stateSnapshot.js'
+import { submitJob } from './submitJob.js'
+
+export class ControlState {
+  readonly #data: StateData
+
+  private constructor(data: StateData) {
+    this.#data = data
+  }
+
+  static create(): ControlState {
+    return new ControlState(createStateData())
+  }
+
+  static restore(snapshot: StateSnapshot): ControlState {
+    return new ControlState(readSnapshot(snapshot))
+  }
+
+  snapshot(): StateSnapshot {
+    return takeSnapshot(this.#data)
+  }
+
+  /** Applies one committed command. `index` is its place in the log, higher than any before. */
+  apply(index: number, command: Command): CommandResult {
+    if (index <= this.#data.appliedIndex) {
+      throw new Error(`index ${index} comes after ${this.#data.appliedIndex}`)
+    }
+    this.#data.appliedIndex = index
+    this.#data.timeMs = Math.max(this.#data.timeMs, Date.parse(command.at))
+    return dispatch(this.#data, index, command)
+  }
+
+  get appliedIndex(): number {
+    return this.#data.appliedIndex
+  }
+
+  /** Index of the newest accepted contract change; 0 where there is none. */
+  get contractIndex(): number {
+    return this.#data.contractIndex
+  }
+
+  listContracts(): ContractRecord[] {
+    return [...this.#data.contracts.values()].map((contract) => contract.record)
+  }
+
+  getContract(workspace: string): ContractRecord | undefined {
+    return this.#data.contracts.get(workspace)?.record
+  }
+
+  /** Jobs that have not ended, in order of submission. */
+  listLiveJobs(): JobRecord[] {
+    return [...this.#data.jobs.values()]
+  }
+
+  /** Ended jobs still kept, over all workspaces. */
+  listEndedJobs(): JobRecord[] {
+    return [...this.#data.histories.values()].flatMap((history) => [...history.endedJobs.values()])
+  }
+
+  getLiveJob(jobId: string): JobRecord | undefined {
+    return this.#data.jobs.get(jobId)
+  }
+
+  /** A job of this workspace, live or ended. */
+  getJob(workspace: string, jobId: string): JobRecord | undefined {
+    const live = this.#data.jobs.get(jobId)
+    if (live !== undefined) return live.request.workspace === workspace ? live : undefined
+    return this.#data.histories.get(workspace)?.endedJobs.get(jobId)
+  }
+
+  /** Whether a job was submitted under this key and the key is still kept. */
+  knowsJobKey(workspace: string, jobKey: string): boolean {
+    const history = this.#data.histories.get(workspace)
+    return history?.jobKeys.has(jobKey) === true || history?.endedJobKeys.has(jobKey) === true
+  }
+
+  getAnswer(workspace: string, jobId: string): JobAnswer | undefined {
+    return this.#data.histories.get(workspace)?.answers.get(jobId)
+  }
+}
+
+function dispatch(data: StateData, index: number, command: Command): CommandResult {
+  switch (command.type) {
+    case 'contract.apply':
+      return applyContract(data, index, command)
+    case 'job.submit':
+      return submitJob(data, index, command)
+    case 'job.place':
+      return placeJob(data, index, command)
+    case 'job.started':
+      return markStarted(data, index, command)
+    case 'job.finish':
+      return finishJob(data, index, command)
+    case 'job.requeue':
+      return requeueJob(data, index, command)
+    case 'job.cancel':
+      return cancelJob(data, index, command)
+    case 'job.ended':
+      return endJob(data, index, command)
+  }
+}
--- /dev/null
+++ b/control/state/src/endJob.ts
@@ -0,0 +1,15 @@
+/** Ends a job without an answer. */
+import type { CommandOf } from './command.js'
+import type { CommandResult } from './commandResult.js'
+import { changeJob, findPlacedJob, isRefused } from './jobChange.js'
+import type { StateData } from './stateData.js'
+
+export function endJob(
+  data: StateData,
+  _index: number,
+  { at, jobId, fence, outcome, reason }: CommandOf<'job.ended'>,
+): CommandResult {
+  const job = findPlacedJob(data, jobId, fence)
+  if (isRefused(job)) return job
+  return changeJob(data, job, { at, event: `job.${outcome}`, reason, state: outcome })
+}
--- /dev/null
+++ b/control/state/src/finishJob.ts
@@ -0,0 +1,32 @@
+/** Ends a job with its whole answer. */
+import type { CommandOf } from './command.js'
+import { refuse, type CommandResult } from './commandResult.js'
+import { countAnswerBytes } from './forgetOldRecords.js'
+import { changeJob, findPlacedJob, isRefused } from './jobChange.js'
+import { answerBytesMax } from './retention.js'
+import { openHistory, type StateData } from './stateData.js'
+
+export function finishJob(
+  data: StateData,
+  _index: number,
+  { at, jobId, fence, parts }: CommandOf<'job.finish'>,
+): CommandResult {
+  const job = findPlacedJob(data, jobId, fence)
+  if (isRefused(job)) return job
+  if (!job.startCommitted) return refuse('internal', `${jobId} was never started`)
+  if (parts.length !== job.placement?.members.length) {
+    return refuse('internal', `${jobId}: ${parts.length} parts are not the whole answer`)
+  }
+  const bytes = countAnswerBytes(parts)
+  if (bytes > answerBytesMax) {
+    return refuse('body-too-large', `the answer of ${jobId} has ${bytes} bytes`)
+  }
+  const { workspace } = job.request
+  openHistory(data, workspace).answers.set(jobId, { jobId, attempt: job.attempts, parts })
+  return changeJob(data, job, {
+    at,
+    event: 'job.finished',
+    reason: `all ${parts.length} members finished`,
+    state: 'finished',
+  })
+}
--- /dev/null
+++ b/control/state/src/jobChange.ts
@@ -0,0 +1,74 @@
+/** The legal moves of a job between its states, and how a record is replaced by its successor. */
+import { finalJobStates, type JobState } from '@nettlespur/api.schemas'
+import { refuse, type CommandResult, type Refused } from './commandResult.js'
+import type { JobRecord } from './jobRecord.js'
+import { forgetOldRecords } from './forgetOldRecords.js'
+import { decisionsMax } from './retention.js'
+import { openHistory, type StateData } from './stateData.js'
+
+export const legalMoves: Readonly<Record<JobState, readonly JobState[]>> = {
+  queued: ['reserving', 'cancelled'],
+  reserving: ['queued', 'running', 'stopping'],
+  running: ['queued', 'stopping', 'finished', 'failed', 'unknown'],
+  stopping: ['cancelled', 'finished', 'failed', 'unknown'],
+  finished: [],
+  failed: [],
+  cancelled: [],
+  unknown: [],
+}
+
+export interface JobChange {
+  readonly at: string
+  /** Name of the decision in the job's trace. */
+  readonly event: string
+  readonly reason: string
+  readonly state: JobState
+  readonly fields?: Partial<JobRecord>
+}
+
+/** Replaces the record, adds to its trace, and files it with the ended ones where the state is final. */
+export function changeJob(data: StateData, job: JobRecord, change: JobChange): CommandResult {
+  if (!legalMoves[job.state].includes(change.state)) {
+    return refuse('internal', `${job.jobId} cannot go from ${job.state} to ${change.state}`)
+  }
+  const decision = { at: change.at, event: change.event, reason: change.reason }
+  const changed: JobRecord = {
+    ...job,
+    ...change.fields,
+    state: change.state,
+    reason: change.reason,
+    decisions: [...job.decisions, decision].slice(-decisionsMax),
+  }
+  if (!finalJobStates.has(change.state)) {
+    data.jobs.set(job.jobId, changed)
+    return { type: 'job', job: changed }
+  }
+  return { type: 'job', job: fileEndedJob(data, changed, change.at) }
+}
+
+/** The live job under this fence, or why a command about it comes too late. */
+export function findPlacedJob(data: StateData, jobId: string, fence: number): JobRecord | Refused {
+  const job = data.jobs.get(jobId)
+  if (job === undefined) return refuse('unknown-job', `${jobId} is not among the live jobs`)
+  if (job.placement?.fence === fence) return job
+  return refuse('fence-too-low', `${jobId} is no longer placed under fence ${fence}`)
+}
+
+export function isRefused(found: JobRecord | Refused): found is Refused {
+  return 'type' in found
+}
+
+function fileEndedJob(data: StateData, job: JobRecord, at: string): JobRecord {
+  const ended: JobRecord = { ...job, endedAt: at, request: { ...job.request, payload: '' } }
+  const history = openHistory(data, job.request.workspace)
+  data.jobs.delete(job.jobId)
+  history.endedJobs.set(job.jobId, ended)
+  const { jobKey } = job.request
+  const key = jobKey === undefined ? undefined : history.jobKeys.get(jobKey)
+  if (jobKey !== undefined && key !== undefined) {
+    history.jobKeys.delete(jobKey)
+    history.endedJobKeys.set(jobKey, { ...key, endedAt: at })
+  }
+  forgetOldRecords(history, data.timeMs)
+  return ended
+}
--- /dev/null
+++ b/control/state/src/markStarted.ts
@@ -0,0 +1,24 @@
+/** Records that the start of a gang is about to be sent. */
+import type { CommandOf } from './command.js'
+import { refuse, type CommandResult } from './commandResult.js'
+import { changeJob, findPlacedJob, isRefused } from './jobChange.js'
+import type { StateData } from './stateData.js'
+
+export function markStarted(
+  data: StateData,
+  _index: number,
+  { at, jobId, fence }: CommandOf<'job.started'>,
+): CommandResult {
+  const job = findPlacedJob(data, jobId, fence)
+  if (isRefused(job)) return job
+  if (job.state === 'stopping') {
+    return refuse('cancelled-before-start', `${jobId} was cancelled before its start`)
+  }
+  return changeJob(data, job, {
+    at,
+    event: 'job.started',
+    reason: 'all members reserved',
+    state: 'running',
+    fields: { startCommitted: true, startedAt: job.startedAt ?? at },
+  })
+}
--- /dev/null
+++ b/control/state/src/placeJob.ts
@@ -0,0 +1,69 @@
+/** Gives a queued job its accelerators. The state itself refuses an accelerator that is held. */
+import type { PlacementMember } from '@nettlespur/api.schemas'
+import type { Assignment, CommandOf } from './command.js'
+import { refuse, type CommandResult } from './commandResult.js'
+import { changeJob } from './jobChange.js'
+import type { StateData } from './stateData.js'
+
+export function placeJob(
+  data: StateData,
+  index: number,
+  command: CommandOf<'job.place'>,
+): CommandResult {
+  const job = data.jobs.get(command.jobId)
+  if (job === undefined) return refuse('unknown-job', `${command.jobId} is not among the live jobs`)
+  if (job.state !== 'queued') return refuse('internal', `${job.jobId} is ${job.state}, not queued`)
+  const fault = findFault(data, command.assignments, job.request.gang.accelerators)
+  if (fault !== undefined) return refuse('internal', `${job.jobId}: ${fault}`)
+  const attempt = job.attempts + 1
+  const members = command.assignments.map((assignment, rank): PlacementMember => {
+    return { ...assignment, taskId: `${job.jobId}.${attempt}.${rank}` }
+  })
+  return changeJob(data, job, {
+    at: command.at,
+    event: 'placement.decided',
+    reason: command.reason,
+    state: 'reserving',
+    fields: {
+      attempts: attempt,
+      placement: { fence: index, attempt, members },
+      retryAt: undefined,
+      startCommitted: false,
+    },
+  })
+}
+
+function findFault(
+  data: StateData,
+  assignments: readonly Assignment[],
+  accelerators: number,
+): string | undefined {
+  const held = listHeld(data)
+  let count = 0
+  for (const { upstreamId, acceleratorIndexes } of assignments) {
+    for (const acceleratorIndex of acceleratorIndexes) {
+      const name = nameAccelerator(upstreamId, acceleratorIndex)
+      if (held.has(name)) return `accelerator ${name} is held`
+      held.add(name)
+      count += 1
+    }
+  }
+  if (count === accelerators) return undefined
+  return `${count} accelerators for a gang of ${accelerators}`
+}
+
+function listHeld(data: StateData): Set<string> {
+  const held = new Set<string>()
+  for (const { placement } of data.jobs.values()) {
+    for (const member of placement?.members ?? []) {
+      for (const acceleratorIndex of member.acceleratorIndexes) {
+        held.add(nameAccelerator(member.upstreamId, acceleratorIndex))
+      }
+    }
+  }
+  return held
+}
+
+function nameAccelerator(upstreamId: string, acceleratorIndex: number): string {
+  return `${upstreamId}/${acceleratorIndex}`
+}
--- /dev/null
+++ b/control/state/src/requeueJob.ts
@@ -0,0 +1,37 @@
+/** Takes a stopped gang back into the queue. A job that is not repeatable goes back only if it never started. */
+import type { CommandOf } from './command.js'
+import { refuse, type CommandResult } from './commandResult.js'
+import { changeJob, findPlacedJob, isRefused } from './jobChange.js'
+import type { JobRecord } from './jobRecord.js'
+import type { StateData } from './stateData.js'
+
+export function requeueJob(
+  data: StateData,
+  _index: number,
+  command: CommandOf<'job.requeue'>,
+): CommandResult {
+  const job = findPlacedJob(data, command.jobId, command.fence)
+  if (isRefused(job)) return job
+  const mayHaveRun = job.startCommitted && command.startSent
+  if (mayHaveRun && !job.request.repeatable) {
+    return refuse('internal', `${job.jobId} is not repeatable and may have run`)
+  }
+  return changeJob(data, job, {
+    at: command.at,
+    event: 'job.requeued',
+    reason: command.reason,
+    state: 'queued',
+    fields: {
+      placement: undefined,
+      startCommitted: false,
+      startedAt: pickStartedAt(job, mayHaveRun),
+      retryAt: command.retryAt,
+      failedAttempts: job.failedAttempts + (command.countsAsFailure ? 1 : 0),
+    },
+  })
+}
+
+/** A first attempt that never started leaves no start time behind. */
+function pickStartedAt(job: JobRecord, mayHaveRun: boolean): string | undefined {
+  return mayHaveRun || job.attempts > 1 ? job.startedAt : undefined
+}
--- /dev/null
+++ b/control/state/src/stateSnapshot.ts
@@ -0,0 +1,75 @@
+/** The whole state as a value, for snapshots. Lists keep the order of the maps they come from. */
+import { contractRecordSchema, countSchema, jobAnswerSchema } from '@nettlespur/api.schemas'
+import { z } from 'zod'
+import { jobRecordSchema } from './jobRecord.js'
+import { createStateData, type StateData, type WorkspaceHistory } from './stateData.js'
+
+const changeSchema = z.object({
+  digest: z.string(),
+  revision: z.int().positive(),
+  changeIndex: z.int().positive(),
+})
+const contractStateSchema = z.object({ record: contractRecordSchema, changeId: z.string() })
+const jobKeySchema = z.object({ jobId: z.string(), digest: z.string() })
+const endedJobKeySchema = jobKeySchema.extend({ endedAt: z.iso.datetime() })
+
+const historySchema = z.object({
+  jobKeys: z.array(z.tuple([z.string(), jobKeySchema])),
+  endedJobKeys: z.array(z.tuple([z.string(), endedJobKeySchema])),
+  endedJobs: z.array(z.tuple([z.string(), jobRecordSchema])),
+  answers: z.array(z.tuple([z.string(), jobAnswerSchema])),
+})
+
+export const stateSnapshotSchema = z.object({
+  appliedIndex: countSchema,
+  timeMs: countSchema,
+  contractIndex: countSchema,
+  contracts: z.array(z.tuple([z.string(), contractStateSchema])),
+  changes: z.array(z.tuple([z.string(), changeSchema])),
+  jobs: z.array(z.tuple([z.string(), jobRecordSchema])),
+  histories: z.array(z.tuple([z.string(), historySchema])),
+})
+export type StateSnapshot = z.infer<typeof stateSnapshotSchema>
+
+export function takeSnapshot(data: StateData): StateSnapshot {
+  return {
+    appliedIndex: data.appliedIndex,
+    timeMs: data.timeMs,
+    contractIndex: data.contractIndex,
+    contracts: [...data.contracts],
+    changes: [...data.changes],
+    jobs: [...data.jobs],
+    histories: [...data.histories].map(([workspace, history]) => [workspace, toLists(history)]),
+  }
+}
+
+export function readSnapshot(snapshot: StateSnapshot): StateData {
+  return {
+    ...createStateData(),
+    appliedIndex: snapshot.appliedIndex,
+    timeMs: snapshot.timeMs,
+    contractIndex: snapshot.contractIndex,
+    contracts: new Map(snapshot.contracts),
+    changes: new Map(snapshot.changes),
+    jobs: new Map(snapshot.jobs),
+    histories: new Map(snapshot.histories.map(([name, lists]) => [name, toMaps(lists)])),
+  }
+}
+
+function toLists(history: WorkspaceHistory): z.infer<typeof historySchema> {
+  return {
+    jobKeys: [...history.jobKeys],
+    endedJobKeys: [...history.endedJobKeys],
+    endedJobs: [...history.endedJobs],
+    answers: [...history.answers],
+  }
+}
+
+function toMaps(lists: z.infer<typeof historySchema>): WorkspaceHistory {
+  return {
+    jobKeys: new Map(lists.jobKeys),
+    endedJobKeys: new Map(lists.endedJobKeys),
+    endedJobs: new Map(lists.endedJobs),
+    answers: new Map(lists.answers),
+  }
+}
--- /dev/null
+++ b/control/state/src/submitJob.ts
@@ -0,0 +1,117 @@
+/** Takes a job into the queue of its workspace, once for each job key. */
+import type { ContractLimits, JobRequest } from '@nettlespur/api.schemas'
+import type { CommandOf } from './command.js'
+import { refuse, type CommandResult, type Refused } from './commandResult.js'
+import { digestValue } from './digestValue.js'
+import { forgetOldRecords } from './forgetOldRecords.js'
+import type { JobRecord } from './jobRecord.js'
+import { jobKeysMax } from './retention.js'
+import {
+  openHistory,
+  type JobKeyRecord,
+  type StateData,
+  type WorkspaceHistory,
+} from './stateData.js'
+
+const queueRetryAfterMs = 2000
+const keysRetryAfterMs = 60_000
+
+export function submitJob(
+  data: StateData,
+  index: number,
+  { at, request }: CommandOf<'job.submit'>,
+): CommandResult {
+  const contract = data.contracts.get(request.workspace)?.record.contract
+  if (contract === undefined) {
+    return refuse('unknown-workspace', `no contract for workspace ${request.workspace}`)
+  }
+  const history = openHistory(data, request.workspace)
+  forgetOldRecords(history, data.timeMs)
+  const digest = digestValue(request)
+  const known = findKey(history, request.jobKey)
+  if (known !== undefined) return answerAgain(data, history, known, digest)
+  const fault = findFault(data, history, request, contract.limits)
+  if (fault !== undefined) return fault
+  const job = createJob(`job-${index}`, request, at)
+  data.jobs.set(job.jobId, job)
+  if (request.jobKey !== undefined) {
+    history.jobKeys.set(request.jobKey, { jobId: job.jobId, digest })
+  }
+  return { type: 'job', job }
+}
+
+function findKey(history: WorkspaceHistory, jobKey: string | undefined): JobKeyRecord | undefined {
+  if (jobKey === undefined) return undefined
+  return history.jobKeys.get(jobKey) ?? history.endedJobKeys.get(jobKey)
+}
+
+function answerAgain(
+  data: StateData,
+  history: WorkspaceHistory,
+  known: JobKeyRecord,
+  digest: string,
+): CommandResult {
+  if (known.digest !== digest) {
+    return refuse(
+      'idempotency-conflict',
+      `the job key belongs to ${known.jobId}, with another body`,
+      {
+        hint: 'use a new job key for a new job',
+      },
+    )
+  }
+  const job = data.jobs.get(known.jobId) ?? history.endedJobs.get(known.jobId)
+  if (job !== undefined) return { type: 'job', job }
+  return refuse('answer-expired', `${known.jobId} of this job key has ended and is no longer kept`)
+}
+
+function findFault(
+  data: StateData,
+  history: WorkspaceHistory,
+  request: JobRequest,
+  limits: ContractLimits,
+): Refused | undefined {
+  const { accelerators } = request.gang
+  if (accelerators > limits.largestGangAccelerators) {
+    return refuse(
+      'impossible-shape',
+      `a gang of ${accelerators} accelerators is larger than the contract's largest, ${limits.largestGangAccelerators}`,
+    )
+  }
+  const waiting = countWaiting(data, request.workspace)
+  if (waiting >= limits.queuedJobs) {
+    return refuse('queue-full', `${waiting} jobs of ${request.workspace} are queued already`, {
+      retryAfterMs: queueRetryAfterMs,
+    })
+  }
+  const keys = history.jobKeys.size + history.endedJobKeys.size
+  if (request.jobKey === undefined || keys < jobKeysMax) return undefined
+  return refuse('over-limit', `${keys} job keys of ${request.workspace} are kept already`, {
+    retryAfterMs: keysRetryAfterMs,
+    hint: 'a key is kept for a day after its job has ended',
+  })
+}
+
+function countWaiting(data: StateData, workspace: string): number {
+  let count = 0
+  for (const job of data.jobs.values()) {
+    if (job.state === 'queued' && job.request.workspace === workspace) count += 1
+  }
+  return count
+}
+
+function createJob(jobId: string, request: JobRequest, at: string): JobRecord {
+  const reason = 'waits for its first placement'
+  return {
+    jobId,
+    request,
+    state: 'queued',
+    reason,
+    attempts: 0,
+    failedAttempts: 0,
+    submittedAt: at,
+    startCommitted: false,
+    cancelRequested: false,
+    decisions: [{ at, event: 'job.submitted', reason }],
+  }
+}
--- /dev/null
+++ b/daemons/control/src/startControl.ts
@@ -0,0 +1,120 @@
+/** Starts one control instance: log, node, peer side and, where asked for, health and figures. */
+import { createControlRouter } from '@nettlespur/control.api'
+import { ControlNode } from '@nettlespur/control.service'
+import { StateHolder } from '@nettlespur/control.state'
+import { SystemClock, type Clock } from '@nettlespur/core.clock'
+import { unwrap } from '@nettlespur/core.errors'
+import { LifecycleManager } from '@nettlespur/core.lifecycle'
+import { createLogger, type Logger } from '@nettlespur/core.logger'
+import { MetricsRegistry } from '@nettlespur/core.metrics'
+import { readKeyFile } from '@nettlespur/http.keys'
+import { createHttpServer } from '@nettlespur/http.server'
+import { BestFitPolicy } from '@nettlespur/placement.engine'
+import { createRpcServer } from '@nettlespur/rpc.peer'
+import type { ControlSettings } from '@nettlespur/settings.schemas'
+import { EitherAsync } from 'purify-ts'
+import { createUpstreamClient, type UpstreamClientFactory } from './createUpstreamClient.js'
+import { openLog } from './openLog.js'
+import { readTlsFiles } from './readTlsFiles.js'
+import { createStatusRoutes } from './statusRoutes.js'
+
+export interface StartControlOptions {
+  clock?: Clock
+  logger?: Logger
+  metrics?: MetricsRegistry
+  /** Accepted from peers; read from the key file of the settings by default. */
+  peerKeys?: readonly string[]
+  createUpstreamClient?: UpstreamClientFactory
+}
+
+export interface RunningControl {
+  /** `IP:PORT` as bound. */
+  readonly peerAddress: string
+  /** As bound; undefined where none was asked for. */
+  readonly statusAddress: string | undefined
+  readonly lifecycle: LifecycleManager
+  stop(): Promise<void>
+}
+
+/** Errors: rejects with `invalid-settings`, `storage-damaged`, or where an address cannot be bound. */
+export async function startControl(
+  settings: ControlSettings,
+  opts: StartControlOptions = {},
+): Promise<RunningControl> {
+  const clock = opts.clock ?? new SystemClock()
+  const { instanceId, log: logSettings } = settings
+  const logger =
+    opts.logger ?? createLogger({ name: 'control', instanceId, level: logSettings.level })
+  const lifecycle = new LifecycleManager({
+    clock,
+    drainDeadlineMs: settings.drainDeadlineMs,
+    onFault: ({ name, cause }) => {
+      logger.error({ event: 'control.stop-fault', name, reason: String(cause) })
+    },
+  })
+  try {
+    return await openAll(settings, { ...opts, clock, logger, lifecycle })
+  } catch (thrown) {
+    await lifecycle.stop()
+    throw thrown
+  }
+}
+
+interface OpenOptions extends StartControlOptions {
+  clock: Clock
+  logger: Logger
+  lifecycle: LifecycleManager
+}
+
+/** Clean-up runs in reverse: the node answers its waiting calls, the servers drain, the log closes. */
+async function openAll(settings: ControlSettings, opts: OpenOptions): Promise<RunningControl> {
+  const { clock, logger, lifecycle } = opts
+  const { instanceId, timings } = settings
+  const metrics = opts.metrics ?? new MetricsRegistry()
+  const peerKeys = opts.peerKeys ?? (await readPeerKeys(settings))
+  const client = (opts.createUpstreamClient ?? createUpstreamClient)(settings, clock)
+  const holder = new StateHolder()
+  const log = await openLog(settings, holder)
+  lifecycle.own('log', () => log.stop())
+  const policy = new BestFitPolicy()
+  const node = new ControlNode({
+    instanceId,
+    clock,
+    logger,
+    metrics,
+    log,
+    holder,
+    policy,
+    client,
+    timings,
+  })
+  const stopNode = (): Promise<void> => node.stop()
+  lifecycle.own('node', stopNode)
+  const tls = readTlsFiles(settings.tls)
+  const router = createControlRouter(node)
+  const { peerAddress: address } = settings
+  const server = await createRpcServer({ address, router, peerKeys, tls })
+  lifecycle.own('peer side', () => server.drain())
+  const statusAddress = await openStatus(settings, { node, metrics, lifecycle })
+  // Stopping the node is idempotent; first in line, it wakes the long polls that the drain waits for.
+  lifecycle.own('leadership', stopNode)
+  const { address: peerAddress } = server
+  logger.info({ event: 'control.listening', peerAddress, statusAddress })
+  return { peerAddress, statusAddress, lifecycle, stop: () => lifecycle.stop() }
+}
+
+async function openStatus(
+  settings: ControlSettings,
+  parts: { node: ControlNode; metrics: MetricsRegistry; lifecycle: LifecycleManager },
+): Promise<string | undefined> {
+  const { statusAddress: address } = settings
+  if (address === undefined) return undefined
+  const routes = createStatusRoutes(parts.node, parts.metrics)
+  const server = await createHttpServer({ address, routes, tls: readTlsFiles(settings.tls) })
+  parts.lifecycle.own('status side', () => server.drain())
+  return server.address
+}
+
+async function readPeerKeys(settings: ControlSettings): Promise<readonly string[]> {
+  return unwrap(EitherAsync.liftEither(readKeyFile(settings.keyFiles.peers)))
+}
