test: hold the control path to its promises, and mend what the tests found

A loss is seen at the lease's end rather than at the next renewal; a log record holds a whole batch; placed gangs that nothing runs are taken over in each placement round; one waiting job of each workspace keeps a forming block; a gang above the contract's accelerators is refused at once.

--- a/control/gangs/src/gangManager.ts
+++ b/control/gangs/src/gangManager.ts
@@ -25,9 +25,14 @@
     this.#own(job, (runner) => runner.run(job))
   }
 
-  /** Takes over every placed gang of the state, when this instance has become leader. */
+  /**
+   * Takes over every placed gang of the state that is not run here: another leader placed it, its own task
+   * failed, or it was placed by a command whose answer was lost. Called often.
+   */
   recover(): void {
-    for (const job of this.#opts.holder.state.listLiveJobs()) this.#resume(job)
+    for (const job of this.#opts.holder.state.listLiveJobs()) {
+      this.#own(job, (runner) => runner.resume(job))
+    }
   }
 
   /** Lets go of all gangs without stopping them; their tasks go on under the next leader. */
@@ -36,32 +41,24 @@
     await Promise.all(this.#running.values())
   }
 
-  #resume(job: JobRecord): void {
-    this.#own(job, (runner) => runner.resume(job))
-  }
-
   #own(job: JobRecord, run: (runner: GangRunner) => Promise<void>): void {
     const { placement, jobId } = job
     if (placement === undefined || this.#mustStop()) return
-    const runner = new GangRunner(this.#opts, job, placement, this.#stopping.signal)
     const name = `${jobId}/${placement.fence}`
+    if (this.#running.has(name)) return
+    const runner = new GangRunner(this.#opts, job, placement, this.#stopping.signal)
     const ended = run(runner)
-      .catch((thrown: unknown) => this.#recoverFrom(jobId, placement.fence, thrown))
+      .catch((thrown: unknown) => this.#pauseAfterFault(jobId, placement.fence, thrown))
       .finally(() => this.#running.delete(name))
     this.#running.set(name, ended)
   }
 
-  /** An unforeseen failure must not leave a gang alone: it is taken over like a former leader's. */
-  async #recoverFrom(jobId: string, fence: number, thrown: unknown): Promise<void> {
-    const { clock, logger, holder } = this.#opts
+  /** An unforeseen failure leaves the gang to the next `recover`, after a pause. */
+  async #pauseAfterFault(jobId: string, fence: number, thrown: unknown): Promise<void> {
     if (this.#mustStop()) return
     const reason = toNettlespurError(thrown).message
-    logger.error({ event: 'gang.task-failed', jobId, fence, reason })
-    await clock.sleep(resumeAfterMs, this.#stopping.signal)
-    const job = holder.state.getLiveJob(jobId)
-    if (job?.placement?.fence !== fence || this.#mustStop()) return
-    const runner = new GangRunner(this.#opts, job, job.placement, this.#stopping.signal)
-    await runner.resume(job).catch((again: unknown) => this.#recoverFrom(jobId, fence, again))
+    this.#opts.logger.error({ event: 'gang.task-failed', jobId, fence, reason })
+    await this.#opts.clock.sleep(resumeAfterMs, this.#stopping.signal)
   }
 
   #mustStop(): boolean {
--- a/control/gangs/src/gangMember.ts
+++ b/control/gangs/src/gangMember.ts
@@ -59,12 +59,20 @@
   /** True where the member can't be relied on any more, whatever it may still be doing. */
   get isLost(): boolean {
     if (this.#startRefused) return true
-    if (this.#state === undefined || this.#state === 'reserved' || this.#state === 'running') {
-      return this.#opts.clock.monotonicMs() >= this.#earliestLeaseEndMs
-    }
+    if (this.#mayBeRunning) return this.leaseLeftMs <= 0
     return this.#state !== 'finished' && this.#state !== 'failed'
   }
 
+  /** Until the member counts as lost unless it is renewed; infinite once it has ended. */
+  get leaseLeftMs(): number {
+    if (!this.#mayBeRunning) return Number.POSITIVE_INFINITY
+    return this.#earliestLeaseEndMs - this.#opts.clock.monotonicMs()
+  }
+
+  get #mayBeRunning(): boolean {
+    return this.#state === undefined || this.#state === 'reserved' || this.#state === 'running'
+  }
+
   /** Takes over a member that another leader placed; it may have renewed and started it just now. */
   adopt(): void {
     const leaseEndMs = this.#opts.clock.monotonicMs() + this.#opts.timings.taskLeaseMs
--- a/control/gangs/src/gangRunner.ts
+++ b/control/gangs/src/gangRunner.ts
@@ -89,7 +89,8 @@
       if (verdict === 'finished') return collectAnswer(this.#opts, this.#members, this.#signal)
       if (verdict !== undefined) return verdict
       if (this.#isCancelled()) return this.#describeCancel()
-      await waitForWake(clock, pauseMs, this.#listWakes(), this.#signal)
+      const leaseLeftMs = Math.min(...this.#members.map((member) => member.leaseLeftMs))
+      await waitForWake(clock, Math.min(pauseMs, leaseLeftMs), this.#listWakes(), this.#signal)
       this.#signal.throwIfAborted()
       pauseMs = Math.min(pauseMs * 2, timings.renewTasksEveryMs)
     }
--- /dev/null
+++ b/control/gangs/test/gangManager.test.ts
@@ -0,0 +1,241 @@
+import type { JobRequest, TaskReport } from '@nettlespur/api.schemas'
+import { createContract, createJobRequest, FakeUpstreams } from '@nettlespur/control.fakes'
+import { readJob, StateHolder, type JobRecord } from '@nettlespur/control.state'
+import { ManualClock } from '@nettlespur/core.clock'
+import { NettlespurError, unwrap } from '@nettlespur/core.errors'
+import { createLogger } from '@nettlespur/core.logger'
+import test from 'ava'
+import { Subject } from 'rxjs'
+import { GangManager } from '../src/index.js'
+import { MemoryLog } from './memoryLog.js'
+
+const timings = {
+  taskLeaseMs: 15_000,
+  renewTasksEveryMs: 3000,
+  clockDriftMarginMs: 500,
+  stopGraceMs: 2000,
+}
+/** Longer than any lease with its margin. */
+const leasesOverMs = 40_000
+
+async function createGangs() {
+  const clock = new ManualClock(new Date('2026-01-01T00:00:00Z'))
+  const holder = new StateHolder()
+  const log = new MemoryLog(holder)
+  const client = new FakeUpstreams(clock)
+  const taskReports = new Subject<TaskReport>()
+  const logger = createLogger({ name: 'control', instanceId: 'c1', write: () => undefined })
+  const opts = { clock, logger, log, holder, client, timings, taskReports, random: () => 0 }
+  const at = clock.now().toISOString()
+  const change = { changeId: 'c', expectedRevision: 0, contract: createContract('demo') }
+  await unwrap(log.propose({ type: 'contract.apply', at, change }))
+  return { clock, holder, log, client, taskReports, createManager: () => new GangManager(opts) }
+}
+
+type Gangs = Awaited<ReturnType<typeof createGangs>>
+
+/** Submits a job and places it over two upstreams, at addresses `a0` and `a1`. */
+async function placeGang({ clock, log }: Gangs, fields: Partial<JobRequest>): Promise<JobRecord> {
+  const at = clock.now().toISOString()
+  const request = createJobRequest({ gang: { accelerators: 2, adjacency: 'none' }, ...fields })
+  const submitted = await unwrap(log.propose({ type: 'job.submit', at, request }))
+  const { jobId } = readJob(submitted).unsafeCoerce()
+  const assignments = [0, 1].map((index) => {
+    return { upstreamId: `u${index}`, address: `a${index}`, acceleratorIndexes: [0] }
+  })
+  const placed = await unwrap(
+    log.propose({ type: 'job.place', at, jobId, assignments, reason: '' }),
+  )
+  return readJob(placed).unsafeCoerce()
+}
+
+async function startGang(gangs: Gangs, fields: Partial<JobRequest>) {
+  const job = await placeGang(gangs, fields)
+  const manager = gangs.createManager()
+  manager.start(job)
+  await gangs.clock.advance(1)
+  const [first, second] = (job.placement?.members ?? []).map((member) => member.taskId)
+  return { job, manager, first: first ?? '', second: second ?? '' }
+}
+
+function readState({ holder }: Gangs, { jobId }: JobRecord): JobRecord | undefined {
+  return holder.state.getJob('demo', jobId)
+}
+
+async function cancel({ log, clock }: Gangs, { jobId }: JobRecord): Promise<void> {
+  const at = clock.now().toISOString()
+  await unwrap(log.propose({ type: 'job.cancel', at, workspace: 'demo', jobId }))
+}
+
+test('a gang whose members all finish gives its whole answer in rank order', async (t) => {
+  const gangs = await createGangs()
+  const { job, first, second } = await startGang(gangs, { repeatable: false })
+  t.deepEqual(gangs.client.started, [first, second])
+  gangs.client.finish(second, 'two')
+  await gangs.clock.advance(leasesOverMs)
+  t.is(readState(gangs, job)?.state, 'running')
+  gangs.client.finish(first, 'one')
+  gangs.taskReports.next({ taskId: first, fence: 1, state: 'finished' })
+  await gangs.clock.advance(1)
+  t.is(readState(gangs, job)?.state, 'finished')
+  const parts = gangs.holder.state.getAnswer('demo', job.jobId)?.parts
+  t.deepEqual(
+    parts?.map((part) => part.body),
+    ['one', 'two'],
+  )
+})
+
+test('one refused reservation starts nothing, and the job goes back to the queue', async (t) => {
+  const gangs = await createGangs()
+  gangs.client.refusing.add('a1')
+  const { job, first } = await startGang(gangs, { repeatable: false })
+  t.deepEqual(gangs.client.started, [])
+  t.is(gangs.client.stateOf(first), 'never-runs')
+  t.like(readState(gangs, job), { state: 'queued', placement: undefined })
+  t.regex(readState(gangs, job)?.reason ?? '', /u1 did not reserve/)
+})
+
+test('a reservation whose answer is lost keeps its accelerators until its lease must be over', async (t) => {
+  const gangs = await createGangs()
+  gangs.client.mute.add('a1')
+  const { job } = await startGang(gangs, {})
+  await gangs.clock.advance(timings.taskLeaseMs)
+  t.like(readState(gangs, job), { state: 'reserving' })
+  await gangs.clock.advance(timings.clockDriftMarginMs + 300)
+  t.is(readState(gangs, job)?.state, 'queued')
+  t.deepEqual(gangs.client.started, [])
+  t.deepEqual(gangs.client.listHolding(), [])
+})
+
+test('a lost member stops all others; a repeatable job is tried again', async (t) => {
+  const gangs = await createGangs()
+  const { job, first } = await startGang(gangs, { repeatable: true })
+  gangs.client.forget('a1')
+  await gangs.clock.advance(timings.renewTasksEveryMs)
+  t.is(gangs.client.stateOf(first), 'stopped')
+  t.like(readState(gangs, job), { state: 'queued', attempts: 1, placement: undefined })
+})
+
+test('accelerators of a silent upstream are free only after its lease and the drift margin', async (t) => {
+  const gangs = await createGangs()
+  const { job, first } = await startGang(gangs, { repeatable: true })
+  gangs.client.unreachable.add('a1')
+  await gangs.clock.advance(timings.taskLeaseMs)
+  t.is(gangs.client.stateOf(first), 'stopped')
+  t.truthy(readState(gangs, job)?.placement)
+  await gangs.clock.advance(timings.clockDriftMarginMs + 300)
+  t.like(readState(gangs, job), { state: 'queued', placement: undefined })
+})
+
+test('a job that is not repeatable and loses a member after its start ends unknown', async (t) => {
+  const gangs = await createGangs()
+  const { job } = await startGang(gangs, { repeatable: false })
+  gangs.client.forget('a1')
+  await gangs.clock.advance(timings.renewTasksEveryMs)
+  t.is(readState(gangs, job)?.state, 'unknown')
+  t.is(gangs.client.started.length, 2)
+})
+
+test('a job that is not repeatable goes back to the queue where no start can have left', async (t) => {
+  const gangs = await createGangs()
+  gangs.log.beforeCommit = ({ type }) => {
+    if (type !== 'job.started') return
+    gangs.client.unreachable.add('a0').add('a1')
+  }
+  const { job } = await startGang(gangs, { repeatable: false })
+  await gangs.clock.advance(leasesOverMs)
+  t.like(readState(gangs, job), { state: 'queued', startedAt: undefined })
+  t.deepEqual(gangs.client.started, [])
+})
+
+test('a task that fails by itself ends a job that is not repeatable, with its reason', async (t) => {
+  const gangs = await createGangs()
+  const { job, first, second } = await startGang(gangs, { repeatable: false })
+  gangs.client.fail(second, 'out of memory')
+  await gangs.clock.advance(timings.renewTasksEveryMs)
+  t.is(readState(gangs, job)?.state, 'failed')
+  t.regex(readState(gangs, job)?.reason ?? '', /u1: out of memory/)
+  t.is(gangs.client.stateOf(first), 'stopped')
+})
+
+test('a restart before the start was committed starts nothing and requeues the job', async (t) => {
+  const gangs = await createGangs()
+  gangs.log.beforeCommit = ({ type }) => {
+    if (type === 'job.started') throw new NettlespurError('no-quorum', 'cut off')
+  }
+  const { job, manager, first } = await startGang(gangs, { repeatable: false })
+  await manager.stop()
+  t.is(gangs.client.stateOf(first), 'reserved')
+  gangs.createManager().recover()
+  await gangs.clock.advance(1)
+  t.is(gangs.client.stateOf(first), 'never-runs')
+  t.is(readState(gangs, job)?.state, 'queued')
+  t.deepEqual(gangs.client.started, [])
+})
+
+test('a running gang is taken over by the next leader, not started again', async (t) => {
+  const gangs = await createGangs()
+  const { job, manager, first, second } = await startGang(gangs, { repeatable: false })
+  await manager.stop()
+  gangs.createManager().recover()
+  await gangs.clock.advance(leasesOverMs)
+  t.deepEqual(gangs.client.started, [first, second])
+  for (const taskId of [first, second]) gangs.client.finish(taskId, 'whole')
+  await gangs.clock.advance(timings.renewTasksEveryMs)
+  t.is(readState(gangs, job)?.state, 'finished')
+})
+
+test('a restart between the start and its loss never runs an unrepeatable job twice', async (t) => {
+  const gangs = await createGangs()
+  const { job, manager } = await startGang(gangs, { repeatable: false })
+  await manager.stop()
+  gangs.client.forget('a0')
+  gangs.client.forget('a1')
+  gangs.createManager().recover()
+  await gangs.clock.advance(leasesOverMs)
+  t.is(readState(gangs, job)?.state, 'unknown')
+  t.is(gangs.client.started.length, 2)
+})
+
+test('a start whose answers are lost is not repeated where the task has begun', async (t) => {
+  const gangs = await createGangs()
+  gangs.log.beforeCommit = ({ type }) => {
+    if (type === 'job.started') gangs.client.mute.add('a0')
+  }
+  const { job, first, second } = await startGang(gangs, { repeatable: false })
+  gangs.client.mute.clear()
+  await gangs.clock.advance(timings.renewTasksEveryMs)
+  t.deepEqual(gangs.client.started, [first, second])
+  t.is(readState(gangs, job)?.state, 'running')
+})
+
+test('a cancelled gang ends only once all of its members are known to have stopped', async (t) => {
+  const gangs = await createGangs()
+  const { job, first } = await startGang(gangs, {})
+  gangs.client.mute.add('a1')
+  await cancel(gangs, job)
+  await gangs.clock.advance(1000)
+  t.is(gangs.client.stateOf(first), 'stopped')
+  t.is(readState(gangs, job)?.state, 'stopping')
+  gangs.client.mute.clear()
+  await gangs.clock.advance(1000)
+  t.like(readState(gangs, job), { state: 'cancelled' })
+  t.regex(readState(gangs, job)?.reason ?? '', /cancelled after its start/)
+})
+
+test('a gang that had finished when its cancel arrived gives its answer', async (t) => {
+  const gangs = await createGangs()
+  const { job, first, second } = await startGang(gangs, { repeatable: false })
+  for (const taskId of [first, second]) gangs.client.finish(taskId, 'whole')
+  await cancel(gangs, job)
+  await gangs.clock.advance(timings.renewTasksEveryMs)
+  t.is(readState(gangs, job)?.state, 'finished')
+})
+
+test('a gang without contact at its leader stops by itself at the end of its leases', async (t) => {
+  const gangs = await createGangs()
+  const { manager } = await startGang(gangs, {})
+  await manager.stop()
+  await gangs.clock.advance(timings.taskLeaseMs)
+  t.deepEqual(gangs.client.listHolding(), [])
+})
--- a/control/log/src/logFile.ts
+++ b/control/log/src/logFile.ts
@@ -27,28 +27,38 @@
   static async open(dataFolder: string): Promise<OpenedLogFile> {
     await mkdir(dataFolder, { recursive: true })
     const handle = await open(path.join(dataFolder, fileName), constants.O_RDWR | constants.O_CREAT)
+    try {
+      const opened = await LogFile.#read(handle)
+      await syncFolder(dataFolder)
+      return opened
+    } catch (cause) {
+      await handle.close()
+      throw cause
+    }
+  }
+
+  static async #read(handle: FileHandle): Promise<OpenedLogFile> {
     const bytes = await handle.readFile()
     const { contents, wholeBytes } = readFrames(bytes)
     if (wholeBytes < bytes.length) await handle.truncate(wholeBytes)
     await handle.sync()
-    await syncFolder(dataFolder)
     const file = new LogFile(handle, wholeBytes)
     return { file, contents, cutBytes: bytes.length - wholeBytes }
   }
 
   /**
-   * Writes all records and syncs once. Errors: throws `disk-full` where nothing of them is left behind,
+   * Writes and syncs one record. Errors: throws `disk-full` where nothing of it is left behind,
    * `storage-failed` where that is not known.
    */
-  async append(contents: readonly Buffer[]): Promise<void> {
-    const frames = Buffer.concat(contents.map((content) => frameRecord(content)))
+  async append(content: Buffer): Promise<void> {
+    const frame = frameRecord(content)
     try {
-      await this.#writeAll(frames)
+      await this.#writeAll(frame)
     } catch (cause) {
       await this.#undo(cause)
     }
     await this.#sync()
-    this.#size += frames.length
+    this.#size += frame.length
   }
 
   async close(): Promise<void> {
--- a/control/log/src/singleNodeLog.ts
+++ b/control/log/src/singleNodeLog.ts
@@ -36,6 +36,7 @@
   #waiting: Proposal[] = []
   #writing: Promise<void> | undefined
   #closed: NettlespurError | undefined
+  #stopped: Promise<void> | undefined
 
   private constructor(opts: SingleNodeLogOptions, file: LogFile) {
     super()
@@ -54,8 +55,7 @@
     const { file, contents } = await LogFile.open(opts.dataFolder)
     try {
       for (const content of contents) {
-        const { index, command } = readRecord(content)
-        opts.holder.apply(index, command)
+        applyRecord(opts.holder, readRecord(content))
       }
     } catch (cause) {
       await file.close()
@@ -95,8 +95,12 @@
     }
   }
 
-  async stop(): Promise<void> {
-    if (this.#closed?.kind === 'draining') return
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop()
+    return this.#stopped
+  }
+
+  async #stop(): Promise<void> {
     this.#close(new NettlespurError('draining', 'this control instance is stopping'))
     await this.#writing
     await this.#file.close()
@@ -114,9 +118,12 @@
   async #commit(batch: readonly Proposal[]): Promise<void> {
     const { holder } = this.#opts
     const first = holder.state.appliedIndex + 1
-    const records = batch.map(({ command }, offset) => ({ index: first + offset, command }))
+    const record: LogRecord = {
+      firstIndex: first,
+      commands: batch.map((proposal) => proposal.command),
+    }
     try {
-      await this.#file.append(records.map((record) => Buffer.from(JSON.stringify(record))))
+      await this.#file.append(Buffer.from(JSON.stringify(record)))
     } catch (thrown) {
       this.#refuse(batch, toNettlespurError(thrown))
       return
@@ -139,6 +146,10 @@
   }
 }
 
+function applyRecord(holder: StateHolder, { firstIndex, commands }: LogRecord): void {
+  for (const [offset, command] of commands.entries()) holder.apply(firstIndex + offset, command)
+}
+
 function readRecord(content: Buffer): LogRecord {
   const parsed = logRecordSchema.safeParse(JSON.parse(content.toString('utf8')))
   if (parsed.success) return parsed.data
--- a/control/service/src/leaderSession.ts
+++ b/control/service/src/leaderSession.ts
@@ -83,14 +83,13 @@
     }
   }
 
-  /** Gangs of a former leader are taken over before anything new is placed. */
+  /** Nothing is decided before the state holds all that former leaders committed. */
   async #place(signal: AbortSignal): Promise<void> {
     const { log, clock } = this.#opts
     while ((await log.readBarrier().run()).isLeft()) {
       await clock.sleep(barrierRetryMs, signal)
       if (signal.aborted) return
     }
-    this.#gangs.recover()
     await this.placements.run(signal)
   }
 
--- a/control/service/src/placementLoop.ts
+++ b/control/service/src/placementLoop.ts
@@ -1,7 +1,11 @@
-/** Places waiting jobs whenever something has changed, and keeps why the others wait. */
+/**
+ * Takes over placed gangs that nothing runs, places waiting jobs whenever something has changed, and keeps
+ * why the others wait.
+ */
 import type { UpstreamView } from '@nettlespur/api.schemas'
 import { waitForWake, type GangManager } from '@nettlespur/control.gangs'
 import { readJob } from '@nettlespur/control.state'
+import { toNettlespurError } from '@nettlespur/core.errors'
 import type { PlacementDecision } from '@nettlespur/placement.engine'
 import { filter, merge, type BehaviorSubject } from 'rxjs'
 import { createPlacementView } from './createPlacementView.js'
@@ -40,7 +44,7 @@
     while (!signal.aborted) {
       const seenIndex = holder.state.appliedIndex
       const seenVersion = version.value
-      await this.#placeOnce(signal)
+      await this.#tryPlace(signal)
       const wakes = merge(
         holder.applied.pipe(filter((index) => index > seenIndex)),
         version.pipe(filter((value) => value > seenVersion)),
@@ -50,8 +54,19 @@
     }
   }
 
+  /** One failed round must not end the loop. */
+  async #tryPlace(signal: AbortSignal): Promise<void> {
+    try {
+      await this.#placeOnce(signal)
+    } catch (thrown) {
+      const reason = toNettlespurError(thrown).message
+      this.#opts.node.logger.error({ event: 'placement.round-failed', reason })
+    }
+  }
+
   async #placeOnce(signal: AbortSignal): Promise<void> {
-    const { node, upstreams } = this.#opts
+    const { node, upstreams, gangs } = this.#opts
+    gangs.recover()
     const views = upstreams.list()
     const view = createPlacementView(node.holder.state, views, node.clock.now())
     const reasons = new Map<string, string>()
--- a/control/service/test/controlNode.test.ts
+++ b/control/service/test/controlNode.test.ts
@@ -6,13 +6,12 @@
 import { createContract, createJobRequest, FakeUpstreams } from '@nettlespur/control.fakes'
 import { SingleNodeLog } from '@nettlespur/control.log'
 import { StateHolder } from '@nettlespur/control.state'
-import { ManualClock, SystemClock } from '@nettlespur/core.clock'
+import { ManualClock } from '@nettlespur/core.clock'
 import { unwrap } from '@nettlespur/core.errors'
 import { createLogger } from '@nettlespur/core.logger'
 import { MetricsRegistry } from '@nettlespur/core.metrics'
 import { BestFitPolicy } from '@nettlespur/placement.engine'
 import test, { type ExecutionContext } from 'ava'
-import { firstValueFrom, filter } from 'rxjs'
 import { ControlNode } from '../src/index.js'
 
 const timings = {
@@ -115,3 +114,110 @@
   t.is(report.cluster.completion.count, 1)
   t.is(report.cluster.freeAccelerators, 8)
 })
+
+test('a watching entry learns of a change at once, and its next look tells where it is in force', async (t) => {
+  const { node, clock } = await startNode(t)
+  const first = await unwrap(node.watch(watchRequest))
+  const { epoch, contractIndex, upstreamVersion } = first
+  const held = { ...watchRequest, epoch, contractIndex, upstreamVersion }
+  const look = unwrap(node.watch(held))
+  const { changeIndex } = await unwrap(node.applyContract(change('one', 0)))
+  const update = await look
+  t.is(clock.monotonicMs(), 0)
+  t.is(update.contractIndex, changeIndex)
+  t.like((await unwrap(node.listContracts('demo')))[0], { inForceAt: [], notYetInForceAt: ['e1'] })
+  const next = unwrap(node.watch({ ...held, contractIndex: changeIndex }))
+  t.like((await unwrap(node.listContracts('demo')))[0], { inForceAt: ['e1'], notYetInForceAt: [] })
+  await clock.advance(2000)
+  t.deepEqual((await next).contracts, [])
+})
+
+test('an entry that is not heard from is dropped only after its lease must have ended', async (t) => {
+  const { node, clock } = await startNode(t)
+  await unwrap(node.watch(watchRequest))
+  await unwrap(node.applyContract(change('one', 0)))
+  await clock.advance(timings.contractLeaseMs)
+  t.deepEqual((await unwrap(node.listContracts()))[0]?.notYetInForceAt, ['e1'])
+  await clock.advance(timings.clockDriftMarginMs)
+  t.deepEqual((await unwrap(node.listContracts()))[0]?.notYetInForceAt, [])
+})
+
+test('a new leader claims nothing in force while entries may hold leases of a former one', async (t) => {
+  const former = await startNode(t)
+  await unwrap(former.node.applyContract(change('one', 0)))
+  await former.stop()
+  const { node, clock } = await startNode(t, former.dataFolder)
+  t.deepEqual((await unwrap(node.listContracts()))[0]?.notYetInForceAt, ['entries-not-heard-yet'])
+  await clock.advance(timings.contractLeaseMs + timings.clockDriftMarginMs)
+  t.deepEqual((await unwrap(node.listContracts()))[0]?.notYetInForceAt, [])
+})
+
+test('a leaving upstream is told at once, outweighs a late ready, and gets no job', async (t) => {
+  const node = await startNode(t)
+  await unwrap(node.node.applyContract(change('one', 0)))
+  const announce = (state: Announcement['state']) =>
+    unwrap(
+      node.node.announce({
+        items: [{ upstreamId: 'u1', announcement: { ...announcement, state } }],
+      }),
+    )
+  await announce('ready')
+  const { epoch, contractIndex, upstreamVersion } = await unwrap(node.node.watch(watchRequest))
+  const look = node.node.watch({ ...watchRequest, epoch, contractIndex, upstreamVersion })
+  const told = unwrap(look)
+  await announce('leaving')
+  t.like((await told).upstreams[0], { upstreamId: 'u1', state: 'leaving' })
+  await announce('ready')
+  const jobId = await submit(node, {})
+  await runUntil(node, () => node.lines.some((line) => line.includes('event=placement.waits')))
+  t.is(node.holder.state.getLiveJob(jobId)?.state, 'queued')
+  const explanation = await unwrap(node.node.explainJob({ workspace: 'demo', jobId }))
+  t.regex(explanation.waitsFor.join(), /no room for 1 accelerators/)
+})
+
+test('a silent upstream becomes suspect, then gone', async (t) => {
+  const { node, clock } = await startNode(t)
+  await unwrap(node.announce({ items: [{ upstreamId: 'u1', announcement }] }))
+  const readState = async () => (await unwrap(node.getStatus())).upstreams[0]?.state
+  t.is(await readState(), 'ready')
+  await clock.advance(timings.upstreamSuspectMs + 250)
+  t.is(await readState(), 'suspect')
+  await clock.advance(timings.upstreamGoneMs)
+  t.is(await readState(), 'gone')
+})
+
+test('a shape that the known upstreams can never hold is refused at once', async (t) => {
+  const { node, clock } = await startNode(t)
+  await unwrap(node.applyContract(change('one', 0)))
+  await unwrap(node.announce({ items: [{ upstreamId: 'u1', announcement }] }))
+  await clock.advance(timings.upstreamSuspectMs)
+  const request = createJobRequest({ gang: { accelerators: 9, adjacency: 'upstream' } })
+  const refused = (await node.submitJob(request).run()).extract()
+  t.like(refused, { kind: 'impossible-shape' })
+})
+
+test('a call that waits for an answer gets the job as it stands when its wait is over', async (t) => {
+  const node = await startNode(t)
+  await unwrap(node.node.applyContract(change('one', 0)))
+  const jobId = await submit(node, {})
+  const waiting = unwrap(node.node.awaitAnswer({ workspace: 'demo', jobId, waitMs: 300 }))
+  await node.clock.advance(300)
+  t.is((await waiting).job.state, 'queued')
+  t.is((await waiting).answer, undefined)
+})
+
+test('once it leads no more every call is refused, with the leader as the hint, and renewals end', async (t) => {
+  const node = await startNode(t)
+  await unwrap(node.node.applyContract(change('one', 0)))
+  await unwrap(node.node.announce({ items: [{ upstreamId: 'u1', announcement }] }))
+  const jobId = await submit(node, {})
+  await runUntil(node, () => node.client.stateOf(`${jobId}.1.0`) === 'running')
+  const waiting = unwrap(node.node.awaitAnswer({ workspace: 'demo', jobId, waitMs: 60_000 }))
+  const leaderAddress = '127.0.0.1:4'
+  node.log.leadership.next({ isLeader: false, leaderId: 'c2', leaderAddress, term: 2 })
+  t.is((await waiting).job.state, 'running')
+  const refused = (await node.node.getJob({ workspace: 'demo', jobId }).run()).extract()
+  t.like(refused, { kind: 'not-leader', hint: `ask ${leaderAddress}` })
+  await node.clock.advance(timings.taskLeaseMs + timings.renewTasksEveryMs)
+  t.is(node.client.stateOf(`${jobId}.1.0`), 'lease-expired')
+})
--- a/control/state/src/submitJob.ts
+++ b/control/state/src/submitJob.ts
@@ -78,6 +78,12 @@
       `a gang of ${accelerators} accelerators is larger than the contract's largest, ${limits.largestGangAccelerators}`,
     )
   }
+  if (accelerators > limits.concurrentAccelerators) {
+    return refuse(
+      'impossible-shape',
+      `a gang of ${accelerators} accelerators is more than the contract allows at once, ${limits.concurrentAccelerators}`,
+    )
+  }
   const waiting = countWaiting(data, request.workspace)
   if (waiting >= limits.queuedJobs) {
     return refuse('queue-full', `${waiting} jobs of ${request.workspace} are queued already`, {
--- a/placement/engine/src/bestFitPolicy.ts
+++ b/placement/engine/src/bestFitPolicy.ts
@@ -1,7 +1,7 @@
 /**
  * Places urgent jobs first, then by order of submission, each where it breaks up the least. A job that
- * does not fit keeps what its size leaves of one upstream or rack from the jobs behind it, so that
- * scattered small jobs do not starve it.
+ * does not fit keeps the free accelerators of the upstream or rack that is nearest to holding it from the
+ * jobs behind it, so that scattered small jobs do not starve it; one job of each workspace does.
  */
 import type { UpstreamView } from '@nettlespur/api.schemas'
 import { fitGang } from './fitGang.js'
@@ -14,11 +14,12 @@
   decide(view: PlacementView): PlacementDecision[] {
     const topology = new Topology(view.upstreams, view.held)
     const usage = countUsage(view)
+    const forming = new Set<string>()
     return orderJobs(view.waiting).map((job) => {
       const heldBack = job.heldBack ?? findLimit(job, usage, view)
       if (heldBack !== undefined) return wait(job, heldBack)
       const blocks = fitGang(topology, job)
-      if (blocks === undefined) return this.#holdBack(job, topology, view)
+      if (blocks === undefined) return this.#holdBack(job, topology, view, forming)
       topology.takeAll(blocks, job)
       usage.set(job.workspace, (usage.get(job.workspace) ?? 0) + job.gang.accelerators)
       return { kind: 'place', jobId: job.jobId, blocks, reason: describeFit(job, blocks) }
@@ -30,15 +31,22 @@
     return fitGang(new Topology(emptied, []), demand) !== undefined
   }
 
-  #holdBack(job: WaitingJob, topology: Topology, view: PlacementView): PlacementDecision {
+  /** `forming` names the workspaces that keep a place already: one waiting job of each does. */
+  #holdBack(
+    job: WaitingJob,
+    topology: Topology,
+    view: PlacementView,
+    forming: Set<string>,
+  ): PlacementDecision {
     const free = topology.freeCount
     const asked = describeGang(job)
     if (!this.canEverFit(job, view.upstreams)) {
       return wait(job, `no set of the known upstreams can hold ${asked}`)
     }
-    const forming = holdFormingBlock(topology, job)
-    const held = forming.length === 0 ? '' : `; keeps free ones of ${forming.join(', ')}`
-    return wait(job, `no room for ${asked}: ${free} accelerators are free elsewhere${held}`)
+    const kept = forming.has(job.workspace) ? [] : holdFormingBlock(topology, job)
+    forming.add(job.workspace)
+    const keeps = kept.length === 0 ? '' : `; keeps the free ones of ${kept.join(', ')} for it`
+    return wait(job, `no room for ${asked}: ${free} accelerators are free, not so adjacent${keeps}`)
   }
 }
 
