--- a/daemons/entry/src/createContext.ts
+++ b/daemons/entry/src/createContext.ts
@@ -25,8 +25,11 @@
 }
 
 export function createContext(settings: EntrySettings, opts: CreateContextOptions): EntryContext {
-  const { clock, logger, metrics, control, keys } = opts
+  const { clock, logger, metrics, control, keys, lifecycle } = opts
   const view = new ClusterView({ clock, logger })
+  lifecycle.own('contract lease', () => {
+    view.lease.end()
+  })
   const upstreamKey = keys.upstreams[0]
   metrics.gauge('contract_lease_held', () => Number(view.lease.isHeld()))
   metrics.gauge('upstreams_known', () => view.upstreams.value.size)
--- a/entry/requests/src/localRequestRouter.ts
+++ b/entry/requests/src/localRequestRouter.ts
@@ -59,9 +59,8 @@
   }
 
   override abandonAll(): void {
-    const message = 'this entry stopped before the request could start'
     this.#abandoned.abort()
-    this.#opts.queue.refuseAll(new NettlespurError('draining', message, { retryAfterMs }))
+    this.#opts.queue.shutDown(createAbandonedError())
   }
 
   async #observe(request: ShortRequest): Promise<ShortAnswer> {
@@ -105,6 +104,10 @@
   }
 
   async #attemptAll(request: ShortRequest, first: SlotGrant): Promise<ShortAnswer> {
+    if (this.#abandoned.signal.aborted) {
+      this.#opts.queue.releaseSlot(first.upstream.upstreamId)
+      throw createAbandonedError()
+    }
     const progress: Progress = {
       request,
       taskId: `request-${randomUUID()}`,
@@ -215,6 +218,11 @@
   return { ...outcome.answer, taskId, attempt, upstreamId: slot.upstream.upstreamId }
 }
 
+function createAbandonedError(): NettlespurError {
+  const message = 'this entry stopped before the request could start'
+  return new NettlespurError('draining', message, { retryAfterMs })
+}
+
 function createFinalError(progress: Progress, outcome: Attempted): NettlespurError {
   if (progress.lost !== undefined) return createUnknownError(progress.lost)
   const kind = outcome.kind === 'not-sent' ? 'no-upstream' : 'upstream-refused'
--- a/entry/requests/src/requestQueue.ts
+++ b/entry/requests/src/requestQueue.ts
@@ -45,6 +45,7 @@
   readonly #opts: RequestQueueOptions
   readonly #lines = new Map<string, WorkspaceLine>()
   readonly #changes: Subscription
+  #shutDown: NettlespurError | undefined
 
   constructor(opts: RequestQueueOptions) {
     this.#opts = opts
@@ -87,11 +88,10 @@
     this.#serveLines()
   }
 
-  /** Answers everyone who waits with `error`. */
-  refuseAll(error: NettlespurError): void {
-    for (const line of [...this.#lines.values()]) {
-      for (const waiter of [...line.waiters]) waiter.settle(Left(error))
-    }
+  /** Answers everyone who waits, and whoever comes later, with `error`. */
+  shutDown(error: NettlespurError): void {
+    this.#shutDown = error
+    this.#refuseAll(error)
   }
 
   close(): void {
@@ -100,9 +100,9 @@
 
   #wait(
     request: ShortRequest,
-    want: { avoid: ReadonlySet<string>; placed: boolean },
+    want: Omit<Waiter, 'settle'>,
   ): Promise<Either<NettlespurError, SlotGrant>> {
-    const refusal = this.#refuse(request, want.avoid)
+    const refusal = this.#refuse(request, want)
     if (refusal !== undefined) return Promise.resolve(Left(refusal))
     return new Promise((resolve) => {
       const line = this.#lineOf(request.workspace)
@@ -129,14 +129,19 @@
     })
   }
 
-  #refuse(request: ShortRequest, avoid: ReadonlySet<string>): NettlespurError | undefined {
-    const lapsed = this.#opts.view.lease.refusal()
-    if (lapsed !== undefined) return lapsed
+  #refuse(request: ShortRequest, want: Omit<Waiter, 'settle'>): NettlespurError | undefined {
+    const closed = this.#shutDown ?? this.#opts.view.lease.refusal()
+    if (closed !== undefined) return closed
     if (request.callerGone.aborted) {
       return new NettlespurError('cancelled-before-start', 'the caller went away')
     }
     if (request.deadlineAtMs <= this.#opts.clock.monotonicMs()) return createDeadlineError()
-    if (this.#opts.slots.countUsable(avoid) > 0) return undefined
+    const placesMax = this.#opts.quotas.quotaOf(request.workspace)?.concurrentRequests ?? 0
+    if (!want.placed && placesMax === 0) {
+      const message = 'this entry has no share of the concurrent requests of this workspace'
+      return new NettlespurError('over-limit', message, { retryAfterMs })
+    }
+    if (this.#opts.slots.countUsable(want.avoid) > 0) return undefined
     return new NettlespurError('no-upstream', 'no upstream is ready to run it', { retryAfterMs })
   }
 
@@ -154,7 +159,7 @@
   #serveLines(): void {
     const lapsed = this.#opts.view.lease.refusal()
     if (lapsed !== undefined) {
-      this.refuseAll(lapsed)
+      this.#refuseAll(lapsed)
       return
     }
     let progress = true
@@ -182,6 +187,12 @@
     return false
   }
 
+  #refuseAll(error: NettlespurError): void {
+    for (const line of [...this.#lines.values()]) {
+      for (const waiter of [...line.waiters]) waiter.settle(Left(error))
+    }
+  }
+
   #lineOf(workspace: string): WorkspaceLine {
     const known = this.#lines.get(workspace)
     if (known !== undefined) return known
--- a/entry/service/src/awaitJobAnswer.ts
+++ b/entry/service/src/awaitJobAnswer.ts
@@ -4,24 +4,31 @@
  */
 import { finalJobStates, type JobView } from '@nettlespur/api.schemas'
 import type { AnswerRequest, JobOutcome } from '@nettlespur/control.api'
-import { NettlespurError, unwrap } from '@nettlespur/core.errors'
+import { NettlespurError } from '@nettlespur/core.errors'
+import { askControl } from './askControl.js'
 import type { EntryContext } from './entryContext.js'
 
 const longestLookMs = 1000
+/** Between two looks, should control answer before its wait is over. */
+const pauseMs = 50
 
 export async function awaitJobAnswer(
   context: EntryContext,
   request: AnswerRequest,
   callerGone: AbortSignal,
 ): Promise<JobOutcome> {
-  const endMs = context.clock.monotonicMs() + request.waitMs
+  const { clock, control } = context
+  const endMs = clock.monotonicMs() + request.waitMs
   for (;;) {
-    const remainingMs = Math.max(0, endMs - context.clock.monotonicMs())
+    const remainingMs = Math.max(0, endMs - clock.monotonicMs())
     const waitMs = Math.min(Math.ceil(remainingMs), longestLookMs)
-    const outcome = await unwrap(context.control.awaitAnswer({ ...request, waitMs }))
+    const outcome = await askControl({ clock, effect: 'read' }, () =>
+      control.awaitAnswer({ ...request, waitMs }),
+    )
     if (finalJobStates.has(outcome.job.state)) return requireAnswer(outcome)
-    const ended = context.clock.monotonicMs() >= endMs
+    const ended = clock.monotonicMs() >= endMs
     if (ended || callerGone.aborted || context.drain.refusal() !== undefined) return outcome
+    await clock.sleep(pauseMs, callerGone)
   }
 }
 
--- a/entry/service/src/contractRoutes.ts
+++ b/entry/service/src/contractRoutes.ts
@@ -7,6 +7,7 @@
 } from '@nettlespur/api.schemas'
 import { NettlespurError, tryAsync, unwrap } from '@nettlespur/core.errors'
 import type { HttpReply, HttpRequest, Route } from '@nettlespur/http.server'
+import { askControl } from './askControl.js'
 import { awaitInForce } from './awaitInForce.js'
 import type { EntryContext } from './entryContext.js'
 import { readHeader, readParam, readQuery, readWholeNumber, requireHeader } from './readParts.js'
@@ -39,7 +40,9 @@
   context.access.requireOperator(request)
   const wait = readWait(request)
   const change = await readChange(request)
-  const record = await unwrap(context.control.applyContract(change))
+  const record = await askControl({ clock: context.clock, effect: 'idempotent' }, () =>
+    context.control.applyContract(change),
+  )
   context.logger.info({
     event: 'contract.accepted',
     workspace: record.contract.workspace,
@@ -54,13 +57,18 @@
 
 async function listContracts(context: EntryContext, request: HttpRequest): Promise<HttpReply> {
   context.access.requireOperator(request)
-  return { status: 200, json: { contracts: await unwrap(context.control.listContracts()) } }
+  const contracts = await askControl({ clock: context.clock, effect: 'read' }, () =>
+    context.control.listContracts(),
+  )
+  return { status: 200, json: { contracts } }
 }
 
 async function getContract(context: EntryContext, request: HttpRequest): Promise<HttpReply> {
   context.access.requireOperator(request)
   const workspace = readParam(request, 'workspace', identifierSchema)
-  const [view] = await unwrap(context.control.listContracts(workspace))
+  const [view] = await askControl({ clock: context.clock, effect: 'read' }, () =>
+    context.control.listContracts(workspace),
+  )
   if (view !== undefined) return { status: 200, json: view }
   throw new NettlespurError('unknown-workspace', `no contract for workspace ${workspace}`)
 }
--- a/entry/service/src/jobRoutes.ts
+++ b/entry/service/src/jobRoutes.ts
@@ -3,6 +3,7 @@
 import { tryAsync, unwrap } from '@nettlespur/core.errors'
 import type { HttpReply, HttpRequest, Route } from '@nettlespur/http.server'
 import type { JobReference } from '@nettlespur/control.api'
+import { askControl } from './askControl.js'
 import { awaitJobAnswer } from './awaitJobAnswer.js'
 import type { EntryContext } from './entryContext.js'
 import { readQuery, readWholeNumber } from './readParts.js'
@@ -45,13 +46,19 @@
   context.access.requireCaller(request, job.workspace)
   const refusal = context.drain.refusal()
   if (refusal !== undefined) throw refusal
-  const { jobId, state } = await unwrap(context.control.submitJob(job))
+  const effect = job.jobKey === undefined ? 'once' : 'idempotent'
+  const { jobId, state } = await askControl({ clock: context.clock, effect }, () =>
+    context.control.submitJob(job),
+  )
   context.logger.info({ event: 'job.submitted', workspace: job.workspace, jobId, state })
   return { status: 202, json: { jobId, state } }
 }
 
 async function getJob(context: EntryContext, request: HttpRequest): Promise<HttpReply> {
-  const job = await unwrap(context.control.getJob(readReference(context, request)))
+  const reference = readReference(context, request)
+  const job = await askControl({ clock: context.clock, effect: 'read' }, () =>
+    context.control.getJob(reference),
+  )
   return { status: 200, json: job }
 }
 
@@ -66,11 +73,17 @@
 
 async function explainJob(context: EntryContext, request: HttpRequest): Promise<HttpReply> {
   const reference = readReference(context, request)
-  return { status: 200, json: await unwrap(context.control.explainJob(reference)) }
+  const explanation = await askControl({ clock: context.clock, effect: 'read' }, () =>
+    context.control.explainJob(reference),
+  )
+  return { status: 200, json: explanation }
 }
 
 async function cancelJob(context: EntryContext, request: HttpRequest): Promise<HttpReply> {
-  const job = await unwrap(context.control.cancelJob(readReference(context, request)))
+  const reference = readReference(context, request)
+  const job = await askControl({ clock: context.clock, effect: 'idempotent' }, () =>
+    context.control.cancelJob(reference),
+  )
   return { status: finalJobStates.has(job.state) ? 200 : 202, json: job }
 }
 
--- a/entry/service/src/statusRoutes.ts
+++ b/entry/service/src/statusRoutes.ts
@@ -1,6 +1,7 @@
 /** Health for the balancer, figures, and the state of the cluster for operators. */
-import { tryAsync, unwrap } from '@nettlespur/core.errors'
+import { tryAsync } from '@nettlespur/core.errors'
 import type { HttpReply, HttpRequest, Route } from '@nettlespur/http.server'
+import { askControl } from './askControl.js'
 import type { EntryContext } from './entryContext.js'
 
 export function createStatusRoutes(context: EntryContext): Route[] {
@@ -35,12 +36,18 @@
 
 async function getStatus(context: EntryContext, request: HttpRequest): Promise<HttpReply> {
   context.access.requireOperator(request)
-  return { status: 200, json: await unwrap(context.control.getStatus()) }
+  const json = await askControl({ clock: context.clock, effect: 'read' }, () =>
+    context.control.getStatus(),
+  )
+  return { status: 200, json }
 }
 
 async function getReport(context: EntryContext, request: HttpRequest): Promise<HttpReply> {
   context.access.requireOperator(request)
-  return { status: 200, json: await unwrap(context.control.getReport()) }
+  const json = await askControl({ clock: context.clock, effect: 'read' }, () =>
+    context.control.getReport(),
+  )
+  return { status: 200, json }
 }
 
 function getReadiness(context: EntryContext): Promise<HttpReply> {
--- a/http/client/src/callHttp.ts
+++ b/http/client/src/callHttp.ts
@@ -65,7 +65,10 @@
       reject(toCallError(opts, progress.mayHaveLeft, cause))
     }
     request.on('socket', (socket) => {
-      if (!socket.connecting) progress.mayHaveLeft = true
+      if (!socket.connecting) {
+        progress.mayHaveLeft = true
+        return
+      }
       socket.once('connect', () => {
         progress.mayHaveLeft = true
       })
