--- a/control/api/src/remoteControlApi.ts
+++ b/control/api/src/remoteControlApi.ts
@@ -110,7 +110,8 @@
       last = await callPeer(() => run(client.call)).run()
       const error = last.swap().toMaybe().extractNullable()
       if (error === null || !tryElsewhere.has(error.kind)) {
-        this.#preferred = index
+        // An instance that left a call open may be cut off: the next call begins elsewhere.
+        this.#preferred = error?.kind === 'outcome-unknown' ? index + 1 : index
         return last
       }
     }
--- a/daemons/entry/src/drainEntry.ts
+++ b/daemons/entry/src/drainEntry.ts
@@ -22,6 +22,7 @@
   const { clock, drain, logger, router } = opts.context
   const abandonAtMs = clock.monotonicMs() + Math.max(0, opts.drainDeadlineMs - lastAnswersMs)
   drain.phase.next('unready')
+  opts.server.retire()
   logger.info({ event: 'entry.draining', inFlight: opts.server.inFlight() })
   await clock.sleep(Math.min(opts.unreadyNoticeMs, opts.drainDeadlineMs / 2))
   drain.phase.next('refusing')
--- /dev/null
+++ b/entry/service/test/announcementRelay.test.ts
@@ -0,0 +1,74 @@
+import test from 'ava'
+import { ManualClock } from '@nettlespur/core.clock'
+import { createAnnouncement, FakeControl, RecordingLogger } from '@nettlespur/entry.fakes'
+import { AnnouncementRelay } from '../src/index.js'
+
+async function start() {
+  const clock = new ManualClock()
+  const control = new FakeControl(clock)
+  const relay = new AnnouncementRelay({
+    clock,
+    control,
+    logger: new RecordingLogger(),
+    random: () => 0.5,
+  })
+  const stopping = new AbortController()
+  const ended = relay.run(stopping.signal)
+  await clock.advance(0)
+  const stop = async () => {
+    stopping.abort()
+    await ended
+  }
+  return { clock, control, relay, stop }
+}
+
+function createTask(state: 'running' | 'finished', cpuCoresUsed: number) {
+  return { taskId: 't1', fence: 1, state, cpuCoresUsed }
+}
+
+test('a change is passed on at once; what only repeats goes together once a second', async (t) => {
+  const { clock, control, relay, stop } = await start()
+  relay.receive('u1', createAnnouncement({ tasks: [createTask('running', 1)] }))
+  relay.receive('u2', createAnnouncement())
+  await clock.advance(0)
+  t.is(control.announced.length, 1)
+  for (let tenths = 0; tenths < 30; tenths++) {
+    relay.receive('u1', createAnnouncement({ tasks: [createTask('running', tenths)] }))
+    relay.receive('u2', createAnnouncement())
+    await clock.advance(100)
+  }
+  t.is(control.announced.length, 4)
+  t.deepEqual(
+    control.announced.at(-1)?.items.map((item) => item.upstreamId),
+    ['u1', 'u2'],
+  )
+  relay.receive('u1', createAnnouncement({ state: 'leaving' }))
+  await clock.advance(0)
+  t.is(control.announced.at(-1)?.items[0]?.announcement.state, 'leaving')
+  await stop()
+})
+
+test('what could not be passed on is tried again, but never after something newer', async (t) => {
+  const { clock, control, relay, stop } = await start()
+  control.failure = 'unreachable'
+  relay.receive('u1', createAnnouncement())
+  relay.receive('u2', createAnnouncement())
+  await clock.advance(200)
+  relay.receive('u1', createAnnouncement({ state: 'leaving' }))
+  await clock.advance(200)
+  control.failure = undefined
+  await clock.advance(600)
+  t.is(control.announced.length, 1)
+  const states = control.announced[0]?.items.map((item) => item.announcement.state)
+  t.deepEqual(states?.sort(), ['leaving', 'ready'])
+  await stop()
+})
+
+test('a stop passes on what still waits', async (t) => {
+  const { clock, control, relay, stop } = await start()
+  relay.receive('u1', createAnnouncement())
+  await clock.advance(0)
+  relay.receive('u1', createAnnouncement())
+  await stop()
+  t.is(control.announced.length, 2)
+})
--- a/http/server/src/createHttpServer.ts
+++ b/http/server/src/createHttpServer.ts
@@ -50,6 +50,8 @@
   readonly raw: http.Server
   /** Requests whose answer is not whole yet. */
   inFlight(): number
+  /** From now on each answer ends its connection, so that callers go elsewhere for the next one. */
+  retire(): void
   /** Stops accepting and resolves when every request in flight has its answer. */
   drain(): Promise<void>
   /** Cuts every connection. */
@@ -58,15 +60,20 @@
 
 /** Errors: rejects where the address cannot be bound. */
 export async function createHttpServer(opts: HttpServerOptions): Promise<HttpServer> {
-  const state = { inFlight: 0, draining: false }
+  const open = new Set<ServerResponse>()
+  let retired = false
   const server = createServer(opts, (request, response) => {
-    state.inFlight += 1
+    open.add(response)
     response.once('close', () => {
-      state.inFlight -= 1
+      open.delete(response)
     })
-    if (state.draining) response.setHeader('connection', 'close')
+    if (retired) endConnectionAfter(response)
     void answer(opts, request, response)
   })
+  const retire = (): void => {
+    retired = true
+    open.forEach(endConnectionAfter)
+  }
   server.on('clientError', answerClientError)
   await listen(server, opts.address)
   const bound = server.address() as AddressInfo
@@ -75,9 +82,10 @@
     address: `${host}:${bound.port}`,
     port: bound.port,
     raw: server,
-    inFlight: () => state.inFlight,
+    inFlight: () => open.size,
+    retire,
     drain: () => {
-      state.draining = true
+      retire()
       return close(server)
     },
     destroy: () => {
@@ -86,6 +94,11 @@
   }
 }
 
+/** Without this, a connection kept alive would hold up a planned stop until it times out. */
+function endConnectionAfter(response: ServerResponse): void {
+  if (!response.headersSent) response.setHeader('connection', 'close')
+}
+
 function createServer(opts: HttpServerOptions, listener: http.RequestListener): http.Server {
   const limits = {
     maxHeaderSize: opts.headerBytesMax ?? defaultHeaderBytesMax,
