--- a/http/server/src/createHttpServer.ts
+++ b/http/server/src/createHttpServer.ts
@@ -50,6 +50,8 @@
   readonly raw: http.Server
   /** Requests whose answer is not whole yet. */
   inFlight(): number
+  /** From now on each answer ends its connection, so that callers go elsewhere for the next one. */
+  retire(): void
   /** Stops accepting and resolves when every request in flight has its answer. */
   drain(): Promise<void>
   /** Cuts every connection. */
@@ -58,16 +60,20 @@
 
 /** Errors: rejects where the address cannot be bound. */
 export async function createHttpServer(opts: HttpServerOptions): Promise<HttpServer> {
-  const inFlight = new Set<ServerResponse>()
-  let draining = false
+  const open = new Set<ServerResponse>()
+  let retired = false
   const server = createServer(opts, (request, response) => {
-    inFlight.add(response)
+    open.add(response)
     response.once('close', () => {
-      inFlight.delete(response)
+      open.delete(response)
     })
-    if (draining) askToClose(response)
+    if (retired) endConnectionAfter(response)
     void answer(opts, request, response)
   })
+  const retire = (): void => {
+    retired = true
+    open.forEach(endConnectionAfter)
+  }
   server.on('clientError', answerClientError)
   await listen(server, opts.address)
   const bound = server.address() as AddressInfo
@@ -76,10 +82,10 @@
     address: `${host}:${bound.port}`,
     port: bound.port,
     raw: server,
-    inFlight: () => inFlight.size,
+    inFlight: () => open.size,
+    retire,
     drain: () => {
-      draining = true
-      inFlight.forEach(askToClose)
+      retire()
       return close(server)
     },
     destroy: () => {
@@ -88,6 +94,11 @@
   }
 }
 
+/** Without this, a connection kept alive would hold up a planned stop until it times out. */
+function endConnectionAfter(response: ServerResponse): void {
+  if (!response.headersSent) response.setHeader('connection', 'close')
+}
+
 function createServer(opts: HttpServerOptions, listener: http.RequestListener): http.Server {
   const limits = {
     maxHeaderSize: opts.headerBytesMax ?? defaultHeaderBytesMax,
@@ -210,11 +221,6 @@
   })
 }
 
-/** Tells the caller that its connection ends with this answer. */
-function askToClose(response: ServerResponse): void {
-  if (!response.headersSent) response.setHeader('connection', 'close')
-}
-
 function close(server: http.Server): Promise<void> {
   return new Promise((resolve) => {
     server.close(() => {
