--- a/ava.config.js
+++ b/ava.config.js
@@ -3,4 +3,5 @@
   timeout: '120s',
   concurrency: 6,
   workerThreads: false,
+  require: ['./scripts/fixSeed.mjs'],
 }
--- a/control/state/src/jobChange.ts
+++ b/control/state/src/jobChange.ts
@@ -32,13 +32,13 @@
     return refuse('internal', `${job.jobId} cannot go from ${job.state} to ${change.state}`)
   }
   const decision = { at: change.at, event: change.event, reason: change.reason }
-  const changed: JobRecord = {
+  const changed: JobRecord = withoutAbsent({
     ...job,
     ...change.fields,
     state: change.state,
     reason: change.reason,
     decisions: [...job.decisions, decision].slice(-decisionsMax),
-  }
+  })
   if (!finalJobStates.has(change.state)) {
     data.jobs.set(job.jobId, changed)
     return { type: 'job', job: changed }
@@ -72,3 +72,9 @@
   forgetOldRecords(history, data.timeMs)
   return ended
 }
+
+/** Leaves out fields that are undefined, so that a record equals its copy from a snapshot. */
+function withoutAbsent(job: JobRecord): JobRecord {
+  const present = Object.entries(job).filter(([, value]) => value !== undefined)
+  return Object.fromEntries(present) as unknown as JobRecord
+}
