--- a/cli/nettlespur/src/commands/dev.ts
+++ b/cli/nettlespur/src/commands/dev.ts
@@ -1,7 +1,9 @@
 /** `nettlespur dev`: everything in one process, until a signal stops it. */
 import { SystemClock } from '@nettlespur/core.clock'
 import { LifecycleManager, stopOnSignals } from '@nettlespur/core.lifecycle'
+import { startDev } from '@nettlespur/daemons.dev'
 import { createCliCommand } from '../cliCommand.js'
+import { printText } from '../output.js'
 import { readCount } from '../readArgs.js'
 import { createUsageError } from '../usageError.js'
 
@@ -11,18 +13,14 @@
 const highestPort = 65_535
 const drainDeadlineMs = 30_000
 
-export interface StartDevOptions {
-  upstreams: number
-  port: number
-  dataFolder: string
-}
-
-/** Starts the whole system on loopback; its `stop` drains it. */
-export type StartDev = (opts: StartDevOptions) => Promise<{ stop: () => Promise<void> }>
+/** A contract, a gang and a short request, in the order a newcomer would try them. */
+const triedFirst = [
+  'nettlespur contract get demo',
+  'nettlespur job submit --workspace demo --accelerators 4 --adjacency upstream --repeatable --payload hello --wait',
+  'nettlespur request send --workspace demo --repeatable --body hello',
+]
 
-/** The command over what starts the system, which is handed in so that this package needs no daemon. */
-export function createDevCommand(startDev: StartDev) {
-  return createCliCommand({
+export const devCommand = createCliCommand({
     name: 'dev',
     description: 'Run control, one entry and stand-in upstreams in one process on loopback',
     args: {
@@ -53,7 +51,14 @@
       const lifecycle = new LifecycleManager({ clock: new SystemClock(), drainDeadlineMs })
       const running = await startDev({ upstreams, port, dataFolder: args.data })
       lifecycle.own('dev', () => running.stop())
+      printText(formatGreeting(running.endpoint))
       stopOnSignals(lifecycle)
     },
-  })
+})
+
+function formatGreeting(endpoint: string): string {
+  const isDefault = endpoint === `http://127.0.0.1:${defaultPort}`
+  const flag = isDefault ? '' : ` --endpoint ${endpoint}`
+  const commands = triedFirst.map((command) => `  npx ${command}${flag}`)
+  return [`nettlespur listens on ${endpoint}. Try, in another terminal:`, ...commands].join('\n')
 }
--- a/cli/nettlespur/src/mainCommand.ts
+++ b/cli/nettlespur/src/mainCommand.ts
@@ -3,6 +3,7 @@
 import { contractApplyCommand } from './commands/contractApply.js'
 import { contractGetCommand } from './commands/contractGet.js'
 import { contractListCommand } from './commands/contractList.js'
+import { devCommand } from './commands/dev.js'
 import { jobAnswerCommand } from './commands/jobAnswer.js'
 import { jobCancelCommand } from './commands/jobCancel.js'
 import { jobExplainCommand } from './commands/jobExplain.js'
@@ -53,6 +54,7 @@
   name: 'nettlespur',
   description: 'Schedules multi-accelerator jobs under workspace guarantees',
   commands: {
+    dev: devCommand,
     contract: contractCommand,
     job: jobCommand,
     request: createCommandGroup({
--- a/daemons/control/src/startControl.ts
+++ b/daemons/control/src/startControl.ts
@@ -3,19 +3,16 @@
 import { ControlNode } from '@nettlespur/control.service'
 import { StateHolder } from '@nettlespur/control.state'
 import { SystemClock, type Clock } from '@nettlespur/core.clock'
-import { unwrap } from '@nettlespur/core.errors'
 import { LifecycleManager } from '@nettlespur/core.lifecycle'
 import { createLogger, type Logger } from '@nettlespur/core.logger'
 import { MetricsRegistry } from '@nettlespur/core.metrics'
-import { readKeyFile } from '@nettlespur/http.keys'
+import { readKeys, readTlsFiles } from '@nettlespur/daemons.common'
 import { createHttpServer } from '@nettlespur/http.server'
 import { BestFitPolicy } from '@nettlespur/placement.engine'
 import { createRpcServer } from '@nettlespur/rpc.peer'
 import type { ControlSettings } from '@nettlespur/settings.schemas'
-import { EitherAsync } from 'purify-ts'
 import { createUpstreamClient, type UpstreamClientFactory } from './createUpstreamClient.js'
 import { openLog } from './openLog.js'
-import { readTlsFiles } from './readTlsFiles.js'
 import { createStatusRoutes } from './statusRoutes.js'
 
 export interface StartControlOptions {
@@ -71,7 +68,7 @@
   const { clock, logger, lifecycle } = opts
   const { instanceId, timings } = settings
   const metrics = opts.metrics ?? new MetricsRegistry()
-  const peerKeys = opts.peerKeys ?? (await readPeerKeys(settings))
+  const peerKeys = opts.peerKeys ?? readKeys(settings.keyFiles.peers)
   const client = (opts.createUpstreamClient ?? createUpstreamClient)(settings, clock)
   const holder = new StateHolder()
   const log = await openLog(settings, holder)
@@ -114,7 +111,3 @@
   parts.lifecycle.own('status side', () => server.drain())
   return server.address
 }
-
-async function readPeerKeys(settings: ControlSettings): Promise<readonly string[]> {
-  return unwrap(EitherAsync.liftEither(readKeyFile(settings.keyFiles.peers)))
-}
--- a/daemons/entry/src/controlConnections.ts
+++ b/daemons/entry/src/controlConnections.ts
@@ -6,7 +6,8 @@
 import type { Clock } from '@nettlespur/core.clock'
 import type { LifecycleManager } from '@nettlespur/core.lifecycle'
 import type { EntrySettings } from '@nettlespur/settings.schemas'
-import { readPeerCa, type EntryKeys } from './entryFiles.js'
+import { readPeerCa } from '@nettlespur/daemons.common'
+import type { EntryKeys } from './entryFiles.js'
 
 /** Allowed to a look at control beyond the time it waits there. */
 const watchAnswerMs = 750
--- a/daemons/entry/src/startEntry.ts
+++ b/daemons/entry/src/startEntry.ts
@@ -7,6 +7,7 @@
 import { LifecycleManager } from '@nettlespur/core.lifecycle'
 import { createLogger, type Logger } from '@nettlespur/core.logger'
 import { MetricsRegistry } from '@nettlespur/core.metrics'
+import { readTlsFiles } from '@nettlespur/daemons.common'
 import { createEntryRoutes, type EntryContext } from '@nettlespur/entry.service'
 import { announceLeaving, watchCluster, type WatchClusterOptions } from '@nettlespur/entry.view'
 import { createHttpServer, type HttpServer } from '@nettlespur/http.server'
@@ -14,7 +15,7 @@
 import { openControl } from './controlConnections.js'
 import { createContext } from './createContext.js'
 import { drainEntry } from './drainEntry.js'
-import { readEntryKeys, readTlsFiles, type EntryKeys } from './entryFiles.js'
+import { readEntryKeys, type EntryKeys } from './entryFiles.js'
 import { ownTaskInTurn } from './ownTaskInTurn.js'
 
 /** What tests and the embedded mode hand in instead of what the settings name. */
@@ -92,7 +93,7 @@
     routes: createEntryRoutes(context),
     bodyBytesMax: settings.limits.bodyBytesMax,
     headerBytesMax: settings.limits.headerBytesMax,
-    tls: readTlsFiles(settings),
+    tls: readTlsFiles(settings.tls),
     onInternalError: (error) => {
       context.logger.error({ event: 'entry.internal-error', reason: error.stack ?? error.message })
     },
--- a/daemons/entry/test/startEntry.test.ts
+++ b/daemons/entry/test/startEntry.test.ts
@@ -16,7 +16,8 @@
 import { createKey } from '@nettlespur/http.keys'
 import { createRpcServer } from '@nettlespur/rpc.peer'
 import { entrySettingsSchema, type EntrySettings } from '@nettlespur/settings.schemas'
-import { readEntrySettings, startEntry, type RunningEntry } from '../src/index.js'
+import { readDaemonSettings, resolveInstancePaths } from '@nettlespur/daemons.common'
+import { startEntry, type RunningEntry } from '../src/index.js'
 
 const clock = new SystemClock()
 
@@ -143,7 +144,9 @@
   ]
   const file = path.join(folder, 'entry.yaml')
   writeFileSync(file, lines.join('\n'))
-  const entry = await startEntry(readEntrySettings(file))
+  const resolvePaths = resolveInstancePaths<EntrySettings>
+  const settings = await readDaemonSettings(file, { schema: entrySettingsSchema, resolvePaths })
+  const entry = await startEntry(settings)
   t.teardown(async () => {
     await entry.stop()
     await peer.drain()
@@ -153,13 +156,3 @@
   const contract = await send(entry, 'GET', '/v1/contracts/thapa')
   t.like(JSON.parse(contract.unsafeCoerce().body.toString()), { revision: 1 })
 })
-
-test('a fault in the settings is named with its path', (t) => {
-  const folder = mkdtempSync(path.join(tmpdir(), 'nettlespur-entry-'))
-  const file = path.join(folder, 'entry.yaml')
-  writeFileSync(file, 'instanceId: 7\n')
-  t.throws(() => readEntrySettings(file), { message: /entry\.yaml: instanceId: / })
-  writeFileSync(file, 'instanceId: [\n')
-  t.throws(() => readEntrySettings(file), { code: 'NETTLESPUR_MALFORMED_YAML' })
-  rmSync(folder, { recursive: true })
-})
