--- a/cli/nettlespur/src/commands/contractApply.ts
+++ b/cli/nettlespur/src/commands/contractApply.ts
@@ -4,7 +4,7 @@
 import { contractViewSchema } from '@nettlespur/control.api'
 import { NettlespurError } from '@nettlespur/core.errors'
 import { readSettingsFile } from '@nettlespur/settings.reader'
-import type { z } from 'zod'
+import { z } from 'zod'
 import { createCliCommand } from '../cliCommand.js'
 import { Cluster, type ClusterAnswer } from '../cluster.js'
 import { commonArgs } from '../commonArgs.js'
@@ -15,7 +15,9 @@
 import { unwrapEither } from '../unwrapEither.js'
 
 /** Entries are told only where the cluster was asked to wait for them. */
-const appliedSchema = contractViewSchema.partial({ inForceAt: true, notYetInForceAt: true })
+const appliedSchema = contractViewSchema
+  .partial({ inForceAt: true, notYetInForceAt: true })
+  .extend({ inForce: z.boolean().optional() })
 type Applied = z.infer<typeof appliedSchema>
 
 /** What makes one change the same when it is sent again. */
@@ -63,6 +65,8 @@
       throw addResendHint(thrown, formatResend(args.file, identity))
     })
     printAnswer(cluster, answer, formatApplied)
+    if (args.wait !== undefined && answer.value.inForce !== true)
+      throw createNotInForceError(contract)
   },
 })
 
@@ -92,6 +96,13 @@
   })
 }
 
+/** The change stands; only where it is in force is not known. */
+function createNotInForceError({ workspace }: Contract): NettlespurError {
+  const message = 'the change is accepted, but it is not known to be in force everywhere'
+  const hint = `see where it is in force with: nettlespur contract get ${workspace}`
+  return new NettlespurError('outcome-unknown', message, { hint })
+}
+
 function formatResend(file: string, identity: ChangeIdentity): string {
   const again = `nettlespur contract apply ${file} --revision ${identity.revision} --change-id ${identity.changeId}`
   return `the change may be accepted; resend it safely with: ${again}`
--- a/cli/nettlespur/src/commands/contractList.ts
+++ b/cli/nettlespur/src/commands/contractList.ts
@@ -1,11 +1,13 @@
 /** `nettlespur contract list` */
 import { contractViewSchema, type ContractView } from '@nettlespur/control.api'
+import { z } from 'zod'
 import { createCliCommand } from '../cliCommand.js'
 import { Cluster } from '../cluster.js'
 import { commonArgs } from '../commonArgs.js'
 import { formatTable } from '../formatTable.js'
 import { printAnswer } from '../printAnswer.js'
 
+const contractListSchema = z.object({ contracts: z.array(contractViewSchema) })
 const headings = ['WORKSPACE', 'REVISION', 'WEIGHT', 'GUARANTEES', 'IN FORCE AT', 'NOT YET AT']
 
 export const contractListCommand = createCliCommand({
@@ -16,8 +18,8 @@
   run: async ({ args }) => {
     const cluster = new Cluster(args)
     const call = { method: 'GET', path: '/v1/contracts' } as const
-    const answer = await cluster.callFor(contractViewSchema.array(), call)
-    printAnswer(cluster, answer, formatContracts)
+    const answer = await cluster.callFor(contractListSchema, call)
+    printAnswer(cluster, answer, ({ contracts }) => formatContracts(contracts))
   },
 })
 
--- a/cli/nettlespur/src/commands/jobWait.ts
+++ b/cli/nettlespur/src/commands/jobWait.ts
@@ -10,6 +10,8 @@
 
 const longestCallWaitMs = 20_000
 const defaultWaitMs = 600_000
+/** Between two asks, as an entry about to stop answers at once. */
+const pauseMs = 250
 
 export const jobWaitCommand = createCliCommand({
   name: 'wait',
@@ -41,5 +43,6 @@
     const { value } = await callForOutcome(cluster, args, callWaitMs)
     if ('parts' in value) return
     if (remainingMs <= longestCallWaitMs) throw createNotEndedError(value, waitMs)
+    await cluster.clock.sleep(pauseMs)
   }
 }
--- a/cli/nettlespur/test/contractApply.test.ts
+++ b/cli/nettlespur/test/contractApply.test.ts
@@ -7,7 +7,7 @@
 import { makeFolder, runCli } from './runCli.js'
 
 test('a contract is applied over the revision read first, with a change id that is told', async (t) => {
-  const applied = { status: 200, json: { contract, revision: 4, changeIndex: 18 } }
+  const applied = { status: 200, json: { ...contractView, revision: 4, inForce: true } }
   const cluster = await startCluster(t, {
     'GET /v1/contracts/:workspace': { status: 200, json: contractView },
     'PUT /v1/contracts/:workspace': applied,
@@ -22,7 +22,10 @@
     '--endpoint',
     cluster.endpoint,
   )
-  t.like(run, { exitCode: 0, stdout: 'demo revision 4 accepted\n' })
+  t.like(run, {
+    exitCode: 0,
+    stdout: 'demo revision 4 accepted, in force at entry-1, not yet at entry-2\n',
+  })
   const put = cluster.calls[1]
   t.is(put?.url, '/v1/contracts/demo?wait=in-force')
   t.is(put?.headers['if-match'], '3')
@@ -65,3 +68,15 @@
   t.is(refused.exitCode, 1)
   t.true(refused.stderr.includes('kind=stale-revision'))
 })
+
+test('waiting for a change that is accepted but not in force everywhere exits with 3', async (t) => {
+  const late = { status: 200, json: { ...contractView, inForce: false } }
+  const cluster = await startCluster(t, { 'PUT /v1/contracts/:workspace': late })
+  const file = path.join(makeFolder(t, { 'demo.yaml': stringify(contract) }), 'demo.yaml')
+  const args = ['contract', 'apply', file, '--revision=2', '--change-id=c1']
+  const run = await runCli(...args, '--wait=in-force', '--endpoint', cluster.endpoint)
+  t.is(run.exitCode, 3)
+  t.true(run.stdout.includes('not yet at entry-2'))
+  t.true(run.stderr.includes('nettlespur contract get demo'), run.stderr)
+  t.is((await runCli(...args, '--endpoint', cluster.endpoint)).exitCode, 0)
+})
--- a/cli/nettlespur/test/reads.test.ts
+++ b/cli/nettlespur/test/reads.test.ts
@@ -12,9 +12,19 @@
       ['leader control-1, term 4', 'jobs: 2 queued', 'entry-1', 'up-1'],
     ],
     ['/v1/report', report, ['report'], ['workspace demo  5', '6 of 8 accelerators free', '0.750']],
-    ['/v1/upstreams', [upstream], ['upstream', 'list'], ['UPSTREAM', 'up-1', 'ready']],
-    ['/v1/members', [member], ['member', 'list'], ['MEMBER', 'control-1', 'leader']],
-    ['/v1/contracts', [contractView], ['contract', 'list'], ['WORKSPACE', 'demo', '1 entries']],
+    [
+      '/v1/upstreams',
+      { upstreams: [upstream] },
+      ['upstream', 'list'],
+      ['UPSTREAM', 'up-1', 'ready'],
+    ],
+    ['/v1/members', { members: [member] }, ['member', 'list'], ['MEMBER', 'control-1', 'leader']],
+    [
+      '/v1/contracts',
+      { contracts: [contractView] },
+      ['contract', 'list'],
+      ['WORKSPACE', 'demo', '1 entries'],
+    ],
     [
       '/v1/contracts/demo',
       contractView,
@@ -40,10 +50,10 @@
   ]
   for (const [url, json, args, words] of cases) {
     const cluster = await startCluster(t, { [`GET ${url}`]: { status: 200, json } })
-    const text = await runCli(...args, '--endpoint', cluster.endpoint)
+    const all = [...args, '--endpoint', cluster.endpoint]
+    const [text, raw] = await Promise.all([runCli(...all), runCli(...all, '--json')])
     t.like(text, { exitCode: 0, stderr: '' })
     for (const word of words) t.true(text.stdout.includes(word), text.stdout)
-    const raw = await runCli(...args, '--json', '--endpoint', cluster.endpoint)
     t.deepEqual(raw, { exitCode: 0, stdout: `${JSON.stringify(json)}\n`, stderr: '' })
   }
 })
