--- a/cli/nettlespur/src/cluster.ts
+++ b/cli/nettlespur/src/cluster.ts
@@ -60,7 +60,7 @@
       ...(body === undefined ? {} : { body }),
       timeoutMs: this.#timeoutMs + (call.waitMs ?? 0),
       ca: this.#ca,
-    }).mapLeft((error) => (call.method === 'GET' ? toReadError(error) : error))
+    }).mapLeft((error) => addReachHint(call.method === 'GET' ? toReadError(error) : error))
     const answer = await unwrap(request)
     if (answer.status < 200 || answer.status > 299) throw toAnswerError(answer)
     return answer
@@ -89,6 +89,12 @@
   return new NettlespurError('unreachable', error.message, { hint, cause: error })
 }
 
+function addReachHint(error: NettlespurError): NettlespurError {
+  if (error.kind !== 'unreachable' || error.hint !== undefined) return error
+  const hint = 'nothing was sent: is an entry running there? --endpoint names another'
+  return new NettlespurError('unreachable', error.message, { hint, cause: error })
+}
+
 function readAnswer<T>(schema: z.ZodType<T>, text: string): T {
   try {
     const parsed = schema.safeParse(JSON.parse(text))
