--- a/cli/nettlespur/src/commands/dev.ts
+++ b/cli/nettlespur/src/commands/dev.ts
@@ -21,39 +21,39 @@
 ]
 
 export const devCommand = createCliCommand({
-    name: 'dev',
-    description: 'Run control, one entry and stand-in upstreams in one process on loopback',
-    args: {
-      upstreams: {
-        type: 'string',
-        description: 'Stand-in upstreams of 8 accelerators',
-        default: String(defaultUpstreams),
-        valueHint: 'N',
-      },
-      port: {
-        type: 'string',
-        description: 'Port of the entry on 127.0.0.1; 0 takes a free one',
-        default: String(defaultPort),
-        valueHint: 'P',
-      },
-      data: {
-        type: 'string',
-        description: 'Folder of the replicated state',
-        default: defaultDataFolder,
-        valueHint: 'DIR',
-      },
+  name: 'dev',
+  description: 'Run control, one entry and stand-in upstreams in one process on loopback',
+  args: {
+    upstreams: {
+      type: 'string',
+      description: 'Stand-in upstreams of 8 accelerators',
+      default: String(defaultUpstreams),
+      valueHint: 'N',
     },
-    examples: ['nettlespur dev', 'nettlespur dev --upstreams 2 --port 7500'],
-    run: async ({ args }) => {
-      const port = readCount('--port', args.port)
-      if (port > highestPort) throw createUsageError(`--port must be at most ${highestPort}`)
-      const upstreams = readCount('--upstreams', args.upstreams)
-      const lifecycle = new LifecycleManager({ clock: new SystemClock(), drainDeadlineMs })
-      const running = await startDev({ upstreams, port, dataFolder: args.data })
-      lifecycle.own('dev', () => running.stop())
-      printText(formatGreeting(running.endpoint))
-      stopOnSignals(lifecycle)
+    port: {
+      type: 'string',
+      description: 'Port of the entry on 127.0.0.1; 0 takes a free one',
+      default: String(defaultPort),
+      valueHint: 'P',
     },
+    data: {
+      type: 'string',
+      description: 'Folder of the replicated state',
+      default: defaultDataFolder,
+      valueHint: 'DIR',
+    },
+  },
+  examples: ['nettlespur dev', 'nettlespur dev --upstreams 2 --port 7500'],
+  run: async ({ args }) => {
+    const port = readCount('--port', args.port)
+    if (port > highestPort) throw createUsageError(`--port must be at most ${highestPort}`)
+    const upstreams = readCount('--upstreams', args.upstreams)
+    const lifecycle = new LifecycleManager({ clock: new SystemClock(), drainDeadlineMs })
+    const running = await startDev({ upstreams, port, dataFolder: args.data })
+    lifecycle.own('dev', () => running.stop())
+    stopOnSignals(lifecycle)
+    printText(formatGreeting(running.endpoint))
+  },
 })
 
 function formatGreeting(endpoint: string): string {
--- a/cli/nettlespur/src/commands/jobAnswer.ts
+++ b/cli/nettlespur/src/commands/jobAnswer.ts
@@ -1,7 +1,7 @@
 /** `nettlespur job answer JOB --workspace WORKSPACE` */
-import type { JobAnswer } from '@nettlespur/api.schemas'
 import { createCliCommand } from '../cliCommand.js'
 import { Cluster } from '../cluster.js'
+import { formatAnswer } from '../formatAnswer.js'
 import { callForOutcome, jobArgs } from '../jobArgs.js'
 import { createNotEndedError } from '../notEndedError.js'
 import { printAnswer } from '../printAnswer.js'
@@ -28,11 +28,3 @@
     printAnswer(cluster, { ...answer, value }, formatAnswer)
   },
 })
-
-function formatAnswer(answer: JobAnswer): string {
-  const [only, ...others] = answer.parts
-  if (only !== undefined && others.length === 0) return only.body
-  return answer.parts
-    .map(({ taskId, upstreamId, body }) => `# task ${taskId} on ${upstreamId}\n${body}`)
-    .join('\n')
-}
--- a/cli/nettlespur/src/commands/jobSubmit.ts
+++ b/cli/nettlespur/src/commands/jobSubmit.ts
@@ -6,16 +6,22 @@
 import { Cluster } from '../cluster.js'
 import { commonArgs } from '../commonArgs.js'
 import { jobRequestArgs, readJobRequest } from '../jobRequestArgs.js'
+import { formatAnswer } from '../formatAnswer.js'
 import { printNote } from '../output.js'
 import { printAnswer } from '../printAnswer.js'
 import { addResendHint } from '../resendHint.js'
+import { defaultWaitMs, waitForAnswer } from '../waitForAnswer.js'
 
 const submittedSchema = jobViewSchema.pick({ jobId: true, state: true })
 
 export const jobSubmitCommand = createCliCommand({
   name: 'submit',
   description: 'Submit a gang job, by options or by a file in YAML or JSON',
-  args: { ...jobRequestArgs, ...commonArgs },
+  args: {
+    ...jobRequestArgs,
+    wait: { type: 'boolean', description: 'Wait for the job to end and print its whole answer' },
+    ...commonArgs,
+  },
   examples: [
     'nettlespur job submit --workspace demo --accelerators 4 --adjacency rack --repeatable',
     'nettlespur job submit --file job.yaml --job-key march-2026',
@@ -30,7 +36,14 @@
       const again = `the job may be accepted; submit the same again with --job-key ${jobKey}`
       throw addResendHint(thrown, again)
     })
-    printAnswer(cluster, answer, formatSubmitted)
+    if (args.wait !== true) {
+      printAnswer(cluster, answer, formatSubmitted)
+      return
+    }
+    const { jobId } = answer.value
+    printNote({ jobId })
+    const job = { job: jobId, workspace: asked.workspace }
+    printAnswer(cluster, await waitForAnswer(cluster, job, defaultWaitMs), formatAnswer)
   },
 })
 
--- a/core/lifecycle/src/stopOnSignals.ts
+++ b/core/lifecycle/src/stopOnSignals.ts
@@ -4,13 +4,19 @@
 const stopSignals = ['SIGTERM', 'SIGINT'] as const
 const exitCodeOfSecondSignal = 130
 
-export function stopOnSignals(lifecycle: LifecycleManager): void {
+/**
+ * Given a promise, a signal that comes while the process still starts stops it once it has started. A start
+ * that fails is its caller's to report.
+ */
+export function stopOnSignals(started: LifecycleManager | Promise<LifecycleManager>): void {
+  const lifecycle = Promise.resolve(started)
+  lifecycle.catch(() => undefined)
   let asked = false
   for (const signal of stopSignals) {
     process.on(signal, () => {
       if (asked) process.exit(exitCodeOfSecondSignal)
       asked = true
-      void lifecycle.stop().then(() => process.exit(0))
+      void lifecycle.then((owner) => owner.stop()).then(() => process.exit(0))
     })
   }
 }
--- a/daemons/common/src/instanceFiles.ts
+++ b/daemons/common/src/instanceFiles.ts
@@ -14,7 +14,10 @@
 }
 
 /** Takes the paths that all instances share from the folder of the settings file. */
-export function resolveInstancePaths<T extends InstancePaths>(settings: T, settingsFile: string): T {
+export function resolveInstancePaths<T extends InstancePaths>(
+  settings: T,
+  settingsFile: string,
+): T {
   const { tls, peerCaFile, keyFiles } = settings
   return {
     ...settings,
@@ -44,7 +47,10 @@
   return peerCaFile === undefined ? undefined : readPem(peerCaFile)
 }
 
-function resolveEach<T extends Readonly<Record<string, string | undefined>>>(files: T, base: string): T {
+function resolveEach<T extends Readonly<Record<string, string | undefined>>>(
+  files: T,
+  base: string,
+): T {
   const resolved = Object.entries(files).map(([name, file]) => [
     name,
     file === undefined ? undefined : resolvePath(base, file),
--- a/daemons/common/src/runDaemon.ts
+++ b/daemons/common/src/runDaemon.ts
@@ -18,15 +18,19 @@
 }
 
 /** Runs until a signal stops it; a failure to start sets the exit code of its kind. */
-export async function runDaemon<T>(args: readonly string[], opts: RunDaemonOptions<T>): Promise<void> {
+export async function runDaemon<T>(
+  args: readonly string[],
+  opts: RunDaemonOptions<T>,
+): Promise<void> {
   try {
     const { settings: file, help } = readArguments(args, opts)
     if (help) {
       process.stdout.write(formatUsage(opts))
       return
     }
-    const running = await opts.start(await readDaemonSettings(file, opts))
-    stopOnSignals(running.lifecycle)
+    const starting = opts.start(await readDaemonSettings(file, opts))
+    stopOnSignals(starting.then(({ lifecycle }) => lifecycle))
+    await starting
   } catch (thrown) {
     const error = toNettlespurError(thrown)
     process.stderr.write(`${opts.name}: ${error.code}: ${error.message}\n`)
@@ -57,7 +61,10 @@
 
 function readArguments(args: readonly string[], usage: Usage): { settings: string; help: boolean } {
   const options = { settings: { type: 'string' }, help: { type: 'boolean', short: 'h' } } as const
-  const { settings, help } = parseArguments(() => parseArgs({ args: [...args], options }).values, usage)
+  const { settings, help } = parseArguments(
+    () => parseArgs({ args: [...args], options }).values,
+    usage,
+  )
   if (help === true) return { settings: '', help }
   if (settings === undefined) throw createUsageError('--settings FILE is missing', usage)
   return { settings, help: false }
--- a/daemons/common/test/runDaemon.test.ts
+++ b/daemons/common/test/runDaemon.test.ts
@@ -20,7 +20,10 @@
 })
 
 test('paths are taken from the folder of the settings file', (t) => {
-  const settings = { keyFiles: { peers: 'peers.key' }, tls: { certFile: 'a.pem', keyFile: '/b.pem' } }
+  const settings = {
+    keyFiles: { peers: 'peers.key' },
+    tls: { certFile: 'a.pem', keyFile: '/b.pem' },
+  }
   const resolved = resolveInstancePaths(settings, '/etc/nettlespur/entry.yaml')
   t.is(resolved.keyFiles.peers, '/etc/nettlespur/peers.key')
   t.deepEqual(resolved.tls, { certFile: '/etc/nettlespur/a.pem', keyFile: '/b.pem' })
--- a/daemons/dev/src/startDev.ts
+++ b/daemons/dev/src/startDev.ts
@@ -75,7 +75,11 @@
 }
 
 /** Keeps a contract that an earlier run or an operator left behind. */
-async function applyDemoContract(control: RunningControl, peerKey: string, clock: SystemClock): Promise<void> {
+async function applyDemoContract(
+  control: RunningControl,
+  peerKey: string,
+  clock: SystemClock,
+): Promise<void> {
   const api = new RemoteControlApi({
     clock,
     addresses: [control.peerAddress],
@@ -92,7 +96,11 @@
   }
 }
 
-async function startUpstreams(opts: StartDevOptions, parts: Parts, entry: RunningEntry): Promise<void> {
+async function startUpstreams(
+  opts: StartDevOptions,
+  parts: Parts,
+  entry: RunningEntry,
+): Promise<void> {
   for (let index = 0; index < opts.upstreams; index++) {
     const standIn = await startStandInUpstream({
       clock: parts.clock,
--- a/daemons/upstream/src/main.ts
+++ b/daemons/upstream/src/main.ts
@@ -17,5 +17,7 @@
 
 function resolvePaths(settings: UpstreamSettings, settingsFile: string): UpstreamSettings {
   const { keyFile } = settings
-  return keyFile === undefined ? settings : { ...settings, keyFile: resolvePath(settingsFile, keyFile) }
+  return keyFile === undefined
+    ? settings
+    : { ...settings, keyFile: resolvePath(settingsFile, keyFile) }
 }
--- a/http/client/src/callHttp.ts
+++ b/http/client/src/callHttp.ts
@@ -72,7 +72,8 @@
         progress.mayHaveLeft = true
         return
       }
-      socket.once('connect', () => {
+      // Over TLS nothing of the call leaves before the other side's certificate is accepted.
+      socket.once(opts.ca === undefined ? 'connect' : 'secureConnect', () => {
         progress.mayHaveLeft = true
       })
     })
