--- a/control/service/test/controlNode.test.ts
+++ b/control/service/test/controlNode.test.ts
@@ -81,7 +81,8 @@
 
 /** Moves time on, a little at a time, until the state is as wanted: the log's disk takes real time. */
 async function runUntil(node: TestNode, isReached: () => boolean): Promise<void> {
-  while (!isReached()) {
+  for (let rounds = 0; !isReached(); rounds++) {
+    if (rounds > 2000) throw new Error('never reached')
     const moved = new Promise<void>((resolve) => setImmediate(resolve))
     await node.clock.advance(5)
     await moved
--- a/control/state/src/jobChange.ts
+++ b/control/state/src/jobChange.ts
@@ -32,13 +32,13 @@
     return refuse('internal', `${job.jobId} cannot go from ${job.state} to ${change.state}`)
   }
   const decision = { at: change.at, event: change.event, reason: change.reason }
-  const changed: JobRecord = {
+  const changed = dropAbsent({
     ...job,
     ...change.fields,
     state: change.state,
     reason: change.reason,
     decisions: [...job.decisions, decision].slice(-decisionsMax),
-  }
+  })
   if (!finalJobStates.has(change.state)) {
     data.jobs.set(job.jobId, changed)
     return { type: 'job', job: changed }
@@ -58,6 +58,12 @@
   return 'type' in found
 }
 
+/** A field that is absent is so in every instance, whether it came by commands or by a snapshot. */
+function dropAbsent(job: JobRecord): JobRecord {
+  const present = Object.entries(job).filter(([, value]) => value !== undefined)
+  return Object.fromEntries(present) as JobRecord
+}
+
 function fileEndedJob(data: StateData, job: JobRecord, at: string): JobRecord {
   const ended: JobRecord = { ...job, endedAt: at, request: { ...job.request, payload: '' } }
   const history = openHistory(data, job.request.workspace)
--- a/control/state/test/controlState.test.ts
+++ b/control/state/test/controlState.test.ts
@@ -89,7 +89,7 @@
 )
 
 test('revisions never go back, and each accepted change raises one by exactly one', (t) => {
-  const property = fc.property(fc.array(changes, { maxLength: 60 }), (list) => {
+  const property = fc.property(fc.array(changes, { minLength: 20, maxLength: 60 }), (list) => {
     const state = ControlState.create()
     let revision = 0
     for (const { changeId, expectedRevision, weight } of list) {
@@ -139,23 +139,27 @@
 })
 
 test('a state restored from a snapshot goes on as the one that was never interrupted', (t) => {
-  const property = fc.property(fc.array(commands, { maxLength: 80 }), fc.nat(80), (list, cut) => {
-    const whole = ControlState.create()
-    let restored = ControlState.create()
-    for (const state of [whole, restored]) applyChange(state, change('initial', 0))
-    for (const [step, command] of list.entries()) {
-      if (step === cut) restored = restoreFrom(restored)
-      const aimed = aim(whole, command)
-      apply(whole, aimed)
-      apply(restored, aimed)
-    }
-    t.deepEqual(restored.snapshot(), whole.snapshot())
-  })
+  const property = fc.property(
+    fc.array(commands, { minLength: 30, maxLength: 80 }),
+    fc.nat(80),
+    (list, cut) => {
+      const whole = ControlState.create()
+      let restored = ControlState.create()
+      for (const state of [whole, restored]) applyChange(state, change('initial', 0))
+      for (const [step, command] of list.entries()) {
+        if (step === cut) restored = restoreFrom(restored)
+        const aimed = aim(whole, command)
+        apply(whole, aimed)
+        apply(restored, aimed)
+      }
+      t.deepEqual(restored.snapshot(), whole.snapshot())
+    },
+  )
   fc.assert(property)
 })
 
 test('whatever is proposed, no accelerator is held twice and no unrepeatable job starts twice', (t) => {
-  const property = fc.property(fc.array(commands, { maxLength: 120 }), (list) => {
+  const property = fc.property(fc.array(commands, { minLength: 60, maxLength: 120 }), (list) => {
     const state = ControlState.create()
     applyChange(state, change('initial', 0))
     const mayHaveRun = new Set<string>()
@@ -218,3 +222,21 @@
   t.like(readJob(cancel).swap().extract(), { kind: 'unknown-job' })
   t.is(state.getJob('demo', jobId)?.state, 'queued')
 })
+
+test('a job that is not repeatable goes back to the queue only where no start left', (t) => {
+  const property = fc.property(fc.boolean(), fc.boolean(), (repeatable, startSent) => {
+    const state = ControlState.create()
+    applyChange(state, change('initial', 0))
+    const request = createJobRequest({ repeatable })
+    const submitted = readJob(apply(state, { type: 'job.submit', at, request }))
+    const { jobId } = submitted.unsafeCoerce()
+    const assignments = [{ upstreamId: 'u', address: 'a', acceleratorIndexes: [0] }]
+    apply(state, { type: 'job.place', at, jobId, assignments, reason: 'r' })
+    const fence = state.appliedIndex
+    apply(state, { type: 'job.started', at, jobId, fence })
+    const head = { at, jobId, fence, reason: 'r', retryAt: at }
+    apply(state, { type: 'job.requeue', ...head, startSent, countsAsFailure: true })
+    t.is(state.getLiveJob(jobId)?.state, repeatable || !startSent ? 'queued' : 'running')
+  })
+  fc.assert(property)
+})
