--- a/control/state/src/jobChange.ts
+++ b/control/state/src/jobChange.ts
@@ -32,7 +32,7 @@
     return refuse('internal', `${job.jobId} cannot go from ${job.state} to ${change.state}`)
   }
   const decision = { at: change.at, event: change.event, reason: change.reason }
-  const changed = dropAbsent({
+  const changed: JobRecord = withoutAbsent({
     ...job,
     ...change.fields,
     state: change.state,
@@ -58,12 +58,6 @@
   return 'type' in found
 }
 
-/** A field that is absent is so in every instance, whether it came by commands or by a snapshot. */
-function dropAbsent(job: JobRecord): JobRecord {
-  const present = Object.entries(job).filter(([, value]) => value !== undefined)
-  return Object.fromEntries(present) as JobRecord
-}
-
 function fileEndedJob(data: StateData, job: JobRecord, at: string): JobRecord {
   const ended: JobRecord = { ...job, endedAt: at, request: { ...job.request, payload: '' } }
   const history = openHistory(data, job.request.workspace)
@@ -78,3 +72,9 @@
   forgetOldRecords(history, data.timeMs)
   return ended
 }
+
+/** Leaves out fields that are undefined, so that a record equals its copy from a snapshot. */
+function withoutAbsent(job: JobRecord): JobRecord {
+  const present = Object.entries(job).filter(([, value]) => value !== undefined)
+  return Object.fromEntries(present) as unknown as JobRecord
+}
