test: run the control daemon over its peer side, across a restart and a stop with calls waiting

Change: startControl's tests; the default upstream client is closed by the life cycle; calls are counted by name in control_calls_total, which the test of the planned stop waits on.

--- a/control/fakes/src/fakeUpstreams.ts
+++ b/control/fakes/src/fakeUpstreams.ts
@@ -27,6 +27,8 @@
   readonly unreachable = new Set<string>()
   /** Addresses that act on calls, but whose answers are lost. */
   readonly mute = new Set<string>()
+  /** Set, each task finishes with this answer as soon as it has started. */
+  instantAnswer: string | undefined
   /** Task ids in the order in which they began to run. */
   readonly started: string[] = []
   readonly #clock: Clock
@@ -98,6 +100,7 @@
       if (task.state === 'reserved') {
         task.state = 'running'
         this.started.push(task.taskId)
+        if (this.instantAnswer !== undefined) this.finish(task.taskId, this.instantAnswer)
         return Right(toStatus(task))
       }
       return task.state === 'running' ? Right(toStatus(task)) : refuse('upstream-refused')
--- a/control/service/src/controlNode.ts
+++ b/control/service/src/controlNode.ts
@@ -72,7 +72,7 @@
   }
 
   applyContract(change: ContractChange): EitherAsync<NettlespurError, ContractRecord> {
-    return this.#lead(async () => {
+    return this.#lead('applyContract', async () => {
       const at = this.#opts.clock.now().toISOString()
       const committed = this.#opts.log
         .propose({ type: 'contract.apply', at, change })
@@ -90,7 +90,7 @@
   }
 
   listContracts(workspace?: string): EitherAsync<NettlespurError, ContractView[]> {
-    return this.#lead(async (session) => {
+    return this.#lead('listContracts', async (session) => {
       await unwrap(this.#opts.log.readBarrier())
       const records = this.#opts.holder.state
         .listContracts()
@@ -106,50 +106,58 @@
   }
 
   submitJob(request: JobRequest): EitherAsync<NettlespurError, JobView> {
-    return this.#lead((session) => new JobCalls(this.#opts, session).submit(request))
+    return this.#lead('submitJob', (session) => new JobCalls(this.#opts, session).submit(request))
   }
 
   getJob(reference: JobReference): EitherAsync<NettlespurError, JobView> {
-    return this.#lead((session) => new JobCalls(this.#opts, session).get(reference))
+    return this.#lead('getJob', (session) => new JobCalls(this.#opts, session).get(reference))
   }
 
   awaitAnswer(request: AnswerRequest): EitherAsync<NettlespurError, JobOutcome> {
-    return this.#lead((session) => new JobCalls(this.#opts, session).awaitAnswer(request))
+    return this.#lead('awaitAnswer', (session) =>
+      new JobCalls(this.#opts, session).awaitAnswer(request),
+    )
   }
 
   explainJob(reference: JobReference): EitherAsync<NettlespurError, JobExplanation> {
-    return this.#lead((session) => new JobCalls(this.#opts, session).explain(reference))
+    return this.#lead('explainJob', (session) =>
+      new JobCalls(this.#opts, session).explain(reference),
+    )
   }
 
   cancelJob(reference: JobReference): EitherAsync<NettlespurError, JobView> {
-    return this.#lead((session) => new JobCalls(this.#opts, session).cancel(reference))
+    return this.#lead('cancelJob', (session) => new JobCalls(this.#opts, session).cancel(reference))
   }
 
   announce(announcements: Announcements): EitherAsync<NettlespurError, null> {
-    return this.#lead((session) => {
+    return this.#lead('announce', (session) => {
       session.announce(announcements)
       return Promise.resolve(null)
     })
   }
 
   watch(request: WatchRequest): EitherAsync<NettlespurError, ClusterUpdate> {
-    return this.#lead((session) => watchCluster(this.#opts, session, request))
+    return this.#lead('watch', (session) => watchCluster(this.#opts, session, request))
   }
 
   getStatus(): EitherAsync<NettlespurError, ClusterStatus> {
-    return this.#lead((session) => Promise.resolve(createStatus(this.#opts, session)))
+    return this.#lead('getStatus', (session) => Promise.resolve(createStatus(this.#opts, session)))
   }
 
   getReport(): EitherAsync<NettlespurError, ClusterReport> {
-    return this.#lead(async (session) => {
+    return this.#lead('getReport', async (session) => {
       await unwrap(this.#opts.log.readBarrier())
       const { holder, clock } = this.#opts
       return createReport(holder.state, session.upstreams.list(), clock.now())
     })
   }
 
-  #lead<T>(run: (session: LeaderSession) => Promise<T>): EitherAsync<NettlespurError, T> {
+  #lead<T>(
+    call: keyof ControlApi,
+    run: (session: LeaderSession) => Promise<T>,
+  ): EitherAsync<NettlespurError, T> {
     return tryAsync(() => {
+      this.#opts.metrics.count(`control_calls_total{call="${call}"}`)
       if (this.#session === undefined) return Promise.reject(this.#createNotLeader())
       return run(this.#session)
     })
--- a/daemons/control/src/main.ts
+++ b/daemons/control/src/main.ts
@@ -7,7 +7,8 @@
 export function main(args: readonly string[]): Promise<void> {
   return runDaemon(args, {
     name: 'nettlespur-control',
-    purpose: 'Runs one control instance: the agreed state of the cluster and the placement of gangs.',
+    purpose:
+      'Runs one control instance: the agreed state of the cluster and the placement of gangs.',
     schema: controlSettingsSchema,
     resolvePaths,
     start: (settings) => startControl(settings),
--- a/daemons/control/src/startControl.ts
+++ b/daemons/control/src/startControl.ts
@@ -69,7 +69,7 @@
   const { instanceId, timings } = settings
   const metrics = opts.metrics ?? new MetricsRegistry()
   const peerKeys = opts.peerKeys ?? readKeys(settings.keyFiles.peers)
-  const client = (opts.createUpstreamClient ?? createUpstreamClient)(settings, clock)
+  const client = (opts.createUpstreamClient ?? createUpstreamClient)(settings, clock, lifecycle)
   const holder = new StateHolder()
   const log = await openLog(settings, holder)
   lifecycle.own('log', () => log.stop())
