refactor: read the entry's settings by the reader, and give daemons one command line

Tests tightened where taking a mechanism out left them green: the first upstream is now always favoured, an answer in chunks without a length, announcements arriving during a call, a shut-down queue, connections ended by their last answer.

--- a/daemons/entry/src/readEntrySettings.ts
+++ b/daemons/entry/src/readEntrySettings.ts
@@ -1,57 +1,30 @@
 /** Reads an entry's settings file; paths in it are taken from its folder. */
-import { readFileSync } from 'node:fs'
-import path from 'node:path'
-import { parseValue } from '@nettlespur/api.schemas'
-import { NettlespurError, toNettlespurError } from '@nettlespur/core.errors'
+import { toNettlespurError } from '@nettlespur/core.errors'
+import { readSettingsFile, resolvePath } from '@nettlespur/settings.reader'
 import { entrySettingsSchema, type EntrySettings } from '@nettlespur/settings.schemas'
-import { parse } from 'yaml'
 
-/** Throws `malformed-yaml` and `invalid-settings`. */
+/** Throws `malformed-yaml` and `invalid-settings`, naming every fault. */
 export function readEntrySettings(file: string): EntrySettings {
-  const settings = parseValue(entrySettingsSchema, parseYaml(file))
-  if (settings.isRight()) return resolvePaths(settings.extract(), path.dirname(file))
-  const fault = toNettlespurError(settings.extract())
-  throw new NettlespurError('invalid-settings', `${file}: ${fault.message}`, { hint: fault.hint })
+  const settings = readSettingsFile({ file, schema: entrySettingsSchema })
+  if (settings.isRight()) return resolvePaths(settings.extract(), file)
+  throw toNettlespurError(settings.extract())
 }
 
-function parseYaml(file: string): unknown {
-  const text = readText(file)
-  try {
-    return parse(text) as unknown
-  } catch (cause) {
-    const reason = cause instanceof Error ? cause.message : String(cause)
-    throw new NettlespurError('malformed-yaml', `${file}: ${reason}`)
-  }
-}
-
-function readText(file: string): string {
-  try {
-    return readFileSync(file, 'utf8')
-  } catch (cause) {
-    throw new NettlespurError('invalid-settings', `${file}: cannot be read`, { cause })
-  }
-}
-
-function resolvePaths(settings: EntrySettings, folder: string): EntrySettings {
-  const resolve = (file: string): string => path.resolve(folder, file)
-  const { peers, operators, upstreams } = settings.keyFiles
-  const { tls, peerCaFile } = settings
+function resolvePaths(settings: EntrySettings, file: string): EntrySettings {
+  const { keyFiles, tls, peerCaFile } = settings
+  const resolve = (given: string): string => resolvePath(file, given)
   return {
     ...settings,
-    keyFiles: {
-      peers: resolve(peers),
-      ...(operators === undefined ? {} : { operators: resolve(operators) }),
-      ...(upstreams === undefined ? {} : { upstreams: resolve(upstreams) }),
-    },
+    keyFiles: resolveEach(keyFiles, resolve),
     ...(peerCaFile === undefined ? {} : { peerCaFile: resolve(peerCaFile) }),
-    ...(tls === undefined
-      ? {}
-      : {
-          tls: {
-            certFile: resolve(tls.certFile),
-            keyFile: resolve(tls.keyFile),
-            ...(tls.clientCaFile === undefined ? {} : { clientCaFile: resolve(tls.clientCaFile) }),
-          },
-        }),
+    ...(tls === undefined ? {} : { tls: resolveEach(tls, resolve) }),
   }
 }
+
+/** The same fields, each path that is given made absolute. */
+function resolveEach<T extends object>(paths: T, resolve: (given: string) => string): T {
+  const resolved = Object.entries(paths)
+    .filter((field): field is [string, string] => typeof field[1] === 'string')
+    .map(([name, given]) => [name, resolve(given)])
+  return Object.fromEntries(resolved) as T
+}
--- a/daemons/entry/test/startEntry.test.ts
+++ b/daemons/entry/test/startEntry.test.ts
@@ -16,7 +16,7 @@
 import { createKey } from '@nettlespur/http.keys'
 import { createRpcServer } from '@nettlespur/rpc.peer'
 import { entrySettingsSchema, type EntrySettings } from '@nettlespur/settings.schemas'
-import { readEntrySettings, startEntry, type RunningEntry } from '../src/index.js'
+import { main, readEntrySettings, startEntry, type RunningEntry } from '../src/index.js'
 
 const clock = new SystemClock()
 
@@ -85,7 +85,9 @@
   t.is(logger.named('entry.draining').length, 1)
   for (const task of [...tasks].reverse()) task.answer(`answer to ${task.body}`)
   for (const [index, outcome] of (await Promise.all(sent)).entries()) {
-    t.is(outcome.unsafeCoerce().body.toString(), `answer to request ${index}`)
+    const answer = outcome.unsafeCoerce()
+    t.is(answer.body.toString(), `answer to request ${index}`)
+    t.is(answer.headers.connection, 'close', 'nothing is kept open that the stop would wait for')
   }
   await stopped
   t.is(logger.named('entry.clean-up-failed').length, 0)
@@ -154,11 +156,23 @@
   t.like(JSON.parse(contract.unsafeCoerce().body.toString()), { revision: 1 })
 })
 
+test('a command line without settings, or with some that cannot be read, ends with exit code 2', async (t) => {
+  const before = process.exitCode
+  for (const args of [[], ['--settings', path.join(tmpdir(), 'nettlespur-no-such-file.yaml')]]) {
+    process.exitCode = 0
+    await main(args)
+    t.is(process.exitCode, 2, args.join(' '))
+  }
+  process.exitCode = before
+})
+
 test('a fault in the settings is named with its path', (t) => {
   const folder = mkdtempSync(path.join(tmpdir(), 'nettlespur-entry-'))
   const file = path.join(folder, 'entry.yaml')
   writeFileSync(file, 'instanceId: 7\n')
-  t.throws(() => readEntrySettings(file), { message: /entry\.yaml: instanceId: / })
+  t.throws(() => readEntrySettings(file), {
+    message: /entry\.yaml:1: instanceId: not allowed, given 7/,
+  })
   writeFileSync(file, 'instanceId: [\n')
   t.throws(() => readEntrySettings(file), { code: 'NETTLESPUR_MALFORMED_YAML' })
   rmSync(folder, { recursive: true })
--- a/entry/fakes/src/fakeUpstream.ts
+++ b/entry/fakes/src/fakeUpstream.ts
@@ -14,6 +14,8 @@
   readonly body: string
   /** Answers whole, under the task's own id and attempt unless told otherwise. */
   answer(body: string, headers?: Record<string, string>, status?: number): void
+  /** Answers whole but in chunks, without stating a length. */
+  answerChunked(body: string): void
   /** Refuses it as not run. */
   refuse(): void
   /** Sends the head and a part of the body, then cuts the connection. */
@@ -77,6 +79,11 @@
       response.writeHead(status, { ...own, ...length, ...headers })
       response.end(body)
     },
+    answerChunked: (body) => {
+      response.writeHead(200, own)
+      response.write(body)
+      response.end()
+    },
     refuse: () => {
       response.writeHead(503, { 'content-type': 'application/json' })
       response.end(JSON.stringify({ kind: 'upstream-refused', message: 'full', ran: 'no' }))
--- a/entry/requests/src/localRequestRouter.ts
+++ b/entry/requests/src/localRequestRouter.ts
@@ -104,10 +104,6 @@
   }
 
   async #attemptAll(request: ShortRequest, first: SlotGrant): Promise<ShortAnswer> {
-    if (this.#abandoned.signal.aborted) {
-      this.#opts.queue.releaseSlot(first.upstream.upstreamId)
-      throw createAbandonedError()
-    }
     const progress: Progress = {
       request,
       taskId: `request-${randomUUID()}`,
--- a/entry/requests/test/httpTaskTransport.test.ts
+++ b/entry/requests/test/httpTaskTransport.test.ts
@@ -76,19 +76,31 @@
 })
 
 test('an answer of another task, another attempt, or of no stated length is not delivered', async (t) => {
-  const wrong: Record<string, string>[] = [
-    { [taskHeaders.taskId]: 'other' },
-    { [taskHeaders.attempt]: '9' },
-    { 'transfer-encoding': 'chunked', 'content-length': '' },
-  ]
-  for (const headers of wrong) {
-    const { router } = await start(t, [
+  const wrong: [string, (task: ReceivedTask) => void][] = [
+    [
+      'of another task',
+      (task) => {
+        task.answer('not yours', { [taskHeaders.taskId]: 'other' })
+      },
+    ],
+    [
+      'of another attempt',
       (task) => {
-        task.answer('not yours', headers)
+        task.answer('late', { [taskHeaders.attempt]: '9' })
       },
-    ])
-    const result = await router.run(createRequest(clock)).run()
-    t.like(result.extract(), { kind: 'outcome-unknown' }, JSON.stringify(headers))
+    ],
+    [
+      'does not state its whole length',
+      (task) => {
+        task.answerChunked('how long?')
+      },
+    ],
+  ]
+  for (const [reason, answer] of wrong) {
+    const { router } = await start(t, [answer])
+    const error = (await router.run(createRequest(clock)).run()).extract()
+    t.like(error, { kind: 'outcome-unknown' })
+    t.true(error instanceof Error && error.message.includes(reason), reason)
   }
 })
 
--- a/entry/requests/test/localRequestRouter.test.ts
+++ b/entry/requests/test/localRequestRouter.test.ts
@@ -36,8 +36,9 @@
   }
 }
 
-const upstreams = ['u1', 'u2', 'u3', 'u4'].map((upstreamId, index) =>
-  createUpstream({ upstreamId, address: `127.0.0.1:${index + 1}` }),
+/** The first has by far the most free slots: without a reason not to, it is picked each time. */
+const upstreams = [100, 8, 8, 8].map((slots, index) =>
+  createUpstream({ upstreamId: `u${index + 1}`, address: `127.0.0.1:${index + 1}`, slots }),
 )
 
 test('what is not repeatable is sent at most once where it may run, and "not run" is true', async (t) => {
@@ -203,3 +204,16 @@
   t.like((await running).extract(), { kind: 'outcome-unknown' })
   t.like((await router.run(createRequest(clock)).run()).extract(), { kind: 'draining' })
 })
+
+test('a queue that was shut down takes nobody, whether or not a slot is free', async (t) => {
+  const clock = new ManualClock()
+  const transport = new ScriptedTransport([], true)
+  const one = [createUpstream({ slots: 1 })]
+  const { router, queue } = createRouter({ clock, transport, upstreams: one })
+  const running = router.run(createRequest(clock)).run()
+  await clock.advance(0)
+  queue.shutDown(new NettlespurError('draining', 'stopping'))
+  t.like((await queue.enter(createRequest(clock)).run()).extract(), { kind: 'draining' })
+  transport.releaseOne()
+  t.true((await running).isRight())
+})
--- a/entry/service/src/announcementRelay.ts
+++ b/entry/service/src/announcementRelay.ts
@@ -26,6 +26,7 @@
   /** What of each upstream was passed on last, without its usage figures. */
   readonly #passedOn = new Map<string, string>()
   #urgent = false
+  #passedOnAtMs = Number.NEGATIVE_INFINITY
   #wake: AbortController | undefined
 
   constructor(opts: AnnouncementRelayOptions) {
@@ -54,7 +55,9 @@
   async #untilDue(): Promise<void> {
     if (this.#urgent) return
     this.#wake = new AbortController()
-    await this.#opts.clock.sleep(batchEveryMs, this.#wake.signal)
+    const dueMs = this.#passedOnAtMs + batchEveryMs
+    const remainingMs = Math.max(0, dueMs - this.#opts.clock.monotonicMs())
+    await this.#opts.clock.sleep(remainingMs, this.#wake.signal)
     this.#wake = undefined
   }
 
@@ -65,6 +68,7 @@
     }))
     this.#pending.clear()
     this.#urgent = false
+    this.#passedOnAtMs = this.#opts.clock.monotonicMs()
     if (batch.length === 0) return true
     for (const { upstreamId, announcement } of batch) {
       this.#passedOn.set(upstreamId, summarize(announcement))
--- a/entry/service/test/announcementRelay.test.ts
+++ b/entry/service/test/announcementRelay.test.ts
@@ -1,11 +1,28 @@
 import test from 'ava'
+import type { Announcements } from '@nettlespur/control.api'
 import { ManualClock } from '@nettlespur/core.clock'
+import type { NettlespurError } from '@nettlespur/core.errors'
 import { createAnnouncement, FakeControl, RecordingLogger } from '@nettlespur/entry.fakes'
+import { EitherAsync, Right } from 'purify-ts'
 import { AnnouncementRelay } from '../src/index.js'
 
+const callMs = 50
+
+/** Takes its time for each call, so that announcements arrive while one is under way. */
+class SlowControl extends FakeControl {
+  constructor(private readonly clock: ManualClock) {
+    super(clock)
+  }
+
+  override announce(announcements: Announcements): EitherAsync<NettlespurError, null> {
+    const pause = EitherAsync.fromPromise(() => this.clock.sleep(callMs).then(() => Right(null)))
+    return pause.chain(() => super.announce(announcements))
+  }
+}
+
 async function start() {
   const clock = new ManualClock()
-  const control = new FakeControl(clock)
+  const control = new SlowControl(clock)
   const relay = new AnnouncementRelay({
     clock,
     control,
@@ -17,6 +34,7 @@
   await clock.advance(0)
   const stop = async () => {
     stopping.abort()
+    await clock.advance(callMs)
     await ended
   }
   return { clock, control, relay, stop }
@@ -30,7 +48,7 @@
   const { clock, control, relay, stop } = await start()
   relay.receive('u1', createAnnouncement({ tasks: [createTask('running', 1)] }))
   relay.receive('u2', createAnnouncement())
-  await clock.advance(0)
+  await clock.advance(callMs)
   t.is(control.announced.length, 1)
   for (let tenths = 0; tenths < 30; tenths++) {
     relay.receive('u1', createAnnouncement({ tasks: [createTask('running', tenths)] }))
@@ -43,7 +61,7 @@
     ['u1', 'u2'],
   )
   relay.receive('u1', createAnnouncement({ state: 'leaving' }))
-  await clock.advance(0)
+  await clock.advance(callMs)
   t.is(control.announced.at(-1)?.items[0]?.announcement.state, 'leaving')
   await stop()
 })
@@ -53,9 +71,9 @@
   control.failure = 'unreachable'
   relay.receive('u1', createAnnouncement())
   relay.receive('u2', createAnnouncement())
-  await clock.advance(200)
+  await clock.advance(callMs - 1)
   relay.receive('u1', createAnnouncement({ state: 'leaving' }))
-  await clock.advance(200)
+  await clock.advance(1)
   control.failure = undefined
   await clock.advance(600)
   t.is(control.announced.length, 1)
@@ -67,7 +85,7 @@
 test('a stop passes on what still waits', async (t) => {
   const { clock, control, relay, stop } = await start()
   relay.receive('u1', createAnnouncement())
-  await clock.advance(0)
+  await clock.advance(callMs)
   relay.receive('u1', createAnnouncement())
   await stop()
   t.is(control.announced.length, 2)
