--- a/daemons/trial/__utils__/daemonProcess.ts
+++ b/daemons/trial/__utils__/daemonProcess.ts
@@ -10,6 +10,8 @@
   /** The daemon's bin, an absolute path. */
   bin: string
   settingsFile: string
+  /** A program and its arguments to run the daemon under, such as a tracer. */
+  under?: readonly string[] | undefined
 }
 
 /** The fields of one log line. */
@@ -28,9 +30,14 @@
   readonly #ended: Promise<number | null>
 
   constructor(opts: DaemonProcessOptions) {
-    this.#child = spawn(process.execPath, [opts.bin, '--settings', opts.settingsFile], {
-      stdio: ['ignore', 'ignore', 'pipe'],
-    })
+    const [program = process.execPath, ...args] = [
+      ...(opts.under ?? []),
+      process.execPath,
+      opts.bin,
+      '--settings',
+      opts.settingsFile,
+    ]
+    this.#child = spawn(program, args, { stdio: ['ignore', 'ignore', 'pipe'] })
     this.#ended = once(this.#child, 'exit').then(([code]) => code as number | null)
     if (this.#child.stderr !== null) {
       createInterface({ input: this.#child.stderr }).on('line', (line) => {
--- a/daemons/trial/__utils__/trialCluster.ts
+++ b/daemons/trial/__utils__/trialCluster.ts
@@ -24,6 +24,8 @@
   entrySettings?: Readonly<Record<string, unknown>>
   /** Merged over each upstream's settings. */
   upstreamSettings?: Readonly<Record<string, unknown>>
+  /** Runs each instance under another program; given its id and kind. */
+  under?: (id: string, kind: string) => readonly string[]
 }
 
 /** One process of the cluster, which can be ended and started again on the same address and data. */
@@ -139,7 +141,8 @@
     const dataFolder = path.join(this.folder, `data-${id}`)
     mkdirSync(dataFolder, { recursive: true })
     writeFileSync(settingsFile, stringify(settings))
-    const daemon = new DaemonProcess({ bin: bins[kind], settingsFile })
+    const under = this.#opts.under?.(id, kind)
+    const daemon = new DaemonProcess({ bin: bins[kind], settingsFile, under })
     await daemon.waitFor(`${kind}.listening`)
     return { id, address, settingsFile, dataFolder, process: daemon }
   }
