--- a/http/client/src/callHttp.ts
+++ b/http/client/src/callHttp.ts
@@ -68,8 +68,12 @@
       reject(toCallError(opts, progress.mayHaveLeft, cause))
     }
     request.on('socket', (socket) => {
-      if (!socket.connecting) progress.mayHaveLeft = true
-      socket.once('connect', () => {
+      if (!socket.connecting) {
+        progress.mayHaveLeft = true
+        return
+      }
+      // Over TLS nothing of the call leaves before the other side's certificate is accepted.
+      socket.once(opts.ca === undefined ? 'connect' : 'secureConnect', () => {
         progress.mayHaveLeft = true
       })
     })
