--- a/daemons/entry/src/main.ts
+++ b/daemons/entry/src/main.ts
@@ -1,13 +1,14 @@
-/** The command line of the entry daemon. */
-import { runDaemon } from '@nettlespur/daemons.runner'
-import { readEntrySettings } from './readEntrySettings.js'
+/** The command `nettlespur-entry --settings FILE`. */
+import { resolveInstancePaths, runDaemon } from '@nettlespur/daemons.common'
+import { entrySettingsSchema } from '@nettlespur/settings.schemas'
 import { startEntry } from './startEntry.js'
 
-export function main(rawArgs: string[]): Promise<void> {
-  return runDaemon({
+export function main(args: readonly string[]): Promise<void> {
+  return runDaemon(args, {
     name: 'nettlespur-entry',
-    description: 'Runs one entry: the HTTP API for callers, operators and upstreams',
-    rawArgs,
-    start: (settingsFile) => startEntry(readEntrySettings(settingsFile)),
+    purpose: 'Runs one entry: the HTTP API for callers, operators and upstreams.',
+    schema: entrySettingsSchema,
+    resolvePaths: resolveInstancePaths,
+    start: (settings) => startEntry(settings),
   })
 }
--- a/daemons/entry/test/startEntry.test.ts
+++ b/daemons/entry/test/startEntry.test.ts
@@ -16,7 +16,8 @@
 import { createKey } from '@nettlespur/http.keys'
 import { createRpcServer } from '@nettlespur/rpc.peer'
 import { entrySettingsSchema, type EntrySettings } from '@nettlespur/settings.schemas'
-import { main, readEntrySettings, startEntry, type RunningEntry } from '../src/index.js'
+import { readDaemonSettings, resolveInstancePaths } from '@nettlespur/daemons.common'
+import { main, startEntry, type RunningEntry } from '../src/index.js'
 
 const clock = new SystemClock()
 
@@ -145,7 +146,9 @@
   ]
   const file = path.join(folder, 'entry.yaml')
   writeFileSync(file, lines.join('\n'))
-  const entry = await startEntry(readEntrySettings(file))
+  const resolvePaths = resolveInstancePaths<EntrySettings>
+  const settings = await readDaemonSettings(file, { schema: entrySettingsSchema, resolvePaths })
+  const entry = await startEntry(settings)
   t.teardown(async () => {
     await entry.stop()
     await peer.drain()
@@ -166,14 +169,16 @@
   process.exitCode = before
 })
 
-test('a fault in the settings is named with its path', (t) => {
+test('a fault in the settings is named with its line and path', async (t) => {
   const folder = mkdtempSync(path.join(tmpdir(), 'nettlespur-entry-'))
   const file = path.join(folder, 'entry.yaml')
+  const opts = { schema: entrySettingsSchema, resolvePaths: resolveInstancePaths<EntrySettings> }
+  const read = () => readDaemonSettings(file, opts)
   writeFileSync(file, 'instanceId: 7\n')
-  t.throws(() => readEntrySettings(file), {
+  await t.throwsAsync(read, {
     message: /entry\.yaml:1: instanceId: not allowed, given 7/,
   })
   writeFileSync(file, 'instanceId: [\n')
-  t.throws(() => readEntrySettings(file), { code: 'NETTLESPUR_MALFORMED_YAML' })
+  await t.throwsAsync(read, { code: 'NETTLESPUR_MALFORMED_YAML' })
   rmSync(folder, { recursive: true })
 })
