--- a/daemons/entry/test/startEntry.test.ts
+++ b/daemons/entry/test/startEntry.test.ts
@@ -17,7 +17,7 @@
 import { createRpcServer } from '@nettlespur/rpc.peer'
 import { entrySettingsSchema, type EntrySettings } from '@nettlespur/settings.schemas'
 import { readDaemonSettings, resolveInstancePaths } from '@nettlespur/daemons.common'
-import { startEntry, type RunningEntry } from '../src/index.js'
+import { main, startEntry, type RunningEntry } from '../src/index.js'
 
 const clock = new SystemClock()
 
@@ -156,3 +156,27 @@
   const contract = await send(entry, 'GET', '/v1/contracts/thapa')
   t.like(JSON.parse(contract.unsafeCoerce().body.toString()), { revision: 1 })
 })
+
+test('a command line without settings, or with some that cannot be read, ends with exit code 2', async (t) => {
+  const before = process.exitCode
+  for (const args of [[], ['--settings', path.join(tmpdir(), 'nettlespur-no-such-file.yaml')]]) {
+    process.exitCode = 0
+    await main(args)
+    t.is(process.exitCode, 2, args.join(' '))
+  }
+  process.exitCode = before
+})
+
+test('a fault in the settings is named with its line and path', async (t) => {
+  const folder = mkdtempSync(path.join(tmpdir(), 'nettlespur-entry-'))
+  const file = path.join(folder, 'entry.yaml')
+  const opts = { schema: entrySettingsSchema, resolvePaths: resolveInstancePaths<EntrySettings> }
+  const read = () => readDaemonSettings(file, opts)
+  writeFileSync(file, 'instanceId: 7\n')
+  await t.throwsAsync(read, {
+    message: /entry\.yaml:1: instanceId: not allowed, given 7/,
+  })
+  writeFileSync(file, 'instanceId: [\n')
+  await t.throwsAsync(read, { code: 'NETTLESPUR_MALFORMED_YAML' })
+  rmSync(folder, { recursive: true })
+})
