--- /dev/null
+++ b/consensus/raft/src/index.ts
@@ -0,0 +1,2 @@
+/** Agreement between control instances by Raft. */
+export {}
