fix: run a trial daemon under a tracer only where one is named

Cause: an empty prefix was taken for a program. Change: the prefix is undefined or not empty. Conclusion: lint and types agree.

--- a/daemons/trial/__utils__/daemonProcess.ts
+++ b/daemons/trial/__utils__/daemonProcess.ts
@@ -11,7 +11,7 @@
   bin: string
   settingsFile: string
   /** A program and its arguments to run the daemon under, such as a tracer. */
-  under?: readonly string[] | undefined
+  under?: readonly [string, ...string[]] | undefined
 }
 
 /** The fields of one log line. */
@@ -30,13 +30,8 @@
   readonly #ended: Promise<number | null>
 
   constructor(opts: DaemonProcessOptions) {
-    const [program = process.execPath, ...args] = [
-      ...(opts.under ?? []),
-      process.execPath,
-      opts.bin,
-      '--settings',
-      opts.settingsFile,
-    ]
+    const daemon = [process.execPath, opts.bin, '--settings', opts.settingsFile] as const
+    const [program, ...args] = opts.under === undefined ? daemon : [...opts.under, ...daemon]
     this.#child = spawn(program, args, { stdio: ['ignore', 'ignore', 'pipe'] })
     this.#ended = once(this.#child, 'exit').then(([code]) => code as number | null)
     if (this.#child.stderr !== null) {
--- a/daemons/trial/__utils__/trialCluster.ts
+++ b/daemons/trial/__utils__/trialCluster.ts
@@ -25,7 +25,7 @@
   /** Merged over each upstream's settings. */
   upstreamSettings?: Readonly<Record<string, unknown>>
   /** Runs each instance under another program; given its id and kind. */
-  under?: (id: string, kind: string) => readonly string[]
+  under?: (id: string, kind: string) => readonly [string, ...string[]] | undefined
 }
 
 /** One process of the cluster, which can be ended and started again on the same address and data. */
--- a/scripts/checkProcesses.mjs
+++ b/scripts/checkProcesses.mjs
@@ -27,7 +27,7 @@
 async function traceCalls() {
   const traces = new Map()
   const under = (id, kind) => {
-    if (kind === 'upstream') return []
+    if (kind === 'upstream') return undefined
     const file = path.join('/tmp', `nettlespur-trace-${process.pid}-${id}`)
     traces.set(id, file)
     // -D keeps the daemon our own child, so that its signals reach it.
