fix: let processes call each other over TLS

Cause: with peerCaFile set, calls between processes failed with an internal error, since the connection pool was one for plain HTTP. No test had used TLS. Asking callers for certificates could not work either: no process shows one. Change: the pool fits the transport; clientCaFile is gone from the settings, since a bearer key is what proves the other side. Ruled out: the certificate (the same call with a stranger's authority is unreachable, as it should be). Conclusion: TLS is seen working between callers, entry and control; upstreams are still called without it.

--- a/daemons/common/src/instanceFiles.ts
+++ b/daemons/common/src/instanceFiles.ts
@@ -37,9 +37,7 @@
 
 /** Throws `invalid-settings`. */
 export function readTlsFiles(tls: TlsSettings | undefined): TlsFiles | undefined {
-  if (tls === undefined) return undefined
-  const ca = tls.clientCaFile === undefined ? {} : { ca: readPem(tls.clientCaFile) }
-  return { cert: readPem(tls.certFile), key: readPem(tls.keyFile), ...ca }
+  return tls && { cert: readPem(tls.certFile), key: readPem(tls.keyFile) }
 }
 
 /** Throws `invalid-settings`. */
--- a/daemons/trial/__utils__/callEntry.ts
+++ b/daemons/trial/__utils__/callEntry.ts
@@ -15,6 +15,8 @@
   headers?: Readonly<Record<string, string>>
   body?: string
   timeoutMs?: number
+  /** Authority that signed the entry's certificate: set, it makes the call use TLS. */
+  ca?: Buffer
 }
 
 export interface EntryAnswer {
@@ -30,7 +32,7 @@
   const { address, method, path, body } = opts
   const headers = { authorization: formatBearerKey(opts.key), ...opts.headers }
   const timeoutMs = opts.timeoutMs ?? defaultTimeoutMs
-  const sent = { clock, address, method, path, headers, timeoutMs }
+  const sent = { clock, address, method, path, headers, timeoutMs, ca: opts.ca }
   const answer = await unwrap(callHttp(body === undefined ? sent : { ...sent, body }))
   const text = answer.body.toString('utf8')
   return { status: answer.status, headers: answer.headers, text, json: parse(text) }
--- a/daemons/trial/__utils__/trialCluster.ts
+++ b/daemons/trial/__utils__/trialCluster.ts
@@ -18,6 +18,8 @@
   controls: number
   entries: number
   upstreams: number
+  /** IP number that all listen on; one of loopback that no other test is likely to use by default. */
+  host?: string
   /** Merged over each control's settings. */
   controlSettings?: Readonly<Record<string, unknown>>
   /** Merged over each entry's settings. */
@@ -44,11 +46,12 @@
   readonly controls: TrialInstance[] = []
   readonly entries: TrialInstance[] = []
   readonly upstreams: TrialInstance[] = []
-  readonly #host = pickLoopbackHost()
+  readonly #host: string
   readonly #opts: TrialClusterOptions
 
   private constructor(opts: TrialClusterOptions) {
     this.#opts = opts
+    this.#host = opts.host ?? pickLoopbackHost()
     this.folder = mkdtempSync(path.join(tmpdir(), 'nettlespur-trial-'))
     this.#writeKey('operators', this.operatorKey)
     this.#writeKey('peers', createKey())
--- a/http/server/src/createHttpServer.ts
+++ b/http/server/src/createHttpServer.ts
@@ -26,8 +26,6 @@
 export interface TlsFiles {
   readonly cert: Buffer
   readonly key: Buffer
-  /** Set where callers must show a certificate signed by this authority. */
-  readonly ca?: Buffer
 }
 
 export interface HttpServerOptions {
@@ -105,9 +103,7 @@
     headersTimeout: headersTimeoutMs,
   }
   if (opts.tls === undefined) return http.createServer(limits, listener)
-  const { ca, ...pair } = opts.tls
-  const clientCheck = ca === undefined ? {} : { ca, requestCert: true, rejectUnauthorized: true }
-  return https.createServer({ ...limits, ...pair, ...clientCheck }, listener)
+  return https.createServer({ ...limits, ...opts.tls }, listener)
 }
 
 async function answer(
--- a/rpc/peer/src/createRpcClient.ts
+++ b/rpc/peer/src/createRpcClient.ts
@@ -3,6 +3,7 @@
  * A peer that cannot be reached, or does not answer whole, is an error of the table.
  */
 import http from 'node:http'
+import https from 'node:https'
 import type { Clock } from '@nettlespur/core.clock'
 import {
   fromRpcResult,
@@ -37,7 +38,7 @@
 }
 
 export function createRpcClient<R extends AnyTRPCRouter>(opts: RpcClientOptions): RpcClient<R> {
-  const agent = new http.Agent({ keepAlive: true, maxSockets: socketsMax })
+  const agent = createAgent(opts)
   // The link's options depend on the router's transformer, which a generic router leaves open.
   const link = httpLink({ url: `http://${opts.address}`, fetch: createFetch(opts, agent) } as never)
   return {
@@ -61,6 +62,11 @@
   return new NettlespurError('outcome-unknown', toNettlespurError(cause).message, { cause })
 }
 
+function createAgent({ ca }: RpcClientOptions): http.Agent {
+  const limits = { keepAlive: true, maxSockets: socketsMax }
+  return ca === undefined ? new http.Agent(limits) : new https.Agent(limits)
+}
+
 interface FetchInit {
   method?: string
   headers?: unknown
--- a/settings/schemas/src/commonSettings.ts
+++ b/settings/schemas/src/commonSettings.ts
@@ -6,11 +6,10 @@
   level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 })
 
-/** Certificates in PEM files. With `clientCaFile` set, the other side must show one signed by it. */
+/** Certificate and key in PEM files. The other side proves itself by its bearer key. */
 export const tlsSettingsSchema = z.strictObject({
   certFile: z.string(),
   keyFile: z.string(),
-  clientCaFile: z.string().optional(),
 })
 export type TlsSettings = z.infer<typeof tlsSettingsSchema>
 
