--- /dev/null
+++ b/examples/embedded/src/index.ts
@@ -0,0 +1,2 @@
+/** An example of library use: a control and an entry inside another program. */
+export { runEmbedded, type RunEmbeddedOptions } from './runEmbedded.js'
