--- /dev/null
+++ b/storage/log/__utils__/index.ts
@@ -0,0 +1,3 @@
+/** Fakes for tests of the store. */
+export { MemoryFileSystem, lossKinds, type Fault, type LossKind } from './memoryFileSystem.js'
+export { failWith, folder, openStore, readAll, silentLogger, toEntry } from './storeHelpers.js'
--- /dev/null
+++ b/storage/log/__utils__/memoryFileSystem.ts
@@ -0,0 +1,194 @@
+/**
+ * A file system in memory that loses what was not synced. Each operation that changes something is counted;
+ * a fault may be put on any of them.
+ */
+import path from 'node:path'
+import { FileSystem, OpenFile } from '../src/index.js'
+
+/** What becomes of bytes and names not synced when the machine goes down. */
+export const lossKinds = ['lost', 'kept', 'halfKept', 'firstHalfLost'] as const
+export type LossKind = (typeof lossKinds)[number]
+
+/** Called before each operation that changes something; throws to make it fail. */
+export type Fault = (operation: string, file: string, count: number) => void
+
+interface Inode {
+  bytes: Buffer
+  durable: Buffer
+}
+
+export class MemoryFileSystem extends FileSystem {
+  fault: Fault = () => undefined
+  /** Sum of all files, for bounds on disk use. */
+  get sizeBytes(): number {
+    return [...this.names.values()].reduce((sum, inode) => sum + inode.bytes.length, 0)
+  }
+
+  operations = 0
+  readonly names: Map<string, Inode>
+  #durableNames: Map<string, Inode>
+  #pendingNames: ((names: Map<string, Inode>) => void)[] = []
+  readonly #life: number
+
+  constructor(names = new Map<string, Inode>(), life = 1) {
+    super()
+    this.names = new Map(names)
+    this.#durableNames = new Map(names)
+    this.#life = life
+  }
+
+  /** The disk as the next start finds it. */
+  crash(loss: LossKind): MemoryFileSystem {
+    const names = new Map(this.#durableNames)
+    const keptNames = loss === 'lost' ? 0 : this.#pendingNames.length
+    for (const apply of this.#pendingNames.slice(0, keptNames)) apply(names)
+    for (const [name, inode] of names) {
+      const bytes = loseBytes(inode, loss)
+      names.set(name, { bytes, durable: bytes })
+    }
+    return new MemoryFileSystem(names, this.#life + 1)
+  }
+
+  /** The disk as the next process finds it where only the process died: all is there, as durable as before. */
+  kill(): MemoryFileSystem {
+    const next = new MemoryFileSystem(this.names, this.#life + 1)
+    next.#durableNames = this.#durableNames
+    next.#pendingNames = this.#pendingNames
+    return next
+  }
+
+  step(operation: string, file: string): void {
+    this.fault(operation, file, this.operations)
+    this.operations++
+  }
+
+  makeFolder(): Promise<void> {
+    return Promise.resolve()
+  }
+
+  listFolder(folder: string): Promise<string[]> {
+    const files = [...this.names.keys()].filter((name) => path.dirname(name) === folder)
+    return Promise.resolve(files.map((name) => path.basename(name)))
+  }
+
+  // eslint-disable-next-line @typescript-eslint/require-await
+  async syncFolder(folder: string): Promise<void> {
+    this.step('syncFolder', folder)
+    for (const apply of this.#pendingNames) apply(this.#durableNames)
+    this.#pendingNames = []
+  }
+
+  // eslint-disable-next-line @typescript-eslint/require-await
+  async createFile(file: string): Promise<OpenFile> {
+    this.step('createFile', file)
+    const inode: Inode = { bytes: Buffer.alloc(0), durable: Buffer.alloc(0) }
+    this.#changeNames((names) => names.set(file, inode))
+    return new MemoryOpenFile(this, file, inode)
+  }
+
+  // eslint-disable-next-line @typescript-eslint/require-await
+  async openFile(file: string): Promise<OpenFile> {
+    return new MemoryOpenFile(this, file, this.#find(file))
+  }
+
+  // eslint-disable-next-line @typescript-eslint/require-await
+  async readFile(file: string): Promise<Buffer> {
+    return Buffer.from(this.#find(file).bytes)
+  }
+
+  // eslint-disable-next-line @typescript-eslint/require-await
+  async renameFile(from: string, to: string): Promise<void> {
+    this.step('renameFile', to)
+    const inode = this.#find(from)
+    this.#changeNames((names) => {
+      names.delete(from)
+      names.set(to, inode)
+    })
+  }
+
+  // eslint-disable-next-line @typescript-eslint/require-await
+  async removeFile(file: string): Promise<void> {
+    this.step('removeFile', file)
+    this.#find(file)
+    this.#changeNames((names) => names.delete(file))
+  }
+
+  readProcessToken(): Promise<string> {
+    return Promise.resolve(`1-${this.#life}`)
+  }
+
+  isProcessAlive(token: string): Promise<boolean> {
+    return Promise.resolve(token === `1-${this.#life}`)
+  }
+
+  #changeNames(apply: (names: Map<string, Inode>) => unknown): void {
+    apply(this.names)
+    this.#pendingNames.push(apply)
+  }
+
+  #find(file: string): Inode {
+    const inode = this.names.get(file)
+    if (inode === undefined) throw Object.assign(new Error(`no file ${file}`), { code: 'ENOENT' })
+    return inode
+  }
+}
+
+class MemoryOpenFile extends OpenFile {
+  constructor(
+    readonly files: MemoryFileSystem,
+    readonly path: string,
+    readonly inode: Inode,
+  ) {
+    super()
+  }
+
+  // eslint-disable-next-line @typescript-eslint/require-await
+  async read(offsetBytes: number, lengthBytes: number): Promise<Buffer> {
+    return Buffer.from(this.inode.bytes.subarray(offsetBytes, offsetBytes + lengthBytes))
+  }
+
+  // eslint-disable-next-line @typescript-eslint/require-await
+  async write(bytes: Buffer, offsetBytes: number): Promise<void> {
+    const before = this.inode.bytes
+    const next = Buffer.alloc(Math.max(before.length, offsetBytes + bytes.length))
+    before.copy(next)
+    try {
+      this.files.step('write', this.path)
+    } catch (error) {
+      // A write that fails has put down its first half.
+      bytes.copy(next, offsetBytes, 0, bytes.length >> 1)
+      this.inode.bytes = next.subarray(
+        0,
+        Math.max(before.length, offsetBytes + (bytes.length >> 1)),
+      )
+      throw error
+    }
+    bytes.copy(next, offsetBytes)
+    this.inode.bytes = next
+  }
+
+  // eslint-disable-next-line @typescript-eslint/require-await
+  async truncate(sizeBytes: number): Promise<void> {
+    this.files.step('truncate', this.path)
+    this.inode.bytes = Buffer.from(this.inode.bytes.subarray(0, sizeBytes))
+  }
+
+  // eslint-disable-next-line @typescript-eslint/require-await
+  async sync(): Promise<void> {
+    this.files.step('sync', this.path)
+    this.inode.durable = this.inode.bytes
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve()
+  }
+}
+
+function loseBytes({ bytes, durable }: Inode, loss: LossKind): Buffer {
+  if (loss === 'lost') return Buffer.from(durable)
+  const kept = Buffer.from(bytes)
+  const middle = durable.length + Math.ceil((bytes.length - durable.length) / 2)
+  if (loss === 'halfKept' && middle >= durable.length) return kept.subarray(0, middle)
+  if (loss === 'firstHalfLost' && middle > durable.length) kept.fill(0, durable.length, middle)
+  return kept
+}
--- /dev/null
+++ b/storage/log/__utils__/storeHelpers.ts
@@ -0,0 +1,45 @@
+/** Short ways to open a store on a fake disk and to read it. */
+import { ManualClock } from '@nettlespur/core.clock'
+import type { LogEvent, Logger } from '@nettlespur/core.logger'
+import {
+  FileLogStore,
+  type FileLogStoreOptions,
+  type FileSystem,
+  type LogEntry,
+  type LogStore,
+} from '../src/index.js'
+
+export const folder = '/data/store'
+
+export function openStore(
+  files: FileSystem,
+  opts: Partial<FileLogStoreOptions> = {},
+): Promise<FileLogStore> {
+  return FileLogStore.open({
+    folder,
+    clock: new ManualClock(),
+    logger: silentLogger(),
+    files,
+    ...opts,
+  })
+}
+
+export function silentLogger(events: LogEvent[] = []): Logger {
+  const keep = (event: LogEvent) => {
+    events.push(event)
+  }
+  return { debug: keep, info: keep, warn: keep, error: keep }
+}
+
+export function toEntry(index: number, term = 1, text = `entry ${index}`): LogEntry {
+  return { index, term, payload: Buffer.from(text) }
+}
+
+export async function readAll(store: LogStore): Promise<LogEntry[]> {
+  return store.read(store.firstIndex, Number.MAX_SAFE_INTEGER)
+}
+
+/** An error as `node:fs` throws it. */
+export function failWith(code: string): never {
+  throw Object.assign(new Error(`${code}: injected`), { code })
+}
--- /dev/null
+++ b/storage/log/src/fileLogStore.ts
@@ -0,0 +1,243 @@
+/**
+ * The log store on files under one data folder. Entries are framed records in segments; hard state, disk
+ * identity and snapshots are files that are replaced as a whole. See docs/design/storage.md.
+ *
+ * Entries show in `lastIndex` and to readers from the call that appends them, so that further calls can
+ * follow; they are durable once that call's promise resolves. `hardState` and `snapshotMeta` change only
+ * then. After a failed write the store reads only, and shows what was durable.
+ */
+import path from 'node:path'
+import type { Clock } from '@nettlespur/core.clock'
+import { NettlespurError } from '@nettlespur/core.errors'
+import type { Logger } from '@nettlespur/core.logger'
+import { CommitQueue } from './commitQueue.js'
+import type { FileSystem } from './fileSystem.js'
+import { FolderLock } from './folderLock.js'
+import { appendEntries, truncateEntries } from './logChange.js'
+import { LogIndex } from './logIndex.js'
+import { LogStore, type HardState, type LogEntry, type Snapshot } from './logStore.js'
+import { NodeFileSystem } from './nodeFileSystem.js'
+import { readEntries } from './readEntries.js'
+import { recoverFolder, type RecoveredFolder } from './recoverFolder.js'
+import { SegmentedLog } from './segmentedLog.js'
+import { hardStateFile, writeSmallFile } from './smallFile.js'
+import { SnapshotFolder } from './snapshotFolder.js'
+import { toStorageError } from './storageErrors.js'
+
+const defaultSegmentBytesMax = 4 * 1024 * 1024
+const defaultBatchBytesMax = 1024 * 1024
+
+export interface FileLogStoreOptions {
+  /** The data folder; made where it is missing. */
+  readonly folder: string
+  readonly clock: Clock
+  readonly logger: Logger
+  /** The machine's file system by default. */
+  readonly files?: FileSystem
+  /** A segment grows larger only where one batch does. 4 MiB by default. */
+  readonly segmentBytesMax?: number
+  /** Appends that together hold no more share one sync. 1 MiB by default. */
+  readonly batchBytesMax?: number
+}
+
+interface FileLogStoreParts {
+  readonly opts: FileLogStoreOptions
+  readonly files: FileSystem
+  readonly lock: FolderLock
+  readonly recovered: RecoveredFolder
+}
+
+export class FileLogStore extends LogStore {
+  readonly diskId: string
+  readonly #folder: string
+  readonly #files: FileSystem
+  readonly #lock: FolderLock
+  readonly #log: SegmentedLog
+  readonly #snapshots: SnapshotFolder
+  readonly #queue: CommitQueue
+  #index: LogIndex
+  #hardState: HardState
+  /** Entries up to here are no longer removed by truncation: a snapshot stands or will stand for them. */
+  #snapshotIndexAsked: number
+  #installing = false
+  #closed: Promise<void> | undefined
+
+  private constructor({ opts, files, lock, recovered }: FileLogStoreParts) {
+    super()
+    const { base, log } = recovered
+    this.diskId = recovered.diskId
+    this.#folder = opts.folder
+    this.#files = files
+    this.#lock = lock
+    this.#hardState = recovered.hardState
+    this.#index = log.index
+    this.#snapshots = new SnapshotFolder({ files, folder: opts.folder, base })
+    this.#snapshotIndexAsked = this.snapshotMeta.index
+    this.#log = new SegmentedLog({
+      files,
+      folder: opts.folder,
+      segmentBytesMax: opts.segmentBytesMax ?? defaultSegmentBytesMax,
+      segments: log.segments,
+      nextIndex: log.index.nextIndex,
+    })
+    this.#queue = new CommitQueue({
+      logger: opts.logger,
+      batchBytesMax: opts.batchBytesMax ?? defaultBatchBytesMax,
+      write: (changes) => this.#log.write(changes),
+    })
+  }
+
+  /** Rejects with `storage-damaged`, `disk-full` or `storage-failed`, the last also where the folder is in use. */
+  static async open(opts: FileLogStoreOptions): Promise<FileLogStore> {
+    const files = opts.files ?? new NodeFileSystem()
+    const startMs = opts.clock.monotonicMs()
+    let lock: FolderLock | undefined
+    try {
+      await files.makeFolder(opts.folder)
+      await files.syncFolder(path.dirname(opts.folder))
+      lock = await FolderLock.acquire(files, opts.folder)
+      const recovered = await recoverFolder({ files, folder: opts.folder, logger: opts.logger })
+      const store = new FileLogStore({ opts, files, lock, recovered })
+      opts.logger.info({
+        event: 'storage.opened',
+        diskId: store.diskId,
+        firstIndex: store.firstIndex,
+        lastIndex: store.lastIndex,
+        snapshotIndex: store.snapshotMeta.index,
+        sizeBytes: store.#log.sizeBytes,
+        durationMs: Math.round(opts.clock.monotonicMs() - startMs),
+      })
+      return store
+    } catch (error) {
+      await lock?.release().catch(() => undefined)
+      throw toStorageError(error)
+    }
+  }
+
+  get hardState(): HardState {
+    return this.#hardState
+  }
+
+  get snapshotMeta(): Snapshot['meta'] {
+    return this.#snapshots.meta
+  }
+
+  get firstIndex(): number {
+    return this.#index.firstIndex
+  }
+
+  get lastIndex(): number {
+    return this.#index.nextIndex - 1
+  }
+
+  get lastTerm(): number {
+    return this.termAt(this.lastIndex) ?? this.snapshotMeta.term
+  }
+
+  /** Bytes of all segments; the newest snapshot comes on top. */
+  get logSizeBytes(): number {
+    return this.#log.sizeBytes
+  }
+
+  termAt(index: number): number | undefined {
+    const { index: snapshotIndex, term } = this.snapshotMeta
+    return this.#index.get(index)?.term ?? (index === snapshotIndex ? term : undefined)
+  }
+
+  read(fromIndex: number, bytesMax: number): Promise<LogEntry[]> {
+    return readEntries(this.#index, fromIndex, bytesMax)
+  }
+
+  async append(entries: readonly LogEntry[]): Promise<void> {
+    this.#checkLogWritable()
+    if (entries.length === 0) return
+    entries.forEach((entry, position) => {
+      check(entry.index === this.#index.nextIndex + position, `entry ${entry.index} leaves a gap`)
+    })
+    await this.#queue.add(appendEntries(this.#index, entries))
+  }
+
+  async truncateFrom(index: number): Promise<void> {
+    this.#checkLogWritable()
+    if (index > this.lastIndex) return
+    check(index > this.#snapshotIndexAsked, `a snapshot stands for entry ${index}`)
+    await this.#queue.add(truncateEntries(this.#index, index))
+  }
+
+  async saveHardState(state: HardState): Promise<void> {
+    this.#checkWritable()
+    const { term, votedFor } = state
+    await this.#queue.add(async () => {
+      await writeSmallFile(this.#files, this.#folder, hardStateFile, { term, votedFor })
+      this.#hardState = { term, votedFor }
+    })
+  }
+
+  /** Does nothing where a newer snapshot is there already. */
+  async saveSnapshot(snapshot: Snapshot, keepEntries: number): Promise<void> {
+    this.#checkWritable()
+    const { index, term } = snapshot.meta
+    if (this.#installing || index <= this.#snapshotIndexAsked) return
+    check(this.termAt(index) === term, `no entry ${index} of term ${term} to snapshot`)
+    this.#snapshotIndexAsked = index
+    await this.#queue.add(async () => {
+      await this.#snapshots.save(snapshot)
+      await this.#log.compact(this.#index, index - keepEntries + 1)
+    })
+  }
+
+  /** Until it resolves, other changes of the log are refused. */
+  async installSnapshot(snapshot: Snapshot): Promise<void> {
+    this.#checkLogWritable()
+    this.#installing = true
+    try {
+      await this.#queue.add(() => this.#install(snapshot))
+    } finally {
+      this.#installing = false
+    }
+  }
+
+  readSnapshot(): Promise<Snapshot | undefined> {
+    return this.#snapshots.read()
+  }
+
+  close(): Promise<void> {
+    this.#closed ??= this.#close()
+    return this.#closed
+  }
+
+  /** The snapshot's new name is the step that counts: it voids every segment of the generation before. */
+  async #install(snapshot: Snapshot): Promise<void> {
+    const { index } = snapshot.meta
+    const former = await this.#snapshots.install(snapshot)
+    this.#index = new LogIndex(index + 1)
+    this.#snapshotIndexAsked = index
+    await this.#log.startGeneration(this.#snapshots.generation, index + 1)
+    await former.remove()
+  }
+
+  async #close(): Promise<void> {
+    await this.#queue.settle()
+    try {
+      if (this.#queue.failure === undefined) await this.#log.seal()
+    } finally {
+      await this.#log.close()
+      await this.#lock.release()
+    }
+  }
+
+  #checkWritable(): void {
+    if (this.#queue.failure !== undefined) throw this.#queue.failure
+    check(this.#closed === undefined, 'the store is closed')
+  }
+
+  #checkLogWritable(): void {
+    this.#checkWritable()
+    check(!this.#installing, 'a snapshot is being installed')
+  }
+}
+
+/** These are faults of the caller, not of the disk. */
+function check(condition: boolean, reason: string): void {
+  if (!condition) throw new NettlespurError('internal', reason)
+}
--- a/storage/log/src/index.ts
+++ b/storage/log/src/index.ts
@@ -1,4 +1,6 @@
 /** The durable log of one instance: segments, term and vote, snapshots, disk identity. */
+export { FileLogStore, type FileLogStoreOptions } from './fileLogStore.js'
+export { FileSystem, OpenFile } from './fileSystem.js'
 export {
   LogStore,
   type HardState,
@@ -6,3 +8,4 @@
   type Snapshot,
   type SnapshotMeta,
 } from './logStore.js'
+export { NodeFileSystem } from './nodeFileSystem.js'
--- /dev/null
+++ b/storage/log/src/processToken.ts
@@ -0,0 +1,44 @@
+/**
+ * Names one life of one process: its id, when it started, and the boot it started in. Where the machine does
+ * not tell the latter two, the id alone has to do.
+ */
+import { readFile } from 'node:fs/promises'
+
+const startTimeField = 19
+
+export function readProcessToken(): Promise<string> {
+  return describeProcess(process.pid)
+}
+
+export async function isProcessAlive(token: string): Promise<boolean> {
+  const pid = Number(token.split('-', 1)[0])
+  if (!Number.isSafeInteger(pid) || pid <= 0 || !answersSignals(pid)) return false
+  return (await describeProcess(pid)) === token
+}
+
+async function describeProcess(pid: number): Promise<string> {
+  const startTicks = await readStartTicks(pid)
+  const boot = await readBoot()
+  return `${pid}-${startTicks}-${boot}`
+}
+
+/** The fields after the command, which stands in brackets and may hold blanks. */
+async function readStartTicks(pid: number): Promise<string> {
+  const stat = await readFile(`/proc/${pid}/stat`, 'utf8').catch(() => '')
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ')
+  return fields[startTimeField] ?? '0'
+}
+
+async function readBoot(): Promise<string> {
+  const id = await readFile('/proc/sys/kernel/random/boot_id', 'utf8').catch(() => '0')
+  return id.trim().replaceAll('-', '')
+}
+
+function answersSignals(pid: number): boolean {
+  try {
+    process.kill(pid, 0)
+    return true
+  } catch (error) {
+    return (error as NodeJS.ErrnoException).code === 'EPERM'
+  }
+}
--- /dev/null
+++ b/storage/log/src/recoverFolder.ts
@@ -0,0 +1,87 @@
+/** Brings a data folder back to what was last durable, or refuses it. */
+import path from 'node:path'
+import type { Logger } from '@nettlespur/core.logger'
+import { createFolder } from './createFolder.js'
+import type { FileSystem } from './fileSystem.js'
+import type { HardState } from './logStore.js'
+import { recoverLog, type RecoveredLog, type TornTail } from './recoverLog.js'
+import { recoverSnapshot, type RecoveredSnapshot } from './recoverSnapshot.js'
+import { Segment } from './segment.js'
+import {
+  diskIdFile,
+  diskIdSchema,
+  hardStateFile,
+  hardStateSchema,
+  readSmallFile,
+} from './smallFile.js'
+import { asideSuffix } from './writeAside.js'
+
+export interface RecoverFolderOptions {
+  readonly files: FileSystem
+  readonly folder: string
+  readonly logger: Logger
+}
+
+export interface RecoveredFolder {
+  readonly diskId: string
+  readonly hardState: HardState
+  readonly base: RecoveredSnapshot
+  readonly log: RecoveredLog
+}
+
+/** What it finds counts as durable afterwards: names and contents are synced before it resolves. */
+export async function recoverFolder(opts: RecoverFolderOptions): Promise<RecoveredFolder> {
+  const { files, folder } = opts
+  await files.syncFolder(folder)
+  await createFolder(files, folder, await files.listFolder(folder))
+  const names = await files.listFolder(folder)
+  const { diskId } = await readSmallFile(files, folder, diskIdFile, diskIdSchema)
+  const { term, votedFor } = await readSmallFile(files, folder, hardStateFile, hardStateSchema)
+  const base = await recoverSnapshot(files, folder, names)
+  const log = await recoverLog({ files, folder, names, base })
+  try {
+    await makeWhole(opts, base, log)
+    await removeVoid(opts, names, [...base.voidFiles, ...log.voidFiles])
+  } catch (error) {
+    for (const segment of log.segments) await segment.retire()
+    throw error
+  }
+  if (base.damaged !== undefined) {
+    opts.logger.warn({ event: 'storage.snapshotDamaged', ...base.damaged })
+  }
+  return { diskId, hardState: { term, votedFor }, base, log }
+}
+
+/** Cuts a torn tail and seals the log; makes the first segment where a crash came before it. */
+async function makeWhole(
+  opts: RecoverFolderOptions,
+  { generation }: RecoveredSnapshot,
+  log: RecoveredLog,
+): Promise<void> {
+  const last = log.segments.at(-1)
+  if (last === undefined) {
+    const firstIndex = log.index.nextIndex
+    const id = { generation, number: 1, firstIndex }
+    log.segments.push(await Segment.create(opts.files, opts.folder, id))
+    return
+  }
+  if (log.tornTail !== undefined) await cutTail(opts.logger, last, log.tornTail)
+  await last.seal()
+}
+
+async function cutTail(logger: Logger, segment: Segment, torn: TornTail): Promise<void> {
+  await segment.cutTail()
+  logger.warn({ event: 'storage.tornTailCut', ...torn })
+}
+
+async function removeVoid(
+  { files, folder }: RecoverFolderOptions,
+  names: readonly string[],
+  voidFiles: readonly string[],
+): Promise<void> {
+  const aside = names.filter((name) => name.endsWith(asideSuffix))
+  for (const file of [...aside.map((name) => path.join(folder, name)), ...voidFiles]) {
+    await files.removeFile(file)
+    await files.syncFolder(folder)
+  }
+}
--- /dev/null
+++ b/storage/log/src/snapshotFile.ts
@@ -0,0 +1,68 @@
+/**
+ * A snapshot as one file, under one checksum. Its name tells the generation of segments it goes with.
+ *
+ * Layout: magic (8 bytes), head length (4), head as JSON, data, CRC-32 of all before (4).
+ */
+import { crc32 } from 'node:zlib'
+import { z } from 'zod'
+import type { Snapshot } from './logStore.js'
+
+const magic = Buffer.from('NSPSNP01')
+const headOffset = magic.length + 4
+const crcBytes = 4
+const namePattern = /^snapshot-(\d{8})-(\d{15})\.snap$/
+
+const headSchema = z.object({
+  generation: z.number().int().nonnegative(),
+  /** True for a snapshot installed from a leader: no segment of its generation is older than it. */
+  installed: z.boolean(),
+  index: z.number().int().nonnegative(),
+  term: z.number().int().nonnegative(),
+  membership: z.unknown(),
+})
+
+export interface SnapshotId {
+  readonly generation: number
+  readonly index: number
+}
+
+export interface StoredSnapshot extends Snapshot {
+  readonly generation: number
+  readonly installed: boolean
+}
+
+export function nameSnapshot(id: SnapshotId): string {
+  const generation = String(id.generation).padStart(8, '0')
+  return `snapshot-${generation}-${String(id.index).padStart(15, '0')}.snap`
+}
+
+export function parseSnapshotName(name: string): SnapshotId | undefined {
+  const match = namePattern.exec(name)
+  if (match === null) return undefined
+  const [generation = 0, index = 0] = match.slice(1).map(Number)
+  return { generation, index }
+}
+
+export function encodeSnapshot(snapshot: StoredSnapshot): Buffer {
+  const { generation, installed, meta, data } = snapshot
+  const head = Buffer.from(JSON.stringify({ generation, installed, ...meta }))
+  const lengths = Buffer.alloc(4)
+  lengths.writeUInt32BE(head.length)
+  const crc = Buffer.alloc(crcBytes)
+  const parts = [magic, lengths, head, data]
+  crc.writeUInt32BE(parts.reduce((sum, part) => crc32(part, sum), 0))
+  return Buffer.concat([...parts, crc])
+}
+
+/** Undefined where the file is not as written, or is another's. */
+export function decodeSnapshot(bytes: Buffer, id: SnapshotId): StoredSnapshot | undefined {
+  const crcOffset = bytes.length - crcBytes
+  if (crcOffset < headOffset || !bytes.subarray(0, magic.length).equals(magic)) return undefined
+  if (crc32(bytes.subarray(0, crcOffset)) !== bytes.readUInt32BE(crcOffset)) return undefined
+  const dataOffset = headOffset + bytes.readUInt32BE(magic.length)
+  const head = headSchema.parse(JSON.parse(bytes.toString('utf8', headOffset, dataOffset)))
+  if (head.generation !== id.generation || head.index !== id.index) return undefined
+  const { generation, installed, index, term, membership } = head
+  const data = bytes.subarray(dataOffset, crcOffset)
+  return { generation, installed, meta: { index, term, membership }, data }
+}
--- /dev/null
+++ b/storage/log/test/fileLogStore.test.ts
@@ -0,0 +1,68 @@
+import test from 'ava'
+import { MemoryFileSystem, openStore, readAll, toEntry } from '../__utils__/index.js'
+
+const range = (from: number, to: number, term = 1) =>
+  Array.from({ length: to - from + 1 }, (_, position) => toEntry(from + position, term))
+
+test('entries, hard state and disk identity outlive a restart', async (t) => {
+  const files = new MemoryFileSystem()
+  const store = await openStore(files)
+  t.deepEqual([store.firstIndex, store.lastIndex, store.lastTerm], [1, 0, 0])
+  await store.append(range(1, 5))
+  await store.saveHardState({ term: 3, votedFor: 'b' })
+  await store.close()
+  const again = await openStore(files.crash('lost'))
+  t.is(again.diskId, store.diskId)
+  t.deepEqual(again.hardState, { term: 3, votedFor: 'b' })
+  t.deepEqual(await readAll(again), range(1, 5))
+  t.not((await openStore(new MemoryFileSystem())).diskId, store.diskId)
+})
+
+test('appends in progress together share one sync, and reads serve them meanwhile', async (t) => {
+  const files = new MemoryFileSystem()
+  const store = await openStore(files)
+  const before = files.operations
+  const appends = range(1, 50).map((entry) => store.append([entry]))
+  t.deepEqual(await readAll(store), range(1, 50))
+  await Promise.all(appends)
+  t.is(files.operations - before, 2)
+  t.deepEqual(await readAll(store), range(1, 50))
+})
+
+test('a read gives at least one entry, then up to the bytes asked for', async (t) => {
+  const store = await openStore(new MemoryFileSystem(), { segmentBytesMax: 200 })
+  for (const entry of range(1, 9)) await store.append([entry])
+  t.deepEqual(await store.read(2, 0), range(2, 2))
+  t.deepEqual(await store.read(2, 3 * 'entry 1'.length), range(2, 4))
+  t.deepEqual(await store.read(10, 100), [])
+  t.deepEqual(await store.read(0, 100), [])
+})
+
+test('a truncation removes an entry and all after it, for good', async (t) => {
+  const files = new MemoryFileSystem()
+  const store = await openStore(files, { segmentBytesMax: 200 })
+  for (const entry of range(1, 9)) await store.append([entry])
+  await store.truncateFrom(4)
+  t.deepEqual([store.lastIndex, store.lastTerm], [3, 1])
+  await store.append(range(4, 6, 2))
+  const again = await openStore(files.crash('lost'))
+  t.deepEqual(await readAll(again), [...range(1, 3), ...range(4, 6, 2)])
+  t.is(again.termAt(4), 2)
+  t.is(again.termAt(7), undefined)
+})
+
+test('entries that leave a gap and truncations behind a snapshot are the caller’s fault', async (t) => {
+  const store = await openStore(new MemoryFileSystem())
+  await t.throwsAsync(store.append([toEntry(2)]), { message: /gap/ })
+  await store.append(range(1, 5))
+  await store.saveSnapshot(
+    { meta: { index: 4, term: 1, membership: null }, data: Buffer.alloc(0) },
+    9,
+  )
+  await t.throwsAsync(store.truncateFrom(4), { message: /snapshot/ })
+  await t.throwsAsync(
+    store.saveSnapshot({ meta: { index: 9, term: 1, membership: null }, data: Buffer.alloc(0) }, 0),
+    { message: /no entry 9/ },
+  )
+  await store.append([toEntry(6)])
+})
