fix: remove what a crash left half-made before anything is made anew

Cause: the crash property found that reopening removed a segment's file aside that the same reopening had just made and renamed. Change: leftovers go first. The crash property (1500 runs) and the install steps land with it.

--- a/storage/log/__utils__/index.ts
+++ b/storage/log/__utils__/index.ts
@@ -1,3 +1,12 @@
 /** Fakes for tests of the store. */
 export { MemoryFileSystem, lossKinds, type Fault, type LossKind } from './memoryFileSystem.js'
 export { failWith, folder, openStore, readAll, silentLogger, toEntry } from './storeHelpers.js'
+export {
+  emptyState,
+  holdsState,
+  planCommand,
+  stepsArbitrary,
+  toSnapshot,
+  type Step,
+  type StoreState,
+} from './storeModel.js'
--- /dev/null
+++ b/storage/log/__utils__/storeModel.ts
@@ -0,0 +1,137 @@
+/** What a store should hold after some commands: the plain truth that a reopened one is held against. */
+import fc from 'fast-check'
+import type { HardState, LogEntry, LogStore, Snapshot } from '../src/index.js'
+import { readAll, toEntry } from './storeHelpers.js'
+
+export interface StoreState {
+  readonly hardState: HardState
+  readonly snapshotIndex: number
+  readonly snapshotTerm: number
+  /** The store may hold entries from here on, and must from `keptIndex` on. */
+  readonly floorIndex: number
+  readonly keptIndex: number
+  /** All entries from `floorIndex` on. */
+  readonly entries: readonly LogEntry[]
+}
+
+export type Command =
+  | { readonly kind: 'append'; readonly count: number; readonly text: string }
+  | { readonly kind: 'truncate'; readonly back: number }
+  | { readonly kind: 'hardState'; readonly votedFor: string | undefined }
+  | { readonly kind: 'snapshot'; readonly back: number; readonly keep: number }
+  | { readonly kind: 'install'; readonly ahead: number }
+
+/** A command, and whether the next one waits for it. */
+export interface Step {
+  readonly command: Command
+  readonly awaited: boolean
+}
+
+export const emptyState: StoreState = {
+  hardState: { term: 0, votedFor: undefined },
+  snapshotIndex: 0,
+  snapshotTerm: 0,
+  floorIndex: 1,
+  keptIndex: 1,
+  entries: [],
+}
+
+const commandArbitrary: fc.Arbitrary<Command> = fc.oneof(
+  {
+    weight: 5,
+    arbitrary: fc.record({
+      kind: fc.constant('append' as const),
+      count: fc.integer({ min: 1, max: 4 }),
+      text: fc.string({ maxLength: 40 }),
+    }),
+  },
+  fc.record({ kind: fc.constant('truncate' as const), back: fc.nat(5) }),
+  fc.record({
+    kind: fc.constant('hardState' as const),
+    votedFor: fc.constantFrom(undefined, 'a', 'b'),
+  }),
+  fc.record({ kind: fc.constant('snapshot' as const), back: fc.nat(4), keep: fc.nat(3) }),
+  fc.record({ kind: fc.constant('install' as const), ahead: fc.integer({ min: -3, max: 3 }) }),
+)
+
+export const stepsArbitrary = fc.array(
+  fc.record({ command: commandArbitrary, awaited: fc.boolean() }),
+  { maxLength: 15 },
+)
+
+/** The state after the command, and the call that asks the store for it; undefined where it does not apply. */
+export function planCommand(
+  state: StoreState,
+  command: Command,
+): { next: StoreState; run: (store: LogStore) => Promise<void> } | undefined {
+  const lastIndex = state.floorIndex + state.entries.length - 1
+  const term = state.hardState.term + 1
+  switch (command.kind) {
+    case 'append': {
+      const added = Array.from({ length: command.count }, (_, position) =>
+        toEntry(lastIndex + 1 + position, term, command.text),
+      )
+      const next = { ...state, entries: [...state.entries, ...added] }
+      return { next, run: (store) => store.append(added) }
+    }
+    case 'truncate': {
+      const index = Math.max(state.snapshotIndex + 1, lastIndex - command.back)
+      const entries = state.entries.filter((entry) => entry.index < index)
+      return { next: { ...state, entries }, run: (store) => store.truncateFrom(index) }
+    }
+    case 'hardState': {
+      const hardState = { term, votedFor: command.votedFor }
+      return { next: { ...state, hardState }, run: (store) => store.saveHardState(hardState) }
+    }
+    case 'snapshot': {
+      const index = lastIndex - command.back
+      const entry = state.entries.find((one) => one.index === index)
+      if (entry === undefined || index <= state.snapshotIndex) return undefined
+      const keptIndex = Math.max(state.keptIndex, index - command.keep + 1)
+      const next = { ...state, keptIndex, snapshotIndex: index, snapshotTerm: entry.term }
+      const snapshot = toSnapshot(index, entry.term)
+      return { next, run: (store) => store.saveSnapshot(snapshot, command.keep) }
+    }
+    case 'install': {
+      const index = Math.max(1, lastIndex + command.ahead)
+      const floorIndex = index + 1
+      const installed = { snapshotIndex: index, snapshotTerm: term, entries: [] }
+      const next = { ...state, ...installed, floorIndex, keptIndex: floorIndex }
+      return { next, run: (store) => store.installSnapshot(toSnapshot(index, term)) }
+    }
+  }
+}
+
+export function toSnapshot(index: number, term: number): Snapshot {
+  return {
+    meta: { index, term, membership: { voters: [index] } },
+    data: Buffer.from(`to ${index}`),
+  }
+}
+
+/** Whether the store holds exactly the state. */
+export async function holdsState(store: LogStore, state: StoreState): Promise<boolean> {
+  const { snapshotMeta, hardState } = store
+  const snapshot = await store.readSnapshot()
+  const expected = state.snapshotIndex === 0 ? '' : `to ${state.snapshotIndex}`
+  const entries = await readAll(store)
+  const wanted = state.entries.filter((entry) => entry.index >= store.firstIndex)
+  return (
+    hardState.term === state.hardState.term &&
+    hardState.votedFor === state.hardState.votedFor &&
+    snapshotMeta.index === state.snapshotIndex &&
+    snapshotMeta.term === state.snapshotTerm &&
+    (snapshot?.data.toString() ?? '') === expected &&
+    store.firstIndex >= state.floorIndex &&
+    store.firstIndex <= Math.max(state.keptIndex, state.floorIndex) &&
+    store.lastIndex === state.floorIndex + state.entries.length - 1 &&
+    entries.length === wanted.length &&
+    entries.every((entry, position) => isSame(entry, wanted[position]))
+  )
+}
+
+function isSame(left: LogEntry, right: LogEntry | undefined): boolean {
+  return (
+    left.index === right?.index && left.term === right.term && left.payload.equals(right.payload)
+  )
+}
--- a/storage/log/src/processToken.ts
+++ b/storage/log/src/processToken.ts
@@ -6,20 +6,16 @@
 
 const startTimeField = 19
 
-export function readProcessToken(): Promise<string> {
-  return describeProcess(process.pid)
+export async function readProcessToken(pid = process.pid): Promise<string> {
+  const startTicks = await readStartTicks(pid)
+  const boot = await readBoot()
+  return `${pid}-${startTicks}-${boot}`
 }
 
 export async function isProcessAlive(token: string): Promise<boolean> {
   const pid = Number(token.split('-', 1)[0])
   if (!Number.isSafeInteger(pid) || pid <= 0 || !answersSignals(pid)) return false
-  return (await describeProcess(pid)) === token
-}
-
-async function describeProcess(pid: number): Promise<string> {
-  const startTicks = await readStartTicks(pid)
-  const boot = await readBoot()
-  return `${pid}-${startTicks}-${boot}`
+  return (await readProcessToken(pid)) === token
 }
 
 /** The fields after the command, which stands in brackets and may hold blanks. */
--- a/storage/log/src/recoverFolder.ts
+++ b/storage/log/src/recoverFolder.ts
@@ -33,6 +33,7 @@
 export async function recoverFolder(opts: RecoverFolderOptions): Promise<RecoveredFolder> {
   const { files, folder } = opts
   await files.syncFolder(folder)
+  await removeFiles(opts, await listAside(opts))
   await createFolder(files, folder, await files.listFolder(folder))
   const names = await files.listFolder(folder)
   const { diskId } = await readSmallFile(files, folder, diskIdFile, diskIdSchema)
@@ -41,7 +42,7 @@
   const log = await recoverLog({ files, folder, names, base })
   try {
     await makeWhole(opts, base, log)
-    await removeVoid(opts, names, [...base.voidFiles, ...log.voidFiles])
+    await removeFiles(opts, [...base.voidFiles, ...log.voidFiles])
   } catch (error) {
     for (const segment of log.segments) await segment.retire()
     throw error
@@ -74,13 +75,17 @@
   logger.warn({ event: 'storage.tornTailCut', ...torn })
 }
 
-async function removeVoid(
+/** Files that a crash left before they got their name. */
+async function listAside({ files, folder }: RecoverFolderOptions): Promise<string[]> {
+  const names = await files.listFolder(folder)
+  return names.filter((name) => name.endsWith(asideSuffix)).map((name) => path.join(folder, name))
+}
+
+async function removeFiles(
   { files, folder }: RecoverFolderOptions,
-  names: readonly string[],
-  voidFiles: readonly string[],
+  removed: readonly string[],
 ): Promise<void> {
-  const aside = names.filter((name) => name.endsWith(asideSuffix))
-  for (const file of [...aside.map((name) => path.join(folder, name)), ...voidFiles]) {
+  for (const file of removed) {
     await files.removeFile(file)
     await files.syncFolder(folder)
   }
--- /dev/null
+++ b/storage/log/test/crash.test.ts
@@ -0,0 +1,140 @@
+import test from 'ava'
+import fc from 'fast-check'
+import {
+  emptyState,
+  holdsState,
+  lossKinds,
+  MemoryFileSystem,
+  openStore,
+  planCommand,
+  readAll,
+  stepsArbitrary,
+  toEntry,
+  toSnapshot,
+  type Step,
+  type StoreState,
+} from '../__utils__/index.js'
+import type { FileLogStore } from '../src/index.js'
+
+const small = { segmentBytesMax: 200, batchBytesMax: 150 }
+const crashArbitrary = fc.constantFrom(...lossKinds, 'killed' as const)
+
+/** Each state a reopened store may be in: from the last that was promised to the last that was asked for. */
+async function runUntilCrash(files: MemoryFileSystem, steps: readonly Step[]) {
+  const states = [emptyState]
+  let promised = 0
+  let diskId: string | undefined
+  const calls: Promise<void>[] = []
+  try {
+    const store = await openStore(files, small)
+    diskId = store.diskId
+    for (const { command, awaited } of steps) {
+      const alone = command.kind === 'install'
+      if (alone) await Promise.all(calls)
+      const plan = planCommand(states.at(-1) ?? emptyState, command)
+      if (plan === undefined) continue
+      states.push(plan.next)
+      const position = states.length - 1
+      const call = plan.run(store).then(() => {
+        promised = position
+      })
+      call.catch(() => undefined)
+      calls.push(call)
+      if (awaited || alone) await call
+    }
+    await Promise.all(calls)
+    await store.close()
+  } catch {
+    await Promise.allSettled(calls)
+  }
+  return { allowed: states.slice(promised), diskId }
+}
+
+async function reopen(files: MemoryFileSystem): Promise<FileLogStore> {
+  return openStore(files, small)
+}
+
+async function findState(store: FileLogStore, allowed: readonly StoreState[]) {
+  for (const state of allowed) if (await holdsState(store, state)) return state
+  throw new Error(
+    `in no state allowed: ${JSON.stringify({
+      ...store.hardState,
+      first: store.firstIndex,
+      last: store.lastIndex,
+      snapshot: store.snapshotMeta,
+      allowed: allowed.map(({ entries, ...state }) => ({ ...state, entries: entries.length })),
+    })}`,
+  )
+}
+
+function crashAt(files: MemoryFileSystem, operation: number): void {
+  files.fault = (_operation, _file, count) => {
+    if (count >= operation) throw new Error('crashed')
+  }
+}
+
+function goDown(files: MemoryFileSystem, kind: (typeof lossKinds)[number] | 'killed') {
+  return kind === 'killed' ? files.kill() : files.crash(kind)
+}
+
+test('after a crash at any file operation all that was promised is there, and nothing else', async (t) => {
+  let crashesInRecovery = 0
+  await fc.assert(
+    fc.asyncProperty(
+      stepsArbitrary,
+      fc.nat(90),
+      crashArbitrary,
+      fc.nat(20),
+      crashArbitrary,
+      async (steps, firstCrash, firstKind, secondCrash, secondKind) => {
+        const files = new MemoryFileSystem()
+        crashAt(files, firstCrash)
+        const { allowed, diskId } = await runUntilCrash(files, steps)
+        const second = goDown(files, firstKind)
+        crashAt(second, secondCrash)
+        const early = await reopen(second).catch(() => undefined)
+        if (early === undefined) crashesInRecovery++
+        const seen = early === undefined ? undefined : await findState(early, allowed)
+        // What a reopened store shows counts as promised from then on.
+        const third = goDown(second, secondKind)
+        const store = await reopen(third)
+        const state = await findState(store, seen === undefined ? allowed : [seen])
+        if (diskId !== undefined && store.diskId !== diskId)
+          throw new Error('another disk identity')
+        await store.append([toEntry(store.lastIndex + 1, 99)])
+        const last = await reopen(third.crash('lost'))
+        const added = [...state.entries, toEntry(state.floorIndex + state.entries.length, 99)]
+        await findState(last, [{ ...state, entries: added }])
+      },
+    ),
+    { numRuns: 1500 },
+  )
+  t.true(crashesInRecovery > 0)
+})
+
+test('a crash at any step of an install leaves the old state or the new one', async (t) => {
+  const seen = new Set<number>()
+  for (const loss of [...lossKinds, 'killed' as const]) {
+    for (let step = 0, done = false; !done; step++) {
+      const files = new MemoryFileSystem()
+      const store = await openStore(files, small)
+      for (let index = 1; index <= 12; index++) await store.append([toEntry(index)])
+      await store.saveSnapshot(toSnapshot(6, 1), 0)
+      crashAt(files, files.operations + step)
+      const outcome = await store.installSnapshot(toSnapshot(9, 5)).then(
+        () => true,
+        () => false,
+      )
+      done = outcome
+      const again = await reopen(goDown(files, loss))
+      const { index } = again.snapshotMeta
+      const entries = await readAll(again)
+      if (index === 9) t.deepEqual([again.firstIndex, again.lastIndex, again.lastTerm], [10, 9, 5])
+      else t.deepEqual([index, again.lastIndex, entries.at(-1)], [6, 12, toEntry(12)])
+      if (outcome) t.is(index, 9)
+      t.is((await again.readSnapshot())?.data.toString(), `to ${index}`)
+      seen.add(index)
+    }
+  }
+  t.deepEqual([...seen].sort(), [6, 9])
+})
