--- a/storage/log/__utils__/memoryFileSystem.ts
+++ b/storage/log/__utils__/memoryFileSystem.ts
@@ -134,6 +134,8 @@
 }
 
 class MemoryOpenFile extends OpenFile {
+  #closed = false
+
   constructor(
     readonly files: MemoryFileSystem,
     readonly path: string,
@@ -142,8 +144,9 @@
     super()
   }
 
-  // eslint-disable-next-line @typescript-eslint/require-await
   async read(offsetBytes: number, lengthBytes: number): Promise<Buffer> {
+    await new Promise((resolve) => setImmediate(resolve))
+    if (this.#closed) throw new Error(`${this.path} is closed`)
     return Buffer.from(this.inode.bytes.subarray(offsetBytes, offsetBytes + lengthBytes))
   }
 
@@ -180,6 +183,7 @@
   }
 
   close(): Promise<void> {
+    this.#closed = true
     return Promise.resolve()
   }
 }
--- /dev/null
+++ b/storage/log/test/damage.test.ts
@@ -0,0 +1,140 @@
+import path from 'node:path'
+import test from 'ava'
+import type { LogEvent } from '@nettlespur/core.logger'
+import { NettlespurError } from '@nettlespur/core.errors'
+import {
+  folder,
+  MemoryFileSystem,
+  openStore,
+  readAll,
+  silentLogger,
+  toEntry,
+  toSnapshot,
+} from '../__utils__/index.js'
+import { segmentHeaderBytes } from '../src/segmentHeader.js'
+
+const small = { segmentBytesMax: 400 }
+const sealBytes = 24
+
+/** Three segments, a snapshot, and a clean close. */
+async function createFilled(): Promise<MemoryFileSystem> {
+  const files = new MemoryFileSystem()
+  const store = await openStore(files, small)
+  for (let index = 1; index <= 16; index++) await store.append([toEntry(index)])
+  await store.saveHardState({ term: 2, votedFor: 'a' })
+  await store.saveSnapshot(toSnapshot(4, 1), 16)
+  await store.close()
+  return files.crash('lost')
+}
+
+function listSegments(files: MemoryFileSystem): string[] {
+  return [...files.names.keys()].filter((name) => name.includes('segment-')).sort()
+}
+
+function flip(files: MemoryFileSystem, name: string, offsetBytes: number, mask: number): void {
+  const bytes = files.names.get(name)?.bytes
+  if (bytes !== undefined) bytes[offsetBytes] = (bytes[offsetBytes] ?? 0) ^ mask
+}
+
+async function openError(files: MemoryFileSystem): Promise<NettlespurError | undefined> {
+  const opened = await openStore(files, small).catch((error: unknown) => error)
+  return opened instanceof NettlespurError ? opened : undefined
+}
+
+test('damage to any byte before the last seal is refused, with file and byte offset', async (t) => {
+  const filled = await createFilled()
+  const segments = listSegments(filled)
+  t.true(segments.length >= 3)
+  for (const name of segments) {
+    const size = filled.names.get(name)?.bytes.length ?? 0
+    const end = name === segments.at(-1) ? size - sealBytes : size
+    for (let offset = 0; offset < end; offset++) {
+      const files = filled.crash('lost')
+      flip(files, name, offset, 1 << (offset % 8))
+      const error = await openError(files)
+      if (error?.kind !== 'storage-damaged') t.fail(`${name} at byte ${offset} was let through`)
+      const told = /^(.*) at byte (\d+):/.exec(error?.message ?? '')
+      if (told?.[1] !== name) t.fail(`${name} at byte ${offset} was told as ${String(told?.[1])}`)
+      const distance = offset - Number(told?.[2])
+      if (distance < 0 || distance > 60)
+        t.fail(`${name} at byte ${offset} was told as ${told?.[2]}`)
+    }
+  }
+})
+
+test('damage to any byte of the hard state or the disk identity is refused', async (t) => {
+  const filled = await createFilled()
+  for (const name of ['hard-state', 'disk-id'].map((one) => path.join(folder, one))) {
+    const size = filled.names.get(name)?.bytes.length ?? 0
+    for (let offset = 0; offset < size; offset++) {
+      const files = filled.crash('lost')
+      flip(files, name, offset, 1)
+      const error = await openError(files)
+      if (error?.kind !== 'storage-damaged') t.fail(`${name} at byte ${offset} was let through`)
+    }
+    const files = filled.crash('lost')
+    files.names.delete(name)
+    t.truthy(await openError(files), `${name} is missing`)
+  }
+})
+
+test('a missing segment is refused, unless it is one that an install voids', async (t) => {
+  const filled = await createFilled()
+  const segments = listSegments(filled)
+  for (const name of segments.slice(0, -1)) {
+    const files = filled.crash('lost')
+    files.names.delete(name)
+    t.is((await openError(files))?.kind, 'storage-damaged', name)
+  }
+  for (const name of segments) filled.names.delete(name)
+  t.is((await openError(filled))?.kind, 'storage-damaged')
+})
+
+test('a damaged snapshot is passed over only where the log reaches as far by itself', async (t) => {
+  const filled = await createFilled()
+  const name = [...filled.names.keys()].find((one) => one.endsWith('.snap')) ?? ''
+  flip(filled, name, 30, 1)
+  const store = await openStore(filled, small)
+  t.deepEqual([store.snapshotMeta.index, store.firstIndex, store.lastIndex], [0, 1, 16])
+  await store.saveSnapshot(toSnapshot(15, 1), 0)
+  await store.close()
+  const compacted = filled.crash('lost')
+  const later = [...compacted.names.keys()].filter((one) => one.endsWith('.snap'))
+  t.is(later.length, 1)
+  flip(compacted, later[0] ?? '', 30, 1)
+  t.is((await openError(compacted))?.kind, 'storage-damaged')
+})
+
+test('a torn write at the end is cut, with a log line', async (t) => {
+  for (const loss of ['halfKept', 'firstHalfLost'] as const) {
+    const files = new MemoryFileSystem()
+    const store = await openStore(files)
+    await store.append([toEntry(1)])
+    files.fault = (operation) => {
+      if (operation === 'sync') throw new Error('crashed')
+    }
+    await t.throwsAsync(store.append([toEntry(2), toEntry(3)]))
+    const events: LogEvent[] = []
+    const torn = files.crash(loss)
+    const again = await openStore(torn, { logger: silentLogger(events) })
+    t.deepEqual(await readAll(again), [toEntry(1)])
+    const cut = events.find(({ event }) => event === 'storage.tornTailCut')
+    t.is(cut?.file, listSegments(torn)[0])
+    t.true(Number(cut?.offsetBytes) > segmentHeaderBytes)
+    t.true(Number(cut?.removedBytes) > 0)
+    await again.append([toEntry(2, 2)])
+    t.deepEqual(await readAll(await openStore(torn.crash('lost'))), [toEntry(1), toEntry(2, 2)])
+  }
+})
+
+test('an entry that no longer reads back is refused, not handed on', async (t) => {
+  const files = new MemoryFileSystem()
+  const store = await openStore(files)
+  await store.append([toEntry(1), toEntry(2)])
+  const name = listSegments(files)[0] ?? ''
+  const size = files.names.get(name)?.bytes.length ?? 0
+  flip(files, name, size - 1, 1)
+  t.deepEqual(await store.read(1, 0), [toEntry(1)])
+  const error = await t.throwsAsync(store.read(2, 0))
+  t.like(error, { kind: 'storage-damaged' })
+})
--- /dev/null
+++ b/storage/log/test/writeFaults.test.ts
@@ -0,0 +1,77 @@
+import test from 'ava'
+import {
+  failWith,
+  MemoryFileSystem,
+  openStore,
+  readAll,
+  toEntry,
+  toSnapshot,
+} from '../__utils__/index.js'
+import type { FileLogStore } from '../src/index.js'
+
+const writes: Record<string, (store: FileLogStore) => Promise<void>> = {
+  append: (store) => store.append([toEntry(store.lastIndex + 1)]),
+  truncateFrom: (store) => store.truncateFrom(store.lastIndex),
+  saveHardState: (store) => store.saveHardState({ term: 9, votedFor: 'x' }),
+  saveSnapshot: (store) => store.saveSnapshot(toSnapshot(store.lastIndex, 1), 0),
+  installSnapshot: (store) => store.installSnapshot(toSnapshot(50, 8)),
+}
+const faults = [
+  { operation: 'write', code: 'ENOSPC', kind: 'disk-full' },
+  { operation: 'sync', code: 'EIO', kind: 'storage-failed' },
+  { operation: 'write', code: 'EIO', kind: 'storage-failed' },
+] as const
+
+for (const { operation, code, kind } of faults) {
+  test(`${code} on ${operation} stops all writes for good, and reads go on`, async (t) => {
+    for (const [name, write] of Object.entries(writes)) {
+      const files = new MemoryFileSystem()
+      const store = await openStore(files)
+      await store.append([toEntry(1), toEntry(2), toEntry(3)])
+      files.fault = (called) => {
+        if (called === operation) failWith(code)
+      }
+      t.like(await t.throwsAsync(write(store)), { kind }, name)
+      files.fault = () => undefined
+      const before = files.operations
+      for (const next of Object.values(writes)) t.like(await t.throwsAsync(next(store)), { kind })
+      t.is(files.operations, before)
+      t.deepEqual(await readAll(store), [toEntry(1), toEntry(2), toEntry(3)])
+      t.deepEqual([store.lastIndex, store.hardState.term, store.snapshotMeta.index], [3, 0, 0])
+      await store.close()
+      const again = await openStore(files.crash('lost'))
+      t.deepEqual(await readAll(again), [toEntry(1), toEntry(2), toEntry(3)])
+    }
+  })
+}
+
+test('changes that waited behind a failed write fail with it and are undone', async (t) => {
+  const files = new MemoryFileSystem()
+  const store = await openStore(files)
+  await store.append([toEntry(1), toEntry(2), toEntry(3)])
+  files.fault = (operation) => {
+    if (operation === 'sync') failWith('EIO')
+  }
+  const calls = [
+    store.append([toEntry(4)]),
+    store.saveHardState({ term: 4, votedFor: undefined }),
+    store.truncateFrom(2),
+    store.append([toEntry(2, 7), toEntry(3, 7)]),
+  ]
+  t.is(store.lastIndex, 3)
+  t.is(store.lastTerm, 7)
+  const outcomes = await Promise.allSettled(calls)
+  t.true(outcomes.every(({ status }) => status === 'rejected'))
+  t.deepEqual(await readAll(store), [toEntry(1), toEntry(2), toEntry(3)])
+})
+
+test('a full disk at the start is told as such and leaves the folder free', async (t) => {
+  const files = new MemoryFileSystem()
+  files.fault = (operation) => {
+    if (operation === 'write') failWith('ENOSPC')
+  }
+  t.like(await t.throwsAsync(openStore(files)), { kind: 'disk-full' })
+  files.fault = () => undefined
+  const store = await openStore(files)
+  t.is(store.lastIndex, 0)
+})
