fix: sync what recovery found before anything is written after it

A truncation with nothing left to remove resolved before the one that was removing it; and after a process died, recovery wrote its seal behind a frame that was visible but not durable, so that a second crash could keep the seal and lose the frame, and the folder was refused as damaged. Change: calls with nothing left to do wait for earlier ones; recovery cuts and syncs before it seals. Both cases have tests of their own.

--- a/storage/log/src/fileLogStore.ts
+++ b/storage/log/src/fileLogStore.ts
@@ -150,7 +150,7 @@
 
   async append(entries: readonly LogEntry[]): Promise<void> {
     this.#checkLogWritable()
-    if (entries.length === 0) return
+    if (entries.length === 0) return this.#waitForEarlier()
     entries.forEach((entry, position) => {
       check(entry.index === this.#index.nextIndex + position, `entry ${entry.index} leaves a gap`)
     })
@@ -159,7 +159,7 @@
 
   async truncateFrom(index: number): Promise<void> {
     this.#checkLogWritable()
-    if (index > this.lastIndex) return
+    if (index > this.lastIndex) return this.#waitForEarlier()
     check(index > this.#snapshotIndexAsked, `a snapshot stands for entry ${index}`)
     await this.#queue.add(truncateEntries(this.#index, index))
   }
@@ -177,7 +177,7 @@
   async saveSnapshot(snapshot: Snapshot, keepEntries: number): Promise<void> {
     this.#checkWritable()
     const { index, term } = snapshot.meta
-    if (this.#installing || index <= this.#snapshotIndexAsked) return
+    if (this.#installing || index <= this.#snapshotIndexAsked) return this.#waitForEarlier()
     check(this.termAt(index) === term, `no entry ${index} of term ${term} to snapshot`)
     this.#snapshotIndexAsked = index
     await this.#queue.add(async () => {
@@ -226,6 +226,11 @@
     }
   }
 
+  /** A call with nothing left to do must not resolve before the call that did it. */
+  #waitForEarlier(): Promise<void> {
+    return this.#queue.add(() => Promise.resolve())
+  }
+
   #checkWritable(): void {
     if (this.#queue.failure !== undefined) throw this.#queue.failure
     check(this.#closed === undefined, 'the store is closed')
--- a/storage/log/src/recoverFolder.ts
+++ b/storage/log/src/recoverFolder.ts
@@ -4,7 +4,7 @@
 import { createFolder } from './createFolder.js'
 import type { FileSystem } from './fileSystem.js'
 import type { HardState } from './logStore.js'
-import { recoverLog, type RecoveredLog, type TornTail } from './recoverLog.js'
+import { recoverLog, type RecoveredLog } from './recoverLog.js'
 import { recoverSnapshot, type RecoveredSnapshot } from './recoverSnapshot.js'
 import { Segment } from './segment.js'
 import {
@@ -66,15 +66,13 @@
     log.segments.push(await Segment.create(opts.files, opts.folder, id))
     return
   }
-  if (log.tornTail !== undefined) await cutTail(opts.logger, last, log.tornTail)
+  await last.cutTail()
+  if (log.tornTail !== undefined) {
+    opts.logger.warn({ event: 'storage.tornTailCut', ...log.tornTail })
+  }
   await last.seal()
 }
 
-async function cutTail(logger: Logger, segment: Segment, torn: TornTail): Promise<void> {
-  await segment.cutTail()
-  logger.warn({ event: 'storage.tornTailCut', ...torn })
-}
-
 /** Files that a crash left before they got their name. */
 async function listAside({ files, folder }: RecoverFolderOptions): Promise<string[]> {
   const names = await files.listFolder(folder)
--- a/storage/log/src/segment.ts
+++ b/storage/log/src/segment.ts
@@ -89,7 +89,10 @@
     if (!this.#sealed) await this.writeFrame(Buffer.alloc(0))
   }
 
-  /** Cuts what follows the last whole frame. */
+  /**
+   * Cuts what follows the last whole frame, and syncs that frame, which a process that died may not have:
+   * otherwise a frame written after it could outlive it.
+   */
   async cutTail(): Promise<void> {
     await this.#file.truncate(this.#sizeBytes)
     await this.#file.sync()
--- a/storage/log/test/crash.test.ts
+++ b/storage/log/test/crash.test.ts
@@ -17,7 +17,7 @@
 import type { FileLogStore } from '../src/index.js'
 
 const small = { segmentBytesMax: 200, batchBytesMax: 150 }
-const crashArbitrary = fc.constantFrom(...lossKinds, 'killed' as const)
+const crashKinds = [...lossKinds, 'killed'] as const
 
 /** Each state a reopened store may be in: from the last that was promised to the last that was asked for. */
 async function runUntilCrash(files: MemoryFileSystem, steps: readonly Step[]) {
@@ -73,38 +73,47 @@
   }
 }
 
-function goDown(files: MemoryFileSystem, kind: (typeof lossKinds)[number] | 'killed') {
+function goDown(files: MemoryFileSystem, kind: Crash['kind']) {
   return kind === 'killed' ? files.kill() : files.crash(kind)
 }
 
+interface Crash {
+  readonly operation: number
+  readonly kind: (typeof lossKinds)[number] | 'killed'
+}
+
+/** Crashes once while running and once while reopening; resolves to whether the second one came in time. */
+async function checkCrashes(steps: readonly Step[], first: Crash, second: Crash): Promise<boolean> {
+  const files = new MemoryFileSystem()
+  crashAt(files, first.operation)
+  const { allowed, diskId } = await runUntilCrash(files, steps)
+  const found = goDown(files, first.kind)
+  crashAt(found, second.operation)
+  const early = await reopen(found).catch(() => undefined)
+  // What a reopened store shows counts as promised from then on.
+  const seen = early === undefined ? allowed : [await findState(early, allowed)]
+  const foundAgain = goDown(found, second.kind)
+  const store = await reopen(foundAgain)
+  const state = await findState(store, seen)
+  if (diskId !== undefined && store.diskId !== diskId) throw new Error('another disk identity')
+  const added = toEntry(store.lastIndex + 1, 99)
+  await store.append([added])
+  const last = await reopen(foundAgain.crash('lost'))
+  await findState(last, [{ ...state, entries: [...state.entries, added] }])
+  return early === undefined
+}
+
 test('after a crash at any file operation all that was promised is there, and nothing else', async (t) => {
   let crashesInRecovery = 0
+  const crashArbitrary = (operationMax: number) =>
+    fc.record({ operation: fc.nat(operationMax), kind: fc.constantFrom(...crashKinds) })
   await fc.assert(
     fc.asyncProperty(
       stepsArbitrary,
-      fc.nat(90),
-      crashArbitrary,
-      fc.nat(20),
-      crashArbitrary,
-      async (steps, firstCrash, firstKind, secondCrash, secondKind) => {
-        const files = new MemoryFileSystem()
-        crashAt(files, firstCrash)
-        const { allowed, diskId } = await runUntilCrash(files, steps)
-        const second = goDown(files, firstKind)
-        crashAt(second, secondCrash)
-        const early = await reopen(second).catch(() => undefined)
-        if (early === undefined) crashesInRecovery++
-        const seen = early === undefined ? undefined : await findState(early, allowed)
-        // What a reopened store shows counts as promised from then on.
-        const third = goDown(second, secondKind)
-        const store = await reopen(third)
-        const state = await findState(store, seen === undefined ? allowed : [seen])
-        if (diskId !== undefined && store.diskId !== diskId)
-          throw new Error('another disk identity')
-        await store.append([toEntry(store.lastIndex + 1, 99)])
-        const last = await reopen(third.crash('lost'))
-        const added = [...state.entries, toEntry(state.floorIndex + state.entries.length, 99)]
-        await findState(last, [{ ...state, entries: added }])
+      crashArbitrary(90),
+      crashArbitrary(20),
+      async (steps, first, second) => {
+        if (await checkCrashes(steps, first, second)) crashesInRecovery++
       },
     ),
     { numRuns: 1500 },
@@ -112,9 +121,24 @@
   t.true(crashesInRecovery > 0)
 })
 
+test('no two crashes, one in an append and one in the recovery from it, lose anything', async (t) => {
+  const append = { kind: 'append', count: 2, text: 'some text' } as const
+  const steps = [{ command: append, awaited: true }]
+  for (const kind of crashKinds) {
+    for (let operation = 12; operation <= 24; operation++) {
+      for (let second = 0; second <= 8; second++) {
+        for (const secondKind of crashKinds) {
+          const crashes = { operation: second, kind: secondKind }
+          await t.notThrowsAsync(checkCrashes(steps, { operation, kind }, crashes))
+        }
+      }
+    }
+  }
+})
+
 test('a crash at any step of an install leaves the old state or the new one', async (t) => {
   const seen = new Set<number>()
-  for (const loss of [...lossKinds, 'killed' as const]) {
+  for (const loss of crashKinds) {
     for (let step = 0, done = false; !done; step++) {
       const files = new MemoryFileSystem()
       const store = await openStore(files, small)
--- a/storage/log/test/fileLogStore.test.ts
+++ b/storage/log/test/fileLogStore.test.ts
@@ -51,6 +51,15 @@
   t.is(again.termAt(7), undefined)
 })
 
+test('a truncation of what another one is removing is done only when that one is', async (t) => {
+  const files = new MemoryFileSystem()
+  const store = await openStore(files)
+  await store.append(range(1, 3))
+  void store.truncateFrom(2)
+  await store.truncateFrom(2)
+  t.deepEqual(await readAll(await openStore(files.crash('lost'))), range(1, 1))
+})
+
 test('entries that leave a gap and truncations behind a snapshot are the caller’s fault', async (t) => {
   const store = await openStore(new MemoryFileSystem())
   await t.throwsAsync(store.append([toEntry(2)]), { message: /gap/ })
