feat: name every decision a placement round may take

A round could only place a job or let it wait. The union is now closed over place, preempt, wait and refuse, so that the part which carries decisions out can be written beside the one that takes them. Nothing decides to preempt or refuse yet.

--- a/control/service/src/placementLoop.ts
+++ b/control/service/src/placementLoop.ts
@@ -6,7 +6,7 @@
 import { waitForWake, type GangManager } from '@nettlespur/control.gangs'
 import { readJob } from '@nettlespur/control.state'
 import { toNettlespurError } from '@nettlespur/core.errors'
-import type { PlacementDecision } from '@nettlespur/placement.engine'
+import type { PlaceDecision } from '@nettlespur/placement.engine'
 import { filter, merge, type BehaviorSubject } from 'rxjs'
 import { createPlacementView } from './createPlacementView.js'
 import type { ControlNodeOptions } from './nodeOptions.js'
@@ -23,8 +23,6 @@
   version: BehaviorSubject<number>
 }
 
-type PlaceDecision = Extract<PlacementDecision, { kind: 'place' }>
-
 export class PlacementLoop {
   readonly #opts: PlacementLoopOptions
   #waitReasons = new Map<string, string>()
@@ -73,7 +71,7 @@
     for (const decision of node.policy.decide(view)) {
       if (signal.aborted) return
       if (decision.kind === 'place') await this.#place(decision, views)
-      else reasons.set(decision.jobId, decision.reason)
+      else if (decision.kind === 'wait') reasons.set(decision.jobId, decision.reason)
     }
     this.#keepReasons(reasons)
   }
--- a/placement/engine/src/bestFitPolicy.ts
+++ b/placement/engine/src/bestFitPolicy.ts
@@ -6,7 +6,8 @@
 import type { UpstreamView } from '@nettlespur/api.schemas'
 import { fitGang } from './fitGang.js'
 import { holdFormingBlock } from './holdFormingBlock.js'
-import { PlacementPolicy, type PlacementDecision } from './placementPolicy.js'
+import type { PlacementDecision } from './placementDecision.js'
+import { PlacementPolicy } from './placementPolicy.js'
 import type { Block, Demand, PlacementView, WaitingJob } from './placementView.js'
 import { Topology } from './topology.js'
 
--- a/placement/engine/src/index.ts
+++ b/placement/engine/src/index.ts
@@ -1,5 +1,12 @@
 /** Where gangs are placed, and why those that wait are waiting. */
 export { BestFitPolicy } from './bestFitPolicy.js'
 export { measureUnusableShare } from './measureFragmentation.js'
-export { PlacementPolicy, type PlacementDecision } from './placementPolicy.js'
+export type {
+  PlaceDecision,
+  PlacementDecision,
+  PreemptDecision,
+  RefuseDecision,
+  WaitDecision,
+} from './placementDecision.js'
+export { PlacementPolicy } from './placementPolicy.js'
 export type { Block, Demand, HeldBlock, PlacementView, WaitingJob } from './placementView.js'
