feat: preempt gangs, tell bad upstreams from bad jobs, and spread retries

Cause: nothing executed a preemption, an upstream that failed everything kept its work, and retries had no budget. Change: job.preempt, job.keep and job.refuse commands; a gang stops whole, after a checkpoint where asked, and goes on from it; fast failures mark an upstream and quarantine it, in the replicated state; retries take from a budget per workspace and cluster; a dead upstream is found before its lease ends; news reaches its gang by its id.

--- a/control/gangs/src/chooseCommand.ts
+++ b/control/gangs/src/chooseCommand.ts
@@ -1,11 +1,11 @@
 /** What is committed about a job once an attempt is over and all its members are known to be stopped. */
 import type { Command, JobRecord } from '@nettlespur/control.state'
-import type { GangBroken, GangOutcome } from './gangOutcome.js'
+import type { GangBroken, GangOutcome, GangPreempted } from './gangOutcome.js'
 
-/** Started attempts in which a task failed by itself, before the job is told to be at fault. */
-const failedAttemptsMax = 3
-/** Started attempts that lost a member, before the job is given up. */
-const lostAttemptsMax = 8
+/** A job whose tasks failed by themselves on this many upstreams is at fault itself. */
+export const failedUpstreamsMax = 3
+/** Started attempts that did not finish, before the job is given up. */
+const failedAttemptsMax = 8
 const retryBaseMs = 100
 const retryCapMs = 15_000
 
@@ -16,44 +16,76 @@
   now: Date
   /** Between 0 and 1, for jitter. */
   random: () => number
+  /** Of the contract; 0 where it allows none. */
+  retriesPerSecond: number
+  /** Takes a retry from the budgets; how long it must wait, in milliseconds. */
+  takeRetry: () => number
 }
 
 export function chooseCommand(opts: ChooseCommandOptions): Command {
   const { job, fence, outcome, now } = opts
   const head = { at: now.toISOString(), jobId: job.jobId, fence }
   if (outcome.kind === 'finished') return { type: 'job.finish', ...head, parts: outcome.parts }
-  const { reason } = outcome
+  const { reason, startSent } = outcome
+  const mayHaveRun = job.startCommitted && startSent
   if (job.cancelRequested) {
-    const when = job.startCommitted && outcome.startSent ? 'after' : 'before'
-    return {
-      type: 'job.ended',
-      ...head,
-      outcome: 'cancelled',
-      reason: `cancelled ${when} its start: ${reason}`,
-    }
+    const when = mayHaveRun ? 'after' : 'before'
+    const told = `cancelled ${when} its start: ${reason}`
+    return { type: 'job.ended', ...head, outcome: 'cancelled', reason: told }
   }
-  const mayHaveRun = job.startCommitted && outcome.startSent
-  const end = mayHaveRun ? pickEnd(job, outcome) : undefined
-  if (end !== undefined) return { type: 'job.ended', ...head, outcome: end, reason }
-  return {
-    type: 'job.requeue',
-    ...head,
-    reason,
-    retryAt: new Date(now.getTime() + pickDelayMs(opts)).toISOString(),
-    startSent: outcome.startSent,
-    countsAsFailure: mayHaveRun,
+  if (outcome.kind === 'preempted') return requeuePreempted(opts, outcome)
+  const { failure } = outcome
+  const end = mayHaveRun ? pickEnd(opts, outcome) : undefined
+  if (end !== undefined) {
+    return { type: 'job.ended', ...head, outcome: end.state, reason: end.reason, failure }
   }
+  const retryAt = new Date(now.getTime() + pickDelayMs(opts)).toISOString()
+  const countsAsFailure = mayHaveRun
+  return { type: 'job.requeue', ...head, reason, retryAt, startSent, countsAsFailure, failure }
+}
+
+/** The job has done nothing wrong: no pause, and no retry taken from its budget. */
+function requeuePreempted(
+  { job, fence, now }: ChooseCommandOptions,
+  outcome: GangPreempted,
+): Command {
+  const { reason, startSent, checkpointId } = outcome
+  const at = now.toISOString()
+  const head = { at, jobId: job.jobId, fence, retryAt: at }
+  const { repeatable } = job.request
+  if (job.startCommitted && startSent && !repeatable && checkpointId === undefined) {
+    return { type: 'job.ended', at, jobId: job.jobId, fence, outcome: 'unknown', reason }
+  }
+  return { type: 'job.requeue', ...head, reason, startSent, countsAsFailure: false, checkpointId }
+}
+
+interface End {
+  readonly state: 'failed' | 'unknown'
+  readonly reason: string
 }
 
 /** The final state of a started job; undefined where it is tried again. */
-function pickEnd(job: JobRecord, outcome: GangBroken): 'failed' | 'unknown' | undefined {
-  const failed = outcome.kind === 'failed'
-  if (!job.request.repeatable) return failed ? 'failed' : 'unknown'
-  const most = failed ? failedAttemptsMax : lostAttemptsMax
-  return job.failedAttempts + 1 >= most ? 'failed' : undefined
+function pickEnd(
+  { job, retriesPerSecond }: ChooseCommandOptions,
+  outcome: GangBroken,
+): End | undefined {
+  const { kind, reason, failure } = outcome
+  if (!job.request.repeatable) return { state: kind === 'failed' ? 'failed' : 'unknown', reason }
+  const upstreams = new Set([...job.failedUpstreamIds, failure?.upstreamId])
+  upstreams.delete(undefined)
+  if (failure !== undefined && upstreams.size >= failedUpstreamsMax) {
+    return { state: 'failed', reason: `${reason}; it failed on ${[...upstreams].join(', ')}` }
+  }
+  if (retriesPerSecond === 0) {
+    return { state: 'failed', reason: `${reason}; its contract allows no retries` }
+  }
+  const attempts = job.failedAttempts + 1
+  if (attempts < failedAttemptsMax) return undefined
+  return { state: 'failed', reason: `${reason}; ${attempts} attempts did not finish` }
 }
 
-/** Full jitter over a bound that doubles with each attempt. */
-function pickDelayMs({ job, random }: ChooseCommandOptions): number {
-  return Math.round(random() * Math.min(retryCapMs, retryBaseMs * 2 ** Math.min(job.attempts, 16)))
+/** Full jitter over a bound that doubles with each attempt, after what the budgets ask for. */
+function pickDelayMs({ job, random, takeRetry }: ChooseCommandOptions): number {
+  const boundMs = Math.min(retryCapMs, retryBaseMs * 2 ** Math.min(job.attempts, 16))
+  return Math.round(takeRetry() + random() * boundMs)
 }
--- /dev/null
+++ b/control/gangs/src/endedLog.ts
@@ -0,0 +1,55 @@
+/** Log lines of ended gangs. A wave of cancellations leaves some lines of its own and one that sums it up. */
+import type { Clock } from '@nettlespur/core.clock'
+import type { Logger } from '@nettlespur/core.logger'
+
+const windowMs = 1000
+/** Cancelled gangs with a line of their own in one window. */
+const linesMax = 20
+
+export interface EndedGang {
+  readonly jobId: string
+  readonly fence: number
+  readonly type: string
+  readonly state: string
+  readonly reason: string
+}
+
+export class EndedLog {
+  readonly #clock: Clock
+  readonly #logger: Logger
+  #lines = 0
+  #unlogged = 0
+  #windowIsOpen = false
+
+  constructor(clock: Clock, logger: Logger) {
+    this.#clock = clock
+    this.#logger = logger
+  }
+
+  note(gang: EndedGang): void {
+    if (gang.state === 'cancelled' && !this.#takeLine()) {
+      this.#unlogged += 1
+      return
+    }
+    this.#logger.info({ event: 'gang.ended', ...gang })
+  }
+
+  #takeLine(): boolean {
+    if (!this.#windowIsOpen) {
+      this.#windowIsOpen = true
+      this.#clock.setTimer(windowMs, () => {
+        this.#closeWindow()
+      })
+    }
+    this.#lines += 1
+    return this.#lines <= linesMax
+  }
+
+  #closeWindow(): void {
+    const gangs = this.#unlogged
+    if (gangs > 0) this.#logger.info({ event: 'gang.cancelled-wave', gangs, windowMs })
+    this.#lines = 0
+    this.#unlogged = 0
+    this.#windowIsOpen = false
+  }
+}
--- a/control/gangs/src/gangManager.ts
+++ b/control/gangs/src/gangManager.ts
@@ -1,18 +1,48 @@
 /** One task for each placed gang, for as long as this instance leads. */
+import type { Placement } from '@nettlespur/api.schemas'
 import type { JobRecord } from '@nettlespur/control.state'
 import { toNettlespurError } from '@nettlespur/core.errors'
+import { BehaviorSubject } from 'rxjs'
+import { EndedLog } from './endedLog.js'
 import type { GangOptions } from './gangOptions.js'
-import { GangRunner } from './gangRunner.js'
+import { GangRunner, type GangContext } from './gangRunner.js'
+import { RetryBudget } from './retryBudget.js'
 
 const resumeAfterMs = 1000
 
+interface RunningGang {
+  readonly ended: Promise<void>
+  readonly wake: BehaviorSubject<number>
+  readonly placement: Placement
+}
+
 export class GangManager {
   readonly #opts: GangOptions
   readonly #stopping = new AbortController()
-  readonly #running = new Map<string, Promise<void>>()
+  readonly #running = new Map<string, RunningGang>()
+  /** By job id and by task id, so that news reaches its gang without asking the others. */
+  readonly #wakes = new Map<string, BehaviorSubject<number>>()
+  readonly #retries: RetryBudget
+  readonly #endedLog: EndedLog
 
   constructor(opts: GangOptions) {
     this.#opts = opts
+    this.#retries = new RetryBudget(opts.clock)
+    this.#endedLog = new EndedLog(opts.clock, opts.logger)
+    const subscriptions = [
+      opts.holder.jobChanges.subscribe((job) => {
+        raise(this.#wakes.get(job.jobId))
+      }),
+      opts.taskReports.subscribe(({ taskId, state }) => {
+        if (state !== 'running') raise(this.#wakes.get(taskId))
+      }),
+      opts.upstreamChanges.subscribe((upstreamId) => {
+        this.#wakeGangsOn(upstreamId)
+      }),
+    ]
+    this.#stopping.signal.addEventListener('abort', () => {
+      for (const subscription of subscriptions) subscription.unsubscribe()
+    })
   }
 
   /** Gangs that are being run. */
@@ -38,7 +68,7 @@
   /** Lets go of all gangs without stopping them; their tasks go on under the next leader. */
   async stop(): Promise<void> {
     this.#stopping.abort()
-    await Promise.all(this.#running.values())
+    await Promise.all([...this.#running.values()].map((gang) => gang.ended))
   }
 
   #own(job: JobRecord, run: (runner: GangRunner) => Promise<void>): void {
@@ -46,11 +76,30 @@
     if (placement === undefined || this.#mustStop()) return
     const name = `${jobId}/${placement.fence}`
     if (this.#running.has(name)) return
-    const runner = new GangRunner(this.#opts, job, placement, this.#stopping.signal)
+    const wake = new BehaviorSubject(0)
+    const wakeNames = [jobId, ...placement.members.map((member) => member.taskId)]
+    for (const wakeName of wakeNames) this.#wakes.set(wakeName, wake)
+    const runner = new GangRunner(this.#createContext(wake), job, placement)
     const ended = run(runner)
       .catch((thrown: unknown) => this.#pauseAfterFault(jobId, placement.fence, thrown))
-      .finally(() => this.#running.delete(name))
-    this.#running.set(name, ended)
+      .finally(() => {
+        this.#running.delete(name)
+        for (const wakeName of wakeNames) {
+          if (this.#wakes.get(wakeName) === wake) this.#wakes.delete(wakeName)
+        }
+      })
+    this.#running.set(name, { ended, wake, placement })
+  }
+
+  #wakeGangsOn(upstreamId: string): void {
+    for (const { wake, placement } of this.#running.values()) {
+      if (placement.members.some((member) => member.upstreamId === upstreamId)) raise(wake)
+    }
+  }
+
+  #createContext(wake: BehaviorSubject<number>): GangContext {
+    const { signal } = this.#stopping
+    return { opts: this.#opts, retries: this.#retries, endedLog: this.#endedLog, wake, signal }
   }
 
   /** An unforeseen failure leaves the gang to the next `recover`, after a pause. */
@@ -65,3 +114,7 @@
     return this.#stopping.signal.aborted
   }
 }
+
+function raise(wake: BehaviorSubject<number> | undefined): void {
+  wake?.next(wake.value + 1)
+}
--- a/control/gangs/src/gangMember.ts
+++ b/control/gangs/src/gangMember.ts
@@ -18,6 +18,9 @@
   'lease-expired',
 ])
 const stopRetryMs = 250
+/** Renewals in a row without an answer after which a silent upstream counts as dead. */
+const failedCallsMax = 2
+const failedCallRetryMs = 1000
 /** Errors that tell for certain that a start had no effect. */
 const startRefusals: ReadonlySet<string> = new Set(['upstream-refused', 'fence-too-low'])
 
@@ -35,6 +38,7 @@
   #startMayHaveLeft = false
   #earliestLeaseEndMs = 0
   #latestLeaseEndMs = 0
+  #failedCalls = 0
 
   constructor(opts: GangOptions, jobId: string, member: PlacementMember, fence: number) {
     this.#opts = opts
@@ -59,16 +63,29 @@
   /** True where the member can't be relied on any more, whatever it may still be doing. */
   get isLost(): boolean {
     if (this.#startRefused) return true
-    if (this.#mayBeRunning) return this.leaseLeftMs <= 0
+    if (this.#mayBeRunning) return this.#leaseLeftMs <= 0 || this.#isPresumedDead
     return this.#state !== 'finished' && this.#state !== 'failed'
   }
 
-  /** Until the member counts as lost unless it is renewed; infinite once it has ended. */
-  get leaseLeftMs(): number {
+  /** Until it must be asked again: sooner after a failed call. Infinite once it has ended. */
+  get renewalDueMs(): number {
     if (!this.#mayBeRunning) return Number.POSITIVE_INFINITY
+    return this.#failedCalls > 0
+      ? Math.min(failedCallRetryMs, this.#leaseLeftMs)
+      : this.#leaseLeftMs
+  }
+
+  /** Until the member counts as lost unless it is renewed. */
+  get #leaseLeftMs(): number {
     return this.#earliestLeaseEndMs - this.#opts.clock.monotonicMs()
   }
 
+  /** Neither announced by its upstream nor found by its leader, while other upstreams are heard. */
+  get #isPresumedDead(): boolean {
+    const silent = this.#failedCalls >= failedCallsMax
+    return silent && this.#opts.isUpstreamSilent(this.upstreamId)
+  }
+
   get #mayBeRunning(): boolean {
     return this.#state === undefined || this.#state === 'reserved' || this.#state === 'running'
   }
@@ -120,6 +137,13 @@
     }
   }
 
+  /** The checkpoint's id; undefined where none could be taken. */
+  async checkpoint(): Promise<string | undefined> {
+    const answer = await this.#opts.client.checkpoint(this.task).run()
+    const status = answer.toMaybe().extract()
+    return status?.fence === this.task.fence ? status.checkpointId : undefined
+  }
+
   getAnswer(): EitherAsync<NettlespurError, Buffer> {
     return this.#opts.client.getAnswer(this.task)
   }
@@ -144,6 +168,7 @@
     const { clock, timings } = this.#opts
     const sentMs = clock.monotonicMs()
     const answer = await call().run()
+    this.#failedCalls = answer.isLeft() ? this.#failedCalls + 1 : 0
     const nothingLeft = answer.isLeft() && answer.extract().kind === 'unreachable'
     if (!nothingLeft) this.#latestLeaseEndMs = clock.monotonicMs() + timings.taskLeaseMs
     answer.ifRight((status) => {
--- a/control/gangs/src/gangOptions.ts
+++ b/control/gangs/src/gangOptions.ts
@@ -26,6 +26,10 @@
   timings: GangTimings
   /** What upstreams announce about their tasks: it wakes a gang before its next renewal is due. */
   taskReports: Observable<TaskReport>
+  /** Whether an upstream is not heard from although others are. */
+  isUpstreamSilent: (upstreamId: string) => boolean
+  /** Emits the id of each upstream of which `isUpstreamSilent` may tell something new. */
+  upstreamChanges: Observable<string>
   /** Between 0 and 1, for jitter. */
   random: () => number
 }
--- a/control/gangs/src/gangOutcome.ts
+++ b/control/gangs/src/gangOutcome.ts
@@ -1,5 +1,6 @@
 /** How one attempt of a gang went. */
 import type { JobAnswer } from '@nettlespur/api.schemas'
+import type { TaskFailure } from '@nettlespur/control.state'
 import type { GangMember } from './gangMember.js'
 
 export interface GangFinished {
@@ -13,12 +14,33 @@
   readonly reason: string
   /** False where it is certain that no start left. */
   readonly startSent: boolean
+  /** Where a task failed by itself. */
+  readonly failure?: TaskFailure | undefined
 }
 
-export type GangOutcome = GangFinished | GangBroken
+/** The gang makes way for another job and is queued again. */
+export interface GangPreempted {
+  readonly kind: 'preempted'
+  readonly reason: string
+  readonly startSent: boolean
+  /** Undefined where none was to be taken, or a member gave none in time. */
+  readonly checkpointId?: string | undefined
+}
+
+export type GangStopped = GangBroken | GangPreempted
+export type GangOutcome = GangFinished | GangStopped
+
+/** A task that fails within this time of its start casts suspicion on its upstream. */
+const fastFailureMs = 10_000
 
-/** What the states of the members amount to; undefined while the gang goes on. */
-export function judgeMembers(members: readonly GangMember[]): GangBroken | 'finished' | undefined {
+/**
+ * What the states of the members amount to; undefined while the gang goes on. `ranMs`: since
+ * its start, infinite where that is not known.
+ */
+export function judgeMembers(
+  members: readonly GangMember[],
+  ranMs: number,
+): GangBroken | 'finished' | undefined {
   const startSent = members.some((member) => member.startMayHaveLeft)
   const failed = members.find((member) => member.state === 'failed')
   if (failed !== undefined) {
@@ -26,6 +48,7 @@
       kind: 'failed',
       reason: `failed on ${failed.upstreamId}: ${failed.failure}`,
       startSent,
+      failure: { upstreamId: failed.upstreamId, fast: ranMs < fastFailureMs },
     }
   }
   const lost = members.find((member) => member.isLost)
--- a/control/gangs/src/gangRunner.ts
+++ b/control/gangs/src/gangRunner.ts
@@ -3,14 +3,18 @@
  * the start before it is sent, start, renew until the end, collect, commit. Whatever breaks the gang stops
  * all of its members before their accelerators are handed on.
  */
-import type { Placement, ReserveTask } from '@nettlespur/api.schemas'
+import type { Placement } from '@nettlespur/api.schemas'
 import type { Command, CommandResult, JobRecord } from '@nettlespur/control.state'
-import { filter, merge, type Observable } from 'rxjs'
+import { filter, type BehaviorSubject } from 'rxjs'
 import { chooseCommand } from './chooseCommand.js'
 import { collectAnswer } from './collectAnswer.js'
+import { createReserveBody } from './createReserveBody.js'
+import type { EndedLog } from './endedLog.js'
 import { GangMember } from './gangMember.js'
 import type { GangOptions } from './gangOptions.js'
-import { judgeMembers, type GangBroken, type GangOutcome } from './gangOutcome.js'
+import { judgeMembers, type GangOutcome, type GangStopped } from './gangOutcome.js'
+import type { RetryBudget } from './retryBudget.js'
+import { takeCheckpoint } from './takeCheckpoint.js'
 import { waitForWake } from './waitForWake.js'
 
 const firstPollMs = 50
@@ -18,16 +22,31 @@
 /** A refused command about the end of a job is chosen anew this often: a cancel may have come between. */
 const settleTriesMax = 3
 
+/** What a gang shares with the others of its manager. */
+export interface GangContext {
+  readonly opts: GangOptions
+  readonly retries: RetryBudget
+  readonly endedLog: EndedLog
+  /** Raised when the job, one of its tasks or one of its upstreams has changed. */
+  readonly wake: BehaviorSubject<number>
+  /** Ends the run without any further call: the gang goes on under its next leader. */
+  readonly signal: AbortSignal
+}
+
 export class GangRunner {
+  readonly #context: GangContext
   readonly #opts: GangOptions
   readonly #jobId: string
   readonly #placement: Placement
   readonly #members: readonly GangMember[]
   readonly #signal: AbortSignal
+  /** When the members were started, where this leader did it. */
+  #startedMs: number | undefined
 
-  /** `signal` ends the run without any further call: the gang goes on under its next leader. */
-  constructor(opts: GangOptions, job: JobRecord, placement: Placement, signal: AbortSignal) {
+  constructor(context: GangContext, job: JobRecord, placement: Placement) {
     const { fence, members } = placement
+    const { opts, signal } = context
+    this.#context = context
     this.#opts = opts
     this.#jobId = job.jobId
     this.#placement = placement
@@ -46,11 +65,20 @@
   /** Takes over a gang that another leader placed: what has not started is undone, what has goes on. */
   async resume(job: JobRecord): Promise<void> {
     for (const member of this.#members) member.adopt()
-    const outcome = job.state === 'running' ? await this.#watch() : describeUnfinished(job)
+    const outcome = (await this.#endUnfinished(job)) ?? (await this.#watch())
     await this.#end(outcome)
   }
 
-  async #reserveAll(job: JobRecord): Promise<GangBroken | undefined> {
+  /** What another leader left undone; undefined where the gang is to go on. */
+  async #endUnfinished(job: JobRecord): Promise<GangStopped | undefined> {
+    const startSent = job.startCommitted
+    if (startSent && job.preemption !== undefined) return this.#preempt(job)
+    if (job.state === 'running') return undefined
+    const stop = this.#describeStop(job, startSent)
+    return stop ?? { kind: 'lost', reason: 'its leader was lost before the start', startSent }
+  }
+
+  async #reserveAll(job: JobRecord): Promise<GangStopped | undefined> {
     const { taskLeaseMs } = this.#opts.timings
     const answers = await Promise.all(
       this.#members.map((member, rank) => {
@@ -69,28 +97,35 @@
   }
 
   /** Committed for every job, repeatable or not, so that a later leader knows what may have run. */
-  async #commitStart(): Promise<GangBroken | undefined> {
+  async #commitStart(): Promise<GangStopped | undefined> {
     const { fence } = this.#placement
     const at = this.#opts.clock.now().toISOString()
     const result = await this.#commit({ type: 'job.started', at, jobId: this.#jobId, fence })
+    this.#startedMs = this.#opts.clock.monotonicMs()
     if (result.type !== 'refused') return undefined
     const job = this.#readJob()
     if (job?.state === 'running') return undefined
-    return { kind: 'lost', reason: result.error.message, startSent: false }
+    const lost = { kind: 'lost' as const, reason: result.error.message, startSent: false }
+    return (job && this.#describeStop(job, false)) ?? lost
   }
 
   async #watch(): Promise<GangOutcome> {
     const { clock, timings } = this.#opts
     let pauseMs = firstPollMs
+    const { wake } = this.#context
     for (;;) {
+      const seen = wake.value
       await Promise.all(this.#members.map((member) => member.renewAndStart()))
       this.#signal.throwIfAborted()
-      const verdict = judgeMembers(this.#members)
+      const ranMs = clock.monotonicMs() - (this.#startedMs ?? Number.NEGATIVE_INFINITY)
+      const verdict = judgeMembers(this.#members, ranMs)
       if (verdict === 'finished') return collectAnswer(this.#opts, this.#members, this.#signal)
       if (verdict !== undefined) return verdict
-      if (this.#isCancelled()) return this.#describeCancel()
-      const leaseLeftMs = Math.min(...this.#members.map((member) => member.leaseLeftMs))
-      await waitForWake(clock, Math.min(pauseMs, leaseLeftMs), this.#listWakes(), this.#signal)
+      const stop = await this.#obeyStop()
+      if (stop !== undefined) return stop
+      const dueMs = Math.min(pauseMs, ...this.#members.map((member) => member.renewalDueMs))
+      const woken = wake.pipe(filter((version) => version > seen))
+      await waitForWake(clock, dueMs, woken, this.#signal)
       this.#signal.throwIfAborted()
       pauseMs = Math.min(pauseMs * 2, timings.renewTasksEveryMs)
     }
@@ -102,9 +137,7 @@
     for (let tries = 0; tries < settleTriesMax; tries++) {
       const job = this.#readJob()
       if (job === undefined) return
-      const { clock, random } = this.#opts
-      const { fence } = this.#placement
-      const command = chooseCommand({ job, fence, outcome: settled, now: clock.now(), random })
+      const command = this.#choose(job, settled)
       const result = await this.#commit(command)
       this.#logEnd(command, result)
       if (result.type !== 'refused') return
@@ -115,10 +148,27 @@
     }
   }
 
-  /** A cancelled gang that proves to have finished in the meantime gives its answer after all. */
-  async #stopAll(outcome: GangBroken): Promise<GangOutcome> {
+  #choose(job: JobRecord, outcome: GangOutcome): Command {
+    const { clock, random, holder } = this.#opts
+    const { workspace } = job.request
+    const limits = holder.state.getContract(workspace)?.contract.limits
+    const retriesPerSecond = limits?.retriesPerSecond ?? 0
+    return chooseCommand({
+      job,
+      fence: this.#placement.fence,
+      outcome,
+      now: clock.now(),
+      random,
+      retriesPerSecond,
+      takeRetry: () => this.#context.retries.take(workspace, retriesPerSecond),
+    })
+  }
+
+  /** A gang stopped at request that proves to have finished in the meantime gives its answer after all. */
+  async #stopAll(outcome: GangStopped): Promise<GangOutcome> {
     const stops = await Promise.all(this.#members.map((member) => member.stop(this.#signal)))
-    if (outcome.kind !== 'cancelled' || stops.some((stop) => stop !== 'finished')) return outcome
+    const requested = outcome.kind === 'cancelled' || outcome.kind === 'preempted'
+    if (!requested || stops.some((stop) => stop !== 'finished')) return outcome
     return collectAnswer(this.#opts, this.#members, this.#signal)
   }
 
@@ -139,22 +189,41 @@
     return job?.placement?.fence === this.#placement.fence ? job : undefined
   }
 
-  #isCancelled(): boolean {
-    return this.#readJob()?.cancelRequested !== false
-  }
-
-  #describeCancel(): GangBroken {
+  /** Whether the job is to be cancelled or to make way; undefined where it goes on. */
+  async #obeyStop(): Promise<GangStopped | undefined> {
     const startSent = this.#members.some((member) => member.startMayHaveLeft)
-    return { kind: 'cancelled', reason: 'stopped for its caller', startSent }
+    const job = this.#readJob()
+    if (job === undefined) return { kind: 'cancelled', reason: 'its record is gone', startSent }
+    if (job.preemption !== undefined) return this.#preempt(job)
+    return this.#describeStop(job, startSent)
   }
 
-  #listWakes(): Observable<unknown> {
-    const taskIds = new Set(this.#members.map((member) => member.task.taskId))
-    const changedTasks = this.#opts.taskReports.pipe(
-      filter(({ taskId, state }) => taskIds.has(taskId) && state !== 'running'),
-    )
-    const cancelled = this.#opts.holder.applied.pipe(filter(() => this.#isCancelled()))
-    return merge(changedTasks, cancelled)
+  #describeStop(job: JobRecord, startSent: boolean): GangStopped | undefined {
+    if (job.cancelRequested) {
+      return { kind: 'cancelled', reason: 'stopped for its caller', startSent }
+    }
+    if (job.preemption === undefined) return undefined
+    return { kind: 'preempted', reason: job.preemption.reason, startSent }
+  }
+
+  /**
+   * A started gang makes way. Where no checkpoint could be taken, a job that is not repeatable runs on:
+   * stopping it would lose it.
+   */
+  async #preempt({ request, preemption }: JobRecord): Promise<GangStopped | undefined> {
+    if (preemption === undefined) return undefined
+    const { reason, withCheckpoint } = preemption
+    const checkpointId = withCheckpoint
+      ? await takeCheckpoint(this.#opts, this.#members, this.#signal)
+      : undefined
+    if (checkpointId !== undefined || request.repeatable) {
+      return { kind: 'preempted', reason, startSent: true, checkpointId }
+    }
+    const at = this.#opts.clock.now().toISOString()
+    const kept = 'no checkpoint of the whole gang could be taken in time; it runs on'
+    await this.#commit({ type: 'job.keep', at, ...this.#describe(), reason: kept })
+    this.#opts.logger.warn({ event: 'gang.kept', ...this.#describe(), reason: kept })
+    return undefined
   }
 
   #logEnd(command: Command, result: CommandResult): void {
@@ -164,12 +233,8 @@
       logger.warn({ event: 'gang.settle-refused', ...head, reason: result.error.message })
     }
     if (result.type === 'job') {
-      logger.info({
-        event: 'gang.ended',
-        ...head,
-        state: result.job.state,
-        reason: result.job.reason,
-      })
+      const { state, reason } = result.job
+      this.#context.endedLog.note({ ...head, state, reason })
     }
   }
 
@@ -177,33 +242,3 @@
     return { jobId: this.#jobId, fence: this.#placement.fence }
   }
 }
-
-function describeUnfinished(job: JobRecord): GangBroken {
-  const startSent = job.startCommitted
-  if (job.cancelRequested) return { kind: 'cancelled', reason: 'stopped for its caller', startSent }
-  return { kind: 'lost', reason: 'its leader was lost before the start', startSent }
-}
-
-/** Processors and memory go by accelerators. */
-function createReserveBody(
-  job: JobRecord,
-  placement: Placement,
-  rank: number,
-  leaseMs: number,
-): ReserveTask {
-  const { gang, cpuCores, memoryBytes, workspace, payload } = job.request
-  const acceleratorIndexes = placement.members[rank]?.acceleratorIndexes ?? []
-  const share = acceleratorIndexes.length / gang.accelerators
-  return {
-    jobId: job.jobId,
-    fence: placement.fence,
-    workspace,
-    rank,
-    gangSize: placement.members.length,
-    acceleratorIndexes,
-    cpuCores: cpuCores * share,
-    memoryBytes: Math.floor(memoryBytes * share),
-    leaseMs,
-    payload,
-  }
-}
--- a/control/gangs/test/gangManager.test.ts
+++ b/control/gangs/test/gangManager.test.ts
@@ -25,11 +25,24 @@
   const client = new FakeUpstreams(clock)
   const taskReports = new Subject<TaskReport>()
   const logger = createLogger({ name: 'control', instanceId: 'c1', write: () => undefined })
-  const opts = { clock, logger, log, holder, client, timings, taskReports, random: () => 0 }
+  const silentUpstreams = new Set<string>()
+  const upstreamChanges = new Subject<string>()
+  const opts = {
+    clock,
+    logger,
+    log,
+    holder,
+    client,
+    timings,
+    taskReports,
+    isUpstreamSilent: (upstreamId: string) => silentUpstreams.has(upstreamId),
+    upstreamChanges,
+    random: () => 0,
+  }
   const at = clock.now().toISOString()
   const change = { changeId: 'c', expectedRevision: 0, contract: createContract('demo') }
   await unwrap(log.propose({ type: 'contract.apply', at, change }))
-  return { clock, holder, log, client, taskReports, createManager: () => new GangManager(opts) }
+  return { ...opts, silentUpstreams, createManager: () => new GangManager(opts) }
 }
 
 type Gangs = Awaited<ReturnType<typeof createGangs>>
--- a/control/state/src/cancelJob.ts
+++ b/control/state/src/cancelJob.ts
@@ -21,6 +21,6 @@
     event: 'job.cancel',
     reason: queued ? 'cancelled by its caller while queued' : 'cancelled by its caller; stops now',
     state: queued ? 'cancelled' : 'stopping',
-    fields: { cancelRequested: true },
+    fields: { cancelRequested: true, preemption: undefined },
   })
 }
--- a/control/state/src/command.ts
+++ b/control/state/src/command.ts
@@ -52,6 +52,46 @@
   fence: fenceSchema,
 })
 
+/**
+ * Asks for a placed gang to be stopped, so that another job may have its accelerators; it is queued again.
+ * With a checkpoint, one is taken first.
+ */
+export const preemptJobSchema = z.object({
+  type: z.literal('job.preempt'),
+  at,
+  jobId,
+  fence: fenceSchema,
+  /** Absent where the gang makes way for no job, but leaves its upstream. */
+  forJobId: jobId.optional(),
+  withCheckpoint: z.boolean(),
+  reason: z.string(),
+})
+
+/** Gives up a preemption before anything was stopped: the gang runs on. */
+export const keepJobSchema = z.object({
+  type: z.literal('job.keep'),
+  at,
+  jobId,
+  fence: fenceSchema,
+  reason: z.string(),
+})
+
+/** Ends a queued job that can never run. */
+export const refuseJobSchema = z.object({
+  type: z.literal('job.refuse'),
+  at,
+  jobId,
+  reason: z.string(),
+})
+
+/** The upstream whose task failed by itself. */
+export const taskFailureSchema = z.object({
+  upstreamId: identifierSchema,
+  /** True where it failed so soon after its start that the upstream is under suspicion. */
+  fast: z.boolean(),
+})
+export type TaskFailure = z.infer<typeof taskFailureSchema>
+
 export const finishJobSchema = z.object({
   type: z.literal('job.finish'),
   at,
@@ -73,6 +113,9 @@
   startSent: z.boolean(),
   /** True where the attempt was started and did not finish. */
   countsAsFailure: z.boolean(),
+  /** A checkpoint of the whole gang, for the next attempt. */
+  checkpointId: z.string().optional(),
+  failure: taskFailureSchema.optional(),
 })
 
 export const cancelJobSchema = z.object({
@@ -90,6 +133,7 @@
   fence: fenceSchema,
   outcome: z.enum(['failed', 'cancelled', 'unknown']),
   reason: z.string(),
+  failure: taskFailureSchema.optional(),
 })
 
 export const commandSchema = z.discriminatedUnion('type', [
@@ -98,6 +142,9 @@
   placeJobSchema,
   markStartedSchema,
   finishJobSchema,
+  preemptJobSchema,
+  keepJobSchema,
+  refuseJobSchema,
   requeueJobSchema,
   cancelJobSchema,
   endJobSchema,
--- a/control/state/src/controlState.ts
+++ b/control/state/src/controlState.ts
@@ -11,11 +11,15 @@
 import { finishJob } from './finishJob.js'
 import type { JobRecord } from './jobRecord.js'
 import { markStarted } from './markStarted.js'
+import { keepJob } from './keepJob.js'
 import { placeJob } from './placeJob.js'
+import { preemptJob } from './preemptJob.js'
+import { refuseJob } from './refuseJob.js'
 import { requeueJob } from './requeueJob.js'
 import { createStateData, type StateData } from './stateData.js'
 import { readSnapshot, takeSnapshot, type StateSnapshot } from './stateSnapshot.js'
 import { submitJob } from './submitJob.js'
+import type { UpstreamHealth } from './upstreamHealth.js'
 
 export class ControlState {
   readonly #data: StateData
@@ -90,6 +94,11 @@
     return history?.jobKeys.has(jobKey) === true || history?.endedJobKeys.has(jobKey) === true
   }
 
+  /** What is held against an upstream; undefined where nothing is. */
+  getUpstreamHealth(upstreamId: string): UpstreamHealth | undefined {
+    return this.#data.upstreamHealth.get(upstreamId)
+  }
+
   getAnswer(workspace: string, jobId: string): JobAnswer | undefined {
     return this.#data.histories.get(workspace)?.answers.get(jobId)
   }
@@ -107,6 +116,12 @@
       return markStarted(data, index, command)
     case 'job.finish':
       return finishJob(data, index, command)
+    case 'job.preempt':
+      return preemptJob(data, index, command)
+    case 'job.keep':
+      return keepJob(data, index, command)
+    case 'job.refuse':
+      return refuseJob(data, index, command)
     case 'job.requeue':
       return requeueJob(data, index, command)
     case 'job.cancel':
--- a/control/state/src/finishJob.ts
+++ b/control/state/src/finishJob.ts
@@ -5,6 +5,7 @@
 import { changeJob, findPlacedJob, isRefused } from './jobChange.js'
 import { answerBytesMax } from './retention.js'
 import { openHistory, type StateData } from './stateData.js'
+import { noteSuccess } from './upstreamHealth.js'
 
 export function finishJob(
   data: StateData,
@@ -21,6 +22,7 @@
   if (bytes > answerBytesMax) {
     return refuse('body-too-large', `the answer of ${jobId} has ${bytes} bytes`)
   }
+  noteSuccess(data, job)
   const { workspace } = job.request
   openHistory(data, workspace).answers.set(jobId, { jobId, attempt: job.attempts, parts })
   return changeJob(data, job, {
--- a/control/state/src/index.ts
+++ b/control/state/src/index.ts
@@ -1,9 +1,16 @@
 /** The replicated state of the cluster as a deterministic state machine. */
-export { commandSchema, type Assignment, type Command, type CommandOf } from './command.js'
+export {
+  commandSchema,
+  type Assignment,
+  type Command,
+  type CommandOf,
+  type TaskFailure,
+} from './command.js'
 export { readContract, readJob, type CommandResult, type Refused } from './commandResult.js'
 export { ControlState } from './controlState.js'
 export { legalMoves } from './jobChange.js'
 export { jobRecordSchema, toJobView, type JobRecord } from './jobRecord.js'
 export { answerBytesMax, changeIdsMax, endedJobMaxAgeMs, endedJobsMax } from './retention.js'
+export { type UpstreamHealth } from './upstreamHealth.js'
 export { StateHolder } from './stateHolder.js'
 export { stateSnapshotSchema, type StateSnapshot } from './stateSnapshot.js'
--- a/control/state/src/jobChange.ts
+++ b/control/state/src/jobChange.ts
@@ -7,10 +7,10 @@
 import { openHistory, type StateData } from './stateData.js'
 
 export const legalMoves: Readonly<Record<JobState, readonly JobState[]>> = {
-  queued: ['reserving', 'cancelled'],
+  queued: ['reserving', 'cancelled', 'failed'],
   reserving: ['queued', 'running', 'stopping'],
   running: ['queued', 'stopping', 'finished', 'failed', 'unknown'],
-  stopping: ['cancelled', 'finished', 'failed', 'unknown'],
+  stopping: ['queued', 'running', 'stopping', 'cancelled', 'finished', 'failed', 'unknown'],
   finished: [],
   failed: [],
   cancelled: [],
--- a/control/state/src/jobRecord.ts
+++ b/control/state/src/jobRecord.ts
@@ -9,6 +9,12 @@
 } from '@nettlespur/api.schemas'
 import { z } from 'zod'
 
+const preemptionSchema = z.object({
+  forJobId: z.string().optional(),
+  withCheckpoint: z.boolean(),
+  reason: z.string(),
+})
+
 export const jobRecordSchema = z.object({
   jobId: z.string(),
   /** The payload is dropped once the job has ended. */
@@ -28,6 +34,12 @@
   /** True once a start of the present placement may have left. */
   startCommitted: z.boolean(),
   cancelRequested: z.boolean(),
+  /** Set while the gang is stopped for another job; it is queued again after that. */
+  preemption: preemptionSchema.optional(),
+  /** The newest checkpoint of the whole gang; the next attempt goes on from it. */
+  checkpointId: z.string().optional(),
+  /** Where its tasks failed by themselves, each once. */
+  failedUpstreamIds: z.array(z.string()).default([]),
   decisions: z.array(decisionSchema),
 })
 export type JobRecord = z.infer<typeof jobRecordSchema>
--- a/control/state/src/markStarted.ts
+++ b/control/state/src/markStarted.ts
@@ -12,7 +12,7 @@
   const job = findPlacedJob(data, jobId, fence)
   if (isRefused(job)) return job
   if (job.state === 'stopping') {
-    return refuse('cancelled-before-start', `${jobId} was cancelled before its start`)
+    return refuse('cancelled-before-start', `${jobId} is to stop before its start: ${job.reason}`)
   }
   return changeJob(data, job, {
     at,
--- a/control/state/src/requeueJob.ts
+++ b/control/state/src/requeueJob.ts
@@ -1,9 +1,13 @@
-/** Takes a stopped gang back into the queue. A job that is not repeatable goes back only if it never started. */
+/**
+ * Takes a stopped gang back into the queue. A job that is not repeatable goes back only if it never started,
+ * or was preempted with a checkpoint of the whole gang.
+ */
 import type { CommandOf } from './command.js'
 import { refuse, type CommandResult } from './commandResult.js'
 import { changeJob, findPlacedJob, isRefused } from './jobChange.js'
 import type { JobRecord } from './jobRecord.js'
 import type { StateData } from './stateData.js'
+import { listFailedUpstreams, noteTaskFailure } from './upstreamHealth.js'
 
 export function requeueJob(
   data: StateData,
@@ -13,22 +17,29 @@
   const job = findPlacedJob(data, command.jobId, command.fence)
   if (isRefused(job)) return job
   const mayHaveRun = job.startCommitted && command.startSent
-  if (mayHaveRun && !job.request.repeatable) {
+  if (job.cancelRequested) return refuse('internal', `${job.jobId} is cancelled`)
+  const goesOn = job.preemption !== undefined && command.checkpointId !== undefined
+  if (mayHaveRun && !job.request.repeatable && !goesOn) {
     return refuse('internal', `${job.jobId} is not repeatable and may have run`)
   }
-  return changeJob(data, job, {
+  const result = changeJob(data, job, {
     at: command.at,
     event: 'job.requeued',
     reason: command.reason,
     state: 'queued',
     fields: {
       placement: undefined,
+      preemption: undefined,
+      checkpointId: command.checkpointId ?? job.checkpointId,
+      failedUpstreamIds: listFailedUpstreams(job, command.failure),
       startCommitted: false,
       startedAt: pickStartedAt(job, mayHaveRun),
       retryAt: command.retryAt,
       failedAttempts: job.failedAttempts + (command.countsAsFailure ? 1 : 0),
     },
   })
+  if (result.type === 'job') noteTaskFailure(data, job, command)
+  return result
 }
 
 /** A first attempt that never started leaves no start time behind. */
--- a/control/state/src/stateData.ts
+++ b/control/state/src/stateData.ts
@@ -1,6 +1,7 @@
 /** What the handlers of commands work on. Maps keep the order of insertion, which is the order of the log. */
 import type { ContractRecord, JobAnswer } from '@nettlespur/api.schemas'
 import type { JobRecord } from './jobRecord.js'
+import type { UpstreamHealth } from './upstreamHealth.js'
 
 /** An accepted change of an operator; with the resent body it gives the first answer again. */
 export interface ChangeRecord {
@@ -44,6 +45,8 @@
   /** Jobs that have not ended, in order of submission. */
   readonly jobs: Map<string, JobRecord>
   readonly histories: Map<string, WorkspaceHistory>
+  /** Upstreams with something held against them. */
+  readonly upstreamHealth: Map<string, UpstreamHealth>
 }
 
 export function createStateData(): StateData {
@@ -55,6 +58,7 @@
     changes: new Map(),
     jobs: new Map(),
     histories: new Map(),
+    upstreamHealth: new Map(),
   }
 }
 
--- a/control/state/src/stateSnapshot.ts
+++ b/control/state/src/stateSnapshot.ts
@@ -3,6 +3,7 @@
 import { z } from 'zod'
 import { jobRecordSchema } from './jobRecord.js'
 import { createStateData, type StateData, type WorkspaceHistory } from './stateData.js'
+import { upstreamHealthSchema } from './upstreamHealth.js'
 
 const changeSchema = z.object({
   digest: z.string(),
@@ -28,6 +29,7 @@
   changes: z.array(z.tuple([z.string(), changeSchema])),
   jobs: z.array(z.tuple([z.string(), jobRecordSchema])),
   histories: z.array(z.tuple([z.string(), historySchema])),
+  upstreamHealth: z.array(z.tuple([z.string(), upstreamHealthSchema])).default([]),
 })
 export type StateSnapshot = z.infer<typeof stateSnapshotSchema>
 
@@ -40,6 +42,7 @@
     changes: [...data.changes],
     jobs: [...data.jobs],
     histories: [...data.histories].map(([workspace, history]) => [workspace, toLists(history)]),
+    upstreamHealth: [...data.upstreamHealth],
   }
 }
 
@@ -53,6 +56,7 @@
     changes: new Map(snapshot.changes),
     jobs: new Map(snapshot.jobs),
     histories: new Map(snapshot.histories.map(([name, lists]) => [name, toMaps(lists)])),
+    upstreamHealth: new Map(snapshot.upstreamHealth),
   }
 }
 
--- a/control/state/src/submitJob.ts
+++ b/control/state/src/submitJob.ts
@@ -118,6 +118,7 @@
     submittedAt: at,
     startCommitted: false,
     cancelRequested: false,
+    failedUpstreamIds: [],
     decisions: [{ at, event: 'job.submitted', reason }],
   }
 }
