feat: execute preemptions, probe quarantined upstreams, end impossible jobs, explain waits

Cause: the service only placed; it moved no gang off a leaving upstream and said little of why a job waits. Change: the placement loop commits preempt decisions, moves stoppable gangs off leaving upstreams, probes quarantined ones with one stoppable job at a time, places a job apart from where it failed, and ends a job told impossible for a minute; waits leave at most 20 lines and a count a round; explain names the holders.

--- /dev/null
+++ b/control/service/src/decideProbes.ts
@@ -0,0 +1,68 @@
+/** Places single stoppable jobs on quarantined upstreams that are due to be tried. */
+import type { UpstreamView } from '@nettlespur/api.schemas'
+import type { JobRecord } from '@nettlespur/control.state'
+import {
+  fitGang,
+  Topology,
+  type PlaceDecision,
+  type WaitingJob,
+} from '@nettlespur/placement.engine'
+import type { DecideRoundOptions } from './decideRound.js'
+
+/** Jobs looked at for each upstream. */
+const candidatesMax = 50
+
+/** One for each upstream at most, so that a round shows no more trust than the one before has earned. */
+export function decideProbes(opts: DecideRoundOptions): PlaceDecision[] {
+  const probes: PlaceDecision[] = []
+  const due = opts.view.upstreams.filter((upstream) => isDue(opts, upstream))
+  for (const upstream of due) {
+    const probe = decideProbe(opts, upstream, new Set(probes.map(({ jobId }) => jobId)))
+    if (probe !== undefined) probes.push(probe)
+  }
+  return probes
+}
+
+function isDue(
+  { state, now }: DecideRoundOptions,
+  { upstreamId, state: stands }: UpstreamView,
+): boolean {
+  const quarantine = state.getUpstreamHealth(upstreamId)?.quarantine
+  if (stands !== 'quarantined' || quarantine === undefined) return false
+  const gangs = state.listLiveJobs().filter(({ placement }) => {
+    return placement?.members.some((member) => member.upstreamId === upstreamId) === true
+  })
+  return Date.parse(quarantine.probeAt) <= now.getTime() && gangs.length < quarantine.admittedGangs
+}
+
+function decideProbe(
+  opts: DecideRoundOptions,
+  upstream: UpstreamView,
+  taken: ReadonlySet<string>,
+): PlaceDecision | undefined {
+  const candidates = opts.view.waiting
+    .filter((job) => !taken.has(job.jobId))
+    .slice(0, candidatesMax)
+  for (const job of candidates) {
+    const record = opts.state.getLiveJob(job.jobId)
+    if (record === undefined || !mayProbe(opts, job, record, upstream.upstreamId)) continue
+    const topology = new Topology([{ ...upstream, state: 'ready' }], opts.view.held)
+    const blocks = fitGang(topology, job)
+    const reason = `probes ${upstream.upstreamId}, which is quarantined, with a job that may be stopped`
+    if (blocks !== undefined) return { kind: 'place', jobId: job.jobId, blocks, reason }
+  }
+  return undefined
+}
+
+function mayProbe(
+  { view }: DecideRoundOptions,
+  job: WaitingJob,
+  { request, failedUpstreamIds }: JobRecord,
+  upstreamId: string,
+): boolean {
+  if (job.heldBack !== undefined || job.urgency === 'urgent' || !request.repeatable) return false
+  const held = view.held.filter((block) => block.workspace === job.workspace)
+  const used = held.reduce((sum, block) => sum + block.acceleratorIndexes.length, 0)
+  const limit = view.acceleratorLimits.get(job.workspace) ?? 0
+  return used + job.gang.accelerators <= limit && !failedUpstreamIds.includes(upstreamId)
+}
--- a/control/service/src/jobCalls.ts
+++ b/control/service/src/jobCalls.ts
@@ -11,6 +11,7 @@
 import { NettlespurError, unwrap } from '@nettlespur/core.errors'
 import { EitherAsync } from 'purify-ts'
 import { filter } from 'rxjs'
+import { createExplanation } from './createExplanation.js'
 import type { LeaderSession } from './leaderSession.js'
 import type { ControlNodeOptions } from './nodeOptions.js'
 
@@ -39,8 +40,12 @@
 
   async explain(reference: JobReference): Promise<JobExplanation> {
     const job = await this.#read(reference)
-    const waits = this.#session.placements.getWaitReason(job.jobId)
-    const waitsFor = job.state === 'queued' ? [waits ?? job.reason] : []
+    const waitsFor = createExplanation({
+      state: this.#opts.holder.state,
+      upstreams: this.#session.upstreams.list(),
+      job,
+      waitReason: this.#session.placements.getWaitReason(job.jobId),
+    })
     return { job: this.#view(job), waitsFor, decisions: job.decisions }
   }
 
--- a/control/service/src/leaderSession.ts
+++ b/control/service/src/leaderSession.ts
@@ -40,14 +40,33 @@
     this.epoch = `${opts.instanceId}-${term}-${randomUUID().slice(0, epochSuffixLength)}`
     this.#startMs = clock.monotonicMs()
     const { upstreamSuspectMs: suspectMs, upstreamGoneMs: goneMs } = timings
-    this.upstreams = new UpstreamTable({ clock, logger, suspectMs, goneMs, version })
+    this.upstreams = new UpstreamTable({
+      clock,
+      logger,
+      suspectMs,
+      goneMs,
+      readHealth: (upstreamId) => holder.state.getUpstreamHealth(upstreamId),
+      version,
+    })
     const dropAfterMs = timings.contractLeaseMs + timings.clockDriftMarginMs
     const mayHaveFormerEntries = holder.state.appliedIndex > 0
     this.entries = new EntryTable({ clock, dropAfterMs, mayHaveFormerEntries, version })
     const random = opts.random ?? Math.random
-    this.#gangs = new GangManager({ ...opts, random, taskReports: this.#taskReports })
     const { upstreams } = this
-    this.placements = new PlacementLoop({ node: opts, gangs: this.#gangs, upstreams, version })
+    this.#gangs = new GangManager({
+      ...opts,
+      random,
+      taskReports: this.#taskReports,
+      isUpstreamSilent: (upstreamId) => upstreams.isSilent(upstreamId),
+      upstreamChanges: upstreams.changes,
+    })
+    this.placements = new PlacementLoop({
+      node: opts,
+      gangs: this.#gangs,
+      upstreams,
+      knowsUpstreams: () => this.knowsUpstreams,
+      version,
+    })
     const onFault = ({ name, cause }: { name: string; cause: unknown }): void => {
       logger.error({ event: 'control.leadership-fault', name, reason: String(cause) })
     }
--- a/control/service/src/placementLoop.ts
+++ b/control/service/src/placementLoop.ts
@@ -9,26 +9,35 @@
 import type { PlaceDecision } from '@nettlespur/placement.engine'
 import { filter, merge, type BehaviorSubject } from 'rxjs'
 import { createPlacementView } from './createPlacementView.js'
+import { decideRound, type RoundDecision } from './decideRound.js'
+import { ImpossibleJobs } from './impossibleJobs.js'
+import { listMoves, mayPreempt, type Preemption } from './listMoves.js'
 import type { ControlNodeOptions } from './nodeOptions.js'
 import type { UpstreamTable } from './upstreamTable.js'
 
 /** Changes within this time are decided on together. */
 const settleMs = 10
 const tickMs = 1000
+/** Lines about jobs that wait in one round; one more line counts the rest. */
+const waitLinesMax = 20
 
 export interface PlacementLoopOptions {
   node: ControlNodeOptions
   gangs: GangManager
   upstreams: UpstreamTable
+  /** Whether upstreams have had the time to announce themselves to this leader. */
+  knowsUpstreams: () => boolean
   version: BehaviorSubject<number>
 }
 
 export class PlacementLoop {
   readonly #opts: PlacementLoopOptions
+  readonly #impossible: ImpossibleJobs
   #waitReasons = new Map<string, string>()
 
   constructor(opts: PlacementLoopOptions) {
     this.#opts = opts
+    this.#impossible = new ImpossibleJobs(opts.node.clock)
   }
 
   /** Why a job waits, as of the last round; undefined where it does not. */
@@ -64,18 +73,57 @@
 
   async #placeOnce(signal: AbortSignal): Promise<void> {
     const { node, upstreams, gangs } = this.#opts
+    upstreams.refresh()
     gangs.recover()
     const views = upstreams.list()
-    const view = createPlacementView(node.holder.state, views, node.clock.now())
+    const { state } = node.holder
+    const now = node.clock.now()
+    const view = createPlacementView(state, views, now)
     const reasons = new Map<string, string>()
-    for (const decision of node.policy.decide(view)) {
+    const decisions = decideRound({ policy: node.policy, view, state, now })
+    const moves = listMoves(state, views)
+    for (const decision of [...moves, ...decisions]) {
       if (signal.aborted) return
       if (decision.kind === 'place') await this.#place(decision, views)
-      else if (decision.kind === 'wait') reasons.set(decision.jobId, decision.reason)
+      else if (decision.kind === 'preempt') await this.#preempt(decision)
+      else reasons.set(decision.jobId, decision.reason)
     }
+    await this.#refuseImpossible(decisions)
     this.#keepReasons(reasons)
   }
 
+  /** The runner of the gang is woken by the change of its job. */
+  async #preempt(decision: Preemption): Promise<void> {
+    const { log, logger, clock, holder } = this.#opts.node
+    const { jobId, forJobId, withCheckpoint, reason } = decision
+    const job = holder.state.getLiveJob(jobId)
+    const fence = job?.placement?.fence
+    if (job === undefined || fence === undefined || !mayPreempt(job, clock.now())) return
+    const at = clock.now().toISOString()
+    const command = { type: 'job.preempt' as const, at, jobId, fence, withCheckpoint, reason }
+    const proposed = forJobId === undefined ? command : { ...command, forJobId }
+    const outcome = (await log.propose(proposed).run()).chain(readJob)
+    outcome.caseOf({
+      Left: (error) => {
+        logger.warn({ event: 'placement.preempt-refused', jobId, forJobId, reason: error.message })
+      },
+      Right: () => {
+        logger.info({ event: 'placement.preempted', jobId, forJobId, withCheckpoint, reason })
+      },
+    })
+  }
+
+  /** A job that has long been told to be impossible is ended; until then it waits. */
+  async #refuseImpossible(decisions: readonly RoundDecision[]): Promise<void> {
+    const { log, logger, clock } = this.#opts.node
+    if (!this.#opts.knowsUpstreams()) return
+    for (const { jobId, reason } of this.#impossible.listOverdue(decisions)) {
+      const at = clock.now().toISOString()
+      await log.propose({ type: 'job.refuse', at, jobId, reason }).run()
+      logger.warn({ event: 'placement.impossible', jobId, reason })
+    }
+  }
+
   async #place(decision: PlaceDecision, views: readonly UpstreamView[]): Promise<void> {
     const { node, gangs } = this.#opts
     const { jobId, reason, blocks } = decision
@@ -103,10 +151,13 @@
   }
 
   #keepReasons(reasons: Map<string, string>): void {
-    for (const [jobId, reason] of reasons) {
-      if (this.#waitReasons.get(jobId) === reason) continue
-      this.#opts.node.logger.info({ event: 'placement.waits', jobId, reason })
+    const { logger } = this.#opts.node
+    const changed = [...reasons].filter(([id, reason]) => this.#waitReasons.get(id) !== reason)
+    for (const [jobId, reason] of changed.slice(0, waitLinesMax)) {
+      logger.info({ event: 'placement.waits', jobId, reason })
     }
+    const more = changed.length - waitLinesMax
+    if (more > 0) logger.info({ event: 'placement.more-wait', jobs: more })
     this.#waitReasons = reasons
   }
 
--- a/control/service/src/upstreamTable.ts
+++ b/control/service/src/upstreamTable.ts
@@ -3,18 +3,22 @@
  * announcements an upstream becomes suspect, then gone; one that says it is leaving is so at once.
  */
 import type { Announcement, UpstreamState, UpstreamView } from '@nettlespur/api.schemas'
+import type { UpstreamHealth } from '@nettlespur/control.state'
 import type { Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
-import type { BehaviorSubject } from 'rxjs'
+import { Subject, type BehaviorSubject, type Observable } from 'rxjs'
 
 /** Times of `upstreamGoneMs` after which a gone upstream is forgotten. */
 const forgetFactor = 60
+const silentStates: ReadonlySet<UpstreamState> = new Set(['suspect', 'gone'])
 
 export interface UpstreamTableOptions {
   clock: Clock
   logger: Logger
   suspectMs: number
   goneMs: number
+  /** What the replicated state holds against an upstream. */
+  readHealth: (upstreamId: string) => UpstreamHealth | undefined
   /** Raised with each change that entries must learn of. */
   version: BehaviorSubject<number>
 }
@@ -30,11 +34,28 @@
 export class UpstreamTable {
   readonly #opts: UpstreamTableOptions
   readonly #rows = new Map<string, Row>()
+  readonly #changes = new Subject<string>()
 
   constructor(opts: UpstreamTableOptions) {
     this.#opts = opts
   }
 
+  /** The id of each upstream whose view has changed. */
+  get changes(): Observable<string> {
+    return this.#changes
+  }
+
+  /**
+   * Whether an upstream is not heard from although at least half of all are. Where fewer are heard, it may
+   * be this leader that is cut off.
+   */
+  isSilent(upstreamId: string): boolean {
+    const row = this.#rows.get(upstreamId)
+    if (row === undefined || !silentStates.has(row.view.state)) return false
+    const heard = this.list().filter((view) => !silentStates.has(view.state))
+    return heard.length * 2 >= this.#rows.size
+  }
+
   list(): UpstreamView[] {
     return [...this.#rows.values()].map((row) => row.view)
   }
@@ -50,7 +71,8 @@
     const former = this.#rows.get(upstreamId)
     const leavingMs = announcement.state === 'leaving' ? nowMs : former?.leavingMs
     const leaving = leavingMs !== undefined && nowMs - leavingMs < this.#opts.suspectMs
-    const view = toView(upstreamId, announcement, leaving ? 'leaving' : 'ready')
+    const state = leaving ? 'leaving' : this.#readyOrQuarantined(upstreamId)
+    const view = toView(upstreamId, announcement, state)
     this.#put({ view, heardMs: nowMs, leavingMs })
   }
 
@@ -68,8 +90,13 @@
   #pickState({ view }: Row, silentMs: number): UpstreamState {
     const { suspectMs, goneMs } = this.#opts
     if (silentMs >= goneMs) return 'gone'
-    if (silentMs >= suspectMs && view.state === 'ready') return 'suspect'
-    return view.state
+    if (view.state !== 'ready' && view.state !== 'quarantined') return view.state
+    return silentMs >= suspectMs ? 'suspect' : this.#readyOrQuarantined(view.upstreamId)
+  }
+
+  #readyOrQuarantined(upstreamId: string): UpstreamState {
+    const quarantine = this.#opts.readHealth(upstreamId)?.quarantine
+    return quarantine === undefined ? 'ready' : 'quarantined'
   }
 
   #put(row: Omit<Row, 'version'>): void {
@@ -84,8 +111,18 @@
     this.#rows.set(upstreamId, { ...row, version: next })
     const before = former?.view.state ?? 'unheard'
     logger.info({ event: 'upstream.changed', upstreamId, address, before, state })
+    if (state === 'quarantined') this.#logQuarantine(upstreamId)
+    this.#changes.next(upstreamId)
     version.next(next)
   }
+
+  #logQuarantine(upstreamId: string): void {
+    const health = this.#opts.readHealth(upstreamId)
+    const jobIds = health?.markedBy
+    const probeAt = health?.quarantine?.probeAt
+    const reason = 'distinct jobs failed on it soon after their start'
+    this.#opts.logger.warn({ event: 'upstream.quarantined', upstreamId, jobIds, probeAt, reason })
+  }
 }
 
 function toView(upstreamId: string, announced: Announcement, state: UpstreamState): UpstreamView {
--- a/placement/engine/src/index.ts
+++ b/placement/engine/src/index.ts
@@ -10,3 +10,5 @@
 } from './placementDecision.js'
 export { PlacementPolicy } from './placementPolicy.js'
 export type { Block, Demand, HeldBlock, PlacementView, WaitingJob } from './placementView.js'
+export { fitGang } from './fitGang.js'
+export { Topology } from './topology.js'
