--- a/control/fakes/src/fakeUpstreams.ts
+++ b/control/fakes/src/fakeUpstreams.ts
@@ -27,6 +27,12 @@
   readonly unreachable = new Set<string>()
   /** Addresses that act on calls, but whose answers are lost. */
   readonly mute = new Set<string>()
+  /** Addresses that go on running a task that is to stop, until its lease ends. */
+  readonly ignoringStops = new Set<string>()
+  /** Addresses that take no checkpoint. */
+  readonly refusingCheckpoints = new Set<string>()
+  /** The body of each reservation, by task id. */
+  readonly reservations = new Map<string, ReserveTask>()
   /** Set, each task finishes with this answer as soon as it has started. */
   instantAnswer: string | undefined
   /** Task ids in the order in which they began to run. */
@@ -91,6 +97,7 @@
         failure: undefined,
       }
       this.#tasks.set(taskId, task)
+      this.reservations.set(taskId, body)
       return Right(toStatus(task))
     })
   }
@@ -108,7 +115,12 @@
   }
 
   checkpoint(reference: TaskReference): EitherAsync<NettlespurError, TaskStatus> {
-    return this.#withTask(reference, (task) => Right({ ...toStatus(task), checkpointId: 'c1' }))
+    return this.#withTask(reference, (task) => {
+      if (task.state !== 'running' || this.refusingCheckpoints.has(reference.address)) {
+        return refuse('upstream-refused')
+      }
+      return Right({ ...toStatus(task), checkpointId: `of-${task.taskId}` })
+    })
   }
 
   throttle(reference: TaskReference): EitherAsync<NettlespurError, TaskStatus> {
@@ -134,7 +146,7 @@
       this.#tasks.set(taskId, task)
       this.#expire(task)
       if (task.state === 'reserved') task.state = 'never-runs'
-      if (task.state === 'running') task.state = 'stopped'
+      if (task.state === 'running' && !this.ignoringStops.has(address)) task.state = 'stopped'
       return Right(toStatus(task))
     })
   }
--- a/control/gangs/src/gangManager.ts
+++ b/control/gangs/src/gangManager.ts
@@ -1,4 +1,5 @@
 /** One task for each placed gang, for as long as this instance leads. */
+import { setMaxListeners } from 'node:events'
 import type { Placement } from '@nettlespur/api.schemas'
 import type { JobRecord } from '@nettlespur/control.state'
 import { toNettlespurError } from '@nettlespur/core.errors'
@@ -27,6 +28,8 @@
 
   constructor(opts: GangOptions) {
     this.#opts = opts
+    // One listener for each gang is no leak.
+    setMaxListeners(0, this.#stopping.signal)
     this.#retries = new RetryBudget(opts.clock)
     this.#endedLog = new EndedLog(opts.clock, opts.logger)
     const subscriptions = [
--- /dev/null
+++ b/control/gangs/test/gangProperties.test.ts
@@ -0,0 +1,248 @@
+import type { JobRecord } from '@nettlespur/control.state'
+import { unwrap } from '@nettlespur/core.errors'
+import test from 'ava'
+import fc from 'fast-check'
+import {
+  cancel,
+  createGangs,
+  leasesOverMs,
+  preempt,
+  submitGang,
+  type Gangs,
+} from './createGangs.js'
+
+const addresses = ['a0', 'a1', 'a2']
+const acceleratorsEach = 2
+const gangSize = 2
+
+const jobIndex = fc.nat({ max: 5 })
+const address = fc.constantFrom(...addresses)
+const steps = fc.oneof(
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      do: fc.constant('submit' as const),
+      repeatable: fc.boolean(),
+      checkpointable: fc.boolean(),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      do: fc.constant('advance' as const),
+      ms: fc.constantFrom(1, 300, 3000, 16_000),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      do: fc.constantFrom('finish' as const, 'fail' as const),
+      index: jobIndex,
+      rank: fc.nat({ max: 1 }),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      do: fc.constantFrom('cancel' as const, 'preempt' as const),
+      index: jobIndex,
+      withCheckpoint: fc.boolean(),
+    }),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      do: fc.constantFrom(
+        'unreachable' as const,
+        'mute' as const,
+        'refusing' as const,
+        'ignoringStops' as const,
+      ),
+      address,
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({ do: fc.constantFrom('restart' as const, 'silence' as const), address }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      do: fc.constantFrom('heal' as const, 'newLeader' as const, 'cutOffFromQuorum' as const),
+    }),
+  },
+)
+type Step = typeof steps extends fc.Arbitrary<infer T> ? T : never
+
+/** Gangs with a placer that takes the first free accelerators, and the leader that runs them. */
+class Trial {
+  readonly gangs: Gangs
+  #manager: ReturnType<Gangs['createManager']>
+
+  constructor(gangs: Gangs) {
+    this.gangs = gangs
+    this.#manager = gangs.createManager()
+  }
+
+  async apply(step: Step): Promise<void> {
+    const { client, clock, silentUpstreams, upstreamChanges, log } = this.gangs
+    switch (step.do) {
+      case 'submit':
+        if (!log.cutOff) await submitGang(this.gangs, step)
+        break
+      case 'advance':
+        await clock.advance(step.ms)
+        break
+      case 'finish':
+      case 'fail':
+        this.#endTask(step.do, step.index, step.rank)
+        break
+      case 'cancel':
+        await this.#withJob(step.index, (job) => cancel(this.gangs, job))
+        break
+      case 'preempt':
+        await this.#withJob(step.index, (job) => preempt(this.gangs, job, step.withCheckpoint))
+        break
+      case 'restart':
+        client.forget(step.address)
+        break
+      case 'silence':
+        silentUpstreams.add(toUpstreamId(step.address))
+        upstreamChanges.next(toUpstreamId(step.address))
+        break
+      case 'heal':
+        this.#heal()
+        break
+      case 'newLeader':
+        await this.#changeLeader()
+        break
+      case 'cutOffFromQuorum':
+        log.cutOff = true
+        break
+      default:
+        client[step.do].add(step.address)
+    }
+    await clock.advance(1)
+    if (!log.cutOff) await this.#placeAll()
+  }
+
+  /** All faults end, and whatever is under way comes to its end or goes on. */
+  async settle(): Promise<void> {
+    this.#heal()
+    await this.gangs.clock.advance(leasesOverMs)
+  }
+
+  #heal(): void {
+    const { client, silentUpstreams, log } = this.gangs
+    const faults = [client.unreachable, client.mute, client.refusing, client.ignoringStops]
+    for (const fault of [...faults, silentUpstreams]) fault.clear()
+    log.cutOff = false
+  }
+
+  /** The former leader lets go of its gangs wherever they stand, and another takes them over. */
+  async #changeLeader(): Promise<void> {
+    const former = this.#manager
+    await former.stop()
+    this.gangs.log.cutOff = false
+    this.#manager = this.gangs.createManager()
+    this.#manager.recover()
+  }
+
+  async #placeAll(): Promise<void> {
+    const { holder, log, clock } = this.gangs
+    this.#manager.recover()
+    for (const job of holder.state.listLiveJobs()) {
+      if (job.state !== 'queued') continue
+      const assignments = pickFree(holder.state.listLiveJobs())
+      if (assignments === undefined) return
+      const at = clock.now().toISOString()
+      const command = { type: 'job.place' as const, at, jobId: job.jobId, assignments, reason: '' }
+      const result = await unwrap(log.propose(command))
+      if (result.type === 'job') this.#manager.start(result.job)
+    }
+    await clock.advance(1)
+  }
+
+  #endTask(how: 'finish' | 'fail', index: number, rank: number): void {
+    const jobs = this.gangs.holder.state.listLiveJobs()
+    const taskId = jobs[index % Math.max(1, jobs.length)]?.placement?.members[rank]?.taskId ?? ''
+    if (this.gangs.client.stateOf(taskId) === 'running') this.gangs.client[how](taskId, 'whole')
+  }
+
+  async #withJob(index: number, run: (job: JobRecord) => Promise<void>): Promise<void> {
+    const jobs = this.gangs.holder.state.listLiveJobs()
+    const job = jobs[index % Math.max(1, jobs.length)]
+    if (job !== undefined && !this.gangs.log.cutOff) await run(job)
+  }
+}
+
+function toUpstreamId(at: string): string {
+  return at.replace('a', 'u')
+}
+
+/** The first free accelerators, on as many upstreams as the gang has members. */
+function pickFree(jobs: readonly JobRecord[]) {
+  const members = jobs.flatMap((job) => job.placement?.members ?? [])
+  const free = addresses.flatMap((at) => {
+    const used = members.filter((member) => member.address === at)
+    const taken = new Set(used.flatMap((member) => member.acceleratorIndexes))
+    const index = [...Array(acceleratorsEach).keys()].find((one) => !taken.has(one))
+    if (index === undefined) return []
+    return [{ upstreamId: toUpstreamId(at), address: at, acceleratorIndexes: [index] }]
+  })
+  return free.length < gangSize ? undefined : free.slice(0, gangSize)
+}
+
+/** What must hold at every moment; undefined where it does. */
+function findFault({ client, holder }: Gangs): string | undefined {
+  const held = new Set<string>()
+  for (const { address: at, acceleratorIndexes, taskId } of client.listHolding()) {
+    for (const index of acceleratorIndexes) {
+      if (held.has(`${at}/${index}`)) return `${taskId}: ${at}/${index} was handed on too early`
+      held.add(`${at}/${index}`)
+    }
+  }
+  const { state } = holder
+  const attempts = new Map<string, Set<string>>()
+  for (const taskId of client.started) {
+    const [jobId = '', attempt = ''] = taskId.split('.')
+    const job = state.getJob('demo', jobId)
+    if (job?.state === 'cancelled' && job.startedAt === undefined) return `${jobId} did run`
+    const goesOn = client.reservations.get(taskId)?.checkpointId !== undefined
+    if (job?.request.repeatable === true || goesOn) continue
+    attempts.set(jobId, (attempts.get(jobId) ?? new Set()).add(attempt))
+    if ((attempts.get(jobId)?.size ?? 0) > 1) return `${jobId} was started twice`
+  }
+  return undefined
+}
+
+/** What must hold once nothing is broken any more. */
+function findPart({ client, holder }: Gangs): string | undefined {
+  const holding = new Set(client.listHolding().map((task) => task.taskId))
+  for (const job of holder.state.listLiveJobs()) {
+    const taskIds = (job.placement?.members ?? []).map((member) => member.taskId)
+    const whole = taskIds.every((id) => holding.has(id) || client.stateOf(id) === 'finished')
+    if (!whole) return `${job.jobId} is ${job.state} with a part of its gang`
+    for (const taskId of taskIds) holding.delete(taskId)
+  }
+  const [left] = holding
+  return left === undefined ? undefined : `${left} belongs to no gang`
+}
+
+test('whatever fails, gangs run whole or not at all, no accelerator is handed on early, and none runs twice', async (t) => {
+  const property = fc.asyncProperty(
+    fc.array(steps, { minLength: 5, maxLength: 40 }),
+    async (list) => {
+      const trial = new Trial(await createGangs())
+      for (const step of list) {
+        await trial.apply(step)
+        const fault = findFault(trial.gangs)
+        if (fault !== undefined) throw new Error(fault)
+      }
+      await trial.settle()
+      const fault = findFault(trial.gangs) ?? findPart(trial.gangs)
+      if (fault !== undefined) throw new Error(fault)
+    },
+  )
+  await t.notThrowsAsync(fc.assert(property, { numRuns: 200 }))
+})
--- a/control/gangs/test/memoryLog.ts
+++ b/control/gangs/test/memoryLog.ts
@@ -10,6 +10,8 @@
   readonly committed: Command[] = []
   /** Runs before each commit; may throw. */
   beforeCommit: (command: Command) => void = () => undefined
+  /** While true, nothing is committed. */
+  cutOff = false
   readonly #holder: StateHolder
 
   constructor(holder: StateHolder) {
@@ -19,6 +21,7 @@
 
   propose(command: Command): EitherAsync<NettlespurError, CommandResult> {
     return tryAsync(() => {
+      if (this.cutOff) throw new NettlespurError('no-quorum', 'cut off')
       this.beforeCommit(command)
       this.committed.push(command)
       return Promise.resolve(this.#holder.apply(this.#holder.state.appliedIndex + 1, command))
--- /dev/null
+++ b/control/gangs/test/preemption.test.ts
@@ -0,0 +1,121 @@
+import test from 'ava'
+import {
+  cancel,
+  createGangs,
+  leasesOverMs,
+  placeGang,
+  preempt,
+  readState,
+  startGang,
+  timings,
+} from './createGangs.js'
+
+test('a preempted gang stops whole at once and is queued again, as if it had not failed', async (t) => {
+  const gangs = await createGangs()
+  const { job, first, second } = await startGang(gangs, { repeatable: true })
+  const preemptedAt = gangs.clock.now().toISOString()
+  await preempt(gangs, job, false)
+  await gangs.clock.advance(1)
+  t.deepEqual(
+    [first, second].map((id) => gangs.client.stateOf(id)),
+    ['stopped', 'stopped'],
+  )
+  t.like(readState(gangs, job), { state: 'queued', failedAttempts: 0, placement: undefined })
+  t.is(readState(gangs, job)?.retryAt, preemptedAt)
+})
+
+test('the next attempt of a checkpointed gang goes on from the checkpoint of all its members', async (t) => {
+  const gangs = await createGangs()
+  const { job, first, second } = await startGang(gangs, { repeatable: false, checkpointable: true })
+  await preempt(gangs, job, true)
+  await gangs.clock.advance(1)
+  t.like(readState(gangs, job), { state: 'queued', checkpointId: `of-${first},of-${second}` })
+  const again = await placeGang(gangs, job.jobId)
+  gangs.createManager().start(again)
+  await gangs.clock.advance(1)
+  const taskId = again.placement?.members[1]?.taskId ?? ''
+  t.is(gangs.client.reservations.get(taskId)?.checkpointId, `of-${first},of-${second}`)
+})
+
+test('a job that is not repeatable runs on where no checkpoint of the whole gang is taken', async (t) => {
+  const gangs = await createGangs()
+  gangs.client.refusingCheckpoints.add('a1')
+  const { job, first, second } = await startGang(gangs, { repeatable: false, checkpointable: true })
+  await preempt(gangs, job, true)
+  await gangs.clock.advance(leasesOverMs)
+  t.deepEqual(
+    [first, second].map((id) => gangs.client.stateOf(id)),
+    ['running', 'running'],
+  )
+  t.like(readState(gangs, job), { state: 'running', preemption: undefined })
+})
+
+test('a job that is neither repeatable nor checkpointable is never preempted', async (t) => {
+  const gangs = await createGangs()
+  const { job, first } = await startGang(gangs, { repeatable: false })
+  await preempt(gangs, job, false)
+  await preempt(gangs, job, true)
+  await gangs.clock.advance(leasesOverMs)
+  t.is(gangs.client.stateOf(first), 'running')
+  t.is(readState(gangs, job)?.state, 'running')
+})
+
+test('a victim that ignores its stop keeps its accelerators until its lease must be over', async (t) => {
+  const gangs = await createGangs()
+  gangs.client.ignoringStops.add('a1')
+  const { job, second } = await startGang(gangs, { repeatable: true })
+  await preempt(gangs, job, false)
+  await gangs.clock.advance(timings.taskLeaseMs - 1000)
+  t.is(gangs.client.stateOf(second), 'running')
+  t.truthy(readState(gangs, job)?.placement)
+  await gangs.clock.advance(timings.clockDriftMarginMs + 1000 + 300)
+  t.is(gangs.client.stateOf(second), 'lease-expired')
+  t.is(readState(gangs, job)?.state, 'queued')
+})
+
+test('a new leader completes a preemption that the former one began', async (t) => {
+  const gangs = await createGangs()
+  const { job, manager, first } = await startGang(gangs, { repeatable: true })
+  await manager.stop()
+  await preempt(gangs, job, false)
+  gangs.createManager().recover()
+  await gangs.clock.advance(1)
+  t.is(gangs.client.stateOf(first), 'stopped')
+  t.is(readState(gangs, job)?.state, 'queued')
+})
+
+test('a cancelled victim ends cancelled, not queued', async (t) => {
+  const gangs = await createGangs()
+  const { job, manager } = await startGang(gangs, { repeatable: true })
+  await manager.stop()
+  await preempt(gangs, job, false)
+  await cancel(gangs, job)
+  gangs.createManager().recover()
+  await gangs.clock.advance(1)
+  t.is(readState(gangs, job)?.state, 'cancelled')
+})
+
+test('a silent upstream whose calls fail is found dead before its lease ends', async (t) => {
+  const gangs = await createGangs()
+  const { first } = await startGang(gangs, { repeatable: true })
+  gangs.client.unreachable.add('a1')
+  await gangs.clock.advance(timings.renewTasksEveryMs)
+  t.is(gangs.client.stateOf(first), 'running')
+  gangs.silentUpstreams.add('u1')
+  gangs.upstreamChanges.next('u1')
+  await gangs.clock.advance(1000)
+  t.is(gangs.client.stateOf(first), 'stopped')
+})
+
+test('a wave of cancellations leaves a bounded number of lines, and one that counts the rest', async (t) => {
+  const gangs = await createGangs()
+  const manager = gangs.createManager()
+  const started = []
+  for (let index = 0; index < 30; index++) started.push(await startGang(gangs, {}, manager, index))
+  for (const { job } of started) await cancel(gangs, job)
+  await gangs.clock.advance(1)
+  await gangs.clock.advance(1000)
+  t.true(started.every(({ job }) => readState(gangs, job)?.state === 'cancelled'))
+  t.is(gangs.lines.filter((line) => line.includes('event=gang.ended')).length, 20)
+  t.is(gangs.lines.filter((line) => line.includes('gangs=10')).length, 1)
+})
