--- a/control/gangs/test/preemption.test.ts
+++ b/control/gangs/test/preemption.test.ts
@@ -75,13 +75,14 @@
 
 test('a new leader completes a preemption that the former one began', async (t) => {
   const gangs = await createGangs()
-  const { job, manager, first } = await startGang(gangs, { repeatable: true })
+  const fields = { repeatable: false, checkpointable: true }
+  const { job, manager, first, second } = await startGang(gangs, fields)
   await manager.stop()
-  await preempt(gangs, job, false)
+  await preempt(gangs, job, true)
   gangs.createManager().recover()
   await gangs.clock.advance(1)
   t.is(gangs.client.stateOf(first), 'stopped')
-  t.is(readState(gangs, job)?.state, 'queued')
+  t.like(readState(gangs, job), { state: 'queued', checkpointId: `of-${first},of-${second}` })
 })
 
 test('a cancelled victim ends cancelled, not queued', async (t) => {
--- a/daemons/trial/__utils__/trialCluster.ts
+++ b/daemons/trial/__utils__/trialCluster.ts
@@ -1,5 +1,5 @@
 /** A small cluster of separate processes on loopback in a temporary folder, removed at the end. */
-import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import path from 'node:path'
 import { createKey } from '@nettlespur/http.keys'
@@ -22,8 +22,9 @@
   controlSettings?: Readonly<Record<string, unknown>>
   /** Merged over each entry's settings. */
   entrySettings?: Readonly<Record<string, unknown>>
-  /** Merged over each upstream's settings. */
-  upstreamSettings?: Readonly<Record<string, unknown>>
+  /** Merged over each upstream's settings; may go by its number, from 1. */
+  upstreamSettings?:
+    Readonly<Record<string, unknown>> | ((index: number) => Readonly<Record<string, unknown>>)
   /** Runs each instance under another program; given its id and kind. */
   under?: (id: string, kind: string) => readonly [string, ...string[]] | undefined
 }
@@ -70,6 +71,11 @@
     await instance.process.waitFor(`${kind}.listening`)
   }
 
+  /** What control presents to upstreams. */
+  readUpstreamKey(): string {
+    return readFileSync(path.join(this.folder, 'upstreams.key'), 'utf8').trim()
+  }
+
   /** Kills all that runs and removes the folder. */
   async close(): Promise<void> {
     const all = [...this.upstreams, ...this.entries, ...this.controls]
@@ -116,6 +122,7 @@
   }
 
   async #startUpstreams(): Promise<void> {
+    const { upstreamSettings } = this.#opts
     for (let index = 1; index <= this.#opts.upstreams; index++) {
       const listenAddress = await reserveAddress(this.#host)
       const settings = {
@@ -125,7 +132,7 @@
         listenAddress,
         entries: this.entries.map((entry) => entry.address),
         keyFile: 'upstreams.key',
-        ...this.#opts.upstreamSettings,
+        ...(typeof upstreamSettings === 'function' ? upstreamSettings(index) : upstreamSettings),
       }
       this.upstreams.push(await this.#launch('upstream', `u${index}`, listenAddress, settings))
     }
