--- /dev/null
+++ b/bench/capacity/src/index.ts
@@ -0,0 +1,2 @@
+/** Measures what the daemons spend against the size of the cluster. */
+export {}
--- /dev/null
+++ b/bench/suite/src/benches.ts
@@ -0,0 +1,4 @@
+/** The benches of the repository, in the order in which they run. One line adds one. */
+import type { Bench } from './bench.js'
+
+export const benches: readonly Bench[] = []
