--- a/bench/capacity/src/index.ts
+++ b/bench/capacity/src/index.ts
@@ -1,2 +1,2 @@
 /** Measures what the daemons spend against the size of the cluster. */
-export {}
+export { measureTransport } from './transport/measureTransport.js'
