feat: serve workspaces by weighted slot time and refuse early with a real time

The queue took workspaces in turn and told every refused caller one second. It now keeps virtual time per workspace (start-time fair queueing over slot time), measures how fast each queue drains, and refuses at once what cannot be served before its deadline. Remainders of equal shares go to other entries for each workspace.

--- a/entry/requests/src/equalShareQuotas.ts
+++ b/entry/requests/src/equalShareQuotas.ts
@@ -1,7 +1,10 @@
 /**
- * Splits each limit equally between the live entries, the remainder going to the first of them by id, so
- * that the shares never sum to more than the contract. Only the burst is at least 1 at each entry.
+ * Splits each limit equally between the live entries, so that the shares never sum to more than the
+ * contract. What does not divide goes to other entries for each workspace (rendezvous hashing), so that no
+ * entry holds all the small ones. Only the burst is at least 1 at each entry. A limit below the number of
+ * entries leaves some without a share: they refuse at once and say that another entry has it.
  */
+import { createHash } from 'node:crypto'
 import type { ClusterView } from '@nettlespur/entry.view'
 import { WorkspaceQuotas, type WorkspaceQuota } from './workspaceQuotas.js'
 
@@ -13,6 +16,9 @@
 export class EqualShareQuotas extends WorkspaceQuotas {
   readonly #view: ClusterView
   readonly #entryId: string
+  /** The standings below are of these entries. */
+  #entries: readonly unknown[] = []
+  readonly #standings = new Map<string, Standing>()
 
   constructor(opts: EqualShareQuotasOptions) {
     super()
@@ -23,7 +29,7 @@
   override quotaOf(workspace: string): WorkspaceQuota | undefined {
     const limits = this.#view.contractOf(workspace)?.limits
     if (limits === undefined) return undefined
-    const { count, rank } = this.#standing()
+    const { count, rank } = this.#standing(workspace)
     return {
       requestsPerSecond: limits.requestsPerSecond / count,
       requestBurst: Math.max(1, splitWhole(limits.requestBurst, count, rank)),
@@ -33,14 +39,33 @@
     }
   }
 
-  /** How many entries live, and this one's place among them by id. */
-  #standing(): { count: number; rank: number } {
-    const ids = this.#view.entries.value.map((entry) => entry.entryId)
-    const others = ids.filter((id) => id !== this.#entryId)
-    return { count: others.length + 1, rank: others.filter((id) => id < this.#entryId).length }
+  /** How many entries live, and this one's place among them for the workspace. */
+  #standing(workspace: string): Standing {
+    const entries = this.#view.entries.value
+    if (entries !== this.#entries) {
+      this.#entries = entries
+      this.#standings.clear()
+    }
+    const known = this.#standings.get(workspace)
+    if (known !== undefined) return known
+    const others = entries.map((entry) => entry.entryId).filter((id) => id !== this.#entryId)
+    const own = hashPair(workspace, this.#entryId)
+    const rank = others.filter((id) => hashPair(workspace, id) < own).length
+    const standing = { count: others.length + 1, rank }
+    this.#standings.set(workspace, standing)
+    return standing
   }
 }
 
+interface Standing {
+  readonly count: number
+  readonly rank: number
+}
+
+function hashPair(workspace: string, entryId: string): string {
+  return createHash('sha256').update(`${workspace} ${entryId}`).digest('hex')
+}
+
 function splitWhole(total: number, count: number, rank: number): number {
   return Math.floor(total / count) + (rank < total % count ? 1 : 0)
 }
--- a/entry/requests/src/localRequestRouter.ts
+++ b/entry/requests/src/localRequestRouter.ts
@@ -10,10 +10,11 @@
 import type { ClusterView } from '@nettlespur/entry.view'
 import type { EitherAsync } from 'purify-ts'
 import { RateLimiter } from './rateLimiter.js'
-import type { RequestQueue, SlotGrant } from './requestQueue.js'
+import type { RequestQueue } from './requestQueue.js'
 import { RequestRouter } from './requestRouter.js'
 import type { ShortAnswer, ShortRequest } from './shortRequest.js'
 import type { TaskOutcome, TaskTransport } from './taskTransport.js'
+import type { SlotGrant } from './workspaceLine.js'
 import type { WorkspaceQuota, WorkspaceQuotas } from './workspaceQuotas.js'
 
 const attemptsMax = 3
--- a/entry/requests/src/requestQueue.ts
+++ b/entry/requests/src/requestQueue.ts
@@ -1,18 +1,22 @@
 /**
  * Requests that wait for a place among their workspace's concurrent ones and for a slot on an upstream.
- * Workspaces take turns; within one, first come, first served. Whoever gives up is told at once.
+ * The next slot goes to the workspace that has had least slot time for its weight (start-time fair
+ * queueing), so that a flooding one takes nothing from another's share; within a workspace, first come,
+ * first served. Whoever gives up, or cannot be served before its deadline, is told at once.
  */
 import type { Clock } from '@nettlespur/core.clock'
 import { NettlespurError } from '@nettlespur/core.errors'
 import type { ClusterView } from '@nettlespur/entry.view'
 import { EitherAsync, Left, Right, type Either } from 'purify-ts'
-import { merge, type Subscription } from 'rxjs'
+import { merge, NEVER, type Observable, type Subscription } from 'rxjs'
 import type { ShortRequest } from './shortRequest.js'
 import type { SlotSource } from './slotSource.js'
-import type { PickedUpstream, UpstreamPicker } from './upstreamPicker.js'
+import type { UpstreamPicker } from './upstreamPicker.js'
+import { WorkspaceLine, type SlotGrant, type Waiter } from './workspaceLine.js'
 import type { WorkspaceQuotas } from './workspaceQuotas.js'
 
 const retryAfterMs = 1000
+const nothingToAvoid: ReadonlySet<string> = new Set()
 
 export interface RequestQueueOptions {
   clock: Clock
@@ -20,44 +24,34 @@
   slots: SlotSource
   quotas: WorkspaceQuotas
   picker: UpstreamPicker
+  /** Emits when the picker may choose what it passed over before. */
+  pickerChanges?: Observable<unknown>
 }
 
-/** A slot taken for one attempt. */
-export interface SlotGrant extends PickedUpstream {
-  readonly fence: number
-}
-
-type Settle = (outcome: Either<NettlespurError, SlotGrant>) => void
-
-interface Waiter {
-  readonly avoid: ReadonlySet<string>
-  /** True for a later attempt: the request has its place already. */
-  readonly placed: boolean
-  readonly settle: Settle
-}
-
-interface WorkspaceLine {
-  placed: number
-  waiters: Waiter[]
-}
+type Outcome = Either<NettlespurError, SlotGrant>
 
 export class RequestQueue {
   readonly #opts: RequestQueueOptions
   readonly #lines = new Map<string, WorkspaceLine>()
   readonly #changes: Subscription
+  /** Virtual time of the workspace served last: where one that comes back from idleness begins. */
+  #virtualMs = 0
   #shutDown: NettlespurError | undefined
 
   constructor(opts: RequestQueueOptions) {
     this.#opts = opts
     const { contracts, upstreams, entries, lease } = opts.view
-    this.#changes = merge(contracts, upstreams, entries, lease.held).subscribe(() => {
+    const changes = [contracts, upstreams, entries, lease.held, opts.pickerChanges ?? NEVER]
+    this.#changes = merge(...changes).subscribe(() => {
       this.#serveLines()
     })
   }
 
   /** Requests waiting now. */
   get waiting(): number {
-    return [...this.#lines.values()].reduce((sum, line) => sum + line.waiters.length, 0)
+    let sum = 0
+    for (const line of this.#lines.values()) sum += line.fresh.size + line.again.size
+    return sum
   }
 
   /**
@@ -65,7 +59,11 @@
    * `queue-full`, `deadline-before-start`, `cancelled-before-start`, `contract-lease-expired`.
    */
   enter(request: ShortRequest): EitherAsync<NettlespurError, SlotGrant> {
-    return EitherAsync.fromPromise(() => this.#wait(request, { avoid: new Set(), placed: false }))
+    return EitherAsync.fromPromise(() => {
+      const refusal = this.#refuse(request, nothingToAvoid) ?? this.#refuseFresh(request)
+      if (refusal !== undefined) return Promise.resolve(Left(refusal))
+      return this.#wait(request, nothingToAvoid, 'fresh')
+    })
   }
 
   /** Waits for a slot of another upstream, ahead of those not started yet. Errors: those of `enter`. */
@@ -73,7 +71,11 @@
     request: ShortRequest,
     avoid: ReadonlySet<string>,
   ): EitherAsync<NettlespurError, SlotGrant> {
-    return EitherAsync.fromPromise(() => this.#wait(request, { avoid, placed: true }))
+    return EitherAsync.fromPromise(() => {
+      const refusal = this.#refuse(request, avoid)
+      if (refusal !== undefined) return Promise.resolve(Left(refusal))
+      return this.#wait(request, avoid, 'again')
+    })
   }
 
   releaseSlot(upstreamId: string): void {
@@ -83,8 +85,8 @@
 
   leave(workspace: string): void {
     const line = this.#lineOf(workspace)
-    line.placed -= 1
-    this.#forgetIdle(workspace, line)
+    line.noteEnd()
+    this.#forgetIdle(line)
     this.#serveLines()
   }
 
@@ -100,118 +102,145 @@
 
   #wait(
     request: ShortRequest,
-    want: Omit<Waiter, 'settle'>,
-  ): Promise<Either<NettlespurError, SlotGrant>> {
-    const refusal = this.#refuse(request, want)
-    if (refusal !== undefined) return Promise.resolve(Left(refusal))
+    avoid: ReadonlySet<string>,
+    part: 'fresh' | 'again',
+  ): Promise<Outcome> {
     return new Promise((resolve) => {
       const line = this.#lineOf(request.workspace)
       const remainingMs = request.deadlineAtMs - this.#opts.clock.monotonicMs()
       const timer = this.#opts.clock.setTimer(remainingMs, () => {
-        settle(Left(createDeadlineError()))
+        settle(Left(createDeadlineError(line.drainRate.retryAfterMs(line.fresh.size))))
       })
       const giveUp = (): void => {
-        settle(Left(new NettlespurError('cancelled-before-start', 'the caller went away')))
+        settle(Left(createCancelledError()))
       }
-      const settle: Settle = (outcome) => {
+      const settle = (outcome: Outcome): void => {
         timer.cancel()
         request.callerGone.removeEventListener('abort', giveUp)
-        line.waiters = line.waiters.filter((other) => other !== waiter)
-        this.#forgetIdle(request.workspace, line)
+        line.remove(waiter)
+        this.#forgetIdle(line)
         resolve(outcome)
       }
-      const waiter: Waiter = { ...want, settle }
+      const waiter: Waiter = { avoid, settle }
       request.callerGone.addEventListener('abort', giveUp, { once: true })
-      if (want.placed) line.waiters.unshift(waiter)
-      else line.waiters.push(waiter)
+      if (line.fresh.size === 0) line.drainRate.noteBacklogBegins()
+      line[part].add(waiter)
       this.#serveLines()
-      this.#boundLine(request.workspace, line, waiter)
+      if (part === 'fresh') this.#boundLine(line, waiter)
     })
   }
 
-  #refuse(request: ShortRequest, want: Omit<Waiter, 'settle'>): NettlespurError | undefined {
+  #refuse(request: ShortRequest, avoid: ReadonlySet<string>): NettlespurError | undefined {
     const closed = this.#shutDown ?? this.#opts.view.lease.refusal()
     if (closed !== undefined) return closed
-    if (request.callerGone.aborted) {
-      return new NettlespurError('cancelled-before-start', 'the caller went away')
+    if (request.callerGone.aborted) return createCancelledError()
+    if (request.deadlineAtMs <= this.#opts.clock.monotonicMs()) {
+      return createDeadlineError(retryAfterMs)
     }
-    if (request.deadlineAtMs <= this.#opts.clock.monotonicMs()) return createDeadlineError()
+    if (this.#opts.slots.countUsable(avoid) > 0) return undefined
+    return new NettlespurError('no-upstream', 'no upstream is ready to run it', { retryAfterMs })
+  }
+
+  /** Refuses what has no share here, and what would only wait for its deadline. */
+  #refuseFresh(request: ShortRequest): NettlespurError | undefined {
     const placesMax = this.#opts.quotas.quotaOf(request.workspace)?.concurrentRequests ?? 0
-    if (!want.placed && placesMax === 0) {
+    if (placesMax === 0) {
       const message = 'this entry has no share of the concurrent requests of this workspace'
-      return new NettlespurError('over-limit', message, { retryAfterMs })
+      const hint = 'send it again: another entry has the share'
+      return new NettlespurError('over-limit', message, { retryAfterMs, hint })
     }
-    if (this.#opts.slots.countUsable(want.avoid) > 0) return undefined
-    return new NettlespurError('no-upstream', 'no upstream is ready to run it', { retryAfterMs })
+    const line = this.#lines.get(request.workspace)
+    if (line === undefined || line.fresh.size === 0) return undefined
+    const expectedMs = line.drainRate.expectedWaitMs(line.fresh.size + 1) ?? 0
+    const remainingMs = request.deadlineAtMs - this.#opts.clock.monotonicMs()
+    if (expectedMs <= remainingMs) return undefined
+    const message = `its turn is expected in ${Math.ceil(expectedMs)} ms, after its deadline`
+    return new NettlespurError('deadline-before-start', message, {
+      retryAfterMs: line.drainRate.retryAfterMs(line.fresh.size),
+    })
   }
 
   /** Refuses a new waiter that found no slot and a full queue. */
-  #boundLine(workspace: string, line: WorkspaceLine, waiter: Waiter): void {
-    if (waiter.placed || !line.waiters.includes(waiter)) return
-    const queuedMax = this.#opts.quotas.quotaOf(workspace)?.queuedRequests ?? 0
-    const queued = line.waiters.filter((other) => !other.placed).length
-    if (queued <= queuedMax) return
+  #boundLine(line: WorkspaceLine, waiter: Waiter): void {
+    if (!line.fresh.has(waiter)) return
+    const queuedMax = this.#opts.quotas.quotaOf(line.workspace)?.queuedRequests ?? 0
+    if (line.fresh.size <= queuedMax) return
     const message = `${queuedMax} requests of this workspace wait here already`
-    waiter.settle(Left(new NettlespurError('queue-full', message, { retryAfterMs })))
+    const retry = { retryAfterMs: line.drainRate.retryAfterMs(queuedMax) }
+    waiter.settle(Left(new NettlespurError('queue-full', message, retry)))
   }
 
-  /** Gives slots to waiters, one workspace after another, until nothing more can be given. */
+  /** Gives slots to waiters until nothing more can be given. */
   #serveLines(): void {
     const lapsed = this.#opts.view.lease.refusal()
     if (lapsed !== undefined) {
       this.#refuseAll(lapsed)
       return
     }
-    let progress = true
-    while (progress) {
-      progress = false
-      for (const [workspace, line] of [...this.#lines]) {
-        if (!this.#serveOne(workspace, line)) continue
-        progress = true
-        this.#moveBehind(workspace, line)
-      }
+    for (const line of [...this.#lines.values()]) this.#serveAgain(line)
+    let line = this.#nextLine()
+    while (line !== undefined && this.#serveFresh(line)) line = this.#nextLine()
+  }
+
+  #serveAgain(line: WorkspaceLine): void {
+    for (const waiter of [...line.again]) {
+      const grant = this.#takeSlot(waiter.avoid)
+      if (grant !== undefined) waiter.settle(Right(grant))
     }
   }
 
-  #serveOne(workspace: string, line: WorkspaceLine): boolean {
-    const placesMax = this.#opts.quotas.quotaOf(workspace)?.concurrentRequests ?? 0
-    for (const waiter of line.waiters) {
-      if (!waiter.placed && line.placed >= placesMax) continue
-      const picked = this.#opts.picker.pick(this.#opts.slots.listFree(waiter.avoid))
-      if (picked === undefined) continue
-      const fence = this.#opts.slots.take(picked.upstream.upstreamId)
-      if (!waiter.placed) line.placed += 1
-      waiter.settle(Right({ ...picked, fence }))
-      return true
+  /** The workspace that has had least for its weight, of those that wait and are within their limit. */
+  #nextLine(): WorkspaceLine | undefined {
+    let next: WorkspaceLine | undefined
+    for (const line of this.#lines.values()) {
+      if (line.fresh.size === 0) continue
+      if (next !== undefined && next.virtualMs <= line.virtualMs) continue
+      const placesMax = this.#opts.quotas.quotaOf(line.workspace)?.concurrentRequests ?? 0
+      if (line.placed < placesMax) next = line
     }
-    return false
+    return next
+  }
+
+  #serveFresh(line: WorkspaceLine): boolean {
+    const [waiter] = line.fresh
+    const grant = waiter === undefined ? undefined : this.#takeSlot(waiter.avoid)
+    if (waiter === undefined || grant === undefined) return false
+    this.#virtualMs = Math.max(this.#virtualMs, line.virtualMs)
+    line.noteStart(this.#opts.view.contractOf(line.workspace)?.weight ?? 1)
+    waiter.settle(Right(grant))
+    return true
+  }
+
+  #takeSlot(avoid: ReadonlySet<string>): SlotGrant | undefined {
+    const picked = this.#opts.picker.pick(this.#opts.slots.listFree(avoid))
+    if (picked === undefined) return undefined
+    return { ...picked, fence: this.#opts.slots.take(picked.upstream.upstreamId) }
   }
 
   #refuseAll(error: NettlespurError): void {
     for (const line of [...this.#lines.values()]) {
-      for (const waiter of [...line.waiters]) waiter.settle(Left(error))
+      for (const waiter of [...line.again, ...line.fresh]) waiter.settle(Left(error))
     }
   }
 
   #lineOf(workspace: string): WorkspaceLine {
     const known = this.#lines.get(workspace)
     if (known !== undefined) return known
-    const made: WorkspaceLine = { placed: 0, waiters: [] }
+    const made = new WorkspaceLine(this.#opts.clock, workspace, this.#virtualMs)
     this.#lines.set(workspace, made)
     return made
   }
 
-  /** Puts a workspace that was served behind the others. */
-  #moveBehind(workspace: string, line: WorkspaceLine): void {
-    if (this.#lines.delete(workspace)) this.#lines.set(workspace, line)
-  }
-
-  #forgetIdle(workspace: string, line: WorkspaceLine): void {
-    if (line.placed === 0 && line.waiters.length === 0) this.#lines.delete(workspace)
+  #forgetIdle(line: WorkspaceLine): void {
+    if (line.isIdle) this.#lines.delete(line.workspace)
   }
 }
 
-function createDeadlineError(): NettlespurError {
+function createDeadlineError(afterMs: number): NettlespurError {
   const message = 'its deadline passed before it could start'
-  return new NettlespurError('deadline-before-start', message, { retryAfterMs })
+  return new NettlespurError('deadline-before-start', message, { retryAfterMs: afterMs })
+}
+
+function createCancelledError(): NettlespurError {
+  return new NettlespurError('cancelled-before-start', 'the caller went away')
 }
--- a/entry/requests/test/createRouter.ts
+++ b/entry/requests/test/createRouter.ts
@@ -1,4 +1,4 @@
-import type { UpstreamView } from '@nettlespur/api.schemas'
+import type { Contract, UpstreamView } from '@nettlespur/api.schemas'
 import type { Clock } from '@nettlespur/core.clock'
 import { MetricsRegistry } from '@nettlespur/core.metrics'
 import { createContract, RecordingLogger } from '@nettlespur/entry.fakes'
@@ -18,6 +18,8 @@
   transport: TaskTransport
   upstreams: readonly UpstreamView[]
   limits?: Partial<ReturnType<typeof createContract>['limits']>
+  /** Contracts beside that of `thapa`. */
+  others?: readonly Contract[]
 }
 
 /** A router over one workspace `thapa`, with its contract in force. */
@@ -30,7 +32,9 @@
   const update = {
     epoch: 'first',
     contractIndex: 1,
-    contracts: [{ contract, revision: 1, changeIndex: 1 }],
+    contracts: [contract, ...(setup.others ?? [])].map((each) => {
+      return { contract: each, revision: 1, changeIndex: 1 }
+    }),
     upstreamVersion: 1,
     upstreams: [...setup.upstreams],
     entries: [],
