feat: claim requests that must not run twice before they leave (state, control, entry)

Cause: a resend through another entry could run a non-repeatable request twice. Change: claims in the replicated state, a resolver at the leader, a claiming router in the entry.

--- a/api/schemas/src/index.ts
+++ b/api/schemas/src/index.ts
@@ -1,4 +1,5 @@
 /** Schemas and types of everything that crosses a process boundary. */
+export * from './claim.js'
 export * from './contract.js'
 export * from './fields.js'
 export * from './job.js'
--- a/api/schemas/src/task.ts
+++ b/api/schemas/src/task.ts
@@ -77,6 +77,8 @@
   answerBytes: byteCountSchema.optional(),
   failure: z.string().optional(),
   checkpointId: z.string().optional(),
+  /** As announced: records of tasks from before this start are lost. */
+  session: z.string().optional(),
 })
 export type TaskStatus = z.infer<typeof taskStatusSchema>
 
--- a/api/schemas/src/upstream.ts
+++ b/api/schemas/src/upstream.ts
@@ -23,6 +23,8 @@
   accelerators: countSchema,
   state: announcedStateSchema,
   tasks: z.array(taskReportSchema).max(1024),
+  /** Differs with each start of an upstream that keeps no records of its tasks over a restart. */
+  session: z.string().max(64).optional(),
 })
 export type Announcement = z.infer<typeof announcementSchema>
 
@@ -43,5 +45,6 @@
   memoryBytes: byteCountSchema,
   accelerators: countSchema,
   state: upstreamStateSchema,
+  session: z.string().optional(),
 })
 export type UpstreamView = z.infer<typeof upstreamViewSchema>
--- a/control/api/src/controlApi.ts
+++ b/control/api/src/controlApi.ts
@@ -3,6 +3,9 @@
  * finds the leader; tests give fakes.
  */
 import type {
+  Claim,
+  ClaimChange,
+  ClaimQuery,
   ContractChange,
   ContractRecord,
   JobAnswer,
@@ -10,7 +13,7 @@
   JobRequest,
   JobView,
 } from '@nettlespur/api.schemas'
-import type { NettlespurError } from '@nettlespur/core.errors'
+import type { NettlespurError, RpcResult } from '@nettlespur/core.errors'
 import type { EitherAsync } from 'purify-ts'
 import type { Announcements, ClusterUpdate, WatchRequest } from './clusterView.js'
 import type { ContractView } from './contractView.js'
@@ -48,6 +51,15 @@
   abstract explainJob(reference: JobReference): EitherAsync<NettlespurError, JobExplanation>
   /** Asks for the job's end; the view may still say `stopping`. Errors: `unknown-job`. */
   abstract cancelJob(reference: JobReference): EitherAsync<NettlespurError, JobView>
+  /**
+   * Commits changes of claims, each with its own result in the order given: the claim as it then stands.
+   * Errors of one: `idempotency-conflict`, `over-limit`, `unknown-workspace`, `unknown-job`, `no-quorum`.
+   */
+  abstract changeClaims(
+    changes: readonly ClaimChange[],
+  ): EitherAsync<NettlespurError, RpcResult<Claim>[]>
+  /** The claim of a key, or null where there is none; waits for its outcome up to `waitMs`. */
+  abstract awaitClaim(query: ClaimQuery): EitherAsync<NettlespurError, Claim | null>
   abstract announce(announcements: Announcements): EitherAsync<NettlespurError, null>
   /** Answers when something changed since the request's positions, or after its `waitMs`. */
   abstract watch(request: WatchRequest): EitherAsync<NettlespurError, ClusterUpdate>
--- a/control/api/src/createControlRouter.ts
+++ b/control/api/src/createControlRouter.ts
@@ -1,5 +1,11 @@
 /** The tRPC router over a ControlApi: one procedure for each method, each checked by its schema. */
-import { contractChangeSchema, identifierSchema, jobRequestSchema } from '@nettlespur/api.schemas'
+import {
+  claimChangeSchema,
+  claimQuerySchema,
+  contractChangeSchema,
+  identifierSchema,
+  jobRequestSchema,
+} from '@nettlespur/api.schemas'
 import { toRpcResult } from '@nettlespur/core.errors'
 import { initTRPC } from '@trpc/server'
 import { z } from 'zod'
@@ -8,6 +14,8 @@
 
 const jobReferenceSchema = z.object({ workspace: identifierSchema, jobId: z.string() })
 const answerRequestSchema = jobReferenceSchema.extend({ waitMs: z.int().nonnegative() })
+const claimChangesMax = 256
+const claimChangesSchema = z.array(claimChangeSchema).max(claimChangesMax)
 const listSchema = z.object({ workspace: identifierSchema.optional() })
 
 export function createControlRouter(api: ControlApi) {
@@ -34,6 +42,12 @@
     cancelJob: procedure
       .input(jobReferenceSchema)
       .mutation(({ input }) => toRpcResult(api.cancelJob(input))),
+    changeClaims: procedure
+      .input(claimChangesSchema)
+      .mutation(({ input }) => toRpcResult(api.changeClaims(input))),
+    awaitClaim: procedure
+      .input(claimQuerySchema)
+      .mutation(({ input }) => toRpcResult(api.awaitClaim(input))),
     announce: procedure
       .input(announcementsSchema)
       .mutation(({ input }) => toRpcResult(api.announce(input))),
--- a/control/api/src/remoteControlApi.ts
+++ b/control/api/src/remoteControlApi.ts
@@ -3,6 +3,9 @@
  * leader and tries the others in turn when that one cannot be reached or no longer leads.
  */
 import type {
+  Claim,
+  ClaimChange,
+  ClaimQuery,
   ContractChange,
   ContractRecord,
   JobExplanation,
@@ -76,6 +79,14 @@
     return this.#ask((call) => call.cancelJob.mutate(reference))
   }
 
+  changeClaims(changes: readonly ClaimChange[]): EitherAsync<NettlespurError, RpcResult<Claim>[]> {
+    return this.#ask((call) => call.changeClaims.mutate([...changes]))
+  }
+
+  awaitClaim(query: ClaimQuery): EitherAsync<NettlespurError, Claim | null> {
+    return this.#ask((call) => call.awaitClaim.mutate(query))
+  }
+
   announce(announcements: Announcements): EitherAsync<NettlespurError, null> {
     return this.#ask((call) => call.announce.mutate(announcements))
   }
--- /dev/null
+++ b/control/service/src/claimCalls.ts
@@ -0,0 +1,48 @@
+/** What entries ask about claims, answered by the leader. */
+import type { Claim, ClaimChange, ClaimQuery } from '@nettlespur/api.schemas'
+import { waitForWake } from '@nettlespur/control.gangs'
+import { isResolved, readClaim } from '@nettlespur/control.state'
+import { toRpcResult, unwrap, type RpcResult } from '@nettlespur/core.errors'
+import { EitherAsync } from 'purify-ts'
+import { filter } from 'rxjs'
+import type { LeaderSession } from './leaderSession.js'
+import type { ControlNodeOptions } from './nodeOptions.js'
+
+export const defaultClaimLifetimeMs = 600_000
+
+export class ClaimCalls {
+  readonly #opts: ControlNodeOptions
+  readonly #session: LeaderSession
+
+  constructor(opts: ControlNodeOptions, session: LeaderSession) {
+    this.#opts = opts
+    this.#session = session
+  }
+
+  /** Proposed together, so that the log commits them with one sync. */
+  change(changes: readonly ClaimChange[]): Promise<RpcResult<Claim>[]> {
+    const { log, clock, timings } = this.#opts
+    const at = clock.now().toISOString()
+    const lifetimeMs = timings.claimLifetimeMs ?? defaultClaimLifetimeMs
+    const commit = (change: ClaimChange): Promise<RpcResult<Claim>> =>
+      toRpcResult(
+        log
+          .propose({ type: 'claim.change', at, change, lifetimeMs })
+          .chain((result) => EitherAsync.liftEither(readClaim(result))),
+      )
+    return Promise.all(changes.map(commit))
+  }
+
+  async await({ waitMs, ...key }: ClaimQuery): Promise<Claim | null> {
+    const { clock, holder, log } = this.#opts
+    await unwrap(log.readBarrier())
+    const isOpen = (): boolean => {
+      const claim = holder.state.getClaim(key)
+      return claim !== undefined && !isResolved(claim)
+    }
+    const known = holder.applied.pipe(filter(() => !isOpen()))
+    await waitForWake(clock, waitMs, known, this.#session.ended)
+    await unwrap(log.readBarrier())
+    return holder.state.getClaim(key) ?? null
+  }
+}
--- a/control/service/src/controlNode.ts
+++ b/control/service/src/controlNode.ts
@@ -3,6 +3,9 @@
  * address as the hint. What it knows only as leader lives in a LeaderSession.
  */
 import type {
+  Claim,
+  ClaimChange,
+  ClaimQuery,
   ContractChange,
   ContractRecord,
   JobExplanation,
@@ -23,9 +26,10 @@
 } from '@nettlespur/control.api'
 import type { Leadership } from '@nettlespur/control.log'
 import { readContract } from '@nettlespur/control.state'
-import { NettlespurError, tryAsync, unwrap } from '@nettlespur/core.errors'
+import { NettlespurError, tryAsync, unwrap, type RpcResult } from '@nettlespur/core.errors'
 import { EitherAsync } from 'purify-ts'
 import type { Subscription } from 'rxjs'
+import { ClaimCalls } from './claimCalls.js'
 import { createReport } from './createReport.js'
 import { createStatus } from './createStatus.js'
 import { JobCalls } from './jobCalls.js'
@@ -129,6 +133,16 @@
     return this.#lead('cancelJob', (session) => new JobCalls(this.#opts, session).cancel(reference))
   }
 
+  changeClaims(changes: readonly ClaimChange[]): EitherAsync<NettlespurError, RpcResult<Claim>[]> {
+    return this.#lead('changeClaims', (session) =>
+      new ClaimCalls(this.#opts, session).change(changes),
+    )
+  }
+
+  awaitClaim(query: ClaimQuery): EitherAsync<NettlespurError, Claim | null> {
+    return this.#lead('awaitClaim', (session) => new ClaimCalls(this.#opts, session).await(query))
+  }
+
   announce(announcements: Announcements): EitherAsync<NettlespurError, null> {
     return this.#lead('announce', (session) => {
       session.announce(announcements)
--- a/control/service/src/entryTable.ts
+++ b/control/service/src/entryTable.ts
@@ -60,6 +60,11 @@
     return [...this.#rows.values()].map((row) => row.entry)
   }
 
+  /** False where it is certain that this entry holds no lease any more. */
+  mayLive(entryId: string): boolean {
+    return this.#rows.has(entryId) || this.#mayHaveUnheard()
+  }
+
   listPositions(): { entryId: string; contractIndex: number }[] {
     return [...this.#rows.values()].map(({ entry, contractIndex }) => {
       return { entryId: entry.entryId, contractIndex }
--- a/control/service/src/leaderSession.ts
+++ b/control/service/src/leaderSession.ts
@@ -8,6 +8,7 @@
 import { GangManager } from '@nettlespur/control.gangs'
 import { LifecycleManager } from '@nettlespur/core.lifecycle'
 import { BehaviorSubject, Subject } from 'rxjs'
+import { ClaimResolver } from './claimResolver.js'
 import { EntryTable } from './entryTable.js'
 import type { ControlNodeOptions } from './nodeOptions.js'
 import { PlacementLoop } from './placementLoop.js'
@@ -67,6 +68,7 @@
 
   start(): void {
     this.#lifecycle.ownTask('placement', (signal) => this.#place(signal))
+    this.#lifecycle.ownTask('claims', (signal) => this.#resolveClaims(signal))
     this.#lifecycle.ownTask('refresh', (signal) => this.#refresh(signal))
     // Registered last so that it runs first: who leads no more renews no lease.
     this.#lifecycle.own('gangs', () => this.#gangs.stop())
@@ -85,12 +87,21 @@
 
   /** Nothing is decided before the state holds all that former leaders committed. */
   async #place(signal: AbortSignal): Promise<void> {
+    await this.#waitForState(signal)
+    if (!signal.aborted) await this.placements.run(signal)
+  }
+
+  async #resolveClaims(signal: AbortSignal): Promise<void> {
+    await this.#waitForState(signal)
+    if (!signal.aborted) await new ClaimResolver(this.#opts, this.entries).run(signal)
+  }
+
+  async #waitForState(signal: AbortSignal): Promise<void> {
     const { log, clock } = this.#opts
     while ((await log.readBarrier().run()).isLeft()) {
       await clock.sleep(barrierRetryMs, signal)
       if (signal.aborted) return
     }
-    await this.placements.run(signal)
   }
 
   async #refresh(signal: AbortSignal): Promise<void> {
--- a/control/service/src/nodeOptions.ts
+++ b/control/service/src/nodeOptions.ts
@@ -11,6 +11,8 @@
 export interface NodeTimings extends GangTimings {
   /** How long an entry may enforce its contracts without hearing from control. */
   readonly contractLeaseMs: number
+  /** How long a claim is kept once its outcome is known; the default of the settings where absent. */
+  readonly claimLifetimeMs?: number
   readonly upstreamSuspectMs: number
   readonly upstreamGoneMs: number
 }
--- a/control/service/src/upstreamTable.ts
+++ b/control/service/src/upstreamTable.ts
@@ -100,6 +100,7 @@
     memoryBytes,
     accelerators,
     state,
+    ...(announced.session === undefined ? {} : { session: announced.session }),
   }
 }
 
--- /dev/null
+++ b/control/state/src/claimTable.ts
@@ -0,0 +1,74 @@
+/**
+ * The claims of one workspace, in order of their last change. Expired ones go by the time of commands,
+ * never by a clock.
+ */
+import type { Claim } from '@nettlespur/api.schemas'
+import { claimAnswersBytesMax } from './retention.js'
+
+/** Whether it is known what became of the request. */
+export function isResolved({ outcome }: Claim): boolean {
+  return outcome !== undefined && outcome.kind !== 'unknown'
+}
+
+export class ClaimTable {
+  readonly #byKey = new Map<string, Claim>()
+  readonly #unresolved = new Set<string>()
+  /** Bytes of each answer that is kept, oldest first. */
+  readonly #answers = new Map<string, number>()
+  #answerBytes = 0
+
+  get size(): number {
+    return this.#byKey.size
+  }
+
+  get(key: string): Claim | undefined {
+    return this.#byKey.get(key)
+  }
+
+  list(): Claim[] {
+    return [...this.#byKey.values()]
+  }
+
+  listUnresolved(): Claim[] {
+    return [...this.#unresolved].flatMap((key) => this.#byKey.get(key) ?? [])
+  }
+
+  /** Puts a claim behind all others: it changed last. The oldest answers go until the others fit. */
+  put(claim: Claim): void {
+    this.#drop(claim.key)
+    this.#byKey.set(claim.key, claim)
+    if (!isResolved(claim)) this.#unresolved.add(claim.key)
+    if (claim.outcome?.kind !== 'answered' || claim.outcome.bodyBase64 === undefined) return
+    this.#answers.set(claim.key, claim.outcome.bodyBytes)
+    this.#answerBytes += claim.outcome.bodyBytes
+    for (const oldest of this.#answers.keys()) {
+      if (this.#answerBytes <= claimAnswersBytesMax) return
+      this.#dropBody(oldest)
+    }
+  }
+
+  /** Drops claims whose outcome has stood for their lifetime. One that still runs is always kept. */
+  forgetOld(timeMs: number, lifetimeMs: number): void {
+    for (const [key, { changedAt, outcome }] of this.#byKey) {
+      if (outcome === undefined) continue
+      if (timeMs - Date.parse(changedAt) <= lifetimeMs) return
+      this.#drop(key)
+    }
+  }
+
+  #drop(key: string): void {
+    this.#byKey.delete(key)
+    this.#unresolved.delete(key)
+    this.#answerBytes -= this.#answers.get(key) ?? 0
+    this.#answers.delete(key)
+  }
+
+  #dropBody(key: string): void {
+    this.#answerBytes -= this.#answers.get(key) ?? 0
+    this.#answers.delete(key)
+    const claim = this.#byKey.get(key)
+    if (claim?.outcome?.kind !== 'answered') return
+    const outcome = { ...claim.outcome, bodyBase64: undefined }
+    this.#byKey.set(key, { ...claim, outcome })
+  }
+}
--- a/control/state/src/command.ts
+++ b/control/state/src/command.ts
@@ -3,7 +3,9 @@
  * never reads a clock.
  */
 import {
+  claimChangeSchema,
   contractChangeSchema,
+  durationMsSchema,
   countSchema,
   fenceSchema,
   identifierSchema,
@@ -92,6 +94,23 @@
   reason: z.string(),
 })
 
+/** One change of a claim, and how long the claim is kept once its outcome is known. */
+export const changeClaimSchema = z.object({
+  type: z.literal('claim.change'),
+  at,
+  change: claimChangeSchema,
+  lifetimeMs: durationMsSchema,
+})
+
+/** Takes an unresolved claim from its entry, so that its task can be stopped under a higher fence. */
+export const takeClaimSchema = z.object({
+  type: z.literal('claim.take'),
+  at,
+  workspace: identifierSchema,
+  key: z.string(),
+  fence: fenceSchema,
+})
+
 export const commandSchema = z.discriminatedUnion('type', [
   applyContractSchema,
   submitJobSchema,
@@ -101,6 +120,8 @@
   requeueJobSchema,
   cancelJobSchema,
   endJobSchema,
+  changeClaimSchema,
+  takeClaimSchema,
 ])
 export type Command = z.infer<typeof commandSchema>
 
--- a/control/state/src/commandResult.ts
+++ b/control/state/src/commandResult.ts
@@ -1,5 +1,5 @@
 /** What applying a command gave: the record it made or changed, or why it changed nothing. */
-import type { ContractRecord } from '@nettlespur/api.schemas'
+import type { Claim, ContractRecord } from '@nettlespur/api.schemas'
 import {
   NettlespurError,
   type ErrorKind,
@@ -18,13 +18,19 @@
   readonly job: JobRecord
 }
 
+/** The claim as it stands, whether or not this command changed it. */
+export interface ClaimStands {
+  readonly type: 'claim'
+  readonly claim: Claim
+}
+
 /** The state is as it was before. */
 export interface Refused {
   readonly type: 'refused'
   readonly error: NettlespurError
 }
 
-export type CommandResult = ContractAccepted | JobChanged | Refused
+export type CommandResult = ContractAccepted | JobChanged | ClaimStands | Refused
 
 export function refuse(
   kind: ErrorKind,
@@ -46,6 +52,12 @@
   return Left(toError(result))
 }
 
+/** The claim of a result. Errors: the refusal's own. */
+export function readClaim(result: CommandResult): Either<NettlespurError, Claim> {
+  if (result.type === 'claim') return Right(result.claim)
+  return Left(toError(result))
+}
+
 function toError(result: CommandResult): NettlespurError {
   if (result.type === 'refused') return result.error
   return new NettlespurError('internal', `a ${result.type} was not what this command gives`)
--- a/control/state/src/controlState.ts
+++ b/control/state/src/controlState.ts
@@ -2,9 +2,10 @@
  * The replicated state: contracts, operator changes and jobs. Equal commands in equal order give equal
  * states on every instance; nothing here reads a clock, a random number or a file.
  */
-import type { ContractRecord, JobAnswer } from '@nettlespur/api.schemas'
+import type { Claim, ClaimKey, ContractRecord, JobAnswer } from '@nettlespur/api.schemas'
 import { applyContract } from './applyContract.js'
 import { cancelJob } from './cancelJob.js'
+import { changeClaim } from './changeClaim.js'
 import type { Command } from './command.js'
 import type { CommandResult } from './commandResult.js'
 import { endJob } from './endJob.js'
@@ -16,6 +17,7 @@
 import { createStateData, type StateData } from './stateData.js'
 import { readSnapshot, takeSnapshot, type StateSnapshot } from './stateSnapshot.js'
 import { submitJob } from './submitJob.js'
+import { takeClaim } from './takeClaim.js'
 
 export class ControlState {
   readonly #data: StateData
@@ -90,6 +92,15 @@
     return history?.jobKeys.has(jobKey) === true || history?.endedJobKeys.has(jobKey) === true
   }
 
+  getClaim({ workspace, key }: ClaimKey): Claim | undefined {
+    return this.#data.claims.get(workspace)?.get(key)
+  }
+
+  /** Claims whose outcome is open or unknown. */
+  listUnresolvedClaims(): Claim[] {
+    return [...this.#data.claims.values()].flatMap((claims) => claims.listUnresolved())
+  }
+
   getAnswer(workspace: string, jobId: string): JobAnswer | undefined {
     return this.#data.histories.get(workspace)?.answers.get(jobId)
   }
@@ -113,5 +124,9 @@
       return cancelJob(data, index, command)
     case 'job.ended':
       return endJob(data, index, command)
+    case 'claim.change':
+      return changeClaim(data, index, command)
+    case 'claim.take':
+      return takeClaim(data, index, command)
   }
 }
--- a/control/state/src/index.ts
+++ b/control/state/src/index.ts
@@ -1,9 +1,22 @@
 /** The replicated state of the cluster as a deterministic state machine. */
+export { isResolved } from './claimTable.js'
 export { commandSchema, type Assignment, type Command, type CommandOf } from './command.js'
-export { readContract, readJob, type CommandResult, type Refused } from './commandResult.js'
+export {
+  readClaim,
+  readContract,
+  readJob,
+  type CommandResult,
+  type Refused,
+} from './commandResult.js'
 export { ControlState } from './controlState.js'
 export { legalMoves } from './jobChange.js'
 export { jobRecordSchema, toJobView, type JobRecord } from './jobRecord.js'
-export { answerBytesMax, changeIdsMax, endedJobMaxAgeMs, endedJobsMax } from './retention.js'
+export {
+  answerBytesMax,
+  changeIdsMax,
+  claimsMax,
+  endedJobMaxAgeMs,
+  endedJobsMax,
+} from './retention.js'
 export { StateHolder } from './stateHolder.js'
 export { stateSnapshotSchema, type StateSnapshot } from './stateSnapshot.js'
--- a/control/state/src/retention.ts
+++ b/control/state/src/retention.ts
@@ -17,3 +17,7 @@
 export const keptAnswerBytesMax = 4_194_304
 /** Decisions kept in the trace of one job, newest last. */
 export const decisionsMax = 32
+/** Claims kept for each workspace; a request beyond it is refused, since a forgotten claim could run twice. */
+export const claimsMax = 20_000
+/** Bytes of answers kept with the claims of each workspace; the oldest are then left to their upstreams. */
+export const claimAnswersBytesMax = 4_194_304
--- a/control/state/src/stateData.ts
+++ b/control/state/src/stateData.ts
@@ -1,5 +1,6 @@
 /** What the handlers of commands work on. Maps keep the order of insertion, which is the order of the log. */
 import type { ContractRecord, JobAnswer } from '@nettlespur/api.schemas'
+import { ClaimTable } from './claimTable.js'
 import type { JobRecord } from './jobRecord.js'
 
 /** An accepted change of an operator; with the resent body it gives the first answer again. */
@@ -44,6 +45,8 @@
   /** Jobs that have not ended, in order of submission. */
   readonly jobs: Map<string, JobRecord>
   readonly histories: Map<string, WorkspaceHistory>
+  /** By workspace. */
+  readonly claims: Map<string, ClaimTable>
 }
 
 export function createStateData(): StateData {
@@ -55,6 +58,7 @@
     changes: new Map(),
     jobs: new Map(),
     histories: new Map(),
+    claims: new Map(),
   }
 }
 
@@ -71,3 +75,12 @@
   data.histories.set(workspace, made)
   return made
 }
+
+/** The claims of one workspace, made on first use. */
+export function openClaims(data: StateData, workspace: string): ClaimTable {
+  const known = data.claims.get(workspace)
+  if (known !== undefined) return known
+  const made = new ClaimTable()
+  data.claims.set(workspace, made)
+  return made
+}
--- a/control/state/src/stateSnapshot.ts
+++ b/control/state/src/stateSnapshot.ts
@@ -1,8 +1,14 @@
 /** The whole state as a value, for snapshots. Lists keep the order of the maps they come from. */
-import { contractRecordSchema, countSchema, jobAnswerSchema } from '@nettlespur/api.schemas'
+import {
+  claimSchema,
+  contractRecordSchema,
+  countSchema,
+  jobAnswerSchema,
+  type Claim,
+} from '@nettlespur/api.schemas'
 import { z } from 'zod'
 import { jobRecordSchema } from './jobRecord.js'
-import { createStateData, type StateData, type WorkspaceHistory } from './stateData.js'
+import { createStateData, openClaims, type StateData, type WorkspaceHistory } from './stateData.js'
 
 const changeSchema = z.object({
   digest: z.string(),
@@ -28,6 +34,7 @@
   changes: z.array(z.tuple([z.string(), changeSchema])),
   jobs: z.array(z.tuple([z.string(), jobRecordSchema])),
   histories: z.array(z.tuple([z.string(), historySchema])),
+  claims: z.array(claimSchema).default([]),
 })
 export type StateSnapshot = z.infer<typeof stateSnapshotSchema>
 
@@ -40,6 +47,7 @@
     changes: [...data.changes],
     jobs: [...data.jobs],
     histories: [...data.histories].map(([workspace, history]) => [workspace, toLists(history)]),
+    claims: [...data.claims.values()].flatMap((claims) => claims.list()),
   }
 }
 
@@ -53,9 +61,16 @@
     changes: new Map(snapshot.changes),
     jobs: new Map(snapshot.jobs),
     histories: new Map(snapshot.histories.map(([name, lists]) => [name, toMaps(lists)])),
+    claims: groupClaims(snapshot.claims),
   }
 }
 
+function groupClaims(claims: readonly Claim[]): StateData['claims'] {
+  const data = createStateData()
+  for (const claim of claims) openClaims(data, claim.workspace).put(claim)
+  return data.claims
+}
+
 function toLists(history: WorkspaceHistory): z.infer<typeof historySchema> {
   return {
     jobKeys: [...history.jobKeys],
--- /dev/null
+++ b/control/state/src/takeClaim.ts
@@ -0,0 +1,19 @@
+/** Takes an unresolved claim under a new fence; its entry's later changes no longer apply. */
+import { isResolved } from './claimTable.js'
+import type { CommandOf } from './command.js'
+import { refuse, type CommandResult } from './commandResult.js'
+import type { StateData } from './stateData.js'
+
+export function takeClaim(
+  data: StateData,
+  index: number,
+  { at, workspace, key, fence }: CommandOf<'claim.take'>,
+): CommandResult {
+  const claim = data.claims.get(workspace)?.get(key)
+  if (claim === undefined) return refuse('unknown-job', `no claim for key ${key}`)
+  if (claim.fence !== fence || isResolved(claim)) return { type: 'claim', claim }
+  const outcome = claim.outcome ?? { kind: 'unknown' as const, reason: 'its entry was overtaken' }
+  const taken = { ...claim, fence: index, changedAt: at, outcome }
+  data.claims.get(workspace)?.put(taken)
+  return { type: 'claim', claim: taken }
+}
--- /dev/null
+++ b/entry/claims/src/claimingRouter.ts
@@ -0,0 +1,200 @@
+/**
+ * Routes requests so that one that must not run twice is claimed under its key before it leaves. A resend,
+ * through whichever entry, finds the claim and gets its outcome. "Not run" is told only where it holds for
+ * the key, not just for this sending of it.
+ */
+import { createHash } from 'node:crypto'
+import { claimAnswerBytesMax, type Claim, type ClaimOutcome } from '@nettlespur/api.schemas'
+import type { ControlApi } from '@nettlespur/control.api'
+import type { Clock } from '@nettlespur/core.clock'
+import { NettlespurError, toNettlespurError, tryAsync } from '@nettlespur/core.errors'
+import type { Logger } from '@nettlespur/core.logger'
+import { RequestRouter, type ShortAnswer, type ShortRequest } from '@nettlespur/entry.requests'
+import type { EitherAsync } from 'purify-ts'
+import type { AnswerCollector } from './answerCollector.js'
+import { ClaimChanges, transientKinds } from './claimChanges.js'
+import { createUnknownError, OutcomeReader } from './outcomeReader.js'
+import { RequestClaim } from './requestClaim.js'
+
+/** How long the outcome of an answered request is offered to control; later control collects it itself. */
+const recordPatienceMs = 10_000
+
+export interface ClaimingRouterOptions {
+  clock: Clock
+  logger: Logger
+  control: Pick<ControlApi, 'changeClaims' | 'awaitClaim'>
+  collector: AnswerCollector
+  entryId: string
+  /** Carries the requests; it commits their claim before each attempt. */
+  router: RequestRouter
+}
+
+export class ClaimingRouter extends RequestRouter {
+  readonly #opts: ClaimingRouterOptions
+  readonly #changes: ClaimChanges
+  readonly #outcomes: OutcomeReader
+  /** Tasks whose outcome this process still means to record. */
+  readonly #tasks = new Set<string>()
+  readonly #records = new Set<Promise<void>>()
+
+  constructor(opts: ClaimingRouterOptions) {
+    super()
+    this.#opts = opts
+    this.#changes = new ClaimChanges(opts.clock, opts.control)
+    this.#outcomes = new OutcomeReader(opts)
+  }
+
+  override run(request: ShortRequest): EitherAsync<NettlespurError, ShortAnswer> {
+    if (request.repeatable) return this.#opts.router.run(request)
+    return tryAsync(() => this.#runClaimed(request))
+  }
+
+  override abandonAll(): void {
+    this.#opts.router.abandonAll()
+  }
+
+  /** Resolves once the outcomes of all answered requests are recorded or given up. */
+  async flush(): Promise<void> {
+    await Promise.all(this.#records)
+  }
+
+  async #runClaimed(request: ShortRequest): Promise<ShortAnswer> {
+    const { key } = request
+    if (key === undefined) throw createNoKeyError()
+    const tasks: string[] = []
+    const claim = this.#createClaim(request, key, tasks)
+    const result = await this.#opts.router.run({ ...request, claim }).run()
+    if (result.isRight()) {
+      const answer = result.unsafeCoerce()
+      this.#record(claim, tasks, toOutcome(answer))
+      return answer
+    }
+    const error = toNettlespurError(result.extract())
+    if (claim.held !== undefined && claim.found === undefined && error.answer.ran !== 'no') {
+      // Handed to control at once: it asks the upstream while this request still has time to wait.
+      this.#record(claim, tasks, { kind: 'unknown', reason: error.message })
+      return this.#outcomes.read(request, claim.held)
+    }
+    try {
+      return await this.#answerUnsent(request, key, claim, error)
+    } finally {
+      this.#forget(tasks)
+    }
+  }
+
+  #createClaim(request: ShortRequest, key: string, tasks: string[]): RequestClaim {
+    const { clock, entryId } = this.#opts
+    return new RequestClaim({
+      changes: this.#changes,
+      entryId,
+      workspace: request.workspace,
+      key,
+      bodySha256: hashBody(request.body),
+      deadlineAtMs: request.deadlineAtMs,
+      monotonicMs: () => clock.monotonicMs(),
+      onTask: (taskId) => {
+        tasks.push(taskId)
+        this.#tasks.add(taskId)
+      },
+    })
+  }
+
+  /** For a request of which nothing was sent, or nothing that its upstream took. */
+  async #answerUnsent(
+    request: ShortRequest,
+    key: string,
+    claim: RequestClaim,
+    error: NettlespurError,
+  ): Promise<ShortAnswer> {
+    if (claim.found !== undefined) return this.#readFound(request, claim.found)
+    if (claim.held !== undefined) return this.#settleNotRun(request, claim, claim.held, error)
+    if (claim.asked) {
+      throw transientKinds.has(error.kind) ? createUnknownError(error.message, error) : error
+    }
+    const known = await this.#outcomes.find(request, key)
+    if (known === null || known.outcome?.kind === 'not-run') throw error
+    return this.#readFound(request, known)
+  }
+
+  async #settleNotRun(
+    request: ShortRequest,
+    claim: RequestClaim,
+    held: Claim,
+    error: NettlespurError,
+  ): Promise<ShortAnswer> {
+    const { clock } = this.#opts
+    const endMs = Math.max(request.deadlineAtMs, clock.monotonicMs())
+    const outcome = { kind: 'not-run' as const, reason: error.message }
+    const settled = await tryAsync(() => claim.settle(held, outcome, endMs)).run()
+    if (settled.isLeft()) throw createUnknownError('control cannot tell what became of its key')
+    const known = settled.unsafeCoerce()
+    if (known.outcome?.kind === 'not-run') throw error
+    return this.#readFound(request, known)
+  }
+
+  async #readFound(request: ShortRequest, found: Claim): Promise<ShortAnswer> {
+    if (found.bodySha256 !== hashBody(request.body)) {
+      throw new NettlespurError('idempotency-conflict', 'the key was used with another body')
+    }
+    await this.#releaseOrphan(request, found)
+    return this.#outcomes.read(request, found)
+  }
+
+  /** A claim of this entry that this process does not run was left behind by a former process. */
+  async #releaseOrphan(request: ShortRequest, { outcome, ...found }: Claim): Promise<void> {
+    const { entryId } = this.#opts
+    const isOrphan = found.entryId === entryId && !this.#tasks.has(found.target.taskId)
+    if (outcome !== undefined || !isOrphan) return
+    const { workspace, key, fence } = found
+    const unknown = { kind: 'unknown' as const, reason: 'its entry has restarted' }
+    const change = { type: 'settle' as const, workspace, key, fence, outcome: unknown }
+    await tryAsync(() => this.#changes.commit(change, request.deadlineAtMs)).run()
+  }
+
+  /** Records an outcome in the background: the caller has its answer and need not wait. */
+  #record(claim: RequestClaim, tasks: readonly string[], outcome: ClaimOutcome): void {
+    const { held } = claim
+    if (held === undefined) return
+    const endMs = this.#opts.clock.monotonicMs() + recordPatienceMs
+    const recorded = claim
+      .settle(held, outcome, endMs)
+      .then(
+        () => undefined,
+        (thrown: unknown) => {
+          const reason = toNettlespurError(thrown).message
+          const { taskId } = held.target
+          this.#opts.logger.warn({ event: 'claim.not-recorded', taskId, reason })
+        },
+      )
+      .finally(() => {
+        this.#forget(tasks)
+        this.#records.delete(recorded)
+      })
+    this.#records.add(recorded)
+  }
+
+  #forget(tasks: readonly string[]): void {
+    for (const taskId of tasks) this.#tasks.delete(taskId)
+  }
+}
+
+function hashBody(body: Buffer): string {
+  return createHash('sha256').update(body).digest('hex')
+}
+
+function toOutcome({ status, contentType, body }: ShortAnswer): ClaimOutcome {
+  const fitting = body.length <= claimAnswerBytesMax
+  return {
+    kind: 'answered',
+    status,
+    ...(contentType === undefined ? {} : { contentType }),
+    bodyBytes: body.length,
+    ...(fitting ? { bodyBase64: body.toString('base64') } : {}),
+  }
+}
+
+function createNoKeyError(): NettlespurError {
+  return new NettlespurError('invalid-field', 'header idempotency-key: is needed', {
+    hint: 'give each request a key of its own, or say nettlespur-repeatable: true where it may run twice',
+  })
+}
--- /dev/null
+++ b/entry/claims/src/requestClaim.ts
@@ -0,0 +1,83 @@
+/** The claim of one request in progress: committed with its target before each attempt leaves. */
+import type { Claim, ClaimChange, ClaimOutcome, UpstreamView } from '@nettlespur/api.schemas'
+import { NettlespurError } from '@nettlespur/core.errors'
+import { DispatchClaim } from '@nettlespur/entry.requests'
+import type { ClaimChanges } from './claimChanges.js'
+
+export interface RequestClaimOptions {
+  changes: ClaimChanges
+  entryId: string
+  workspace: string
+  key: string
+  bodySha256: string
+  deadlineAtMs: number
+  monotonicMs: () => number
+  /** Told of the task before its claim is asked for. */
+  onTask: (taskId: string) => void
+}
+
+export class RequestClaim extends DispatchClaim {
+  /** Set once control was asked to open it: from then on a claim may stand there. */
+  asked = false
+  /** As committed for this request. */
+  held: Claim | undefined
+  /** What stood under the key, or has overtaken this request. */
+  found: Claim | undefined
+  readonly #opts: RequestClaimOptions
+
+  constructor(opts: RequestClaimOptions) {
+    super()
+    this.#opts = opts
+  }
+
+  override async commit(target: {
+    upstream: UpstreamView
+    taskId: string
+    attempt: number
+  }): Promise<number> {
+    const { changes, deadlineAtMs, monotonicMs, onTask } = this.#opts
+    onTask(target.taskId)
+    this.asked = true
+    const claim = await changes.commit(this.#createChange(target), deadlineAtMs)
+    const isOwn =
+      claim.target.taskId === target.taskId &&
+      claim.target.attempt === target.attempt &&
+      claim.outcome === undefined
+    if (!isOwn) {
+      this.found = claim
+      throw new NettlespurError('outcome-unknown', 'its key is claimed already')
+    }
+    this.held = claim
+    if (monotonicMs() < deadlineAtMs) return claim.fence
+    throw new NettlespurError('deadline-before-start', 'its deadline passed while it was claimed')
+  }
+
+  /** The claim as it stands afterwards, which another may have settled first. */
+  settle(held: Claim, outcome: ClaimOutcome, deadlineAtMs: number): Promise<Claim> {
+    const { workspace, key } = this.#opts
+    const { fence } = held
+    return this.#opts.changes.commit(
+      { type: 'settle', workspace, key, fence, outcome },
+      deadlineAtMs,
+    )
+  }
+
+  #createChange({
+    upstream,
+    taskId,
+    attempt,
+  }: {
+    upstream: UpstreamView
+    taskId: string
+    attempt: number
+  }): ClaimChange {
+    const { entryId, workspace, key, bodySha256, deadlineAtMs, monotonicMs } = this.#opts
+    const { upstreamId, address, session } = upstream
+    const target = { upstreamId, address, taskId, attempt, ...(session && { session }) }
+    if (this.held !== undefined) {
+      return { type: 'move', workspace, key, fence: this.held.fence, entryId, target }
+    }
+    const remainingMs = Math.max(0, Math.ceil(deadlineAtMs - monotonicMs()))
+    return { type: 'open', workspace, key, bodySha256, entryId, target, remainingMs }
+  }
+}
--- a/entry/fakes/src/fakeControl.ts
+++ b/entry/fakes/src/fakeControl.ts
@@ -3,6 +3,9 @@
  * every change it takes, and can be made unreachable or move to a new epoch.
  */
 import type {
+  Claim,
+  ClaimChange,
+  ClaimQuery,
   ContractChange,
   ContractRecord,
   JobAnswer,
@@ -25,9 +28,16 @@
   type WatchRequest,
 } from '@nettlespur/control.api'
 import type { Clock } from '@nettlespur/core.clock'
-import { NettlespurError, tryAsync, type ErrorKind } from '@nettlespur/core.errors'
+import {
+  NettlespurError,
+  toRpcResult,
+  tryAsync,
+  type ErrorKind,
+  type RpcResult,
+} from '@nettlespur/core.errors'
 import type { EitherAsync } from 'purify-ts'
 import { BehaviorSubject } from 'rxjs'
+import { FakeClaims } from './fakeClaims.js'
 
 const fullLeaseMs = 4000
 
@@ -43,6 +53,7 @@
   readonly jobs = new Map<string, JobOutcome>()
   readonly contracts = new Map<string, ContractRecord>()
   readonly upstreams = new Map<string, UpstreamView>()
+  readonly claims: FakeClaims
   entries: EntryIdentity[] = []
   /** Entries that a contract view says do not enforce it yet. */
   notYetInForceAt: string[] = []
@@ -53,6 +64,7 @@
   constructor(clock: Clock) {
     super()
     this.#clock = clock
+    this.claims = new FakeClaims(clock)
   }
 
   putContract(contract: ContractRecord['contract']): ContractRecord {
@@ -158,6 +170,24 @@
     })
   }
 
+  changeClaims(changes: readonly ClaimChange[]): EitherAsync<NettlespurError, RpcResult<Claim>[]> {
+    return tryAsync(() => {
+      this.#requireReachable()
+      const commit = (change: ClaimChange): Promise<RpcResult<Claim>> =>
+        toRpcResult(tryAsync(() => Promise.resolve(this.claims.change(change))))
+      return Promise.all(changes.map(commit))
+    })
+  }
+
+  awaitClaim({ waitMs, ...key }: ClaimQuery): EitherAsync<NettlespurError, Claim | null> {
+    return tryAsync(async () => {
+      this.#requireReachable()
+      await this.claims.awaitOutcome(key, waitMs)
+      this.#requireReachable()
+      return this.claims.get(key) ?? null
+    })
+  }
+
   announce(announcements: Announcements): EitherAsync<NettlespurError, null> {
     return this.#answer(() => {
       this.changes += 1
--- a/entry/requests/src/index.ts
+++ b/entry/requests/src/index.ts
@@ -6,7 +6,7 @@
 export { MostFreePicker } from './mostFreePicker.js'
 export { RequestQueue, type RequestQueueOptions, type SlotGrant } from './requestQueue.js'
 export { RequestRouter } from './requestRouter.js'
-export type { ShortAnswer, ShortRequest } from './shortRequest.js'
+export { DispatchClaim, type ShortAnswer, type ShortRequest } from './shortRequest.js'
 export { SlotSource } from './slotSource.js'
 export { TaskTransport, type TaskAnswer, type TaskOutcome, type TaskRun } from './taskTransport.js'
 export { UpstreamPicker, type PickedUpstream, type SlotCandidate } from './upstreamPicker.js'
--- a/entry/requests/src/localRequestRouter.ts
+++ b/entry/requests/src/localRequestRouter.ts
@@ -124,14 +124,16 @@
 
   async #attemptOn(progress: Progress, slot: SlotGrant): Promise<TaskOutcome> {
     const { request, taskId, attempt } = progress
-    this.#logRouted(progress, slot)
     try {
+      const { upstream } = slot
+      const fence = (await request.claim?.commit({ upstream, taskId, attempt })) ?? slot.fence
+      this.#logRouted(progress, { ...slot, fence })
       return await this.#opts.transport.run({
         ...request,
         taskId,
         attempt,
         address: slot.upstream.address,
-        fence: slot.fence,
+        fence,
         givenUp: this.#abandoned.signal,
         timeoutMs: Math.max(1, request.deadlineAtMs - this.#opts.clock.monotonicMs()),
       })
--- a/entry/requests/src/shortRequest.ts
+++ b/entry/requests/src/shortRequest.ts
@@ -1,3 +1,15 @@
+import type { UpstreamView } from '@nettlespur/api.schemas'
+
+/** What must be committed before an attempt of a request leaves this entry. */
+export abstract class DispatchClaim {
+  /** Resolves with the fence to send the attempt under. Rejects where it must not be sent. */
+  abstract commit(target: {
+    upstream: UpstreamView
+    taskId: string
+    attempt: number
+  }): Promise<number>
+}
+
 /** One short request as the router takes it, and the whole answer it gives. */
 export interface ShortRequest {
   readonly workspace: string
@@ -11,6 +23,8 @@
   readonly body: Buffer
   /** Aborted when the caller goes away. */
   readonly callerGone: AbortSignal
+  /** Given for each request that must not run twice. */
+  readonly claim?: DispatchClaim | undefined
 }
 
 /** The upstream's own answer, whole. */
--- a/settings/schemas/src/controlSettings.ts
+++ b/settings/schemas/src/controlSettings.ts
@@ -17,6 +17,11 @@
   upstreamSuspectMs: z.int().positive().default(3000),
   /** No announcement for this long makes an upstream gone. */
   upstreamGoneMs: z.int().positive().default(10_000),
+  /**
+   * How long the key and outcome of a request that must not run twice are kept after the outcome is known. A
+   * key sent again later counts as a new request.
+   */
+  claimLifetimeMs: z.int().positive().default(600_000),
   /** How long a task may take to stop after it is asked to. */
   stopGraceMs: z.int().nonnegative().default(2000),
 })
--- a/upstream/standIn/src/gangCalls.ts
+++ b/upstream/standIn/src/gangCalls.ts
@@ -86,7 +86,7 @@
     this.#fences.forbidStarts(known?.reservation?.jobId ?? body.jobId, body.fence)
     const task = known ?? tasks.addTombstone(taskId, body.fence)
     task.stop({ graceMs: body.graceMs, ignored: faults.settings.ignoreStops })
-    return Right(task.status())
+    return Right({ ...task.status(), session: tasks.session })
   }
 
   /** Renews the leases held under the fences given; the answer has one status for each, in order. */
--- a/upstream/standIn/src/taskTable.ts
+++ b/upstream/standIn/src/taskTable.ts
@@ -1,4 +1,5 @@
 /** Every task the stand-in knows, live or ended, and what the live ones hold of its capacity. */
+import { randomUUID } from 'node:crypto'
 import type { ReserveTask, TaskReport, TaskState, TaskStatus } from '@nettlespur/api.schemas'
 import type { Clock } from '@nettlespur/core.clock'
 import { Retention } from './retention.js'
@@ -35,6 +36,8 @@
 }
 
 export class TaskTable {
+  /** Names this start: a restarted stand-in has forgotten its tasks. */
+  readonly session = randomUUID()
   readonly #clock: Clock
   readonly #byId = new Map<string, StandInTask>()
   readonly #live = new Set<StandInTask>()
@@ -81,7 +84,9 @@
   }
 
   status(taskId: string): TaskStatus {
-    return this.find(taskId)?.status() ?? { taskId, fence: 0, state: 'unknown' }
+    const { session } = this
+    const status = this.find(taskId)?.status() ?? { taskId, fence: 0, state: 'unknown' }
+    return { ...status, session }
   }
 
   /** The reservations of live gang members. */
