test: claims over interleavings of two entries, faults and deaths

One run a key, one whole answer for each caller of the key, and no false "not run": 400 runs a time over the real replicated state and resolver, with upstreams in memory.

--- a/control/service/src/claimResolver.ts
+++ b/control/service/src/claimResolver.ts
@@ -11,7 +11,7 @@
 import { filter } from 'rxjs'
 import { defaultClaimLifetimeMs } from './claimCalls.js'
 import type { EntryTable } from './entryTable.js'
-import type { ControlNodeOptions } from './nodeOptions.js'
+import type { ControlNodeOptions, NodeTimings } from './nodeOptions.js'
 
 const tickMs = 250
 const shortestPauseMs = 250
@@ -26,12 +26,21 @@
   readonly pauseMs: number
 }
 
+export interface ClaimResolverOptions extends Pick<
+  ControlNodeOptions,
+  'clock' | 'logger' | 'holder'
+> {
+  log: Pick<ControlNodeOptions['log'], 'propose'>
+  client: Pick<ControlNodeOptions['client'], 'getTask' | 'stop' | 'getAnswer'>
+  timings: Pick<NodeTimings, 'claimLifetimeMs'>
+}
+
 export class ClaimResolver {
-  readonly #opts: ControlNodeOptions
+  readonly #opts: ClaimResolverOptions
   readonly #entries: Pick<EntryTable, 'mayLive'>
   #pauses = new Map<string, Pause>()
 
-  constructor(opts: ControlNodeOptions, entries: Pick<EntryTable, 'mayLive'>) {
+  constructor(opts: ClaimResolverOptions, entries: Pick<EntryTable, 'mayLive'>) {
     this.#opts = opts
     this.#entries = entries
   }
--- a/daemons/entry/test/startEntry.test.ts
+++ b/daemons/entry/test/startEntry.test.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto'
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import path from 'node:path'
@@ -53,7 +54,7 @@
 }
 
 async function send(entry: RunningEntry, method: string, url: string, body?: string) {
-  const headers = { 'nettlespur-workspace': 'thapa' }
+  const headers = { 'nettlespur-workspace': 'thapa', 'idempotency-key': randomUUID() }
   const call = {
     clock,
     address: entry.listenAddress,
--- a/entry/claims/src/claimingRouter.ts
+++ b/entry/claims/src/claimingRouter.ts
@@ -32,6 +32,7 @@
 export class ClaimingRouter extends RequestRouter {
   readonly #opts: ClaimingRouterOptions
   readonly #changes: ClaimChanges
+  readonly #abandoned = new AbortController()
   readonly #outcomes: OutcomeReader
   /** Tasks whose outcome this process still means to record. */
   readonly #tasks = new Set<string>()
@@ -41,7 +42,7 @@
     super()
     this.#opts = opts
     this.#changes = new ClaimChanges(opts.clock, opts.control)
-    this.#outcomes = new OutcomeReader(opts)
+    this.#outcomes = new OutcomeReader({ ...opts, abandoned: this.#abandoned.signal })
   }
 
   override run(request: ShortRequest): EitherAsync<NettlespurError, ShortAnswer> {
@@ -50,6 +51,7 @@
   }
 
   override abandonAll(): void {
+    this.#abandoned.abort()
     this.#opts.router.abandonAll()
   }
 
--- a/entry/claims/src/outcomeReader.ts
+++ b/entry/claims/src/outcomeReader.ts
@@ -16,6 +16,8 @@
   clock: Clock
   control: Pick<ControlApi, 'awaitClaim'>
   collector: AnswerCollector
+  /** Aborted when every request is to be answered now. */
+  abandoned: AbortSignal
 }
 
 export class OutcomeReader {
@@ -34,7 +36,9 @@
 
   /** Waits for the outcome until the request's deadline. Throws what stands for any but an answer. */
   async read(request: ShortRequest, claim: Claim): Promise<ShortAnswer> {
-    const { clock } = this.#opts
+    const { clock, abandoned } = this.#opts
+    const givenUp = AbortSignal.any([request.callerGone, abandoned])
+    const ended = whenAborted(givenUp)
     let known: Claim | null = claim
     for (;;) {
       if (known === null) throw createUnknownError('its claim is no longer kept')
@@ -43,12 +47,13 @@
         return this.#toAnswer(request, known, outcome)
       }
       const leftMs = request.deadlineAtMs - clock.monotonicMs()
-      if (request.callerGone.aborted || leftMs <= 0) {
+      if (givenUp.aborted || leftMs <= 0) {
         throw createUnknownError(outcome?.reason ?? 'it runs still')
       }
       const waitMs = Math.ceil(Math.min(askMsMax, leftMs))
-      known = await this.#ask(request.workspace, claim.key, waitMs, request.deadlineAtMs)
-      if (known !== null && isOpen(known)) await clock.sleep(Math.min(pauseMs, leftMs))
+      const asked = this.#ask(request.workspace, claim.key, waitMs, request.deadlineAtMs)
+      known = await Promise.race([asked, ended.then(() => claim)])
+      if (known !== null && isOpen(known)) await clock.sleep(Math.min(pauseMs, leftMs), givenUp)
     }
   }
 
@@ -103,6 +108,16 @@
   }
 }
 
+function whenAborted(signal: AbortSignal): Promise<void> {
+  if (signal.aborted) return Promise.resolve()
+  return new Promise((resolve) => {
+    const done = (): void => {
+      resolve()
+    }
+    signal.addEventListener('abort', done, { once: true })
+  })
+}
+
 function isOpen({ outcome }: Claim): boolean {
   return outcome === undefined || outcome.kind === 'unknown'
 }
--- /dev/null
+++ b/entry/claims/test/memoryUpstreams.ts
@@ -0,0 +1,111 @@
+/** Upstreams in memory, which show the test's faults and keep what they ran. */
+import type { TaskState, TaskStatus } from '@nettlespur/api.schemas'
+import { NettlespurError, tryAsync } from '@nettlespur/core.errors'
+import { TaskTransport, type TaskOutcome, type TaskRun } from '@nettlespur/entry.requests'
+
+/** `late`: the attempt arrives only when released. `slow`: it runs until released. */
+export type Fault = 'answer' | 'lose' | 'refuse' | 'not-sent' | 'late' | 'late-lose' | 'slow'
+
+interface Task {
+  fence: number
+  state: TaskState
+  readonly body: Buffer
+}
+
+export class MemoryUpstreams {
+  readonly script: Fault[] = []
+  /** Keys of the tasks that were started, one for each start. */
+  readonly started: { key: string; taskId: string }[] = []
+  /** Tasks sent so far for each key. */
+  readonly sent: { key: string; taskId: string }[] = []
+  readonly #tasks = new Map<string, Task>()
+  #held: (() => void)[] = []
+
+  /** Lets everything go on that is late or slow. */
+  release(): void {
+    const held = this.#held
+    this.#held = []
+    for (const resume of held) resume()
+  }
+
+  async run(task: TaskRun): Promise<TaskOutcome> {
+    const fault = this.script.shift() ?? 'answer'
+    const error = new NettlespurError('outcome-unknown', fault)
+    const key = String(task.key)
+    this.sent.push({ key, taskId: task.taskId })
+    if (fault === 'not-sent') return { kind: 'not-sent', error }
+    if (fault === 'refuse') return { kind: 'refused', error }
+    if (fault === 'late' || fault === 'late-lose') await this.#hold()
+    const known = this.#tasks.get(nameOf(task.address, task.taskId))
+    if (known !== undefined && (known.fence > task.fence || known.state === 'never-runs')) {
+      return { kind: 'refused', error }
+    }
+    const body = Buffer.from(`${task.taskId} answers ${task.body.toString()}`)
+    const started: Task = { fence: task.fence, state: 'running', body }
+    this.#tasks.set(nameOf(task.address, task.taskId), started)
+    this.started.push({ key, taskId: task.taskId })
+    if (fault === 'slow') await this.#hold()
+    if (started.state === 'running') started.state = 'finished'
+    if (fault === 'lose' || fault === 'late-lose' || started.state !== 'finished') {
+      return { kind: 'lost', error }
+    }
+    return { kind: 'answered', answer: { status: 200, contentType: undefined, body } }
+  }
+
+  getTask(address: string, taskId: string) {
+    return tryAsync(() => Promise.resolve(this.#status(address, taskId)))
+  }
+
+  stop({ address, taskId, fence }: { address: string; taskId: string; fence: number }) {
+    return tryAsync(() => {
+      const known = this.#tasks.get(nameOf(address, taskId))
+      if (known === undefined) {
+        const tombstone: Task = { fence, state: 'never-runs', body: Buffer.alloc(0) }
+        this.#tasks.set(nameOf(address, taskId), tombstone)
+      } else {
+        known.fence = fence
+        if (known.state === 'running') known.state = 'stopped'
+      }
+      return Promise.resolve(this.#status(address, taskId))
+    })
+  }
+
+  getAnswer({ address, taskId }: { address: string; taskId: string }) {
+    return tryAsync(() => {
+      const known = this.#tasks.get(nameOf(address, taskId))
+      if (known?.state === 'finished') return Promise.resolve(known.body)
+      return Promise.reject(new NettlespurError('unknown-job', taskId))
+    })
+  }
+
+  #status(address: string, taskId: string): TaskStatus {
+    const known = this.#tasks.get(nameOf(address, taskId))
+    return { taskId, fence: known?.fence ?? 0, state: known?.state ?? 'unknown' }
+  }
+
+  #hold(): Promise<void> {
+    return new Promise((resolve) => this.#held.push(resolve))
+  }
+}
+
+/** The transport of one entry: after the entry's death nothing leaves it and nothing comes back to it. */
+export class MemoryTransport extends TaskTransport {
+  readonly #upstreams: MemoryUpstreams
+  readonly #isDead: () => boolean
+
+  constructor(upstreams: MemoryUpstreams, isDead: () => boolean) {
+    super()
+    this.#upstreams = upstreams
+    this.#isDead = isDead
+  }
+
+  override async run(task: TaskRun): Promise<TaskOutcome> {
+    if (this.#isDead()) return new Promise<never>(() => undefined)
+    const outcome = await this.#upstreams.run(task)
+    return this.#isDead() ? new Promise<never>(() => undefined) : outcome
+  }
+}
+
+function nameOf(address: string, taskId: string): string {
+  return `${address} ${taskId}`
+}
--- a/entry/fakes/src/fakeClaims.ts
+++ b/entry/fakes/src/fakeClaims.ts
@@ -1,16 +1,14 @@
 /** Claims as the real replicated state keeps them, without a log. Any workspace may claim. */
 import type { Claim, ClaimChange, ClaimKey } from '@nettlespur/api.schemas'
-import { ControlState, isResolved, readClaim, type Command } from '@nettlespur/control.state'
+import { isResolved, readClaim, StateHolder, type Command } from '@nettlespur/control.state'
 import type { Clock } from '@nettlespur/core.clock'
-import { BehaviorSubject } from 'rxjs'
 import { createContract } from './samples.js'
 
 const lifetimeMs = 600_000
 
 export class FakeClaims {
-  readonly state = ControlState.create()
+  readonly holder = new StateHolder()
   readonly #clock: Clock
-  readonly #applied = new BehaviorSubject(0)
   readonly #workspaces = new Set<string>()
 
   constructor(clock: Clock) {
@@ -18,7 +16,7 @@
   }
 
   get(key: ClaimKey): Claim | undefined {
-    return this.state.getClaim(key)
+    return this.holder.state.getClaim(key)
   }
 
   /** Throws what the state refuses. */
@@ -30,7 +28,7 @@
   /** Resolves once the outcome of a claim is known, or after `waitMs`. */
   async awaitOutcome(key: ClaimKey, waitMs: number): Promise<void> {
     const known = new AbortController()
-    const watching = this.#applied.subscribe(() => {
+    const watching = this.holder.applied.subscribe(() => {
       const claim = this.get(key)
       if (claim === undefined || isResolved(claim)) known.abort()
     })
@@ -39,8 +37,7 @@
   }
 
   apply(command: Command): Claim {
-    const result = this.state.apply(this.state.appliedIndex + 1, command)
-    this.#applied.next(this.state.appliedIndex)
+    const result = this.holder.apply(this.holder.state.appliedIndex + 1, command)
     return readClaim(result)
       .mapLeft((error): never => {
         throw error
@@ -53,7 +50,7 @@
     this.#workspaces.add(workspace)
     const contract = createContract({ workspace })
     const change = { changeId: workspace, expectedRevision: 0, contract }
-    this.state.apply(this.state.appliedIndex + 1, {
+    this.holder.apply(this.holder.state.appliedIndex + 1, {
       type: 'contract.apply',
       at: this.#now(),
       change,
