--- /dev/null
+++ b/control/service/test/placementLoop.test.ts
@@ -0,0 +1,111 @@
+import { unwrap } from '@nettlespur/core.errors'
+import {
+  BestFitPolicy,
+  type PlacementDecision,
+  type PlacementView,
+} from '@nettlespur/placement.engine'
+import test, { type ExecutionContext } from 'ava'
+import { announcement, change, runUntil, startNode, submit, type TestNode } from './startNode.js'
+
+const gang = { accelerators: 8, adjacency: 'upstream' as const }
+
+/** Decides as best fit does, and whatever a test adds. */
+class ScriptedPolicy extends BestFitPolicy {
+  extra: (view: PlacementView) => PlacementDecision[] = () => []
+
+  override decide(view: PlacementView): PlacementDecision[] {
+    return [...this.extra(view), ...super.decide(view)]
+  }
+}
+
+async function startScripted(t: ExecutionContext) {
+  const policy = new ScriptedPolicy()
+  const node = await startNode(t, undefined, policy)
+  await unwrap(node.node.applyContract(change('one', 0)))
+  await announce(node, 'u1', 'ready')
+  return { node, policy }
+}
+
+async function announce({ node }: TestNode, upstreamId: string, state: 'ready' | 'leaving') {
+  const { address } = announcement
+  const own = upstreamId === 'u1' ? address : '127.0.0.1:8'
+  const items = [{ upstreamId, announcement: { ...announcement, address: own, state } }]
+  await unwrap(node.announce({ items }))
+}
+
+test('urgent work runs within a second of its submission where a victim may be stopped', async (t) => {
+  const { node, policy } = await startScripted(t)
+  const victim = await submit(node, { gang, repeatable: true })
+  await runUntil(node, () => node.client.stateOf(`${victim}.1.0`) === 'running')
+  const submittedMs = node.clock.monotonicMs()
+  const urgent = await submit(node, { gang, urgency: 'urgent' })
+  policy.extra = ({ waiting }) => {
+    if (!waiting.some((job) => job.jobId === urgent)) return []
+    const head = { jobId: victim, forJobId: urgent, withCheckpoint: false }
+    return [{ kind: 'preempt', ...head, reason: `makes way for ${urgent}` }]
+  }
+  await runUntil(node, () => node.client.stateOf(`${urgent}.1.0`) === 'running')
+  t.true(node.clock.monotonicMs() - submittedMs < 1000)
+  t.is(node.client.stateOf(`${victim}.1.0`), 'stopped')
+  t.like(node.holder.state.getLiveJob(victim), { state: 'queued', failedAttempts: 0 })
+  const lines = node.lines.filter((line) => line.includes('event=placement.preempted'))
+  t.is(lines.length, 1)
+})
+
+test('a gang that may be stopped moves off a leaving upstream, and another one stays', async (t) => {
+  const { node } = await startScripted(t)
+  const half = { accelerators: 4, adjacency: 'upstream' as const }
+  const moves = await submit(node, { gang: half, repeatable: true })
+  const stays = await submit(node, { gang: half, repeatable: false })
+  const isRunning = (taskId: string) => node.client.stateOf(taskId) === 'running'
+  await runUntil(node, () => [moves, stays].every((id) => isRunning(`${id}.1.0`)))
+  await announce(node, 'u2', 'ready')
+  await announce(node, 'u1', 'leaving')
+  await runUntil(node, () => isRunning(`${moves}.2.0`))
+  t.is(node.client.stateOf(`${moves}.1.0`), 'stopped')
+  t.true(isRunning(`${stays}.1.0`))
+})
+
+test('a job told impossible is ended after a minute, with its reason and as not run', async (t) => {
+  const { node, policy } = await startScripted(t)
+  const jobId = await submit(node, { gang: { accelerators: 64, adjacency: 'upstream' } })
+  policy.extra = ({ waiting }) =>
+    waiting.map((job) => ({
+      kind: 'refuse',
+      jobId: job.jobId,
+      reason: 'no upstream is that large',
+    }))
+  for (let seconds = 0; seconds < 55; seconds++) {
+    await announce(node, 'u1', 'ready')
+    await node.clock.advance(1000)
+  }
+  t.is(node.holder.state.getLiveJob(jobId)?.state, 'queued')
+  await node.clock.advance(10_000)
+  await runUntil(node, () => node.holder.state.getLiveJob(jobId) === undefined)
+  const ended = node.holder.state.getJob('demo', jobId)
+  t.like(ended, { state: 'cancelled', reason: 'no upstream is that large' })
+  t.is(ended?.startedAt, undefined)
+})
+
+test('explain tells what is asked, who holds it, and who waits before', async (t) => {
+  const { node } = await startScripted(t)
+  const holder = await submit(node, { gang, repeatable: true })
+  await runUntil(node, () => node.client.stateOf(`${holder}.1.0`) === 'running')
+  const ahead = await submit(node, { gang })
+  const jobId = await submit(node, { gang })
+  await runUntil(node, () => node.lines.some((line) => line.includes(`jobId=${jobId} reason=`)))
+  const { waitsFor } = await unwrap(node.node.explainJob({ workspace: 'demo', jobId }))
+  const text = waitsFor.join('\n')
+  t.regex(text, /asks for 8 accelerators on one upstream.*queued since 2026/)
+  t.regex(text, new RegExp(`on u1 0 accelerators are free; ${holder} holds 8`))
+  t.regex(text, new RegExp(`1 jobs were submitted before it and wait too.*${ahead}`))
+})
+
+test('a round in which many jobs wait leaves a bounded number of lines', async (t) => {
+  const { node } = await startScripted(t)
+  await submit(node, { gang })
+  await Promise.all([...Array(60).keys()].map(() => submit(node, { gang })))
+  await runUntil(node, () => node.lines.some((line) => line.includes('event=placement.more-wait')))
+  const waits = node.lines.filter((line) => line.includes('event=placement.waits'))
+  t.true(waits.length < 60)
+})
