--- a/daemons/trial/test/gangFailures.test.ts
+++ b/daemons/trial/test/gangFailures.test.ts
@@ -125,16 +125,16 @@
   await trial.cluster.restart('control', trial.control)
   await trial.control.process.waitFor('upstream.quarantined', (line) => line.upstreamId === bad.id)
   await trial.setFaults(bad, {})
-  const progress = { isBack: false }
+  const back = new AbortController()
   const letBack = trial.control.process.waitFor(
     'upstream.changed',
     (line) => line.upstreamId === bad.id && line.before === 'quarantined' && line.state === 'ready',
   )
   void letBack.then(() => {
-    progress.isBack = true
+    back.abort()
   })
   const more: string[] = []
-  while (!progress.isBack) {
+  while (!back.signal.aborted) {
     const few = await submitMany(6)
     await Promise.all(few.map((id) => trial.waitForJob(id, (job) => job.endedAt !== undefined)))
     more.push(...few)
