--- a/entry/claims/test/claimTrial.ts
+++ b/entry/claims/test/claimTrial.ts
@@ -30,14 +30,19 @@
 export class ClaimTrial {
   readonly clock = new ManualClock()
   readonly control = new FakeControl(this.clock)
-  readonly upstreams = new MemoryUpstreams()
+  readonly upstreams = new MemoryUpstreams(this.clock)
   readonly controlFaults: ControlFault[] = []
+  /** Until then control takes nothing. */
+  controlDownUntilMs = 0
+  /** Processes that have ended, and entries that control holds for dead. */
   readonly dead = new Set<string>()
   readonly #resolver: ClaimResolver
   readonly #ended = new AbortController()
 
   constructor() {
-    this.control.putContract(createContract())
+    const contract = createContract()
+    const limits = { ...contract.limits, concurrentRequests: 2, queuedRequests: 1 }
+    this.control.putContract({ ...contract, limits })
     for (const id of ['1', '2', '3']) {
       this.control.putUpstream(createUpstream({ upstreamId: `u${id}`, address: `127.0.0.1:${id}` }))
     }
@@ -110,7 +115,8 @@
   async #callControl<T>(isDead: () => boolean, call: () => Promise<T>): Promise<T> {
     if (isDead()) return new Promise<never>(() => undefined)
     const fault = this.controlFaults.shift()
-    if (fault === 'fail') throw new NettlespurError('unreachable', 'made to fail')
+    const isDown = this.clock.monotonicMs() < this.controlDownUntilMs
+    if (fault === 'fail' || isDown) throw new NettlespurError('unreachable', 'made to fail')
     const result = await call()
     if (isDead()) return new Promise<never>(() => undefined)
     if (fault === 'lose') throw new NettlespurError('outcome-unknown', 'its answer was lost')
--- a/entry/claims/test/claimingRouter.test.ts
+++ b/entry/claims/test/claimingRouter.test.ts
@@ -13,7 +13,8 @@
 type Step =
   | { do: 'send'; entry: 0 | 1; key: string; body: string }
   | { do: 'kill'; entry: 0 | 1; restartsUnnoticed: boolean }
-  | { do: 'advance'; ms: number }
+  | { do: 'advance' | 'down'; ms: number }
+  | { do: 'suspect'; entry: 0 | 1 }
   | { do: 'release' }
   | { do: 'fault'; faults: ControlFault[] }
 
@@ -44,7 +45,12 @@
         ms: fc.constantFrom(0, 1, 200, 1000, 6000),
       }),
     },
-    { weight: 1, arbitrary: fc.record({ do: fc.constant('release' as const) }) },
+    { weight: 2, arbitrary: fc.record({ do: fc.constant('release' as const) }) },
+    { weight: 1, arbitrary: fc.record({ do: fc.constant('suspect' as const), entry: entries }) },
+    {
+      weight: 1,
+      arbitrary: fc.record({ do: fc.constant('down' as const), ms: fc.constantFrom(500, 8000) }),
+    },
     {
       weight: 1,
       arbitrary: fc.record({
@@ -56,20 +62,38 @@
   { minLength: 1, maxLength: 14 },
 )
 const faults = fc.array(
-  fc.constantFrom<Fault>('answer', 'lose', 'refuse', 'not-sent', 'late', 'late-lose', 'slow'),
+  fc.constantFrom<Fault>(
+    'answer',
+    'lose',
+    'refuse',
+    'late-refuse',
+    'not-sent',
+    'late',
+    'late-lose',
+    'slow',
+  ),
   { maxLength: 10 },
 )
 
+const delays = fc.array(fc.constantFrom(0, 100, 500, 2000), { maxLength: 8 })
+
 interface Reply {
   readonly key: string
   readonly body: string
   readonly result: Either<NettlespurError, ShortAnswer>
 }
 
+interface Played {
+  readonly played: readonly Step[]
+  readonly script: readonly Fault[]
+  readonly delaysMs: readonly number[]
+}
+
 /** Plays the steps, then lets everything end, and asks once more for each key. */
-async function play(played: readonly Step[], script: readonly Fault[], onReply: OnReply) {
+async function play({ played, script, delaysMs }: Played, onReply: OnReply) {
   const trial = new ClaimTrial()
   trial.upstreams.script.push(...script)
+  trial.upstreams.statusDelaysMs.push(...delaysMs)
   let processes = 0
   const open = (entryId: string): { process: string; router: ClaimingRouter } => {
     const process = `${entryId} process ${++processes}`
@@ -89,6 +113,8 @@
     if (step.do === 'send') send(running[step.entry]?.router, step.key, step.body)
     if (step.do === 'advance') await trial.clock.advance(step.ms)
     if (step.do === 'release') trial.upstreams.release()
+    if (step.do === 'down') trial.controlDownUntilMs = trial.clock.monotonicMs() + step.ms
+    if (step.do === 'suspect') trial.dead.add(ids[step.entry])
     if (step.do === 'fault') trial.controlFaults.push(...step.faults)
     if (step.do === 'kill') {
       trial.dead.add(running[step.entry]?.process ?? '')
@@ -101,6 +127,7 @@
     }
   }
   trial.controlFaults.length = 0
+  trial.controlDownUntilMs = 0
   trial.upstreams.script.length = 0
   await trial.clock.advance(100)
   trial.upstreams.release()
@@ -117,11 +144,11 @@
 
 test('over resends, lost and late answers, deaths and stops: one run a key, one answer, and a true "not run"', async (t) => {
   await fc.assert(
-    fc.asyncProperty(steps, faults, async (played, script) => {
+    fc.asyncProperty(steps, faults, delays, async (played, script, delaysMs) => {
       const answers = new Map<string, Set<string>>()
       const denied: { key: string; taskIds: string[] }[] = []
       let replies = 0
-      const trial = await play(played, script, ({ upstreams }, { key, result }) => {
+      const trial = await play({ played, script, delaysMs }, ({ upstreams }, { key, result }) => {
         replies += 1
         result.ifRight((answer) => {
           answers.set(key, (answers.get(key) ?? new Set()).add(answer.body.toString()))
@@ -148,7 +175,7 @@
       }
       t.true(replies >= 2, 'both last requests were answered')
     }),
-    { numRuns: 400 },
+    { numRuns: 1000 },
   )
 })
 
@@ -182,3 +209,14 @@
   t.is(trial.upstreams.started.length, 1)
   trial.end()
 })
+
+test('where control cannot be asked, a resend of what ran is never told that it did not', async (t) => {
+  const trial = new ClaimTrial()
+  await trial.createEntry('entry-1', 'first').run(trial.createRequest('a', 'x')).run()
+  trial.controlDownUntilMs = 60_000
+  const again = trial.createEntry('entry-2', 'other').run(trial.createRequest('a', 'x')).run()
+  await trial.clock.advance(6000)
+  t.like((await again).extract(), { kind: 'outcome-unknown' })
+  t.is(trial.upstreams.started.length, 1)
+  trial.end()
+})
--- a/entry/claims/test/memoryUpstreams.ts
+++ b/entry/claims/test/memoryUpstreams.ts
@@ -1,10 +1,12 @@
 /** Upstreams in memory, which show the test's faults and keep what they ran. */
 import type { TaskState, TaskStatus } from '@nettlespur/api.schemas'
+import type { Clock } from '@nettlespur/core.clock'
 import { NettlespurError, tryAsync } from '@nettlespur/core.errors'
 import { TaskTransport, type TaskOutcome, type TaskRun } from '@nettlespur/entry.requests'
 
 /** `late`: the attempt arrives only when released. `slow`: it runs until released. */
-export type Fault = 'answer' | 'lose' | 'refuse' | 'not-sent' | 'late' | 'late-lose' | 'slow'
+export type Fault =
+  'answer' | 'late-refuse' | 'lose' | 'refuse' | 'not-sent' | 'late' | 'late-lose' | 'slow'
 
 interface Task {
   fence: number
@@ -18,9 +20,16 @@
   readonly started: { key: string; taskId: string }[] = []
   /** Tasks sent so far for each key. */
   readonly sent: { key: string; taskId: string }[] = []
+  /** How late the next answers about tasks are, in milliseconds. */
+  readonly statusDelaysMs: number[] = []
+  readonly #clock: Clock
   readonly #tasks = new Map<string, Task>()
   #held: (() => void)[] = []
 
+  constructor(clock: Clock) {
+    this.#clock = clock
+  }
+
   /** Lets everything go on that is late or slow. */
   release(): void {
     const held = this.#held
@@ -34,7 +43,8 @@
     const key = String(task.key)
     this.sent.push({ key, taskId: task.taskId })
     if (fault === 'not-sent') return { kind: 'not-sent', error }
-    if (fault === 'refuse') return { kind: 'refused', error }
+    if (fault === 'late-refuse') await this.#hold()
+    if (fault === 'refuse' || fault === 'late-refuse') return { kind: 'refused', error }
     if (fault === 'late' || fault === 'late-lose') await this.#hold()
     const known = this.#tasks.get(nameOf(task.address, task.taskId))
     if (known !== undefined && (known.fence > task.fence || known.state === 'never-runs')) {
@@ -53,7 +63,7 @@
   }
 
   getTask(address: string, taskId: string) {
-    return tryAsync(() => Promise.resolve(this.#status(address, taskId)))
+    return tryAsync(() => this.#delay(this.#status(address, taskId)))
   }
 
   stop({ address, taskId, fence }: { address: string; taskId: string; fence: number }) {
@@ -66,7 +76,7 @@
         known.fence = fence
         if (known.state === 'running') known.state = 'stopped'
       }
-      return Promise.resolve(this.#status(address, taskId))
+      return this.#delay(this.#status(address, taskId))
     })
   }
 
@@ -83,6 +93,12 @@
     return { taskId, fence: known?.fence ?? 0, state: known?.state ?? 'unknown' }
   }
 
+  async #delay(status: TaskStatus): Promise<TaskStatus> {
+    const delayMs = this.statusDelaysMs.shift() ?? 0
+    if (delayMs > 0) await this.#clock.sleep(delayMs)
+    return status
+  }
+
   #hold(): Promise<void> {
     return new Promise((resolve) => this.#held.push(resolve))
   }
