feat: find silent connections, ask after lost answers, stream large ones

An attempt whose answer does not come is asked for on a new connection after the proven time; a task that ended has its answer collected, one never seen is forbidden to start before "not run" is said, and the pool of connections is distrusted. Upstreams are let out by their own record and come back by doubling.

--- a/daemons/entry/src/createRouter.ts
+++ b/daemons/entry/src/createRouter.ts
@@ -9,12 +9,18 @@
   HttpTaskTransport,
   LocalRequestRouter,
   MostFreePicker,
+  RecordedTransport,
   RequestQueue,
+  TrustedPicker,
+  UpstreamRecords,
   type RequestRouter,
 } from '@nettlespur/entry.requests'
 import type { ClusterView } from '@nettlespur/entry.view'
 import type { EntrySettings } from '@nettlespur/settings.schemas'
 
+/** Of the about 60 connections an upstream bears, the rest is for control and for questions. */
+const keptPerUpstream = 48
+
 export interface CreateRouterOptions {
   clock: Clock
   logger: Logger
@@ -29,20 +35,31 @@
   const { clock, view, lifecycle, upstreamKey } = opts
   const quotas = new EqualShareQuotas({ view, entryId: settings.instanceId })
   const slots = new EqualShareSlots(view)
-  const queue = new RequestQueue({ clock, view, quotas, slots, picker: new MostFreePicker() })
+  const records = new UpstreamRecords(opts)
+  const picker = new TrustedPicker(records, new MostFreePicker())
+  const pickerChanges = records.changes
+  const queue = new RequestQueue({ clock, view, quotas, slots, picker, pickerChanges })
   const transport = new HttpTaskTransport({
     clock,
     upstreamKey,
-    connectionsPerUpstream: settings.limits.connectionsPerUpstream,
+    connectionsPerUpstream: () => shareConnections(settings, view),
     connectionProvenMs: settings.timings.connectionProvenMs,
     answerBytesMax: settings.limits.answerBytesMax,
   })
+  const recorded = new RecordedTransport({ clock, records, transport })
   lifecycle.own('connections to upstreams', () => {
     transport.close()
   })
   lifecycle.own('request queue', () => {
+    records.close()
     queue.close()
   })
   opts.metrics.gauge('requests_waiting', () => queue.waiting)
-  return new LocalRequestRouter({ ...opts, quotas, queue, transport })
+  return new LocalRequestRouter({ ...opts, quotas, queue, transport: recorded })
+}
+
+/** This entry's part of the connections that all entries together keep to one upstream. */
+function shareConnections(settings: EntrySettings, view: ClusterView): number {
+  const share = Math.floor(keptPerUpstream / Math.max(1, view.entries.value.length))
+  return Math.max(1, Math.min(settings.limits.connectionsPerUpstream, share))
 }
--- a/entry/fakes/src/fakeUpstream.ts
+++ b/entry/fakes/src/fakeUpstream.ts
@@ -37,6 +37,10 @@
       address: '127.0.0.1:0',
       routes: [],
       fallback: (request, response) => {
+        if (request.url?.endsWith('/run') !== true) {
+          answerQuestion(response)
+          return
+        }
         void readTask(request, response).then((task) => {
           const { received } = take.into ?? { received: undefined }
           received?.next([...received.value, task])
@@ -64,6 +68,12 @@
   }
 }
 
+/** It remembers nothing of its tasks that could be asked for. */
+function answerQuestion(response: ServerResponse): void {
+  response.writeHead(404, { 'content-type': 'application/json' })
+  response.end(JSON.stringify({ kind: 'unknown-route', message: 'no such call', ran: 'no' }))
+}
+
 async function readTask(request: IncomingMessage, response: ServerResponse): Promise<ReceivedTask> {
   const chunks: Buffer[] = []
   for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk)
--- a/entry/requests/src/httpTaskTransport.ts
+++ b/entry/requests/src/httpTaskTransport.ts
@@ -1,49 +1,85 @@
 /**
- * Carries attempts over HTTP on kept connections. A connection idle for longer than `connectionProvenMs`
- * is closed rather than used again, so no request leaves on one that went silent unnoticed.
+ * Carries attempts over HTTP on kept connections. An answer that does not come within the proven time of a
+ * connection is asked for on a new one, and again at growing intervals; where the upstream has ended the
+ * task, or never saw it, the old connection was silent: it is cut and its pool distrusted. An answer that
+ * was cut is asked for in the same way before the attempt counts as lost.
  */
-import http from 'node:http'
-import { taskHeaders } from '@nettlespur/api.schemas'
 import type { Clock } from '@nettlespur/core.clock'
-import { NettlespurError, type ErrorKind } from '@nettlespur/core.errors'
-import { callHttp, toAnswerError, type HttpAnswer } from '@nettlespur/http.client'
+import type { NettlespurError } from '@nettlespur/core.errors'
+import { taskHeaders, type TaskState } from '@nettlespur/api.schemas'
+import { openHttp, type OpenedAnswer } from '@nettlespur/http.client'
 import { formatBearerKey } from '@nettlespur/http.keys'
+import type { Either } from 'purify-ts'
+import { expectAttempt, readAnswer } from './readAnswer.js'
+import { createLostOutcome, createNeverRunsOutcome } from './lostOutcome.js'
+import { TaskInquiry } from './taskInquiry.js'
 import { TaskTransport, type TaskOutcome, type TaskRun } from './taskTransport.js'
+import { UpstreamPools } from './upstreamPools.js'
 
-/** What an upstream answers only before it runs anything. */
-const refusals: ReadonlySet<ErrorKind> = new Set([
-  'upstream-refused',
-  'fence-too-low',
-  'draining',
-  'unauthorized',
-])
+const longestAskMs = 15_000
+const askAgainGrowth = 2
+/** Between two looks at a task whose connection was cut while it ran. */
+const followUpMs = 100
 
 export interface HttpTaskTransportOptions {
   clock: Clock
   /** Sent to upstreams; undefined where they need none. */
   upstreamKey?: string | undefined
-  connectionsPerUpstream: number
+  /** Most open connections to one upstream, read again for each request. */
+  connectionsPerUpstream: number | (() => number)
   connectionProvenMs: number
   answerBytesMax: number
 }
 
+/** Ended without an answer. */
+const endedStates: ReadonlySet<TaskState> = new Set(['failed', 'stopped', 'lease-expired'])
+
+type Opened = Either<NettlespurError, OpenedAnswer>
+
 export class HttpTaskTransport extends TaskTransport {
   readonly #opts: HttpTaskTransportOptions
-  readonly #agent: http.Agent
+  readonly #pools: UpstreamPools
 
   constructor(opts: HttpTaskTransportOptions) {
     super()
     this.#opts = opts
-    this.#agent = new http.Agent({
-      keepAlive: true,
-      maxSockets: opts.connectionsPerUpstream,
-      timeout: opts.connectionProvenMs,
-      scheduling: 'lifo',
-    })
+    const { clock, connectionProvenMs, connectionsPerUpstream: most } = opts
+    const connectionsMax = typeof most === 'number' ? () => most : most
+    this.#pools = new UpstreamPools({ clock, connectionProvenMs, connectionsMax })
   }
 
   override async run(task: TaskRun): Promise<TaskOutcome> {
-    const received = await callHttp({
+    const { clock } = this.#opts
+    const inquiry = new TaskInquiry({
+      ...this.#opts,
+      headers: this.#keyHeaders(),
+      task,
+      deadlineAtMs: clock.monotonicMs() + task.timeoutMs,
+    })
+    const cut = new AbortController()
+    const giveUp = (): void => {
+      cut.abort()
+    }
+    task.givenUp.addEventListener('abort', giveUp, { once: true })
+    if (task.givenUp.aborted) giveUp()
+    try {
+      const opened = this.#open(task, cut.signal)
+      const found = await this.#askWhileSilent(task, opened, inquiry)
+      if (found === undefined) return await this.#finish(task, await opened, inquiry)
+      cut.abort()
+      this.#pools.of(task.address).distrust()
+      return found
+    } finally {
+      task.givenUp.removeEventListener('abort', giveUp)
+    }
+  }
+
+  close(): void {
+    this.#pools.close()
+  }
+
+  #open(task: TaskRun, signal: AbortSignal): Promise<Opened> {
+    return openHttp({
       clock: this.#opts.clock,
       address: task.address,
       method: 'POST',
@@ -51,22 +87,74 @@
       headers: this.#headers(task),
       body: task.body,
       timeoutMs: task.timeoutMs,
-      signal: task.givenUp,
-      agent: this.#agent,
-      answerBytesMax: this.#opts.answerBytesMax,
+      signal,
+      agent: this.#pools.of(task.address).agent,
     }).run()
-    return received.caseOf<TaskOutcome>({
-      Left: (error) => ({ kind: error.kind === 'unreachable' ? 'not-sent' : 'lost', error }),
-      Right: (answer) => readOutcome(task, answer),
+  }
+
+  /** Undefined as soon as the first connection answers or fails. */
+  async #askWhileSilent(
+    task: TaskRun,
+    opened: Promise<Opened>,
+    inquiry: TaskInquiry,
+  ): Promise<TaskOutcome | undefined> {
+    const settled = new AbortController()
+    void opened.then(() => {
+      settled.abort()
     })
+    const isSettled = (): boolean => settled.signal.aborted
+    let waitMs = Math.min(this.#opts.connectionProvenMs, task.timeoutMs / 2)
+    for (;;) {
+      await this.#opts.clock.sleep(waitMs, settled.signal)
+      if (isSettled() || task.givenUp.aborted) return undefined
+      const state = await inquiry.askState()
+      const found = await this.#readEnd(task, state, inquiry)
+      if (isSettled()) return undefined
+      if (found !== undefined) return found
+      // A repeatable request is served sooner elsewhere.
+      if (state === undefined && task.repeatable) return createLostOutcome('the upstream is silent')
+      waitMs = Math.min(longestAskMs, waitMs * askAgainGrowth)
+    }
   }
 
-  close(): void {
-    this.#agent.destroy()
+  async #finish(task: TaskRun, opened: Opened, inquiry: TaskInquiry): Promise<TaskOutcome> {
+    const { answerBytesMax } = this.#opts
+    const outcome = await opened.caseOf<Promise<TaskOutcome>>({
+      Left: (error) =>
+        Promise.resolve({ kind: error.kind === 'unreachable' ? 'not-sent' : 'lost', error }),
+      Right: (answer) => readAnswer(answer, { answerBytesMax, expected: expectAttempt(task) }),
+    })
+    return outcome.kind === 'lost' ? this.#followUp(task, outcome, inquiry) : outcome
+  }
+
+  /** Asks after a task whose connection was cut, for as long as its upstream says that it runs. */
+  async #followUp(task: TaskRun, lost: TaskOutcome, inquiry: TaskInquiry): Promise<TaskOutcome> {
+    while (!task.givenUp.aborted && !inquiry.isLate) {
+      const state = await inquiry.askState()
+      const found = await this.#readEnd(task, state, inquiry)
+      if (found !== undefined) return found
+      // A repeatable request is served sooner elsewhere.
+      if (state !== 'running' || task.repeatable) return lost
+      await this.#opts.clock.sleep(followUpMs, task.givenUp)
+    }
+    return lost
+  }
+
+  /** What the state means for the attempt; undefined where it says nothing final. */
+  async #readEnd(
+    task: TaskRun,
+    state: TaskState | undefined,
+    inquiry: TaskInquiry,
+  ): Promise<TaskOutcome | undefined> {
+    if (state === 'finished') return inquiry.collectAnswer()
+    if (state === 'never-runs') return createNeverRunsOutcome(task)
+    if (state !== undefined && endedStates.has(state))
+      return createLostOutcome(`the task is ${state}`)
+    if (state !== 'unknown') return undefined
+    return (await inquiry.forbidStart()) === 'never-runs' ? createNeverRunsOutcome(task) : undefined
   }
 
   #headers(task: TaskRun): Record<string, string> {
-    const { upstreamKey } = this.#opts
     return {
       [taskHeaders.taskId]: task.taskId,
       [taskHeaders.attempt]: String(task.attempt),
@@ -75,37 +163,12 @@
       [taskHeaders.leaseMs]: String(Math.ceil(task.timeoutMs)),
       ...(task.key === undefined ? {} : { 'idempotency-key': task.key }),
       ...(task.contentType === undefined ? {} : { 'content-type': task.contentType }),
-      ...(upstreamKey === undefined ? {} : { authorization: formatBearerKey(upstreamKey) }),
+      ...this.#keyHeaders(),
     }
   }
-}
 
-function readOutcome(task: TaskRun, received: HttpAnswer): TaskOutcome {
-  const refusal = readRefusal(received)
-  if (refusal !== undefined) return { kind: 'refused', error: refusal }
-  const fault = findFault(task, received)
-  if (fault !== undefined) {
-    return { kind: 'lost', error: new NettlespurError('outcome-unknown', fault) }
-  }
-  const contentType = received.headers['content-type']
-  return { kind: 'answered', answer: { status: received.status, contentType, body: received.body } }
-}
-
-function readRefusal(received: HttpAnswer): NettlespurError | undefined {
-  if (received.status < 400) return undefined
-  const error = toAnswerError(received)
-  return refusals.has(error.kind) ? error : undefined
-}
-
-/** Why the answer is not the whole one of this attempt; undefined where it is. */
-function findFault(task: TaskRun, received: HttpAnswer): string | undefined {
-  const { headers } = received
-  if (headers[taskHeaders.taskId] !== task.taskId) return 'the answer is of another task'
-  if (headers[taskHeaders.attempt] !== String(task.attempt)) {
-    return 'the answer is of another attempt'
-  }
-  if (headers['content-length'] !== String(received.body.length)) {
-    return 'the answer does not state its whole length'
+  #keyHeaders(): Record<string, string> {
+    const { upstreamKey } = this.#opts
+    return upstreamKey === undefined ? {} : { authorization: formatBearerKey(upstreamKey) }
   }
-  return undefined
 }
--- a/entry/requests/src/localRequestRouter.ts
+++ b/entry/requests/src/localRequestRouter.ts
@@ -3,12 +3,14 @@
  * attempt whose answer was lost is repeated only where the request is repeatable.
  */
 import { randomUUID } from 'node:crypto'
+import type { Readable } from 'node:stream'
 import type { Clock } from '@nettlespur/core.clock'
 import { NettlespurError, toNettlespurError, tryAsync, unwrap } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import type { ClusterView } from '@nettlespur/entry.view'
 import type { EitherAsync } from 'purify-ts'
+import { runAfterAnswer } from './runAfterAnswer.js'
 import { RateLimiter } from './rateLimiter.js'
 import type { RequestQueue } from './requestQueue.js'
 import { RequestRouter } from './requestRouter.js'
@@ -82,11 +84,12 @@
   async #serve(request: ShortRequest): Promise<ShortAnswer> {
     this.#admit(request)
     const slot = await unwrap(this.#opts.queue.enter(request))
-    try {
-      return await this.#attemptAll(request, slot)
-    } finally {
+    const leave = (): void => {
       this.#opts.queue.leave(request.workspace)
     }
+    const serving = this.#attemptAll(request, slot)
+    runAfterAnswer(serving, (answer) => answer.body, leave)
+    return serving
   }
 
   #admit(request: ShortRequest): void {
@@ -126,19 +129,21 @@
   async #attemptOn(progress: Progress, slot: SlotGrant): Promise<TaskOutcome> {
     const { request, taskId, attempt } = progress
     this.#logRouted(progress, slot)
-    try {
-      return await this.#opts.transport.run({
-        ...request,
-        taskId,
-        attempt,
-        address: slot.upstream.address,
-        fence: slot.fence,
-        givenUp: this.#abandoned.signal,
-        timeoutMs: Math.max(1, request.deadlineAtMs - this.#opts.clock.monotonicMs()),
-      })
-    } finally {
+    const running = this.#opts.transport.run({
+      ...request,
+      upstreamId: slot.upstream.upstreamId,
+      taskId,
+      attempt,
+      address: slot.upstream.address,
+      fence: slot.fence,
+      givenUp: this.#abandoned.signal,
+      timeoutMs: Math.max(1, request.deadlineAtMs - this.#opts.clock.monotonicMs()),
+    })
+    const release = (): void => {
       this.#opts.queue.releaseSlot(slot.upstream.upstreamId)
     }
+    runAfterAnswer(running, readStreamOf, release)
+    return running
   }
 
   #noteFailure(progress: Progress, slot: SlotGrant, outcome: Attempted): void {
@@ -215,6 +220,10 @@
   return { ...outcome.answer, taskId, attempt, upstreamId: slot.upstream.upstreamId }
 }
 
+function readStreamOf(outcome: TaskOutcome): Buffer | Readable | undefined {
+  return outcome.kind === 'answered' ? outcome.answer.body : undefined
+}
+
 function createAbandonedError(): NettlespurError {
   const message = 'this entry stopped before the request could start'
   return new NettlespurError('draining', message, { retryAfterMs })
--- /dev/null
+++ b/entry/requests/src/recordedTransport.ts
@@ -0,0 +1,39 @@
+/** Notes each attempt's outcome in the record of its upstream. */
+import type { Clock } from '@nettlespur/core.clock'
+import { TaskTransport, type TaskOutcome, type TaskRun } from './taskTransport.js'
+import type { AttemptResult, UpstreamRecords } from './upstreamRecords.js'
+
+export interface RecordedTransportOptions {
+  clock: Clock
+  records: UpstreamRecords
+  transport: TaskTransport
+}
+
+export class RecordedTransport extends TaskTransport {
+  readonly #opts: RecordedTransportOptions
+
+  constructor(opts: RecordedTransportOptions) {
+    super()
+    this.#opts = opts
+  }
+
+  override async run(task: TaskRun): Promise<TaskOutcome> {
+    const { clock, records, transport } = this.#opts
+    const startedMs = clock.monotonicMs()
+    records.noteStart(task.upstreamId)
+    let result: AttemptResult = 'failed'
+    try {
+      const outcome = await transport.run(task)
+      result = readResult(task, outcome)
+      return outcome
+    } finally {
+      records.noteEnd(task.upstreamId, { result, tookMs: clock.monotonicMs() - startedMs })
+    }
+  }
+}
+
+/** An attempt that was given up here says as little of its upstream as one that was refused there. */
+function readResult(task: TaskRun, outcome: TaskOutcome): AttemptResult {
+  if (outcome.kind === 'answered' || outcome.kind === 'refused') return outcome.kind
+  return task.givenUp.aborted ? 'refused' : 'failed'
+}
--- a/entry/requests/src/shortRequest.ts
+++ b/entry/requests/src/shortRequest.ts
@@ -1,4 +1,6 @@
-/** One short request as the router takes it, and the whole answer it gives. */
+/** One short request as the router takes it, and the answer it gives. */
+import type { TaskAnswer } from './taskTransport.js'
+
 export interface ShortRequest {
   readonly workspace: string
   /** The caller's key for this request; undefined where it gave none. */
@@ -13,11 +15,8 @@
   readonly callerGone: AbortSignal
 }
 
-/** The upstream's own answer, whole. */
-export interface ShortAnswer {
-  readonly status: number
-  readonly contentType: string | undefined
-  readonly body: Buffer
+/** The upstream's own answer. A large one is a stream, which fails where it ends early. */
+export interface ShortAnswer extends TaskAnswer {
   readonly taskId: string
   readonly attempt: number
   readonly upstreamId: string
--- a/entry/requests/src/taskTransport.ts
+++ b/entry/requests/src/taskTransport.ts
@@ -1,13 +1,16 @@
 /** Carries one attempt of a short request to its upstream. */
+import type { Readable } from 'node:stream'
 import type { NettlespurError } from '@nettlespur/core.errors'
 
 /** One attempt under its fence. */
 export interface TaskRun {
+  readonly upstreamId: string
   readonly address: string
   readonly taskId: string
   readonly attempt: number
   readonly fence: number
   readonly workspace: string
+  readonly repeatable: boolean
   readonly key: string | undefined
   readonly contentType: string | undefined
   readonly body: Buffer
@@ -16,11 +19,15 @@
   readonly givenUp: AbortSignal
 }
 
-/** The whole answer of the attempt asked for. */
+/**
+ * The answer of the attempt asked for: whole as a buffer, or a stream of `lengthBytes` that fails where it
+ * ends early. A stream must be read or destroyed.
+ */
 export interface TaskAnswer {
   readonly status: number
   readonly contentType: string | undefined
-  readonly body: Buffer
+  readonly body: Buffer | Readable
+  readonly lengthBytes: number
 }
 
 /**
--- /dev/null
+++ b/entry/requests/src/upstreamRecord.ts
@@ -0,0 +1,85 @@
+/**
+ * What this entry has seen of one upstream lately, and how much work that entitles it to. One that fails or
+ * slows most of what it is given is let out; after a time that doubles with each relapse it gets one
+ * request at a time, and twice as many with each success, until it is trusted again.
+ */
+import type { Clock } from '@nettlespur/core.clock'
+
+const outcomesKept = 20
+const outcomesNeeded = 5
+const failureShareMax = 0.5
+const newestShare = 0.1
+const shortestOutMs = 1000
+const longestOutMs = 60_000
+/** A trial that grew this far has ended. */
+const trialSlotsMax = 64
+
+export class UpstreamRecord {
+  inFlight = 0
+  readonly #clock: Clock
+  #outcomes: boolean[] = []
+  #meanMs = 0
+  #answers = 0
+  #outUntilMs = Number.NEGATIVE_INFINITY
+  #outMs = shortestOutMs
+  /** Requests at a time while on trial; undefined while trusted. */
+  #trialSlots: number | undefined
+
+  constructor(clock: Clock) {
+    this.#clock = clock
+  }
+
+  get isOut(): boolean {
+    return this.#clock.monotonicMs() < this.#outUntilMs
+  }
+
+  get outUntilMs(): number {
+    return this.#outUntilMs
+  }
+
+  get hasRoom(): boolean {
+    return this.#trialSlots === undefined || this.inFlight < this.#trialSlots
+  }
+
+  /** Mean time of its answers, in milliseconds; undefined where there are too few. */
+  get meanMs(): number | undefined {
+    return this.#answers < outcomesNeeded ? undefined : this.#meanMs
+  }
+
+  get failsMost(): boolean {
+    const failures = this.#outcomes.filter((good) => !good).length
+    const seen = this.#outcomes.length
+    if (this.#trialSlots !== undefined) return failures > 0
+    return seen >= outcomesNeeded && failures / seen > failureShareMax
+  }
+
+  noteAnswer(tookMs: number): void {
+    this.#note(true)
+    this.#answers += 1
+    this.#meanMs += (tookMs - this.#meanMs) * Math.max(newestShare, 1 / this.#answers)
+    if (this.#trialSlots === undefined) return
+    this.#trialSlots *= 2
+    if (this.#trialSlots <= trialSlotsMax) return
+    this.#trialSlots = undefined
+    this.#outMs = shortestOutMs
+  }
+
+  noteFailure(): void {
+    this.#note(false)
+  }
+
+  /** Lets it out for a while; resolves nothing by itself. Returns for how long, in milliseconds. */
+  letOut(): number {
+    const outMs = this.#outMs
+    this.#outUntilMs = this.#clock.monotonicMs() + outMs
+    this.#outMs = Math.min(longestOutMs, outMs * 2)
+    this.#trialSlots = 1
+    this.#outcomes = []
+    this.#answers = 0
+    return outMs
+  }
+
+  #note(good: boolean): void {
+    this.#outcomes = [...this.#outcomes.slice(1 - outcomesKept), good]
+  }
+}
--- /dev/null
+++ b/entry/requests/src/upstreamRecords.ts
@@ -0,0 +1,110 @@
+/**
+ * Decides from recent outcomes which upstreams get work from this entry. At most half of those seen are out
+ * at a time: where most fail, the cause is not theirs, and somebody has to do the work.
+ */
+import type { Clock, Timer } from '@nettlespur/core.clock'
+import type { Logger } from '@nettlespur/core.logger'
+import { BehaviorSubject } from 'rxjs'
+import { UpstreamRecord } from './upstreamRecord.js'
+
+/** An upstream is slow that takes this many times the median of the others. */
+const slowFactor = 4
+/** Differences below this are not worth a decision. */
+const slowFloorMs = 50
+const outShareMax = 0.5
+const recordsKeptMax = 1024
+
+/** How an attempt ended, as far as it tells of the upstream. */
+export type AttemptResult = 'answered' | 'failed' | 'refused'
+
+export interface UpstreamRecordsOptions {
+  clock: Clock
+  logger: Logger
+}
+
+export class UpstreamRecords {
+  /** Raised when an upstream may get work again. */
+  readonly changes = new BehaviorSubject(0)
+  readonly #opts: UpstreamRecordsOptions
+  readonly #timers = new Set<Timer>()
+  readonly #records = new Map<string, UpstreamRecord>()
+
+  constructor(opts: UpstreamRecordsOptions) {
+    this.#opts = opts
+  }
+
+  /** Whether it may be given one more request now. */
+  mayTake(upstreamId: string): boolean {
+    const record = this.#records.get(upstreamId)
+    return record === undefined || (!record.isOut && record.hasRoom)
+  }
+
+  noteStart(upstreamId: string): void {
+    this.#recordOf(upstreamId).inFlight += 1
+  }
+
+  /** A refusal says nothing of an upstream's health. */
+  noteEnd(upstreamId: string, outcome: { result: AttemptResult; tookMs: number }): void {
+    const record = this.#recordOf(upstreamId)
+    record.inFlight -= 1
+    // What was under way when it was let out says nothing new.
+    if (record.isOut || outcome.result === 'refused') return
+    if (outcome.result === 'answered') record.noteAnswer(outcome.tookMs)
+    else record.noteFailure()
+    const reason = this.#findReason(record)
+    if (reason !== undefined && this.#mayLetOut()) this.#letOut(upstreamId, record, reason)
+  }
+
+  close(): void {
+    for (const timer of this.#timers) timer.cancel()
+  }
+
+  #letOut(upstreamId: string, record: UpstreamRecord, reason: string): void {
+    const outMs = record.letOut()
+    this.#opts.logger.warn({ event: 'upstream.let-out', upstreamId, outMs, reason })
+    const timer = this.#opts.clock.setTimer(outMs, () => {
+      this.#timers.delete(timer)
+      this.#opts.logger.info({ event: 'upstream.on-trial', upstreamId })
+      this.changes.next(this.changes.value + 1)
+    })
+    this.#timers.add(timer)
+  }
+
+  #findReason(record: UpstreamRecord): string | undefined {
+    if (record.failsMost) return 'most of its recent requests failed'
+    const ownMs = record.meanMs
+    const othersMs = this.#medianOfOthers(record)
+    if (ownMs === undefined || othersMs === undefined) return undefined
+    if (ownMs < othersMs * slowFactor || ownMs < othersMs + slowFloorMs) return undefined
+    return `mean ${Math.round(ownMs)} ms where others take ${Math.round(othersMs)} ms`
+  }
+
+  #medianOfOthers(record: UpstreamRecord): number | undefined {
+    const others = [...this.#records.values()].filter((other) => other !== record)
+    const means = others.flatMap((other) => other.meanMs ?? []).sort((a, b) => a - b)
+    return means[Math.floor(means.length / 2)]
+  }
+
+  #mayLetOut(): boolean {
+    const records = [...this.#records.values()]
+    const out = records.filter((record) => record.isOut).length
+    return out + 1 <= records.length * outShareMax
+  }
+
+  #recordOf(upstreamId: string): UpstreamRecord {
+    const known = this.#records.get(upstreamId)
+    if (known !== undefined) return known
+    if (this.#records.size >= recordsKeptMax) this.#forgetOldest()
+    const made = new UpstreamRecord(this.#opts.clock)
+    this.#records.set(upstreamId, made)
+    return made
+  }
+
+  #forgetOldest(): void {
+    for (const [upstreamId, record] of this.#records) {
+      if (record.inFlight > 0 || record.isOut) continue
+      this.#records.delete(upstreamId)
+      return
+    }
+  }
+}
--- a/entry/requests/test/createRouter.ts
+++ b/entry/requests/test/createRouter.ts
@@ -9,6 +9,7 @@
   LocalRequestRouter,
   MostFreePicker,
   RequestQueue,
+  type ShortAnswer,
   type ShortRequest,
   type TaskTransport,
 } from '../src/index.js'
@@ -61,3 +62,9 @@
     ...change,
   }
 }
+
+/** The text of an answer small enough to have been collected. */
+export function readText(answer: ShortAnswer): string {
+  if (Buffer.isBuffer(answer.body)) return answer.body.toString('utf8')
+  throw new Error('the answer is a stream')
+}
--- a/entry/requests/test/fairness.test.ts
+++ b/entry/requests/test/fairness.test.ts
@@ -20,7 +20,15 @@
   override async run(task: TaskRun): Promise<TaskOutcome> {
     this.startedMs.push({ workspace: task.workspace, atMs: this.#clock.monotonicMs() })
     await this.#clock.sleep(this.#serviceMs(task.workspace))
-    return { kind: 'answered', answer: { status: 200, contentType: undefined, body: task.body } }
+    return {
+      kind: 'answered',
+      answer: {
+        status: 200,
+        contentType: undefined,
+        body: task.body,
+        lengthBytes: task.body.length,
+      },
+    }
   }
 
   countOf(workspace: string): number {
--- a/entry/requests/test/httpTaskTransport.test.ts
+++ b/entry/requests/test/httpTaskTransport.test.ts
@@ -4,7 +4,7 @@
 import { createUpstream, FakeUpstream, type ReceivedTask } from '@nettlespur/entry.fakes'
 import fc from 'fast-check'
 import { HttpTaskTransport } from '../src/index.js'
-import { createRequest, createRouter } from './createRouter.js'
+import { createRequest, createRouter, readText } from './createRouter.js'
 
 const clock = new SystemClock()
 
@@ -54,7 +54,7 @@
         }
         for (const [place, result] of (await Promise.all(results)).entries()) {
           const answer = result.unsafeCoerce()
-          t.is(answer.body.toString(), `answer to caller ${order[place] ?? -1}`)
+          t.is(readText(answer), `answer to caller ${order[place] ?? -1}`)
         }
       },
     ),
@@ -115,7 +115,7 @@
   ])
   const answer = (await router.run(createRequest(clock)).run()).unsafeCoerce()
   t.like(answer, { status: 201, attempt: 2, upstreamId: 'u1' })
-  t.is(answer.body.toString(), 'whole')
+  t.is(readText(answer), 'whole')
   t.is(fakes.flatMap((fake) => fake.received.value).length, 2)
 })
 
--- a/entry/requests/test/localRequestRouter.test.ts
+++ b/entry/requests/test/localRequestRouter.test.ts
@@ -28,7 +28,15 @@
     if (kind !== 'answered') {
       return { kind, error: new NettlespurError('outcome-unknown', `scripted: ${kind}`) }
     }
-    return { kind, answer: { status: 200, contentType: undefined, body: task.body } }
+    return {
+      kind,
+      answer: {
+        status: 200,
+        contentType: undefined,
+        body: task.body,
+        lengthBytes: task.body.length,
+      },
+    }
   }
 
   releaseOne(): void {
--- a/entry/service/src/requestRoutes.ts
+++ b/entry/service/src/requestRoutes.ts
@@ -62,5 +62,8 @@
     [taskHeaders.attempt]: String(answer.attempt),
     [upstreamHeader]: answer.upstreamId,
   }
-  return { status: answer.status, headers, bytes: answer.body }
+  const { status, body } = answer
+  if (Buffer.isBuffer(body)) return { status, headers, bytes: body }
+  const length = { 'content-length': String(answer.lengthBytes) }
+  return { status, headers: { ...headers, ...length }, stream: body }
 }
--- a/entry/service/test/startService.ts
+++ b/entry/service/test/startService.ts
@@ -24,6 +24,7 @@
         status: 201,
         contentType: request.contentType,
         body: request.body,
+        lengthBytes: request.body.length,
         taskId: 'task-1',
         attempt: 1,
         upstreamId: 'u1',
--- /dev/null
+++ b/http/client/src/openHttp.ts
@@ -0,0 +1,118 @@
+/**
+ * One HTTP call with a deadline whose answer's body is read as it comes. A failure before any byte could
+ * have left is `unreachable`; any later one is `outcome-unknown`, since the other side may have acted on it.
+ */
+import http, { type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
+import https from 'node:https'
+import type { Clock } from '@nettlespur/core.clock'
+import { NettlespurError, tryAsync } from '@nettlespur/core.errors'
+import type { EitherAsync } from 'purify-ts'
+
+export interface OpenHttpOptions {
+  clock: Clock
+  /** `IP:PORT`. */
+  address: string
+  method: string
+  path: string
+  headers?: Readonly<Record<string, string>>
+  body?: Buffer | string
+  /** Over the whole call with its answer's body, in milliseconds. */
+  timeoutMs: number
+  signal?: AbortSignal | undefined
+  agent?: http.Agent | undefined
+  /** Authority that signed the other side's certificate: set, it makes the call use TLS. */
+  ca?: Buffer | undefined
+  /** Told when the call ends because its deadline passed in silence. */
+  onTimeout?: (() => void) | undefined
+}
+
+/** An answer whose body has still to be read, or destroyed. The body fails where it ends early. */
+export interface OpenedAnswer {
+  readonly status: number
+  readonly headers: IncomingHttpHeaders
+  readonly stream: IncomingMessage
+}
+
+/** Resolves with the head of the answer. Errors: `unreachable`, `outcome-unknown`. */
+export function openHttp(opts: OpenHttpOptions): EitherAsync<NettlespurError, OpenedAnswer> {
+  return tryAsync(() => open(opts))
+}
+
+/** The error of a call whose bytes may have left. */
+export function createLostAnswerError(opts: OpenHttpOptions, cause: Error): NettlespurError {
+  return toCallError(opts, true, cause)
+}
+
+function open(opts: OpenHttpOptions): Promise<OpenedAnswer> {
+  return new Promise((resolve, reject) => {
+    const progress = { mayHaveLeft: false }
+    const request = createRequest(opts)
+    let cut = (cause: Error): void => {
+      request.destroy(cause)
+    }
+    const timer = opts.clock.setTimer(opts.timeoutMs, () => {
+      opts.onTimeout?.()
+      cut(new Error(`no whole answer within ${opts.timeoutMs} ms`))
+    })
+    const abort = (): void => {
+      cut(new Error('the call was given up'))
+    }
+    const end = (): void => {
+      timer.cancel()
+      opts.signal?.removeEventListener('abort', abort)
+    }
+    noteDeparture(request, opts, progress)
+    request.on('error', (cause) => {
+      end()
+      reject(toCallError(opts, progress.mayHaveLeft, cause))
+    })
+    request.on('response', (stream) => {
+      cut = (cause) => {
+        stream.destroy(cause)
+      }
+      stream.once('close', end)
+      resolve({ status: stream.statusCode ?? 0, headers: stream.headers, stream })
+    })
+    opts.signal?.addEventListener('abort', abort, { once: true })
+    if (opts.signal?.aborted === true) abort()
+    request.end(opts.body)
+  })
+}
+
+function noteDeparture(
+  request: http.ClientRequest,
+  opts: OpenHttpOptions,
+  progress: { mayHaveLeft: boolean },
+): void {
+  request.on('socket', (socket) => {
+    if (!socket.connecting) {
+      progress.mayHaveLeft = true
+      return
+    }
+    // Over TLS nothing of the call leaves before the other side's certificate is accepted.
+    socket.once(opts.ca === undefined ? 'connect' : 'secureConnect', () => {
+      progress.mayHaveLeft = true
+    })
+  })
+}
+
+function createRequest(opts: OpenHttpOptions): http.ClientRequest {
+  const separator = opts.address.lastIndexOf(':')
+  const length =
+    opts.body === undefined ? {} : { 'content-length': String(Buffer.byteLength(opts.body)) }
+  const target = {
+    host: opts.address.slice(0, separator).replace(/^\[|\]$/g, ''),
+    port: Number(opts.address.slice(separator + 1)),
+    method: opts.method,
+    path: opts.path,
+    headers: { ...length, ...opts.headers },
+    ...(opts.agent === undefined ? {} : { agent: opts.agent }),
+  }
+  return opts.ca === undefined ? http.request(target) : https.request({ ...target, ca: opts.ca })
+}
+
+function toCallError(opts: OpenHttpOptions, mayHaveLeft: boolean, cause: Error): NettlespurError {
+  const call = `${opts.method} ${opts.address}${opts.path}`
+  const kind = mayHaveLeft ? 'outcome-unknown' : 'unreachable'
+  return new NettlespurError(kind, `${call}: ${cause.message}`, { cause })
+}
