--- a/daemons/trial/__utils__/index.ts
+++ b/daemons/trial/__utils__/index.ts
@@ -5,3 +5,4 @@
 export { waitUntil } from './waitUntil.js'
 export { callEntry, type CallEntryOptions, type EntryAnswer } from './callEntry.js'
 export { createTrialContract } from './createTrialContract.js'
+export { Balancer, type BalancerOptions } from './balancer.js'
