--- a/entry/claims/src/claimingRouter.ts
+++ b/entry/claims/src/claimingRouter.ts
@@ -184,14 +184,15 @@
   return createHash('sha256').update(body).digest('hex')
 }
 
-function toOutcome({ status, contentType, body }: ShortAnswer): ClaimOutcome {
-  const fitting = body.length <= claimAnswerBytesMax
+/** A body that is streamed or large stays with its upstream, where a resend collects it. */
+function toOutcome({ status, contentType, body, lengthBytes }: ShortAnswer): ClaimOutcome {
+  const isKept = Buffer.isBuffer(body) && body.length <= claimAnswerBytesMax
   return {
     kind: 'answered',
     status,
     ...(contentType === undefined ? {} : { contentType }),
-    bodyBytes: body.length,
-    ...(fitting ? { bodyBase64: body.toString('base64') } : {}),
+    bodyBytes: lengthBytes,
+    ...(isKept ? { bodyBase64: body.toString('base64') } : {}),
   }
 }
 
--- a/entry/claims/src/outcomeReader.ts
+++ b/entry/claims/src/outcomeReader.ts
@@ -82,7 +82,8 @@
     const { taskId, attempt, upstreamId } = claim.target
     const { status, contentType } = outcome
     const body = await this.#readBody(request, claim, outcome)
-    return { status, contentType, body, taskId, attempt, upstreamId }
+    const lengthBytes = body.length
+    return { status, contentType, body, lengthBytes, taskId, attempt, upstreamId }
   }
 
   async #readBody(request: ShortRequest, claim: Claim, answer: ClaimAnswer): Promise<Buffer> {
--- a/entry/claims/test/claimingRouter.test.ts
+++ b/entry/claims/test/claimingRouter.test.ts
@@ -151,7 +151,7 @@
       const trial = await play({ played, script, delaysMs }, ({ upstreams }, { key, result }) => {
         replies += 1
         result.ifRight((answer) => {
-          answers.set(key, (answers.get(key) ?? new Set()).add(answer.body.toString()))
+          answers.set(key, (answers.get(key) ?? new Set()).add(readText(answer.body)))
         })
         result.ifLeft((error) => {
           if (error.answer.ran !== 'no' || error.kind === 'idempotency-conflict') return
@@ -220,3 +220,9 @@
   t.is(trial.upstreams.started.length, 1)
   trial.end()
 })
+
+/** The fake upstreams answer with whole buffers only. */
+function readText(body: unknown): string {
+  if (!Buffer.isBuffer(body)) throw new Error('not a whole answer')
+  return body.toString()
+}
--- a/entry/claims/test/memoryUpstreams.ts
+++ b/entry/claims/test/memoryUpstreams.ts
@@ -59,7 +59,10 @@
     if (fault === 'lose' || fault === 'late-lose' || started.state !== 'finished') {
       return { kind: 'lost', error }
     }
-    return { kind: 'answered', answer: { status: 200, contentType: undefined, body } }
+    return {
+      kind: 'answered',
+      answer: { status: 200, contentType: undefined, body, lengthBytes: body.length },
+    }
   }
 
   getTask(address: string, taskId: string) {
