--- a/entry/claims/test/claimingRouter.test.ts
+++ b/entry/claims/test/claimingRouter.test.ts
@@ -58,7 +58,7 @@
         faults: fc.array(fc.constantFrom<ControlFault>('lose', 'fail'), { maxLength: 4 }),
       }),
     },
-  ) as fc.Arbitrary<Step>,
+  ),
   { minLength: 1, maxLength: 14 },
 )
 const faults = fc.array(
