--- a/control/state/src/controlState.ts
+++ b/control/state/src/controlState.ts
@@ -12,12 +12,16 @@
 import { finishJob } from './finishJob.js'
 import type { JobRecord } from './jobRecord.js'
 import { markStarted } from './markStarted.js'
+import { keepJob } from './keepJob.js'
 import { placeJob } from './placeJob.js'
+import { preemptJob } from './preemptJob.js'
+import { refuseJob } from './refuseJob.js'
 import { requeueJob } from './requeueJob.js'
 import { createStateData, type StateData } from './stateData.js'
 import { readSnapshot, takeSnapshot, type StateSnapshot } from './stateSnapshot.js'
 import { submitJob } from './submitJob.js'
 import { takeClaim } from './takeClaim.js'
+import type { UpstreamHealth } from './upstreamHealth.js'
 
 export class ControlState {
   readonly #data: StateData
@@ -92,6 +96,11 @@
     return history?.jobKeys.has(jobKey) === true || history?.endedJobKeys.has(jobKey) === true
   }
 
+  /** What is held against an upstream; undefined where nothing is. */
+  getUpstreamHealth(upstreamId: string): UpstreamHealth | undefined {
+    return this.#data.upstreamHealth.get(upstreamId)
+  }
+
   getClaim({ workspace, key }: ClaimKey): Claim | undefined {
     return this.#data.claims.get(workspace)?.get(key)
   }
@@ -118,6 +127,12 @@
       return markStarted(data, index, command)
     case 'job.finish':
       return finishJob(data, index, command)
+    case 'job.preempt':
+      return preemptJob(data, index, command)
+    case 'job.keep':
+      return keepJob(data, index, command)
+    case 'job.refuse':
+      return refuseJob(data, index, command)
     case 'job.requeue':
       return requeueJob(data, index, command)
     case 'job.cancel':
--- a/control/state/src/index.ts
+++ b/control/state/src/index.ts
@@ -1,6 +1,12 @@
 /** The replicated state of the cluster as a deterministic state machine. */
 export { isResolved } from './claimTable.js'
-export { commandSchema, type Assignment, type Command, type CommandOf } from './command.js'
+export {
+  commandSchema,
+  type Assignment,
+  type Command,
+  type CommandOf,
+  type TaskFailure,
+} from './command.js'
 export {
   readClaim,
   readContract,
@@ -18,5 +24,6 @@
   endedJobMaxAgeMs,
   endedJobsMax,
 } from './retention.js'
+export { type UpstreamHealth } from './upstreamHealth.js'
 export { StateHolder } from './stateHolder.js'
 export { stateSnapshotSchema, type StateSnapshot } from './stateSnapshot.js'
--- a/control/state/src/stateData.ts
+++ b/control/state/src/stateData.ts
@@ -2,6 +2,7 @@
 import type { ContractRecord, JobAnswer } from '@nettlespur/api.schemas'
 import { ClaimTable } from './claimTable.js'
 import type { JobRecord } from './jobRecord.js'
+import type { UpstreamHealth } from './upstreamHealth.js'
 
 /** An accepted change of an operator; with the resent body it gives the first answer again. */
 export interface ChangeRecord {
@@ -45,6 +46,8 @@
   /** Jobs that have not ended, in order of submission. */
   readonly jobs: Map<string, JobRecord>
   readonly histories: Map<string, WorkspaceHistory>
+  /** Upstreams with something held against them. */
+  readonly upstreamHealth: Map<string, UpstreamHealth>
   /** By workspace. */
   readonly claims: Map<string, ClaimTable>
 }
@@ -58,6 +61,7 @@
     changes: new Map(),
     jobs: new Map(),
     histories: new Map(),
+    upstreamHealth: new Map(),
     claims: new Map(),
   }
 }
--- a/control/state/src/stateSnapshot.ts
+++ b/control/state/src/stateSnapshot.ts
@@ -9,6 +9,7 @@
 import { z } from 'zod'
 import { jobRecordSchema } from './jobRecord.js'
 import { createStateData, openClaims, type StateData, type WorkspaceHistory } from './stateData.js'
+import { upstreamHealthSchema } from './upstreamHealth.js'
 
 const changeSchema = z.object({
   digest: z.string(),
@@ -34,6 +35,7 @@
   changes: z.array(z.tuple([z.string(), changeSchema])),
   jobs: z.array(z.tuple([z.string(), jobRecordSchema])),
   histories: z.array(z.tuple([z.string(), historySchema])),
+  upstreamHealth: z.array(z.tuple([z.string(), upstreamHealthSchema])).default([]),
   claims: z.array(claimSchema).default([]),
 })
 export type StateSnapshot = z.infer<typeof stateSnapshotSchema>
@@ -47,6 +49,7 @@
     changes: [...data.changes],
     jobs: [...data.jobs],
     histories: [...data.histories].map(([workspace, history]) => [workspace, toLists(history)]),
+    upstreamHealth: [...data.upstreamHealth],
     claims: [...data.claims.values()].flatMap((claims) => claims.list()),
   }
 }
@@ -61,6 +64,7 @@
     changes: new Map(snapshot.changes),
     jobs: new Map(snapshot.jobs),
     histories: new Map(snapshot.histories.map(([name, lists]) => [name, toMaps(lists)])),
+    upstreamHealth: new Map(snapshot.upstreamHealth),
     claims: groupClaims(snapshot.claims),
   }
 }
