--- a/control/service/src/controlNode.ts
+++ b/control/service/src/controlNode.ts
@@ -52,6 +52,7 @@
     this.#opts = opts
     opts.metrics.gauge('control_leads', () => Number(this.isLeader))
     opts.metrics.gauge('jobs_live', () => opts.holder.state.listLiveJobs().length)
+    opts.metrics.gauge('claims_unresolved', () => opts.holder.state.listUnresolvedClaims().length)
     opts.metrics.gauge('contract_index', () => opts.holder.state.contractIndex)
     this.#following = opts.log.leadership.subscribe((leadership) => {
       this.#follow(leadership)
--- a/daemons/trial/test/claims.test.ts
+++ b/daemons/trial/test/claims.test.ts
@@ -147,3 +147,36 @@
   t.is(readKind(again), 'outcome-unknown')
   t.is((again.json as { ran: string }).ran, 'unknown')
 })
+
+test('an entry killed before its request took effect: the resend is told so, and the next one runs it once', async (t) => {
+  const { cluster, first, second, upstream } = await start(t)
+  await askUpstream(cluster, upstream, '/v1/standin/faults', { stall: ['run'] })
+  const cut = send(first, 'k5', 'span 10').catch(() => undefined)
+  await first.process.waitFor('request.routed', ({ attempt }) => attempt === '1')
+  await waitUntil(async () => {
+    const conflict = await send(second, 'k5', 'another body')
+    return readKind(conflict) === 'idempotency-conflict' ? true : undefined
+  })
+  await first.process.kill()
+  await cut
+  await askUpstream(cluster, upstream, '/v1/standin/faults', {})
+  const told = await send(second, 'k5', 'span 10')
+  t.is((told.json as { ran: string }).ran, 'no')
+  t.is((await listRuns(cluster, upstream)).length, 0)
+  const again = await send(second, 'k5', 'span 10')
+  t.is(again.text, 'span 10')
+  t.is((await listRuns(cluster, upstream)).length, 1)
+})
+
+test('an entry frozen for longer than its lease gives its caller, once back, the answer others have', async (t) => {
+  const { cluster, control, first, second, upstream } = await start(t)
+  const frozen = send(first, 'k6', work(1500, 'span 11 is clear'))
+  await waitUntil(async () => ((await listRuns(cluster, upstream)).length === 1 ? true : undefined))
+  first.process.signal('SIGSTOP')
+  const resent = await send(second, 'k6', work(1500, 'span 11 is clear'))
+  first.process.signal('SIGCONT')
+  const resolved = await control.process.waitFor('claim.resolved')
+  t.is(resolved.outcome, 'answered')
+  t.is((await frozen).text, resent.text)
+  t.is((await listRuns(cluster, upstream)).length, 1)
+})
