feat: leave large answers to their upstreams, and keep their content type

Cause: the resolver would have read an answer of any size into control's memory, and lost its type. Change: by the size the task's state gives it records a reference; whoever resends collects it. A commit no longer looks at the time of every open claim. Seen failing with the size check out (collected twice).

--- a/control/service/src/claimResolver.ts
+++ b/control/service/src/claimResolver.ts
@@ -3,10 +3,16 @@
  * request's deadline. The upstream is asked; a task it has never seen is stopped under a higher fence, so
  * that "not run" is only recorded where the upstream has confirmed it for good.
  */
-import type { Claim, ClaimOutcome, TaskStatus } from '@nettlespur/api.schemas'
+import {
+  claimAnswerBytesMax,
+  type Claim,
+  type ClaimOutcome,
+  type TaskStatus,
+} from '@nettlespur/api.schemas'
 import { waitForWake } from '@nettlespur/control.gangs'
 import { isResolved, readClaim } from '@nettlespur/control.state'
 import { NettlespurError, toNettlespurError, tryAsync, unwrap } from '@nettlespur/core.errors'
+import type { TaskReference } from '@nettlespur/upstream.client'
 import { EitherAsync } from 'purify-ts'
 import { filter } from 'rxjs'
 import { defaultClaimLifetimeMs } from './claimCalls.js'
@@ -19,7 +25,6 @@
 const pauseFactor = 2
 const resolvedAtOnce = 32
 const statusOk = 200
-const collectedType = 'application/octet-stream'
 
 interface Pause {
   readonly untilMs: number
@@ -31,7 +36,7 @@
   'clock' | 'logger' | 'holder'
 > {
   log: Pick<ControlNodeOptions['log'], 'propose'>
-  client: Pick<ControlNodeOptions['client'], 'getTask' | 'stop' | 'getAnswer'>
+  client: Pick<ControlNodeOptions['client'], 'getTask' | 'stop' | 'getTypedAnswer'>
   timings: Pick<NodeTimings, 'claimLifetimeMs'>
 }
 
@@ -50,8 +55,9 @@
     while (!signal.aborted) {
       const seen = holder.state.appliedIndex
       await this.resolveDue(signal)
+      // What falls due by time waits for the tick, so that a commit costs no look at every claim's time.
       const news = holder.applied.pipe(
-        filter((index) => index > seen && this.#listDue().length > 0),
+        filter((index) => index > seen && this.#listHandedOver().length > 0),
       )
       await waitForWake(clock, tickMs, news, signal)
     }
@@ -65,15 +71,26 @@
     this.#pauses = new Map([...this.#pauses].filter(([name]) => live.has(name)))
   }
 
+  /** Those whose entry has given up, or that were taken from it, and that do not pause. */
+  #listHandedOver(): Claim[] {
+    return this.#opts.holder.state
+      .listUnresolvedClaims()
+      .filter((claim) => claim.outcome !== undefined && !this.#isPaused(claim))
+  }
+
   #listDue(): Claim[] {
-    const { clock, holder } = this.#opts
-    const wallMs = clock.now().getTime()
-    const isDue = (claim: Claim): boolean =>
-      (this.#pauses.get(nameOf(claim))?.untilMs ?? 0) <= clock.monotonicMs() &&
-      (claim.outcome !== undefined ||
-        !this.#entries.mayLive(claim.entryId) ||
-        Date.parse(claim.resolveFrom) <= wallMs)
-    return holder.state.listUnresolvedClaims().filter(isDue)
+    const wallMs = this.#opts.clock.now().getTime()
+    const isLeft = (claim: Claim): boolean =>
+      !this.#entries.mayLive(claim.entryId) || Date.parse(claim.resolveFrom) <= wallMs
+    return this.#opts.holder.state
+      .listUnresolvedClaims()
+      .filter((claim) => claim.outcome !== undefined || isLeft(claim))
+      .filter((claim) => !this.#isPaused(claim))
+  }
+
+  #isPaused(claim: Claim): boolean {
+    const untilMs = this.#pauses.get(nameOf(claim))?.untilMs ?? 0
+    return untilMs > this.#opts.clock.monotonicMs()
   }
 
   async #resolve(claim: Claim, signal: AbortSignal): Promise<void> {
@@ -134,7 +151,7 @@
     const { address, taskId, session } = claim.target
     switch (status.state) {
       case 'finished':
-        return this.#collect({ address, taskId, fence: status.fence })
+        return this.#collect({ address, taskId, fence: status.fence }, status.answerBytes ?? 0)
       case 'failed':
       case 'stopped':
       case 'lease-expired':
@@ -151,18 +168,20 @@
     }
   }
 
-  async #collect(task: { address: string; taskId: string; fence: number }): Promise<ClaimOutcome> {
-    const collected = await this.#opts.client.getAnswer(task).run()
+  /** An answer too large to keep stays with its upstream, and out of this process's memory. */
+  async #collect(task: TaskReference, bodyBytes: number): Promise<ClaimOutcome> {
+    if (bodyBytes > claimAnswerBytesMax) return { kind: 'answered', status: statusOk, bodyBytes }
+    const collected = await this.#opts.client.getTypedAnswer(task).run()
     if (collected.isLeft()) {
       const error = toNettlespurError(collected.extract())
       if (error.kind !== 'answer-expired') throw error
       return { kind: 'failed', reason: 'it ran; its upstream no longer keeps the answer' }
     }
-    const body = collected.unsafeCoerce()
+    const { contentType, body } = collected.unsafeCoerce()
     return {
       kind: 'answered',
       status: statusOk,
-      contentType: collectedType,
+      ...(contentType === undefined ? {} : { contentType }),
       bodyBytes: body.length,
       bodyBase64: body.toString('base64'),
     }
--- a/entry/claims/src/outcomeReader.ts
+++ b/entry/claims/src/outcomeReader.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '@nettlespur/core.clock'
 import { NettlespurError, toNettlespurError } from '@nettlespur/core.errors'
 import type { ShortAnswer, ShortRequest } from '@nettlespur/entry.requests'
+import type { TypedAnswer } from '@nettlespur/upstream.client'
 import type { AnswerCollector } from './answerCollector.js'
 import { transientKinds } from './claimChanges.js'
 
@@ -80,18 +81,25 @@
       throw new NettlespurError('upstream-refused', outcome.reason, { retryAfterMs })
     }
     const { taskId, attempt, upstreamId } = claim.target
-    const { status, contentType } = outcome
-    const body = await this.#readBody(request, claim, outcome)
+    const { status } = outcome
+    const { contentType, body } = await this.#readAnswer(request, claim, outcome)
     return { status, contentType, body, taskId, attempt, upstreamId }
   }
 
-  async #readBody(request: ShortRequest, claim: Claim, answer: ClaimAnswer): Promise<Buffer> {
-    if (answer.bodyBase64 !== undefined) return Buffer.from(answer.bodyBase64, 'base64')
+  async #readAnswer(
+    request: ShortRequest,
+    claim: Claim,
+    answer: ClaimAnswer,
+  ): Promise<TypedAnswer> {
+    const { contentType, bodyBase64 } = answer
+    if (bodyBase64 !== undefined) return { contentType, body: Buffer.from(bodyBase64, 'base64') }
     const { clock, collector } = this.#opts
     for (;;) {
       try {
-        const body = await collector.collect(claim.target)
-        if (body.length === answer.bodyBytes) return body
+        const found = await collector.collect(claim.target)
+        if (found.body.length === answer.bodyBytes) {
+          return { body: found.body, contentType: contentType ?? found.contentType }
+        }
         throw new NettlespurError('answer-expired', 'its upstream holds another answer')
       } catch (thrown) {
         const error = toNettlespurError(thrown)
--- a/entry/claims/test/claimingRouter.test.ts
+++ b/entry/claims/test/claimingRouter.test.ts
@@ -220,3 +220,18 @@
   t.is(trial.upstreams.started.length, 1)
   trial.end()
 })
+
+test('a large answer that was lost is collected whole, and never passes through control', async (t) => {
+  const trial = new ClaimTrial()
+  trial.upstreams.script.push('lose')
+  const body = 'span '.repeat(20_000)
+  const lost = trial.createEntry('entry-1', 'first').run(trial.createRequest('a', body)).run()
+  await trial.clock.advance(3000)
+  const answer = (await lost).unsafeCoerce().body
+  t.true(answer.toString().endsWith(body))
+  const outcome = trial.control.claims.get({ workspace: 'thapa', key: 'a' })?.outcome
+  t.like(outcome, { kind: 'answered', bodyBytes: answer.length, bodyBase64: undefined })
+  t.is(trial.upstreams.collected, 1, 'by the entry alone')
+  t.is(trial.upstreams.started.length, 1)
+  trial.end()
+})
--- a/entry/claims/test/memoryUpstreams.ts
+++ b/entry/claims/test/memoryUpstreams.ts
@@ -22,6 +22,8 @@
   readonly sent: { key: string; taskId: string }[] = []
   /** How late the next answers about tasks are, in milliseconds. */
   readonly statusDelaysMs: number[] = []
+  /** Answers collected again. */
+  collected = 0
   readonly #clock: Clock
   readonly #tasks = new Map<string, Task>()
   #held: (() => void)[] = []
@@ -80,17 +82,21 @@
     })
   }
 
-  getAnswer({ address, taskId }: { address: string; taskId: string }) {
+  getTypedAnswer({ address, taskId }: { address: string; taskId: string }) {
     return tryAsync(() => {
+      this.collected += 1
       const known = this.#tasks.get(nameOf(address, taskId))
-      if (known?.state === 'finished') return Promise.resolve(known.body)
+      if (known?.state === 'finished') {
+        return Promise.resolve({ contentType: undefined, body: known.body })
+      }
       return Promise.reject(new NettlespurError('unknown-job', taskId))
     })
   }
 
   #status(address: string, taskId: string): TaskStatus {
     const known = this.#tasks.get(nameOf(address, taskId))
-    return { taskId, fence: known?.fence ?? 0, state: known?.state ?? 'unknown' }
+    const status = { taskId, fence: known?.fence ?? 0, state: known?.state ?? 'unknown' }
+    return known?.state === 'finished' ? { ...status, answerBytes: known.body.length } : status
   }
 
   async #delay(status: TaskStatus): Promise<TaskStatus> {
--- a/entry/fakes/src/fakeClaims.ts
+++ b/entry/fakes/src/fakeClaims.ts
@@ -2,6 +2,7 @@
 import type { Claim, ClaimChange, ClaimKey } from '@nettlespur/api.schemas'
 import { isResolved, readClaim, StateHolder, type Command } from '@nettlespur/control.state'
 import type { Clock } from '@nettlespur/core.clock'
+import { toRpcResult, tryAsync, type RpcResult } from '@nettlespur/core.errors'
 import { createContract } from './samples.js'
 
 const lifetimeMs = 600_000
@@ -19,6 +20,13 @@
     return this.holder.state.getClaim(key)
   }
 
+  /** Each with its own result, as control gives it. */
+  changeAll(changes: readonly ClaimChange[]): Promise<RpcResult<Claim>[]> {
+    const commit = (change: ClaimChange): Promise<RpcResult<Claim>> =>
+      toRpcResult(tryAsync(() => Promise.resolve(this.change(change))))
+    return Promise.all(changes.map(commit))
+  }
+
   /** Throws what the state refuses. */
   change(change: ClaimChange): Claim {
     this.#admit(change.workspace)
--- a/entry/fakes/src/fakeControl.ts
+++ b/entry/fakes/src/fakeControl.ts
@@ -28,13 +28,7 @@
   type WatchRequest,
 } from '@nettlespur/control.api'
 import type { Clock } from '@nettlespur/core.clock'
-import {
-  NettlespurError,
-  toRpcResult,
-  tryAsync,
-  type ErrorKind,
-  type RpcResult,
-} from '@nettlespur/core.errors'
+import { NettlespurError, tryAsync, type ErrorKind, type RpcResult } from '@nettlespur/core.errors'
 import type { EitherAsync } from 'purify-ts'
 import { BehaviorSubject } from 'rxjs'
 import { FakeClaims } from './fakeClaims.js'
@@ -173,9 +167,7 @@
   changeClaims(changes: readonly ClaimChange[]): EitherAsync<NettlespurError, RpcResult<Claim>[]> {
     return tryAsync(() => {
       this.#requireReachable()
-      const commit = (change: ClaimChange): Promise<RpcResult<Claim>> =>
-        toRpcResult(tryAsync(() => Promise.resolve(this.claims.change(change))))
-      return Promise.all(changes.map(commit))
+      return this.claims.changeAll(changes)
     })
   }
 
--- a/upstream/client/src/httpUpstreamClient.ts
+++ b/upstream/client/src/httpUpstreamClient.ts
@@ -17,7 +17,7 @@
 import { EitherAsync } from 'purify-ts'
 import { ConnectionPools } from './connectionPools.js'
 import { readWholeAnswer } from './readWholeAnswer.js'
-import { UpstreamClient, type TaskReference } from './upstreamClient.js'
+import { UpstreamClient, type TaskReference, type TypedAnswer } from './upstreamClient.js'
 
 const defaultTimeoutMs = 3000
 const defaultConnectionsMax = 8
@@ -95,11 +95,17 @@
   }
 
   override getAnswer(task: TaskReference): EitherAsync<NettlespurError, Buffer> {
+    return this.getTypedAnswer(task).map(({ body }) => body)
+  }
+
+  override getTypedAnswer(task: TaskReference): EitherAsync<NettlespurError, TypedAnswer> {
     const call = this.#prepare(task.address, 'GET', `${taskPath(task.taskId)}/answer`)
     const answerBytesMax = this.#opts.answerBytesMax ?? defaultAnswerBytesMax
-    return callHttp({ ...call, answerBytesMax }).chain((answer) =>
-      EitherAsync.liftEither(readWholeAnswer(answer, task)),
-    )
+    return callHttp({ ...call, answerBytesMax }).chain((answer) => {
+      const contentType = answer.headers['content-type']
+      const whole = readWholeAnswer(answer, task).map((body) => ({ contentType, body }))
+      return EitherAsync.liftEither(whole)
+    })
   }
 
   /** Gives up the calls in progress and closes every connection. */
--- a/upstream/client/src/upstreamClient.ts
+++ b/upstream/client/src/upstreamClient.ts
@@ -14,6 +14,12 @@
   readonly fence: number
 }
 
+/** A whole answer, with the type the upstream gave it. */
+export interface TypedAnswer {
+  readonly contentType: string | undefined
+  readonly body: Buffer
+}
+
 export abstract class UpstreamClient {
   /** Idempotent for the same fence. Errors: `fence-too-low`, `upstream-refused`. */
   abstract reserve(
@@ -39,4 +45,9 @@
   abstract getTask(address: string, taskId: string): EitherAsync<NettlespurError, TaskStatus>
   /** The whole answer, checked for its length, task and fence. Repeatable. */
   abstract getAnswer(task: TaskReference): EitherAsync<NettlespurError, Buffer>
+
+  /** As `getAnswer`, with its content type where the client learns of it. */
+  getTypedAnswer(task: TaskReference): EitherAsync<NettlespurError, TypedAnswer> {
+    return this.getAnswer(task).map((body) => ({ contentType: undefined, body }))
+  }
 }
