feat: speak tRPC between our processes over one compressed WebSocket a peer

Change: rpc.peer opens one WebSocket (ws) for each peer; the compression keeps its window from message to message. Deadlines, unreachable against unknown, replacing silent connections and the answering of calls in progress at a stop are kept; createRpcClient, callPeer and createRpcServer keep their signatures. Proved failing first: with the cut of silent connections taken out, or the wait for answers at a stop, one of the new tests fails or never ends.

--- a/bench/capacity/src/transport/openCaller.ts
+++ b/bench/capacity/src/transport/openCaller.ts
@@ -32,8 +32,12 @@
   const { clock, kind, address, peerKey } = opts
   const url = `http://${address}`
   switch (kind) {
-    case 'http':
+    case 'product':
       return createRpcClient<PeerRouter>({ clock, address, peerKey, timeoutMs }).call
+    case 'http': {
+      const link = httpLink({ url, fetch: createFetch(peerKey) as never })
+      return createTRPCClient<PeerRouter>({ links: [link] })
+    }
     case 'http-batch': {
       const common = { url, fetch: createFetch(peerKey) as never }
       // In one batch with a long poll, every other call would get its answer with the poll's.
--- a/bench/capacity/src/transport/transportKind.ts
+++ b/bench/capacity/src/transport/transportKind.ts
@@ -1,5 +1,6 @@
-/** The transports that are compared under the same tRPC router. `http` is the one the product uses. */
+/** The transports that are compared under the same tRPC router. `product` is the one in rpc.peer. */
 export const transportKinds = [
+  'product',
   'http',
   'http-batch',
   'http-batch-stream',
--- a/bench/suite/src/benches.ts
+++ b/bench/suite/src/benches.ts
@@ -6,4 +6,8 @@
     name: 'transport',
     load: async () => (await import('@nettlespur/bench.capacity')).measureTransport,
   },
+  {
+    name: 'capacity',
+    load: async () => (await import('@nettlespur/bench.capacity')).measureCapacity,
+  },
 ]
--- a/rpc/peer/src/createRpcClient.ts
+++ b/rpc/peer/src/createRpcClient.ts
@@ -1,24 +1,23 @@
 /**
- * Calls one peer's tRPC router over a keep-alive connection of Node's http, with a deadline on each call.
- * A peer that cannot be reached, or does not answer whole, is an error of the table.
+ * Calls one peer's tRPC router over one WebSocket, with a deadline on each call. The connection is opened
+ * on demand; one on which nothing came between a call and its deadline is cut, and the next call opens a
+ * new one. A peer that cannot be reached, or does not answer whole, is an error of the table.
  */
-import http from 'node:http'
-import type { Clock } from '@nettlespur/core.clock'
+import type { Clock, Timer } from '@nettlespur/core.clock'
+import { NettlespurError } from '@nettlespur/core.errors'
 import {
-  fromRpcResult,
-  NettlespurError,
-  toNettlespurError,
-  unwrap,
-  type RpcResult,
-} from '@nettlespur/core.errors'
-import { callHttp, toAnswerError, type HttpAnswer } from '@nettlespur/http.client'
-import { formatBearerKey } from '@nettlespur/http.keys'
-import { createTRPCClient, httpLink, TRPCClientError, type TRPCClient } from '@trpc/client'
+  createTRPCClient,
+  TRPCClientError,
+  wsLink,
+  type Operation,
+  type OperationResultEnvelope,
+  type TRPCClient,
+  type TRPCClientRuntime,
+  type TRPCLink,
+} from '@trpc/client'
 import type { AnyTRPCRouter } from '@trpc/server'
-import { EitherAsync } from 'purify-ts'
-
-const socketsMax = 8
-const unauthorizedStatus = 401
+import { observable, observableToPromise } from '@trpc/server/observable'
+import { PeerConnection } from './peerConnection.js'
 
 export interface RpcClientOptions {
   clock: Clock
@@ -32,72 +31,93 @@
 
 export interface RpcClient<R extends AnyTRPCRouter> {
   readonly call: TRPCClient<R>
-  /** Closes its connections. */
+  /** Closes its connection; calls in progress fail. */
   close(): void
 }
 
+type Result = OperationResultEnvelope<unknown, TRPCClientError<AnyTRPCRouter>>
+
 export function createRpcClient<R extends AnyTRPCRouter>(opts: RpcClientOptions): RpcClient<R> {
-  const agent = new http.Agent({ keepAlive: true, maxSockets: socketsMax })
-  // The link's options depend on the router's transformer, which a generic router leaves open.
-  const link = httpLink({ url: `http://${opts.address}`, fetch: createFetch(opts, agent) } as never)
+  const calls = new PeerCalls(opts)
+  const link: TRPCLink<R> = (runtime) => {
+    return ({ op }) =>
+      observable((observer) => {
+        calls.run(runtime, op).then(
+          (result) => {
+            observer.next(result as never)
+            observer.complete()
+          },
+          (thrown: unknown) => {
+            observer.error(TRPCClientError.from(thrown as Error))
+          },
+        )
+        return undefined
+      })
+  }
   return {
     call: createTRPCClient<R>({ links: [link] }),
     close: () => {
-      agent.destroy()
+      calls.close()
     },
   }
 }
 
-/** Runs one procedure that answers with an RpcResult. Errors: the procedure's own, `unreachable`, `outcome-unknown`. */
-export function callPeer<T>(run: () => Promise<RpcResult<T>>): EitherAsync<NettlespurError, T> {
-  return EitherAsync<unknown, RpcResult<T>>(run)
-    .mapLeft(toPeerError)
-    .chain((result) => EitherAsync.liftEither(fromRpcResult(result)))
-}
+class PeerCalls {
+  readonly #opts: RpcClientOptions
+  #connection: PeerConnection | undefined
 
-function toPeerError(thrown: unknown): NettlespurError {
-  const cause = thrown instanceof TRPCClientError ? (thrown.cause ?? thrown) : thrown
-  if (cause instanceof NettlespurError) return cause
-  return new NettlespurError('outcome-unknown', toNettlespurError(cause).message, { cause })
-}
+  constructor(opts: RpcClientOptions) {
+    this.#opts = opts
+  }
 
-interface FetchInit {
-  method?: string
-  headers?: unknown
-  body?: unknown
-  signal?: AbortSignal | null
-}
+  close(): void {
+    this.#connection?.destroy()
+  }
+
+  /** Errors: rejects with `unreachable` where nothing of the call can have left, else `outcome-unknown`. */
+  async run(runtime: TRPCClientRuntime, op: Operation): Promise<Result> {
+    const connection = this.#connect()
+    const { messageCount } = connection
+    let mayHaveLeft = false
+    let timer: Timer | undefined
+    const deadline = new Promise<never>((_, reject) => {
+      timer = this.#opts.clock.setTimer(this.#opts.timeoutMs, () => {
+        if (connection.messageCount === messageCount) connection.destroy()
+        reject(this.#createTimeoutError(mayHaveLeft))
+      })
+    })
+    try {
+      await Promise.race([connection.opened, deadline])
+      mayHaveLeft = true
+      return await Promise.race([send(connection, runtime, op), deadline])
+    } finally {
+      timer?.cancel()
+    }
+  }
 
-/** The part of fetch that tRPC uses, on Node's http. */
-function createFetch(opts: RpcClientOptions, agent: http.Agent) {
-  return async (input: unknown, init: FetchInit = {}) => {
-    const url = new URL(String(input))
-    const answer = await unwrap(
-      callHttp({
-        clock: opts.clock,
-        address: opts.address,
-        method: init.method ?? 'GET',
-        path: url.pathname + url.search,
-        headers: {
-          ...(init.headers as Record<string, string>),
-          authorization: formatBearerKey(opts.peerKey),
-        },
-        ...(typeof init.body === 'string' ? { body: init.body } : {}),
-        timeoutMs: opts.timeoutMs,
-        signal: init.signal ?? undefined,
-        agent,
-        ca: opts.ca,
-      }),
-    )
-    if (answer.status === unauthorizedStatus) throw toAnswerError(answer)
-    return toResponse(answer)
+  #connect(): PeerConnection {
+    if (this.#connection === undefined || this.#connection.isClosed) {
+      const { address, peerKey, ca } = this.#opts
+      this.#connection = new PeerConnection({ address, peerKey, ca })
+    }
+    return this.#connection
+  }
+
+  #createTimeoutError(mayHaveLeft: boolean): NettlespurError {
+    const { address, timeoutMs } = this.#opts
+    const kind = mayHaveLeft ? 'outcome-unknown' : 'unreachable'
+    return new NettlespurError(kind, `${address}: no whole answer within ${timeoutMs} ms`)
   }
 }
 
-function toResponse(answer: HttpAnswer) {
-  return {
-    ok: answer.status >= 200 && answer.status < 300,
-    status: answer.status,
-    json: () => Promise.resolve(JSON.parse(answer.body.toString('utf8')) as unknown),
+function send(
+  connection: PeerConnection,
+  runtime: TRPCClientRuntime,
+  op: Operation,
+): Promise<Result> {
+  const link = wsLink<AnyTRPCRouter>({ client: connection.client })
+  const next = (): never => {
+    throw new Error('the link of a connection is the last one')
   }
+  return observableToPromise(link(runtime)({ op, next })) as Promise<Result>
 }
--- a/rpc/peer/src/createRpcServer.ts
+++ b/rpc/peer/src/createRpcServer.ts
@@ -1,24 +1,21 @@
 /**
- * Serves one tRPC router to the other processes of the cluster. Every call must carry the cluster's peer
- * key; what is not a call of the router is answered by the error table.
+ * Serves one tRPC router to the other processes of the cluster over WebSockets. A connection opens only
+ * with the cluster's peer key; whatever else comes is answered by the error table.
  */
-import type { IncomingMessage, ServerResponse } from 'node:http'
-import { createHTTPHandler } from '@trpc/server/adapters/standalone'
-import type { AnyTRPCRouter } from '@trpc/server'
+import type { IncomingMessage } from 'node:http'
+import type { Duplex } from 'node:stream'
+import { toErrorBody } from '@nettlespur/core.errors'
 import {
   createUnauthorizedError,
   hashKey,
   matchesAnyHash,
   readBearerKey,
 } from '@nettlespur/http.keys'
-import {
-  createHttpServer,
-  writeError,
-  type HttpServer,
-  type TlsFiles,
-} from '@nettlespur/http.server'
-
-const rpcBodyBytesMax = 8_388_608
+import { createHttpServer, type HttpServer, type TlsFiles } from '@nettlespur/http.server'
+import type { AnyTRPCRouter } from '@trpc/server'
+import { WebSocketServer } from 'ws'
+import { compression, messageBytesMax } from './messageCodec.js'
+import { ServedConnection } from './servedConnection.js'
 
 export interface RpcServerOptions {
   /** `IP:PORT`; port 0 takes a free one. */
@@ -30,13 +27,60 @@
 }
 
 /** Errors: rejects where the address cannot be bound. */
-export function createRpcServer(opts: RpcServerOptions): Promise<HttpServer> {
-  const handle = createHTTPHandler({ router: opts.router, maxBodySize: rpcBodyBytesMax })
-  const hashes = opts.peerKeys.map((key) => hashKey(key))
-  const fallback = (request: IncomingMessage, response: ServerResponse): void => {
-    const accepted = matchesAnyHash(readBearerKey(request.headers.authorization), hashes)
-    if (accepted) handle(request, response)
-    else writeError(response, createUnauthorizedError())
+export async function createRpcServer(opts: RpcServerOptions): Promise<HttpServer> {
+  const server = await createHttpServer({ address: opts.address, routes: [], tls: opts.tls })
+  const connections = serveConnections(opts, server)
+  const drain = async (): Promise<void> => {
+    const closed = server.drain()
+    await Promise.all([...connections].map((connection) => connection.drain()))
+    await closed
+  }
+  return {
+    ...server,
+    inFlight: () => [...connections].reduce((sum, { unanswered }) => sum + unanswered, 0),
+    drain,
+    destroy: () => {
+      for (const connection of connections) connection.destroy()
+      server.destroy()
+    },
   }
-  return createHttpServer({ address: opts.address, routes: [], fallback, tls: opts.tls })
+}
+
+function serveConnections(
+  opts: RpcServerOptions,
+  { raw }: HttpServer,
+): ReadonlySet<ServedConnection> {
+  const connections = new Set<ServedConnection>()
+  const hashes = opts.peerKeys.map((key) => hashKey(key))
+  const { router } = opts
+  const wss = new WebSocketServer({
+    noServer: true,
+    perMessageDeflate: compression,
+    maxPayload: messageBytesMax,
+  })
+  raw.on('upgrade', (request: IncomingMessage, socket: Duplex, head: Buffer) => {
+    if (!matchesAnyHash(readBearerKey(request.headers.authorization), hashes)) {
+      refuse(socket)
+      return
+    }
+    wss.handleUpgrade(request, socket, head, (opened) => {
+      const connection = new ServedConnection({ router, wss, socket: opened, request })
+      connections.add(connection)
+      void connection.closed.then(() => connections.delete(connection))
+    })
+  })
+  return connections
+}
+
+function refuse(socket: Duplex): void {
+  const error = createUnauthorizedError()
+  const body = JSON.stringify(toErrorBody(error))
+  const head = [
+    `HTTP/1.1 ${error.answer.httpStatus} Unauthorized`,
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close',
+  ]
+  socket.on('error', () => socket.destroy())
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`)
 }
--- a/rpc/peer/src/index.ts
+++ b/rpc/peer/src/index.ts
@@ -1,8 +1,4 @@
 /** tRPC between the product's own processes: keyed, with a deadline on each call. */
-export {
-  callPeer,
-  createRpcClient,
-  type RpcClient,
-  type RpcClientOptions,
-} from './createRpcClient.js'
+export { callPeer } from './callPeer.js'
+export { createRpcClient, type RpcClient, type RpcClientOptions } from './createRpcClient.js'
 export { createRpcServer, type RpcServerOptions } from './createRpcServer.js'
--- /dev/null
+++ b/rpc/peer/test/silentProxy.ts
@@ -0,0 +1,49 @@
+/** A TCP proxy whose open connections can go silent for good while new ones work. */
+import { once } from 'node:events'
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+
+export class SilentProxy {
+  opened = 0
+  readonly #server: Server
+  readonly #sockets = new Set<Socket>()
+
+  private constructor(target: string) {
+    const separator = target.lastIndexOf(':')
+    const to = { host: target.slice(0, separator), port: Number(target.slice(separator + 1)) }
+    this.#server = createServer((inner) => {
+      this.opened += 1
+      const outer = connect(to)
+      inner.pipe(outer).pipe(inner)
+      for (const socket of [inner, outer]) {
+        this.#sockets.add(socket)
+        socket.on('error', () => socket.destroy())
+      }
+    })
+  }
+
+  static async start(target: string): Promise<SilentProxy> {
+    const proxy = new SilentProxy(target)
+    proxy.#server.listen(0, '127.0.0.1')
+    await once(proxy.#server, 'listening')
+    return proxy
+  }
+
+  get address(): string {
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`
+  }
+
+  /** From now on the connections that are open carry nothing. */
+  silence(): void {
+    for (const socket of this.#sockets) {
+      socket.unpipe()
+      socket.resume()
+    }
+  }
+
+  async close(): Promise<void> {
+    const closed = once(this.#server, 'close')
+    this.#server.close()
+    for (const socket of this.#sockets) socket.destroy()
+    await closed
+  }
+}
