--- a/bench/capacity/src/slopes/measureCapacity.ts
+++ b/bench/capacity/src/slopes/measureCapacity.ts
@@ -1,6 +1,6 @@
 /**
  * What control and an entry spend against upstreams, tasks, contracts, contract changes and entries, each
- * at several sizes on the real daemons. Slopes that share nothing run side by side.
+ * at several sizes on the real daemons. The slopes run side by side, on a cluster each.
  */
 import type { FigureRow } from '../figureRow.js'
 import { describeSlope, type Point } from './describeSlope.js'
@@ -16,8 +16,8 @@
 const workspace = 'measured'
 
 export async function measureCapacity(): Promise<readonly FigureRow[]> {
-  const side = await Promise.all([measureUpstreams(), measureTasks(), measureContracts()])
-  return [...side.flat(), ...(await measureEntries())]
+  const slopes = [measureUpstreams(), measureTasks(), measureContracts(), measureEntries()]
+  return (await Promise.all(slopes)).flat()
 }
 
 async function measureUpstreams(): Promise<FigureRow[]> {
@@ -80,7 +80,6 @@
   for (const size of entrySizes) {
     points.push(
       await withTrial(size, async (trial) => {
-        await trial.settle()
         return { size, rates: await trial.measure() }
       }),
     )
--- a/bench/capacity/src/slopes/trial.ts
+++ b/bench/capacity/src/slopes/trial.ts
@@ -8,6 +8,8 @@
 import { Fleet } from './fleet.js'
 import { measureRates, type RatesByRole } from './rates.js'
 
+/** Until a new process has loaded what it needs at rest: reading it counts as bytes. */
+const warmUpMs = 12_000
 const settleMs = 4000
 const windowMs = 10_000
 /** High enough to bind nothing here. */
@@ -31,7 +33,9 @@
 
   /** One control and `entries` entries. */
   static async start(entries: number): Promise<Trial> {
-    return new Trial(await TrialCluster.start({ controls: 1, entries, upstreams: 0 }))
+    const trial = new Trial(await TrialCluster.start({ controls: 1, entries, upstreams: 0 }))
+    await trial.clock.sleep(warmUpMs)
+    return trial
   }
 
   async close(): Promise<void> {
