feat: commit control's changes by Raft over one, three or five members

Members are listed, added and removed through the entries. A planned stop hands the leadership over.

A new leader now waits for leases of a former one also where it has not yet applied what that one committed: it told a change as in force at the one entry it had heard from, found by killing the leader of three processes.

--- a/consensus/raft/__utils__/memoryLinks.ts
+++ b/consensus/raft/__utils__/memoryLinks.ts
@@ -14,14 +14,19 @@
 } from '../src/index.js'
 
 const longestDelayMs = 30
-/** A rare message takes this long, so that it comes after others that were sent later. */
+/** A late message takes this long, so that it comes after others that were sent later. */
 const lateDelayMs = 3000
-const lateShare = 0.01
 
 export class MemoryLinks {
   readonly nodes = new Map<string, RaftNode<number>>()
+  /** Share of messages that come late. */
+  lateShare = 0
   /** Share of messages lost. */
   lossShare = 0
+  /** What waits for a node that is paused. */
+  readonly paused = new Map<string, (() => void)[]>()
+  /** Pairs that do not reach each other, as `from to`. */
+  readonly cut = new Set<string>()
   readonly #clock: Clock
   readonly #random: () => number
   /** Which side of a partition a node is on; all are on one side where it is empty. */
@@ -37,6 +42,18 @@
     this.#sides = new Map(isolated.map((memberId) => [memberId, 1]))
   }
 
+  /** Cuts the link between two nodes, both ways. */
+  cutLink(one: string, other: string): void {
+    this.cut.add(`${one} ${other}`)
+    this.cut.add(`${other} ${one}`)
+  }
+
+  resume(memberId: string): void {
+    const waiting = this.paused.get(memberId) ?? []
+    this.paused.delete(memberId)
+    for (const resume of waiting) resume()
+  }
+
   createTransport(from: string): RaftTransport {
     return new LinkTransport(this, from)
   }
@@ -64,12 +81,22 @@
   }
 
   async #travel(from: string, to: string): Promise<void> {
-    const late = this.#random() < lateShare ? lateDelayMs : 0
+    const late = this.#random() < this.lateShare ? lateDelayMs : 0
     await this.#clock.sleep(this.#random() * longestDelayMs + late)
-    const cut = (this.#sides.get(from) ?? 0) !== (this.#sides.get(to) ?? 0)
+    await this.#waitWhilePaused(to)
+    const cut =
+      this.cut.has(`${from} ${to}`) || (this.#sides.get(from) ?? 0) !== (this.#sides.get(to) ?? 0)
     if (cut || this.#random() < this.lossShare) await new Promise<never>(() => undefined)
   }
 
+  async #waitWhilePaused(memberId: string): Promise<void> {
+    const waiting = this.paused.get(memberId)
+    if (waiting === undefined) return
+    await new Promise<void>((resume) => {
+      waiting.push(resume)
+    })
+  }
+
   async #expire(timeoutMs: number): Promise<never> {
     await this.#clock.sleep(timeoutMs)
     throw new Error('no answer in time')
--- a/consensus/raft/__utils__/memoryLogStore.ts
+++ b/consensus/raft/__utils__/memoryLogStore.ts
@@ -10,9 +10,13 @@
 import type { MemoryDisk } from './memoryDisk.js'
 
 const longestSyncMs = 8
+/** A slow sync takes this long: a crash then loses what peers hold already. */
+const slowSyncMs = 500
 const neverMs = 1e12
 
 export class MemoryLogStore extends LogStore {
+  /** Share of syncs that are slow. */
+  slowShare = 0
   readonly #disk: MemoryDisk
   readonly #clock: Clock
   readonly #random: () => number
@@ -118,7 +122,8 @@
 
   async #write(change: () => void): Promise<void> {
     this.#writing = change
-    await this.#clock.sleep(this.#random() * longestSyncMs)
+    const slowMs = this.#random() < this.slowShare ? slowSyncMs : 0
+    await this.#clock.sleep(this.#random() * longestSyncMs + slowMs)
     if (this.#crashed) await this.#clock.sleep(neverMs)
     this.#writing = undefined
     change()
--- /dev/null
+++ b/consensus/raft/__utils__/pausableClock.ts
@@ -0,0 +1,61 @@
+/** The clock of one node on a shared one. Paused, its timers wait although time goes on. */
+import type { Clock, ManualClock, Timer } from '@nettlespur/core.clock'
+
+export class PausableClock implements Clock {
+  readonly #clock: ManualClock
+  #held: (() => void)[] | undefined
+
+  constructor(clock: ManualClock) {
+    this.#clock = clock
+  }
+
+  now(): Date {
+    return this.#clock.now()
+  }
+
+  monotonicMs(): number {
+    return this.#clock.monotonicMs()
+  }
+
+  setTimer(delayMs: number, run: () => void): Timer {
+    let cancelled = false
+    const timer = this.#clock.setTimer(delayMs, () => {
+      const fire = (): void => {
+        if (!cancelled) run()
+      }
+      if (this.#held === undefined) fire()
+      else this.#held.push(fire)
+    })
+    const cancel = (): void => {
+      cancelled = true
+      timer.cancel()
+    }
+    return { cancel }
+  }
+
+  sleep(durationMs: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      if (signal?.aborted === true) {
+        resolve()
+        return
+      }
+      const finish = (): void => {
+        timer.cancel()
+        signal?.removeEventListener('abort', finish)
+        resolve()
+      }
+      const timer = this.setTimer(durationMs, finish)
+      signal?.addEventListener('abort', finish, { once: true })
+    })
+  }
+
+  pause(): void {
+    this.#held ??= []
+  }
+
+  resume(): void {
+    const held = this.#held ?? []
+    this.#held = undefined
+    for (const fire of held) fire()
+  }
+}
--- a/consensus/raft/__utils__/testCluster.ts
+++ b/consensus/raft/__utils__/testCluster.ts
@@ -6,6 +6,7 @@
 import { MemoryDisk } from './memoryDisk.js'
 import { MemoryLinks } from './memoryLinks.js'
 import { MemoryLogStore } from './memoryLogStore.js'
+import { PausableClock } from './pausableClock.js'
 import { RecordingMachine } from './recordingMachine.js'
 import { createSeededRandom } from './seededRandom.js'
 
@@ -25,6 +26,8 @@
 export interface TestClusterOptions {
   seed: number
   voters: number
+  /** Share of messages that come late, and of syncs that are slow; 0 by default. */
+  slowShare?: number
   timings?: Partial<RaftTimings>
   limits?: Partial<RaftLimits>
 }
@@ -45,6 +48,7 @@
   readonly #disks = new Map<string, MemoryDisk>()
   readonly #leaders = new Map<number, string>()
   readonly #started = new Set<string>()
+  readonly #clocks = new Map<string, PausableClock>()
   #disksMade = 0
   #disksLost = 0
   #removals = 0
@@ -54,6 +58,7 @@
     this.#opts = opts
     this.#random = createSeededRandom(opts.seed)
     this.links = new MemoryLinks(this.clock, this.#random)
+    this.links.lateShare = opts.slowShare ?? 0
   }
 
   static async start(opts: TestClusterOptions): Promise<TestCluster> {
@@ -80,11 +85,12 @@
     const disk = this.#disks.get(memberId) ?? new MemoryDisk(`disk-${this.#disksMade++}`)
     this.#disks.set(memberId, disk)
     const store = new MemoryLogStore(disk, this.clock, this.#random)
+    store.slowShare = this.#opts.slowShare ?? 0
     const machine = new RecordingMachine(this.history)
     const raft = await RaftNode.open({
       memberId,
       initialMembers: this.voters,
-      clock: this.clock,
+      clock: this.#getClock(memberId),
       logger: createLogger({
         name: 'raft',
         instanceId: memberId,
@@ -98,7 +104,9 @@
       random: this.#random,
     })
     raft.standing.subscribe(({ role, term }) => {
-      if (role === 'leader') this.#noteLeader(term, memberId)
+      if (role !== 'leader') return
+      this.#noteLeader(term, memberId)
+      void this.read(memberId)
     })
     this.running.set(memberId, { raft, machine, store })
     this.links.nodes.set(memberId, raft)
@@ -112,6 +120,7 @@
     this.running.delete(memberId)
     this.links.nodes.delete(memberId)
     void node.raft.stop()
+    this.resumeNode(memberId)
   }
 
   /**
@@ -128,6 +137,19 @@
     this.#disks.delete(memberId)
   }
 
+  /** A node whose timers and messages wait, as those of a stopped process do. */
+  pauseNode(memberId: string): void {
+    this.#getClock(memberId).pause()
+    this.links.paused.set(memberId, [])
+  }
+
+  /** `first` runs before anything that waited. */
+  resumeNode(memberId: string, first: () => void = () => undefined): void {
+    first()
+    this.#getClock(memberId).resume()
+    this.links.resume(memberId)
+  }
+
   /** Proposes to this node and notes the outcome once it is known. */
   async propose(memberId: string): Promise<void> {
     const node = this.running.get(memberId)
@@ -162,6 +184,8 @@
   async settle(): Promise<void> {
     this.links.partition([])
     this.links.lossShare = 0
+    this.links.lateShare = 0
+    for (const memberId of this.#clocks.keys()) this.resumeNode(memberId)
     for (const memberId of this.#started) await this.startNode(memberId)
     for (let second = 0; second < 60; second++) {
       await this.clock.advance(1000)
@@ -198,6 +222,12 @@
     await this.clock.advance(10_000)
   }
 
+  #getClock(memberId: string): PausableClock {
+    const clock = this.#clocks.get(memberId) ?? new PausableClock(this.clock)
+    this.#clocks.set(memberId, clock)
+    return clock
+  }
+
   async #commitsOnAll(): Promise<boolean> {
     const { leader } = this
     if (leader === undefined) return false
--- a/consensus/raft/src/confirmLeadership.ts
+++ b/consensus/raft/src/confirmLeadership.ts
@@ -13,11 +13,12 @@
 
 /** Errors: rejects with `no-quorum` and `not-leader`. */
 export async function confirmLeadership<R>(leader: Leader<R>): Promise<void> {
-  const { replica, ended: signal } = leader
+  const { replica } = leader
   const { clock, commitIndex, appliedIndex, opts } = replica
   const timeoutMs = opts.timings.electionTimeoutMs
   const isKnown = (index: number): boolean => index >= leader.firstIndex
-  if (!(await waitFor(clock, commitIndex, isKnown, { timeoutMs, signal }))) throw refuse(leader)
+  const commits = leader.whileLeading(commitIndex)
+  if (!(await waitFor(clock, commits, isKnown, { timeoutMs }))) throw refuse(leader)
   const readIndex = commitIndex.value
   if (!holdsLease(leader) && !(await askQuorum(leader))) throw refuse(leader)
   const isApplied = (index: number): boolean => index >= readIndex
@@ -39,9 +40,9 @@
   const isAnswered = (): boolean =>
     leader.pickQuorum(Infinity, (progress) => progress.ackedSequence) > sequence
   leader.wakePeers()
-  const answers = leader.answers.pipe(startWith(undefined))
+  const answers = leader.whileLeading(leader.answers.pipe(startWith(undefined)))
   const { electionTimeoutMs: timeoutMs } = opts.timings
-  const answered = await waitFor(clock, answers, isAnswered, { timeoutMs, signal: leader.ended })
+  const answered = await waitFor(clock, answers, isAnswered, { timeoutMs })
   return answered && !leader.ended.aborted
 }
 
--- a/consensus/raft/src/election.ts
+++ b/consensus/raft/src/election.ts
@@ -5,6 +5,9 @@
 import { pollVoters } from './poll.js'
 import type { Replica } from './replica.js'
 
+/** How much longer than the shortest the longest wait is, so that few stand at the same time. */
+const spreadShare = 0.5
+
 /** Takes over the leadership of the present term; given the disks of those who voted. */
 export type StartLeading = (disks: ReadonlyMap<string, string>) => void
 
@@ -23,7 +26,10 @@
     const isOver = (): boolean => signal.aborted
     if (this.#isAlone()) await this.#tryToLead(false, signal)
     while (!isOver()) {
-      await this.#waitForSilence(electionTimeoutMs * (1 + this.#replica.random()), signal)
+      await this.#waitForSilence(
+        electionTimeoutMs * (1 + this.#replica.random() * spreadShare),
+        signal,
+      )
       if (!isOver()) await this.#tryToLead(false, signal)
     }
   }
--- a/consensus/raft/src/leader.ts
+++ b/consensus/raft/src/leader.ts
@@ -3,7 +3,7 @@
  * steps down once no majority has answered for an election timeout.
  */
 import { NettlespurError, toNettlespurError } from '@nettlespur/core.errors'
-import { Subject } from 'rxjs'
+import { ReplaySubject, Subject, takeUntil, type Observable } from 'rxjs'
 import { encodeEmpty, encodeMembership } from './entryPayload.js'
 import { acceptsDisk, type Membership } from './member.js'
 import type { PeerProgress } from './peerProgress.js'
@@ -18,7 +18,7 @@
 export class Leader<R> {
   readonly term: number
   readonly replica: Replica<R>
-  /** Told after each answer of a peer. */
+  /** Told after each answer of a peer; completes when this leadership ends. */
   readonly answers = new Subject<void>()
   /** The first entry of this leadership: what is committed is known once this one is. */
   readonly firstIndex: number
@@ -30,6 +30,7 @@
   readonly #peers = new Map<string, PeerReplicator<R>>()
   readonly #flushWake = new Wake()
   readonly #ending = new AbortController()
+  readonly #over = new ReplaySubject<void>(1)
   #sequence = 0
 
   constructor(replica: Replica<R>, proposals: Proposals<R>, disks: ReadonlyMap<string, string>) {
@@ -52,6 +53,12 @@
     this.#ending.abort()
     for (const peer of this.#peers.values()) peer.stop()
     this.answers.complete()
+    this.#over.next()
+  }
+
+  /** The same values until this leadership ends. */
+  whileLeading<T>(values: Observable<T>): Observable<T> {
+    return values.pipe(takeUntil(this.#over))
   }
 
   /** Adds an entry: it goes to the peers and to the own disk at the same time. */
--- a/consensus/raft/src/raftOptions.ts
+++ b/consensus/raft/src/raftOptions.ts
@@ -8,7 +8,7 @@
 
 export interface RaftTimings {
   readonly heartbeatMs: number
-  /** The shortest silence of a leader after which others may be elected; the longest is twice this. */
+  /** The shortest silence of a leader after which others may be elected; the longest is half as long again. */
   readonly electionTimeoutMs: number
   /** A voter silent for this long is replaced where a learner stands ready. */
   readonly replaceVoterAfterMs: number
--- a/consensus/raft/src/waitFor.ts
+++ b/consensus/raft/src/waitFor.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '@nettlespur/core.clock'
 import { filter, type Observable } from 'rxjs'
 
-/** True where a value passed before the deadline and before `signal` was aborted. */
+/** True where a value passed before the deadline, the end of `values` and the abortion of `signal`. */
 export async function waitFor<T>(
   clock: Clock,
   values: Observable<T>,
@@ -11,13 +11,16 @@
 ): Promise<boolean> {
   const done = new AbortController()
   let passed = false
-  const watching = values.pipe(filter(passes)).subscribe(() => {
-    passed = true
-    done.abort()
-  })
   const abort = (): void => {
     done.abort()
   }
+  const watching = values.pipe(filter(passes)).subscribe({
+    next: () => {
+      passed = true
+      abort()
+    },
+    complete: abort,
+  })
   if (opts.signal?.aborted === true) abort()
   opts.signal?.addEventListener('abort', abort, { once: true })
   await clock.sleep(opts.timeoutMs, done.signal)
--- a/consensus/raft/test/raftNode.test.ts
+++ b/consensus/raft/test/raftNode.test.ts
@@ -137,3 +137,25 @@
   t.true(cluster.lines.some((line) => line.includes('raft.snapshot-installed')))
   t.is(cluster.running.get(late)?.machine.applied.length, 40)
 })
+
+test('a follower that loses only its link to the leader does not unseat it', async (t) => {
+  const cluster = await startCluster(t)
+  const before = requireLeader(cluster).describe()
+  const [follower = ''] = listFollowers(cluster)
+  cluster.links.cutLink(before.leaderId ?? '', follower)
+  await cluster.clock.advance(30_000)
+  t.like(requireLeader(cluster).describe(), { leaderId: before.leaderId, term: before.term })
+})
+
+test('a leader that was stopped for long does not answer a read from what it knew', async (t) => {
+  const cluster = await startCluster(t)
+  await proposeMany(cluster, 1)
+  const formerId = requireLeader(cluster).describe().leaderId ?? ''
+  cluster.pauseNode(formerId)
+  await cluster.clock.advance(10_000)
+  await proposeMany(cluster, 1)
+  t.is(cluster.acknowledged.length, 2)
+  cluster.resumeNode(formerId, () => void cluster.read(formerId))
+  await cluster.clock.advance(5000)
+  t.deepEqual(cluster.listFaults(), [])
+})
--- a/control/api/src/controlApi.ts
+++ b/control/api/src/controlApi.ts
@@ -14,7 +14,7 @@
 import type { EitherAsync } from 'purify-ts'
 import type { Announcements, ClusterUpdate, WatchRequest } from './clusterView.js'
 import type { ContractView } from './contractView.js'
-import type { ClusterReport, ClusterStatus } from './statusView.js'
+import type { ClusterReport, ClusterStatus, MemberView, NewMember } from './statusView.js'
 
 /** Names one job of one workspace: a caller of another workspace finds nothing. */
 export interface JobReference {
@@ -53,4 +53,9 @@
   abstract watch(request: WatchRequest): EitherAsync<NettlespurError, ClusterUpdate>
   abstract getStatus(): EitherAsync<NettlespurError, ClusterStatus>
   abstract getReport(): EitherAsync<NettlespurError, ClusterReport>
+  abstract listMembers(): EitherAsync<NettlespurError, MemberView[]>
+  /** Idempotent. It is a learner first, and a voter once it has caught up and one is wanted. Errors: `membership-refused`, `outcome-unknown`. */
+  abstract addMember(member: NewMember): EitherAsync<NettlespurError, null>
+  /** Errors: `unknown-member`, `membership-refused`, `outcome-unknown`. */
+  abstract removeMember(memberId: string): EitherAsync<NettlespurError, null>
 }
--- a/control/api/src/createControlRouter.ts
+++ b/control/api/src/createControlRouter.ts
@@ -5,6 +5,7 @@
 import { z } from 'zod'
 import { announcementsSchema, watchRequestSchema } from './clusterView.js'
 import type { ControlApi } from './controlApi.js'
+import { newMemberSchema } from './statusView.js'
 
 const jobReferenceSchema = z.object({ workspace: identifierSchema, jobId: z.string() })
 const answerRequestSchema = jobReferenceSchema.extend({ waitMs: z.int().nonnegative() })
@@ -42,6 +43,13 @@
       .mutation(({ input }) => toRpcResult(api.watch(input))),
     getStatus: procedure.mutation(() => toRpcResult(api.getStatus())),
     getReport: procedure.mutation(() => toRpcResult(api.getReport())),
+    listMembers: procedure.mutation(() => toRpcResult(api.listMembers())),
+    addMember: procedure
+      .input(newMemberSchema)
+      .mutation(({ input }) => toRpcResult(api.addMember(input))),
+    removeMember: procedure
+      .input(identifierSchema)
+      .mutation(({ input }) => toRpcResult(api.removeMember(input))),
   })
 }
 
--- a/control/api/src/remoteControlApi.ts
+++ b/control/api/src/remoteControlApi.ts
@@ -17,7 +17,7 @@
 import type { ContractView } from './contractView.js'
 import { ControlApi, type AnswerRequest, type JobOutcome, type JobReference } from './controlApi.js'
 import type { ControlRouter } from './createControlRouter.js'
-import type { ClusterReport, ClusterStatus } from './statusView.js'
+import type { ClusterReport, ClusterStatus, MemberView, NewMember } from './statusView.js'
 
 export interface RemoteControlApiOptions {
   clock: Clock
@@ -92,6 +92,18 @@
     return this.#ask((call) => call.getReport.mutate())
   }
 
+  listMembers(): EitherAsync<NettlespurError, MemberView[]> {
+    return this.#ask((call) => call.listMembers.mutate())
+  }
+
+  addMember(member: NewMember): EitherAsync<NettlespurError, null> {
+    return this.#ask((call) => call.addMember.mutate(member))
+  }
+
+  removeMember(memberId: string): EitherAsync<NettlespurError, null> {
+    return this.#ask((call) => call.removeMember.mutate(memberId))
+  }
+
   #ask<T>(run: (call: Caller) => Promise<RpcResult<T>>): EitherAsync<NettlespurError, T> {
     return EitherAsync.fromPromise(() => this.#askEach(run))
   }
--- a/control/api/src/statusView.ts
+++ b/control/api/src/statusView.ts
@@ -1,7 +1,21 @@
 /** The state of the cluster as operators see it. */
-import { countSchema, identifierSchema, upstreamViewSchema } from '@nettlespur/api.schemas'
+import {
+  addressSchema,
+  countSchema,
+  identifierSchema,
+  upstreamViewSchema,
+} from '@nettlespur/api.schemas'
 import { z } from 'zod'
 
+/** A control instance that is to take part in agreement. */
+export const newMemberSchema = z.strictObject({
+  memberId: identifierSchema,
+  /** Where the other control instances and the entries reach it. */
+  peerAddress: addressSchema,
+  dataCentre: identifierSchema,
+})
+export type NewMember = z.infer<typeof newMemberSchema>
+
 export const memberViewSchema = z.object({
   memberId: identifierSchema,
   peerAddress: z.string(),
--- a/control/log/src/index.ts
+++ b/control/log/src/index.ts
@@ -1,3 +1,10 @@
-/** The replicated log: what control commits to, and a log of one voter. */
-export { ReplicatedLog, type Leadership, type LogDescription } from './replicatedLog.js'
-export { SingleNodeLog, type SingleNodeLogOptions } from './singleNodeLog.js'
+/** The replicated log: what control commits to, over Raft. */
+export { createRaftRouter, type RaftReceiver, type RaftRouter } from './createRaftRouter.js'
+export { RaftLog, type RaftLogOptions } from './raftLog.js'
+export {
+  ReplicatedLog,
+  type Leadership,
+  type LogDescription,
+  type LogMember,
+} from './replicatedLog.js'
+export { RpcTransport, type RpcTransportOptions } from './rpcTransport.js'
--- /dev/null
+++ b/control/log/src/raftLog.ts
@@ -0,0 +1,146 @@
+/** The replicated log over Raft: commands are agreed on by the voters and applied to the control state. */
+import {
+  RaftNode,
+  type Member,
+  type RaftLimits,
+  type RaftOptions,
+  type RaftTimings,
+  type RaftTransport,
+  type Standing,
+} from '@nettlespur/consensus.raft'
+import type { Command, CommandResult, StateHolder } from '@nettlespur/control.state'
+import type { Clock } from '@nettlespur/core.clock'
+import { NettlespurError, unwrap } from '@nettlespur/core.errors'
+import type { Logger } from '@nettlespur/core.logger'
+import type { LogStore } from '@nettlespur/storage.log'
+import { EitherAsync, Left } from 'purify-ts'
+import { BehaviorSubject, filter, firstValueFrom } from 'rxjs'
+import { ControlMachine, encodeJson } from './controlMachine.js'
+import type { RaftReceiver } from './createRaftRouter.js'
+import {
+  ReplicatedLog,
+  type Leadership,
+  type LogDescription,
+  type LogMember,
+} from './replicatedLog.js'
+
+export interface RaftLogOptions {
+  memberId: string
+  /** The first voters. An instance that is none of them waits to be added. */
+  initialMembers: readonly Member[]
+  clock: Clock
+  logger: Logger
+  /** Closed with the log. */
+  store: LogStore
+  transport: RaftTransport
+  /** What committed commands are applied to; starts out empty. */
+  holder: StateHolder
+  timings: RaftTimings
+  limits?: Partial<RaftLimits>
+  random?: () => number
+}
+
+export class RaftLog extends ReplicatedLog {
+  readonly leadership: BehaviorSubject<Leadership>
+  /** For the router through which other members reach this one. */
+  readonly receiver: RaftReceiver
+  readonly #node: RaftNode<CommandResult>
+  readonly #store: LogStore
+  #stopped: Promise<void> | undefined
+
+  private constructor(node: RaftNode<CommandResult>, store: LogStore) {
+    super()
+    this.#node = node
+    this.#store = store
+    this.receiver = node
+    this.leadership = new BehaviorSubject<Leadership>({ isLeader: false, term: 0 })
+    node.standing.subscribe((standing) => {
+      this.leadership.next(this.#toLeadership(standing))
+    })
+  }
+
+  /** A sole voter leads, and holds all it committed before, by the time this resolves. Errors: rejects with `storage-damaged`. */
+  static async open(opts: RaftLogOptions): Promise<RaftLog> {
+    const { holder, store, ...rest } = opts
+    const node = await openNode(store, { ...rest, store, machine: new ControlMachine(holder) })
+    const log = new RaftLog(node, store)
+    const { members } = node.describe()
+    if (members.length === 1 && members[0]?.memberId === opts.memberId) await log.#awaitLeading()
+    return log
+  }
+
+  propose(command: Command): EitherAsync<NettlespurError, CommandResult> {
+    if (this.#stopped !== undefined) return refuse('draining', 'this control instance is stopping')
+    return this.#node.propose(encodeJson(command))
+  }
+
+  readBarrier(): EitherAsync<NettlespurError, void> {
+    if (this.#stopped !== undefined) return refuse('draining', 'this control instance is stopping')
+    return this.#node.readBarrier()
+  }
+
+  describe(): LogDescription {
+    const { term, commitIndex, snapshotAgeMs, members } = this.#node.describe()
+    return {
+      term,
+      commitIndex,
+      snapshotAgeMs,
+      members: members.map(({ memberId, peerAddress, dataCentre, role, lagEntries, silentMs }) => ({
+        memberId,
+        peerAddress,
+        dataCentre,
+        role,
+        lagEntries,
+        silentMs,
+      })),
+    }
+  }
+
+  override addMember(member: LogMember): EitherAsync<NettlespurError, void> {
+    return this.#node.addMember(member)
+  }
+
+  override removeMember(memberId: string): EitherAsync<NettlespurError, void> {
+    return this.#node.removeMember(memberId)
+  }
+
+  override async handOver(): Promise<void> {
+    await this.#node.transferLeadership()
+  }
+
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop()
+    return this.#stopped
+  }
+
+  async #stop(): Promise<void> {
+    await this.#node.stop()
+    await this.#store.close()
+  }
+
+  async #awaitLeading(): Promise<void> {
+    await firstValueFrom(this.leadership.pipe(filter(({ isLeader }) => isLeader)))
+    await unwrap(this.#node.readBarrier())
+  }
+
+  #toLeadership({ role, term, leaderId }: Standing): Leadership {
+    const leader = this.#node.describe().members.find(({ memberId }) => memberId === leaderId)
+    return { isLeader: role === 'leader', term, leaderId, leaderAddress: leader?.peerAddress }
+  }
+}
+
+async function openNode(
+  store: LogStore,
+  opts: RaftOptions<CommandResult>,
+): Promise<RaftNode<CommandResult>> {
+  try {
+    return await RaftNode.open(opts)
+  } catch (cause) {
+    await store.close()
+    throw cause
+  }
+}
+
+function refuse(kind: 'draining', message: string): EitherAsync<NettlespurError, never> {
+  return EitherAsync.liftEither(Left(new NettlespurError(kind, message)))
+}
--- a/control/log/src/replicatedLog.ts
+++ b/control/log/src/replicatedLog.ts
@@ -4,8 +4,8 @@
  */
 import type { MemberView } from '@nettlespur/control.api'
 import type { Command, CommandResult } from '@nettlespur/control.state'
-import type { NettlespurError } from '@nettlespur/core.errors'
-import type { EitherAsync } from 'purify-ts'
+import { NettlespurError } from '@nettlespur/core.errors'
+import { EitherAsync, Left } from 'purify-ts'
 import type { Observable } from 'rxjs'
 
 /** Who leads, as this instance sees it. */
@@ -17,6 +17,13 @@
   readonly term: number
 }
 
+/** A control instance that is to take part. */
+export interface LogMember {
+  readonly memberId: string
+  readonly peerAddress: string
+  readonly dataCentre: string
+}
+
 /** How the log stands, for operators. */
 export interface LogDescription {
   readonly term: number
@@ -45,6 +52,26 @@
 
   abstract describe(): LogDescription
 
+  /** Adds a member that counts once it has caught up. Errors: `membership-refused`, `not-leader`, `outcome-unknown`. */
+  addMember({ memberId }: LogMember): EitherAsync<NettlespurError, void> {
+    return refuseChange(memberId)
+  }
+
+  /** Errors: as `addMember`, and `unknown-member`. */
+  removeMember(memberId: string): EitherAsync<NettlespurError, void> {
+    return refuseChange(memberId)
+  }
+
+  /** Before a planned stop: gives the leadership, where it is held, to another member. Never rejects. */
+  handOver(): Promise<void> {
+    return Promise.resolve()
+  }
+
   /** Gives an answer to each waiting call, then closes. */
   abstract stop(): Promise<void>
 }
+
+function refuseChange(memberId: string): EitherAsync<NettlespurError, never> {
+  const reason = `${memberId}: the members of this log are fixed`
+  return EitherAsync.liftEither(Left(new NettlespurError('membership-refused', reason)))
+}
--- a/control/service/src/controlNode.ts
+++ b/control/service/src/controlNode.ts
@@ -19,6 +19,8 @@
   type ContractView,
   type JobOutcome,
   type JobReference,
+  type MemberView,
+  type NewMember,
   type WatchRequest,
 } from '@nettlespur/control.api'
 import type { Leadership } from '@nettlespur/control.log'
@@ -152,6 +154,26 @@
     })
   }
 
+  listMembers(): EitherAsync<NettlespurError, MemberView[]> {
+    return this.#lead('listMembers', () => Promise.resolve([...this.#opts.log.describe().members]))
+  }
+
+  addMember(member: NewMember): EitherAsync<NettlespurError, null> {
+    return this.#lead('addMember', async () => {
+      await unwrap(this.#opts.log.addMember(member))
+      this.#opts.logger.info({ event: 'member.added', ...member })
+      return null
+    })
+  }
+
+  removeMember(memberId: string): EitherAsync<NettlespurError, null> {
+    return this.#lead('removeMember', async () => {
+      await unwrap(this.#opts.log.removeMember(memberId))
+      this.#opts.logger.info({ event: 'member.removed', memberId })
+      return null
+    })
+  }
+
   #lead<T>(
     call: keyof ControlApi,
     run: (session: LeaderSession) => Promise<T>,
--- a/control/service/src/leaderSession.ts
+++ b/control/service/src/leaderSession.ts
@@ -17,6 +17,7 @@
 const barrierRetryMs = 100
 const stopDeadlineMs = 10_000
 const epochSuffixLength = 8
+const firstTerm = 1
 
 export class LeaderSession {
   readonly term: number
@@ -42,7 +43,8 @@
     const { upstreamSuspectMs: suspectMs, upstreamGoneMs: goneMs } = timings
     this.upstreams = new UpstreamTable({ clock, logger, suspectMs, goneMs, version })
     const dropAfterMs = timings.contractLeaseMs + timings.clockDriftMarginMs
-    const mayHaveFormerEntries = holder.state.appliedIndex > 0
+    // What a former leader committed may be in the log without being applied here yet.
+    const mayHaveFormerEntries = term > firstTerm || holder.state.appliedIndex > 0
     this.entries = new EntryTable({ clock, dropAfterMs, mayHaveFormerEntries, version })
     const random = opts.random ?? Math.random
     this.#gangs = new GangManager({ ...opts, random, taskReports: this.#taskReports })
--- a/daemons/control/src/startControl.ts
+++ b/daemons/control/src/startControl.ts
@@ -1,5 +1,6 @@
 /** Starts one control instance: log, node, peer side and, where asked for, health and figures. */
 import { createControlRouter } from '@nettlespur/control.api'
+import { createRaftRouter } from '@nettlespur/control.log'
 import { ControlNode } from '@nettlespur/control.service'
 import { StateHolder } from '@nettlespur/control.state'
 import { SystemClock, type Clock } from '@nettlespur/core.clock'
@@ -11,10 +12,13 @@
 import { BestFitPolicy } from '@nettlespur/placement.engine'
 import { createRpcServer } from '@nettlespur/rpc.peer'
 import type { ControlSettings } from '@nettlespur/settings.schemas'
+import { initTRPC } from '@trpc/server'
 import { createUpstreamClient, type UpstreamClientFactory } from './createUpstreamClient.js'
 import { openLog } from './openLog.js'
 import { createStatusRoutes } from './statusRoutes.js'
 
+const { mergeRouters } = initTRPC.create()
+
 export interface StartControlOptions {
   clock?: Clock
   logger?: Logger
@@ -71,8 +75,8 @@
   const peerKeys = opts.peerKeys ?? readKeys(settings.keyFiles.peers)
   const client = (opts.createUpstreamClient ?? createUpstreamClient)(settings, clock, lifecycle)
   const holder = new StateHolder()
-  const log = await openLog(settings, holder)
-  lifecycle.own('log', () => log.stop())
+  const peerKey = peerKeys[0] ?? ''
+  const log = await openLog(settings, { clock, logger, lifecycle, holder, peerKey })
   const policy = new BestFitPolicy()
   const node = new ControlNode({
     instanceId,
@@ -88,13 +92,16 @@
   const stopNode = (): Promise<void> => node.stop()
   lifecycle.own('node', stopNode)
   const tls = readTlsFiles(settings.tls)
-  const router = createControlRouter(node)
+  const router = mergeRouters(createControlRouter(node), createRaftRouter(log.receiver))
   const { peerAddress: address } = settings
   const server = await createRpcServer({ address, router, peerKeys, tls })
   lifecycle.own('peer side', () => server.drain())
   const statusAddress = await openStatus(settings, { node, metrics, lifecycle })
   // Stopping the node is idempotent; first in line, it wakes the long polls that the drain waits for.
-  lifecycle.own('leadership', stopNode)
+  lifecycle.own('leadership', async () => {
+    await log.handOver()
+    await stopNode()
+  })
   const { address: peerAddress } = server
   logger.info({ event: 'control.listening', peerAddress, statusAddress })
   return { peerAddress, statusAddress, lifecycle, stop: () => lifecycle.stop() }
--- a/entry/fakes/src/fakeControl.ts
+++ b/entry/fakes/src/fakeControl.ts
@@ -22,6 +22,8 @@
   type EntryIdentity,
   type JobOutcome,
   type JobReference,
+  type MemberView,
+  type NewMember,
   type WatchRequest,
 } from '@nettlespur/control.api'
 import type { Clock } from '@nettlespur/core.clock'
@@ -44,6 +46,7 @@
   readonly contracts = new Map<string, ContractRecord>()
   readonly upstreams = new Map<string, UpstreamView>()
   entries: EntryIdentity[] = []
+  members: MemberView[] = []
   /** Entries that a contract view says do not enforce it yet. */
   notYetInForceAt: string[] = []
   readonly #clock: Clock
@@ -189,6 +192,28 @@
     }))
   }
 
+  listMembers(): EitherAsync<NettlespurError, MemberView[]> {
+    return this.#answer(() => this.members)
+  }
+
+  addMember(member: NewMember): EitherAsync<NettlespurError, null> {
+    return this.#answer(() => {
+      this.changes += 1
+      this.members.push({ ...member, role: 'learner', lagEntries: 0, silentMs: 0 })
+      return null
+    })
+  }
+
+  removeMember(memberId: string): EitherAsync<NettlespurError, null> {
+    return this.#answer(() => {
+      const kept = this.members.filter((member) => member.memberId !== memberId)
+      if (kept.length === this.members.length) throw new NettlespurError('unknown-member', memberId)
+      this.changes += 1
+      this.members = kept
+      return null
+    })
+  }
+
   getReport(): EitherAsync<NettlespurError, ClusterReport> {
     const completion = { count: 0, meanMs: 0, p50Ms: 0, p99Ms: 0 }
     return this.#answer(() => ({
--- a/entry/service/src/createEntryRoutes.ts
+++ b/entry/service/src/createEntryRoutes.ts
@@ -3,6 +3,7 @@
 import { createContractRoutes } from './contractRoutes.js'
 import type { EntryContext } from './entryContext.js'
 import { createJobRoutes } from './jobRoutes.js'
+import { createMemberRoutes } from './memberRoutes.js'
 import { createRequestRoutes } from './requestRoutes.js'
 import { createStatusRoutes } from './statusRoutes.js'
 import { createUpstreamRoutes } from './upstreamRoutes.js'
@@ -13,6 +14,7 @@
     ...createRequestRoutes(context),
     ...createContractRoutes(context),
     ...createUpstreamRoutes(context),
+    ...createMemberRoutes(context),
     ...createStatusRoutes(context),
   ]
 }
--- a/settings/schemas/src/controlSettings.ts
+++ b/settings/schemas/src/controlSettings.ts
@@ -5,7 +5,9 @@
 
 const controlTimingsSchema = z.strictObject({
   heartbeatMs: z.int().positive().default(250),
-  electionTimeoutMs: z.int().positive().default(1500),
+  electionTimeoutMs: z.int().positive().default(1200),
+  /** A voter silent for this long is replaced where another member stands ready. */
+  replaceVoterAfterMs: z.int().positive().default(60_000),
   /** How long an entry may enforce its contracts without hearing from control. */
   contractLeaseMs: z.int().positive().default(4000),
   /** How long an upstream holds a task without a renewal. */
