--- a/consensus/raft/__utils__/memoryLinks.ts
+++ b/consensus/raft/__utils__/memoryLinks.ts
@@ -14,6 +14,7 @@
 } from '../src/index.js'
 
 const longestDelayMs = 30
+const timeoutMs = 750
 /** A late message takes this long, so that it comes after others that were sent later. */
 const lateDelayMs = 3000
 
@@ -61,10 +62,9 @@
   async send<T>(
     from: string,
     to: string,
-    timeoutMs: number,
     deliver: (node: RaftNode<number>) => Promise<T>,
   ): Promise<T> {
-    return Promise.race([this.#exchange(from, to, deliver), this.#expire(timeoutMs)])
+    return Promise.race([this.#exchange(from, to, deliver), this.#expire()])
   }
 
   async #exchange<T>(
@@ -97,7 +97,7 @@
     })
   }
 
-  async #expire(timeoutMs: number): Promise<never> {
+  async #expire(): Promise<never> {
     await this.#clock.sleep(timeoutMs)
     throw new Error('no answer in time')
   }
@@ -113,27 +113,23 @@
     this.#from = from
   }
 
-  requestVote(to: Member, request: VoteRequest, timeoutMs: number): Promise<VoteAnswer> {
-    return this.#send(to, timeoutMs, (node) => node.handleVote(request))
+  requestVote(to: Member, request: VoteRequest): Promise<VoteAnswer> {
+    return this.#send(to, (node) => node.handleVote(request))
   }
 
-  appendEntries(to: Member, request: AppendRequest, timeoutMs: number): Promise<AppendAnswer> {
-    return this.#send(to, timeoutMs, (node) => node.handleAppend(request))
+  appendEntries(to: Member, request: AppendRequest): Promise<AppendAnswer> {
+    return this.#send(to, (node) => node.handleAppend(request))
   }
 
-  installSnapshot(to: Member, request: InstallRequest, timeoutMs: number): Promise<InstallAnswer> {
-    return this.#send(to, timeoutMs, (node) => node.handleInstall(request))
+  installSnapshot(to: Member, request: InstallRequest): Promise<InstallAnswer> {
+    return this.#send(to, (node) => node.handleInstall(request))
   }
 
-  timeoutNow(to: Member, request: TimeoutNowRequest, timeoutMs: number): Promise<void> {
-    return this.#send(to, timeoutMs, (node) => node.handleTimeoutNow(request))
+  timeoutNow(to: Member, request: TimeoutNowRequest): Promise<void> {
+    return this.#send(to, (node) => node.handleTimeoutNow(request))
   }
 
-  #send<T>(
-    to: Member,
-    timeoutMs: number,
-    deliver: (node: RaftNode<number>) => Promise<T>,
-  ): Promise<T> {
-    return this.#links.send(this.#from, to.memberId, timeoutMs, deliver)
+  #send<T>(to: Member, deliver: (node: RaftNode<number>) => Promise<T>): Promise<T> {
+    return this.#links.send(this.#from, to.memberId, deliver)
   }
 }
--- a/consensus/raft/src/peerReplicator.ts
+++ b/consensus/raft/src/peerReplicator.ts
@@ -8,8 +8,6 @@
 import { SnapshotSender } from './snapshotSender.js'
 import { Wake } from './wake.js'
 
-/** A call must fail early enough for another one before the peer's patience ends. */
-const callTimeoutShare = 0.5
 const shortestRetryShare = 0.5
 
 export interface PeerReplicatorOptions<R> {
@@ -94,7 +92,7 @@
     const request = { ...base, commitIndex: commitIndex.value }
     const sent = this.#startRequest()
     const { transport } = replica.opts
-    const answer = await transport.appendEntries(this.#member, request, this.#timeoutMs)
+    const answer = await transport.appendEntries(this.#member, request)
     if (!(await this.#hear(answer, sent))) return false
     this.progress.take(answer)
     this.#opts.onAnswer()
@@ -107,7 +105,7 @@
     if (request === undefined || this.#stopping.signal.aborted) return false
     const sent = this.#startRequest()
     const { transport } = replica.opts
-    const answer = await transport.installSnapshot(this.#member, request, this.#timeoutMs)
+    const answer = await transport.installSnapshot(this.#member, request)
     if (!(await this.#hear(answer, sent))) return false
     this.#snapshots.take(answer)
     if (answer.installed) this.progress.installed(request.snapshotIndex)
@@ -132,10 +130,6 @@
     return true
   }
 
-  get #timeoutMs(): number {
-    return this.#opts.replica.opts.timings.electionTimeoutMs * callTimeoutShare
-  }
-
   get #member() {
     const member = findMember(this.#opts.replica.membership, this.#opts.peerId)
     if (member === undefined) throw new Error(`${this.#opts.peerId} is no member`)
--- a/consensus/raft/src/poll.ts
+++ b/consensus/raft/src/poll.ts
@@ -46,9 +46,8 @@
   member: Member,
   request: VoteRequest,
 ): Promise<VoteAnswer | undefined> {
-  const { transport, timings } = replica.opts
   try {
-    const answer = await transport.requestVote(member, request, timings.electionTimeoutMs)
+    const answer = await replica.opts.transport.requestVote(member, request)
     await replica.noticeTerm(answer.term)
     return answer
   } catch {
--- a/consensus/raft/src/raftTransport.ts
+++ b/consensus/raft/src/raftTransport.ts
@@ -1,4 +1,7 @@
-/** Carries messages to one member at a time. A call that got no answer by its deadline rejects. */
+/**
+ * Carries messages to one member at a time. A call without an answer rejects early enough for another one
+ * before an election timeout has passed, and is not made again on the connection that kept silent.
+ */
 import type { Member } from './member.js'
 import type {
   AppendAnswer,
@@ -11,16 +14,8 @@
 } from './messages.js'
 
 export abstract class RaftTransport {
-  abstract requestVote(to: Member, request: VoteRequest, timeoutMs: number): Promise<VoteAnswer>
-  abstract appendEntries(
-    to: Member,
-    request: AppendRequest,
-    timeoutMs: number,
-  ): Promise<AppendAnswer>
-  abstract installSnapshot(
-    to: Member,
-    request: InstallRequest,
-    timeoutMs: number,
-  ): Promise<InstallAnswer>
-  abstract timeoutNow(to: Member, request: TimeoutNowRequest, timeoutMs: number): Promise<void>
+  abstract requestVote(to: Member, request: VoteRequest): Promise<VoteAnswer>
+  abstract appendEntries(to: Member, request: AppendRequest): Promise<AppendAnswer>
+  abstract installSnapshot(to: Member, request: InstallRequest): Promise<InstallAnswer>
+  abstract timeoutNow(to: Member, request: TimeoutNowRequest): Promise<void>
 }
--- a/consensus/raft/src/transferLeadership.ts
+++ b/consensus/raft/src/transferLeadership.ts
@@ -39,7 +39,7 @@
   if (!(await waitFor(clock, answers, isLevel, { timeoutMs, signal }))) return signal.aborted
   leader.mayHoldLease = false
   try {
-    await opts.transport.timeoutNow(target, { term, leaderId }, timeoutMs)
+    await opts.transport.timeoutNow(target, { term, leaderId })
   } catch {
     return signal.aborted
   }
--- a/control/log/src/rpcTransport.ts
+++ b/control/log/src/rpcTransport.ts
@@ -22,17 +22,13 @@
 export interface RpcTransportOptions {
   clock: Clock
   peerKey: string
-  /** Bounds every call; single ones may have less. */
+  /** Deadline of each call; well below the election timeout. */
   timeoutMs: number
   ca?: Buffer | undefined
 }
 
 type Caller = RpcClient<RaftRouter>['call']['raft']
 
-interface CallOptions {
-  readonly signal: AbortSignal
-}
-
 export class RpcTransport extends RaftTransport {
   readonly #opts: RpcTransportOptions
   readonly #clients = new Map<string, RpcClient<RaftRouter>>()
@@ -42,22 +38,22 @@
     this.#opts = opts
   }
 
-  requestVote(to: Member, request: VoteRequest, timeoutMs: number): Promise<VoteAnswer> {
-    return this.#call(to, timeoutMs, (call, opts) => call.vote.mutate(request, opts))
+  requestVote(to: Member, request: VoteRequest): Promise<VoteAnswer> {
+    return this.#call(to, (call) => call.vote.mutate(request))
   }
 
-  appendEntries(to: Member, request: AppendRequest, timeoutMs: number): Promise<AppendAnswer> {
+  appendEntries(to: Member, request: AppendRequest): Promise<AppendAnswer> {
     const wire = toWireAppend(request)
-    return this.#call(to, timeoutMs, (call, opts) => call.append.mutate(wire, opts))
+    return this.#call(to, (call) => call.append.mutate(wire))
   }
 
-  installSnapshot(to: Member, request: InstallRequest, timeoutMs: number): Promise<InstallAnswer> {
+  installSnapshot(to: Member, request: InstallRequest): Promise<InstallAnswer> {
     const wire = toWireInstall(request)
-    return this.#call(to, timeoutMs, (call, opts) => call.install.mutate(wire, opts))
+    return this.#call(to, (call) => call.install.mutate(wire))
   }
 
-  async timeoutNow(to: Member, request: TimeoutNowRequest, timeoutMs: number): Promise<void> {
-    await this.#call(to, timeoutMs, (call, opts) => call.timeoutNow.mutate(request, opts))
+  async timeoutNow(to: Member, request: TimeoutNowRequest): Promise<void> {
+    await this.#call(to, (call) => call.timeoutNow.mutate(request))
   }
 
   close(): void {
@@ -66,19 +62,10 @@
 
   async #call<T>(
     { peerAddress }: Member,
-    timeoutMs: number,
-    run: (call: Caller, opts: CallOptions) => Promise<RpcResult<T>>,
+    run: (call: Caller) => Promise<RpcResult<T>>,
   ): Promise<T> {
-    const late = new AbortController()
-    const timer = this.#opts.clock.setTimer(timeoutMs, () => {
-      late.abort()
-    })
     const client = this.#getClient(peerAddress)
-    try {
-      return await unwrap(callPeer(() => run(client.call.raft, { signal: late.signal })))
-    } finally {
-      timer.cancel()
-    }
+    return unwrap(callPeer(() => run(client.call.raft)))
   }
 
   #getClient(address: string): RpcClient<RaftRouter> {
--- a/daemons/control/src/openLog.ts
+++ b/daemons/control/src/openLog.ts
@@ -8,6 +8,9 @@
 import type { ControlSettings } from '@nettlespur/settings.schemas'
 import { FileLogStore } from '@nettlespur/storage.log'
 
+/** A call that got no answer must leave the time for another one before an election. */
+const callTimeoutShare = 0.5
+
 export interface OpenLogOptions {
   clock: Clock
   logger: Logger
@@ -21,7 +24,7 @@
 export async function openLog(settings: ControlSettings, opts: OpenLogOptions): Promise<RaftLog> {
   const { clock, logger, lifecycle, holder, peerKey } = opts
   const { instanceId, dataFolder, members, timings } = settings
-  const timeoutMs = timings.electionTimeoutMs
+  const timeoutMs = timings.electionTimeoutMs * callTimeoutShare
   const ca = readPeerCa(settings)
   const transport = new RpcTransport({ clock, peerKey, timeoutMs, ca })
   lifecycle.own('connections to members', () => {
--- a/daemons/trial/test/agreement.test.ts
+++ b/daemons/trial/test/agreement.test.ts
@@ -99,7 +99,7 @@
   return answer.json as { revision: number; contract: { weight: number } }
 }
 
-test('three controls elect a leader, take a change and have it in force', async (t) => {
+test.serial('three controls elect a leader, take a change and have it in force', async (t) => {
   const cluster = await start(t, 2)
   const { members } = await awaitStatus(cluster)
   t.deepEqual(members.map(({ role }) => role).sort(), ['leader', 'voter', 'voter'])
@@ -108,7 +108,7 @@
   t.like(answer.json, { revision: 1, inForceAt: ['e1', 'e2'], notYetInForceAt: [] })
 })
 
-test('changes acknowledged while leaders are killed at random stay, in order, and resent ones get their first answer', async (t) => {
+test.serial('changes acknowledged while leaders are killed at random stay, in order, and resent ones get their first answer', async (t) => {
   const cluster = await start(t)
   const accepted: Accepted[] = []
   const stopping = new AbortController()
@@ -130,7 +130,7 @@
   }
 })
 
-test('a change accepted just before the leader is killed is in force everywhere afterwards', async (t) => {
+test.serial('a change accepted just before the leader is killed is in force everywhere afterwards', async (t) => {
   const cluster = await start(t, 3)
   const leader = await findLeader(cluster)
   const accepted = await changeContract(cluster, 0)
@@ -147,7 +147,7 @@
   t.not((await awaitStatus(cluster)).leaderId, leader.id)
 })
 
-test('a control back without its data is a learner, does not vote, and is a voter once it has caught up', async (t) => {
+test.serial('a control back without its data is a learner, does not vote, and is a voter once it has caught up', async (t) => {
   const cluster = await start(t)
   await changeContract(cluster, 0)
   const leader = await findLeader(cluster)
@@ -179,7 +179,7 @@
   t.is((await changeContract(cluster, 1)).changeId, 'change-1')
 })
 
-test('a follower stopped for long and back does not unseat the leader', async (t) => {
+test.serial('a follower stopped for long and back does not unseat the leader', async (t) => {
   const cluster = await start(t)
   const leader = await findLeader(cluster)
   const before = await awaitStatus(cluster)
@@ -200,7 +200,7 @@
   t.like(caughtUp, { leaderId: before.leaderId, term: before.term })
 })
 
-test('all controls killed and started again hold everything, also at another leader', async (t) => {
+test.serial('all controls killed and started again hold everything, also at another leader', async (t) => {
   const cluster = await start(t)
   const accepted = []
   for (let revision = 0; revision < 5; revision++) {
@@ -213,7 +213,7 @@
   for (const change of accepted) t.is((await putContract(cluster, change)).text, change.text)
 })
 
-test('a control that is added stands by, replaces a silent voter, and then outlasts the loss of a second one', async (t) => {
+test.serial('a control that is added stands by, replaces a silent voter, and then outlasts the loss of a second one', async (t) => {
   const controlSettings = { timings: { replaceVoterAfterMs: 3000 } }
   const cluster = await TrialCluster.start({
     controls: 3,
@@ -241,7 +241,7 @@
   t.like(await readContract(cluster), { revision: 2, contract: { weight: 2 } })
 })
 
-test('a planned stop of the leader hands over, and no change is refused or unknown meanwhile', async (t) => {
+test.serial('a planned stop of the leader hands over, and no change is refused or unknown meanwhile', async (t) => {
   const cluster = await start(t)
   const leader = await findLeader(cluster)
   const stopped = leader.process.stop()
