--- a/consensus/raft/test/handlers.test.ts
+++ b/consensus/raft/test/handlers.test.ts
@@ -1,6 +1,6 @@
 import test, { type ExecutionContext } from 'ava'
 import { TestCluster } from '../__utils__/index.js'
-import type { AppendRequest } from '../src/index.js'
+import type { AppendRequest, RaftNode, VoteRequest } from '../src/index.js'
 
 const payload = Buffer.from([0])
 
@@ -47,6 +47,33 @@
   t.true((await run(get().handleVote(vote('c2', 7)))).granted)
 })
 
+test('a vote in a term that was known already outlives a crash too', async (t) => {
+  const { cluster, get, run, restart } = await startOne(t)
+  await run(get().handleAppend(append(0, [1])))
+  await cluster.clock.advance(1600)
+  const { term } = get().describe()
+  t.true((await run(get().handleVote(vote('c3', term)))).granted)
+  await restart()
+  t.false((await run(get().handleVote(vote('c2', term)))).granted)
+})
+
+test('an entry of an earlier term is not committed by counting who holds it', async (t) => {
+  const { cluster, get, run } = await startOne(t)
+  await run(get().handleAppend(append(0, [1])))
+  // Both peers vote, and acknowledge the old entry but nothing of the new term.
+  const play = (diskId: string) => ({
+    handleVote: ({ term }: VoteRequest) =>
+      Promise.resolve({ term: term - 1, diskId, granted: true }),
+    handleAppend: ({ term }: AppendRequest) =>
+      Promise.resolve({ term, diskId, accepted: true, matchIndex: 1 }),
+  })
+  for (const id of ['c2', 'c3'])
+    cluster.links.nodes.set(id, play(id) as unknown as RaftNode<number>)
+  await cluster.clock.advance(6000)
+  t.is(get().describe().role, 'leader')
+  t.is(get().describe().commitIndex, 0)
+})
+
 test('entries that were acknowledged outlive a crash', async (t) => {
   const { cluster, get } = await startOne(t)
   // Nothing of this goes on after the crash: it comes with the answer itself.
