--- a/entry/fakes/src/fakeControl.ts
+++ b/entry/fakes/src/fakeControl.ts
@@ -3,6 +3,9 @@
  * every change it takes, and can be made unreachable or move to a new epoch.
  */
 import type {
+  Claim,
+  ClaimChange,
+  ClaimQuery,
   ContractChange,
   ContractRecord,
   JobAnswer,
@@ -27,9 +30,16 @@
   type WatchRequest,
 } from '@nettlespur/control.api'
 import type { Clock } from '@nettlespur/core.clock'
-import { NettlespurError, tryAsync, type ErrorKind } from '@nettlespur/core.errors'
+import {
+  NettlespurError,
+  toRpcResult,
+  tryAsync,
+  type ErrorKind,
+  type RpcResult,
+} from '@nettlespur/core.errors'
 import type { EitherAsync } from 'purify-ts'
 import { BehaviorSubject } from 'rxjs'
+import { FakeClaims } from './fakeClaims.js'
 
 const fullLeaseMs = 4000
 
@@ -45,6 +55,7 @@
   readonly jobs = new Map<string, JobOutcome>()
   readonly contracts = new Map<string, ContractRecord>()
   readonly upstreams = new Map<string, UpstreamView>()
+  readonly claims: FakeClaims
   entries: EntryIdentity[] = []
   members: MemberView[] = []
   /** Entries that a contract view says do not enforce it yet. */
@@ -56,6 +67,7 @@
   constructor(clock: Clock) {
     super()
     this.#clock = clock
+    this.claims = new FakeClaims(clock)
   }
 
   putContract(contract: ContractRecord['contract']): ContractRecord {
@@ -161,6 +173,24 @@
     })
   }
 
+  changeClaims(changes: readonly ClaimChange[]): EitherAsync<NettlespurError, RpcResult<Claim>[]> {
+    return tryAsync(() => {
+      this.#requireReachable()
+      const commit = (change: ClaimChange): Promise<RpcResult<Claim>> =>
+        toRpcResult(tryAsync(() => Promise.resolve(this.claims.change(change))))
+      return Promise.all(changes.map(commit))
+    })
+  }
+
+  awaitClaim({ waitMs, ...key }: ClaimQuery): EitherAsync<NettlespurError, Claim | null> {
+    return tryAsync(async () => {
+      this.#requireReachable()
+      await this.claims.awaitOutcome(key, waitMs)
+      this.#requireReachable()
+      return this.claims.get(key) ?? null
+    })
+  }
+
   announce(announcements: Announcements): EitherAsync<NettlespurError, null> {
     return this.#answer(() => {
       this.changes += 1
--- a/entry/requests/src/localRequestRouter.ts
+++ b/entry/requests/src/localRequestRouter.ts
@@ -10,10 +10,11 @@
 import type { ClusterView } from '@nettlespur/entry.view'
 import type { EitherAsync } from 'purify-ts'
 import { RateLimiter } from './rateLimiter.js'
-import type { RequestQueue, SlotGrant } from './requestQueue.js'
+import type { RequestQueue } from './requestQueue.js'
 import { RequestRouter } from './requestRouter.js'
 import type { ShortAnswer, ShortRequest } from './shortRequest.js'
 import type { TaskOutcome, TaskTransport } from './taskTransport.js'
+import type { SlotGrant } from './workspaceLine.js'
 import type { WorkspaceQuota, WorkspaceQuotas } from './workspaceQuotas.js'
 
 const attemptsMax = 3
@@ -124,14 +125,16 @@
 
   async #attemptOn(progress: Progress, slot: SlotGrant): Promise<TaskOutcome> {
     const { request, taskId, attempt } = progress
-    this.#logRouted(progress, slot)
     try {
+      const { upstream } = slot
+      const fence = (await request.claim?.commit({ upstream, taskId, attempt })) ?? slot.fence
+      this.#logRouted(progress, { ...slot, fence })
       return await this.#opts.transport.run({
         ...request,
         taskId,
         attempt,
         address: slot.upstream.address,
-        fence: slot.fence,
+        fence,
         givenUp: this.#abandoned.signal,
         timeoutMs: Math.max(1, request.deadlineAtMs - this.#opts.clock.monotonicMs()),
       })
