--- a/entry/requests/src/httpTaskTransport.ts
+++ b/entry/requests/src/httpTaskTransport.ts
@@ -16,6 +16,8 @@
 import { TaskTransport, type TaskOutcome, type TaskRun } from './taskTransport.js'
 import { UpstreamPools } from './upstreamPools.js'
 
+/** Made once: a reason made for each request would cost a stack trace. */
+const settledReason = new Error('the first connection answered or failed')
 const longestAskMs = 15_000
 const askAgainGrowth = 2
 /** Between two looks at a task whose connection was cut while it ran. */
@@ -100,7 +102,7 @@
   ): Promise<TaskOutcome | undefined> {
     const settled = new AbortController()
     void opened.then(() => {
-      settled.abort()
+      settled.abort(settledReason)
     })
     const isSettled = (): boolean => settled.signal.aborted
     let waitMs = Math.min(this.#opts.connectionProvenMs, task.timeoutMs / 2)
--- a/entry/requests/src/recordedTransport.ts
+++ b/entry/requests/src/recordedTransport.ts
@@ -3,6 +3,9 @@
 import { TaskTransport, type TaskOutcome, type TaskRun } from './taskTransport.js'
 import type { AttemptResult, UpstreamRecords } from './upstreamRecords.js'
 
+/** Below this many times the typical duration, an attempt had too little time. */
+const hurriedFactor = 1.5
+
 export interface RecordedTransportOptions {
   clock: Clock
   records: UpstreamRecords
@@ -24,16 +27,17 @@
     let result: AttemptResult = 'failed'
     try {
       const outcome = await transport.run(task)
-      result = readResult(task, outcome)
+      result = this.#readResult(task, outcome)
       return outcome
     } finally {
       records.noteEnd(task.upstreamId, { result, tookMs: clock.monotonicMs() - startedMs })
     }
   }
-}
-
-/** An attempt that was given up here says as little of its upstream as one that was refused there. */
-function readResult(task: TaskRun, outcome: TaskOutcome): AttemptResult {
-  if (outcome.kind === 'answered' || outcome.kind === 'refused') return outcome.kind
-  return task.givenUp.aborted ? 'refused' : 'failed'
+  /** An attempt given up here, or given too little time, says as little of its upstream as a refusal. */
+  #readResult(task: TaskRun, outcome: TaskOutcome): AttemptResult {
+    if (outcome.kind === 'answered' || outcome.kind === 'refused') return outcome.kind
+    const typicalMs = this.#opts.records.typicalMs(task.upstreamId) ?? 0
+    const hurried = outcome.kind === 'lost' && task.timeoutMs < typicalMs * hurriedFactor
+    return task.givenUp.aborted || hurried ? 'refused' : 'failed'
+  }
 }
--- a/entry/requests/src/requestQueue.ts
+++ b/entry/requests/src/requestQueue.ts
@@ -9,6 +9,7 @@
 import type { ClusterView } from '@nettlespur/entry.view'
 import { EitherAsync, Left, Right, type Either } from 'purify-ts'
 import { merge, NEVER, type Observable, type Subscription } from 'rxjs'
+import { createCancelledError, createDeadlineError, createNoShareError } from './queueErrors.js'
 import type { ShortRequest } from './shortRequest.js'
 import type { SlotSource } from './slotSource.js'
 import type { UpstreamPicker } from './upstreamPicker.js'
@@ -107,8 +108,9 @@
   ): Promise<Outcome> {
     return new Promise((resolve) => {
       const line = this.#lineOf(request.workspace)
-      const remainingMs = request.deadlineAtMs - this.#opts.clock.monotonicMs()
-      const timer = this.#opts.clock.setTimer(remainingMs, () => {
+      const { deadlineAtMs } = request
+      const sinceMs = this.#opts.clock.monotonicMs()
+      const timer = this.#opts.clock.setTimer(deadlineAtMs - sinceMs, () => {
         settle(Left(createDeadlineError(line.drainRate.retryAfterMs(line.fresh.size))))
       })
       const giveUp = (): void => {
@@ -121,7 +123,7 @@
         this.#forgetIdle(line)
         resolve(outcome)
       }
-      const waiter: Waiter = { avoid, settle }
+      const waiter: Waiter = { avoid, sinceMs, deadlineAtMs, settle }
       request.callerGone.addEventListener('abort', giveUp, { once: true })
       if (line.fresh.size === 0) line.drainRate.noteBacklogBegins()
       line[part].add(waiter)
@@ -144,17 +146,15 @@
   /** Refuses what has no share here, and what would only wait for its deadline. */
   #refuseFresh(request: ShortRequest): NettlespurError | undefined {
     const placesMax = this.#opts.quotas.quotaOf(request.workspace)?.concurrentRequests ?? 0
-    if (placesMax === 0) {
-      const message = 'this entry has no share of the concurrent requests of this workspace'
-      const hint = 'send it again: another entry has the share'
-      return new NettlespurError('over-limit', message, { retryAfterMs, hint })
-    }
+    if (placesMax === 0) return createNoShareError(retryAfterMs)
     const line = this.#lines.get(request.workspace)
     if (line === undefined || line.fresh.size === 0) return undefined
-    const expectedMs = line.drainRate.expectedWaitMs(line.fresh.size + 1) ?? 0
+    const waitMs = line.drainRate.expectedWaitMs(line.fresh.size + 1)
+    if (waitMs === undefined) return undefined
+    const expectedMs = waitMs + line.meanSlotMs
     const remainingMs = request.deadlineAtMs - this.#opts.clock.monotonicMs()
     if (expectedMs <= remainingMs) return undefined
-    const message = `its turn is expected in ${Math.ceil(expectedMs)} ms, after its deadline`
+    const message = `its end is expected in ${Math.ceil(expectedMs)} ms, after its deadline`
     return new NettlespurError('deadline-before-start', message, {
       retryAfterMs: line.drainRate.retryAfterMs(line.fresh.size),
     })
@@ -202,15 +202,26 @@
   }
 
   #serveFresh(line: WorkspaceLine): boolean {
+    this.#dropTooLate(line)
     const [waiter] = line.fresh
-    const grant = waiter === undefined ? undefined : this.#takeSlot(waiter.avoid)
-    if (waiter === undefined || grant === undefined) return false
+    if (waiter === undefined) return true
+    const grant = this.#takeSlot(waiter.avoid)
+    if (grant === undefined) return false
     this.#virtualMs = Math.max(this.#virtualMs, line.virtualMs)
     line.noteStart(this.#opts.view.contractOf(line.workspace)?.weight ?? 1)
     waiter.settle(Right(grant))
     return true
   }
 
+  /** A slot spent on what cannot end in time is lost to the others. */
+  #dropTooLate(line: WorkspaceLine): void {
+    for (const waiter of [...line.fresh]) {
+      if (!line.isTooLate(waiter)) return
+      const afterMs = line.drainRate.retryAfterMs(line.fresh.size)
+      waiter.settle(Left(createDeadlineError(afterMs)))
+    }
+  }
+
   #takeSlot(avoid: ReadonlySet<string>): SlotGrant | undefined {
     const picked = this.#opts.picker.pick(this.#opts.slots.listFree(avoid))
     if (picked === undefined) return undefined
@@ -235,12 +246,3 @@
     if (line.isIdle) this.#lines.delete(line.workspace)
   }
 }
-
-function createDeadlineError(afterMs: number): NettlespurError {
-  const message = 'its deadline passed before it could start'
-  return new NettlespurError('deadline-before-start', message, { retryAfterMs: afterMs })
-}
-
-function createCancelledError(): NettlespurError {
-  return new NettlespurError('cancelled-before-start', 'the caller went away')
-}
--- a/entry/requests/src/upstreamRecords.ts
+++ b/entry/requests/src/upstreamRecords.ts
@@ -55,6 +55,12 @@
     if (reason !== undefined && this.#mayLetOut()) this.#letOut(upstreamId, record, reason)
   }
 
+  /** How long an answer of this upstream takes, in milliseconds; undefined where nothing tells. */
+  typicalMs(upstreamId: string): number | undefined {
+    const record = this.#recordOf(upstreamId)
+    return record.meanMs ?? this.#medianOfOthers(record)
+  }
+
   close(): void {
     for (const timer of this.#timers) timer.cancel()
   }
--- a/entry/requests/src/workspaceLine.ts
+++ b/entry/requests/src/workspaceLine.ts
@@ -19,6 +19,8 @@
 }
 
 export interface Waiter {
+  readonly sinceMs: number
+  readonly deadlineAtMs: number
   readonly avoid: ReadonlySet<string>
   readonly settle: (outcome: Either<NettlespurError, SlotGrant>) => void
 }
@@ -37,6 +39,7 @@
   readonly #clock: Clock
   readonly #charges: Charge[] = []
   #meanSlotMs = firstChargeMs
+  #ended = 0
 
   constructor(clock: Clock, workspace: string, virtualMs: number) {
     this.#clock = clock
@@ -45,10 +48,21 @@
     this.drainRate = new DrainRate(clock)
   }
 
+  /** How long one request holds its place, on average, in milliseconds; 0 where nothing was seen. */
+  get meanSlotMs(): number {
+    return this.#ended === 0 ? 0 : this.#meanSlotMs
+  }
+
   get isIdle(): boolean {
     return this.placed === 0 && this.fresh.size === 0 && this.again.size === 0
   }
 
+  /** Whether one that had to wait can no longer end before its deadline, going by what others took. */
+  isTooLate(waiter: Waiter): boolean {
+    const nowMs = this.#clock.monotonicMs()
+    return nowMs > waiter.sinceMs && nowMs + this.meanSlotMs > waiter.deadlineAtMs
+  }
+
   remove(waiter: Waiter): void {
     this.fresh.delete(waiter)
     this.again.delete(waiter)
@@ -69,7 +83,9 @@
     if (charge === undefined) return
     const tookMs = this.#clock.monotonicMs() - charge.startedMs
     this.virtualMs += tookMs / charge.weight - charge.chargedMs
-    this.#meanSlotMs += (tookMs - this.#meanSlotMs) * newestShare
+    this.#ended += 1
+    const share = Math.max(newestShare, 1 / this.#ended)
+    this.#meanSlotMs += (tookMs - this.#meanSlotMs) * share
     this.placed -= 1
   }
 }
--- a/entry/requests/test/fairness.test.ts
+++ b/entry/requests/test/fairness.test.ts
@@ -141,3 +141,14 @@
   t.true((refusal as { retryAfterMs: number }).retryAfterMs >= 3000)
   t.is(transport.startedMs.length, before)
 })
+
+test('no slot is spent on what has waited until it can no longer end in time', async (t) => {
+  const { clock, send, router, transport } = start(1, { large: 1 })
+  await Promise.all([clock.advance(200), send('large')])
+  void send('large')
+  const deadlineAtMs = clock.monotonicMs() + 150
+  const hurried = router.run(createRequest(clock, { workspace: 'large', deadlineAtMs })).run()
+  await clock.advance(100)
+  t.like((await hurried).extract(), { kind: 'deadline-before-start', answer: { ran: 'no' } })
+  t.is(transport.startedMs.length, 2)
+})
--- a/entry/requests/test/upstreamRecords.test.ts
+++ b/entry/requests/test/upstreamRecords.test.ts
@@ -2,7 +2,13 @@
 import { ManualClock } from '@nettlespur/core.clock'
 import { RecordingLogger } from '@nettlespur/entry.fakes'
 import fc from 'fast-check'
-import { UpstreamRecords } from '../src/index.js'
+import { NettlespurError } from '@nettlespur/core.errors'
+import {
+  RecordedTransport,
+  TaskTransport,
+  UpstreamRecords,
+  type TaskOutcome,
+} from '../src/index.js'
 
 function start() {
   const clock = new ManualClock()
@@ -68,3 +74,35 @@
     }),
   )
 })
+
+test('an attempt that had less time than an answer takes is no sign against its upstream', async (t) => {
+  const { clock, records, run } = start()
+  for (let round = 0; round < 10; round++) run('u1', 'answered', 200)
+  class LosingTransport extends TaskTransport {
+    override run(): Promise<TaskOutcome> {
+      const error = new NettlespurError('outcome-unknown', 'no answer in time')
+      return Promise.resolve({ kind: 'lost', error })
+    }
+  }
+  const transport = new RecordedTransport({ clock, records, transport: new LosingTransport() })
+  const lose = async (timeoutMs: number) => {
+    await transport.run({
+      upstreamId: 'u1',
+      address: '127.0.0.1:1',
+      taskId: 'task',
+      attempt: 1,
+      fence: 1,
+      workspace: 'thapa',
+      repeatable: false,
+      key: undefined,
+      contentType: undefined,
+      body: Buffer.alloc(0),
+      timeoutMs,
+      givenUp: new AbortController().signal,
+    })
+  }
+  for (let round = 0; round < 40; round++) await lose(250)
+  t.true(records.mayTake('u1'))
+  for (let round = 0; round < 40; round++) await lose(5000)
+  t.false(records.mayTake('u1'))
+})
