--- a/control/service/src/createExplanation.ts
+++ b/control/service/src/createExplanation.ts
@@ -42,8 +42,9 @@
 /** Who holds the places that need the fewest accelerators freed. */
 function describeHolders({ state, upstreams, job }: ExplainOptions): string[] {
   const ready = upstreams.filter((view) => view.state === 'ready')
+  const holdersById = groupHolders(state)
   const places = ready.map(({ upstreamId, accelerators }) => {
-    const holders = listHolders(state, upstreamId)
+    const holders = holdersById.get(upstreamId) ?? []
     const held = holders.reduce((sum, holder) => sum + holder.count, 0)
     return { upstreamId, holders, freeCount: accelerators - held }
   })
@@ -62,11 +63,16 @@
   readonly count: number
 }
 
-function listHolders(state: ControlState, upstreamId: string): Holder[] {
-  return state.listLiveJobs().flatMap((job) => {
-    const member = job.placement?.members.find((one) => one.upstreamId === upstreamId)
-    return member === undefined ? [] : [{ job, count: member.acceleratorIndexes.length }]
-  })
+function groupHolders(state: ControlState): Map<string, Holder[]> {
+  const holdersById = new Map<string, Holder[]>()
+  for (const job of state.listLiveJobs()) {
+    for (const { upstreamId, acceleratorIndexes } of job.placement?.members ?? []) {
+      const holders = holdersById.get(upstreamId) ?? []
+      holders.push({ job, count: acceleratorIndexes.length })
+      holdersById.set(upstreamId, holders)
+    }
+  }
+  return holdersById
 }
 
 /** Other workspaces' jobs go without their names. */
--- a/control/service/src/decideProbes.ts
+++ b/control/service/src/decideProbes.ts
@@ -1,19 +1,25 @@
 /** Places single stoppable jobs on quarantined upstreams that are due to be tried. */
 import type { UpstreamView } from '@nettlespur/api.schemas'
-import type { JobRecord } from '@nettlespur/control.state'
+import type { ControlState, JobRecord } from '@nettlespur/control.state'
 import {
   fitGang,
   Topology,
   type PlaceDecision,
+  type PlacementView,
   type WaitingJob,
 } from '@nettlespur/placement.engine'
-import type { DecideRoundOptions } from './decideRound.js'
 
 /** Jobs looked at for each upstream. */
 const candidatesMax = 50
 
+export interface DecideProbesOptions {
+  view: PlacementView
+  state: ControlState
+  now: Date
+}
+
 /** One for each upstream at most, so that a round shows no more trust than the one before has earned. */
-export function decideProbes(opts: DecideRoundOptions): PlaceDecision[] {
+export function decideProbes(opts: DecideProbesOptions): PlaceDecision[] {
   const probes: PlaceDecision[] = []
   const due = opts.view.upstreams.filter((upstream) => isDue(opts, upstream))
   for (const upstream of due) {
@@ -24,7 +30,7 @@
 }
 
 function isDue(
-  { state, now }: DecideRoundOptions,
+  { state, now }: DecideProbesOptions,
   { upstreamId, state: stands }: UpstreamView,
 ): boolean {
   const quarantine = state.getUpstreamHealth(upstreamId)?.quarantine
@@ -36,7 +42,7 @@
 }
 
 function decideProbe(
-  opts: DecideRoundOptions,
+  opts: DecideProbesOptions,
   upstream: UpstreamView,
   taken: ReadonlySet<string>,
 ): PlaceDecision | undefined {
@@ -55,7 +61,7 @@
 }
 
 function mayProbe(
-  { view }: DecideRoundOptions,
+  { view }: DecideProbesOptions,
   job: WaitingJob,
   { request, failedUpstreamIds }: JobRecord,
   upstreamId: string,
--- a/control/service/src/impossibleJobs.ts
+++ b/control/service/src/impossibleJobs.ts
@@ -1,6 +1,6 @@
 /** Waiting jobs that placement tells can never run, and since when without a break. */
 import type { Clock } from '@nettlespur/core.clock'
-import type { RoundDecision } from './decideRound.js'
+import type { PlacementDecision } from '@nettlespur/placement.engine'
 
 /** Upstreams that restart and operators who mend a contract have this long. */
 const endAfterMs = 60_000
@@ -14,7 +14,7 @@
   }
 
   /** The refusals of this round that have lasted long enough. */
-  listOverdue(decisions: readonly RoundDecision[]): RoundDecision[] {
+  listOverdue(decisions: readonly PlacementDecision[]): PlacementDecision[] {
     const nowMs = this.#clock.monotonicMs()
     const refused = decisions.filter((decision) => decision.kind === 'refuse')
     this.#sinceMs = new Map(refused.map(({ jobId }) => [jobId, this.#sinceMs.get(jobId) ?? nowMs]))
--- a/control/service/src/placementLoop.ts
+++ b/control/service/src/placementLoop.ts
@@ -6,11 +6,12 @@
 import { waitForWake, type GangManager } from '@nettlespur/control.gangs'
 import { readJob } from '@nettlespur/control.state'
 import { toNettlespurError } from '@nettlespur/core.errors'
-import type { PlaceDecision } from '@nettlespur/placement.engine'
+import type { PlaceDecision, PlacementDecision } from '@nettlespur/placement.engine'
 import { filter, merge, type BehaviorSubject } from 'rxjs'
 import { createPlacementView } from './createPlacementView.js'
-import { decideRound, type RoundDecision } from './decideRound.js'
+import { decideProbes } from './decideProbes.js'
 import { ImpossibleJobs } from './impossibleJobs.js'
+import { listApart, type ListApartOptions } from './listApart.js'
 import { listMoves, mayPreempt, type Preemption } from './listMoves.js'
 import type { ControlNodeOptions } from './nodeOptions.js'
 import type { UpstreamTable } from './upstreamTable.js'
@@ -75,21 +76,50 @@
     const { node, upstreams, gangs } = this.#opts
     upstreams.refresh()
     gangs.recover()
-    const views = upstreams.list()
+    await this.#execute(listMoves(node.holder.state, upstreams.list()), signal)
+    await this.#execute(decideProbes(this.#look()), signal)
+    const decisions = await this.#decideAll(signal)
+    await this.#refuseImpossible(decisions)
+    const waits = decisions.filter(({ kind }) => kind === 'wait' || kind === 'refuse')
+    this.#keepReasons(new Map(waits.map(({ jobId, reason }) => [jobId, reason])))
+  }
+
+  /** What a decision is taken from, as of now. */
+  #look(): ListApartOptions {
+    const { node, upstreams } = this.#opts
     const { state } = node.holder
     const now = node.clock.now()
-    const view = createPlacementView(state, views, now)
-    const reasons = new Map<string, string>()
-    const decisions = decideRound({ policy: node.policy, view, state, now })
-    const moves = listMoves(state, views)
-    for (const decision of [...moves, ...decisions]) {
+    const view = createPlacementView(state, upstreams.list(), now)
+    return { policy: node.policy, view, state, now }
+  }
+
+  /** The jobs that are placed apart come last, each by a fresh look. */
+  async #decideAll(signal: AbortSignal): Promise<PlacementDecision[]> {
+    const { policy } = this.#opts.node
+    const seen = this.#look()
+    const apart = listApart(seen)
+    const apartIds = new Set(apart.map(({ job }) => job.jobId))
+    const waiting = seen.view.waiting.filter((job) => !apartIds.has(job.jobId))
+    const decisions = policy.decide({ ...seen.view, waiting })
+    await this.#execute(decisions, signal)
+    for (const { job, upstreams } of apart) {
+      const own = policy.decide({ ...this.#look().view, upstreams, waiting: [job] })
+      await this.#execute(own, signal)
+      decisions.push(...own)
+    }
+    return decisions
+  }
+
+  async #execute(
+    decisions: readonly (PlacementDecision | Preemption)[],
+    signal: AbortSignal,
+  ): Promise<void> {
+    const views = this.#opts.upstreams.list()
+    for (const decision of decisions) {
       if (signal.aborted) return
       if (decision.kind === 'place') await this.#place(decision, views)
-      else if (decision.kind === 'preempt') await this.#preempt(decision)
-      else reasons.set(decision.jobId, decision.reason)
+      if (decision.kind === 'preempt') await this.#preempt(decision)
     }
-    await this.#refuseImpossible(decisions)
-    this.#keepReasons(reasons)
   }
 
   /** The runner of the gang is woken by the change of its job. */
@@ -114,7 +144,7 @@
   }
 
   /** A job that has long been told to be impossible is ended; until then it waits. */
-  async #refuseImpossible(decisions: readonly RoundDecision[]): Promise<void> {
+  async #refuseImpossible(decisions: readonly PlacementDecision[]): Promise<void> {
     const { log, logger, clock } = this.#opts.node
     if (!this.#opts.knowsUpstreams()) return
     for (const { jobId, reason } of this.#impossible.listOverdue(decisions)) {
