fix: let no leader that is cut off stop a gang that another may run

Cause: a leader that had lost its quorum and an upstream stopped the gang's other members under the fence the next leader runs it by. Change: who finds a member lost makes sure that it leads before it stops anything.

--- a/control/gangs/src/gangRunner.ts
+++ b/control/gangs/src/gangRunner.ts
@@ -13,12 +13,12 @@
 import { GangMember } from './gangMember.js'
 import type { GangOptions } from './gangOptions.js'
 import { judgeMembers, type GangOutcome, type GangStopped } from './gangOutcome.js'
+import { LeaderLog } from './leaderLog.js'
 import type { RetryBudget } from './retryBudget.js'
 import { takeCheckpoint } from './takeCheckpoint.js'
 import { waitForWake } from './waitForWake.js'
 
 const firstPollMs = 50
-const commitRetryMs = 200
 /** A refused command about the end of a job is chosen anew this often: a cancel may have come between. */
 const settleTriesMax = 3
 
@@ -39,6 +39,7 @@
   readonly #jobId: string
   readonly #placement: Placement
   readonly #members: readonly GangMember[]
+  readonly #log: LeaderLog
   readonly #signal: AbortSignal
   /** When the members were started, where this leader did it. */
   #startedMs: number | undefined
@@ -51,6 +52,7 @@
     this.#jobId = job.jobId
     this.#placement = placement
     this.#members = members.map((member) => new GangMember(opts, job.jobId, member, fence))
+    this.#log = new LeaderLog(opts, signal)
     this.#signal = signal
   }
 
@@ -100,7 +102,7 @@
   async #commitStart(): Promise<GangStopped | undefined> {
     const { fence } = this.#placement
     const at = this.#opts.clock.now().toISOString()
-    const result = await this.#commit({ type: 'job.started', at, jobId: this.#jobId, fence })
+    const result = await this.#log.commit({ type: 'job.started', at, jobId: this.#jobId, fence })
     this.#startedMs = this.#opts.clock.monotonicMs()
     if (result.type !== 'refused') return undefined
     const job = this.#readJob()
@@ -133,12 +135,13 @@
 
   /** Stops what is left, then commits how the job goes on. */
   async #end(outcome: GangOutcome): Promise<void> {
+    if (outcome.kind === 'lost') await this.#log.confirmLead()
     const settled = outcome.kind === 'finished' ? outcome : await this.#stopAll(outcome)
     for (let tries = 0; tries < settleTriesMax; tries++) {
       const job = this.#readJob()
       if (job === undefined) return
       const command = this.#choose(job, settled)
-      const result = await this.#commit(command)
+      const result = await this.#log.commit(command)
       this.#logEnd(command, result)
       if (result.type !== 'refused') return
       if (result.error.kind === 'body-too-large') {
@@ -172,17 +175,6 @@
     return collectAnswer(this.#opts, this.#members, this.#signal)
   }
 
-  async #commit(command: Command): Promise<CommandResult> {
-    for (;;) {
-      this.#signal.throwIfAborted()
-      const outcome = await this.#opts.log.propose(command).run()
-      if (outcome.isRight()) return outcome.extract()
-      const { jobId } = this.#describe()
-      this.#opts.logger.warn({ event: 'gang.commit-failed', jobId, type: command.type })
-      await this.#opts.clock.sleep(commitRetryMs, this.#signal)
-    }
-  }
-
   /** The job as it stands, while this placement is still its own. */
   #readJob(): JobRecord | undefined {
     const job = this.#opts.holder.state.getLiveJob(this.#jobId)
@@ -221,7 +213,7 @@
     }
     const at = this.#opts.clock.now().toISOString()
     const kept = 'no checkpoint of the whole gang could be taken in time; it runs on'
-    await this.#commit({ type: 'job.keep', at, ...this.#describe(), reason: kept })
+    await this.#log.commit({ type: 'job.keep', at, ...this.#describe(), reason: kept })
     this.#opts.logger.warn({ event: 'gang.kept', ...this.#describe(), reason: kept })
     return undefined
   }
--- /dev/null
+++ b/control/gangs/src/leaderLog.ts
@@ -0,0 +1,43 @@
+/** What a running gang asks of the log: tried again until it is done, or this leadership ends. */
+import type { Command, CommandResult } from '@nettlespur/control.state'
+import type { GangOptions } from './gangOptions.js'
+
+const retryMs = 200
+
+export class LeaderLog {
+  readonly #opts: GangOptions
+  readonly #signal: AbortSignal
+
+  constructor(opts: GangOptions, signal: AbortSignal) {
+    this.#opts = opts
+    this.#signal = signal
+  }
+
+  /** Rejects when the leadership ends. */
+  async commit(command: Command): Promise<CommandResult> {
+    for (;;) {
+      this.#signal.throwIfAborted()
+      const outcome = await this.#opts.log.propose(command).run()
+      if (outcome.isRight()) return outcome.extract()
+      const reason = outcome
+        .swap()
+        .map((error) => error.message)
+        .orDefault('')
+      this.#opts.logger.warn({ event: 'gang.commit-failed', type: command.type, reason })
+      await this.#opts.clock.sleep(retryMs, this.#signal)
+    }
+  }
+
+  /**
+   * A leader that is cut off may be the one to have lost its way: it stops nothing that another may run.
+   * Until it is sure, nothing is renewed either, so that the gang ends with its leases at the latest.
+   * Rejects when the leadership ends.
+   */
+  async confirmLead(): Promise<void> {
+    while ((await this.#opts.log.readBarrier().run()).isLeft()) {
+      this.#signal.throwIfAborted()
+      await this.#opts.clock.sleep(retryMs, this.#signal)
+    }
+    this.#signal.throwIfAborted()
+  }
+}
--- a/control/gangs/test/gangManager.test.ts
+++ b/control/gangs/test/gangManager.test.ts
@@ -174,3 +174,19 @@
   await gangs.clock.advance(timings.taskLeaseMs)
   t.deepEqual(gangs.client.listHolding(), [])
 })
+
+test('a leader that is cut off from its quorum and from an upstream stops no other member', async (t) => {
+  const gangs = await createGangs()
+  const { manager, first } = await startGang(gangs, { repeatable: false })
+  gangs.log.cutOff = true
+  gangs.client.unreachable.add('a1')
+  gangs.silentUpstreams.add('u1')
+  await gangs.clock.advance(timings.renewTasksEveryMs * 3)
+  t.is(gangs.client.stateOf(first), 'running')
+  await manager.stop()
+  gangs.log.cutOff = false
+  gangs.client.unreachable.clear()
+  gangs.createManager().recover()
+  await gangs.clock.advance(leasesOverMs)
+  t.is(gangs.client.stateOf(first), 'running')
+})
--- a/control/gangs/test/memoryLog.ts
+++ b/control/gangs/test/memoryLog.ts
@@ -29,7 +29,10 @@
   }
 
   readBarrier(): EitherAsync<NettlespurError, void> {
-    return tryAsync(() => Promise.resolve())
+    return tryAsync(() => {
+      if (this.cutOff) throw new NettlespurError('no-quorum', 'cut off')
+      return Promise.resolve()
+    })
   }
 
   describe(): LogDescription {
