--- a/control/state/src/index.ts
+++ b/control/state/src/index.ts
@@ -1,4 +1,5 @@
 /** The replicated state of the cluster as a deterministic state machine. */
+export { isResolved } from './claimTable.js'
 export {
   commandSchema,
   type Assignment,
@@ -6,11 +7,23 @@
   type CommandOf,
   type TaskFailure,
 } from './command.js'
-export { readContract, readJob, type CommandResult, type Refused } from './commandResult.js'
+export {
+  readClaim,
+  readContract,
+  readJob,
+  type CommandResult,
+  type Refused,
+} from './commandResult.js'
 export { ControlState } from './controlState.js'
 export { legalMoves } from './jobChange.js'
 export { jobRecordSchema, toJobView, type JobRecord } from './jobRecord.js'
-export { answerBytesMax, changeIdsMax, endedJobMaxAgeMs, endedJobsMax } from './retention.js'
+export {
+  answerBytesMax,
+  changeIdsMax,
+  claimsMax,
+  endedJobMaxAgeMs,
+  endedJobsMax,
+} from './retention.js'
 export { type UpstreamHealth } from './upstreamHealth.js'
 export { StateHolder } from './stateHolder.js'
 export { stateSnapshotSchema, type StateSnapshot } from './stateSnapshot.js'
