--- a/daemons/trial/test/gangFailures.test.ts
+++ b/daemons/trial/test/gangFailures.test.ts
@@ -148,3 +148,24 @@
   )
   t.true(ended.every((job) => job.state === 'finished'))
 })
+
+test('a gang that ignores its stop holds its accelerators until its lease is over, then runs whole elsewhere', async (t) => {
+  const trial = await startTrial(t, { upstreams: 3 })
+  const gang = { accelerators: 8, adjacency: 'upstream' as const }
+  const jobId = await trial.submit({ gang }, { runTimeMs: 30_000 })
+  const placed = await trial.waitForJob(jobId, (job) => job.state === 'running')
+  const from = trial.findUpstream(placed.placement?.members[0]?.upstreamId)
+  await trial.setFaults(from, { ignoreStops: true })
+  await trial.callUpstream(from, 'POST', '/v1/standin/leave')
+  await trial.control.process.waitFor('placement.preempted', (line) => line.jobId === jobId)
+  const [held] = await trial.listRuns(from, jobId)
+  t.like(held, { endState: 'running' })
+  t.is((await trial.getJob(jobId)).state, 'stopping')
+  const moved = await trial.waitForJob(
+    jobId,
+    (job) => job.attempts === 2 && job.state === 'running',
+  )
+  t.not(moved.placement?.members[0]?.upstreamId, from.id)
+  const [ended] = await trial.listRuns(from, jobId)
+  t.is(ended?.endState, 'lease-expired')
+})
