--- a/bench/placement/src/firstFitPolicy.ts
+++ b/bench/placement/src/firstFitPolicy.ts
@@ -1,5 +1,5 @@
 /** FIFO first-fit: the first free block for the first job; jobs behind one that does not fit wait. */
-import type { PlacementView, WaitingJob } from '@nettlespur/placement.engine'
+import type { WaitingJob } from '@nettlespur/placement.engine'
 import { AnyChooser, fitGang, type Block, type ClusterMap } from '@nettlespur/placement.topology'
 import { BaselinePolicy } from './baselinePolicy.js'
 
@@ -8,7 +8,7 @@
     return fitGang(map, job, new AnyChooser())
   }
 
-  protected override passes(_map: ClusterMap, _job: WaitingJob, _view: PlacementView): boolean {
+  protected override passes(): boolean {
     return false
   }
 }
--- /dev/null
+++ b/control/service/src/contractCalls.ts
@@ -0,0 +1,68 @@
+/**
+ * What operators change. A contract is accepted only where its guaranteed shapes can be kept beside all
+ * others; changes are looked at one after the other, so that two of them never count on the same room.
+ */
+import type { ContractChange, ContractRecord } from '@nettlespur/api.schemas'
+import { readContract } from '@nettlespur/control.state'
+import { NettlespurError, unwrap } from '@nettlespur/core.errors'
+import { findInfeasible } from '@nettlespur/placement.plan'
+import { EitherAsync } from 'purify-ts'
+import { createPlacementView } from './createPlacementView.js'
+import type { LeaderSession } from './leaderSession.js'
+import type { ControlNodeOptions } from './nodeOptions.js'
+
+const unknownRetryAfterMs = 1000
+
+export class ContractCalls {
+  readonly #opts: ControlNodeOptions
+  #last: Promise<unknown> = Promise.resolve()
+
+  constructor(opts: ControlNodeOptions) {
+    this.#opts = opts
+  }
+
+  apply(session: LeaderSession, change: ContractChange): Promise<ContractRecord> {
+    const applied = this.#last.then(() => this.#applyNext(session, change))
+    this.#last = applied.catch(() => undefined)
+    return applied
+  }
+
+  async #applyNext(session: LeaderSession, change: ContractChange): Promise<ContractRecord> {
+    this.#checkFeasible(session, change)
+    const { log, clock, logger } = this.#opts
+    const at = clock.now().toISOString()
+    const committed = log
+      .propose({ type: 'contract.apply', at, change })
+      .chain((result) => EitherAsync.liftEither(readContract(result)))
+    const record = await unwrap(committed)
+    const { workspace } = record.contract
+    const { changeId } = change
+    logger.info({ event: 'contract.accepted', workspace, revision: record.revision, changeId })
+    return record
+  }
+
+  /** A resent or stale change gets its answer from the log, whatever fits now. */
+  #checkFeasible(session: LeaderSession, change: ContractChange): void {
+    const { state } = this.#opts.holder
+    const { contract, changeId, expectedRevision } = change
+    const revision = state.getContract(contract.workspace)?.revision ?? 0
+    if (state.knowsChange(changeId) || revision !== expectedRevision) return
+    const upstreams = session.upstreams.list()
+    const wasInUse = state.listContracts().length > 0
+    // A cluster that has never had an upstream cannot be judged; the plan tells what is missing.
+    if (upstreams.length === 0 && !wasInUse) return
+    const up = upstreams.map((view) => {
+      return view.state === 'suspect' ? { ...view, state: 'ready' as const } : view
+    })
+    const now = this.#opts.clock.now()
+    const view = createPlacementView({ state, upstreams: up, now })
+    const infeasible = findInfeasible(view, contract)
+    if (infeasible === undefined) return
+    if (!session.knowsUpstreams) {
+      const message = 'not all upstreams have announced themselves to the new leader yet'
+      throw new NettlespurError('no-upstream', message, { retryAfterMs: unknownRetryAfterMs })
+    }
+    const { message, wouldFit } = infeasible
+    throw new NettlespurError('infeasible-contract', message, { hint: `would fit: ${wouldFit}` })
+  }
+}
--- a/control/service/src/createPlacementView.ts
+++ b/control/service/src/createPlacementView.ts
@@ -1,43 +1,73 @@
 /** The view a placement decision is taken from: upstreams as heard, everything else as committed. */
 import type { UpstreamView } from '@nettlespur/api.schemas'
 import type { ControlState, JobRecord } from '@nettlespur/control.state'
-import type { HeldBlock, PlacementView, WaitingJob } from '@nettlespur/placement.engine'
+import type { DeclarationCorrection, PlacementView, WaitingJob } from '@nettlespur/placement.engine'
+import { readStoppability, type RunningGang } from '@nettlespur/placement.topology'
 
-export function createPlacementView(
-  state: ControlState,
-  upstreams: readonly UpstreamView[],
-  now: Date,
-): PlacementView {
+export interface PlacementViewOptions {
+  state: ControlState
+  upstreams: readonly UpstreamView[]
+  now: Date
+  /** Whether upstreams have had the time to announce themselves; false by default. */
+  upstreamsKnown?: boolean
+  /** Declared run times are taken as they are without it. */
+  correction?: DeclarationCorrection
+}
+
+export function createPlacementView(opts: PlacementViewOptions): PlacementView {
+  const { state, upstreams, now, upstreamsKnown = false } = opts
   const jobs = state.listLiveJobs()
-  const limits = state
-    .listContracts()
-    .map(({ contract }) => [contract.workspace, contract.limits.concurrentAccelerators] as const)
   return {
+    nowMs: now.getTime(),
     upstreams,
-    held: jobs.flatMap(listHeldBlocks),
-    waiting: jobs.filter((job) => job.state === 'queued').map((job) => toWaitingJob(job, now)),
-    acceleratorLimits: new Map(limits),
+    upstreamsKnown,
+    running: jobs.flatMap((job) => toRunningGang(opts, job)),
+    waiting: jobs.filter((job) => job.state === 'queued').map((job) => toWaitingJob(opts, job)),
+    contracts: state.listContracts().map(({ contract }) => contract),
   }
 }
 
 /** A placement is held until its end is committed, which waits for all its members to have stopped. */
-function listHeldBlocks({ request, placement }: JobRecord): HeldBlock[] {
-  const { workspace, gang, cpuCores, memoryBytes } = request
-  return (placement?.members ?? []).map(({ upstreamId, acceleratorIndexes }) => {
-    const share = acceleratorIndexes.length / gang.accelerators
-    return {
-      upstreamId,
-      acceleratorIndexes,
-      workspace,
-      cpuCores: cpuCores * share,
-      memoryBytes: memoryBytes * share,
-    }
-  })
+function toRunningGang(opts: PlacementViewOptions, job: JobRecord): RunningGang[] {
+  const { placement, state } = job
+  if (placement === undefined) return []
+  return [
+    {
+      ...describeJob(opts, job),
+      blocks: placement.members,
+      isStopping: state === 'stopping' || job.preemption !== undefined,
+      startedAtMs: state === 'reserving' ? undefined : findLast(job, 'job.started'),
+      checkpointedAtMs: undefined,
+      attempts: job.attempts,
+    },
+  ]
 }
 
-function toWaitingJob({ jobId, request, retryAt }: JobRecord, now: Date): WaitingJob {
-  const { workspace, gang, cpuCores, memoryBytes, urgency } = request
-  const tooEarly = retryAt !== undefined && Date.parse(retryAt) > now.getTime()
+function toWaitingJob(opts: PlacementViewOptions, job: JobRecord): WaitingJob {
+  const { retryAt } = job
+  const submittedAtMs = Date.parse(job.submittedAt)
+  const tooEarly = retryAt !== undefined && Date.parse(retryAt) > opts.now.getTime()
   const heldBack = tooEarly ? `tried again from ${retryAt} on` : undefined
-  return { jobId, workspace, gang, cpuCores, memoryBytes, urgency, heldBack }
+  const queuedAtMs = findLast(job, 'job.requeued') ?? submittedAtMs
+  return { ...describeJob(opts, job), submittedAtMs, queuedAtMs, heldBack }
+}
+
+function describeJob({ correction }: PlacementViewOptions, { jobId, request }: JobRecord) {
+  const { workspace, gang, cpuCores, memoryBytes, urgency, expectedRunTimeMs: declaredMs } = request
+  return {
+    jobId,
+    workspace,
+    gang,
+    cpuCores,
+    memoryBytes,
+    urgency,
+    stoppability: readStoppability(request),
+    expectedRunTimeMs: correction?.expectRunTimeMs(workspace, declaredMs) ?? declaredMs,
+  }
+}
+
+/** When this last happened to the job. */
+function findLast({ decisions }: JobRecord, event: string): number | undefined {
+  const found = decisions.findLast((decision) => decision.event === event)
+  return found === undefined ? undefined : Date.parse(found.at)
 }
--- a/control/service/test/controlNode.test.ts
+++ b/control/service/test/controlNode.test.ts
@@ -10,7 +10,7 @@
 import { unwrap } from '@nettlespur/core.errors'
 import { createLogger } from '@nettlespur/core.logger'
 import { MetricsRegistry } from '@nettlespur/core.metrics'
-import { BestFitPolicy } from '@nettlespur/placement.engine'
+import { createPolicy } from '@nettlespur/placement.engine'
 import test, { type ExecutionContext } from 'ava'
 import { ControlNode } from '../src/index.js'
 
@@ -64,7 +64,7 @@
     metrics: new MetricsRegistry(),
     log,
     holder,
-    policy: new BestFitPolicy(),
+    policy: createPolicy('completionTime'),
     client,
     timings,
     random: () => 0,
--- a/daemons/control/src/startControl.ts
+++ b/daemons/control/src/startControl.ts
@@ -8,7 +8,7 @@
 import { MetricsRegistry } from '@nettlespur/core.metrics'
 import { readKeys, readTlsFiles } from '@nettlespur/daemons.common'
 import { createHttpServer } from '@nettlespur/http.server'
-import { BestFitPolicy } from '@nettlespur/placement.engine'
+import { createPolicy } from '@nettlespur/placement.engine'
 import { createRpcServer } from '@nettlespur/rpc.peer'
 import type { ControlSettings } from '@nettlespur/settings.schemas'
 import { createUpstreamClient, type UpstreamClientFactory } from './createUpstreamClient.js'
@@ -73,7 +73,7 @@
   const holder = new StateHolder()
   const log = await openLog(settings, holder)
   lifecycle.own('log', () => log.stop())
-  const policy = new BestFitPolicy()
+  const policy = createPolicy(settings.objective)
   const node = new ControlNode({
     instanceId,
     clock,
--- a/placement/engine/src/clearChooser.ts
+++ b/placement/engine/src/clearChooser.ts
@@ -44,6 +44,10 @@
     return rate
   }
 
+  override rateRack(): number {
+    return 0
+  }
+
   /** With the processors and memory of all that may be stopped there. */
   override countAffordable(room: UpstreamRoom, demand: Demand): number {
     const { job, claim, rules } = this.#opts
--- a/placement/engine/src/formingChooser.ts
+++ b/placement/engine/src/formingChooser.ts
@@ -43,6 +43,10 @@
     return rate
   }
 
+  override rateRack(): number {
+    return 0
+  }
+
   /** As if nothing else ran there. */
   override countAffordable(room: UpstreamRoom, demand: Demand): number {
     return countAffordable(demand, room.view.cpuCores, room.view.memoryBytes)
--- a/placement/engine/src/index.ts
+++ b/placement/engine/src/index.ts
@@ -11,3 +11,4 @@
 } from './placementDecision.js'
 export { PlacementPolicy } from './placementPolicy.js'
 export type { PlacementView, WaitingJob } from './placementView.js'
+export { startGang } from './startGang.js'
--- a/placement/engine/src/jobScreen.ts
+++ b/placement/engine/src/jobScreen.ts
@@ -10,8 +10,6 @@
 
 /** A shape that no known upstreams could hold for this long is given up on. */
 const impossibleAfterMs = 600_000
-/** A gang that fills no upstream has a block set apart only after this wait. */
-const overdueMs = Number(process.env.OVERDUE ?? 1_800_000)
 /** Keeps a reservation whole for gangs of its own shape. */
 const breaksReservationCost = 100_000
 
@@ -58,7 +56,8 @@
 
   /** Looks for room unless the same shape has found none before in this round. */
   once<T>(look: string, job: WaitingJob, find: () => T | undefined): T | undefined {
-    const name = `${look} ${nameClass(job)}${this.#round.ownsForming(job) ? job.jobId : ''}`
+    const isSpecial = job.avoidedUpstreamIds !== undefined || this.#round.ownsForming(job)
+    const name = `${look} ${nameClass(job)}${isSpecial ? job.jobId : ''}`
     if (this.#noRoom.has(name)) return undefined
     const found = find()
     if (found === undefined) this.#noRoom.add(name)
@@ -78,11 +77,9 @@
     return this.#hasOwnReservation(job) ? -breaksReservationCost : breaksReservationCost
   }
 
+  /** Gangs that fill an upstream or more have blocks set apart for them. */
   mayForm(job: WaitingJob): boolean {
-    const { nowMs } = this.#round.view
-    const isLarge = job.gang.accelerators >= this.#largestUpstream
-    const isOverdue = job.gang.accelerators > 1 && nowMs - job.queuedAtMs >= overdueMs
-    return (isLarge || isOverdue) && this.isPossible(job)
+    return job.gang.accelerators >= this.#largestUpstream && this.isPossible(job)
   }
 
   holdBack(job: WaitingJob, forming?: readonly Block[]): void {
--- a/placement/engine/src/objectivePolicy.ts
+++ b/placement/engine/src/objectivePolicy.ts
@@ -1,5 +1,5 @@
 /**
- * The order of every round: urgent work, work within its workspace's guarantee, the blocks that form for
+ * The order of every round: work within its workspace's guarantee, urgent work, the blocks that form for
  * waiting gangs, and then borrowed capacity by weighted dominant resource fairness. What the two objectives
  * weigh differently is left to them.
  */
@@ -13,6 +13,11 @@
 import type { PlacementView, WaitingJob } from './placementView.js'
 import { sortIntoQueues, takeByShare } from './workspaceQueues.js'
 
+/** After this wait a gang's forming block is cleared whatever the work lost. */
+const formingWaitMaxMs = 1_800_000
+/** Gangs of one workspace that are looked at in one round before borrowed capacity is shared out. */
+const formingPerWorkspaceMax = 2
+
 export abstract class ObjectivePolicy extends PlacementPolicy {
   readonly #planner = new ReservationPlanner()
   readonly #forming = new FormingBlocks()
@@ -32,9 +37,9 @@
     const screen = new JobScreen(round)
     const open = view.waiting.filter((job) => screen.admits(job))
     const urgent = open.filter((job) => job.urgency === 'urgent')
-    for (const job of urgent) this.#placeUrgent(round, screen, job)
     const normal = open.filter((job) => job.urgency !== 'urgent')
-    for (const job of normal) this.#placeGuaranteed(round, screen, job)
+    for (const job of [...urgent, ...normal]) this.#placeGuaranteed(round, screen, job)
+    for (const job of urgent) this.#placeUrgent(round, screen, job)
     this.#placeForming(round, screen, normal)
     this.#placeBorrowing(round, screen, normal)
     return this.#confirm(round)
@@ -42,7 +47,6 @@
 
   #placeUrgent(round: PlacementRound, screen: JobScreen, job: WaitingJob): void {
     if (!screen.stillAdmits(job)) return
-    if (this.#placeWithinGuarantee(round, screen, job)) return
     if (this.#startBorrowing(round, screen, job, 'urgent')) return
     const clearing = screen.once('urgent', job, () => round.findClearing(job, 'urgent'))
     if (clearing === undefined || clearing.victims.length === 0) screen.holdBack(job)
@@ -77,10 +81,9 @@
   /** The longest-waiting gangs, one of each workspace. */
   #placeForming(round: PlacementRound, screen: JobScreen, normal: readonly WaitingJob[]): void {
     const served = new Map<string, number>()
-    const most = Number(process.env.PERWS ?? 1)
     for (const job of normal) {
       if (
-        (served.get(job.workspace) ?? 0) >= most ||
+        (served.get(job.workspace) ?? 0) >= formingPerWorkspaceMax ||
         !round.isUndecided(job) ||
         !screen.mayForm(job)
       )
@@ -104,8 +107,9 @@
   }
 
   #isWorthwhile(job: WaitingJob, lostWork: number, nowMs: number): boolean {
-    const waited = (nowMs - job.queuedAtMs) * job.gang.accelerators
-    return lostWork <= waited * this.preemptionPatience
+    const waitedMs = nowMs - job.queuedAtMs
+    if (waitedMs >= formingWaitMaxMs) return true
+    return lostWork <= waitedMs * job.gang.accelerators * this.preemptionPatience
   }
 
   #placeBorrowing(round: PlacementRound, screen: JobScreen, normal: readonly WaitingJob[]): void {
--- a/placement/engine/src/placementRound.ts
+++ b/placement/engine/src/placementRound.ts
@@ -18,6 +18,7 @@
 import { measureLostWork } from './measureLostWork.js'
 import type { PlacementDecision, PreemptDecision } from './placementDecision.js'
 import type { PlacementView, WaitingJob } from './placementView.js'
+import { startGang } from './startGang.js'
 import { StartChooser, type StartChooserOptions } from './startChooser.js'
 import { VictimRules, type Claim } from './victimRules.js'
 
@@ -108,7 +109,7 @@
 
   /** Starts the job on these free accelerators. False where guaranteed shapes would suffer. */
   tryStart(job: WaitingJob, blocks: readonly Block[], reason: string): boolean {
-    const gang = toGang(job, blocks)
+    const gang = startGang(job, blocks)
     if (isUnstoppable(gang) && !this.#planner.tryVacate(this.map, gang)) return false
     this.map.hold(gang)
     this.#placedNow.add(gang)
@@ -214,14 +215,3 @@
 
 /** For sums of fractions. */
 const tolerance = 1e-6
-
-function toGang(job: WaitingJob, blocks: readonly Block[]): RunningGang {
-  return {
-    ...job,
-    blocks,
-    isStopping: false,
-    startedAtMs: undefined,
-    checkpointedAtMs: undefined,
-    attempts: 1,
-  }
-}
--- a/placement/engine/src/placementView.ts
+++ b/placement/engine/src/placementView.ts
@@ -12,6 +12,8 @@
   readonly queuedAtMs: number
   /** How long it is expected to run, after correction; it orders jobs and bounds nothing. */
   readonly expectedRunTimeMs: number
+  /** Where the job must not go, such as where it failed before. */
+  readonly avoidedUpstreamIds?: ReadonlySet<string>
   /** Set where the job may not be placed yet, in plain words. */
   readonly heldBack?: string | undefined
 }
--- a/placement/engine/src/startChooser.ts
+++ b/placement/engine/src/startChooser.ts
@@ -13,7 +13,7 @@
 
 const formingCost = 1_000_000
 const companyGain = 4
-const togetherGain = Number(process.env.TOG ?? 4096)
+const togetherGain = 4096
 
 export interface StartChooserOptions {
   readonly job: WaitingJob
@@ -36,15 +36,22 @@
   override isUsable(room: UpstreamRoom, index: number): boolean {
     if (!super.isUsable(room, index)) return false
     const { job, avoidsReserved, takesReserved } = this.#opts
-    if (takesReserved === true) return true
+    if (job.avoidedUpstreamIds?.has(room.upstreamId) === true) return false
     const reservedFor = room.reservedFor[index]
     const isOthers = reservedFor !== undefined && reservedFor !== job.workspace
-    if (isOthers && (avoidsReserved === true || job.stoppability === 'never')) return false
+    const mayTake = takesReserved === true
+    if (isOthers && !mayTake && (avoidsReserved === true || job.stoppability === 'never'))
+      return false
     const formingFor = room.formingFor[index]
     const formsForOther = formingFor !== undefined && formingFor !== job.jobId
     return !formsForOther || job.stoppability !== 'never'
   }
 
+  override countUsableMax(room: UpstreamRoom): number {
+    const isAvoided = this.#opts.job.avoidedUpstreamIds?.has(room.upstreamId) === true
+    return isAvoided ? 0 : super.countUsableMax(room)
+  }
+
   override rate(room: UpstreamRoom, from: number, count: number): number {
     const { job, ownReservedCost = 0 } = this.#opts
     let rate =
--- a/placement/engine/src/victimRules.ts
+++ b/placement/engine/src/victimRules.ts
@@ -49,6 +49,7 @@
 
   /** Whether `job` may hold this accelerator once its holder is gone. */
   isOpenTo(room: UpstreamRoom, index: number, job: WaitingJob, claim: Claim): boolean {
+    if (job.avoidedUpstreamIds?.has(room.upstreamId) === true) return false
     const promisedTo = room.promisedTo[index]
     if (promisedTo !== undefined && promisedTo !== job.jobId) return false
     const reservedFor = room.reservedFor[index]
--- a/placement/plan/src/reservationChooser.ts
+++ b/placement/plan/src/reservationChooser.ts
@@ -30,6 +30,10 @@
     return rate
   }
 
+  override rateRack(): number {
+    return 0
+  }
+
   /** Processors and memory are kept by even shares, whatever runs there now. */
   override countAffordable(room: UpstreamRoom): number {
     return room.size
--- a/placement/plan/src/reservationPlanner.ts
+++ b/placement/plan/src/reservationPlanner.ts
@@ -60,9 +60,7 @@
 
   /** Moves a reservation of this very shape, unused so far, to where the workspace's gang now runs. */
   follow(map: ClusterMap, gang: RunningGang): boolean {
-    let isOpen = true
-    map.visit(gang.blocks, (room, index) => (isOpen &&= room.reservedFor[index] === undefined))
-    if (!isOpen) return false
+    if (!isUnreserved(map, gang.blocks)) return false
     const unused = [...this.#byId.values()].find(
       (reservation) => isShapeOf(reservation, gang) && !isUsedByOwner(map, reservation),
     )
@@ -214,6 +212,12 @@
   return isUsed
 }
 
+function isUnreserved(map: ClusterMap, blocks: readonly Block[]): boolean {
+  let isOpen = true
+  map.visit(blocks, (room, index) => (isOpen &&= room.reservedFor[index] === undefined))
+  return isOpen
+}
+
 function hasSpareFor(map: ClusterMap, gang: RunningGang): boolean {
   return gang.blocks.every(({ upstreamId, acceleratorIndexes }) => {
     const room = map.find(upstreamId)
--- a/placement/topology/src/blockChooser.ts
+++ b/placement/topology/src/blockChooser.ts
@@ -19,7 +19,5 @@
   }
 
   /** Added to the rates of the blocks a gang takes in this rack. */
-  rateRack(_rack: readonly UpstreamRoom[]): number {
-    return 0
-  }
+  abstract rateRack(rack: readonly UpstreamRoom[]): number
 }
