--- a/control/service/src/decideProbes.ts
+++ b/control/service/src/decideProbes.ts
@@ -1,25 +1,15 @@
 /** Places single stoppable jobs on quarantined upstreams that are due to be tried. */
 import type { UpstreamView } from '@nettlespur/api.schemas'
-import type { ControlState, JobRecord } from '@nettlespur/control.state'
-import {
-  fitGang,
-  Topology,
-  type PlaceDecision,
-  type PlacementView,
-  type WaitingJob,
-} from '@nettlespur/placement.engine'
+import type { JobRecord } from '@nettlespur/control.state'
+import type { PlaceDecision, WaitingJob } from '@nettlespur/placement.engine'
+import { ClusterMap, fitGang, FreeChooser } from '@nettlespur/placement.topology'
+import type { DecideRoundOptions } from './decideRound.js'
 
 /** Jobs looked at for each upstream. */
 const candidatesMax = 50
 
-export interface DecideProbesOptions {
-  view: PlacementView
-  state: ControlState
-  now: Date
-}
-
 /** One for each upstream at most, so that a round shows no more trust than the one before has earned. */
-export function decideProbes(opts: DecideProbesOptions): PlaceDecision[] {
+export function decideProbes(opts: DecideRoundOptions): PlaceDecision[] {
   const probes: PlaceDecision[] = []
   const due = opts.view.upstreams.filter((upstream) => isDue(opts, upstream))
   for (const upstream of due) {
@@ -30,7 +20,7 @@
 }
 
 function isDue(
-  { state, now }: DecideProbesOptions,
+  { state, now }: DecideRoundOptions,
   { upstreamId, state: stands }: UpstreamView,
 ): boolean {
   const quarantine = state.getUpstreamHealth(upstreamId)?.quarantine
@@ -42,7 +32,7 @@
 }
 
 function decideProbe(
-  opts: DecideProbesOptions,
+  opts: DecideRoundOptions,
   upstream: UpstreamView,
   taken: ReadonlySet<string>,
 ): PlaceDecision | undefined {
@@ -52,8 +42,8 @@
   for (const job of candidates) {
     const record = opts.state.getLiveJob(job.jobId)
     if (record === undefined || !mayProbe(opts, job, record, upstream.upstreamId)) continue
-    const topology = new Topology([{ ...upstream, state: 'ready' }], opts.view.held)
-    const blocks = fitGang(topology, job)
+    const map = new ClusterMap([{ ...upstream, state: 'ready' }], opts.view.running)
+    const blocks = fitGang(map, job, new FreeChooser())
     const reason = `probes ${upstream.upstreamId}, which is quarantined, with a job that may be stopped`
     if (blocks !== undefined) return { kind: 'place', jobId: job.jobId, blocks, reason }
   }
@@ -61,14 +51,15 @@
 }
 
 function mayProbe(
-  { view }: DecideProbesOptions,
+  { view }: DecideRoundOptions,
   job: WaitingJob,
   { request, failedUpstreamIds }: JobRecord,
   upstreamId: string,
 ): boolean {
   if (job.heldBack !== undefined || job.urgency === 'urgent' || !request.repeatable) return false
-  const held = view.held.filter((block) => block.workspace === job.workspace)
-  const used = held.reduce((sum, block) => sum + block.acceleratorIndexes.length, 0)
-  const limit = view.acceleratorLimits.get(job.workspace) ?? 0
+  const own = view.running.filter((gang) => gang.workspace === job.workspace)
+  const used = own.reduce((sum, { gang }) => sum + gang.accelerators, 0)
+  const contract = view.contracts.find(({ workspace }) => workspace === job.workspace)
+  const limit = contract?.limits.concurrentAccelerators ?? 0
   return used + job.gang.accelerators <= limit && !failedUpstreamIds.includes(upstreamId)
 }
--- a/control/service/src/placementLoop.ts
+++ b/control/service/src/placementLoop.ts
@@ -6,14 +6,15 @@
 import { waitForWake, type GangManager } from '@nettlespur/control.gangs'
 import { readJob } from '@nettlespur/control.state'
 import { toNettlespurError } from '@nettlespur/core.errors'
-import type { PlaceDecision, PlacementDecision } from '@nettlespur/placement.engine'
+import type { PlaceDecision } from '@nettlespur/placement.engine'
+import { describeShapes } from '@nettlespur/placement.plan'
 import { filter, merge, type BehaviorSubject } from 'rxjs'
 import { createPlacementView } from './createPlacementView.js'
-import { decideProbes } from './decideProbes.js'
+import { decideRound, type RoundDecision } from './decideRound.js'
 import { ImpossibleJobs } from './impossibleJobs.js'
-import { listApart, type ListApartOptions } from './listApart.js'
 import { listMoves, mayPreempt, type Preemption } from './listMoves.js'
 import type { ControlNodeOptions } from './nodeOptions.js'
+import { RunTimeLearner } from './runTimeLearner.js'
 import type { UpstreamTable } from './upstreamTable.js'
 
 /** Changes within this time are decided on together. */
@@ -34,6 +35,8 @@
 export class PlacementLoop {
   readonly #opts: PlacementLoopOptions
   readonly #impossible: ImpossibleJobs
+  readonly #learner = new RunTimeLearner()
+  #missingShapes = ''
   #waitReasons = new Map<string, string>()
 
   constructor(opts: PlacementLoopOptions) {
@@ -76,50 +79,29 @@
     const { node, upstreams, gangs } = this.#opts
     upstreams.refresh()
     gangs.recover()
-    await this.#execute(listMoves(node.holder.state, upstreams.list()), signal)
-    await this.#execute(decideProbes(this.#look()), signal)
-    const decisions = await this.#decideAll(signal)
-    await this.#refuseImpossible(decisions)
-    const waits = decisions.filter(({ kind }) => kind === 'wait' || kind === 'refuse')
-    this.#keepReasons(new Map(waits.map(({ jobId, reason }) => [jobId, reason])))
-  }
-
-  /** What a decision is taken from, as of now. */
-  #look(): ListApartOptions {
-    const { node, upstreams } = this.#opts
+    const views = upstreams.list()
     const { state } = node.holder
     const now = node.clock.now()
-    const view = createPlacementView(state, upstreams.list(), now)
-    return { policy: node.policy, view, state, now }
-  }
-
-  /** The jobs that are placed apart come last, each by a fresh look. */
-  async #decideAll(signal: AbortSignal): Promise<PlacementDecision[]> {
-    const { policy } = this.#opts.node
-    const seen = this.#look()
-    const apart = listApart(seen)
-    const apartIds = new Set(apart.map(({ job }) => job.jobId))
-    const waiting = seen.view.waiting.filter((job) => !apartIds.has(job.jobId))
-    const decisions = policy.decide({ ...seen.view, waiting })
-    await this.#execute(decisions, signal)
-    for (const { job, upstreams } of apart) {
-      const own = policy.decide({ ...this.#look().view, upstreams, waiting: [job] })
-      await this.#execute(own, signal)
-      decisions.push(...own)
-    }
-    return decisions
-  }
-
-  async #execute(
-    decisions: readonly (PlacementDecision | Preemption)[],
-    signal: AbortSignal,
-  ): Promise<void> {
-    const views = this.#opts.upstreams.list()
-    for (const decision of decisions) {
+    this.#learner.learn(state, now.getTime())
+    const view = createPlacementView({
+      state,
+      upstreams: views,
+      now,
+      upstreamsKnown: this.#opts.knowsUpstreams(),
+      correction: this.#learner.correction,
+    })
+    const reasons = new Map<string, string>()
+    const decisions = decideRound({ policy: node.policy, view, state, now })
+    this.#tellMissing(describeShapes(node.policy.plan.missing))
+    const moves = listMoves(state, views)
+    for (const decision of [...moves, ...decisions]) {
       if (signal.aborted) return
       if (decision.kind === 'place') await this.#place(decision, views)
-      if (decision.kind === 'preempt') await this.#preempt(decision)
+      else if (decision.kind === 'preempt') await this.#preempt(decision)
+      else reasons.set(decision.jobId, decision.reason)
     }
+    await this.#refuseImpossible(decisions)
+    this.#keepReasons(reasons)
   }
 
   /** The runner of the gang is woken by the change of its job. */
@@ -144,7 +126,7 @@
   }
 
   /** A job that has long been told to be impossible is ended; until then it waits. */
-  async #refuseImpossible(decisions: readonly PlacementDecision[]): Promise<void> {
+  async #refuseImpossible(decisions: readonly RoundDecision[]): Promise<void> {
     const { log, logger, clock } = this.#opts.node
     if (!this.#opts.knowsUpstreams()) return
     for (const { jobId, reason } of this.#impossible.listOverdue(decisions)) {
@@ -180,6 +162,15 @@
     })
   }
 
+  /** A guaranteed shape that no accelerators can be kept for is an alarm, and so is the end of one. */
+  #tellMissing(missing: string): void {
+    if (missing === this.#missingShapes) return
+    this.#missingShapes = missing
+    const { logger } = this.#opts.node
+    if (missing === '') logger.info({ event: 'plan.feasible' })
+    else logger.error({ event: 'plan.infeasible', missing })
+  }
+
   #keepReasons(reasons: Map<string, string>): void {
     const { logger } = this.#opts.node
     const changed = [...reasons].filter(([id, reason]) => this.#waitReasons.get(id) !== reason)
--- a/control/service/test/placementLoop.test.ts
+++ b/control/service/test/placementLoop.test.ts
@@ -1,6 +1,7 @@
 import { unwrap } from '@nettlespur/core.errors'
 import {
-  BestFitPolicy,
+  createPolicy,
+  PlacementPolicy,
   type PlacementDecision,
   type PlacementView,
 } from '@nettlespur/placement.engine'
@@ -9,12 +10,13 @@
 
 const gang = { accelerators: 8, adjacency: 'upstream' as const }
 
-/** Decides as best fit does, and whatever a test adds. */
-class ScriptedPolicy extends BestFitPolicy {
+/** Decides as the product does, and whatever a test adds. */
+class ScriptedPolicy extends PlacementPolicy {
   extra: (view: PlacementView) => PlacementDecision[] = () => []
+  readonly #policy = createPolicy('completionTime')
 
-  override decide(view: PlacementView): PlacementDecision[] {
-    return [...this.extra(view), ...super.decide(view)]
+  decide(view: PlacementView): PlacementDecision[] {
+    return [...this.extra(view), ...this.#policy.decide(view)]
   }
 }
 
@@ -34,16 +36,11 @@
 }
 
 test('urgent work runs within a second of its submission where a victim may be stopped', async (t) => {
-  const { node, policy } = await startScripted(t)
+  const { node } = await startScripted(t)
   const victim = await submit(node, { gang, repeatable: true })
   await runUntil(node, () => node.client.stateOf(`${victim}.1.0`) === 'running')
   const submittedMs = node.clock.monotonicMs()
   const urgent = await submit(node, { gang, urgency: 'urgent' })
-  policy.extra = ({ waiting }) => {
-    if (!waiting.some((job) => job.jobId === urgent)) return []
-    const head = { jobId: victim, forJobId: urgent, withCheckpoint: false }
-    return [{ kind: 'preempt', ...head, reason: `makes way for ${urgent}` }]
-  }
   await runUntil(node, () => node.client.stateOf(`${urgent}.1.0`) === 'running')
   t.true(node.clock.monotonicMs() - submittedMs < 1000)
   t.is(node.client.stateOf(`${victim}.1.0`), 'stopped')
--- a/control/service/test/startNode.ts
+++ b/control/service/test/startNode.ts
@@ -10,7 +10,7 @@
 import { unwrap } from '@nettlespur/core.errors'
 import { createLogger } from '@nettlespur/core.logger'
 import { MetricsRegistry } from '@nettlespur/core.metrics'
-import { BestFitPolicy, type PlacementPolicy } from '@nettlespur/placement.engine'
+import { createPolicy, type PlacementPolicy } from '@nettlespur/placement.engine'
 import type { ExecutionContext } from 'ava'
 import { EitherAsync } from 'purify-ts'
 import { ControlNode } from '../src/index.js'
@@ -39,7 +39,7 @@
 export async function startNode(
   t: ExecutionContext,
   folder?: string,
-  policy: PlacementPolicy = new BestFitPolicy(),
+  policy: PlacementPolicy = createPolicy('completionTime'),
 ) {
   const clock = new ManualClock(new Date('2026-01-01T00:00:00Z'))
   const holder = new StateHolder()
