--- a/daemons/trial/test/gangFailures.test.ts
+++ b/daemons/trial/test/gangFailures.test.ts
@@ -169,3 +169,36 @@
   const [ended] = await trial.listRuns(from, jobId)
   t.is(ended?.endState, 'lease-expired')
 })
+
+test('a guarantee is reclaimed from a borrower that ignores its stop as soon as its lease is over', async (t) => {
+  const trial = await startTrial(t, { upstreams: 1 })
+  await trial.putContract('small', 8)
+  const [upstream] = trial.cluster.upstreams
+  if (upstream === undefined) throw new Error('no upstream')
+  const gang = { accelerators: 8, adjacency: 'upstream' as const }
+  const borrower = await trial.submit({ gang }, { runTimeMs: 100_000 })
+  await trial.waitForJob(borrower, (job) => job.state === 'running')
+  await trial.setFaults(upstream, { ignoreStops: true })
+  const owner = await trial.submit({ workspace: 'small', gang }, { runTimeMs: 10 })
+  await trial.control.process.waitFor('placement.preempted', (line) => line.forJobId === owner)
+  t.is((await trial.getJob(owner, 'small')).state, 'queued')
+  const ended = await trial.waitForJob(owner, (job) => job.endedAt !== undefined, 'small')
+  t.is(ended.state, 'finished')
+  const [held] = await trial.listRuns(upstream, borrower)
+  t.like(held, { taskId: `${borrower}.1.0`, endState: 'lease-expired' })
+})
+
+test('urgent work takes the place of work that may be stopped, and that work finishes later', async (t) => {
+  const trial = await startTrial(t, { upstreams: 1 })
+  const gang = { accelerators: 8, adjacency: 'upstream' as const }
+  const checkpointable = await trial.submit(
+    { gang, repeatable: false, checkpointable: true },
+    { runTimeMs: 3000 },
+  )
+  await trial.waitForJob(checkpointable, (job) => job.state === 'running')
+  const urgent = await trial.submit({ gang, urgency: 'urgent' }, { runTimeMs: 10 })
+  const first = await trial.waitForJob(urgent, (job) => job.endedAt !== undefined)
+  t.is(first.state, 'finished')
+  const later = await trial.waitForJob(checkpointable, (job) => job.endedAt !== undefined)
+  t.like(later, { state: 'finished', attempts: 2 })
+})
