--- a/control/service/src/controlNode.ts
+++ b/control/service/src/controlNode.ts
@@ -22,6 +22,8 @@
   type ContractView,
   type JobOutcome,
   type JobReference,
+  type MemberView,
+  type NewMember,
   type WatchRequest,
 } from '@nettlespur/control.api'
 import type { Leadership } from '@nettlespur/control.log'
@@ -54,6 +56,7 @@
     this.#contracts = new ContractCalls(opts)
     opts.metrics.gauge('control_leads', () => Number(this.isLeader))
     opts.metrics.gauge('jobs_live', () => opts.holder.state.listLiveJobs().length)
+    opts.metrics.gauge('claims_unresolved', () => opts.holder.state.listUnresolvedClaims().length)
     opts.metrics.gauge('contract_index', () => opts.holder.state.contractIndex)
     this.#following = opts.log.leadership.subscribe((leadership) => {
       this.#follow(leadership)
@@ -154,6 +157,26 @@
     })
   }
 
+  listMembers(): EitherAsync<NettlespurError, MemberView[]> {
+    return this.#lead('listMembers', () => Promise.resolve([...this.#opts.log.describe().members]))
+  }
+
+  addMember(member: NewMember): EitherAsync<NettlespurError, null> {
+    return this.#lead('addMember', async () => {
+      await unwrap(this.#opts.log.addMember(member))
+      this.#opts.logger.info({ event: 'member.added', ...member })
+      return null
+    })
+  }
+
+  removeMember(memberId: string): EitherAsync<NettlespurError, null> {
+    return this.#lead('removeMember', async () => {
+      await unwrap(this.#opts.log.removeMember(memberId))
+      this.#opts.logger.info({ event: 'member.removed', memberId })
+      return null
+    })
+  }
+
   #lead<T>(
     call: keyof ControlApi,
     run: (session: LeaderSession) => Promise<T>,
