--- a/daemons/trial/test/gangFailures.test.ts
+++ b/daemons/trial/test/gangFailures.test.ts
@@ -202,3 +202,24 @@
   const later = await trial.waitForJob(checkpointable, (job) => job.endedAt !== undefined)
   t.like(later, { state: 'finished', attempts: 2 })
 })
+
+test('a running gang outlives the death of its leader: another member takes it over, and it runs once', async (t) => {
+  const trial = await startTrial(t, { upstreams: 2, controls: 3 })
+  const jobId = await trial.submit({ repeatable: false }, { runTimeMs: 8000 })
+  await trial.waitForJob(jobId, (job) => job.state === 'running')
+  const { controls } = trial.cluster
+  const leader = await Promise.any(
+    controls.map(async (control) => {
+      await control.process.waitFor('placement.decided', (line) => line.jobId === jobId)
+      return control
+    }),
+  )
+  await leader.process.kill()
+  const ended = await trial.waitForJob(jobId, (job) => job.endedAt !== undefined)
+  t.like(ended, { state: 'finished', attempts: 1 })
+  const runs = await listAllRuns(trial, jobId)
+  t.deepEqual(
+    runs.map((run) => run.startedCount),
+    [1, 1],
+  )
+})
