--- a/control/service/src/controlNode.ts
+++ b/control/service/src/controlNode.ts
@@ -27,11 +27,11 @@
   type WatchRequest,
 } from '@nettlespur/control.api'
 import type { Leadership } from '@nettlespur/control.log'
-import { readContract } from '@nettlespur/control.state'
 import { NettlespurError, tryAsync, unwrap, type RpcResult } from '@nettlespur/core.errors'
-import { EitherAsync } from 'purify-ts'
+import type { EitherAsync } from 'purify-ts'
 import type { Subscription } from 'rxjs'
 import { ClaimCalls } from './claimCalls.js'
+import { ContractCalls } from './contractCalls.js'
 import { createReport } from './createReport.js'
 import { createStatus } from './createStatus.js'
 import { JobCalls } from './jobCalls.js'
@@ -43,6 +43,7 @@
 
 export class ControlNode extends ControlApi {
   readonly #opts: ControlNodeOptions
+  readonly #contracts: ContractCalls
   readonly #following: Subscription
   #session: LeaderSession | undefined
   #leadership: Leadership | undefined
@@ -52,6 +53,7 @@
   constructor(opts: ControlNodeOptions) {
     super()
     this.#opts = opts
+    this.#contracts = new ContractCalls(opts)
     opts.metrics.gauge('control_leads', () => Number(this.isLeader))
     opts.metrics.gauge('jobs_live', () => opts.holder.state.listLiveJobs().length)
     opts.metrics.gauge('claims_unresolved', () => opts.holder.state.listUnresolvedClaims().length)
@@ -79,21 +81,7 @@
   }
 
   applyContract(change: ContractChange): EitherAsync<NettlespurError, ContractRecord> {
-    return this.#lead('applyContract', async () => {
-      const at = this.#opts.clock.now().toISOString()
-      const committed = this.#opts.log
-        .propose({ type: 'contract.apply', at, change })
-        .chain((result) => EitherAsync.liftEither(readContract(result)))
-      const record = await unwrap(committed)
-      const { workspace } = record.contract
-      this.#opts.logger.info({
-        event: 'contract.accepted',
-        workspace,
-        revision: record.revision,
-        changeId: change.changeId,
-      })
-      return record
-    })
+    return this.#lead('applyContract', (session) => this.#contracts.apply(session, change))
   }
 
   listContracts(workspace?: string): EitherAsync<NettlespurError, ContractView[]> {
--- a/control/service/src/createReport.ts
+++ b/control/service/src/createReport.ts
@@ -17,7 +17,7 @@
   upstreams: readonly UpstreamView[],
   now: Date,
 ): ClusterReport {
-  const view = createPlacementView(state, upstreams, now)
+  const view = createPlacementView({ state, upstreams, now })
   const finished = state.listEndedJobs().filter((job) => job.state === 'finished')
   const workspaces = state.listContracts().map(({ contract }) => contract.workspace)
   return {
@@ -62,10 +62,11 @@
     .reduce((sum, upstream) => sum + upstream.accelerators, 0)
 }
 
-function countHeldOnReady({ upstreams, held }: PlacementView): number {
+function countHeldOnReady({ upstreams, running }: PlacementView): number {
   const ready = upstreams.filter((upstream) => upstream.state === 'ready')
   const readyIds = new Set(ready.map((upstream) => upstream.upstreamId))
-  return held
+  return running
+    .flatMap((gang) => gang.blocks)
     .filter((block) => readyIds.has(block.upstreamId))
     .reduce((sum, block) => sum + block.acceleratorIndexes.length, 0)
 }
--- a/control/service/src/decideProbes.ts
+++ b/control/service/src/decideProbes.ts
@@ -1,12 +1,8 @@
 /** Places single stoppable jobs on quarantined upstreams that are due to be tried. */
 import type { UpstreamView } from '@nettlespur/api.schemas'
 import type { JobRecord } from '@nettlespur/control.state'
-import {
-  fitGang,
-  Topology,
-  type PlaceDecision,
-  type WaitingJob,
-} from '@nettlespur/placement.engine'
+import type { PlaceDecision, WaitingJob } from '@nettlespur/placement.engine'
+import { ClusterMap, fitGang, FreeChooser } from '@nettlespur/placement.topology'
 import type { DecideRoundOptions } from './decideRound.js'
 
 /** Jobs looked at for each upstream. */
@@ -46,8 +42,8 @@
   for (const job of candidates) {
     const record = opts.state.getLiveJob(job.jobId)
     if (record === undefined || !mayProbe(opts, job, record, upstream.upstreamId)) continue
-    const topology = new Topology([{ ...upstream, state: 'ready' }], opts.view.held)
-    const blocks = fitGang(topology, job)
+    const map = new ClusterMap([{ ...upstream, state: 'ready' }], opts.view.running)
+    const blocks = fitGang(map, job, new FreeChooser())
     const reason = `probes ${upstream.upstreamId}, which is quarantined, with a job that may be stopped`
     if (blocks !== undefined) return { kind: 'place', jobId: job.jobId, blocks, reason }
   }
@@ -61,8 +57,9 @@
   upstreamId: string,
 ): boolean {
   if (job.heldBack !== undefined || job.urgency === 'urgent' || !request.repeatable) return false
-  const held = view.held.filter((block) => block.workspace === job.workspace)
-  const used = held.reduce((sum, block) => sum + block.acceleratorIndexes.length, 0)
-  const limit = view.acceleratorLimits.get(job.workspace) ?? 0
+  const own = view.running.filter((gang) => gang.workspace === job.workspace)
+  const used = own.reduce((sum, { gang }) => sum + gang.accelerators, 0)
+  const contract = view.contracts.find(({ workspace }) => workspace === job.workspace)
+  const limit = contract?.limits.concurrentAccelerators ?? 0
   return used + job.gang.accelerators <= limit && !failedUpstreamIds.includes(upstreamId)
 }
--- a/control/service/src/placementLoop.ts
+++ b/control/service/src/placementLoop.ts
@@ -7,12 +7,14 @@
 import { readJob } from '@nettlespur/control.state'
 import { toNettlespurError } from '@nettlespur/core.errors'
 import type { PlaceDecision } from '@nettlespur/placement.engine'
+import { describeShapes } from '@nettlespur/placement.plan'
 import { filter, merge, type BehaviorSubject } from 'rxjs'
 import { createPlacementView } from './createPlacementView.js'
 import { decideRound, type RoundDecision } from './decideRound.js'
 import { ImpossibleJobs } from './impossibleJobs.js'
 import { listMoves, mayPreempt, type Preemption } from './listMoves.js'
 import type { ControlNodeOptions } from './nodeOptions.js'
+import { RunTimeLearner } from './runTimeLearner.js'
 import type { UpstreamTable } from './upstreamTable.js'
 
 /** Changes within this time are decided on together. */
@@ -33,6 +35,8 @@
 export class PlacementLoop {
   readonly #opts: PlacementLoopOptions
   readonly #impossible: ImpossibleJobs
+  readonly #learner = new RunTimeLearner()
+  #missingShapes = ''
   #waitReasons = new Map<string, string>()
 
   constructor(opts: PlacementLoopOptions) {
@@ -78,9 +82,17 @@
     const views = upstreams.list()
     const { state } = node.holder
     const now = node.clock.now()
-    const view = createPlacementView(state, views, now)
+    this.#learner.learn(state, now.getTime())
+    const view = createPlacementView({
+      state,
+      upstreams: views,
+      now,
+      upstreamsKnown: this.#opts.knowsUpstreams(),
+      correction: this.#learner.correction,
+    })
     const reasons = new Map<string, string>()
     const decisions = decideRound({ policy: node.policy, view, state, now })
+    this.#tellMissing(describeShapes(node.policy.plan.missing))
     const moves = listMoves(state, views)
     for (const decision of [...moves, ...decisions]) {
       if (signal.aborted) return
@@ -150,6 +162,15 @@
     })
   }
 
+  /** A guaranteed shape that no accelerators can be kept for is an alarm, and so is the end of one. */
+  #tellMissing(missing: string): void {
+    if (missing === this.#missingShapes) return
+    this.#missingShapes = missing
+    const { logger } = this.#opts.node
+    if (missing === '') logger.info({ event: 'plan.feasible' })
+    else logger.error({ event: 'plan.infeasible', missing })
+  }
+
   #keepReasons(reasons: Map<string, string>): void {
     const { logger } = this.#opts.node
     const changed = [...reasons].filter(([id, reason]) => this.#waitReasons.get(id) !== reason)
--- /dev/null
+++ b/control/service/src/runTimeLearner.ts
@@ -0,0 +1,26 @@
+/** Learns from finished jobs how far the run times that each workspace declares are off. */
+import type { ControlState } from '@nettlespur/control.state'
+import { DeclarationCorrection } from '@nettlespur/placement.engine'
+
+const learnEveryMs = 60_000
+
+export class RunTimeLearner {
+  readonly correction = new DeclarationCorrection()
+  #seen = new Set<string>()
+  #nextMs = 0
+
+  /** Looks at what has finished since; does nothing if it did so less than a minute ago. */
+  learn(state: ControlState, nowMs: number): void {
+    if (nowMs < this.#nextMs) return
+    this.#nextMs = nowMs + learnEveryMs
+    const ended = state.listEndedJobs()
+    for (const { jobId, request, state: end, startedAt, endedAt, attempts } of ended) {
+      const ranOnce = end === 'finished' && attempts === 1
+      if (!ranOnce || startedAt === undefined || endedAt === undefined) continue
+      if (this.#seen.has(jobId)) continue
+      const neededMs = Date.parse(endedAt) - Date.parse(startedAt)
+      this.correction.observeRunTime(request.workspace, request.expectedRunTimeMs, neededMs)
+    }
+    this.#seen = new Set(ended.map(({ jobId }) => jobId))
+  }
+}
--- a/control/state/src/controlState.ts
+++ b/control/state/src/controlState.ts
@@ -69,6 +69,11 @@
     return this.#data.contracts.get(workspace)?.record
   }
 
+  /** Whether an operator's change was accepted under this id and the id is still kept. */
+  knowsChange(changeId: string): boolean {
+    return this.#data.changes.has(changeId)
+  }
+
   /** Jobs that have not ended, in order of submission. */
   listLiveJobs(): JobRecord[] {
     return [...this.#data.jobs.values()]
--- a/daemons/control/src/startControl.ts
+++ b/daemons/control/src/startControl.ts
@@ -9,7 +9,7 @@
 import { MetricsRegistry } from '@nettlespur/core.metrics'
 import { readKeys, readTlsFiles } from '@nettlespur/daemons.common'
 import { createHttpServer } from '@nettlespur/http.server'
-import { BestFitPolicy } from '@nettlespur/placement.engine'
+import { createPolicy } from '@nettlespur/placement.engine'
 import { createRpcServer } from '@nettlespur/rpc.peer'
 import type { ControlSettings } from '@nettlespur/settings.schemas'
 import { initTRPC } from '@trpc/server'
@@ -77,7 +77,7 @@
   const holder = new StateHolder()
   const peerKey = peerKeys[0] ?? ''
   const log = await openLog(settings, { clock, logger, lifecycle, holder, peerKey })
-  const policy = new BestFitPolicy()
+  const policy = createPolicy(settings.objective)
   const node = new ControlNode({
     instanceId,
     clock,
--- a/daemons/trial/test/gangFailures.test.ts
+++ b/daemons/trial/test/gangFailures.test.ts
@@ -148,3 +148,78 @@
   )
   t.true(ended.every((job) => job.state === 'finished'))
 })
+
+test('a gang that ignores its stop holds its accelerators until its lease is over, then runs whole elsewhere', async (t) => {
+  const trial = await startTrial(t, { upstreams: 3 })
+  const gang = { accelerators: 8, adjacency: 'upstream' as const }
+  const jobId = await trial.submit({ gang }, { runTimeMs: 30_000 })
+  const placed = await trial.waitForJob(jobId, (job) => job.state === 'running')
+  const from = trial.findUpstream(placed.placement?.members[0]?.upstreamId)
+  await trial.setFaults(from, { ignoreStops: true })
+  await trial.callUpstream(from, 'POST', '/v1/standin/leave')
+  await trial.control.process.waitFor('placement.preempted', (line) => line.jobId === jobId)
+  const [held] = await trial.listRuns(from, jobId)
+  t.like(held, { endState: 'running' })
+  t.is((await trial.getJob(jobId)).state, 'stopping')
+  const moved = await trial.waitForJob(
+    jobId,
+    (job) => job.attempts === 2 && job.state === 'running',
+  )
+  t.not(moved.placement?.members[0]?.upstreamId, from.id)
+  const [ended] = await trial.listRuns(from, jobId)
+  t.is(ended?.endState, 'lease-expired')
+})
+
+test('a guarantee is reclaimed from a borrower that ignores its stop as soon as its lease is over', async (t) => {
+  const trial = await startTrial(t, { upstreams: 1 })
+  await trial.putContract('small', 8)
+  const [upstream] = trial.cluster.upstreams
+  if (upstream === undefined) throw new Error('no upstream')
+  const gang = { accelerators: 8, adjacency: 'upstream' as const }
+  const borrower = await trial.submit({ gang }, { runTimeMs: 100_000 })
+  await trial.waitForJob(borrower, (job) => job.state === 'running')
+  await trial.setFaults(upstream, { ignoreStops: true })
+  const owner = await trial.submit({ workspace: 'small', gang }, { runTimeMs: 10 })
+  await trial.control.process.waitFor('placement.preempted', (line) => line.forJobId === owner)
+  t.is((await trial.getJob(owner, 'small')).state, 'queued')
+  const ended = await trial.waitForJob(owner, (job) => job.endedAt !== undefined, 'small')
+  t.is(ended.state, 'finished')
+  const [held] = await trial.listRuns(upstream, borrower)
+  t.like(held, { taskId: `${borrower}.1.0`, endState: 'lease-expired' })
+})
+
+test('urgent work takes the place of work that may be stopped, and that work finishes later', async (t) => {
+  const trial = await startTrial(t, { upstreams: 1 })
+  const gang = { accelerators: 8, adjacency: 'upstream' as const }
+  const checkpointable = await trial.submit(
+    { gang, repeatable: false, checkpointable: true },
+    { runTimeMs: 3000 },
+  )
+  await trial.waitForJob(checkpointable, (job) => job.state === 'running')
+  const urgent = await trial.submit({ gang, urgency: 'urgent' }, { runTimeMs: 10 })
+  const first = await trial.waitForJob(urgent, (job) => job.endedAt !== undefined)
+  t.is(first.state, 'finished')
+  const later = await trial.waitForJob(checkpointable, (job) => job.endedAt !== undefined)
+  t.like(later, { state: 'finished', attempts: 2 })
+})
+
+test('a running gang outlives the death of its leader: another member takes it over, and it runs once', async (t) => {
+  const trial = await startTrial(t, { upstreams: 2, controls: 3 })
+  const jobId = await trial.submit({ repeatable: false }, { runTimeMs: 8000 })
+  await trial.waitForJob(jobId, (job) => job.state === 'running')
+  const { controls } = trial.cluster
+  const leader = await Promise.any(
+    controls.map(async (control) => {
+      await control.process.waitFor('placement.decided', (line) => line.jobId === jobId)
+      return control
+    }),
+  )
+  await leader.process.kill()
+  const ended = await trial.waitForJob(jobId, (job) => job.endedAt !== undefined)
+  t.like(ended, { state: 'finished', attempts: 1 })
+  const runs = await listAllRuns(trial, jobId)
+  t.deepEqual(
+    runs.map((run) => run.startedCount),
+    [1, 1],
+  )
+})
