--- a/bench/capacity/src/slopes/measureCapacity.ts
+++ b/bench/capacity/src/slopes/measureCapacity.ts
@@ -4,6 +4,7 @@
  */
 import type { FigureRow } from '../figureRow.js'
 import { describeSlope, type Point } from './describeSlope.js'
+import { measureRelaxed } from './measureRelaxed.js'
 import { Trial } from './trial.js'
 
 const upstreamSizes = [0, 40, 80, 160] as const
@@ -16,7 +17,13 @@
 const workspace = 'measured'
 
 export async function measureCapacity(): Promise<readonly FigureRow[]> {
-  const slopes = [measureUpstreams(), measureTasks(), measureContracts(), measureEntries()]
+  const slopes = [
+    measureUpstreams(),
+    measureTasks(),
+    measureContracts(),
+    measureEntries(),
+    measureRelaxed(),
+  ]
   return (await Promise.all(slopes)).flat()
 }
 
--- a/bench/capacity/src/slopes/trial.ts
+++ b/bench/capacity/src/slopes/trial.ts
@@ -3,7 +3,13 @@
 import path from 'node:path'
 import type { Clock } from '@nettlespur/core.clock'
 import { SystemClock } from '@nettlespur/core.clock'
-import { callEntry, createTrialContract, TrialCluster, waitUntil } from '@nettlespur/daemons.trial'
+import {
+  callEntry,
+  createTrialContract,
+  TrialCluster,
+  waitUntil,
+  type TrialClusterOptions,
+} from '@nettlespur/daemons.trial'
 import { createKey } from '@nettlespur/http.keys'
 import { Fleet } from './fleet.js'
 import { measureRates, type RatesByRole } from './rates.js'
@@ -19,6 +25,8 @@
 const contractStatusOk = 200
 const jobStatusAccepted = 202
 
+export type TrialSettings = Pick<Partial<TrialClusterOptions>, 'controlSettings' | 'entrySettings'>
+
 export class Trial {
   readonly clock: Clock = new SystemClock()
   readonly callerKey = createKey()
@@ -31,9 +39,10 @@
     this.#cluster = cluster
   }
 
-  /** One control and `entries` entries. */
-  static async start(entries: number): Promise<Trial> {
-    const trial = new Trial(await TrialCluster.start({ controls: 1, entries, upstreams: 0 }))
+  /** One control and `entries` entries, with the settings given over their defaults. */
+  static async start(entries: number, settings: TrialSettings = {}): Promise<Trial> {
+    const opts = { controls: 1, entries, upstreams: 0, ...settings }
+    const trial = new Trial(await TrialCluster.start(opts))
     await trial.clock.sleep(warmUpMs)
     return trial
   }
@@ -89,11 +98,11 @@
   }
 
   /** The rates of the control and of the first entry. */
-  measure(): Promise<RatesByRole> {
+  measure(spanMs = windowMs): Promise<RatesByRole> {
     const [control] = this.#cluster.controls
     const [entry] = this.#cluster.entries
     const pids = { control: control?.process.pid ?? 0, entry: entry?.process.pid ?? 0 }
-    return measureRates(this.clock, pids, windowMs)
+    return measureRates(this.clock, pids, spanMs)
   }
 
   async #submitJob(workspace: string): Promise<void> {
