--- a/entry/claims/test/claimingRouter.test.ts
+++ b/entry/claims/test/claimingRouter.test.ts
@@ -151,7 +151,7 @@
       const trial = await play({ played, script, delaysMs }, ({ upstreams }, { key, result }) => {
         replies += 1
         result.ifRight((answer) => {
-          answers.set(key, (answers.get(key) ?? new Set()).add(answer.body.toString()))
+          answers.set(key, (answers.get(key) ?? new Set()).add(readText(answer.body)))
         })
         result.ifLeft((error) => {
           if (error.answer.ran !== 'no' || error.kind === 'idempotency-conflict') return
@@ -220,3 +220,24 @@
   t.is(trial.upstreams.started.length, 1)
   trial.end()
 })
+
+test('a large answer that was lost is collected whole, and never passes through control', async (t) => {
+  const trial = new ClaimTrial()
+  trial.upstreams.script.push('lose')
+  const body = 'span '.repeat(20_000)
+  const lost = trial.createEntry('entry-1', 'first').run(trial.createRequest('a', body)).run()
+  await trial.clock.advance(3000)
+  const answer = readText((await lost).unsafeCoerce().body)
+  t.true(answer.endsWith(body))
+  const outcome = trial.control.claims.get({ workspace: 'thapa', key: 'a' })?.outcome
+  t.like(outcome, { kind: 'answered', bodyBytes: answer.length, bodyBase64: undefined })
+  t.is(trial.upstreams.collected, 1, 'by the entry alone')
+  t.is(trial.upstreams.started.length, 1)
+  trial.end()
+})
+
+/** The fake upstreams answer with whole buffers only. */
+function readText(body: unknown): string {
+  if (!Buffer.isBuffer(body)) throw new Error('not a whole answer')
+  return body.toString()
+}
--- a/entry/requests/src/shortRequest.ts
+++ b/entry/requests/src/shortRequest.ts
@@ -1,4 +1,6 @@
+/** One short request as the router takes it, and the answer it gives. */
 import type { UpstreamView } from '@nettlespur/api.schemas'
+import type { TaskAnswer } from './taskTransport.js'
 
 /** What must be committed before an attempt of a request leaves this entry. */
 export abstract class DispatchClaim {
@@ -10,7 +12,6 @@
   }): Promise<number>
 }
 
-/** One short request as the router takes it, and the whole answer it gives. */
 export interface ShortRequest {
   readonly workspace: string
   /** The caller's key for this request; undefined where it gave none. */
@@ -27,11 +28,8 @@
   readonly claim?: DispatchClaim | undefined
 }
 
-/** The upstream's own answer, whole. */
-export interface ShortAnswer {
-  readonly status: number
-  readonly contentType: string | undefined
-  readonly body: Buffer
+/** The upstream's own answer. A large one is a stream, which fails where it ends early. */
+export interface ShortAnswer extends TaskAnswer {
   readonly taskId: string
   readonly attempt: number
   readonly upstreamId: string
