test: compare where a change is in force whatever the order

The order of entries is that in which the leader heard of them, which is not promised; the set is compared as strictly as before, after both entries are known to the leader.

--- a/daemons/trial/test/agreement.test.ts
+++ b/daemons/trial/test/agreement.test.ts
@@ -16,6 +16,7 @@
   readonly leaderId: string
   readonly term: number
   readonly members: readonly MemberView[]
+  readonly entries: readonly { readonly entryId: string }[]
 }
 
 interface Accepted {
@@ -101,7 +102,8 @@
 
 test.serial('three controls elect a leader, take a change and have it in force', async (t) => {
   const cluster = await start(t, 2)
-  const { members } = await awaitStatus(cluster)
+  // A cluster that has just begun knows of an entry once that has asked for the contracts.
+  const { members } = await awaitStatus(cluster, ({ entries }) => entries.length === 2)
   t.deepEqual(members.map(({ role }) => role).sort(), ['leader', 'voter', 'voter'])
   const answer = await putContract(cluster, { changeId: 'first', expectedRevision: 0 }, true)
   t.is(answer.status, 200, answer.text)
