--- a/bench/load/src/loadTrial.ts
+++ b/bench/load/src/loadTrial.ts
@@ -48,6 +48,7 @@
       createHeaders: () => ({
         authorization: formatBearerKey(this.#key),
         'nettlespur-workspace': workspace,
+        'nettlespur-repeatable': 'true',
         'nettlespur-deadline-ms': String(deadlineMs),
       }),
       body,
--- a/control/service/src/leaderSession.ts
+++ b/control/service/src/leaderSession.ts
@@ -8,6 +8,7 @@
 import { GangManager } from '@nettlespur/control.gangs'
 import { LifecycleManager } from '@nettlespur/core.lifecycle'
 import { BehaviorSubject, Subject } from 'rxjs'
+import { ClaimResolver } from './claimResolver.js'
 import { EntryTable } from './entryTable.js'
 import type { ControlNodeOptions } from './nodeOptions.js'
 import { PlacementLoop } from './placementLoop.js'
@@ -40,14 +41,33 @@
     this.epoch = `${opts.instanceId}-${term}-${randomUUID().slice(0, epochSuffixLength)}`
     this.#startMs = clock.monotonicMs()
     const { upstreamSuspectMs: suspectMs, upstreamGoneMs: goneMs } = timings
-    this.upstreams = new UpstreamTable({ clock, logger, suspectMs, goneMs, version })
+    this.upstreams = new UpstreamTable({
+      clock,
+      logger,
+      suspectMs,
+      goneMs,
+      readHealth: (upstreamId) => holder.state.getUpstreamHealth(upstreamId),
+      version,
+    })
     const dropAfterMs = timings.contractLeaseMs + timings.clockDriftMarginMs
     const mayHaveFormerEntries = holder.state.appliedIndex > 0
     this.entries = new EntryTable({ clock, dropAfterMs, mayHaveFormerEntries, version })
     const random = opts.random ?? Math.random
-    this.#gangs = new GangManager({ ...opts, random, taskReports: this.#taskReports })
     const { upstreams } = this
-    this.placements = new PlacementLoop({ node: opts, gangs: this.#gangs, upstreams, version })
+    this.#gangs = new GangManager({
+      ...opts,
+      random,
+      taskReports: this.#taskReports,
+      isUpstreamSilent: (upstreamId) => upstreams.isSilent(upstreamId),
+      upstreamChanges: upstreams.changes,
+    })
+    this.placements = new PlacementLoop({
+      node: opts,
+      gangs: this.#gangs,
+      upstreams,
+      knowsUpstreams: () => this.knowsUpstreams,
+      version,
+    })
     const onFault = ({ name, cause }: { name: string; cause: unknown }): void => {
       logger.error({ event: 'control.leadership-fault', name, reason: String(cause) })
     }
@@ -67,6 +87,7 @@
 
   start(): void {
     this.#lifecycle.ownTask('placement', (signal) => this.#place(signal))
+    this.#lifecycle.ownTask('claims', (signal) => this.#resolveClaims(signal))
     this.#lifecycle.ownTask('refresh', (signal) => this.#refresh(signal))
     // Registered last so that it runs first: who leads no more renews no lease.
     this.#lifecycle.own('gangs', () => this.#gangs.stop())
@@ -85,12 +106,21 @@
 
   /** Nothing is decided before the state holds all that former leaders committed. */
   async #place(signal: AbortSignal): Promise<void> {
+    await this.#waitForState(signal)
+    if (!signal.aborted) await this.placements.run(signal)
+  }
+
+  async #resolveClaims(signal: AbortSignal): Promise<void> {
+    await this.#waitForState(signal)
+    if (!signal.aborted) await new ClaimResolver(this.#opts, this.entries).run(signal)
+  }
+
+  async #waitForState(signal: AbortSignal): Promise<void> {
     const { log, clock } = this.#opts
     while ((await log.readBarrier().run()).isLeft()) {
       await clock.sleep(barrierRetryMs, signal)
       if (signal.aborted) return
     }
-    await this.placements.run(signal)
   }
 
   async #refresh(signal: AbortSignal): Promise<void> {
--- a/entry/requests/src/localRequestRouter.ts
+++ b/entry/requests/src/localRequestRouter.ts
@@ -126,24 +126,29 @@
     }
   }
 
-  async #attemptOn(progress: Progress, slot: SlotGrant): Promise<TaskOutcome> {
+  #attemptOn(progress: Progress, slot: SlotGrant): Promise<TaskOutcome> {
+    const running = this.#dispatch(progress, slot)
+    runAfterAnswer(running, readStreamOf, () => {
+      this.#opts.queue.releaseSlot(slot.upstream.upstreamId)
+    })
+    return running
+  }
+
+  async #dispatch(progress: Progress, slot: SlotGrant): Promise<TaskOutcome> {
     const { request, taskId, attempt } = progress
-    this.#logRouted(progress, slot)
-    const running = this.#opts.transport.run({
+    const { upstream } = slot
+    const fence = (await request.claim?.commit({ upstream, taskId, attempt })) ?? slot.fence
+    this.#logRouted(progress, { ...slot, fence })
+    return this.#opts.transport.run({
       ...request,
-      upstreamId: slot.upstream.upstreamId,
+      upstreamId: upstream.upstreamId,
       taskId,
       attempt,
-      address: slot.upstream.address,
-      fence: slot.fence,
+      address: upstream.address,
+      fence,
       givenUp: this.#abandoned.signal,
       timeoutMs: Math.max(1, request.deadlineAtMs - this.#opts.clock.monotonicMs()),
     })
-    const release = (): void => {
-      this.#opts.queue.releaseSlot(slot.upstream.upstreamId)
-    }
-    runAfterAnswer(running, readStreamOf, release)
-    return running
   }
 
   #noteFailure(progress: Progress, slot: SlotGrant, outcome: Attempted): void {
