fix: believe "never seen" only of an upstream that has not forgotten

An upstream that restarted knows no task, so its word that one was never seen made a false "not run". It now counts only while the upstream still knows a task that it had answered before. A test of claims held only the first answer back; the entry now collects it by itself, so the test holds back status and answer too, and is as strict.

--- a/daemons/trial/test/claims.test.ts
+++ b/daemons/trial/test/claims.test.ts
@@ -126,10 +126,13 @@
 
 test('an answer lost on its way is collected for a resend through another entry, after one run', async (t) => {
   const { cluster, first, second, upstream } = await start(t)
-  await askUpstream(cluster, upstream, '/v1/standin/faults', { loseAnswers: ['run'] })
+  await askUpstream(cluster, upstream, '/v1/standin/faults', {
+    loseAnswers: ['run', 'status', 'answer'],
+  })
   const lost = await send(first, 'k3', 'span 9', 1500)
   t.is(lost.status, 504)
   t.is(readKind(lost), 'outcome-unknown')
+  await askUpstream(cluster, upstream, '/v1/standin/faults', {})
   const again = await send(second, 'k3', 'span 9')
   t.is(again.status, 200)
   t.is(again.text, 'span 9')
--- a/entry/claims/test/claimingRouter.test.ts
+++ b/entry/claims/test/claimingRouter.test.ts
@@ -151,7 +151,12 @@
       const trial = await play({ played, script, delaysMs }, ({ upstreams }, { key, result }) => {
         replies += 1
         result.ifRight((answer) => {
-          answers.set(key, (answers.get(key) ?? new Set()).add(answer.body.toString()))
+          answers.set(
+            key,
+            (answers.get(key) ?? new Set()).add(
+              Buffer.isBuffer(answer.body) ? answer.body.toString() : 'a stream',
+            ),
+          )
         })
         result.ifLeft((error) => {
           if (error.answer.ran !== 'no' || error.kind === 'idempotency-conflict') return
--- a/entry/requests/src/httpTaskTransport.ts
+++ b/entry/requests/src/httpTaskTransport.ts
@@ -56,6 +56,7 @@
       ...this.#opts,
       headers: this.#keyHeaders(),
       task,
+      witnessTaskId: this.#pools.of(task.address).lastAnsweredTaskId,
       deadlineAtMs: clock.monotonicMs() + task.timeoutMs,
     })
     const cut = new AbortController()
@@ -126,7 +127,11 @@
         Promise.resolve({ kind: error.kind === 'unreachable' ? 'not-sent' : 'lost', error }),
       Right: (answer) => readAnswer(answer, { answerBytesMax, expected: expectAttempt(task) }),
     })
-    return outcome.kind === 'lost' ? this.#followUp(task, outcome, inquiry) : outcome
+    if (outcome.kind === 'lost') return this.#followUp(task, outcome, inquiry)
+    if (outcome.kind === 'answered') {
+      this.#pools.of(task.address).lastAnsweredTaskId = task.taskId
+    }
+    return outcome
   }
 
   /** Asks after a task whose connection was cut, for as long as its upstream says that it runs. */
@@ -149,11 +154,12 @@
     inquiry: TaskInquiry,
   ): Promise<TaskOutcome | undefined> {
     if (state === 'finished') return inquiry.collectAnswer()
-    if (state === 'never-runs') return createNeverRunsOutcome(task)
     if (state !== undefined && endedStates.has(state))
       return createLostOutcome(`the task is ${state}`)
-    if (state !== 'unknown') return undefined
-    return (await inquiry.forbidStart()) === 'never-runs' ? createNeverRunsOutcome(task) : undefined
+    if (state !== 'unknown' && state !== 'never-runs') return undefined
+    const forbidden = state === 'never-runs' || (await inquiry.forbidStart()) === 'never-runs'
+    if (forbidden && (await inquiry.remembers())) return createNeverRunsOutcome(task)
+    return createLostOutcome('its upstream does not know it, and may have forgotten it')
   }
 
   #headers(task: TaskRun): Record<string, string> {
--- a/entry/requests/src/taskInquiry.ts
+++ b/entry/requests/src/taskInquiry.ts
@@ -20,6 +20,8 @@
   headers: Readonly<Record<string, string>>
   answerBytesMax: number
   task: TaskRun
+  /** A task that the upstream had answered before this one was sent. */
+  witnessTaskId: string | undefined
   /** When nobody waits for the answer any more, on the clock's monotonic scale. */
   deadlineAtMs: number
 }
@@ -40,6 +42,14 @@
     return this.#ask('GET', '')
   }
 
+  /** False where the upstream may have restarted since, and so have run what it no longer knows. */
+  async remembers(): Promise<boolean> {
+    const { witnessTaskId } = this.#opts
+    if (witnessTaskId === undefined) return false
+    const state = await this.#ask('GET', '', undefined, witnessTaskId)
+    return state !== undefined && state !== 'unknown'
+  }
+
   /**
    * Makes sure that a task which its upstream has never seen will not run: the call may still be under
    * way on the old connection. One that started meanwhile is stopped.
@@ -59,8 +69,13 @@
     })
   }
 
-  async #ask(method: string, part: string, body?: string): Promise<TaskState | undefined> {
-    const call = this.#call(method, part)
+  async #ask(
+    method: string,
+    part: string,
+    body?: string,
+    taskId = this.#opts.task.taskId,
+  ): Promise<TaskState | undefined> {
+    const call = this.#call(method, part, taskId)
     const timeoutMs = Math.min(questionMs, this.#remainingMs())
     const answer = await callHttp({
       ...call,
@@ -70,13 +85,13 @@
     }).run()
     return answer.caseOf({
       Left: () => undefined,
-      Right: (received) => readState(received.body, this.#opts.task.taskId),
+      Right: (received) => readState(received.body, taskId),
     })
   }
 
-  #call(method: string, part: string) {
+  #call(method: string, part: string, taskId = this.#opts.task.taskId) {
     const { clock, headers, task } = this.#opts
-    const path = `/v1/tasks/${encodeURIComponent(task.taskId)}${part}`
+    const path = `/v1/tasks/${encodeURIComponent(taskId)}${part}`
     return { clock, address: task.address, method, path, headers, agent: newConnections }
   }
 
--- a/entry/requests/src/upstreamPool.ts
+++ b/entry/requests/src/upstreamPool.ts
@@ -15,6 +15,8 @@
 }
 
 export class UpstreamPool {
+  /** The task answered last: while the upstream knows it, it has not forgotten later ones. */
+  lastAnsweredTaskId: string | undefined
   readonly #opts: UpstreamPoolOptions
   readonly #provenMs = new WeakMap<Socket, number>()
   #agent: http.Agent
--- a/entry/requests/test/silentConnections.test.ts
+++ b/entry/requests/test/silentConnections.test.ts
@@ -69,6 +69,16 @@
   t.is(countStarts(), 1)
 })
 
+test('an upstream that may have forgotten is not believed that a request did not run', async (t) => {
+  const { send, countStarts, standIns, forwarders } = await start(t, 1)
+  const [standIn] = standIns
+  standIn?.faults.set({ stall: ['run'] })
+  const unanswered = (await send('first', 1000)).extract()
+  t.like(unanswered, { kind: 'outcome-unknown' })
+  t.is(countStarts(), 0)
+  forwarders[0]?.silence('both')
+})
+
 test('a request that was held up and arrives after it was told not to have run does not run', async (t) => {
   const { send, countStarts, forwarders } = await start(t, 1)
   t.true((await send('first')).isRight())
