--- a/daemons/trial/test/requestRolling.test.ts
+++ b/daemons/trial/test/requestRolling.test.ts
@@ -84,12 +84,12 @@
   const { cluster, key: formerKey, contract } = trial
   const [frozen, other] = cluster.entries
   if (frozen === undefined || other === undefined) return
-  const call = { ...createCall('short'), address: frozen.address }
-  t.is((await callEntry({ ...call, key: formerKey })).status, 200)
+  const createOwn = () => ({ ...createCall('short'), address: frozen.address })
+  t.is((await callEntry({ ...createOwn(), key: formerKey })).status, 200)
   frozen.process.signal('SIGSTOP')
   const newKey = createKey()
   const keys = [{ id: 'caller', sha256: hashKey(newKey) }]
-  const held = Array.from({ length: 5 }, () => callEntry({ ...call, key: formerKey }))
+  const held = Array.from({ length: 5 }, () => callEntry({ ...createOwn(), key: formerKey }))
   const changed = await putContract(cluster, other, { ...contract, keys }, 1)
   t.like(changed.json, { revision: 2, notYetInForceAt: [] })
   const before = (await listRuns(cluster)).length
@@ -100,8 +100,8 @@
   }
   t.is((await listRuns(cluster)).length, before)
   await waitUntil(async () => {
-    const answer = await callEntry({ ...call, key: newKey })
+    const answer = await callEntry({ ...createOwn(), key: newKey })
     return answer.status === 200 ? true : undefined
   })
-  t.is((await callEntry({ ...call, key: formerKey })).status, 401)
+  t.is((await callEntry({ ...createOwn(), key: formerKey })).status, 401)
 })
--- a/daemons/trial/test/requestTrial.ts
+++ b/daemons/trial/test/requestTrial.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto'
 import { readFileSync } from 'node:fs'
 import path from 'node:path'
 import type { ExecutionContext } from 'ava'
@@ -59,7 +60,7 @@
 }
 
 export function createCall(body: string) {
-  const headers = { 'nettlespur-workspace': workspace }
+  const headers = { 'nettlespur-workspace': workspace, 'idempotency-key': randomUUID() }
   return { method: 'POST', path: '/v1/requests', headers, body }
 }
 
--- a/entry/requests/src/localRequestRouter.ts
+++ b/entry/requests/src/localRequestRouter.ts
@@ -127,15 +127,14 @@
   }
 
   #attemptOn(progress: Progress, slot: SlotGrant): Promise<TaskOutcome> {
-    const running = this.#send(progress, slot)
-    const release = (): void => {
+    const running = this.#dispatch(progress, slot)
+    runAfterAnswer(running, readStreamOf, () => {
       this.#opts.queue.releaseSlot(slot.upstream.upstreamId)
-    }
-    runAfterAnswer(running, readStreamOf, release)
+    })
     return running
   }
 
-  async #send(progress: Progress, slot: SlotGrant): Promise<TaskOutcome> {
+  async #dispatch(progress: Progress, slot: SlotGrant): Promise<TaskOutcome> {
     const { request, taskId, attempt } = progress
     const { upstream } = slot
     const fence = (await request.claim?.commit({ upstream, taskId, attempt })) ?? slot.fence
--- a/entry/requests/src/shortRequest.ts
+++ b/entry/requests/src/shortRequest.ts
@@ -1,4 +1,3 @@
-/** One short request as the router takes it, and the answer it gives. */
 import type { UpstreamView } from '@nettlespur/api.schemas'
 import type { TaskAnswer } from './taskTransport.js'
 
@@ -12,6 +11,7 @@
   }): Promise<number>
 }
 
+/** One short request as the router takes it, and the answer it gives. */
 export interface ShortRequest {
   readonly workspace: string
   /** The caller's key for this request; undefined where it gave none. */
