--- a/bench/placement/src/index.ts
+++ b/bench/placement/src/index.ts
@@ -1,3 +1,5 @@
 /** Measures placement against simpler policies over seeded traces. */
-export { measureTraces } from './measureTraces.js'
+export { measureDecisionCost } from './measureDecisionCost.js'
+export { measurePlacement } from './measurePlacement.js'
+export { measureTraces, type TraceMeasureOptions } from './measureTraces.js'
 export type { Row } from './row.js'
--- a/placement/engine/src/jobScreen.ts
+++ b/placement/engine/src/jobScreen.ts
@@ -25,7 +25,7 @@
 
   constructor(round: PlacementRound) {
     this.#round = round
-    this.#largestUpstream = Math.max(0, ...round.map.rooms.map((room) => room.size))
+    this.#largestUpstream = round.map.largestUpstream
     this.#guaranteedCounts = countGuaranteed(round)
   }
 
--- a/placement/engine/src/objectivePolicy.ts
+++ b/placement/engine/src/objectivePolicy.ts
@@ -13,10 +13,11 @@
 import type { PlacementView, WaitingJob } from './placementView.js'
 import { sortIntoQueues, takeByShare } from './workspaceQueues.js'
 
-/** After this wait a gang's forming block is cleared whatever the work lost. */
+/** After this wait the longest-waiting gang's forming block is cleared whatever the work lost. */
 const formingWaitMaxMs = 1_800_000
-/** Gangs of one workspace that are looked at in one round before borrowed capacity is shared out. */
+/** Gangs of one workspace, and of all, that may have a block set apart; the longest-waiting ones. */
 const formingPerWorkspaceMax = 2
+const formingMax = 6
 
 export abstract class ObjectivePolicy extends PlacementPolicy {
   readonly #planner = new ReservationPlanner()
@@ -80,8 +81,11 @@
 
   /** The longest-waiting gangs, one of each workspace. */
   #placeForming(round: PlacementRound, screen: JobScreen, normal: readonly WaitingJob[]): void {
+    let isOldest = true
+    let left = formingMax
     const served = new Map<string, number>()
     for (const job of normal) {
+      if (left === 0) return
       if (
         (served.get(job.workspace) ?? 0) >= formingPerWorkspaceMax ||
         !round.isUndecided(job) ||
@@ -90,25 +94,32 @@
         continue
       if (!screen.stillAdmits(job)) continue
       served.set(job.workspace, (served.get(job.workspace) ?? 0) + 1)
-      this.#placeFormingOne(round, screen, job)
+      this.#placeFormingOne(round, screen, job, isOldest)
+      left -= 1
+      isOldest &&= round.hasPlaced(job)
     }
   }
 
-  #placeFormingOne(round: PlacementRound, screen: JobScreen, job: WaitingJob): void {
+  #placeFormingOne(
+    round: PlacementRound,
+    screen: JobScreen,
+    job: WaitingJob,
+    isOldest: boolean,
+  ): void {
     if (this.#startBorrowing(round, screen, job, 'longest wait')) return
     const { map, rules, view } = round
     const site = { map, rules, nowMs: view.nowMs }
     const blocks = this.#forming.get(job.jobId) ?? this.#forming.form(site, job)
     const clearing = round.clearBlocks(job, 'forming', blocks)
-    const best = clearing ?? round.findClearing(job, 'forming')
+    const best = clearing ?? screen.once('forming', job, () => round.findClearing(job, 'forming'))
     if (best === undefined || best.victims.length === 0) return
-    if (!this.#isWorthwhile(job, best.lostWork, view.nowMs)) return
+    if (!this.#isWorthwhile(job, best.lostWork, view.nowMs, isOldest)) return
     round.clear(job, best, 'its wait outweighs the work lost')
   }
 
-  #isWorthwhile(job: WaitingJob, lostWork: number, nowMs: number): boolean {
+  #isWorthwhile(job: WaitingJob, lostWork: number, nowMs: number, isOldest: boolean): boolean {
     const waitedMs = nowMs - job.queuedAtMs
-    if (waitedMs >= formingWaitMaxMs) return true
+    if (isOldest && waitedMs >= formingWaitMaxMs) return true
     return lostWork <= waitedMs * job.gang.accelerators * this.preemptionPatience
   }
 
--- a/placement/engine/src/placementRound.ts
+++ b/placement/engine/src/placementRound.ts
@@ -58,7 +58,12 @@
     planner.update(this.map, view.contracts)
     const protectedGangs = new Set(view.running.filter((gang) => this.#isWithinGuarantee(gang)))
     const [placedNow, stoppedNow] = [this.#placedNow, this.#stoppedNow]
-    this.rules = new VictimRules({ protectedGangs, placedNow, stoppedNow })
+    this.rules = new VictimRules({
+      largestUpstream: this.map.largestUpstream,
+      protectedGangs,
+      placedNow,
+      stoppedNow,
+    })
     this.shares = new DominantShares(this.map, view.contracts)
     for (const gang of view.running) {
       this.#count(gang.workspace, gang.gang.accelerators)
@@ -93,6 +98,10 @@
     return this.#planner.hasUnused(this.map, job.workspace, job.gang)
   }
 
+  hasPlaced(job: WaitingJob): boolean {
+    return this.#decided.get(job.jobId)?.kind === 'place'
+  }
+
   /** Whether a block is set apart for this very job. */
   ownsForming(job: WaitingJob): boolean {
     return this.#forming.get(job.jobId) !== undefined
--- a/placement/engine/src/victimRules.ts
+++ b/placement/engine/src/victimRules.ts
@@ -6,6 +6,8 @@
 export type Claim = 'guaranteed' | 'urgent' | 'forming'
 
 export interface VictimRulesOptions {
+  /** Gangs of this many accelerators or more make no room for larger ones. */
+  readonly largestUpstream: number
   /** Gangs that run within what is guaranteed to their workspace. */
   readonly protectedGangs: ReadonlySet<RunningGang>
   /** Gangs placed in this very round. */
@@ -29,7 +31,7 @@
   }
 
   mayStop(gang: RunningGang, job: WaitingJob, claim: Claim): boolean {
-    const { placedNow, protectedGangs } = this.#opts
+    const { placedNow, protectedGangs, largestUpstream: largest } = this.#opts
     if (this.isStopping(gang)) return true
     if (gang.stoppability === 'never' || placedNow.has(gang)) return false
     const isOwn = gang.workspace === job.workspace
@@ -41,7 +43,7 @@
       case 'forming':
         return (
           gang.urgency !== 'urgent' &&
-          gang.gang.accelerators * formingSizeRatio <= job.gang.accelerators &&
+          gang.gang.accelerators * formingSizeRatio <= Math.min(job.gang.accelerators, largest) &&
           (isOwn || !protectedGangs.has(gang))
         )
     }
--- a/placement/plan/src/reservationChooser.ts
+++ b/placement/plan/src/reservationChooser.ts
@@ -1,5 +1,5 @@
 /** Where a guaranteed shape may be mapped to, and where best: on its own work, then on free accelerators. */
-import { BlockChooser, type UpstreamRoom } from '@nettlespur/placement.topology'
+import { BlockChooser, type Demand, type UpstreamRoom } from '@nettlespur/placement.topology'
 import { hasShareFor, isUnstoppable } from './measureSpare.js'
 
 const ownUseGain = 1_000_000
@@ -34,9 +34,11 @@
     return 0
   }
 
-  /** Processors and memory are kept by even shares, whatever runs there now. */
-  override countAffordable(room: UpstreamRoom): number {
-    return room.size
+  /** Processors and memory are kept by even shares, whatever stoppable work uses now. */
+  override countAffordable(room: UpstreamRoom, { gang }: Demand): number {
+    let count = Math.min(room.size, gang.accelerators)
+    while (count > 0 && !hasShareFor(room, this.#workspace, count)) count -= 1
+    return count
   }
 }
 
--- a/placement/topology/src/clusterMap.ts
+++ b/placement/topology/src/clusterMap.ts
@@ -27,6 +27,11 @@
     return this.rooms.reduce((sum, room) => sum + room.freeCount, 0)
   }
 
+  /** Accelerators of the largest upstream. */
+  get largestUpstream(): number {
+    return this.rooms.reduce((most, room) => Math.max(most, room.size), 0)
+  }
+
   get size(): number {
     return this.rooms.reduce((sum, room) => sum + room.size, 0)
   }
--- a/placement/topology/src/fitBlock.ts
+++ b/placement/topology/src/fitBlock.ts
@@ -25,10 +25,12 @@
   let best: RatedBlock | undefined
   for (const room of rooms) {
     if (chooser.countUsableMax(room) < count) continue
-    if (chooser.countAffordable(room, demand) < count) continue
     const step = isAligned(count) ? count : 1
+    let isAffordable: boolean | undefined
     for (let from = 0; from + count <= room.size; from += step) {
       if (!isUsableRun(room, from, count, chooser)) continue
+      isAffordable ??= chooser.countAffordable(room, demand) >= count
+      if (!isAffordable) break
       const rate = chooser.rate(room, from, count)
       if (rate < (best?.rate ?? Number.POSITIVE_INFINITY)) best = { room, from, count, rate }
     }
--- a/placement/topology/src/fitGang.ts
+++ b/placement/topology/src/fitGang.ts
@@ -70,8 +70,8 @@
   for (const room of rack) {
     const count = room.size
     if (count === 0 || chooser.countUsableMax(room) < count) continue
-    if (chooser.countAffordable(room, demand) < count) continue
     if (!isUsableRun(room, 0, count, chooser)) continue
+    if (chooser.countAffordable(room, demand) < count) continue
     const rate = chooser.rate(room, 0, count)
     if (Number.isFinite(rate)) wholes.push({ room, from: 0, count, rate })
   }
