--- a/placement/engine/src/formingBlocks.ts
+++ b/placement/engine/src/formingBlocks.ts
@@ -14,6 +14,8 @@
   readonly map: ClusterMap
   readonly rules: VictimRules
   readonly nowMs: number
+  /** Moves what is reserved for others off these blocks, if that can be. */
+  readonly vacate: (job: WaitingJob, blocks: readonly Block[]) => boolean
 }
 
 export class FormingBlocks {
@@ -24,7 +26,7 @@
   }
 
   /** Marks in the map what is still set apart, and forgets the rest. */
-  keep({ map, rules }: FormingSite, waiting: readonly WaitingJob[]): void {
+  keep({ map, rules }: Pick<FormingSite, 'map' | 'rules'>, waiting: readonly WaitingJob[]): void {
     const former = this.#byJobId
     this.#byJobId = new Map()
     if (former.size === 0) return
@@ -40,7 +42,8 @@
     const { map, rules, nowMs } = site
     const total = this.#countAccelerators() + job.gang.accelerators
     if (this.#byJobId.size > 0 && total > map.size * formingShareMax) return undefined
-    const blocks = fitGang(map, job, new FormingChooser({ job, rules, nowMs }))
+    const open = fitGang(map, job, new FormingChooser({ job, rules, nowMs }))
+    const blocks = open ?? this.#findVacated(site, job)
     if (blocks !== undefined) this.#mark(map, job, blocks)
     return blocks
   }
@@ -53,6 +56,15 @@
     map.visit(blocks, (room, index) => (room.formingFor[index] = undefined))
   }
 
+  /** A block on which others have reservations, once these are moved. */
+  #findVacated({ map, rules, nowMs, vacate }: FormingSite, job: WaitingJob): Block[] | undefined {
+    if (job.stoppability !== 'never') return undefined
+    const asStoppable: WaitingJob = { ...job, stoppability: 'repeat' }
+    const chooser = new FormingChooser({ job: asStoppable, rules, nowMs })
+    const blocks = fitGang(map, job, chooser)
+    return blocks !== undefined && vacate(job, blocks) ? blocks : undefined
+  }
+
   #mark(map: ClusterMap, job: WaitingJob, blocks: readonly Block[]): void {
     this.#byJobId.set(job.jobId, blocks)
     map.visit(blocks, (room, index) => (room.formingFor[index] = job.jobId))
--- a/placement/engine/src/objectivePolicy.ts
+++ b/placement/engine/src/objectivePolicy.ts
@@ -4,6 +4,7 @@
  * weigh differently is left to them.
  */
 import { checkPlan, ReservationPlanner, type ReservationPlan } from '@nettlespur/placement.plan'
+import type { Block } from '@nettlespur/placement.topology'
 import { describeBlocks, describeGang } from './describe.js'
 import { FormingBlocks } from './formingBlocks.js'
 import { JobScreen } from './jobScreen.js'
@@ -108,7 +109,8 @@
   ): void {
     if (this.#startBorrowing(round, screen, job, 'longest wait')) return
     const { map, rules, view } = round
-    const site = { map, rules, nowMs: view.nowMs }
+    const vacate = (one: WaitingJob, on: readonly Block[]): boolean => round.vacate(one, on)
+    const site = { map, rules, nowMs: view.nowMs, vacate }
     const blocks = this.#forming.get(job.jobId) ?? this.#forming.form(site, job)
     const clearing = round.clearBlocks(job, 'forming', blocks)
     const best = clearing ?? screen.once('forming', job, () => round.findClearing(job, 'forming'))
--- a/placement/engine/src/placementRound.ts
+++ b/placement/engine/src/placementRound.ts
@@ -69,7 +69,7 @@
       this.#count(gang.workspace, gang.gang.accelerators)
       if (!protectedGangs.has(gang)) this.shares.borrow(gang.workspace, gang)
     }
-    forming.keep({ map: this.map, rules: this.rules, nowMs: view.nowMs }, view.waiting)
+    forming.keep({ map: this.map, rules: this.rules }, view.waiting)
   }
 
   isUndecided(job: WaitingJob): boolean {
@@ -98,6 +98,11 @@
     return this.#planner.hasUnused(this.map, job.workspace, job.gang)
   }
 
+  /** Moves what is reserved for others off these blocks; false where it cannot be kept elsewhere. */
+  vacate(job: WaitingJob, blocks: readonly Block[]): boolean {
+    return this.#planner.tryVacate(this.map, startGang(job, blocks))
+  }
+
   hasPlaced(job: WaitingJob): boolean {
     return this.#decided.get(job.jobId)?.kind === 'place'
   }
--- a/placement/plan/src/reservationChooser.ts
+++ b/placement/plan/src/reservationChooser.ts
@@ -1,16 +1,28 @@
 /** Where a guaranteed shape may be mapped to, and where best: on its own work, then on free accelerators. */
-import { BlockChooser, type Demand, type UpstreamRoom } from '@nettlespur/placement.topology'
+import {
+  BlockChooser,
+  type ClusterMap,
+  type Demand,
+  type UpstreamRoom,
+} from '@nettlespur/placement.topology'
 import { hasShareFor, isUnstoppable } from './measureSpare.js'
 
 const ownUseGain = 1_000_000
 const borrowedCost = 1000
+/** Weighs whole racks above single upstreams. */
+const rackWeight = 10
 
 export class ReservationChooser extends BlockChooser {
   readonly #workspace: string
+  readonly #rackRates = new Map<UpstreamRoom, number>()
 
-  constructor(workspace: string) {
+  constructor(map: ClusterMap, workspace: string) {
     super()
     this.#workspace = workspace
+    for (const rack of map.racks) {
+      const rate = this.rateRack(rack)
+      for (const room of rack) this.#rackRates.set(room, rate)
+    }
   }
 
   isUsable(room: UpstreamRoom, index: number): boolean {
@@ -21,7 +33,7 @@
 
   rate(room: UpstreamRoom, from: number, count: number): number {
     if (!hasShareFor(room, this.#workspace, count)) return Number.POSITIVE_INFINITY
-    let rate = countUnreserved(room)
+    let rate = countUnreserved(room) + this.#rateOfRack(room)
     for (let index = from; index < from + count; index += 1) {
       const holder = room.holders[index]
       if (holder === undefined) continue
@@ -30,8 +42,9 @@
     return rate
   }
 
-  override rateRack(): number {
-    return 0
+  /** Racks that keep something already come first, so that others stay open to large gangs. */
+  override rateRack(rack: readonly UpstreamRoom[]): number {
+    return rack.reduce((sum, room) => sum + countUnreserved(room), 0)
   }
 
   /** Processors and memory are kept by even shares, whatever stoppable work uses now. */
@@ -40,6 +53,10 @@
     while (count > 0 && !hasShareFor(room, this.#workspace, count)) count -= 1
     return count
   }
+
+  #rateOfRack(room: UpstreamRoom): number {
+    return (this.#rackRates.get(room) ?? 0) * rackWeight
+  }
 }
 
 /** Reservations are packed together, so that whole upstreams stay without any. */
--- a/placement/plan/src/reservationPlanner.ts
+++ b/placement/plan/src/reservationPlanner.ts
@@ -100,7 +100,7 @@
 
   #tryMap(map: ClusterMap, { reservationId, workspace, shape }: ReservedShape): boolean {
     const demand = { gang: shape, cpuCores: 0, memoryBytes: 0 }
-    const blocks = fitGang(map, demand, new ReservationChooser(workspace))
+    const blocks = fitGang(map, demand, new ReservationChooser(map, workspace))
     if (blocks === undefined) return false
     this.#mark(map, { reservationId, workspace, shape, blocks })
     return true
@@ -187,7 +187,7 @@
 
 /** Whether the reservation may lie where it says: all there, usable, and with its share. */
 function canMark(map: ClusterMap, { workspace, blocks }: Reservation): boolean {
-  const chooser = new ReservationChooser(workspace)
+  const chooser = new ReservationChooser(map, workspace)
   return blocks.every(({ upstreamId, acceleratorIndexes }) => {
     const room = map.find(upstreamId)
     if (room === undefined) return false
