--- a/placement/engine/src/completionTimePolicy.ts
+++ b/placement/engine/src/completionTimePolicy.ts
@@ -1,6 +1,6 @@
 /**
  * Favours short completion times: of each workspace's jobs the one whose wait is longest for its expected
- * run time comes first, so that short jobs pass long ones and none is passed for ever.
+ * work comes first, so that small and short jobs pass others and none is passed for ever.
  */
 import { ObjectivePolicy } from './objectivePolicy.js'
 import type { WaitingJob } from './placementView.js'
@@ -10,6 +10,7 @@
 
   protected override rank(job: WaitingJob, nowMs: number): number {
     const waitedMs = nowMs - job.submittedAtMs
-    return -(waitedMs + job.expectedRunTimeMs) / Math.max(1, job.expectedRunTimeMs)
+    const workMs = Math.max(1, job.expectedRunTimeMs) * job.gang.accelerators
+    return -(waitedMs + job.expectedRunTimeMs) / workMs
   }
 }
--- a/placement/engine/src/formingBlocks.ts
+++ b/placement/engine/src/formingBlocks.ts
@@ -25,11 +25,19 @@
     return this.#byJobId.get(jobId)
   }
 
+  /** Marks in the map what was set apart, so that reservations are not moved there. */
+  mark(map: ClusterMap): void {
+    for (const [jobId, blocks] of this.#byJobId) {
+      map.visit(blocks, (room, index) => (room.formingFor[index] = jobId))
+    }
+  }
+
   /** Marks in the map what is still set apart, and forgets the rest. */
   keep({ map, rules }: Pick<FormingSite, 'map' | 'rules'>, waiting: readonly WaitingJob[]): void {
     const former = this.#byJobId
     this.#byJobId = new Map()
     if (former.size === 0) return
+    for (const room of map.rooms) room.formingFor.fill(undefined)
     for (const job of waiting) {
       const blocks = former.get(job.jobId)
       if (blocks === undefined || job.heldBack !== undefined) continue
--- a/placement/engine/src/placementRound.ts
+++ b/placement/engine/src/placementRound.ts
@@ -55,6 +55,7 @@
     this.#forming = forming
     this.map = new ClusterMap(view.upstreams, view.running)
     this.contracts = new Map(view.contracts.map((contract) => [contract.workspace, contract]))
+    forming.mark(this.map)
     planner.update(this.map, view.contracts)
     const protectedGangs = new Set(view.running.filter((gang) => this.#isWithinGuarantee(gang)))
     const [placedNow, stoppedNow] = [this.#placedNow, this.#stoppedNow]
@@ -117,8 +118,15 @@
     return this.#heldCounts.get(workspace) ?? 0
   }
 
-  findStart(job: WaitingJob, opts: Omit<StartChooserOptions, 'job'> = {}): Block[] | undefined {
-    return fitGang(this.map, job, new StartChooser({ ...opts, job }))
+  findStart(
+    job: WaitingJob,
+    opts: Omit<StartChooserOptions, 'job' | 'mayBackfill'> = {},
+  ): Block[] | undefined {
+    return fitGang(
+      this.map,
+      job,
+      new StartChooser({ ...opts, job, mayBackfill: this.rules.mayBackfill(job) }),
+    )
   }
 
   /** Starts the job on these free accelerators. False where guaranteed shapes would suffer. */
--- a/placement/engine/src/startChooser.ts
+++ b/placement/engine/src/startChooser.ts
@@ -16,6 +16,8 @@
 const togetherGain = 4096
 
 export interface StartChooserOptions {
+  /** Whether the job may start on what forms for another, as it can be stopped for it. */
+  readonly mayBackfill: boolean
   readonly job: WaitingJob
   /** Whether to stay off what is reserved for others even though the job can be stopped. */
   readonly avoidsReserved?: boolean
@@ -44,7 +46,7 @@
       return false
     const formingFor = room.formingFor[index]
     const formsForOther = formingFor !== undefined && formingFor !== job.jobId
-    return !formsForOther || job.stoppability !== 'never'
+    return !formsForOther || this.#opts.mayBackfill
   }
 
   override countUsableMax(room: UpstreamRoom): number {
--- a/placement/engine/src/victimRules.ts
+++ b/placement/engine/src/victimRules.ts
@@ -49,6 +49,12 @@
     }
   }
 
+  /** Whether any gang that a block forms for may stop this job again. */
+  mayBackfill({ stoppability, gang }: WaitingJob): boolean {
+    const { largestUpstream } = this.#opts
+    return stoppability !== 'never' && gang.accelerators * formingSizeRatio <= largestUpstream
+  }
+
   /** Whether `job` may hold this accelerator once its holder is gone. */
   isOpenTo(room: UpstreamRoom, index: number, job: WaitingJob, claim: Claim): boolean {
     if (job.avoidedUpstreamIds?.has(room.upstreamId) === true) return false
--- a/placement/plan/src/reservationChooser.ts
+++ b/placement/plan/src/reservationChooser.ts
@@ -9,6 +9,7 @@
 
 const ownUseGain = 1_000_000
 const borrowedCost = 1000
+const formingCost = 10_000
 /** Weighs whole racks above single upstreams. */
 const rackWeight = 10
 
@@ -35,6 +36,7 @@
     if (!hasShareFor(room, this.#workspace, count)) return Number.POSITIVE_INFINITY
     let rate = countUnreserved(room) + this.#rateOfRack(room)
     for (let index = from; index < from + count; index += 1) {
+      if (room.formingFor[index] !== undefined) rate += formingCost
       const holder = room.holders[index]
       if (holder === undefined) continue
       rate += holder.workspace === this.#workspace ? -ownUseGain : borrowedCost
