--- a/control/api/src/remoteControlApi.ts
+++ b/control/api/src/remoteControlApi.ts
@@ -3,6 +3,9 @@
  * leader and tries the others in turn when that one cannot be reached or no longer leads.
  */
 import type {
+  Claim,
+  ClaimChange,
+  ClaimQuery,
   ContractChange,
   ContractRecord,
   JobExplanation,
@@ -17,7 +20,7 @@
 import type { ContractView } from './contractView.js'
 import { ControlApi, type AnswerRequest, type JobOutcome, type JobReference } from './controlApi.js'
 import type { ControlRouter } from './createControlRouter.js'
-import type { ClusterReport, ClusterStatus } from './statusView.js'
+import type { ClusterReport, ClusterStatus, MemberView, NewMember } from './statusView.js'
 
 export interface RemoteControlApiOptions {
   clock: Clock
@@ -76,6 +79,14 @@
     return this.#ask((call) => call.cancelJob.mutate(reference))
   }
 
+  changeClaims(changes: readonly ClaimChange[]): EitherAsync<NettlespurError, RpcResult<Claim>[]> {
+    return this.#ask((call) => call.changeClaims.mutate([...changes]))
+  }
+
+  awaitClaim(query: ClaimQuery): EitherAsync<NettlespurError, Claim | null> {
+    return this.#ask((call) => call.awaitClaim.mutate(query))
+  }
+
   announce(announcements: Announcements): EitherAsync<NettlespurError, null> {
     return this.#ask((call) => call.announce.mutate(announcements))
   }
@@ -92,6 +103,18 @@
     return this.#ask((call) => call.getReport.mutate())
   }
 
+  listMembers(): EitherAsync<NettlespurError, MemberView[]> {
+    return this.#ask((call) => call.listMembers.mutate())
+  }
+
+  addMember(member: NewMember): EitherAsync<NettlespurError, null> {
+    return this.#ask((call) => call.addMember.mutate(member))
+  }
+
+  removeMember(memberId: string): EitherAsync<NettlespurError, null> {
+    return this.#ask((call) => call.removeMember.mutate(memberId))
+  }
+
   #ask<T>(run: (call: Caller) => Promise<RpcResult<T>>): EitherAsync<NettlespurError, T> {
     return EitherAsync.fromPromise(() => this.#askEach(run))
   }
--- /dev/null
+++ b/control/log/src/rpcTransport.ts
@@ -0,0 +1,78 @@
+/**
+ * Carries the messages of agreement over tRPC. A call without an answer by its deadline is given up and its
+ * connection closed, so that one which has gone silent is replaced; heartbeats check each connection.
+ */
+import {
+  RaftTransport,
+  type AppendAnswer,
+  type AppendRequest,
+  type InstallAnswer,
+  type InstallRequest,
+  type Member,
+  type TimeoutNowRequest,
+  type VoteAnswer,
+  type VoteRequest,
+} from '@nettlespur/consensus.raft'
+import type { Clock } from '@nettlespur/core.clock'
+import { unwrap, type RpcResult } from '@nettlespur/core.errors'
+import { callPeer, createRpcClient, type RpcClient } from '@nettlespur/rpc.peer'
+import type { RaftRouter } from './createRaftRouter.js'
+import { toWireAppend, toWireInstall } from './raftWire.js'
+
+export interface RpcTransportOptions {
+  clock: Clock
+  peerKey: string
+  /** Deadline of each call; well below the election timeout. */
+  timeoutMs: number
+  ca?: Buffer | undefined
+}
+
+type Caller = RpcClient<RaftRouter>['call']['raft']
+
+export class RpcTransport extends RaftTransport {
+  readonly #opts: RpcTransportOptions
+  readonly #clients = new Map<string, RpcClient<RaftRouter>>()
+
+  constructor(opts: RpcTransportOptions) {
+    super()
+    this.#opts = opts
+  }
+
+  requestVote(to: Member, request: VoteRequest): Promise<VoteAnswer> {
+    return this.#call(to, (call) => call.vote.mutate(request))
+  }
+
+  appendEntries(to: Member, request: AppendRequest): Promise<AppendAnswer> {
+    const wire = toWireAppend(request)
+    return this.#call(to, (call) => call.append.mutate(wire))
+  }
+
+  installSnapshot(to: Member, request: InstallRequest): Promise<InstallAnswer> {
+    const wire = toWireInstall(request)
+    return this.#call(to, (call) => call.install.mutate(wire))
+  }
+
+  async timeoutNow(to: Member, request: TimeoutNowRequest): Promise<void> {
+    await this.#call(to, (call) => call.timeoutNow.mutate(request))
+  }
+
+  close(): void {
+    for (const client of this.#clients.values()) client.close()
+  }
+
+  async #call<T>(
+    { peerAddress }: Member,
+    run: (call: Caller) => Promise<RpcResult<T>>,
+  ): Promise<T> {
+    const client = this.#getClient(peerAddress)
+    return unwrap(callPeer(() => run(client.call.raft)))
+  }
+
+  #getClient(address: string): RpcClient<RaftRouter> {
+    const known = this.#clients.get(address)
+    if (known !== undefined) return known
+    const client = createRpcClient<RaftRouter>({ ...this.#opts, address })
+    this.#clients.set(address, client)
+    return client
+  }
+}
--- a/control/service/src/controlNode.ts
+++ b/control/service/src/controlNode.ts
@@ -3,6 +3,9 @@
  * address as the hint. What it knows only as leader lives in a LeaderSession.
  */
 import type {
+  Claim,
+  ClaimChange,
+  ClaimQuery,
   ContractChange,
   ContractRecord,
   JobExplanation,
@@ -19,12 +22,15 @@
   type ContractView,
   type JobOutcome,
   type JobReference,
+  type MemberView,
+  type NewMember,
   type WatchRequest,
 } from '@nettlespur/control.api'
 import type { Leadership } from '@nettlespur/control.log'
-import { NettlespurError, tryAsync, unwrap } from '@nettlespur/core.errors'
-import type { EitherAsync } from 'purify-ts'
+import { NettlespurError, tryAsync, unwrap, type RpcResult } from '@nettlespur/core.errors'
+import { EitherAsync } from 'purify-ts'
 import type { Subscription } from 'rxjs'
+import { ClaimCalls } from './claimCalls.js'
 import { ContractCalls } from './contractCalls.js'
 import { createReport } from './createReport.js'
 import { createStatus } from './createStatus.js'
@@ -50,6 +56,7 @@
     this.#contracts = new ContractCalls(opts)
     opts.metrics.gauge('control_leads', () => Number(this.isLeader))
     opts.metrics.gauge('jobs_live', () => opts.holder.state.listLiveJobs().length)
+    opts.metrics.gauge('claims_unresolved', () => opts.holder.state.listUnresolvedClaims().length)
     opts.metrics.gauge('contract_index', () => opts.holder.state.contractIndex)
     this.#following = opts.log.leadership.subscribe((leadership) => {
       this.#follow(leadership)
@@ -117,6 +124,16 @@
     return this.#lead('cancelJob', (session) => new JobCalls(this.#opts, session).cancel(reference))
   }
 
+  changeClaims(changes: readonly ClaimChange[]): EitherAsync<NettlespurError, RpcResult<Claim>[]> {
+    return this.#lead('changeClaims', (session) =>
+      new ClaimCalls(this.#opts, session).change(changes),
+    )
+  }
+
+  awaitClaim(query: ClaimQuery): EitherAsync<NettlespurError, Claim | null> {
+    return this.#lead('awaitClaim', (session) => new ClaimCalls(this.#opts, session).await(query))
+  }
+
   announce(announcements: Announcements): EitherAsync<NettlespurError, null> {
     return this.#lead('announce', (session) => {
       session.announce(announcements)
@@ -140,6 +157,26 @@
     })
   }
 
+  listMembers(): EitherAsync<NettlespurError, MemberView[]> {
+    return this.#lead('listMembers', () => Promise.resolve([...this.#opts.log.describe().members]))
+  }
+
+  addMember(member: NewMember): EitherAsync<NettlespurError, null> {
+    return this.#lead('addMember', async () => {
+      await unwrap(this.#opts.log.addMember(member))
+      this.#opts.logger.info({ event: 'member.added', ...member })
+      return null
+    })
+  }
+
+  removeMember(memberId: string): EitherAsync<NettlespurError, null> {
+    return this.#lead('removeMember', async () => {
+      await unwrap(this.#opts.log.removeMember(memberId))
+      this.#opts.logger.info({ event: 'member.removed', memberId })
+      return null
+    })
+  }
+
   #lead<T>(
     call: keyof ControlApi,
     run: (session: LeaderSession) => Promise<T>,
--- a/control/service/src/leaderSession.ts
+++ b/control/service/src/leaderSession.ts
@@ -8,6 +8,7 @@
 import { GangManager } from '@nettlespur/control.gangs'
 import { LifecycleManager } from '@nettlespur/core.lifecycle'
 import { BehaviorSubject, Subject } from 'rxjs'
+import { ClaimResolver } from './claimResolver.js'
 import { EntryTable } from './entryTable.js'
 import type { ControlNodeOptions } from './nodeOptions.js'
 import { PlacementLoop } from './placementLoop.js'
@@ -17,6 +18,7 @@
 const barrierRetryMs = 100
 const stopDeadlineMs = 10_000
 const epochSuffixLength = 8
+const firstTerm = 1
 
 export class LeaderSession {
   readonly term: number
@@ -49,7 +51,8 @@
       version,
     })
     const dropAfterMs = timings.contractLeaseMs + timings.clockDriftMarginMs
-    const mayHaveFormerEntries = holder.state.appliedIndex > 0
+    // What a former leader committed may be in the log without being applied here yet.
+    const mayHaveFormerEntries = term > firstTerm || holder.state.appliedIndex > 0
     this.entries = new EntryTable({ clock, dropAfterMs, mayHaveFormerEntries, version })
     const random = opts.random ?? Math.random
     const { upstreams } = this
@@ -86,6 +89,7 @@
 
   start(): void {
     this.#lifecycle.ownTask('placement', (signal) => this.#place(signal))
+    this.#lifecycle.ownTask('claims', (signal) => this.#resolveClaims(signal))
     this.#lifecycle.ownTask('refresh', (signal) => this.#refresh(signal))
     // Registered last so that it runs first: who leads no more renews no lease.
     this.#lifecycle.own('gangs', () => this.#gangs.stop())
@@ -104,12 +108,21 @@
 
   /** Nothing is decided before the state holds all that former leaders committed. */
   async #place(signal: AbortSignal): Promise<void> {
+    await this.#waitForState(signal)
+    if (!signal.aborted) await this.placements.run(signal)
+  }
+
+  async #resolveClaims(signal: AbortSignal): Promise<void> {
+    await this.#waitForState(signal)
+    if (!signal.aborted) await new ClaimResolver(this.#opts, this.entries).run(signal)
+  }
+
+  async #waitForState(signal: AbortSignal): Promise<void> {
     const { log, clock } = this.#opts
     while ((await log.readBarrier().run()).isLeft()) {
       await clock.sleep(barrierRetryMs, signal)
       if (signal.aborted) return
     }
-    await this.placements.run(signal)
   }
 
   async #refresh(signal: AbortSignal): Promise<void> {
--- a/control/state/src/stateData.ts
+++ b/control/state/src/stateData.ts
@@ -1,5 +1,6 @@
 /** What the handlers of commands work on. Maps keep the order of insertion, which is the order of the log. */
 import type { ContractRecord, JobAnswer } from '@nettlespur/api.schemas'
+import { ClaimTable } from './claimTable.js'
 import type { JobRecord } from './jobRecord.js'
 import type { UpstreamHealth } from './upstreamHealth.js'
 
@@ -47,6 +48,8 @@
   readonly histories: Map<string, WorkspaceHistory>
   /** Upstreams with something held against them. */
   readonly upstreamHealth: Map<string, UpstreamHealth>
+  /** By workspace. */
+  readonly claims: Map<string, ClaimTable>
 }
 
 export function createStateData(): StateData {
@@ -59,6 +62,7 @@
     jobs: new Map(),
     histories: new Map(),
     upstreamHealth: new Map(),
+    claims: new Map(),
   }
 }
 
@@ -75,3 +79,12 @@
   data.histories.set(workspace, made)
   return made
 }
+
+/** The claims of one workspace, made on first use. */
+export function openClaims(data: StateData, workspace: string): ClaimTable {
+  const known = data.claims.get(workspace)
+  if (known !== undefined) return known
+  const made = new ClaimTable()
+  data.claims.set(workspace, made)
+  return made
+}
--- a/entry/fakes/src/fakeControl.ts
+++ b/entry/fakes/src/fakeControl.ts
@@ -3,6 +3,9 @@
  * every change it takes, and can be made unreachable or move to a new epoch.
  */
 import type {
+  Claim,
+  ClaimChange,
+  ClaimQuery,
   ContractChange,
   ContractRecord,
   JobAnswer,
@@ -22,12 +25,15 @@
   type EntryIdentity,
   type JobOutcome,
   type JobReference,
+  type MemberView,
+  type NewMember,
   type WatchRequest,
 } from '@nettlespur/control.api'
 import type { Clock } from '@nettlespur/core.clock'
-import { NettlespurError, tryAsync, type ErrorKind } from '@nettlespur/core.errors'
+import { NettlespurError, tryAsync, type ErrorKind, type RpcResult } from '@nettlespur/core.errors'
 import type { EitherAsync } from 'purify-ts'
 import { BehaviorSubject } from 'rxjs'
+import { FakeClaims } from './fakeClaims.js'
 
 const fullLeaseMs = 4000
 
@@ -43,7 +49,9 @@
   readonly jobs = new Map<string, JobOutcome>()
   readonly contracts = new Map<string, ContractRecord>()
   readonly upstreams = new Map<string, UpstreamView>()
+  readonly claims: FakeClaims
   entries: EntryIdentity[] = []
+  members: MemberView[] = []
   /** Entries that a contract view says do not enforce it yet. */
   notYetInForceAt: string[] = []
   readonly #clock: Clock
@@ -53,6 +61,7 @@
   constructor(clock: Clock) {
     super()
     this.#clock = clock
+    this.claims = new FakeClaims(clock)
   }
 
   putContract(contract: ContractRecord['contract']): ContractRecord {
@@ -158,6 +167,22 @@
     })
   }
 
+  changeClaims(changes: readonly ClaimChange[]): EitherAsync<NettlespurError, RpcResult<Claim>[]> {
+    return tryAsync(() => {
+      this.#requireReachable()
+      return this.claims.changeAll(changes)
+    })
+  }
+
+  awaitClaim({ waitMs, ...key }: ClaimQuery): EitherAsync<NettlespurError, Claim | null> {
+    return tryAsync(async () => {
+      this.#requireReachable()
+      await this.claims.awaitOutcome(key, waitMs)
+      this.#requireReachable()
+      return this.claims.get(key) ?? null
+    })
+  }
+
   announce(announcements: Announcements): EitherAsync<NettlespurError, null> {
     return this.#answer(() => {
       this.changes += 1
@@ -189,6 +214,28 @@
     }))
   }
 
+  listMembers(): EitherAsync<NettlespurError, MemberView[]> {
+    return this.#answer(() => this.members)
+  }
+
+  addMember(member: NewMember): EitherAsync<NettlespurError, null> {
+    return this.#answer(() => {
+      this.changes += 1
+      this.members.push({ ...member, role: 'learner', lagEntries: 0, silentMs: 0 })
+      return null
+    })
+  }
+
+  removeMember(memberId: string): EitherAsync<NettlespurError, null> {
+    return this.#answer(() => {
+      const kept = this.members.filter((member) => member.memberId !== memberId)
+      if (kept.length === this.members.length) throw new NettlespurError('unknown-member', memberId)
+      this.changes += 1
+      this.members = kept
+      return null
+    })
+  }
+
   getReport(): EitherAsync<NettlespurError, ClusterReport> {
     const completion = { count: 0, meanMs: 0, p50Ms: 0, p99Ms: 0 }
     return this.#answer(() => ({
--- a/entry/requests/src/shortRequest.ts
+++ b/entry/requests/src/shortRequest.ts
@@ -1,4 +1,17 @@
-/** One short request as the router takes it, and the whole answer it gives. */
+/** One short request as the router takes it, and the answer it gives. */
+import type { UpstreamView } from '@nettlespur/api.schemas'
+import type { TaskAnswer } from './taskTransport.js'
+
+/** What must be committed before an attempt of a request leaves this entry. */
+export abstract class DispatchClaim {
+  /** Resolves with the fence to send the attempt under. Rejects where it must not be sent. */
+  abstract commit(target: {
+    upstream: UpstreamView
+    taskId: string
+    attempt: number
+  }): Promise<number>
+}
+
 export interface ShortRequest {
   readonly workspace: string
   /** The caller's key for this request; undefined where it gave none. */
@@ -11,13 +24,12 @@
   readonly body: Buffer
   /** Aborted when the caller goes away. */
   readonly callerGone: AbortSignal
+  /** Given for each request that must not run twice. */
+  readonly claim?: DispatchClaim | undefined
 }
 
-/** The upstream's own answer, whole. */
-export interface ShortAnswer {
-  readonly status: number
-  readonly contentType: string | undefined
-  readonly body: Buffer
+/** The upstream's own answer. A large one is a stream, which fails where it ends early. */
+export interface ShortAnswer extends TaskAnswer {
   readonly taskId: string
   readonly attempt: number
   readonly upstreamId: string
--- a/settings/schemas/src/controlSettings.ts
+++ b/settings/schemas/src/controlSettings.ts
@@ -5,7 +5,9 @@
 
 const controlTimingsSchema = z.strictObject({
   heartbeatMs: z.int().positive().default(250),
-  electionTimeoutMs: z.int().positive().default(1500),
+  electionTimeoutMs: z.int().positive().default(1200),
+  /** A voter silent for this long is replaced where another member stands ready. */
+  replaceVoterAfterMs: z.int().positive().default(60_000),
   /** How long an entry may enforce its contracts without hearing from control. */
   contractLeaseMs: z.int().positive().default(4000),
   /** How long an upstream holds a task without a renewal. */
@@ -17,6 +19,11 @@
   upstreamSuspectMs: z.int().positive().default(3000),
   /** No announcement for this long makes an upstream gone. */
   upstreamGoneMs: z.int().positive().default(10_000),
+  /**
+   * How long the key and outcome of a request that must not run twice are kept after the outcome is known. A
+   * key sent again later counts as a new request.
+   */
+  claimLifetimeMs: z.int().positive().default(600_000),
   /** How long a task may take to stop after it is asked to. */
   stopGraceMs: z.int().nonnegative().default(2000),
 })
