--- a/control/service/test/placementLoop.test.ts
+++ b/control/service/test/placementLoop.test.ts
@@ -10,12 +10,12 @@
 
 const gang = { accelerators: 8, adjacency: 'upstream' as const }
 
-/** Decides as the product does, and whatever a test adds. */
+/** Decides as the policy for completion time does, and whatever a test adds. */
 class ScriptedPolicy extends PlacementPolicy {
-  extra: (view: PlacementView) => PlacementDecision[] = () => []
   readonly #policy = createPolicy('completionTime')
+  extra: (view: PlacementView) => PlacementDecision[] = () => []
 
-  decide(view: PlacementView): PlacementDecision[] {
+  override decide(view: PlacementView): PlacementDecision[] {
     return [...this.extra(view), ...this.#policy.decide(view)]
   }
 }
--- a/placement/engine/src/placementRound.ts
+++ b/placement/engine/src/placementRound.ts
@@ -55,16 +55,22 @@
     this.#forming = forming
     this.map = new ClusterMap(view.upstreams, view.running)
     this.contracts = new Map(view.contracts.map((contract) => [contract.workspace, contract]))
+    forming.mark(this.map)
     planner.update(this.map, view.contracts)
     const protectedGangs = new Set(view.running.filter((gang) => this.#isWithinGuarantee(gang)))
     const [placedNow, stoppedNow] = [this.#placedNow, this.#stoppedNow]
-    this.rules = new VictimRules({ protectedGangs, placedNow, stoppedNow })
+    this.rules = new VictimRules({
+      largestUpstream: this.map.largestUpstream,
+      protectedGangs,
+      placedNow,
+      stoppedNow,
+    })
     this.shares = new DominantShares(this.map, view.contracts)
     for (const gang of view.running) {
       this.#count(gang.workspace, gang.gang.accelerators)
       if (!protectedGangs.has(gang)) this.shares.borrow(gang.workspace, gang)
     }
-    forming.keep({ map: this.map, rules: this.rules, nowMs: view.nowMs }, view.waiting)
+    forming.keep({ map: this.map, rules: this.rules }, view.waiting)
   }
 
   isUndecided(job: WaitingJob): boolean {
@@ -93,6 +99,15 @@
     return this.#planner.hasUnused(this.map, job.workspace, job.gang)
   }
 
+  /** Moves what is reserved for others off these blocks; false where it cannot be kept elsewhere. */
+  vacate(job: WaitingJob, blocks: readonly Block[]): boolean {
+    return this.#planner.tryVacate(this.map, startGang(job, blocks))
+  }
+
+  hasPlaced(job: WaitingJob): boolean {
+    return this.#decided.get(job.jobId)?.kind === 'place'
+  }
+
   /** Whether a block is set apart for this very job. */
   ownsForming(job: WaitingJob): boolean {
     return this.#forming.get(job.jobId) !== undefined
@@ -103,8 +118,15 @@
     return this.#heldCounts.get(workspace) ?? 0
   }
 
-  findStart(job: WaitingJob, opts: Omit<StartChooserOptions, 'job'> = {}): Block[] | undefined {
-    return fitGang(this.map, job, new StartChooser({ ...opts, job }))
+  findStart(
+    job: WaitingJob,
+    opts: Omit<StartChooserOptions, 'job' | 'mayBackfill'> = {},
+  ): Block[] | undefined {
+    return fitGang(
+      this.map,
+      job,
+      new StartChooser({ ...opts, job, mayBackfill: this.rules.mayBackfill(job) }),
+    )
   }
 
   /** Starts the job on these free accelerators. False where guaranteed shapes would suffer. */
