fix: let one of two openings in one process hold the folder

Cause: the lock file was looked for and then made, so two openings at the same time could both go on. Change: new files are made exclusively, the lock with them; a lock that could not be checked is taken down. Conclusion: the new test fails where files are not made exclusively.

--- a/storage/log/__utils__/memoryFileSystem.ts
+++ b/storage/log/__utils__/memoryFileSystem.ts
@@ -81,6 +81,7 @@
   // eslint-disable-next-line @typescript-eslint/require-await
   async createFile(file: string): Promise<OpenFile> {
     this.step('createFile', file)
+    if (this.names.has(file)) throw Object.assign(new Error(`there is ${file}`), { code: 'EEXIST' })
     const inode: Inode = { bytes: Buffer.alloc(0), durable: Buffer.alloc(0) }
     this.#changeNames((names) => names.set(file, inode))
     return new MemoryOpenFile(this, file, inode)
--- a/storage/log/src/fileSystem.ts
+++ b/storage/log/src/fileSystem.ts
@@ -19,7 +19,7 @@
   abstract listFolder(folder: string): Promise<string[]>
   /** Makes the names in the folder durable: files created, renamed and removed. */
   abstract syncFolder(folder: string): Promise<void>
-  /** Opens an empty file, emptying one that is there. */
+  /** Opens a new file; rejects with the code `EEXIST` where there is one of that name. */
   abstract createFile(file: string): Promise<OpenFile>
   abstract openFile(file: string): Promise<OpenFile>
   abstract readFile(file: string): Promise<Buffer>
--- a/storage/log/src/folderLock.ts
+++ b/storage/log/src/folderLock.ts
@@ -18,21 +18,16 @@
     this.#file = file
   }
 
-  /** Rejects with `storage-failed` where a process that lives holds the folder. */
+  /** Rejects with `storage-failed` where a process that lives holds the folder, this one included. */
   static async acquire(files: FileSystem, folder: string): Promise<FolderLock> {
     const own = prefix + (await files.readProcessToken())
-    if ((await files.listFolder(folder)).includes(own)) throw inUse(folder, own)
     const file = path.join(folder, own)
-    await (await files.createFile(file)).close()
-    const others = (await files.listFolder(folder)).filter(
-      (name) => name.startsWith(prefix) && name !== own,
-    )
-    for (const other of others) {
-      if (await files.isProcessAlive(other.slice(prefix.length))) {
-        await files.removeFile(file)
-        throw inUse(folder, other)
-      }
-      await files.removeFile(path.join(folder, other))
+    await createLock(files, folder, own)
+    try {
+      await checkOthers(files, folder, own)
+    } catch (error) {
+      await files.removeFile(file)
+      throw error
     }
     return new FolderLock(files, file)
   }
@@ -42,6 +37,22 @@
   }
 }
 
+async function createLock(files: FileSystem, folder: string, own: string): Promise<void> {
+  try {
+    await (await files.createFile(path.join(folder, own))).close()
+  } catch (error) {
+    throw (error as NodeJS.ErrnoException).code === 'EEXIST' ? inUse(folder, own) : error
+  }
+}
+
+async function checkOthers(files: FileSystem, folder: string, own: string): Promise<void> {
+  const locks = (await files.listFolder(folder)).filter((name) => name.startsWith(prefix))
+  for (const lock of locks.filter((name) => name !== own)) {
+    if (await files.isProcessAlive(lock.slice(prefix.length))) throw inUse(folder, lock)
+    await files.removeFile(path.join(folder, lock))
+  }
+}
+
 function inUse(folder: string, lock: string): NettlespurError {
   return new NettlespurError('storage-failed', `${folder} is in use: ${lock}`, {
     hint: 'Stop the other process, or give this one a data folder of its own.',
--- a/storage/log/src/nodeFileSystem.ts
+++ b/storage/log/src/nodeFileSystem.ts
@@ -22,7 +22,7 @@
   }
 
   async createFile(file: string): Promise<OpenFile> {
-    return new NodeOpenFile(await open(file, 'w+'))
+    return new NodeOpenFile(await open(file, 'wx+'))
   }
 
   async openFile(file: string): Promise<OpenFile> {
--- a/storage/log/test/folderLock.test.ts
+++ b/storage/log/test/folderLock.test.ts
@@ -48,6 +48,16 @@
   await again.close()
 })
 
+test('of two openings in one process at the same time one holds the folder', async (t) => {
+  const opts = { folder: await createFolder(t) }
+  const files = new NodeFileSystem()
+  const outcomes = await Promise.allSettled([openStore(files, opts), openStore(files, opts)])
+  const stores = outcomes.flatMap((one) => (one.status === 'fulfilled' ? [one.value] : []))
+  t.is(stores.length, 1)
+  await stores[0]?.append([toEntry(1)])
+  await stores[0]?.close()
+})
+
 test('the lock of a process that has ended is taken over, also where its id is in use again', async (t) => {
   const opts = { folder: await createFolder(t) }
   await (await openStore(new NodeFileSystem(), opts)).close()
