--- a/storage/log/__utils__/memoryFileSystem.ts
+++ b/storage/log/__utils__/memoryFileSystem.ts
@@ -6,7 +6,7 @@
 import { FileSystem, OpenFile } from '../src/index.js'
 
 /** What becomes of bytes and names not synced when the machine goes down. */
-export const lossKinds = ['lost', 'kept', 'halfKept', 'firstHalfLost'] as const
+export const lossKinds = ['lost', 'kept', 'halfKept', 'firstHalfLost', 'secondHalfLost'] as const
 export type LossKind = (typeof lossKinds)[number]
 
 /** Called before each operation that changes something; throws to make it fail. */
@@ -81,6 +81,7 @@
   // eslint-disable-next-line @typescript-eslint/require-await
   async createFile(file: string): Promise<OpenFile> {
     this.step('createFile', file)
+    if (this.names.has(file)) throw Object.assign(new Error(`there is ${file}`), { code: 'EEXIST' })
     const inode: Inode = { bytes: Buffer.alloc(0), durable: Buffer.alloc(0) }
     this.#changeNames((names) => names.set(file, inode))
     return new MemoryOpenFile(this, file, inode)
@@ -194,5 +195,6 @@
   const middle = durable.length + Math.ceil((bytes.length - durable.length) / 2)
   if (loss === 'halfKept' && middle >= durable.length) return kept.subarray(0, middle)
   if (loss === 'firstHalfLost' && middle > durable.length) kept.fill(0, durable.length, middle)
+  if (loss === 'secondHalfLost' && middle >= durable.length) kept.fill(0, middle)
   return kept
 }
