--- a/bench/capacity/src/slopes/trial.ts
+++ b/bench/capacity/src/slopes/trial.ts
@@ -10,7 +10,7 @@
   waitUntil,
   type TrialClusterOptions,
 } from '@nettlespur/daemons.trial'
-import { createKey } from '@nettlespur/http.keys'
+import { createKey } from '@nettlespur/net.keys'
 import { Fleet } from './fleet.js'
 import { measureRates, type RatesByRole } from './rates.js'
 
--- a/bench/capacity/src/transport/measureTransport.ts
+++ b/bench/capacity/src/transport/measureTransport.ts
@@ -4,7 +4,7 @@
  */
 import type { FigureRow } from '../figureRow.js'
 import { SystemClock } from '@nettlespur/core.clock'
-import { createKey } from '@nettlespur/http.keys'
+import { createKey } from '@nettlespur/net.keys'
 import { PeerHandle } from './peerHandle.js'
 import type { PeerAnswer } from './peerOrder.js'
 import { transportKinds, type TransportKind } from './transportKind.js'
--- a/bench/capacity/src/transport/openCaller.ts
+++ b/bench/capacity/src/transport/openCaller.ts
@@ -1,7 +1,7 @@
 /** Calls the compared router by one transport. */
 import http from 'node:http'
 import type { Clock } from '@nettlespur/core.clock'
-import { formatBearerKey } from '@nettlespur/http.keys'
+import { formatBearerKey } from '@nettlespur/net.keys'
 import { createRpcClient } from '@nettlespur/rpc.peer'
 import {
   createTRPCClient,
--- a/bench/capacity/src/transport/openServer.ts
+++ b/bench/capacity/src/transport/openServer.ts
@@ -2,7 +2,7 @@
 import http from 'node:http'
 import { once } from 'node:events'
 import type { AddressInfo, Socket } from 'node:net'
-import { hashKey, matchesAnyHash, readBearerKey } from '@nettlespur/http.keys'
+import { hashKey, matchesAnyHash, readBearerKey } from '@nettlespur/net.keys'
 import { createRpcServer } from '@nettlespur/rpc.peer'
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
 import { applyWSSHandler } from '@trpc/server/adapters/ws'
--- a/bench/load/src/httpTarget.ts
+++ b/bench/load/src/httpTarget.ts
@@ -1,7 +1,7 @@
 /** Calls to one or more addresses in turn, over kept connections. */
 import http from 'node:http'
 import type { Clock } from '@nettlespur/core.clock'
-import { callHttp, toAnswerError, type HttpAnswer } from '@nettlespur/http.client'
+import { callHttp, toAnswerError, type HttpAnswer } from '@nettlespur/net.client'
 import type { LoadOutcome } from './loadReport.js'
 import { LoadTarget } from './loadTarget.js'
 
--- a/bench/load/src/loadTrial.ts
+++ b/bench/load/src/loadTrial.ts
@@ -5,7 +5,7 @@
 import { taskHeaders, type Contract } from '@nettlespur/api.schemas'
 import { SystemClock } from '@nettlespur/core.clock'
 import { callEntry, createTrialContract, TrialCluster, waitUntil } from '@nettlespur/daemons.trial'
-import { createKey, formatBearerKey } from '@nettlespur/http.keys'
+import { createKey, formatBearerKey } from '@nettlespur/net.keys'
 import { HttpTarget } from './httpTarget.js'
 
 /** Slots of the two upstreams together. */
--- a/cli/nettlespur/src/commands/keyCreate.ts
+++ b/cli/nettlespur/src/commands/keyCreate.ts
@@ -1,6 +1,6 @@
 /** `nettlespur key create [--file FILE]` */
 import { writeFileSync } from 'node:fs'
-import { createKey, hashKey } from '@nettlespur/http.keys'
+import { createKey, hashKey } from '@nettlespur/net.keys'
 import { createCliCommand } from '../cliCommand.js'
 import { jsonArg } from '../commonArgs.js'
 import { printText } from '../output.js'
--- a/cli/nettlespur/test/fakeCluster.ts
+++ b/cli/nettlespur/test/fakeCluster.ts
@@ -1,7 +1,7 @@
 /** An entry that gives set answers and keeps what it was asked. */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { ExecutionContext } from 'ava'
-import { createHttpServer, type HttpMethod, type Route } from '@nettlespur/http.server'
+import { createHttpServer, type HttpMethod, type Route } from '@nettlespur/net.server'
 import { NettlespurError } from '@nettlespur/core.errors'
 import { EitherAsync, Left, Right } from 'purify-ts'
 
--- a/cli/nettlespur/test/usage.test.ts
+++ b/cli/nettlespur/test/usage.test.ts
@@ -1,7 +1,7 @@
 import { statSync, readFileSync } from 'node:fs'
 import path from 'node:path'
 import test from 'ava'
-import { hashKey } from '@nettlespur/http.keys'
+import { hashKey } from '@nettlespur/net.keys'
 import type { AnyCommand } from '../src/cliCommand.js'
 import { findCommand } from '../src/findCommand.js'
 import { mainCommand } from '../src/mainCommand.js'
--- a/daemons/common/src/instanceFiles.ts
+++ b/daemons/common/src/instanceFiles.ts
@@ -1,8 +1,8 @@
 /** The files that a daemon reads once, at its start: keys and certificates. */
 import { readFileSync } from 'node:fs'
 import { NettlespurError, toNettlespurError } from '@nettlespur/core.errors'
-import { readKeyFile } from '@nettlespur/http.keys'
-import type { TlsFiles } from '@nettlespur/http.server'
+import { readKeyFile } from '@nettlespur/net.keys'
+import type { TlsFiles } from '@nettlespur/net.server'
 import { resolvePath } from '@nettlespur/settings.reader'
 import type { TlsSettings } from '@nettlespur/settings.schemas'
 
--- a/daemons/control/src/statusRoutes.ts
+++ b/daemons/control/src/statusRoutes.ts
@@ -1,7 +1,7 @@
 /** Health and figures of a control instance over HTTP. */
 import type { ControlNode } from '@nettlespur/control.service'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
-import type { HttpReply, Route } from '@nettlespur/http.server'
+import type { HttpReply, Route } from '@nettlespur/net.server'
 import { EitherAsync, Right } from 'purify-ts'
 
 const readyStatus = 200
--- a/daemons/entry/src/drainEntry.ts
+++ b/daemons/entry/src/drainEntry.ts
@@ -4,7 +4,7 @@
  * honestly rather than cut.
  */
 import type { EntryContext } from '@nettlespur/entry.service'
-import type { HttpServer } from '@nettlespur/http.server'
+import type { HttpServer } from '@nettlespur/net.server'
 
 /** Kept back from the deadline for giving the last answers. */
 const lastAnswersMs = 500
--- a/daemons/entry/test/startEntry.test.ts
+++ b/daemons/entry/test/startEntry.test.ts
@@ -13,8 +13,8 @@
   FakeUpstream,
   RecordingLogger,
 } from '@nettlespur/entry.fakes'
-import { callHttp, type HttpAnswer } from '@nettlespur/http.client'
-import { createKey } from '@nettlespur/http.keys'
+import { callHttp, type HttpAnswer } from '@nettlespur/net.client'
+import { createKey } from '@nettlespur/net.keys'
 import { createRpcServer } from '@nettlespur/rpc.peer'
 import { entrySettingsSchema, type EntrySettings } from '@nettlespur/settings.schemas'
 import { readDaemonSettings, resolveInstancePaths } from '@nettlespur/daemons.common'
--- a/daemons/trial/__utils__/callEntry.ts
+++ b/daemons/trial/__utils__/callEntry.ts
@@ -1,8 +1,8 @@
 /** Calls of callers and operators to one entry of a trial cluster. */
 import { SystemClock } from '@nettlespur/core.clock'
 import { unwrap } from '@nettlespur/core.errors'
-import { callHttp } from '@nettlespur/http.client'
-import { formatBearerKey } from '@nettlespur/http.keys'
+import { callHttp } from '@nettlespur/net.client'
+import { formatBearerKey } from '@nettlespur/net.keys'
 
 const clock = new SystemClock()
 const defaultTimeoutMs = 60_000
--- a/daemons/trial/__utils__/createTrialContract.ts
+++ b/daemons/trial/__utils__/createTrialContract.ts
@@ -1,6 +1,6 @@
 /** A contract for tests, whose only caller's key is given. */
 import type { Contract } from '@nettlespur/api.schemas'
-import { hashKey } from '@nettlespur/http.keys'
+import { hashKey } from '@nettlespur/net.keys'
 
 export function createTrialContract(workspace: string, key: string): Contract {
   return {
--- a/daemons/trial/__utils__/gangTrial.ts
+++ b/daemons/trial/__utils__/gangTrial.ts
@@ -1,7 +1,7 @@
 /** A trial cluster whose upstreams are known, with one contract, for tests of gangs. */
 import type { JobExplanation, JobRequest, JobView } from '@nettlespur/api.schemas'
 import type { ErrorBody } from '@nettlespur/core.errors'
-import { createKey } from '@nettlespur/http.keys'
+import { createKey } from '@nettlespur/net.keys'
 import { callEntry, type EntryAnswer } from './callEntry.js'
 import { createTrialContract } from './createTrialContract.js'
 import { TrialCluster, type TrialClusterOptions, type TrialInstance } from './trialCluster.js'
--- a/daemons/trial/__utils__/trialCluster.ts
+++ b/daemons/trial/__utils__/trialCluster.ts
@@ -2,7 +2,7 @@
 import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import path from 'node:path'
-import { createKey } from '@nettlespur/http.keys'
+import { createKey } from '@nettlespur/net.keys'
 import { stringify } from 'yaml'
 import { DaemonProcess } from './daemonProcess.js'
 import { pickLoopbackHost, reserveAddress } from './reserveAddress.js'
--- a/daemons/trial/test/agreement.test.ts
+++ b/daemons/trial/test/agreement.test.ts
@@ -2,7 +2,7 @@
 import { rmSync } from 'node:fs'
 import type { MemberView } from '@nettlespur/control.api'
 import { SystemClock } from '@nettlespur/core.clock'
-import { createKey } from '@nettlespur/http.keys'
+import { createKey } from '@nettlespur/net.keys'
 import test, { type ExecutionContext } from 'ava'
 import {
   callEntry,
--- a/daemons/trial/test/claims.test.ts
+++ b/daemons/trial/test/claims.test.ts
@@ -1,6 +1,6 @@
 import test, { type ExecutionContext } from 'ava'
-import { createKey, formatBearerKey } from '@nettlespur/http.keys'
-import { callHttp } from '@nettlespur/http.client'
+import { createKey, formatBearerKey } from '@nettlespur/net.keys'
+import { callHttp } from '@nettlespur/net.client'
 import { SystemClock } from '@nettlespur/core.clock'
 import { unwrap } from '@nettlespur/core.errors'
 import { readFileSync } from 'node:fs'
--- a/daemons/trial/test/requestRolling.test.ts
+++ b/daemons/trial/test/requestRolling.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { SystemClock } from '@nettlespur/core.clock'
-import { hashKey, createKey } from '@nettlespur/http.keys'
+import { hashKey, createKey } from '@nettlespur/net.keys'
 import { Balancer, callEntry, waitUntil } from '../__utils__/index.js'
 import {
   callUpstream,
--- a/daemons/trial/test/requestStreaming.test.ts
+++ b/daemons/trial/test/requestStreaming.test.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs'
 import http, { type IncomingMessage } from 'node:http'
 import test from 'ava'
-import { formatBearerKey } from '@nettlespur/http.keys'
+import { formatBearerKey } from '@nettlespur/net.keys'
 import { callUpstream, createCall, startRequestTrial } from './requestTrial.js'
 
 const answerBytes = 40_000_000
--- a/daemons/trial/test/requestTrial.ts
+++ b/daemons/trial/test/requestTrial.ts
@@ -3,7 +3,7 @@
 import path from 'node:path'
 import type { ExecutionContext } from 'ava'
 import type { Contract } from '@nettlespur/api.schemas'
-import { createKey } from '@nettlespur/http.keys'
+import { createKey } from '@nettlespur/net.keys'
 import {
   callEntry,
   createTrialContract,
--- a/daemons/trial/test/tls.test.ts
+++ b/daemons/trial/test/tls.test.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs'
 import path from 'node:path'
 import test from 'ava'
-import { createKey } from '@nettlespur/http.keys'
+import { createKey } from '@nettlespur/net.keys'
 import { callEntry, createTrialContract, TrialCluster } from '../__utils__/index.js'
 
 const fixtures = path.resolve(import.meta.dirname, '..', '..', '__fixtures__')
--- a/daemons/trial/test/wholePath.test.ts
+++ b/daemons/trial/test/wholePath.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { createKey } from '@nettlespur/http.keys'
+import { createKey } from '@nettlespur/net.keys'
 import {
   callEntry,
   createTrialContract,
--- a/daemons/upstream/test/daemon.test.ts
+++ b/daemons/upstream/test/daemon.test.ts
@@ -4,7 +4,7 @@
 import test, { type ExecutionContext } from 'ava'
 import { SystemClock } from '@nettlespur/core.clock'
 import { DaemonProcess } from '@nettlespur/daemons.trial'
-import { createKey } from '@nettlespur/http.keys'
+import { createKey } from '@nettlespur/net.keys'
 import { HttpUpstreamClient } from '@nettlespur/upstream.client'
 
 const bin = path.resolve(import.meta.dirname, '..', '..', 'bin', 'nettlespur-upstream.js')
--- a/entry/fakes/src/fakeUpstream.ts
+++ b/entry/fakes/src/fakeUpstream.ts
@@ -4,7 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { taskHeaders } from '@nettlespur/api.schemas'
-import { createHttpServer, type HttpServer } from '@nettlespur/http.server'
+import { createHttpServer, type HttpServer } from '@nettlespur/net.server'
 import { BehaviorSubject, filter, firstValueFrom } from 'rxjs'
 
 /** One request that arrived, to be answered by the test. */
--- a/entry/requests/src/readAnswer.ts
+++ b/entry/requests/src/readAnswer.ts
@@ -5,7 +5,7 @@
  */
 import { taskHeaders } from '@nettlespur/api.schemas'
 import { toNettlespurError, type ErrorKind } from '@nettlespur/core.errors'
-import { toAnswerError, type OpenedAnswer } from '@nettlespur/http.client'
+import { toAnswerError, type OpenedAnswer } from '@nettlespur/net.client'
 import { createLostOutcome } from './lostOutcome.js'
 import type { TaskOutcome, TaskRun } from './taskTransport.js'
 
--- a/entry/requests/src/taskInquiry.ts
+++ b/entry/requests/src/taskInquiry.ts
@@ -5,7 +5,7 @@
 import http from 'node:http'
 import { taskStatusSchema, type TaskState } from '@nettlespur/api.schemas'
 import type { Clock } from '@nettlespur/core.clock'
-import { callHttp, openHttp } from '@nettlespur/http.client'
+import { callHttp, openHttp } from '@nettlespur/net.client'
 import { expectFence, readAnswer } from './readAnswer.js'
 import type { TaskOutcome, TaskRun } from './taskTransport.js'
 
--- a/entry/service/src/accessControl.ts
+++ b/entry/service/src/accessControl.ts
@@ -11,8 +11,8 @@
   hashKey,
   matchesAnyHash,
   readBearerKey,
-} from '@nettlespur/http.keys'
-import type { HttpRequest } from '@nettlespur/http.server'
+} from '@nettlespur/net.keys'
+import type { HttpRequest } from '@nettlespur/net.server'
 
 /** Each check compares this many hashes, so that its time does not tell how many keys there are. */
 const comparedHashes = 16
--- a/entry/service/src/contractRoutes.ts
+++ b/entry/service/src/contractRoutes.ts
@@ -6,7 +6,7 @@
   type ContractChange,
 } from '@nettlespur/api.schemas'
 import { NettlespurError, tryAsync, unwrap } from '@nettlespur/core.errors'
-import type { HttpReply, HttpRequest, Route } from '@nettlespur/http.server'
+import type { HttpReply, HttpRequest, Route } from '@nettlespur/net.server'
 import { askControl } from './askControl.js'
 import { awaitInForce } from './awaitInForce.js'
 import type { EntryContext } from './entryContext.js'
--- a/entry/service/src/createEntryRoutes.ts
+++ b/entry/service/src/createEntryRoutes.ts
@@ -1,5 +1,5 @@
 /** All routes of the HTTP API. */
-import type { Route } from '@nettlespur/http.server'
+import type { Route } from '@nettlespur/net.server'
 import { createContractRoutes } from './contractRoutes.js'
 import type { EntryContext } from './entryContext.js'
 import { createJobRoutes } from './jobRoutes.js'
--- a/entry/service/src/jobRoutes.ts
+++ b/entry/service/src/jobRoutes.ts
@@ -1,7 +1,7 @@
 /** Gang jobs: submit, look at, wait for the answer, explain and cancel. */
 import { finalJobStates, jobRequestSchema } from '@nettlespur/api.schemas'
 import { tryAsync, unwrap } from '@nettlespur/core.errors'
-import type { HttpReply, HttpRequest, Route } from '@nettlespur/http.server'
+import type { HttpReply, HttpRequest, Route } from '@nettlespur/net.server'
 import type { JobReference } from '@nettlespur/control.api'
 import { askControl } from './askControl.js'
 import { awaitJobAnswer } from './awaitJobAnswer.js'
--- a/entry/service/src/memberRoutes.ts
+++ b/entry/service/src/memberRoutes.ts
@@ -2,7 +2,7 @@
 import { identifierSchema } from '@nettlespur/api.schemas'
 import { newMemberSchema } from '@nettlespur/control.api'
 import { tryAsync, unwrap } from '@nettlespur/core.errors'
-import type { HttpReply, HttpRequest, Route } from '@nettlespur/http.server'
+import type { HttpReply, HttpRequest, Route } from '@nettlespur/net.server'
 import { askControl } from './askControl.js'
 import type { EntryContext } from './entryContext.js'
 import { readParam } from './readParts.js'
--- a/entry/service/src/readParts.ts
+++ b/entry/service/src/readParts.ts
@@ -1,7 +1,7 @@
 /** Reads headers and query parameters of a request, naming each fault. */
 import { parseValue } from '@nettlespur/api.schemas'
 import { NettlespurError, toNettlespurError } from '@nettlespur/core.errors'
-import type { HttpRequest } from '@nettlespur/http.server'
+import type { HttpRequest } from '@nettlespur/net.server'
 import type { z } from 'zod'
 
 const wholeNumber = /^\d{1,15}$/
--- a/entry/service/src/requestRoutes.ts
+++ b/entry/service/src/requestRoutes.ts
@@ -2,7 +2,7 @@
 import { idempotencyKeySchema, requestHeaders, taskHeaders } from '@nettlespur/api.schemas'
 import { NettlespurError, tryAsync, unwrap } from '@nettlespur/core.errors'
 import type { ShortAnswer } from '@nettlespur/entry.requests'
-import type { HttpReply, HttpRequest, Route } from '@nettlespur/http.server'
+import type { HttpReply, HttpRequest, Route } from '@nettlespur/net.server'
 import type { EntryContext } from './entryContext.js'
 import { readHeader, readWholeNumber } from './readParts.js'
 
--- a/entry/service/src/statusRoutes.ts
+++ b/entry/service/src/statusRoutes.ts
@@ -1,6 +1,6 @@
 /** Health for the balancer, figures, and the state of the cluster for operators. */
 import { tryAsync } from '@nettlespur/core.errors'
-import type { HttpReply, HttpRequest, Route } from '@nettlespur/http.server'
+import type { HttpReply, HttpRequest, Route } from '@nettlespur/net.server'
 import { askControl } from './askControl.js'
 import type { EntryContext } from './entryContext.js'
 
--- a/entry/service/src/upstreamRoutes.ts
+++ b/entry/service/src/upstreamRoutes.ts
@@ -1,7 +1,7 @@
 /** Upstreams announce themselves; operators list them. */
 import { announcementSchema, identifierSchema } from '@nettlespur/api.schemas'
 import { tryAsync, unwrap } from '@nettlespur/core.errors'
-import type { HttpReply, HttpRequest, Route } from '@nettlespur/http.server'
+import type { HttpReply, HttpRequest, Route } from '@nettlespur/net.server'
 import type { EntryContext } from './entryContext.js'
 import { readParam } from './readParts.js'
 
--- a/entry/service/test/badInput.test.ts
+++ b/entry/service/test/badInput.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { createKey } from '@nettlespur/http.keys'
+import { createKey } from '@nettlespur/net.keys'
 import { createAnnouncement, createContract } from '@nettlespur/entry.fakes'
 import fc from 'fast-check'
 import { goodJob, readJson, startService, type SendOptions, type Service } from './startService.js'
--- a/http/client/src/callJson.ts
+++ b/net/client/src/callJson.ts
@@ -1,7 +1,7 @@
 /** A call whose body and answer are JSON; an answer other than 2xx becomes the error it stands for. */
 import { parseValue } from '@nettlespur/api.schemas'
 import type { NettlespurError } from '@nettlespur/core.errors'
-import { parseJson } from '@nettlespur/http.server'
+import { parseJson } from '@nettlespur/net.server'
 import { EitherAsync, Left, type Either } from 'purify-ts'
 import type { z } from 'zod'
 import { callHttp, toAnswerError, type CallHttpOptions, type HttpAnswer } from './callHttp.js'
--- a/rpc/peer/src/createRpcServer.ts
+++ b/rpc/peer/src/createRpcServer.ts
@@ -10,8 +10,8 @@
   hashKey,
   matchesAnyHash,
   readBearerKey,
-} from '@nettlespur/http.keys'
-import { createHttpServer, type HttpServer, type TlsFiles } from '@nettlespur/http.server'
+} from '@nettlespur/net.keys'
+import { createHttpServer, type HttpServer, type TlsFiles } from '@nettlespur/net.server'
 import type { AnyTRPCRouter } from '@trpc/server'
 import { WebSocketServer } from 'ws'
 import { compression, messageBytesMax } from './messageCodec.js'
--- a/rpc/peer/src/peerConnection.ts
+++ b/rpc/peer/src/peerConnection.ts
@@ -3,7 +3,7 @@
  * ended with the socket, so that no call leaves on another connection than the one it was made on.
  */
 import { NettlespurError } from '@nettlespur/core.errors'
-import { createUnauthorizedError, formatBearerKey } from '@nettlespur/http.keys'
+import { createUnauthorizedError, formatBearerKey } from '@nettlespur/net.keys'
 import { createWSClient, type TRPCWebSocketClient } from '@trpc/client'
 import { WebSocket } from 'ws'
 import { compression, messageBytesMax } from './messageCodec.js'
--- a/rpc/peer/test/rpc.test.ts
+++ b/rpc/peer/test/rpc.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { SystemClock } from '@nettlespur/core.clock'
 import { NettlespurError, toRpcResult } from '@nettlespur/core.errors'
-import { createKey } from '@nettlespur/http.keys'
+import { createKey } from '@nettlespur/net.keys'
 import { initTRPC } from '@trpc/server'
 import { EitherAsync, Left, Right } from 'purify-ts'
 import { z } from 'zod'
--- a/upstream/client/src/readWholeAnswer.ts
+++ b/upstream/client/src/readWholeAnswer.ts
@@ -1,7 +1,7 @@
 /** Takes an answer only when it is whole and belongs to the task it was asked for. */
 import { taskHeaders } from '@nettlespur/api.schemas'
 import { NettlespurError } from '@nettlespur/core.errors'
-import { toAnswerError, type HttpAnswer } from '@nettlespur/http.client'
+import { toAnswerError, type HttpAnswer } from '@nettlespur/net.client'
 import { Left, Right, type Either } from 'purify-ts'
 
 const statusOk = 200
--- a/upstream/standIn/src/announcer.ts
+++ b/upstream/standIn/src/announcer.ts
@@ -10,8 +10,8 @@
 } from '@nettlespur/api.schemas'
 import type { Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
-import { callJson } from '@nettlespur/http.client'
-import { formatBearerKey } from '@nettlespur/http.keys'
+import { callJson } from '@nettlespur/net.client'
+import { formatBearerKey } from '@nettlespur/net.keys'
 import { BehaviorSubject, filter, firstValueFrom, skip } from 'rxjs'
 
 const callTimeoutMs = 1000
--- a/upstream/standIn/src/answerRoutes.ts
+++ b/upstream/standIn/src/answerRoutes.ts
@@ -1,7 +1,7 @@
 /** The calls that answer with a task's raw bytes: one short request, and collecting an answer again. */
 import { durationMsSchema, fenceSchema, parseValue, taskHeaders } from '@nettlespur/api.schemas'
 import { NettlespurError } from '@nettlespur/core.errors'
-import type { HttpReply, HttpRequest, Route } from '@nettlespur/http.server'
+import type { HttpReply, HttpRequest, Route } from '@nettlespur/net.server'
 import { EitherAsync, Left, Right, type Either } from 'purify-ts'
 import { z } from 'zod'
 import { createHeldRoute, type HeldRouteContext } from './heldRoute.js'
--- a/upstream/standIn/src/commandRoutes.ts
+++ b/upstream/standIn/src/commandRoutes.ts
@@ -1,5 +1,5 @@
 /** What drives and inspects the stand-in itself; no real upstream has these calls. */
-import type { HttpReply, Route } from '@nettlespur/http.server'
+import type { HttpReply, Route } from '@nettlespur/net.server'
 import { EitherAsync, Right } from 'purify-ts'
 import { faultSettingsSchema, type Faults } from './faults.js'
 import type { TaskTable } from './taskTable.js'
--- a/upstream/standIn/src/heldRoute.ts
+++ b/upstream/standIn/src/heldRoute.ts
@@ -2,7 +2,7 @@
 import { Readable } from 'node:stream'
 import type { Clock } from '@nettlespur/core.clock'
 import { NettlespurError, tryAsync, unwrap } from '@nettlespur/core.errors'
-import type { HttpMethod, HttpReply, HttpRequest, Route } from '@nettlespur/http.server'
+import type { HttpMethod, HttpReply, HttpRequest, Route } from '@nettlespur/net.server'
 import type { CallKind, Faults } from './faults.js'
 
 export interface HeldRouteContext {
--- a/upstream/standIn/src/requireKey.ts
+++ b/upstream/standIn/src/requireKey.ts
@@ -1,6 +1,6 @@
 /** Lets only calls with an accepted bearer key reach a route. */
-import { createUnauthorizedError, matchesAnyHash, readBearerKey } from '@nettlespur/http.keys'
-import type { Route } from '@nettlespur/http.server'
+import { createUnauthorizedError, matchesAnyHash, readBearerKey } from '@nettlespur/net.keys'
+import type { Route } from '@nettlespur/net.server'
 import { EitherAsync, Left } from 'purify-ts'
 
 export function requireKey(route: Route, keyHashes: readonly string[]): Route {
--- a/upstream/standIn/src/taskRoutes.ts
+++ b/upstream/standIn/src/taskRoutes.ts
@@ -8,7 +8,7 @@
   type TaskStatus,
 } from '@nettlespur/api.schemas'
 import type { NettlespurError } from '@nettlespur/core.errors'
-import type { HttpMethod, HttpReply, HttpRequest, Route } from '@nettlespur/http.server'
+import type { HttpMethod, HttpReply, HttpRequest, Route } from '@nettlespur/net.server'
 import { EitherAsync, Right, type Either } from 'purify-ts'
 import type { z } from 'zod'
 import { createAnswerRoutes } from './answerRoutes.js'
--- a/upstream/standIn/test/announcer.test.ts
+++ b/upstream/standIn/test/announcer.test.ts
@@ -2,7 +2,7 @@
 import { announcementSchema, type Announcement } from '@nettlespur/api.schemas'
 import type { ManualClock } from '@nettlespur/core.clock'
 import { tryAsync } from '@nettlespur/core.errors'
-import { createHttpServer, type HttpRequest, type Route } from '@nettlespur/http.server'
+import { createHttpServer, type HttpRequest, type Route } from '@nettlespur/net.server'
 import { createReservation, createTrial } from './createTrial.js'
 
 /** 90% of the interval the fake entry names, as the random number of these tests is 0.5. */
--- a/upstream/standIn/test/faults.test.ts
+++ b/upstream/standIn/test/faults.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
-import { callJson } from '@nettlespur/http.client'
-import { createKey } from '@nettlespur/http.keys'
+import { callJson } from '@nettlespur/net.client'
+import { createKey } from '@nettlespur/net.keys'
 import { z } from 'zod'
 import {
   createReservation,
--- a/upstream/standIn/test/requestProtocol.test.ts
+++ b/upstream/standIn/test/requestProtocol.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { taskHeaders } from '@nettlespur/api.schemas'
-import { callHttp, type HttpAnswer } from '@nettlespur/http.client'
+import { callHttp, type HttpAnswer } from '@nettlespur/net.client'
 import { readWholeAnswer } from '@nettlespur/upstream.client'
 import { createReservation, createTrial, tell, waitForStarts, type Trial } from './createTrial.js'
 
