--- a/ava.config.js
+++ b/ava.config.js
@@ -1,6 +1,6 @@
 export default {
   files: ['*/*/lib/test/**/*.test.js'],
-  timeout: '120s',
+  timeout: '300s',
   concurrency: 6,
   workerThreads: false,
   require: ['./scripts/fixSeed.mjs'],
--- a/daemons/trial/__utils__/daemonProcess.ts
+++ b/daemons/trial/__utils__/daemonProcess.ts
@@ -23,6 +23,12 @@
   readonly reject: (cause: Error) => void
 }
 
+/** A test process that ends early must leave no daemon behind. */
+const running = new Set<ChildProcess>()
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL')
+})
+
 export class DaemonProcess {
   readonly lines: string[] = []
   readonly #child: ChildProcess
@@ -33,6 +39,7 @@
     const daemon = [process.execPath, opts.bin, '--settings', opts.settingsFile] as const
     const [program, ...args] = opts.under === undefined ? daemon : [...opts.under, ...daemon]
     this.#child = spawn(program, args, { stdio: ['ignore', 'ignore', 'pipe'] })
+    running.add(this.#child)
     this.#ended = once(this.#child, 'exit').then(([code]) => code as number | null)
     if (this.#child.stderr !== null) {
       createInterface({ input: this.#child.stderr }).on('line', (line) => {
@@ -40,6 +47,7 @@
       })
     }
     void this.#ended.then((code) => {
+      running.delete(this.#child)
       this.#failWaiters(new Error(`the process ended with ${code ?? 'a signal'}:\n${this.#tail()}`))
     })
   }
