--- a/control/service/src/placementLoop.ts
+++ b/control/service/src/placementLoop.ts
@@ -4,7 +4,7 @@
  */
 import type { UpstreamView } from '@nettlespur/api.schemas'
 import { waitForWake, type GangManager } from '@nettlespur/control.gangs'
-import { readJob, type ControlState } from '@nettlespur/control.state'
+import { readJob } from '@nettlespur/control.state'
 import { toNettlespurError } from '@nettlespur/core.errors'
 import type { PlaceDecision } from '@nettlespur/placement.engine'
 import { describeShapes } from '@nettlespur/placement.plan'
@@ -37,8 +37,6 @@
   readonly #impossible: ImpossibleJobs
   readonly #learner = new RunTimeLearner()
   #missingShapes = ''
-  /** Where the cluster stood when a round last found nothing to decide. */
-  #idlePosition = ''
   #waitReasons = new Map<string, string>()
 
   constructor(opts: PlacementLoopOptions) {
@@ -81,10 +79,8 @@
     const { node, upstreams, gangs } = this.#opts
     upstreams.refresh()
     gangs.recover()
-    const { state } = node.holder
-    const position = this.#describePosition()
-    if (position === this.#idlePosition && !hasWaiting(state)) return
     const views = upstreams.list()
+    const { state } = node.holder
     const now = node.clock.now()
     this.#learner.learn(state, now.getTime())
     const view = createPlacementView({
@@ -106,13 +102,6 @@
     }
     await this.#refuseImpossible(decisions)
     this.#keepReasons(reasons)
-    this.#idlePosition = moves.length + decisions.length === 0 ? position : ''
-  }
-
-  /** Where nothing waits, only a change of one of these can give a round anything to decide. */
-  #describePosition(): string {
-    const { node, version, knowsUpstreams } = this.#opts
-    return [node.holder.state.appliedIndex, version.value, knowsUpstreams()].join(' ')
   }
 
   /** The runner of the gang is woken by the change of its job. */
@@ -205,7 +194,3 @@
     return Math.min(tickMs, ...due)
   }
 }
-
-function hasWaiting(state: ControlState): boolean {
-  return state.listLiveJobs().some((job) => job.state === 'queued')
-}
--- a/control/service/test/placementLoop.test.ts
+++ b/control/service/test/placementLoop.test.ts
@@ -106,26 +106,3 @@
   const waits = node.lines.filter((line) => line.includes('event=placement.waits'))
   t.true(waits.length < 60)
 })
-
-test('where nothing waits, only a change has the policy asked again', async (t) => {
-  const { node, policy } = await startScripted(t)
-  const half = { accelerators: 4, adjacency: 'upstream' as const }
-  const jobId = await submit(node, { gang: half, repeatable: true })
-  await runUntil(node, () => node.client.stateOf(`${jobId}.1.0`) === 'running')
-  const passSeconds = async (count: number) => {
-    for (let seconds = 0; seconds < count; seconds++) {
-      await announce(node, 'u1', 'ready')
-      await node.clock.advance(1000)
-    }
-  }
-  await passSeconds(5)
-  let rounds = 0
-  policy.extra = () => {
-    rounds += 1
-    return []
-  }
-  await passSeconds(10)
-  t.is(rounds, 0)
-  await announce(node, 'u2', 'ready')
-  await runUntil(node, () => rounds > 0)
-})
