--- /dev/null
+++ b/batch/model/src/listConfigFaults.ts
@@ -0,0 +1,27 @@
+/** What makes a configuration unusable although each of its fields is well formed. */
+import type { ClusterConfig } from './clusterConfig.js'
+
+/** One line a fault; none where the configuration may be put in force. */
+export function listConfigFaults(config: ClusterConfig): string[] {
+  const pools = new Set(config.pools.map(({ name }) => name))
+  const homeless = config.queues
+    .filter(({ pool }) => !pools.has(pool))
+    .map(({ name, pool }) => `queue ${name}: no such pool: ${pool}`)
+  const places = config.queues.map(({ host, pathPrefix }) => `${host} ${pathPrefix}`)
+  const keys = config.workspaces.flatMap((workspace) => [...new Set(workspace.keys)])
+  return [
+    ...homeless,
+    ...listRepeated(places).map((place) => `two queues have the same host and path: ${place}`),
+    ...listRepeated(config.pools.map(({ name }) => name)).map((name) => `two pools named ${name}`),
+    ...listRepeated(keys).map(() => 'two workspaces share a key'),
+  ]
+}
+
+function listRepeated(values: readonly string[]): string[] {
+  const seen = new Set<string>()
+  return values.filter((value) => {
+    if (seen.has(value)) return true
+    seen.add(value)
+    return false
+  })
+}
--- /dev/null
+++ b/batch/model/src/taskName.ts
@@ -0,0 +1,22 @@
+/** Names one task of one job, and one run of it. */
+import { countSchema } from '@nettlespur/api.schemas'
+import { z } from 'zod'
+
+export const taskRefSchema = z.object({
+  jobId: z.string(),
+  step: countSchema,
+  index: countSchema,
+})
+export type TaskRef = z.infer<typeof taskRefSchema>
+
+/** Attempts of one task count from 1; members of a gang share theirs. */
+export const runRefSchema = taskRefSchema.extend({ attempt: countSchema })
+export type RunRef = z.infer<typeof runRefSchema>
+
+export function taskKey({ jobId, step, index }: TaskRef): string {
+  return `${jobId}/${step}/${index}`
+}
+
+export function runKey(run: RunRef): string {
+  return `${taskKey(run)}#${run.attempt}`
+}
--- /dev/null
+++ b/batch/scheduler/src/jobTiming.ts
@@ -0,0 +1,44 @@
+/** By when a job should have ended, and how long its work is expected to take. */
+import type { StepSpec } from '@nettlespur/batch.model'
+import type { JobRecord } from '@nettlespur/batch.state'
+
+/** A job that ends later than this many times its objective is worth nothing any more. */
+const lateLimitTimes = 3
+
+export type Hope = 'on-time' | 'late' | 'none'
+
+/** The expected time of the longest chain of steps, in milliseconds. */
+export function measureChainMs(steps: readonly StepSpec[]): number {
+  const endsMs: number[] = []
+  for (const { dependsOn, expectedRunTimeMs } of steps) {
+    const startMs = Math.max(0, ...dependsOn.map((number) => endsMs[number] ?? 0))
+    endsMs.push(startMs + expectedRunTimeMs)
+  }
+  return Math.max(0, ...endsMs)
+}
+
+/** The expected time of what has still to run. */
+export function measureRemainingMs(job: JobRecord): number {
+  const open = job.request.steps.filter((_, at) =>
+    job.steps[at]?.tasks.some(({ phase }) => phase !== 'done'),
+  )
+  return open.reduce((longest, step) => Math.max(longest, step.expectedRunTimeMs), 0)
+}
+
+export function measureObjectiveMs({ queue, request }: JobRecord): number {
+  return queue.stretch * measureChainMs(request.steps) + queue.targetLatencyMs
+}
+
+/** The latest start with which the job still ends in time, and whether that is still to come. */
+export function judgeHope(
+  job: JobRecord,
+  acceptedAtMs: number,
+  nowMs: number,
+): { latestStartMs: number; hope: Hope } {
+  const objectiveMs = measureObjectiveMs(job)
+  const remainingMs = measureRemainingMs(job)
+  const latestStartMs = acceptedAtMs + objectiveMs - remainingMs
+  if (nowMs <= latestStartMs) return { latestStartMs, hope: 'on-time' }
+  const lastUsefulStartMs = acceptedAtMs + objectiveMs * lateLimitTimes - remainingMs
+  return { latestStartMs, hope: nowMs <= lastUsefulStartMs ? 'late' : 'none' }
+}
--- /dev/null
+++ b/batch/scheduler/src/orderUnits.ts
@@ -0,0 +1,32 @@
+/** Who is served first: guaranteed work, then by hope of ending in time, priority and the latest start. */
+import { judgeHope, type Hope } from './jobTiming.js'
+import type { SchedulerView } from './schedulerView.js'
+import { listUnits, type StartUnit } from './startUnit.js'
+
+const hopeRank: Readonly<Record<Hope, number>> = { 'on-time': 0, late: 1, none: 2 }
+
+export interface RankedUnit extends StartUnit {
+  readonly isGuaranteed: boolean
+  readonly hope: Hope
+  readonly latestStartMs: number
+}
+
+export function orderUnits(view: SchedulerView, guaranteed: ReadonlySet<string>): RankedUnit[] {
+  const ranked = view.jobs.flatMap((job) => {
+    const { jobId } = job.request
+    const units = listUnits(job)
+    if (units.length === 0) return []
+    const acceptedAtMs = view.acceptedAtMs.get(jobId) ?? view.nowMs
+    const timing = judgeHope(job, acceptedAtMs, view.nowMs)
+    const isGuaranteed = guaranteed.has(jobId)
+    return units.map((unit) => ({ ...unit, ...timing, isGuaranteed }))
+  })
+  return ranked.sort(
+    (left, right) =>
+      Number(right.isGuaranteed) - Number(left.isGuaranteed) ||
+      hopeRank[left.hope] - hopeRank[right.hope] ||
+      left.job.queue.priority - right.job.queue.priority ||
+      left.latestStartMs - right.latestStartMs ||
+      left.job.number - right.job.number,
+  )
+}
--- /dev/null
+++ b/batch/scheduler/src/planRound.ts
@@ -0,0 +1,56 @@
+/**
+ * One round of decisions. Units come in their order of rank; each takes its room from what the ones before
+ * left. Guaranteed work that does not fit has others stopped, and its room is kept for it meanwhile.
+ */
+import type { Placement } from '@nettlespur/batch.state'
+import { choosePlaces } from './choosePlaces.js'
+import { chooseVictims, type VictimGroup } from './chooseVictims.js'
+import { listGuaranteed } from './listGuaranteed.js'
+import { listVictimGroups } from './listVictimGroups.js'
+import { orderUnits, type RankedUnit } from './orderUnits.js'
+import { RoomBook } from './roomBook.js'
+import type { RoundDecision, SchedulerView } from './schedulerView.js'
+import { placeUnit } from './startUnit.js'
+
+export function planRound(view: SchedulerView): RoundDecision {
+  const guaranteed = listGuaranteed(view.jobs, view.guarantees)
+  const round = new Round(view, guaranteed)
+  for (const unit of orderUnits(view, guaranteed)) round.decide(unit)
+  return { placements: round.placements, preemptions: round.preemptions }
+}
+
+class Round {
+  readonly placements: Placement[] = []
+  readonly preemptions: Placement[] = []
+  readonly #book: RoomBook
+  #groups: readonly VictimGroup[]
+
+  constructor(view: SchedulerView, guaranteed: ReadonlySet<string>) {
+    this.#book = new RoomBook(view.rooms)
+    this.#groups = listVictimGroups(view, guaranteed)
+  }
+
+  decide(unit: RankedUnit): void {
+    const places = choosePlaces(unit, this.#book)
+    if (places.length > 0) this.#place(unit, places)
+    if (places.length < unit.waiting.length && unit.isGuaranteed) this.#makeRoom(unit)
+  }
+
+  #place(unit: RankedUnit, places: readonly string[]): void {
+    this.#book.take(places, unit.step.needs)
+    this.placements.push(...placeUnit(unit, places))
+  }
+
+  /** Keeps what is being freed for the unit; where that is too little, has more stopped. */
+  #makeRoom(unit: RankedUnit): void {
+    const choice = chooseVictims({ unit, book: this.#book, groups: this.#groups })
+    if (choice === undefined) return
+    const stopped = new Set(choice.victims)
+    this.#groups = this.#groups.filter((group) => !stopped.has(group))
+    for (const { runs, needs } of choice.victims) {
+      this.preemptions.push(...runs)
+      for (const { upstreamId } of runs) this.#book.giveBackSoon(upstreamId, needs)
+    }
+    this.#book.take(choice.places, unit.step.needs)
+  }
+}
--- /dev/null
+++ b/batch/scheduler/src/resources.ts
@@ -0,0 +1,26 @@
+/** Sums over what tasks need and upstreams have. */
+import type { Resources } from '@nettlespur/batch.model'
+
+export const noResources: Resources = { cpuMillicores: 0, memoryMiB: 0, accelerators: 0 }
+
+/** `left` and `times` times `right`. */
+export function addResources(left: Resources, right: Resources, times = 1): Resources {
+  return {
+    cpuMillicores: left.cpuMillicores + right.cpuMillicores * times,
+    memoryMiB: left.memoryMiB + right.memoryMiB * times,
+    accelerators: left.accelerators + right.accelerators * times,
+  }
+}
+
+/** How many tasks of this size fit; negative room fits none. */
+export function countFitting(free: Resources, needs: Resources): number {
+  return Math.min(
+    countOf(free.cpuMillicores, needs.cpuMillicores),
+    countOf(free.memoryMiB, needs.memoryMiB),
+    countOf(free.accelerators, needs.accelerators),
+  )
+}
+
+function countOf(free: number, needed: number): number {
+  return needed === 0 ? (free < 0 ? 0 : Infinity) : Math.max(0, Math.floor(free / needed))
+}
--- /dev/null
+++ b/batch/scheduler/src/roomBook.ts
@@ -0,0 +1,79 @@
+/** The rooms of one round as they fill up: each decision takes from what the next one finds. */
+import type { Resources } from '@nettlespur/batch.model'
+import { addResources, countFitting } from './resources.js'
+import type { UpstreamRoom } from './schedulerView.js'
+import type { StartUnit } from './startUnit.js'
+
+/** One upstream's room within a round. */
+export class BookedRoom {
+  readonly room: UpstreamRoom
+  free: Resources
+  soon: Resources
+
+  constructor(room: UpstreamRoom) {
+    this.room = room
+    this.free = room.free
+    this.soon = room.soon
+  }
+
+  get upstreamId(): string {
+    return this.room.upstreamId
+  }
+}
+
+export class RoomBook {
+  readonly rooms: readonly BookedRoom[]
+  readonly #byId: ReadonlyMap<string, BookedRoom>
+
+  constructor(rooms: readonly UpstreamRoom[]) {
+    this.rooms = rooms.map((room) => new BookedRoom(room))
+    this.#byId = new Map(this.rooms.map((room) => [room.upstreamId, room]))
+  }
+
+  find(upstreamId: string): BookedRoom | undefined {
+    return this.#byId.get(upstreamId)
+  }
+
+  /** Takes one task's room on each upstream named, however often it is named. */
+  take(upstreamIds: readonly string[], needs: Resources): void {
+    for (const upstreamId of upstreamIds) {
+      const room = this.#byId.get(upstreamId)
+      if (room === undefined) continue
+      room.free = addResources(room.free, needs, -1)
+      room.soon = addResources(room.soon, needs, -1)
+    }
+  }
+
+  /** The room of a run that is about to be stopped. */
+  giveBackSoon(upstreamId: string, needs: Resources): void {
+    const room = this.#byId.get(upstreamId)
+    if (room !== undefined) room.soon = addResources(room.soon, needs)
+  }
+
+  /** Rooms in which the unit's tasks may run at all. */
+  listAllowed({ job, step, avoided }: StartUnit): BookedRoom[] {
+    const allowed = this.rooms.filter(
+      ({ room }) =>
+        room.pool === job.queue.pool &&
+        (step.requiredLabel === undefined || room.labels.includes(step.requiredLabel)),
+    )
+    const untried = allowed.filter(({ upstreamId }) => !avoided.has(upstreamId))
+    return untried.length > 0 ? untried : allowed
+  }
+}
+
+export interface CountTasksOptions {
+  unit: StartUnit
+  room: BookedRoom
+  /** `free` counts what may be used now, `soon` also what is being stopped. */
+  from: 'free' | 'soon'
+}
+
+/** How many of the unit's tasks the upstream can take. */
+export function countTasks({ unit, room, from }: CountTasksOptions): number {
+  const { step, record, waiting } = unit
+  const fitting = Math.min(countFitting(room[from], step.needs), waiting.length)
+  if (step.tasksPerUpstreamMax === undefined) return fitting
+  const there = record.tasks.filter(({ upstreamId }) => upstreamId === room.upstreamId).length
+  return Math.min(fitting, Math.max(0, step.tasksPerUpstreamMax - there))
+}
--- /dev/null
+++ b/batch/scheduler/src/schedulerView.ts
@@ -0,0 +1,44 @@
+/** All that one round of decisions looks at. The round changes none of it but its own copies of the rooms. */
+import type { JobRecord, Placement } from '@nettlespur/batch.state'
+import type { Resources } from '@nettlespur/batch.model'
+
+/** An upstream that may be given work. */
+export interface UpstreamRoom {
+  readonly upstreamId: string
+  readonly pool: string
+  readonly rack: string
+  readonly labels: readonly string[]
+  readonly capacity: Resources
+  /** What one more task may take now. */
+  readonly free: Resources
+  /** `free`, and what runs that are being stopped will give back. */
+  readonly soon: Resources
+}
+
+/** A run that may be stopped for others. */
+export interface ActiveRun {
+  readonly placement: Placement
+  /** Work that a stop would throw away, in core-seconds. */
+  readonly stopCostCoreSeconds: number
+  /** It has been told to stop, or is about to be. */
+  readonly isStopping: boolean
+}
+
+export interface SchedulerView {
+  readonly nowMs: number
+  /** In the order in which they were accepted. */
+  readonly jobs: readonly JobRecord[]
+  /** When each job came, on the clock of `nowMs`. */
+  readonly acceptedAtMs: ReadonlyMap<string, number>
+  readonly rooms: readonly UpstreamRoom[]
+  readonly runs: readonly ActiveRun[]
+  /** Accelerators that each workspace is guaranteed. */
+  readonly guarantees: ReadonlyMap<string, number>
+}
+
+/** What a round has decided. */
+export interface RoundDecision {
+  readonly placements: Placement[]
+  /** Runs to stop, so that guaranteed work can start in their place. */
+  readonly preemptions: Placement[]
+}
--- /dev/null
+++ b/batch/scheduler/src/startUnit.ts
@@ -0,0 +1,51 @@
+/** What can be started on its own: a whole gang, or the waiting tasks of a step of which each may start alone. */
+import type { StepSpec } from '@nettlespur/batch.model'
+import type { JobRecord, Placement, StepRecord } from '@nettlespur/batch.state'
+
+export interface StartUnit {
+  readonly job: JobRecord
+  readonly stepNumber: number
+  readonly step: StepSpec
+  readonly record: StepRecord
+  /** Indexes of the tasks that wait. */
+  readonly waiting: readonly number[]
+  /** Upstreams on which one of them has failed. */
+  readonly avoided: ReadonlySet<string>
+}
+
+/** The units of a job whose turn has come. */
+export function listUnits(job: JobRecord): StartUnit[] {
+  if (job.status !== 'active') return []
+  return job.request.steps.flatMap((step, stepNumber) => {
+    const record = job.steps[stepNumber]
+    if (record === undefined || !areDone(job, step.dependsOn)) return []
+    const waiting = listWaiting(record)
+    // A gang starts whole, once all of its former attempt has ended.
+    const isStartable = step.isGang ? waiting.length === step.taskCount : waiting.length > 0
+    if (!isStartable) return []
+    const avoided = new Set(waiting.flatMap((index) => record.tasks[index]?.failedOn ?? []))
+    return [{ job, stepNumber, step, record, waiting, avoided }]
+  })
+}
+
+/** Places the waiting tasks, in their order, on as many upstreams as are given. */
+export function placeUnit(unit: StartUnit, upstreamIds: readonly string[]): Placement[] {
+  const { job, stepNumber, step, record, waiting } = unit
+  const gangAttempt = Math.max(...record.tasks.map(({ attempt }) => attempt)) + 1
+  return upstreamIds.flatMap((upstreamId, at) => {
+    const index = waiting[at]
+    if (index === undefined) return []
+    const attempt = step.isGang ? gangAttempt : (record.tasks[index]?.attempt ?? 0) + 1
+    return [{ jobId: job.request.jobId, step: stepNumber, index, attempt, upstreamId }]
+  })
+}
+
+function areDone(job: JobRecord, stepNumbers: readonly number[]): boolean {
+  return stepNumbers.every((number) =>
+    job.steps[number]?.tasks.every(({ phase }) => phase === 'done'),
+  )
+}
+
+function listWaiting({ tasks }: StepRecord): number[] {
+  return tasks.flatMap(({ phase }, index) => (phase === 'waiting' ? [index] : []))
+}
--- /dev/null
+++ b/batch/service/src/batchApi.ts
@@ -0,0 +1,60 @@
+/**
+ * What entries, operators and upstreams ask of control. The leader answers; any member can be asked who
+ * leads. Every call may be sent again: it then has the same effect as once.
+ */
+import { addressSchema } from '@nettlespur/api.schemas'
+import {
+  jobRequestSchema,
+  type Announcement,
+  type ClusterConfig,
+  type JobState,
+} from '@nettlespur/batch.model'
+import type { Member } from '@nettlespur/consensus.raft'
+import type { NettlespurError } from '@nettlespur/core.errors'
+import type { EitherAsync } from 'purify-ts'
+import { z } from 'zod'
+
+/** A caller's call on a queue or one of its jobs. */
+export const queueCallSchema = z.object({
+  host: z.string(),
+  path: z.string(),
+  key: z.string().optional(),
+})
+export type QueueCall = z.infer<typeof queueCallSchema>
+
+export const jobCallSchema = queueCallSchema.extend({ jobId: z.string() })
+export type JobCall = z.infer<typeof jobCallSchema>
+
+export const submitCallSchema = queueCallSchema.extend({ request: jobRequestSchema })
+export type SubmitCall = z.infer<typeof submitCallSchema>
+
+export const leaderViewSchema = z.object({
+  /** Peer address of the leader, where this member knows it. */
+  leaderAddress: addressSchema.optional(),
+  term: z.number(),
+  /** Peer addresses of all members. */
+  memberAddresses: z.array(addressSchema),
+})
+export type LeaderView = z.infer<typeof leaderViewSchema>
+
+export const upstreamIdSchema = z.object({ upstreamId: z.string() })
+
+export abstract class BatchApi {
+  /** Resolves once the job is stored. Errors: `unknown-route`, `unauthorized`, `idempotency-conflict`, `no-config`. */
+  abstract submitJob(call: SubmitCall): EitherAsync<NettlespurError, null>
+  /** Errors: `unknown-job`, and as `submitJob`. */
+  abstract cancelJob(call: JobCall): EitherAsync<NettlespurError, null>
+  /** Errors: as `cancelJob`. */
+  abstract getJobState(call: JobCall): EitherAsync<NettlespurError, JobState>
+  /** The queue's jobs of which no task has started. Errors: as `submitJob`. */
+  abstract countPending(call: QueueCall): EitherAsync<NettlespurError, number>
+  /** Resolves once this configuration, or one with a version as high, is stored. */
+  abstract applyConfig(config: ClusterConfig): EitherAsync<NettlespurError, null>
+  /** The newest configuration as it was sent. Errors: `no-config`. */
+  abstract readConfig(): EitherAsync<NettlespurError, string>
+  abstract announce(announcement: Announcement): EitherAsync<NettlespurError, null>
+  /** The upstream ends now. */
+  abstract leave(upstreamId: string): EitherAsync<NettlespurError, null>
+  /** Adds a member to control, unless it is one. */
+  abstract join(member: Member): EitherAsync<NettlespurError, null>
+}
--- /dev/null
+++ b/batch/service/src/batchLeader.ts
@@ -0,0 +1,287 @@
+/**
+ * The work of one leadership: it talks to the upstreams, decides what starts where, and commits each
+ * placement before its start is sent.
+ */
+import { runKey, type Announcement } from '@nettlespur/batch.model'
+import { planRound } from '@nettlespur/batch.scheduler'
+import { SessionHost, UpstreamSession, type UpstreamPort } from '@nettlespur/batch.sessions'
+import type {
+  BatchState,
+  JobRecord,
+  Placement,
+  RunEnd,
+  UpstreamRecord,
+} from '@nettlespur/batch.state'
+import { Wake, type Clock } from '@nettlespur/core.clock'
+import type { Logger } from '@nettlespur/core.logger'
+import type { MetricsRegistry } from '@nettlespur/core.metrics'
+import { isDeepStrictEqual } from 'node:util'
+import type { BatchTimings } from './batchTimings.js'
+import { buildView } from './buildView.js'
+import { JobClock } from './jobClock.js'
+import { listEndedJobs } from './listEndedJobs.js'
+import type { Propose } from './proposer.js'
+import { UpstreamHealth } from './upstreamHealth.js'
+import { UpstreamTable } from './upstreamTable.js'
+
+/** Announcements that may be missed before an upstream gets no new work. */
+const missedAnnouncements = 3
+/** After a call without an answer an upstream gets no new work for this long, and until it is heard again. */
+const silentPauseMs = 2000
+/** Rounds that no event asks for: quarantines end, and jobs lose hope, with time alone. */
+const idleRoundMs = 500
+
+export interface BatchLeaderOptions {
+  term: number
+  clock: Clock
+  logger: Logger
+  metrics: MetricsRegistry
+  timings: BatchTimings
+  port: UpstreamPort
+  getState: () => BatchState
+  propose: Propose
+}
+
+export class BatchLeader extends SessionHost {
+  readonly fence: number
+  readonly #opts: BatchLeaderOptions
+  readonly #takeoverMs: number
+  readonly #ending = new AbortController()
+  readonly #sessions = new Map<string, UpstreamSession>()
+  readonly #table = new UpstreamTable()
+  readonly #health = new UpstreamHealth()
+  readonly #jobClock = new JobClock()
+  readonly #preempted = new Set<string>()
+  readonly #wake = new Wake()
+
+  constructor(opts: BatchLeaderOptions) {
+    super()
+    this.#opts = opts
+    this.fence = opts.term
+    this.#takeoverMs = opts.clock.monotonicMs()
+  }
+
+  get #state(): BatchState {
+    return this.#opts.getState()
+  }
+
+  /** Takes up what earlier leaders placed, and begins to decide. */
+  start(): void {
+    const { upstreamIds } = this.#state.placements
+    const inherited = [...upstreamIds]
+    for (const upstreamId of inherited) this.#session(upstreamId)?.resume()
+    this.#opts.logger.info({
+      event: 'leader.started',
+      term: this.fence,
+      upstreams: this.#state.upstreams.size,
+      inheritedUpstreams: inherited.length,
+      unsettledJobs: this.#state.unsettled.size,
+    })
+    void this.#runRounds()
+  }
+
+  stop(): void {
+    this.#ending.abort()
+    this.#opts.logger.info({ event: 'leader.stopped', term: this.fence })
+  }
+
+  /** To be called after each applied command. */
+  noteChange(): void {
+    for (const session of this.#sessions.values()) session.review()
+    this.#wake.notify()
+  }
+
+  /** Resolves once control has what matters of it. Errors: rejects as proposals do. */
+  async announce(announcement: Announcement): Promise<void> {
+    const { upstreamId, clockMs, isDraining } = announcement
+    const known = this.#state.upstreams.get(upstreamId)
+    if (known?.hasLeft === true) return
+    if (!this.#table.note(announcement, this.#opts.clock.monotonicMs())) return
+    const description = describe(announcement)
+    if (known === undefined || !isDeepStrictEqual(known.description, description)) {
+      await this.#propose({ type: 'note-upstream', description })
+    }
+    this.#session(upstreamId)?.lease.clock.note(clockMs, this.#opts.clock.monotonicMs())
+    if (isDraining && known?.isDraining !== true) {
+      this.#opts.logger.info({ event: 'upstream.draining', upstreamId })
+      await this.#propose({ type: 'drain-upstream', upstreamId })
+    }
+    this.#wake.notify()
+  }
+
+  async leave(upstreamId: string): Promise<void> {
+    this.#opts.logger.info({ event: 'upstream.left', upstreamId })
+    await this.#propose({ type: 'remove-upstream', upstreamId })
+  }
+
+  override findJob(jobId: string): JobRecord | undefined {
+    return this.#state.jobs.get(jobId)
+  }
+
+  override findUpstream(upstreamId: string): UpstreamRecord | undefined {
+    return this.#state.upstreams.get(upstreamId)
+  }
+
+  override listPlacements(upstreamId: string): ReadonlyMap<string, Placement> {
+    return this.#state.placements.on(upstreamId)
+  }
+
+  override shouldStop(placement: Placement): boolean {
+    const job = this.findJob(placement.jobId)
+    if (job?.status !== 'active' || this.#preempted.has(runKey(placement))) return true
+    const step = job.steps[placement.step]
+    return step !== undefined && placement.attempt <= step.endedGangAttempt
+  }
+
+  override async commitEnds(ends: readonly RunEnd[]): Promise<boolean> {
+    const { clock, logger, metrics, propose } = this.#opts
+    const outcome = await propose({ type: 'end-runs', ends: [...ends] }).run()
+    if (outcome.isLeft()) return false
+    for (const { jobId, step, index, attempt, upstreamId, outcome: how } of ends) {
+      logger.info({ event: 'run.ended', jobId, step, index, attempt, upstreamId, outcome: how })
+      metrics.count(`runs_${how}_total`)
+      this.#preempted.delete(runKey({ jobId, step, index, attempt }))
+      if (how === 'failed') this.#health.noteFailure(upstreamId, jobId, clock.monotonicMs())
+      if (how === 'done') this.#health.noteSuccess(upstreamId)
+    }
+    return true
+  }
+
+  override abandonGang({ jobId, step, attempt }: Placement): void {
+    const job = this.findJob(jobId)
+    if (job?.request.steps[step]?.isGang !== true) return
+    job.steps[step]?.tasks.forEach((task, index) => {
+      if (task.attempt === attempt) this.#preempted.add(runKey({ jobId, step, index, attempt }))
+    })
+    this.noteChange()
+  }
+
+  override noteGone(upstreamId: string): void {
+    this.#sessions.delete(upstreamId)
+    this.#table.forget(upstreamId)
+    if (this.findUpstream(upstreamId)?.hasLeft === true) return
+    void this.#opts.propose({ type: 'remove-upstream', upstreamId }).run()
+  }
+
+  async #propose(command: Parameters<Propose>[0]): Promise<void> {
+    const outcome = await this.#opts.propose(command).run()
+    outcome.ifLeft((error) => {
+      throw error
+    })
+  }
+
+  #session(upstreamId: string): UpstreamSession | undefined {
+    const known = this.#sessions.get(upstreamId)
+    if (known !== undefined) return known
+    const upstream = this.findUpstream(upstreamId)
+    if (upstream === undefined) return undefined
+    const { clock, logger, port, timings } = this.#opts
+    const session = new UpstreamSession({
+      target: { upstreamId, address: upstream.description.address },
+      port,
+      host: this,
+      clock,
+      logger,
+      timings: timings.session,
+      takeoverMs: this.#takeoverMs,
+      signal: this.#ending.signal,
+    })
+    this.#sessions.set(upstreamId, session)
+    return session
+  }
+
+  #isUsable({ description: { upstreamId }, isDraining, hasLeft }: UpstreamRecord): boolean {
+    if (isDraining || hasLeft || this.#table.isReplaced(upstreamId)) return false
+    const nowMs = this.#opts.clock.monotonicMs()
+    const session = this.#sessions.get(upstreamId)
+    if (session?.lease.clock.isKnown !== true) return false
+    const heardAtMs = this.#table.heardAtMs(upstreamId)
+    const { announceEveryMs } = this.#opts.timings
+    if (nowMs - heardAtMs > announceEveryMs * missedAnnouncements) return false
+    if (session.unanswered > 0) {
+      const { unansweredAtMs } = session
+      if (heardAtMs <= unansweredAtMs || nowMs - unansweredAtMs < silentPauseMs) return false
+    }
+    return !this.#health.isQuarantined(upstreamId, nowMs)
+  }
+
+  async #forgetOldJobs(): Promise<void> {
+    const { clock, propose, timings } = this.#opts
+    const nowMs = clock.monotonicMs()
+    const jobIds = listEndedJobs(this.#state, this.#jobClock, nowMs, timings.keepEndedMs)
+    if (jobIds.length > 0) await propose({ type: 'forget-jobs', jobIds }).run()
+  }
+
+  async #runRounds(): Promise<void> {
+    const { signal } = this.#ending
+    const isOver = (): boolean => signal.aborted
+    while (!isOver()) {
+      await this.#wake.wait(this.#opts.clock, idleRoundMs, signal)
+      if (!isOver()) await this.#decide()
+      if (!isOver()) await this.#forgetOldJobs()
+    }
+  }
+
+  async #decide(): Promise<void> {
+    const { clock, metrics, propose, logger } = this.#opts
+    const nowMs = clock.monotonicMs()
+    const state = this.#state
+    this.#jobClock.update(state, nowMs)
+    const view = buildView({
+      state,
+      nowMs,
+      acceptedAtMs: this.#jobClock.acceptedAtMs,
+      isUsable: (upstream) => this.#isUsable(upstream),
+      isStopping: (placement) => this.shouldStop(placement),
+      findTrack: (placement) => this.#sessions.get(placement.upstreamId)?.findTrack(placement),
+    })
+    const { placements, preemptions } = planRound(view)
+    metrics.recordMs('scheduling_round_ms', clock.monotonicMs() - nowMs)
+    this.#preempt(preemptions)
+    if (placements.length === 0) return
+    const outcome = await propose({ type: 'place-tasks', placements }).run()
+    if (outcome.isLeft()) {
+      logger.warn({ event: 'placement.failed', reason: String(outcome.extract()) })
+      await clock.sleep(idleRoundMs, this.#ending.signal)
+      return
+    }
+    for (const placement of placements) this.#startPlaced(placement)
+  }
+
+  #preempt(runs: readonly Placement[]): void {
+    for (const run of runs) {
+      this.#preempted.add(runKey(run))
+      const { jobId, step, index, attempt, upstreamId } = run
+      this.#opts.logger.info({
+        event: 'run.preempted',
+        jobId,
+        step,
+        index,
+        attempt,
+        upstreamId,
+        reason: 'guaranteed work waits for its room',
+      })
+    }
+    if (runs.length > 0) this.noteChange()
+  }
+
+  /** The state may have refused a placement whose job ended meanwhile. */
+  #startPlaced(placement: Placement): void {
+    const { jobId, step, index, attempt, upstreamId } = placement
+    if (!this.listPlacements(upstreamId).has(runKey(placement))) return
+    this.#opts.logger.info({
+      event: 'placement.decided',
+      jobId,
+      step,
+      index,
+      attempt,
+      upstreamId,
+      waitedMs: Math.round(this.#jobClock.waitedMs(jobId, this.#opts.clock.monotonicMs())),
+    })
+    this.#session(upstreamId)?.start(placement)
+  }
+}
+
+function describe({ upstreamId, pool, address, dataCentre, rack, labels, capacity }: Announcement) {
+  return { upstreamId, pool, address, dataCentre, rack, labels, capacity }
+}
--- /dev/null
+++ b/batch/service/src/buildView.ts
@@ -0,0 +1,77 @@
+/** Puts together what a scheduling round looks at, from the committed state and what sessions have seen. */
+import type { Resources, StepSpec } from '@nettlespur/batch.model'
+import {
+  addResources,
+  noResources,
+  type ActiveRun,
+  type SchedulerView,
+  type UpstreamRoom,
+} from '@nettlespur/batch.scheduler'
+import type { RunTrack } from '@nettlespur/batch.sessions'
+import type { BatchState, Placement, UpstreamRecord } from '@nettlespur/batch.state'
+
+/** Agreed with the platform: what one accelerator counts for in core-seconds. */
+const coresPerAccelerator = 8
+/** A stop saves a checkpoint; what is lost then is the time until the task is at work again. */
+const restartSeconds = 1
+const milliseconds = 1000
+
+export interface BuildViewOptions {
+  state: BatchState
+  nowMs: number
+  acceptedAtMs: ReadonlyMap<string, number>
+  isUsable: (upstream: UpstreamRecord) => boolean
+  isStopping: (placement: Placement) => boolean
+  findTrack: (placement: Placement) => RunTrack | undefined
+}
+
+export function buildView(opts: BuildViewOptions): SchedulerView {
+  const { state, nowMs, acceptedAtMs } = opts
+  const usable = [...state.upstreams.values()].filter((upstream) => opts.isUsable(upstream))
+  const workspaces = state.config?.workspaces ?? []
+  return {
+    nowMs,
+    jobs: [...state.unsettled.values()],
+    acceptedAtMs,
+    rooms: usable.map((upstream) => buildRoom(opts, upstream)),
+    runs: usable.flatMap(({ description }) => listRuns(opts, description.upstreamId)),
+    guarantees: new Map(
+      workspaces.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]),
+    ),
+  }
+}
+
+function buildRoom(opts: BuildViewOptions, { description }: UpstreamRecord): UpstreamRoom {
+  const { upstreamId, pool, rack, labels, capacity } = description
+  let used: Resources = noResources
+  let stopping: Resources = noResources
+  for (const placement of opts.state.placements.on(upstreamId).values()) {
+    const needs = findStep(opts.state, placement)?.needs ?? noResources
+    used = addResources(used, needs)
+    if (opts.isStopping(placement)) stopping = addResources(stopping, needs)
+  }
+  const free = addResources(capacity, used, -1)
+  return { upstreamId, pool, rack, labels, capacity, free, soon: addResources(free, stopping) }
+}
+
+function listRuns(opts: BuildViewOptions, upstreamId: string): ActiveRun[] {
+  return [...opts.state.placements.on(upstreamId).values()].map((placement) => ({
+    placement,
+    isStopping: opts.isStopping(placement),
+    stopCostCoreSeconds: measureStopCost(opts, placement),
+  }))
+}
+
+function measureStopCost(opts: BuildViewOptions, placement: Placement): number {
+  const step = findStep(opts.state, placement)
+  if (step === undefined) return 0
+  const startedAtMs = opts.findTrack(placement)?.startedAtMs ?? opts.nowMs
+  const runSeconds = (opts.nowMs - startedAtMs) / milliseconds
+  const lostSeconds = step.checkpoints ? Math.min(restartSeconds, runSeconds) : runSeconds
+  const { cpuMillicores, accelerators } = step.needs
+  return lostSeconds * (cpuMillicores / milliseconds + accelerators * coresPerAccelerator)
+}
+
+function findStep(state: BatchState, { jobId, step }: Placement): StepSpec | undefined {
+  return state.jobs.get(jobId)?.request.steps[step]
+}
--- /dev/null
+++ b/batch/service/src/createBatchRouter.ts
@@ -0,0 +1,52 @@
+/** The tRPC router through which other processes reach a member of control. */
+import { announcementSchema, clusterConfigSchema } from '@nettlespur/batch.model'
+import { memberSchema } from '@nettlespur/consensus.raft'
+import { toRpcResult } from '@nettlespur/core.errors'
+import { initTRPC } from '@trpc/server'
+import {
+  jobCallSchema,
+  queueCallSchema,
+  submitCallSchema,
+  upstreamIdSchema,
+  type BatchApi,
+  type LeaderView,
+} from './batchApi.js'
+
+/** What a member answers without being the leader. */
+export interface LeaderLocator {
+  locateLeader(): LeaderView
+}
+
+export function createBatchRouter(api: BatchApi, locator: LeaderLocator) {
+  const { router, procedure } = initTRPC.create()
+  return router({
+    batch: router({
+      submitJob: procedure
+        .input(submitCallSchema)
+        .mutation(({ input }) => toRpcResult(api.submitJob(input))),
+      cancelJob: procedure
+        .input(jobCallSchema)
+        .mutation(({ input }) => toRpcResult(api.cancelJob(input))),
+      getJobState: procedure
+        .input(jobCallSchema)
+        .mutation(({ input }) => toRpcResult(api.getJobState(input))),
+      countPending: procedure
+        .input(queueCallSchema)
+        .mutation(({ input }) => toRpcResult(api.countPending(input))),
+      applyConfig: procedure
+        .input(clusterConfigSchema)
+        .mutation(({ input }) => toRpcResult(api.applyConfig(input))),
+      readConfig: procedure.mutation(() => toRpcResult(api.readConfig())),
+      announce: procedure
+        .input(announcementSchema)
+        .mutation(({ input }) => toRpcResult(api.announce(input))),
+      leave: procedure
+        .input(upstreamIdSchema)
+        .mutation(({ input }) => toRpcResult(api.leave(input.upstreamId))),
+      join: procedure.input(memberSchema).mutation(({ input }) => toRpcResult(api.join(input))),
+      locateLeader: procedure.mutation(() => locator.locateLeader()),
+    }),
+  })
+}
+
+export type BatchRouter = ReturnType<typeof createBatchRouter>
--- /dev/null
+++ b/batch/service/src/index.ts
@@ -0,0 +1,12 @@
+/** Batch work over the members of control: the replicated state, the leader's work, and calls to the leader. */
+export {
+  BatchApi,
+  type JobCall,
+  type LeaderView,
+  type QueueCall,
+  type SubmitCall,
+} from './batchApi.js'
+export { BatchNode, type BatchNodeOptions } from './batchNode.js'
+export type { BatchTimings } from './batchTimings.js'
+export { createBatchRouter, type BatchRouter } from './createBatchRouter.js'
+export { LeaderClient, type LeaderClientOptions } from './leaderClient.js'
--- /dev/null
+++ b/batch/service/src/upstreamTable.ts
@@ -0,0 +1,42 @@
+/** What the leader remembers of announcements. It is lost with the leadership and soon heard again. */
+import type { Announcement } from '@nettlespur/batch.model'
+
+interface Heard {
+  readonly sequence: number
+  readonly heardAtMs: number
+  readonly address: string
+}
+
+export class UpstreamTable {
+  readonly #heard = new Map<string, Heard>()
+  /** The life that was first heard last at each address. */
+  readonly #newestAt = new Map<string, string>()
+
+  /** False for an announcement that came after a newer one. */
+  note({ upstreamId, sequence, address }: Announcement, nowMs: number): boolean {
+    const known = this.#heard.get(upstreamId)
+    if (known !== undefined && sequence <= known.sequence) return false
+    if (known === undefined) this.#newestAt.set(address, upstreamId)
+    this.#heard.set(upstreamId, { sequence, heardAtMs: nowMs, address })
+    return true
+  }
+
+  /** -Infinity where it was not heard under this leader. */
+  heardAtMs(upstreamId: string): number {
+    return this.#heard.get(upstreamId)?.heardAtMs ?? -Infinity
+  }
+
+  /** A later life of the process has announced itself at the same address. */
+  isReplaced(upstreamId: string): boolean {
+    const address = this.#heard.get(upstreamId)?.address
+    return address !== undefined && this.#newestAt.get(address) !== upstreamId
+  }
+
+  forget(upstreamId: string): void {
+    const address = this.#heard.get(upstreamId)?.address
+    this.#heard.delete(upstreamId)
+    if (address !== undefined && this.#newestAt.get(address) === upstreamId) {
+      this.#newestAt.delete(address)
+    }
+  }
+}
--- /dev/null
+++ b/batch/sessions/src/index.ts
@@ -0,0 +1,8 @@
+/** One conversation for each upstream that runs batch tasks. */
+export { ClockEstimate } from './clockEstimate.js'
+export { LeaseTracker } from './leaseTracker.js'
+export type { RunTrack } from './runTrack.js'
+export { SessionHost } from './sessionHost.js'
+export type { SessionTimings } from './sessionOptions.js'
+export * from './upstreamPort.js'
+export { UpstreamSession, type UpstreamSessionOptions } from './upstreamSession.js'
--- /dev/null
+++ b/batch/sessions/src/runTrack.ts
@@ -0,0 +1,35 @@
+/** What the leader knows of one placed run. */
+import type { Placement } from '@nettlespur/batch.state'
+
+/**
+ * `starting`: the order is under way. `inherited`: placed by an earlier leader, not yet seen. `settled`:
+ * the upstream has answered at `settledAtMs`, so a look sent later shows the run or its end, or it will
+ * never run. `in-doubt`: an order may have got there, and a stop is to settle it.
+ */
+export type RunPhase = 'starting' | 'inherited' | 'settled' | 'in-doubt'
+
+export interface RunTrack {
+  readonly placement: Placement
+  phase: RunPhase
+  /** On our clock. */
+  settledAtMs: number
+  startedAtMs: number
+  progressPercent: number
+  checkpoint: string
+  checkpointAtMs: number
+  /** A stop is on its way, or was answered. */
+  isStopping: boolean
+}
+
+export function createRunTrack(placement: Placement, phase: RunPhase, nowMs: number): RunTrack {
+  return {
+    placement,
+    phase,
+    settledAtMs: nowMs,
+    startedAtMs: nowMs,
+    progressPercent: 0,
+    checkpoint: '',
+    checkpointAtMs: nowMs,
+    isStopping: false,
+  }
+}
--- /dev/null
+++ b/batch/sessions/src/sessionOptions.ts
@@ -0,0 +1,20 @@
+/** Timings of the conversations with upstreams. */
+
+export interface SessionTimings {
+  /** The lease given to all that runs on an upstream. */
+  readonly leaseMs: number
+  /** How long an upstream may keep a look waiting for an end. */
+  readonly holdWaitMs: number
+}
+
+/**
+ * An upstream answers an order in a few milliseconds over links of 1 ms; with a lost packet it takes about
+ * 200 ms more. What takes longer is sent again on another connection.
+ */
+export const orderTimeoutMs = 500
+/** Allowed to a look beyond the time it waits there; see `orderTimeoutMs`. */
+export const holdSlackMs = 700
+/** Two tries stay well within the 3,000 ms in which all members of a gang have to be there. */
+export const startTriesMax = 2
+/** Between calls to an upstream that does not answer. */
+export const retryPauseMs = 250
--- /dev/null
+++ b/batch/sessions/src/upstreamSession.ts
@@ -0,0 +1,293 @@
+/**
+ * The conversation with one upstream for as long as something is placed there: it gives starts and stops,
+ * keeps the one lease of all that runs there, and brings the ends into the committed state. Ends are
+ * acknowledged to the upstream only once they are committed.
+ */
+import { runKey, type RunRef } from '@nettlespur/batch.model'
+import type { Placement, RunEnd } from '@nettlespur/batch.state'
+import type { Clock } from '@nettlespur/core.clock'
+import { toNettlespurError } from '@nettlespur/core.errors'
+import type { Logger } from '@nettlespur/core.logger'
+import { LeaseTracker } from './leaseTracker.js'
+import { listEnds } from './readLook.js'
+import { createRunTrack, type RunTrack } from './runTrack.js'
+import type { SessionHost } from './sessionHost.js'
+import { holdSlackMs, orderTimeoutMs, retryPauseMs, type SessionTimings } from './sessionOptions.js'
+import { giveStart, type StartResult } from './startOrder.js'
+import type { HoldAnswer, UpstreamPort, UpstreamTarget } from './upstreamPort.js'
+
+export interface UpstreamSessionOptions {
+  target: UpstreamTarget
+  port: UpstreamPort
+  host: SessionHost
+  clock: Clock
+  logger: Logger
+  timings: SessionTimings
+  /** When this leader took over; undefined where the upstream is new to all leaders. */
+  takeoverMs: number
+  signal: AbortSignal
+}
+
+export class UpstreamSession {
+  readonly lease: LeaseTracker
+  /** Calls in a row that got no answer. */
+  unanswered = 0
+  /** When the last call without an answer was given up, on our clock. */
+  unansweredAtMs = -Infinity
+  readonly #opts: UpstreamSessionOptions
+  readonly #tracks = new Map<string, RunTrack>()
+  #cursor = 0
+  /** The newest end shown, committed or not. */
+  #shown = 0
+  #isLooking = false
+  #isGone = false
+
+  constructor(opts: UpstreamSessionOptions) {
+    this.#opts = opts
+    const { host, target, takeoverMs, timings } = opts
+    const hasPredecessor = host.listPlacements(target.upstreamId).size > 0
+    this.lease = new LeaseTracker({ leaseMs: timings.leaseMs, takeoverMs, hasPredecessor })
+  }
+
+  findTrack(run: RunRef): RunTrack | undefined {
+    return this.#tracks.get(runKey(run))
+  }
+
+  /** Takes up what earlier leaders placed there. */
+  resume(): void {
+    for (const [key, placement] of this.#placements()) {
+      this.#tracks.set(key, createRunTrack(placement, 'inherited', this.#nowMs()))
+    }
+    this.#wake()
+  }
+
+  /** Starts a run whose placement is committed. */
+  start(placement: Placement): void {
+    const track = createRunTrack(placement, 'starting', this.#nowMs())
+    this.#tracks.set(runKey(placement), track)
+    this.#wake()
+    void this.#start(track)
+  }
+
+  /** Stops what is to be stopped. To be called after each change of the state. */
+  review(): void {
+    for (const [key, placement] of this.#placements()) {
+      const track = this.#tracks.get(key)
+      if (track === undefined || track.isStopping || !this.#opts.host.shouldStop(placement))
+        continue
+      void this.#stopUntilAnswered(track)
+    }
+  }
+
+  #placements(): ReadonlyMap<string, Placement> {
+    return this.#opts.host.listPlacements(this.#opts.target.upstreamId)
+  }
+
+  #nowMs(): number {
+    return this.#opts.clock.monotonicMs()
+  }
+
+  #wake(): void {
+    if (this.#isLooking) return
+    this.#isLooking = true
+    void this.#lookWhileWanted().finally(() => {
+      this.#isLooking = false
+    })
+  }
+
+  #isOver(): boolean {
+    return this.#isGone || this.#opts.signal.aborted
+  }
+
+  #isWanted(): boolean {
+    return !this.#isOver() && (this.#placements().size > 0 || this.#cursor < this.#shown)
+  }
+
+  async #lookWhileWanted(): Promise<void> {
+    while (this.#isWanted()) {
+      if (await this.#look()) continue
+      this.#giveUpAfterLease()
+      await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
+    }
+  }
+
+  /** False where no answer came. */
+  async #look(): Promise<boolean> {
+    const { port, target, host, timings, clock } = this.#opts
+    const sentAtMs = this.#nowMs()
+    const isPlain = this.lease.clock.isKnown && !this.#hasInherited()
+    const order = {
+      leaseEndMs: this.lease.clock.isKnown ? this.lease.extend(sentAtMs) : undefined,
+      fence: host.fence,
+      cursor: this.#cursor,
+      waitMs: isPlain && this.#placements().size > 0 ? timings.holdWaitMs : 0,
+    }
+    try {
+      const answer = await port.hold(target, order, order.waitMs + holdSlackMs)
+      this.unanswered = 0
+      this.#noteClock(answer.clockMs)
+      await this.#take(answer, sentAtMs)
+      return true
+    } catch (thrown) {
+      this.#noteUnanswered()
+      const reason = toNettlespurError(thrown).message
+      this.#log('upstream.silent', { unanswered: this.unanswered, reason })
+      if (host.findUpstream(target.upstreamId)?.hasLeft === true) await this.#end('it has left')
+      return false
+    } finally {
+      // Lets other work of this process go first where an upstream answers at once each time.
+      await clock.sleep(0)
+    }
+  }
+
+  #noteUnanswered(): void {
+    this.unanswered += 1
+    this.unansweredAtMs = this.#nowMs()
+  }
+
+  #hasInherited(): boolean {
+    return [...this.#tracks.values()].some(({ phase }) => phase === 'inherited')
+  }
+
+  #noteClock(clockMs: number | undefined): void {
+    if (clockMs !== undefined) this.lease.clock.note(clockMs, this.#nowMs())
+  }
+
+  async #take(answer: HoldAnswer, sentAtMs: number): Promise<void> {
+    if (this.#isOver()) return
+    if (answer.type === 'gone') return this.#end('another life of it answers')
+    if (answer.type === 'fence') {
+      this.#log('upstream.fenced', { fence: this.#opts.host.fence })
+      await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
+      return
+    }
+    const { running, finished } = answer
+    const placements = this.#placements()
+    const ends = listEnds({ running, finished, sentAtMs }, placements, this.#tracks)
+    this.#noteRunning(running, placements)
+    this.#shown = Math.max(this.#shown, ...finished.map(({ number }) => number))
+    if (await this.#commit(ends)) this.#cursor = this.#shown
+    else await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
+    this.review()
+  }
+
+  #noteRunning(
+    running: Extract<HoldAnswer, { type: 'held' }>['running'],
+    placements: ReadonlyMap<string, Placement>,
+  ): void {
+    for (const { run, checkpoint, progressPercent } of running) {
+      const track = this.#tracks.get(runKey(run))
+      if (track === undefined || !placements.has(runKey(run))) {
+        this.#log('run.unknown', { jobId: run.jobId, attempt: run.attempt })
+        void this.#giveStop(run)
+        continue
+      }
+      if (track.phase === 'inherited') track.phase = 'settled'
+      track.progressPercent = progressPercent
+      if (checkpoint === track.checkpoint) continue
+      track.checkpoint = checkpoint
+      track.checkpointAtMs = this.#nowMs()
+    }
+  }
+
+  async #commit(ends: readonly RunEnd[]): Promise<boolean> {
+    if (ends.length === 0) return true
+    if (!(await this.#opts.host.commitEnds(ends))) return false
+    for (const end of ends) this.#tracks.delete(runKey(end))
+    return true
+  }
+
+  async #start(track: RunTrack): Promise<void> {
+    const { placement } = track
+    const { host, port, target, clock, logger } = this.#opts
+    const job = host.findJob(placement.jobId)
+    if (job === undefined) return
+    const checkpoint = job.steps[placement.step]?.tasks[placement.index]?.checkpoint ?? ''
+    const { payload } = job.request
+    const { lease } = this
+    const { fence } = host
+    const common = { port, target, placement, payload, checkpoint, fence, lease, clock, logger }
+    await this.#noteStart(track, await giveStart(common))
+  }
+
+  async #noteStart(track: RunTrack, result: StartResult): Promise<void> {
+    const { placement } = track
+    const { jobId, step, index, attempt } = placement
+    const reason = result.type === 'refused' ? result.reason : undefined
+    this.#log('run.start', { jobId, step, index, attempt, answer: result.type, reason })
+    if ('clockMs' in result) this.#noteClock(result.clockMs)
+    track.settledAtMs = this.#nowMs()
+    if (result.type === 'in-doubt' || result.type === 'not-sent') this.#noteUnanswered()
+    if (result.type === 'gone') return this.#end('another life of it answers')
+    const isShownLater = result.type === 'started' || reason === 'superseded'
+    if (isShownLater) {
+      track.phase = 'settled'
+      this.review()
+      return
+    }
+    if (result.type === 'in-doubt') {
+      track.phase = 'in-doubt'
+      this.#opts.host.abandonGang(placement)
+      return this.#stopUntilAnswered(track)
+    }
+    if (!(await this.#commit([{ ...placement, outcome: 'lost' }]))) track.phase = 'settled'
+  }
+
+  /** Once a stop is answered, a start of this attempt that comes later is refused. */
+  async #stopUntilAnswered(track: RunTrack): Promise<void> {
+    if (track.isStopping) return
+    track.isStopping = true
+    while (!this.#isOver() && this.#placements().has(runKey(track.placement))) {
+      if (track.phase !== 'starting' && (await this.#giveStop(track.placement))) {
+        track.settledAtMs = this.#nowMs()
+        track.phase = 'settled'
+        return
+      }
+      await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
+    }
+  }
+
+  async #giveStop(run: RunRef): Promise<boolean> {
+    const { port, target, host } = this.#opts
+    const { jobId, step, index, attempt } = run
+    try {
+      const answer = await port.stop(target, { run, fence: host.fence }, orderTimeoutMs)
+      this.#noteClock(answer.clockMs)
+      this.#log('run.stop', { jobId, step, index, attempt, answer: answer.type })
+      if (answer.type === 'gone') await this.#end('another life of it answers')
+      return answer.type === 'stopping'
+    } catch (thrown) {
+      const reason = toNettlespurError(thrown).message
+      this.#log('run.stop-unanswered', { jobId, step, index, attempt, reason })
+      return false
+    }
+  }
+
+  #giveUpAfterLease(): void {
+    if (this.#isOver() || !this.lease.isOver(this.#nowMs())) return
+    const lost = [...this.#placements().values()]
+    if (lost.length === 0) return
+    this.#log('upstream.lease-over', { runs: lost.length })
+    void this.#commit(lost.map((placement) => this.#toLost(placement)))
+  }
+
+  async #end(reason: string): Promise<void> {
+    if (this.#isGone) return
+    this.#log('upstream.gone', { reason, runs: this.#placements().size })
+    const lost = [...this.#placements().values()]
+    const committed = await this.#commit(lost.map((placement) => this.#toLost(placement)))
+    if (!committed) return
+    this.#isGone = true
+    this.#opts.host.noteGone(this.#opts.target.upstreamId)
+  }
+
+  #toLost(placement: Placement): RunEnd {
+    const checkpoint = this.findTrack(placement)?.checkpoint
+    return { ...placement, outcome: 'lost', checkpoint }
+  }
+
+  #log(event: string, fields: Readonly<Record<string, string | number | undefined>>): void {
+    const { logger, target } = this.#opts
+    logger.info({ event, upstreamId: target.upstreamId, ...fields })
+  }
+}
--- /dev/null
+++ b/batch/state/src/batchState.ts
@@ -0,0 +1,187 @@
+/**
+ * The state that all members of control agree on: the configuration, the jobs with the placement of each
+ * task, and the upstreams. Commands give the same result on each member.
+ */
+import {
+  clusterConfigSchema,
+  upstreamDescriptionSchema,
+  type ClusterConfig,
+} from '@nettlespur/batch.model'
+import { isDeepStrictEqual } from 'node:util'
+import { z } from 'zod'
+import type { Command, CommandOf, CommandOutcome, RunEnd } from './command.js'
+import { createJobRecord } from './createJobRecord.js'
+import { endRun } from './endRun.js'
+import { listPlacements, PlacementIndex } from './placementIndex.js'
+import {
+  jobRecordSchema,
+  upstreamRecordSchema,
+  type JobRecord,
+  type UpstreamRecord,
+} from './records.js'
+
+export const batchSnapshotSchema = z.object({
+  config: clusterConfigSchema.optional(),
+  jobs: z.array(jobRecordSchema),
+  upstreams: z.array(upstreamRecordSchema),
+  acceptedJobs: z.int().nonnegative(),
+})
+export type BatchSnapshot = z.infer<typeof batchSnapshotSchema>
+
+export class BatchState {
+  config: ClusterConfig | undefined
+  readonly jobs = new Map<string, JobRecord>()
+  /** Jobs that may still have something to run or to stop. */
+  readonly unsettled = new Map<string, JobRecord>()
+  readonly upstreams = new Map<string, UpstreamRecord>()
+  readonly placements = new PlacementIndex()
+  #acceptedJobs = 0
+
+  static restore(snapshot: BatchSnapshot): BatchState {
+    const state = new BatchState()
+    state.config = snapshot.config
+    state.#acceptedJobs = snapshot.acceptedJobs
+    for (const upstream of snapshot.upstreams) {
+      state.upstreams.set(upstream.description.upstreamId, upstream)
+    }
+    for (const job of snapshot.jobs) {
+      state.jobs.set(job.request.jobId, job)
+      state.placements.addJob(job)
+      state.#settle(job)
+    }
+    return state
+  }
+
+  snapshot(): BatchSnapshot {
+    return {
+      config: this.config,
+      jobs: [...this.jobs.values()],
+      upstreams: [...this.upstreams.values()],
+      acceptedJobs: this.#acceptedJobs,
+    }
+  }
+
+  apply(command: Command): CommandOutcome {
+    switch (command.type) {
+      case 'apply-config':
+        return this.#applyConfig(command.config)
+      case 'submit-job':
+        return this.#submitJob(command)
+      case 'cancel-job':
+        return this.#cancelJob(command.jobId)
+      case 'place-tasks':
+        return this.#placeTasks(command)
+      case 'end-runs':
+        return this.#endRuns(command.ends)
+      case 'note-upstream':
+        return this.#noteUpstream(command)
+      case 'drain-upstream':
+        return this.#changeUpstream(command.upstreamId, { isDraining: true })
+      case 'remove-upstream':
+        return this.#changeUpstream(command.upstreamId, { isDraining: true, hasLeft: true })
+      case 'forget-jobs':
+        for (const jobId of command.jobIds) this.#forgetJob(jobId)
+        return 'done'
+      case 'forget-upstreams':
+        for (const upstreamId of command.upstreamIds) this.#forgetUpstream(upstreamId)
+        return 'done'
+    }
+  }
+
+  #applyConfig(config: ClusterConfig): CommandOutcome {
+    if (this.config !== undefined && config.version <= this.config.version) return 'unchanged'
+    this.config = config
+    const queues = new Map(config.queues.map((queue) => [queue.name, queue]))
+    for (const job of this.unsettled.values()) job.queue = queues.get(job.queue.name) ?? job.queue
+    return 'done'
+  }
+
+  #submitJob({ request, workspace, queueName }: CommandOf<'submit-job'>): CommandOutcome {
+    const known = this.jobs.get(request.jobId)
+    if (known !== undefined) {
+      const same = known.workspace === workspace && isDeepStrictEqual(known.request, request)
+      return same ? 'unchanged' : 'conflict'
+    }
+    const queue = this.config?.queues.find(({ name }) => name === queueName)
+    if (queue === undefined) return 'unknown-queue'
+    this.#acceptedJobs += 1
+    const job = createJobRecord({ request, workspace, queue, number: this.#acceptedJobs })
+    this.jobs.set(request.jobId, job)
+    this.#settle(job)
+    return 'done'
+  }
+
+  #cancelJob(jobId: string): CommandOutcome {
+    const job = this.jobs.get(jobId)
+    if (job === undefined) return 'unknown-job'
+    if (job.status !== 'active') return 'unchanged'
+    job.status = 'cancelled'
+    this.#settle(job)
+    return 'done'
+  }
+
+  /** Takes each placement whose task still waits and whose attempt is the next one. */
+  #placeTasks({ placements }: CommandOf<'place-tasks'>): CommandOutcome {
+    for (const placement of placements) {
+      const job = this.jobs.get(placement.jobId)
+      const task = job?.steps[placement.step]?.tasks[placement.index]
+      if (job?.status !== 'active' || task?.phase !== 'waiting') continue
+      if (placement.attempt <= task.attempt) continue
+      task.phase = 'placed'
+      task.attempt = placement.attempt
+      task.upstreamId = placement.upstreamId
+      job.hasStarted = true
+      this.placements.add(placement)
+    }
+    return 'done'
+  }
+
+  #endRuns(ends: readonly RunEnd[]): CommandOutcome {
+    let outcome: CommandOutcome = 'unchanged'
+    for (const end of ends) {
+      const job = this.jobs.get(end.jobId)
+      if (job === undefined) continue
+      const before = listPlacements(job)
+      if (!endRun(job, end)) continue
+      outcome = 'done'
+      for (const placement of before) this.placements.remove(placement)
+      this.placements.addJob(job)
+      this.#settle(job)
+    }
+    return outcome
+  }
+
+  #noteUpstream({ description }: CommandOf<'note-upstream'>): CommandOutcome {
+    const known = this.upstreams.get(description.upstreamId)
+    const parsed = upstreamDescriptionSchema.parse(description)
+    this.upstreams.set(description.upstreamId, {
+      description: parsed,
+      isDraining: known?.isDraining ?? false,
+      hasLeft: known?.hasLeft ?? false,
+    })
+    return 'done'
+  }
+
+  #changeUpstream(upstreamId: string, change: Partial<UpstreamRecord>): CommandOutcome {
+    const known = this.upstreams.get(upstreamId)
+    if (known === undefined) return 'unchanged'
+    this.upstreams.set(upstreamId, { ...known, ...change })
+    return 'done'
+  }
+
+  #forgetUpstream(upstreamId: string): void {
+    if (this.placements.on(upstreamId).size === 0) this.upstreams.delete(upstreamId)
+  }
+
+  #forgetJob(jobId: string): void {
+    if (!this.unsettled.has(jobId)) this.jobs.delete(jobId)
+  }
+
+  /** Keeps the job among the unsettled ones for as long as it may run, or has something placed. */
+  #settle(job: JobRecord): void {
+    const { jobId } = job.request
+    const isOpen = job.status === 'active' || listPlacements(job).length > 0
+    if (isOpen) this.unsettled.set(jobId, job)
+    else this.unsettled.delete(jobId)
+  }
+}
--- /dev/null
+++ b/batch/state/src/describeJob.ts
@@ -0,0 +1,8 @@
+/** What callers are told of a job. */
+import type { JobState } from '@nettlespur/batch.model'
+import type { JobRecord } from './records.js'
+
+export function describeJob({ status, hasStarted }: JobRecord): JobState {
+  if (status !== 'active') return status
+  return hasStarted ? 'running' : 'queued'
+}
--- /dev/null
+++ b/batch/state/src/endRun.ts
@@ -0,0 +1,70 @@
+/** What the end of one run changes in its job. */
+import type { RunEnd } from './command.js'
+import type { JobRecord, StepRecord, TaskRecord } from './records.js'
+
+/** False where the run is not the one that is placed: its end was taken in before, or never counted. */
+export function endRun(job: JobRecord, end: RunEnd): boolean {
+  const step = job.steps[end.step]
+  const task = step?.tasks[end.index]
+  if (step === undefined || task === undefined) return false
+  if (task.phase !== 'placed' || task.attempt !== end.attempt) return false
+  if (task.upstreamId !== end.upstreamId) return false
+  release(task)
+  const isGang = job.request.steps[end.step]?.isGang === true
+  if (isGang) endGangMember(step, task, end)
+  else endTask(task, end)
+  if (job.status === 'active') job.status = judge(job)
+  return true
+}
+
+function endTask(task: TaskRecord, { outcome, checkpoint, upstreamId }: RunEnd): void {
+  if (outcome === 'done') task.phase = 'done'
+  if (outcome === 'failed') {
+    task.failures += 1
+    task.failedOn.push(upstreamId)
+  }
+  if (checkpoint !== undefined && checkpoint !== '') task.checkpoint = checkpoint
+}
+
+/** One member that is done stands for all; any other end is the end of the attempt for all. */
+function endGangMember(step: StepRecord, task: TaskRecord, end: RunEnd): void {
+  const { outcome, attempt, checkpoint, upstreamId } = end
+  if (outcome === 'done') {
+    step.tasks.forEach((member) => {
+      release(member)
+      member.phase = 'done'
+    })
+    return
+  }
+  if (outcome === 'failed') {
+    task.failedOn.push(upstreamId)
+    countGangFailure(step, attempt)
+  }
+  step.endedGangAttempt = Math.max(step.endedGangAttempt, attempt)
+  if (checkpoint === undefined || checkpoint === '') return
+  // Any member's checkpoint holds for the gang, and all members must resume from the same one.
+  for (const member of step.tasks) member.checkpoint = checkpoint
+}
+
+function countGangFailure(step: StepRecord, attempt: number): void {
+  if (step.failedGangAttempt >= attempt) return
+  step.failedGangAttempt = attempt
+  step.gangFailures += 1
+}
+
+function release(task: TaskRecord): void {
+  task.phase = 'waiting'
+  delete task.upstreamId
+}
+
+function judge(job: JobRecord): JobRecord['status'] {
+  const { attemptsMax } = job.queue
+  const failed = job.steps.some((step, at) =>
+    job.request.steps[at]?.isGang === true
+      ? step.gangFailures >= attemptsMax
+      : step.tasks.some(({ failures }) => failures >= attemptsMax),
+  )
+  if (failed) return 'failed'
+  const done = job.steps.every(({ tasks }) => tasks.every(({ phase }) => phase === 'done'))
+  return done ? 'completed' : 'active'
+}
--- /dev/null
+++ b/batch/state/src/index.ts
@@ -0,0 +1,7 @@
+/** The committed state of batch work, and the commands that change it. */
+export { BatchMachine, encodeCommand } from './batchMachine.js'
+export { batchSnapshotSchema, BatchState, type BatchSnapshot } from './batchState.js'
+export * from './command.js'
+export { describeJob } from './describeJob.js'
+export { listPlacements, PlacementIndex } from './placementIndex.js'
+export type { JobRecord, JobStatus, StepRecord, TaskRecord, UpstreamRecord } from './records.js'
--- /dev/null
+++ b/batch/state/src/placementIndex.ts
@@ -0,0 +1,47 @@
+/** Which runs each upstream holds, kept in step with the jobs so that nobody has to search them. */
+import { runKey } from '@nettlespur/batch.model'
+import type { Placement } from './command.js'
+import type { JobRecord } from './records.js'
+
+const none: ReadonlyMap<string, Placement> = new Map()
+
+export class PlacementIndex {
+  readonly #byUpstream = new Map<string, Map<string, Placement>>()
+
+  /** Upstreams that hold at least one run. */
+  get upstreamIds(): IterableIterator<string> {
+    return this.#byUpstream.keys()
+  }
+
+  /** By run key. */
+  on(upstreamId: string): ReadonlyMap<string, Placement> {
+    return this.#byUpstream.get(upstreamId) ?? none
+  }
+
+  add(placement: Placement): void {
+    const { upstreamId } = placement
+    const runs = this.#byUpstream.get(upstreamId) ?? new Map<string, Placement>()
+    runs.set(runKey(placement), placement)
+    this.#byUpstream.set(upstreamId, runs)
+  }
+
+  remove(placement: Placement): void {
+    const runs = this.#byUpstream.get(placement.upstreamId)
+    runs?.delete(runKey(placement))
+    if (runs?.size === 0) this.#byUpstream.delete(placement.upstreamId)
+  }
+
+  /** Adds all placed runs of a job. */
+  addJob(job: JobRecord): void {
+    for (const placement of listPlacements(job)) this.add(placement)
+  }
+}
+
+/** The runs of a job that are placed. */
+export function listPlacements({ request: { jobId }, steps }: JobRecord): Placement[] {
+  return steps.flatMap(({ tasks }, step) =>
+    tasks.flatMap(({ attempt, upstreamId }, index) =>
+      upstreamId === undefined ? [] : [{ jobId, step, index, attempt, upstreamId }],
+    ),
+  )
+}
--- a/consensus/raft/src/applyLoop.ts
+++ b/consensus/raft/src/applyLoop.ts
@@ -4,7 +4,7 @@
 import type { Proposals } from './proposals.js'
 import type { Replica } from './replica.js'
 import type { SnapshotMembership } from './snapshotMembership.js'
-import { Wake } from './wake.js'
+import { Wake } from '@nettlespur/core.clock'
 
 const idleCheckMs = 60_000
 
--- a/consensus/raft/src/confirmLeadership.ts
+++ b/consensus/raft/src/confirmLeadership.ts
@@ -27,6 +27,7 @@
 
 function holdsLease<R>(leader: Leader<R>): boolean {
   const { clock, opts } = leader.replica
+  if (opts.leaseReads === false) return false
   if (leader.ended.aborted || !leader.mayHoldLease) return false
   const nowMs = clock.monotonicMs()
   const sentMs = leader.pickQuorum(nowMs, (progress) => progress.ackedSentMs)
--- a/consensus/raft/src/leader.ts
+++ b/consensus/raft/src/leader.ts
@@ -11,7 +11,7 @@
 import type { Proposals } from './proposals.js'
 import { pickQuorumValue } from './quorum.js'
 import type { Replica } from './replica.js'
-import { Wake } from './wake.js'
+import { Wake } from '@nettlespur/core.clock'
 
 const idleMs = 60_000
 
--- a/consensus/raft/src/peerReplicator.ts
+++ b/consensus/raft/src/peerReplicator.ts
@@ -6,7 +6,7 @@
 import { PeerProgress } from './peerProgress.js'
 import type { Replica } from './replica.js'
 import { SnapshotSender } from './snapshotSender.js'
-import { Wake } from './wake.js'
+import { Wake } from '@nettlespur/core.clock'
 
 const shortestRetryShare = 0.5
 
--- a/consensus/raft/src/raftOptions.ts
+++ b/consensus/raft/src/raftOptions.ts
@@ -48,6 +48,11 @@
   machine: StateMachine<R>
   timings: RaftTimings
   limits?: Partial<RaftLimits>
+  /**
+   * Whether a read may rest on the time since a quorum last answered; true by default. To be false where the
+   * monotonic clock stands still while the instance is suspended: a former leader would trust its lease then.
+   */
+  leaseReads?: boolean
   /** A number in [0, 1); Math.random by default. */
   random?: () => number
 }
--- a/core/clock/src/index.ts
+++ b/core/clock/src/index.ts
@@ -2,3 +2,4 @@
 export type { Clock, Timer } from './clock.js'
 export { ManualClock } from './manualClock.js'
 export { SystemClock } from './systemClock.js'
+export { Wake } from './wake.js'
--- a/consensus/raft/src/wake.ts
+++ b/core/clock/src/wake.ts
@@ -1,5 +1,5 @@
 /** Wakes the one task that waits on it. A call made while the task is busy counts for its next wait. */
-import type { Clock } from '@nettlespur/core.clock'
+import type { Clock } from './clock.js'
 
 export class Wake {
   #pending = false
--- a/core/errors/src/errorAnswers.ts
+++ b/core/errors/src/errorAnswers.ts
@@ -56,6 +56,7 @@
   'deadline-before-start': later(504),
   'no-upstream': later(503),
   'upstream-refused': later(503),
+  'no-config': later(503),
   'not-leader': later(503),
   'no-quorum': later(503),
   'contract-lease-expired': later(503),
--- a/core/errors/src/errorKind.ts
+++ b/core/errors/src/errorKind.ts
@@ -27,6 +27,7 @@
   'deadline-before-start',
   'no-upstream',
   'upstream-refused',
+  'no-config',
   'not-leader',
   'no-quorum',
   'contract-lease-expired',
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint'
 
 export default tseslint.config(
-  { ignores: ['**/lib/**', '**/node_modules/**'] },
+  { ignores: ['target/**', '**/lib/**', '**/node_modules/**'] },
   js.configs.recommended,
   {
     files: ['**/*.ts'],
--- a/net/server/src/createHttpServer.ts
+++ b/net/server/src/createHttpServer.ts
@@ -32,6 +32,8 @@
   /** `IP:PORT`; port 0 takes a free one. */
   address: string
   routes: readonly Route[]
+  /** Handles every call that no route matches, like a route. */
+  handleOther?: Route['handle']
   /** Answers what no route matches; the path is unchanged. */
   fallback?: (request: IncomingMessage, response: ServerResponse) => void
   bodyBytesMax?: number
@@ -123,15 +125,16 @@
   })
   const bodyBytesMax = opts.bodyBytesMax ?? defaultBodyBytesMax
   try {
-    if (matched === undefined) throw createUnknownRouteError(raw)
+    const handle = matched?.route.handle ?? opts.handleOther
+    if (handle === undefined) throw createUnknownRouteError(raw)
     const request = new HttpRequest({
       raw,
       url,
-      params: matched.params,
+      params: matched?.params ?? {},
       bodyBytesMax,
       callerGone: gone.signal,
     })
-    const reply = await unwrap(tryAsync(() => unwrap(matched.route.handle(request))))
+    const reply = await unwrap(tryAsync(() => unwrap(handle(request))))
     await writeReply(response, reply)
   } catch (thrown) {
     const error = toNettlespurError(thrown)
--- a/net/server/src/httpRequest.ts
+++ b/net/server/src/httpRequest.ts
@@ -17,6 +17,8 @@
 export class HttpRequest {
   readonly raw: IncomingMessage
   readonly params: Readonly<Record<string, string>>
+  /** As sent, without the query. */
+  readonly path: string
   readonly query: URLSearchParams
   readonly callerGone: AbortSignal
   readonly #bodyBytesMax: number
@@ -24,6 +26,7 @@
   constructor(opts: HttpRequestOptions) {
     this.raw = opts.raw
     this.params = opts.params
+    this.path = opts.url.pathname
     this.query = opts.url.searchParams
     this.callerGone = opts.callerGone
     this.#bodyBytesMax = opts.bodyBytesMax
--- a/storage/log/src/index.ts
+++ b/storage/log/src/index.ts
@@ -9,3 +9,4 @@
   type SnapshotMeta,
 } from './logStore.js'
 export { NodeFileSystem } from './nodeFileSystem.js'
+export { readSmallFile, writeSmallFile } from './smallFile.js'
--- a/upstream/client/src/index.ts
+++ b/upstream/client/src/index.ts
@@ -2,3 +2,4 @@
 export { HttpUpstreamClient, type HttpUpstreamClientOptions } from './httpUpstreamClient.js'
 export { readWholeAnswer, type ExpectedAnswer } from './readWholeAnswer.js'
 export { UpstreamClient, type TaskReference, type TypedAnswer } from './upstreamClient.js'
+export { ConnectionPools } from './connectionPools.js'
