fix: leave the folder lock to whoever starts the process, and model the leader's work

The lock's own take-over was ruled out: it needs the start time from /proc, which is not readable there.

A model of the leader's work over faulty links, crashes and leader changes (manual clock, fast-check): its first finding was a gang that waited for ever once too few upstreams were left on which it had not failed; such upstreams are now used again where the others could never take the job.

--- a/batch/scheduler/src/choosePlaces.ts
+++ b/batch/scheduler/src/choosePlaces.ts
@@ -2,8 +2,7 @@
  * Chooses upstreams for the tasks of a unit: the tightest fit, so that whole upstreams and racks stay free
  * for large gangs, and one rack for what is slow across racks.
  */
-import { countFitting } from './resources.js'
-import { type BookedRoom, countTasks, type RoomBook } from './roomBook.js'
+import { type BookedRoom, countTasks, countWhenEmpty, type RoomBook } from './roomBook.js'
 import type { StartUnit } from './startUnit.js'
 
 interface Counted {
@@ -53,15 +52,10 @@
 }
 
 function couldFitOneRack(unit: StartUnit, allowed: readonly BookedRoom[]): boolean {
-  const counted = allowed.map((room) => ({ room, count: countWhenEmpty(unit, room) }))
+  const counted = allowed.map((room) => ({ room, count: countWhenEmpty(unit.step, room) }))
   return groupByRack(counted).some((rack) => sum(rack) >= unit.waiting.length)
 }
 
-function countWhenEmpty(unit: StartUnit, { room }: BookedRoom): number {
-  const { needs, tasksPerUpstreamMax = Infinity } = unit.step
-  return Math.min(countFitting(room.capacity, needs), tasksPerUpstreamMax)
-}
-
 /** First where the fewest accelerators are left over, then where the fewest processors are. */
 function fill(counted: readonly Counted[], wanted: number, from: 'free' | 'soon'): string[] {
   const tightFirst = [...counted].sort(
--- a/batch/scheduler/src/roomBook.ts
+++ b/batch/scheduler/src/roomBook.ts
@@ -1,5 +1,5 @@
 /** The rooms of one round as they fill up: each decision takes from what the next one finds. */
-import type { Resources } from '@nettlespur/batch.model'
+import type { Resources, StepSpec } from '@nettlespur/batch.model'
 import { addResources, countFitting } from './resources.js'
 import type { UpstreamRoom } from './schedulerView.js'
 import type { StartUnit } from './startUnit.js'
@@ -50,18 +50,25 @@
     if (room !== undefined) room.soon = addResources(room.soon, needs)
   }
 
-  /** Rooms in which the unit's tasks may run at all. */
-  listAllowed({ job, step, avoided }: StartUnit): BookedRoom[] {
+  /** Rooms in which the unit's tasks may run, those where they failed only if the others could never do. */
+  listAllowed({ job, step, avoided, waiting }: StartUnit): BookedRoom[] {
     const allowed = this.rooms.filter(
       ({ room }) =>
         room.pool === job.queue.pool &&
         (step.requiredLabel === undefined || room.labels.includes(step.requiredLabel)),
     )
     const untried = allowed.filter(({ upstreamId }) => !avoided.has(upstreamId))
-    return untried.length > 0 ? untried : allowed
+    const wanted = step.isGang ? waiting.length : 1
+    const couldTake = untried.reduce((sum, room) => sum + countWhenEmpty(step, room), 0)
+    return couldTake >= wanted ? untried : allowed
   }
 }
 
+/** How many tasks of the step the upstream takes when nothing else runs there. */
+export function countWhenEmpty(step: StepSpec, { room }: BookedRoom): number {
+  return Math.min(countFitting(room.capacity, step.needs), step.tasksPerUpstreamMax ?? Infinity)
+}
+
 export interface CountTasksOptions {
   unit: StartUnit
   room: BookedRoom
--- /dev/null
+++ b/batch/service/__utils__/fakeUpstream.ts
@@ -0,0 +1,170 @@
+/**
+ * One life of an upstream as the platform describes it: fence, lease on its own clock, room, attempts, and
+ * ends that stay listed until they are acknowledged. What breaks a promise is noted in the ledger.
+ */
+import { runKey, taskKey, type Resources, type RunRef } from '@nettlespur/batch.model'
+import type {
+  FinishedOutcome,
+  FinishedRun,
+  HoldAnswer,
+  HoldOrder,
+  StartAnswer,
+  StartOrder,
+  StopAnswer,
+  StopOrder,
+} from '@nettlespur/batch.sessions'
+import type { Clock, Timer } from '@nettlespur/core.clock'
+import type { FleetLedger } from './fleetLedger.js'
+
+const stopMs = 300
+
+interface HeldRun {
+  readonly run: RunRef
+  readonly needs: Resources
+  readonly startedAtMs: number
+  isStopping: boolean
+}
+
+export interface FakeUpstreamOptions {
+  upstreamId: string
+  address: string
+  clock: Clock
+  /** Of its own clock against ours: from 0.98 to 1. */
+  clockRate: number
+  ledger: FleetLedger
+}
+
+export class FakeUpstream {
+  readonly upstreamId: string
+  readonly address: string
+  isUp = true
+  readonly #opts: FakeUpstreamOptions
+  readonly #held = new Map<string, HeldRun>()
+  /** The highest attempt of each task that ended or was stopped here. */
+  readonly #closed = new Map<string, number>()
+  #finished: FinishedRun[] = []
+  #ends = 0
+  #fence = 0
+  #leaseEndMs = 0
+  #leaseTimer: Timer | undefined
+  readonly #waiters = new Set<() => void>()
+
+  constructor(opts: FakeUpstreamOptions) {
+    this.#opts = opts
+    this.upstreamId = opts.upstreamId
+    this.address = opts.address
+    opts.ledger.addHolder(this)
+  }
+
+  get clockMs(): number {
+    return Math.floor(this.#opts.clock.monotonicMs() * this.#opts.clockRate) + 1000
+  }
+
+  start({ run, leaseEndMs, fence }: StartOrder): StartAnswer {
+    const { ledger, clock } = this.#opts
+    const clockMs = this.clockMs
+    if (fence < this.#fence) return { type: 'refused', reason: 'fence', clockMs }
+    this.#fence = fence
+    if (leaseEndMs <= clockMs) return { type: 'refused', reason: 'lease-over', clockMs }
+    this.#renew(leaseEndMs)
+    if (this.#held.has(runKey(run))) return { type: 'started', clockMs }
+    if ((this.#closed.get(taskKey(run)) ?? 0) >= run.attempt) {
+      return { type: 'refused', reason: 'superseded', clockMs }
+    }
+    const needs = ledger.needsOf(run)
+    if (this.#used() + needs.accelerators > ledger.acceleratorsEach) {
+      return { type: 'refused', reason: 'no-room', clockMs }
+    }
+    const startedAtMs = clock.monotonicMs()
+    this.#held.set(runKey(run), { run, needs, startedAtMs, isStopping: false })
+    ledger.noteStart(run, this)
+    return { type: 'started', clockMs }
+  }
+
+  stop({ run, fence }: StopOrder): StopAnswer {
+    const clockMs = this.clockMs
+    if (fence < this.#fence) return { type: 'fence', clockMs }
+    this.#fence = fence
+    this.#close(run)
+    const held = this.#held.get(runKey(run))
+    if (held !== undefined && !held.isStopping) {
+      held.isStopping = true
+      this.#opts.clock.setTimer(stopMs, () => {
+        this.end(run, 'stopped')
+      })
+    }
+    return { type: 'stopping', clockMs }
+  }
+
+  async hold({ leaseEndMs, fence, cursor, waitMs }: HoldOrder): Promise<HoldAnswer> {
+    if (fence < this.#fence) return { type: 'fence', clockMs: this.clockMs }
+    this.#fence = fence
+    if (leaseEndMs !== undefined) this.#renew(leaseEndMs)
+    const { ledger, clock } = this.#opts
+    for (const { number, run } of this.#finished) {
+      if (number <= cursor) ledger.noteAcknowledged(run)
+    }
+    this.#finished = this.#finished.filter(({ number }) => number > cursor)
+    if (waitMs > 0 && this.#finished.length === 0) await this.#waitForEnd(clock, waitMs)
+    return {
+      type: 'held',
+      clockMs: this.clockMs,
+      running: [...this.#held.values()].map(({ run }) => ({
+        run,
+        checkpoint: '',
+        progressPercent: 0,
+      })),
+      finished: [...this.#finished],
+    }
+  }
+
+  /** The run ends, unless it has ended before. */
+  end(run: RunRef, outcome: FinishedOutcome): void {
+    if (!this.isUp || !this.#held.delete(runKey(run))) return
+    this.#close(run)
+    this.#ends += 1
+    this.#finished.push({ number: this.#ends, run, outcome, checkpoint: '' })
+    for (const wake of this.#waiters) wake()
+    this.#opts.ledger.noteEnd(run, outcome)
+  }
+
+  /** Everything that runs here is gone, and nothing is told of it. */
+  crash(): void {
+    this.isUp = false
+    const lost = [...this.#held.values()]
+    this.#held.clear()
+    for (const { run } of lost) this.#opts.ledger.noteEnd(run, 'lapsed')
+  }
+
+  holds(run: RunRef): boolean {
+    return this.#held.has(runKey(run))
+  }
+
+  #close(run: RunRef): void {
+    const closed = this.#closed.get(taskKey(run)) ?? 0
+    this.#closed.set(taskKey(run), Math.max(closed, run.attempt))
+  }
+
+  #used(): number {
+    return [...this.#held.values()].reduce((sum, { needs }) => sum + needs.accelerators, 0)
+  }
+
+  #renew(leaseEndMs: number): void {
+    this.#leaseEndMs = Math.max(this.#leaseEndMs, leaseEndMs)
+    this.#leaseTimer?.cancel()
+    const leftMs = (this.#leaseEndMs - this.clockMs) / this.#opts.clockRate
+    this.#leaseTimer = this.#opts.clock.setTimer(leftMs + 1, () => {
+      for (const { run } of [...this.#held.values()]) this.end(run, 'lapsed')
+    })
+  }
+
+  async #waitForEnd(clock: Clock, waitMs: number): Promise<void> {
+    const waiting = new AbortController()
+    const wake = (): void => {
+      waiting.abort()
+    }
+    this.#waiters.add(wake)
+    await clock.sleep(waitMs, waiting.signal)
+    this.#waiters.delete(wake)
+  }
+}
--- /dev/null
+++ b/batch/service/__utils__/faultyPort.ts
@@ -0,0 +1,79 @@
+/** Orders to fake upstreams over links that lose answers, hold orders back, refuse and fall silent. */
+import {
+  UpstreamPort,
+  type HoldAnswer,
+  type HoldOrder,
+  type StartAnswer,
+  type StartOrder,
+  type StopAnswer,
+  type StopOrder,
+  type UpstreamTarget,
+} from '@nettlespur/batch.sessions'
+import type { Clock } from '@nettlespur/core.clock'
+import { NettlespurError } from '@nettlespur/core.errors'
+import type { FakeUpstream } from './fakeUpstream.js'
+
+/** What the link does with one call. `late`: it is carried out seconds later, and nothing is answered. */
+export type LinkFault = 'none' | 'answer-lost' | 'late' | 'refused' | 'silent'
+
+export interface FaultyPortOptions {
+  clock: Clock
+  /** By address: the life that answers there now. */
+  findUpstream: (address: string) => FakeUpstream | undefined
+  nextFault: (address: string) => LinkFault
+  /** How much later a late order is carried out. */
+  nextDelayMs: () => number
+}
+
+const linkMs = 1
+
+export class FaultyPort extends UpstreamPort {
+  readonly #opts: FaultyPortOptions
+
+  constructor(opts: FaultyPortOptions) {
+    super()
+    this.#opts = opts
+  }
+
+  override start(to: UpstreamTarget, order: StartOrder, timeoutMs: number): Promise<StartAnswer> {
+    return this.#call(to, timeoutMs, (upstream) => Promise.resolve(upstream.start(order)))
+  }
+
+  override stop(to: UpstreamTarget, order: StopOrder, timeoutMs: number): Promise<StopAnswer> {
+    return this.#call(to, timeoutMs, (upstream) => Promise.resolve(upstream.stop(order)))
+  }
+
+  override hold(to: UpstreamTarget, order: HoldOrder, timeoutMs: number): Promise<HoldAnswer> {
+    return this.#call(to, timeoutMs, (upstream) => upstream.hold(order))
+  }
+
+  async #call<T>(
+    { upstreamId, address }: UpstreamTarget,
+    timeoutMs: number,
+    run: (upstream: FakeUpstream) => Promise<T>,
+  ): Promise<T | { type: 'gone'; clockMs: undefined }> {
+    const { clock, findUpstream, nextFault, nextDelayMs } = this.#opts
+    const fault = nextFault(address)
+    await clock.sleep(linkMs)
+    if (fault === 'refused') throw new NettlespurError('unreachable', 'refused')
+    const carryOut = async (): Promise<T | { type: 'gone'; clockMs: undefined }> => {
+      const upstream = findUpstream(address)
+      if (upstream?.isUp !== true) throw new NettlespurError('unreachable', 'nobody listens')
+      if (upstream.upstreamId !== upstreamId) return { type: 'gone', clockMs: undefined }
+      return run(upstream)
+    }
+    if (fault === 'none') {
+      const answer = await carryOut()
+      await clock.sleep(linkMs)
+      return answer
+    }
+    if (fault === 'answer-lost') await carryOut()
+    if (fault === 'late') {
+      clock.setTimer(nextDelayMs(), () => {
+        carryOut().catch(() => undefined)
+      })
+    }
+    await clock.sleep(timeoutMs)
+    throw new NettlespurError('outcome-unknown', `no answer within ${timeoutMs} ms`)
+  }
+}
--- /dev/null
+++ b/batch/service/__utils__/fleetLedger.ts
@@ -0,0 +1,118 @@
+/** What all upstreams of a test have run, and the promises that were broken on the way. */
+import { taskKey, type JobRequest, type Resources, type RunRef } from '@nettlespur/batch.model'
+import type { FinishedOutcome } from '@nettlespur/batch.sessions'
+import type { Clock } from '@nettlespur/core.clock'
+import type { FakeUpstream } from './fakeUpstream.js'
+
+const gangWaitMs = 3000
+const noNeeds: Resources = { cpuMillicores: 0, memoryMiB: 0, accelerators: 0 }
+
+export interface FleetLedgerOptions {
+  clock: Clock
+  acceleratorsEach: number
+  /** How a run that is let work ends. */
+  decideOutcome: (run: RunRef) => 'done' | 'failed'
+}
+
+export class FleetLedger {
+  readonly violations: string[] = []
+  readonly acceleratorsEach: number
+  /** Tasks whose last end was `done` and has been acknowledged. */
+  readonly doneTasks = new Set<string>()
+  readonly #opts: FleetLedgerOptions
+  readonly #jobs = new Map<string, JobRequest>()
+  readonly #holders: FakeUpstream[] = []
+  readonly #running = new Map<string, RunRef>()
+  /** The run of each task that ended `done` last, acknowledged or not. */
+  readonly endedDone = new Map<string, RunRef>()
+
+  constructor(opts: FleetLedgerOptions) {
+    this.#opts = opts
+    this.acceleratorsEach = opts.acceleratorsEach
+  }
+
+  addJob(request: JobRequest): void {
+    this.#jobs.set(request.jobId, request)
+  }
+
+  addHolder(upstream: FakeUpstream): void {
+    this.#holders.push(upstream)
+  }
+
+  needsOf({ jobId, step }: RunRef): Resources {
+    return this.#jobs.get(jobId)?.steps[step]?.needs ?? noNeeds
+  }
+
+  noteStart(run: RunRef, holder: FakeUpstream): void {
+    const key = taskKey(run)
+    const name = `${key}#${run.attempt}`
+    if (this.#running.has(key)) this.violations.push(`${name} started while another run is going`)
+    if (this.doneTasks.has(key)) this.violations.push(`${name} started after it was done`)
+    if (!this.#dependenciesAreDone(run)) this.violations.push(`${name} started out of order`)
+    this.#running.set(key, run)
+    const step = this.#stepOf(run)
+    if (step?.isGang === true) this.#joinGang(run)
+    else this.#work(run, holder)
+  }
+
+  noteEnd(run: RunRef, outcome: FinishedOutcome): void {
+    const key = taskKey(run)
+    this.#running.delete(key)
+    if (outcome === 'done') this.endedDone.set(key, run)
+    if (this.#stepOf(run)?.isGang !== true || outcome === 'done') return
+    for (const member of this.#membersOf(run)) this.#endEverywhere(member, 'broken')
+  }
+
+  noteAcknowledged(run: RunRef): void {
+    if (this.endedDone.get(taskKey(run))?.attempt === run.attempt) this.doneTasks.add(taskKey(run))
+  }
+
+  #work(run: RunRef, holder: FakeUpstream): void {
+    const outcome = this.#opts.decideOutcome(run)
+    this.#opts.clock.setTimer(this.#stepOf(run)?.expectedRunTimeMs ?? 0, () => {
+      holder.end(run, outcome)
+    })
+  }
+
+  #joinGang(run: RunRef): void {
+    const members = this.#membersOf(run)
+    const size = this.#stepOf(run)?.taskCount ?? 0
+    if (members.length === size) {
+      const outcome = this.#opts.decideOutcome(run)
+      this.#opts.clock.setTimer(this.#stepOf(run)?.expectedRunTimeMs ?? 0, () => {
+        if (outcome === 'failed') this.#endEverywhere(run, outcome)
+        else for (const member of members) this.#endEverywhere(member, outcome)
+      })
+      return
+    }
+    this.#opts.clock.setTimer(gangWaitMs, () => {
+      if (this.#membersOf(run).length < size) this.#endEverywhere(run, 'alone')
+    })
+  }
+
+  /** Members of the same attempt that are running now. */
+  #membersOf({ jobId, step, attempt }: RunRef): RunRef[] {
+    return [...this.#running.values()].filter(
+      (other) => other.jobId === jobId && other.step === step && other.attempt === attempt,
+    )
+  }
+
+  #endEverywhere(run: RunRef, outcome: FinishedOutcome): void {
+    for (const holder of this.#holders) {
+      if (holder.holds(run)) holder.end(run, outcome)
+    }
+  }
+
+  #stepOf({ jobId, step }: RunRef) {
+    return this.#jobs.get(jobId)?.steps[step]
+  }
+
+  #dependenciesAreDone({ jobId, step }: RunRef): boolean {
+    const steps = this.#jobs.get(jobId)?.steps ?? []
+    return (steps[step]?.dependsOn ?? []).every((number) =>
+      Array.from({ length: steps[number]?.taskCount ?? 0 }, (_, index) =>
+        taskKey({ jobId, step: number, index }),
+      ).every((key) => this.endedDone.has(key)),
+    )
+  }
+}
--- /dev/null
+++ b/batch/service/__utils__/index.ts
@@ -0,0 +1,4 @@
+/** A fleet of fake upstreams with faulty links, for tests of the leader's work. */
+export { FakeUpstream } from './fakeUpstream.js'
+export { FaultyPort, type LinkFault } from './faultyPort.js'
+export { FleetLedger } from './fleetLedger.js'
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -15,6 +15,7 @@
 import { Wake, type Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
+import { setMaxListeners } from 'node:events'
 import { isDeepStrictEqual } from 'node:util'
 import type { BatchTimings } from './batchTimings.js'
 import { buildView } from './buildView.js'
@@ -59,6 +60,8 @@
     this.#opts = opts
     this.fence = opts.term
     this.#takeoverMs = opts.clock.monotonicMs()
+    // Every session waits on it, some of them several times at once.
+    setMaxListeners(0, this.#ending.signal)
   }
 
   get #state(): BatchState {
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -92,6 +92,7 @@
     this.#isLooking = true
     void this.#lookWhileWanted().finally(() => {
       this.#isLooking = false
+      if (this.#isWanted()) this.#wake()
     })
   }
 
--- a/storage/log/src/fileLogStore.ts
+++ b/storage/log/src/fileLogStore.ts
@@ -32,6 +32,11 @@
   readonly folder: string
   readonly clock: Clock
   readonly logger: Logger
+  /**
+   * Whether to keep other processes off the folder; true by default. To be false where whoever starts the
+   * process runs one at a time and hides other processes: a lock of a dead one would never be known as such.
+   */
+  readonly locksFolder?: boolean
   /** The machine's file system by default. */
   readonly files?: FileSystem
   /** A segment grows larger only where one batch does. 4 MiB by default. */
@@ -43,7 +48,7 @@
 interface FileLogStoreParts {
   readonly opts: FileLogStoreOptions
   readonly files: FileSystem
-  readonly lock: FolderLock
+  readonly lock: FolderLock | undefined
   readonly recovered: RecoveredFolder
 }
 
@@ -51,7 +56,7 @@
   readonly diskId: string
   readonly #folder: string
   readonly #files: FileSystem
-  readonly #lock: FolderLock
+  readonly #lock: FolderLock | undefined
   readonly #log: SegmentedLog
   readonly #snapshots: SnapshotFolder
   readonly #queue: CommitQueue
@@ -95,7 +100,7 @@
     try {
       await files.makeFolder(opts.folder)
       await files.syncFolder(path.dirname(opts.folder))
-      lock = await FolderLock.acquire(files, opts.folder)
+      if (opts.locksFolder !== false) lock = await FolderLock.acquire(files, opts.folder)
       const recovered = await recoverFolder({ files, folder: opts.folder, logger: opts.logger })
       const store = new FileLogStore({ opts, files, lock, recovered })
       opts.logger.info({
@@ -222,7 +227,7 @@
       if (this.#queue.failure === undefined) await this.#log.seal()
     } finally {
       await this.#log.close()
-      await this.#lock.release()
+      await this.#lock?.release()
     }
   }
 
--- a/storage/log/test/folderLock.test.ts
+++ b/storage/log/test/folderLock.test.ts
@@ -91,3 +91,13 @@
     },
   })
 }
+
+test('where others keep processes apart no lock is taken, and one left behind keeps nobody out', async (t) => {
+  const opts = { folder: await createFolder(t), locksFolder: false }
+  await (await openStore(new NodeFileSystem(), opts)).close()
+  await writeFile(path.join(opts.folder, `lock-${await readProcessToken()}`), '')
+  const store = await openStore(new NodeFileSystem(), opts)
+  await store.append([toEntry(1)])
+  t.deepEqual(await readAll(store), [toEntry(1)])
+  await store.close()
+})
