--- /dev/null
+++ b/batch/scheduler/test/planRound.test.ts
@@ -0,0 +1,180 @@
+/** One round of decisions over small fleets. */
+import type { JobRequest } from '@nettlespur/batch.model'
+import { createConfig, createJob, createUpstream } from '@nettlespur/batch.samples'
+import { BatchState, type Placement } from '@nettlespur/batch.state'
+import test from 'ava'
+import { addResources, noResources, planRound, type ActiveRun } from '../src/index.js'
+
+class Fleet {
+  readonly state = new BatchState()
+  nowMs = 0
+  readonly #acceptedAtMs = new Map<string, number>()
+  readonly #stopping = new Set<string>()
+
+  constructor(...racks: string[]) {
+    this.state.apply({ type: 'apply-config', config: createConfig(1) })
+    racks.forEach((rack, at) => {
+      const description = createUpstream(`u${at}`, rack)
+      this.state.apply({ type: 'note-upstream', description })
+    })
+  }
+
+  submit(request: JobRequest, priority = 1): void {
+    const queueName = `queue${priority}`
+    this.state.apply({ type: 'submit-job', request, workspace: 'w1', queueName })
+    this.#acceptedAtMs.set(request.jobId, this.nowMs)
+  }
+
+  /** Decides once and puts the placements into the state. */
+  decide() {
+    const decision = planRound({
+      nowMs: this.nowMs,
+      jobs: [...this.state.unsettled.values()],
+      acceptedAtMs: this.#acceptedAtMs,
+      rooms: [...this.state.upstreams.values()].map(({ description }) => this.#room(description)),
+      runs: this.#runs(),
+      guarantees: new Map([['w1', 16]]),
+    })
+    this.state.apply({ type: 'place-tasks', placements: decision.placements })
+    for (const run of decision.preemptions) this.#stopping.add(name(run))
+    return decision
+  }
+
+  end(run: Placement, outcome: 'done' | 'failed' | 'stopped'): void {
+    this.state.apply({ type: 'end-runs', ends: [{ ...run, outcome, checkpoint: '' }] })
+  }
+
+  #room(description: ReturnType<typeof createUpstream>) {
+    let used = noResources
+    let stopping = noResources
+    for (const run of this.state.placements.on(description.upstreamId).values()) {
+      const needs = this.state.jobs.get(run.jobId)?.request.steps[run.step]?.needs ?? noResources
+      used = addResources(used, needs)
+      if (this.#stopping.has(name(run))) stopping = addResources(stopping, needs)
+    }
+    const free = addResources(description.capacity, used, -1)
+    return { ...description, free, soon: addResources(free, stopping) }
+  }
+
+  #runs(): ActiveRun[] {
+    return [...this.state.upstreams.keys()].flatMap((upstreamId) =>
+      [...this.state.placements.on(upstreamId).values()].map((placement) => ({
+        placement,
+        stopCostCoreSeconds: 1,
+        isStopping: this.#stopping.has(name(placement)),
+      })),
+    )
+  }
+}
+
+function name({ jobId, step, index, attempt }: Placement): string {
+  return `${jobId}.${step}.${index}#${attempt}`
+}
+
+function gang(taskCount: number, accelerators: number, more = {}) {
+  const needs = { cpuMillicores: 1000, memoryMiB: 1000, accelerators }
+  return { taskCount, needs, isGang: true, ...more }
+}
+
+test('a gang is placed whole or not at all', (t) => {
+  const fleet = new Fleet('r1', 'r1')
+  fleet.submit(createJob('large', gang(3, 8)))
+  t.deepEqual(fleet.decide().placements, [])
+  fleet.submit(createJob('small', gang(2, 8)))
+  t.deepEqual(
+    fleet.decide().placements.map(({ jobId, index, attempt }) => [jobId, index, attempt]),
+    [
+      ['small', 0, 1],
+      ['small', 1, 1],
+    ],
+  )
+})
+
+test('a step begins only after the steps it depends on are done', (t) => {
+  const fleet = new Fleet('r1')
+  fleet.submit(createJob('j', {}, { dependsOn: [0] }))
+  const [first] = fleet.decide().placements
+  t.is(first?.step, 0)
+  t.deepEqual(fleet.decide().placements, [])
+  if (first !== undefined) fleet.end(first, 'done')
+  t.deepEqual(
+    fleet.decide().placements.map(({ step }) => step),
+    [1],
+  )
+})
+
+test('tasks that are slow across racks stay in one, and are split only where no rack could take them', (t) => {
+  const fleet = new Fleet('r1', 'r2', 'r2')
+  fleet.submit(createJob('one-rack', gang(2, 8, { prefersOneRack: true })))
+  t.deepEqual(
+    fleet.decide().placements.map(({ upstreamId }) => upstreamId),
+    ['u1', 'u2'],
+  )
+  const wide = new Fleet('r1', 'r2', 'r2')
+  wide.submit(createJob('wide', gang(3, 8, { prefersOneRack: true })))
+  t.is(wide.decide().placements.length, 3)
+})
+
+test('labels, the data rack and the limit of tasks on one upstream are kept', (t) => {
+  const fleet = new Fleet('r1', 'r2')
+  fleet.submit(createJob('label', { requiredLabel: 'r2' }))
+  fleet.submit(createJob('rack', { dataRack: 'r1' }))
+  fleet.submit(createJob('apart', { taskCount: 3, tasksPerUpstreamMax: 1 }))
+  const placed = fleet.decide().placements
+  const on = (jobId: string) =>
+    placed.filter((run) => run.jobId === jobId).map(({ upstreamId }) => upstreamId)
+  t.deepEqual(on('label'), ['u1'])
+  t.deepEqual(on('rack'), ['u0'])
+  t.deepEqual(on('apart').sort(), ['u0', 'u1'])
+})
+
+test('guaranteed work has others stopped, keeps their room, and starts there', (t) => {
+  const fleet = new Fleet('r1')
+  fleet.submit(createJob('borrower', gang(1, 8)))
+  const [borrower] = fleet.decide().placements
+  fleet.submit(createJob('guaranteed', gang(1, 8)), 0)
+  const decision = fleet.decide()
+  t.deepEqual(
+    decision.preemptions.map(({ jobId }) => jobId),
+    ['borrower'],
+  )
+  t.deepEqual(fleet.decide(), { placements: [], preemptions: [] })
+  fleet.submit(createJob('later', {}))
+  if (borrower !== undefined) fleet.end(borrower, 'stopped')
+  t.deepEqual(
+    fleet.decide().placements.map(({ jobId }) => jobId),
+    ['guaranteed'],
+  )
+})
+
+test('nothing is stopped for work beyond the guarantee, nor for other priorities', (t) => {
+  const fleet = new Fleet('r1', 'r1', 'r1')
+  fleet.submit(createJob('borrower', gang(3, 8)))
+  fleet.decide()
+  fleet.submit(createJob('too-large', gang(3, 8)), 0)
+  fleet.submit(createJob('normal', gang(1, 8)), 1)
+  t.deepEqual(fleet.decide().preemptions, [])
+})
+
+test('only as many are stopped as are needed', (t) => {
+  const fleet = new Fleet('r1', 'r1')
+  for (const at of [0, 1, 2, 3]) fleet.submit(createJob(`borrower${at}`, gang(1, 4)))
+  fleet.decide()
+  fleet.submit(createJob('guaranteed', gang(1, 4)), 0)
+  t.is(fleet.decide().preemptions.length, 1)
+})
+
+test('a task goes elsewhere after it failed, and back only where nowhere else could take it', (t) => {
+  const fleet = new Fleet('r1', 'r1')
+  fleet.submit(createJob('j', { taskCount: 1 }))
+  const [first] = fleet.decide().placements
+  if (first !== undefined) fleet.end(first, 'failed')
+  const [second] = fleet.decide().placements
+  t.not(second?.upstreamId, first?.upstreamId)
+  t.is(second?.attempt, 2)
+  const alone = new Fleet('r1')
+  alone.submit(createJob('j', {}))
+  const [only] = alone.decide().placements
+  if (only !== undefined) alone.end(only, 'failed')
+  t.is(alone.decide().placements.length, 1)
+})
--- a/batch/service/test/leaderModel.test.ts
+++ b/batch/service/test/leaderModel.test.ts
@@ -132,7 +132,10 @@
 
   elect(zombieMs = 0): void {
     const former = this.#leader
-    if (former !== undefined) this.clock.setTimer(zombieMs, () => { former.stop(); })
+    if (former !== undefined)
+      this.clock.setTimer(zombieMs, () => {
+        former.stop()
+      })
     this.#term += 1
     const term = this.#term
     this.#leader = new BatchLeader({
--- /dev/null
+++ b/batch/state/test/batchState.test.ts
@@ -0,0 +1,128 @@
+/** The committed state: configurations, jobs, placements and ends. */
+import test from 'ava'
+import { createConfig, createJob } from '@nettlespur/batch.samples'
+import { BatchState, describeJob, type RunOutcome } from '../src/index.js'
+
+function createState(): BatchState {
+  const state = new BatchState()
+  state.apply({ type: 'apply-config', config: createConfig(1) })
+  return state
+}
+
+function submit(state: BatchState, request: ReturnType<typeof createJob>) {
+  return state.apply({ type: 'submit-job', request, workspace: 'w1', queueName: 'queue1' })
+}
+
+function place(state: BatchState, run: { index?: number; attempt: number; upstreamId?: string }) {
+  const placement = { jobId: 'j', step: 0, index: 0, upstreamId: 'u1', ...run }
+  state.apply({ type: 'place-tasks', placements: [placement] })
+  return placement
+}
+
+function end(
+  state: BatchState,
+  placement: ReturnType<typeof place>,
+  outcome: RunOutcome,
+  checkpoint = '',
+) {
+  return state.apply({ type: 'end-runs', ends: [{ ...placement, outcome, checkpoint }] })
+}
+
+test('the highest version of the configuration stays, and other content under its number changes nothing', (t) => {
+  const state = createState()
+  t.is(state.apply({ type: 'apply-config', config: createConfig(5) }), 'done')
+  t.is(state.apply({ type: 'apply-config', config: createConfig(3) }), 'unchanged')
+  t.is(state.apply({ type: 'apply-config', config: createConfig(5, 'other') }), 'unchanged')
+  t.is(state.config?.source, 'v5')
+})
+
+test('a job handed in twice stays one job, and other content under its id is refused', (t) => {
+  const state = createState()
+  t.is(submit(state, createJob('j', {})), 'done')
+  t.is(submit(state, createJob('j', {})), 'unchanged')
+  t.is(submit(state, createJob('j', { taskCount: 2 })), 'conflict')
+  t.is(state.jobs.size, 1)
+})
+
+test('only a waiting task is placed, and only under a higher attempt', (t) => {
+  const state = createState()
+  submit(state, createJob('j', {}))
+  place(state, { attempt: 1 })
+  place(state, { attempt: 2, upstreamId: 'u2' })
+  t.is(state.placements.on('u1').size, 1)
+  t.is(state.placements.on('u2').size, 0)
+})
+
+test('an end counts once, and only for the run that is placed', (t) => {
+  const state = createState()
+  submit(state, createJob('j', {}))
+  const first = place(state, { attempt: 1 })
+  t.is(end(state, { ...first, attempt: 2 }, 'done'), 'unchanged')
+  t.is(end(state, first, 'lost'), 'done')
+  t.is(end(state, first, 'done'), 'unchanged')
+  t.is(state.jobs.get('j')?.status, 'active')
+})
+
+test('a job fails once a task has failed as often as allowed, and stops and losses do not count', (t) => {
+  const state = createState()
+  submit(state, createJob('j', {}))
+  for (const [at, outcome] of (['stopped', 'lost', 'failed', 'failed'] as const).entries()) {
+    t.is(state.jobs.get('j')?.status, 'active')
+    end(state, place(state, { attempt: at + 1 }), outcome)
+  }
+  t.is(state.jobs.get('j')?.status, 'failed')
+  t.is(state.unsettled.size, 0)
+})
+
+test('members of a gang that fail together count as one failed attempt', (t) => {
+  const state = createState()
+  submit(state, createJob('j', { taskCount: 2, isGang: true }))
+  const members = [0, 1].map((index) => place(state, { index, attempt: 1 }))
+  for (const member of members) end(state, member, 'failed')
+  t.like(state.jobs.get('j')?.steps[0], { gangFailures: 1, endedGangAttempt: 1 })
+  t.is(state.jobs.get('j')?.status, 'active')
+})
+
+test('one member that is done stands for its whole gang', (t) => {
+  const state = createState()
+  submit(state, createJob('j', { taskCount: 2, isGang: true }))
+  const [first] = [0, 1].map((index) => place(state, { index, attempt: 1 }))
+  if (first !== undefined) end(state, first, 'done')
+  t.is(state.jobs.get('j')?.status, 'completed')
+  t.is(state.placements.on('u1').size, 0)
+})
+
+test('a checkpoint outlives the run, and all members of a gang resume from the same one', (t) => {
+  const state = createState()
+  submit(state, createJob('j', { taskCount: 2, isGang: true, checkpoints: true }))
+  const [first, second] = [0, 1].map((index) => place(state, { index, attempt: 1 }))
+  if (first === undefined || second === undefined) return t.fail()
+  end(state, first, 'stopped', 'c1')
+  end(state, second, 'stopped', 'c2')
+  t.deepEqual(
+    state.jobs.get('j')?.steps[0]?.tasks.map(({ checkpoint }) => checkpoint),
+    ['c2', 'c2'],
+  )
+})
+
+test('a cancelled job stays unsettled until what it placed has ended', (t) => {
+  const state = createState()
+  submit(state, createJob('j', {}))
+  const placement = place(state, { attempt: 1 })
+  t.is(state.apply({ type: 'cancel-job', jobId: 'j' }), 'done')
+  t.is(state.apply({ type: 'cancel-job', jobId: 'j' }), 'unchanged')
+  t.true(state.unsettled.has('j'))
+  end(state, placement, 'stopped')
+  t.false(state.unsettled.has('j'))
+})
+
+test('a state restored from its snapshot is the same, with its placements', (t) => {
+  const state = createState()
+  submit(state, createJob('j', { taskCount: 2 }, { dependsOn: [0] }))
+  place(state, { attempt: 1 })
+  const restored = BatchState.restore(structuredClone(state.snapshot()))
+  t.deepEqual(restored.snapshot(), state.snapshot())
+  t.deepEqual([...restored.placements.on('u1').keys()], [...state.placements.on('u1').keys()])
+  const job = restored.jobs.get('j')
+  t.is(job === undefined ? undefined : describeJob(job), 'running')
+})
