feat: keep room for gangs that wait, and log what a job asks for

Change: the first three gangs that do not fit have room kept from the time at which it is expected to be free; what ends before that may still start there. job.submitted tells the shape of each step.

--- a/batch/scheduler/src/choosePlaces.ts
+++ b/batch/scheduler/src/choosePlaces.ts
@@ -22,7 +22,7 @@
   const { step, waiting } = unit
   const allowed = keepDataRack(unit, book.listAllowed(unit))
   const counted = allowed
-    .map((room) => ({ room, count: countTasks({ unit, room, from }) }))
+    .map((room) => ({ room, count: countTasks({ unit, book, room, from }) }))
     .filter(({ count }) => count > 0)
   if (!step.isGang) return fill(counted, waiting.length, from)
   if (step.prefersOneRack) return chooseRack(unit, allowed, counted, from)
--- a/batch/scheduler/src/chooseVictims.ts
+++ b/batch/scheduler/src/chooseVictims.ts
@@ -68,7 +68,10 @@
 }
 
 function placesAfter(unit: StartUnit, book: RoomBook, stopped: readonly VictimGroup[]): string[] {
-  const trial = new RoomBook(book.rooms.map(({ room, free, soon }) => ({ ...room, free, soon })))
+  const trial = new RoomBook(
+    book.rooms.map(({ room, free, soon }) => ({ ...room, free, soon })),
+    book.nowMs,
+  )
   for (const { runs, needs } of stopped) {
     for (const { upstreamId } of runs) trial.giveBackSoon(upstreamId, needs)
   }
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -8,10 +8,14 @@
 import { listGuaranteed } from './listGuaranteed.js'
 import { listVictimGroups } from './listVictimGroups.js'
 import { orderUnits, type RankedUnit } from './orderUnits.js'
+import { reserveGang } from './reserveGang.js'
 import { RoomBook } from './roomBook.js'
-import type { RoundDecision, SchedulerView } from './schedulerView.js'
+import type { ActiveRun, RoundDecision, SchedulerView } from './schedulerView.js'
 import { placeUnit } from './startUnit.js'
 
+/** Gangs that room is kept for at a time: more would leave too little for work that fits. */
+const reservationsMax = 3
+
 export function planRound(view: SchedulerView): RoundDecision {
   const guaranteed = listGuaranteed(view.jobs, view.guarantees)
   const round = new Round(view, guaranteed)
@@ -23,22 +27,47 @@
   readonly placements: Placement[] = []
   readonly preemptions: Placement[] = []
   readonly #book: RoomBook
+  /** Those that this round starts included. */
+  readonly #runs: ActiveRun[]
   #groups: readonly VictimGroup[]
+  #reservations = 0
 
   constructor(view: SchedulerView, guaranteed: ReadonlySet<string>) {
-    this.#book = new RoomBook(view.rooms)
+    this.#runs = [...view.runs]
+    this.#book = new RoomBook(view.rooms, view.nowMs)
     this.#groups = listVictimGroups(view, guaranteed)
   }
 
   decide(unit: RankedUnit): void {
     const places = choosePlaces(unit, this.#book)
     if (places.length > 0) this.#place(unit, places)
-    if (places.length < unit.waiting.length && unit.isGuaranteed) this.#makeRoom(unit)
+    if (places.length === unit.waiting.length) return
+    if (unit.isGuaranteed) this.#makeRoom(unit)
+    else if (unit.step.isGang) this.#reserve(unit)
+  }
+
+  #reserve(unit: RankedUnit): void {
+    if (this.#reservations >= reservationsMax || unit.hope === 'none') return
+    this.#reservations += 1
+    const runs = this.#runs.sort((left, right) => left.expectedEndMs - right.expectedEndMs)
+    reserveGang({ unit, book: this.#book, runs })
+  }
+
+  #toRun({ step }: RankedUnit, placement: Placement): ActiveRun {
+    return {
+      placement,
+      needs: step.needs,
+      expectedEndMs: this.#book.endOf(step),
+      stopCostCoreSeconds: 0,
+      isStopping: false,
+    }
   }
 
   #place(unit: RankedUnit, places: readonly string[]): void {
-    this.#book.take(places, unit.step.needs)
-    this.placements.push(...placeUnit(unit, places))
+    this.#book.take(places, unit.step)
+    const placed = placeUnit(unit, places)
+    this.placements.push(...placed)
+    for (const placement of placed) this.#runs.push(this.#toRun(unit, placement))
   }
 
   /** Keeps what is being freed for the unit; where that is too little, has more stopped. */
@@ -51,6 +80,6 @@
       this.preemptions.push(...runs)
       for (const { upstreamId } of runs) this.#book.giveBackSoon(upstreamId, needs)
     }
-    this.#book.take(choice.places, unit.step.needs)
+    this.#book.take(choice.places, unit.step)
   }
 }
--- a/batch/scheduler/src/roomBook.ts
+++ b/batch/scheduler/src/roomBook.ts
@@ -4,11 +4,18 @@
 import type { UpstreamRoom } from './schedulerView.js'
 import type { StartUnit } from './startUnit.js'
 
+/** What is left of an upstream's room from a time on, at which others are to start there. */
+interface LaterRoom {
+  readonly fromMs: number
+  left: Resources
+}
+
 /** One upstream's room within a round. */
 export class BookedRoom {
   readonly room: UpstreamRoom
   free: Resources
   soon: Resources
+  readonly later: LaterRoom[] = []
 
   constructor(room: UpstreamRoom) {
     this.room = room
@@ -19,13 +26,33 @@
   get upstreamId(): string {
     return this.room.upstreamId
   }
+
+  /** Takes the room of one task that ends at `endMs`. */
+  take(needs: Resources, endMs: number): void {
+    this.free = addResources(this.free, needs, -1)
+    this.soon = addResources(this.soon, needs, -1)
+    for (const later of this.later) {
+      if (later.fromMs < endMs) later.left = addResources(later.left, needs, -1)
+    }
+  }
+
+  /** Tasks that end at `endMs` and fit both now and beside what is to start before that. */
+  countFitting(needs: Resources, from: 'free' | 'soon', endMs: number): number {
+    let count = countFitting(this[from], needs)
+    for (const { fromMs, left } of this.later) {
+      if (fromMs < endMs) count = Math.min(count, countFitting(left, needs))
+    }
+    return count
+  }
 }
 
 export class RoomBook {
+  readonly nowMs: number
   readonly rooms: readonly BookedRoom[]
   readonly #byId: ReadonlyMap<string, BookedRoom>
 
-  constructor(rooms: readonly UpstreamRoom[]) {
+  constructor(rooms: readonly UpstreamRoom[], nowMs: number) {
+    this.nowMs = nowMs
     this.rooms = rooms.map((room) => new BookedRoom(room))
     this.#byId = new Map(this.rooms.map((room) => [room.upstreamId, room]))
   }
@@ -34,13 +61,15 @@
     return this.#byId.get(upstreamId)
   }
 
+  /** When a task of the step ends that starts now. */
+  endOf({ expectedRunTimeMs }: StepSpec): number {
+    return this.nowMs + expectedRunTimeMs
+  }
+
   /** Takes one task's room on each upstream named, however often it is named. */
-  take(upstreamIds: readonly string[], needs: Resources): void {
+  take(upstreamIds: readonly string[], step: StepSpec): void {
     for (const upstreamId of upstreamIds) {
-      const room = this.#byId.get(upstreamId)
-      if (room === undefined) continue
-      room.free = addResources(room.free, needs, -1)
-      room.soon = addResources(room.soon, needs, -1)
+      this.#byId.get(upstreamId)?.take(step.needs, this.endOf(step))
     }
   }
 
@@ -71,15 +100,17 @@
 
 export interface CountTasksOptions {
   unit: StartUnit
+  book: RoomBook
   room: BookedRoom
   /** `free` counts what may be used now, `soon` also what is being stopped. */
   from: 'free' | 'soon'
 }
 
 /** How many of the unit's tasks the upstream can take. */
-export function countTasks({ unit, room, from }: CountTasksOptions): number {
+export function countTasks({ unit, book, room, from }: CountTasksOptions): number {
   const { step, record, waiting } = unit
-  const fitting = Math.min(countFitting(room[from], step.needs), waiting.length)
+  const roomFor = room.countFitting(step.needs, from, book.endOf(step))
+  const fitting = Math.min(roomFor, waiting.length)
   if (step.tasksPerUpstreamMax === undefined) return fitting
   const there = record.tasks.filter(({ upstreamId }) => upstreamId === room.upstreamId).length
   return Math.min(fitting, Math.max(0, step.tasksPerUpstreamMax - there))
--- a/batch/scheduler/src/schedulerView.ts
+++ b/batch/scheduler/src/schedulerView.ts
@@ -18,6 +18,9 @@
 /** A run that may be stopped for others. */
 export interface ActiveRun {
   readonly placement: Placement
+  readonly needs: Resources
+  /** On the clock of `nowMs`, as its progress or its declared run time says. */
+  readonly expectedEndMs: number
   /** Work that a stop would throw away, in core-seconds. */
   readonly stopCostCoreSeconds: number
   /** It has been told to stop, or is about to be. */
--- a/batch/scheduler/test/planRound.test.ts
+++ b/batch/scheduler/test/planRound.test.ts
@@ -60,6 +60,9 @@
     return [...this.state.upstreams.keys()].flatMap((upstreamId) =>
       [...this.state.placements.on(upstreamId).values()].map((placement) => ({
         placement,
+        needs:
+          this.state.jobs.get(placement.jobId)?.request.steps[placement.step]?.needs ?? noResources,
+        expectedEndMs: 1000,
         stopCostCoreSeconds: 1,
         isStopping: this.#stopping.has(name(placement)),
       })),
@@ -178,3 +181,16 @@
   if (only !== undefined) alone.end(only, 'failed')
   t.is(alone.decide().placements.length, 1)
 })
+
+test('room is kept for a gang that waits, and only what ends in time starts there meanwhile', (t) => {
+  const fleet = new Fleet('r1', 'r1')
+  fleet.submit(createJob('first', gang(1, 4)))
+  fleet.decide()
+  fleet.submit(createJob('waits', gang(2, 8)))
+  fleet.submit(createJob('long', { expectedRunTimeMs: 5000 }))
+  fleet.submit(createJob('short', { expectedRunTimeMs: 900 }))
+  t.deepEqual(
+    fleet.decide().placements.map(({ jobId }) => jobId),
+    ['short'],
+  )
+})
--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -2,14 +2,7 @@
  * One member of control for batch work: its part in agreement, the state, and while it leads the work of
  * the leader. Calls that only a leader can answer are refused with the leader's address.
  */
-import {
-  findQueue,
-  findWorkspace,
-  type Announcement,
-  type ClusterConfig,
-  type JobState,
-  type QueueConfig,
-} from '@nettlespur/batch.model'
+import { type Announcement, type ClusterConfig, type JobState } from '@nettlespur/batch.model'
 import type { UpstreamPort } from '@nettlespur/batch.sessions'
 import {
   BatchMachine,
@@ -41,6 +34,8 @@
 } from './batchApi.js'
 import { BatchLeader } from './batchLeader.js'
 import type { BatchTimings } from './batchTimings.js'
+import { describeStep } from './describeStep.js'
+import { createUnknownQueue, judgeCall, type Authorized } from './judgeCall.js'
 
 /** A caller that finds no leader comes again when one may have been elected. */
 const retryAfterMs = 500
@@ -59,11 +54,6 @@
   timings: BatchTimings
 }
 
-interface Authorized {
-  readonly queue: QueueConfig
-  readonly workspace: string
-}
-
 export class BatchNode extends BatchApi {
   readonly raft: RaftNode<CommandOutcome>
   readonly #opts: BatchNodeOptions
@@ -133,6 +123,7 @@
         workspace,
         queue: queueName,
         outcome,
+        steps: request.steps.map(describeStep),
       })
       this.#opts.metrics.count(`jobs_submitted_${outcome}_total`)
       if (outcome === 'unknown-queue') throw createUnknownQueue(call)
@@ -285,26 +276,14 @@
 
   /** What the state refuses is looked up again once it is sure to be the newest. */
   async #authorize(call: QueueCall, rest: string): Promise<Authorized> {
-    const known = this.#judge(call, rest)
+    const known = judgeCall(this.#requireConfig(), call, rest)
     if (!(known instanceof NettlespurError)) return known
     await unwrap(this.raft.readBarrier())
-    const newest = this.#judge(call, rest)
+    const newest = judgeCall(this.#requireConfig(), call, rest)
     if (newest instanceof NettlespurError) throw newest
     return newest
   }
 
-  #judge(call: QueueCall, rest: string): Authorized | NettlespurError {
-    const config = this.#requireConfig()
-    const queue = findQueue(config, call)
-    if (queue === undefined || call.path !== queue.pathPrefix + rest)
-      return createUnknownQueue(call)
-    const workspace = findWorkspace(config, call.key)
-    if (workspace === undefined && !queue.anonymous) {
-      return new NettlespurError('unauthorized', `the key is not one of queue ${queue.name}`)
-    }
-    return { queue, workspace: workspace?.name ?? '' }
-  }
-
   async #findJob(call: JobCall): Promise<JobRecord> {
     await this.#authorize(call, call.jobId)
     const known = this.#state.jobs.get(call.jobId)
@@ -315,7 +294,3 @@
     throw new NettlespurError('unknown-job', `no job ${call.jobId}`)
   }
 }
-
-function createUnknownQueue({ host, path }: QueueCall): NettlespurError {
-  return new NettlespurError('unknown-route', `no queue at ${host}${path}`)
-}
--- a/batch/service/src/buildView.ts
+++ b/batch/service/src/buildView.ts
@@ -15,6 +15,9 @@
 /** A stop saves a checkpoint; what is lost then is the time until the task is at work again. */
 const restartSeconds = 1
 const milliseconds = 1000
+const wholePercent = 100
+/** Below it, a start-up that took long would count for the whole run. */
+const meaningfulPercent = 20
 
 export interface BuildViewOptions {
   state: BatchState
@@ -57,11 +60,26 @@
 function listRuns(opts: BuildViewOptions, upstreamId: string): ActiveRun[] {
   return [...opts.state.placements.on(upstreamId).values()].map((placement) => ({
     placement,
+    needs: findStep(opts.state, placement)?.needs ?? noResources,
+    expectedEndMs: estimateEndMs(opts, placement),
     isStopping: opts.isStopping(placement),
     stopCostCoreSeconds: measureStopCost(opts, placement),
   }))
 }
 
+/** By its progress once that says something, else by its declared run time. */
+function estimateEndMs(opts: BuildViewOptions, placement: Placement): number {
+  const { nowMs } = opts
+  const track = opts.findTrack(placement)
+  const declaredMs = findStep(opts.state, placement)?.expectedRunTimeMs ?? 0
+  if (track === undefined) return nowMs + declaredMs
+  const { startedAtMs, progressPercent } = track
+  const declaredEndMs = Math.max(nowMs, startedAtMs + declaredMs)
+  if (progressPercent < meaningfulPercent) return declaredEndMs
+  const elapsedMs = nowMs - startedAtMs
+  return nowMs + (elapsedMs * (wholePercent - progressPercent)) / progressPercent
+}
+
 function measureStopCost(opts: BuildViewOptions, placement: Placement): number {
   const step = findStep(opts.state, placement)
   if (step === undefined) return 0
