refactor: split the member, the leader and the session of batch work into one job each

Change: calls (BatchCalls), the search for the leader (LeaderFinder), the upstreams as a leader knows them (UpstreamRoster) and the orders of a session (RunOrders) stand by themselves. Behaviour is unchanged.

--- /dev/null
+++ b/batch/service/src/batchCalls.ts
@@ -0,0 +1,173 @@
+/** What the leader answers to entries, operators and upstreams. Reads are confirmed by a quorum. */
+import type { Announcement, ClusterConfig, JobState } from '@nettlespur/batch.model'
+import {
+  describeJob,
+  encodeCommand,
+  type BatchState,
+  type Command,
+  type CommandOutcome,
+  type JobRecord,
+} from '@nettlespur/batch.state'
+import type { Member, RaftNode } from '@nettlespur/consensus.raft'
+import { NettlespurError, tryAsync, unwrap } from '@nettlespur/core.errors'
+import type { Logger } from '@nettlespur/core.logger'
+import type { MetricsRegistry } from '@nettlespur/core.metrics'
+import type { EitherAsync } from 'purify-ts'
+import { BatchApi, type JobCall, type QueueCall, type SubmitCall } from './batchApi.js'
+import type { BatchLeader } from './batchLeader.js'
+import { describeStep } from './describeStep.js'
+import { createUnknownQueue, judgeCall, type Authorized } from './judgeCall.js'
+
+/** The first configuration comes within seconds of the first start. */
+const configRetryAfterMs = 500
+
+export interface BatchCallsOptions {
+  raft: RaftNode<CommandOutcome>
+  getState: () => BatchState
+  /** Throws `not-leader`. */
+  requireLeader: () => BatchLeader
+  logger: Logger
+  metrics: MetricsRegistry
+}
+
+export class BatchCalls extends BatchApi {
+  readonly #opts: BatchCallsOptions
+
+  constructor(opts: BatchCallsOptions) {
+    super()
+    this.#opts = opts
+  }
+
+  override submitJob(call: SubmitCall): EitherAsync<NettlespurError, null> {
+    return tryAsync(async () => {
+      this.#opts.requireLeader()
+      const { queue, workspace } = await this.#authorize(call, call.request.jobId)
+      const { request } = call
+      const queueName = queue.name
+      const outcome = await this.#propose({ type: 'submit-job', request, workspace, queueName })
+      const { jobId } = request
+      this.#opts.logger.info({
+        event: 'job.submitted',
+        jobId,
+        workspace,
+        queue: queueName,
+        outcome,
+        steps: request.steps.map(describeStep),
+      })
+      this.#opts.metrics.count(`jobs_submitted_${outcome}_total`)
+      if (outcome === 'unknown-queue') throw createUnknownQueue(call)
+      if (outcome !== 'conflict') return null
+      throw new NettlespurError('idempotency-conflict', `another job has the id ${jobId}`)
+    })
+  }
+
+  override cancelJob(call: JobCall): EitherAsync<NettlespurError, null> {
+    return tryAsync(async () => {
+      this.#opts.requireLeader()
+      const job = await this.#findJob(call)
+      const { jobId } = job.request
+      const outcome = await this.#propose({ type: 'cancel-job', jobId })
+      this.#opts.logger.info({ event: 'job.cancelled', jobId, outcome, status: job.status })
+      return null
+    })
+  }
+
+  override getJobState(call: JobCall): EitherAsync<NettlespurError, JobState> {
+    return tryAsync(async () => {
+      this.#opts.requireLeader()
+      await unwrap(this.#opts.raft.readBarrier())
+      return describeJob(await this.#findJob(call))
+    })
+  }
+
+  override countPending(call: QueueCall): EitherAsync<NettlespurError, number> {
+    return tryAsync(async () => {
+      this.#opts.requireLeader()
+      await unwrap(this.#opts.raft.readBarrier())
+      const { queue } = await this.#authorize(call, '')
+      let pending = 0
+      for (const job of this.#state.unsettled.values()) {
+        const waits = job.status === 'active' && !job.hasStarted
+        if (waits && job.queue.name === queue.name) pending += 1
+      }
+      return pending
+    })
+  }
+
+  override applyConfig(config: ClusterConfig): EitherAsync<NettlespurError, null> {
+    return tryAsync(async () => {
+      this.#opts.requireLeader()
+      const outcome = await this.#propose({ type: 'apply-config', config })
+      const { version } = config
+      const held = this.#state.config?.version
+      this.#opts.logger.info({ event: 'config.received', version, held, outcome })
+      return null
+    })
+  }
+
+  override readConfig(): EitherAsync<NettlespurError, string> {
+    return tryAsync(async () => {
+      this.#opts.requireLeader()
+      await unwrap(this.#opts.raft.readBarrier())
+      return this.#requireConfig().source
+    })
+  }
+
+  override announce(announcement: Announcement): EitherAsync<NettlespurError, null> {
+    return tryAsync(async () => {
+      await this.#opts.requireLeader().announce(announcement)
+      return null
+    })
+  }
+
+  override leave(upstreamId: string): EitherAsync<NettlespurError, null> {
+    return tryAsync(async () => {
+      await this.#opts.requireLeader().leave(upstreamId)
+      return null
+    })
+  }
+
+  override join(member: Member): EitherAsync<NettlespurError, null> {
+    return tryAsync(async () => {
+      this.#opts.requireLeader()
+      await unwrap(this.#opts.raft.addMember(member))
+      return null
+    })
+  }
+
+  get #state(): BatchState {
+    return this.#opts.getState()
+  }
+
+  #propose(command: Command): Promise<CommandOutcome> {
+    return unwrap(this.#opts.raft.propose(encodeCommand(command)))
+  }
+
+  #requireConfig(): ClusterConfig {
+    const { config } = this.#state
+    if (config !== undefined) return config
+    throw new NettlespurError('no-config', 'no configuration has been applied yet', {
+      retryAfterMs: configRetryAfterMs,
+    })
+  }
+
+  /** What the state refuses is looked up again once it is sure to be the newest. */
+  async #authorize(call: QueueCall, rest: string): Promise<Authorized> {
+    const known = judgeCall(this.#requireConfig(), call, rest)
+    if (!(known instanceof NettlespurError)) return known
+    await unwrap(this.#opts.raft.readBarrier())
+    const newest = judgeCall(this.#requireConfig(), call, rest)
+    if (newest instanceof NettlespurError) throw newest
+    return newest
+  }
+
+  async #findJob(call: JobCall): Promise<JobRecord> {
+    await this.#authorize(call, call.jobId)
+    const known = this.#state.jobs.get(call.jobId)
+    if (known !== undefined) return known
+    await unwrap(this.#opts.raft.readBarrier())
+    const newest = this.#state.jobs.get(call.jobId)
+    if (newest !== undefined) return newest
+    throw new NettlespurError('unknown-job', `no job ${call.jobId}`)
+  }
+}
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -4,7 +4,7 @@
  */
 import { runKey, type Announcement } from '@nettlespur/batch.model'
 import { planRound } from '@nettlespur/batch.scheduler'
-import { SessionHost, UpstreamSession, type UpstreamPort } from '@nettlespur/batch.sessions'
+import { SessionHost, type UpstreamPort } from '@nettlespur/batch.sessions'
 import type {
   BatchState,
   JobRecord,
@@ -22,13 +22,8 @@
 import { JobClock } from './jobClock.js'
 import { listEndedJobs } from './listEndedJobs.js'
 import type { Propose } from './proposer.js'
-import { UpstreamHealth } from './upstreamHealth.js'
-import { UpstreamTable } from './upstreamTable.js'
+import { UpstreamRoster } from './upstreamRoster.js'
 
-/** Announcements that may be missed before an upstream gets no new work. */
-const missedAnnouncements = 3
-/** After a call without an answer an upstream gets no new work for this long, and until it is heard again. */
-const silentPauseMs = 2000
 /** Rounds that no event asks for: quarantines end, and jobs lose hope, with time alone. */
 const idleRoundMs = 500
 
@@ -46,11 +41,8 @@
 export class BatchLeader extends SessionHost {
   readonly fence: number
   readonly #opts: BatchLeaderOptions
-  readonly #takeoverMs: number
   readonly #ending = new AbortController()
-  readonly #sessions = new Map<string, UpstreamSession>()
-  readonly #table = new UpstreamTable()
-  readonly #health = new UpstreamHealth()
+  readonly #roster: UpstreamRoster
   readonly #jobClock = new JobClock()
   readonly #preempted = new Set<string>()
   readonly #wake = new Wake()
@@ -59,9 +51,10 @@
     super()
     this.#opts = opts
     this.fence = opts.term
-    this.#takeoverMs = opts.clock.monotonicMs()
+    const { signal } = this.#ending
+    this.#roster = new UpstreamRoster({ ...opts, host: this, signal })
     // Every session waits on it, some of them several times at once.
-    setMaxListeners(0, this.#ending.signal)
+    setMaxListeners(0, signal)
   }
 
   get #state(): BatchState {
@@ -72,7 +65,7 @@
   start(): void {
     const { upstreamIds } = this.#state.placements
     const inherited = [...upstreamIds]
-    for (const upstreamId of inherited) this.#session(upstreamId)?.resume()
+    for (const upstreamId of inherited) this.#roster.open(upstreamId)?.resume()
     this.#opts.logger.info({
       event: 'leader.started',
       term: this.fence,
@@ -90,21 +83,21 @@
 
   /** To be called after each applied command. */
   noteChange(): void {
-    for (const session of this.#sessions.values()) session.review()
+    for (const session of this.#roster.sessions) session.review()
     this.#wake.notify()
   }
 
   /** Resolves once control has what matters of it. Errors: rejects as proposals do. */
   async announce(announcement: Announcement): Promise<void> {
-    const { upstreamId, clockMs, isDraining } = announcement
+    const { upstreamId, isDraining } = announcement
     const known = this.#state.upstreams.get(upstreamId)
     if (known?.hasLeft === true) return
-    if (!this.#table.note(announcement, this.#opts.clock.monotonicMs())) return
+    if (!this.#roster.note(announcement)) return
     const description = describe(announcement)
     if (known === undefined || !isDeepStrictEqual(known.description, description)) {
       await this.#propose({ type: 'note-upstream', description })
     }
-    this.#session(upstreamId)?.lease.clock.note(clockMs, this.#opts.clock.monotonicMs())
+    this.#roster.noteClock(announcement)
     if (isDraining && known?.isDraining !== true) {
       this.#opts.logger.info({ event: 'upstream.draining', upstreamId })
       await this.#propose({ type: 'drain-upstream', upstreamId })
@@ -144,8 +137,8 @@
       logger.info({ event: 'run.ended', jobId, step, index, attempt, upstreamId, outcome: how })
       metrics.count(`runs_${how}_total`)
       this.#preempted.delete(runKey({ jobId, step, index, attempt }))
-      if (how === 'failed') this.#health.noteFailure(upstreamId, jobId, clock.monotonicMs())
-      if (how === 'done') this.#health.noteSuccess(upstreamId)
+      if (how === 'failed') this.#roster.health.noteFailure(upstreamId, jobId, clock.monotonicMs())
+      if (how === 'done') this.#roster.health.noteSuccess(upstreamId)
     }
     return true
   }
@@ -160,8 +153,7 @@
   }
 
   override noteGone(upstreamId: string): void {
-    this.#sessions.delete(upstreamId)
-    this.#table.forget(upstreamId)
+    this.#roster.forget(upstreamId)
     if (this.findUpstream(upstreamId)?.hasLeft === true) return
     void this.#opts.propose({ type: 'remove-upstream', upstreamId }).run()
   }
@@ -173,48 +165,6 @@
     })
   }
 
-  #session(upstreamId: string): UpstreamSession | undefined {
-    const known = this.#sessions.get(upstreamId)
-    if (known !== undefined) return known
-    const upstream = this.findUpstream(upstreamId)
-    if (upstream === undefined) return undefined
-    const { clock, logger, port, timings } = this.#opts
-    const session = new UpstreamSession({
-      target: { upstreamId, address: upstream.description.address },
-      port,
-      host: this,
-      clock,
-      logger,
-      timings: timings.session,
-      takeoverMs: this.#takeoverMs,
-      signal: this.#ending.signal,
-    })
-    this.#sessions.set(upstreamId, session)
-    return session
-  }
-
-  #isUsable({ description: { upstreamId }, isDraining, hasLeft }: UpstreamRecord): boolean {
-    if (isDraining || hasLeft || this.#table.isReplaced(upstreamId)) return false
-    const nowMs = this.#opts.clock.monotonicMs()
-    const session = this.#sessions.get(upstreamId)
-    if (session?.lease.clock.isKnown !== true) return false
-    const heardAtMs = this.#table.heardAtMs(upstreamId)
-    const { announceEveryMs } = this.#opts.timings
-    if (nowMs - heardAtMs > announceEveryMs * missedAnnouncements) return false
-    if (session.unanswered > 0) {
-      const { unansweredAtMs } = session
-      if (heardAtMs <= unansweredAtMs || nowMs - unansweredAtMs < silentPauseMs) return false
-    }
-    return !this.#health.isQuarantined(upstreamId, nowMs)
-  }
-
-  async #forgetOldJobs(): Promise<void> {
-    const { clock, propose, timings } = this.#opts
-    const nowMs = clock.monotonicMs()
-    const jobIds = listEndedJobs(this.#state, this.#jobClock, nowMs, timings.keepEndedMs)
-    if (jobIds.length > 0) await propose({ type: 'forget-jobs', jobIds }).run()
-  }
-
   async #runRounds(): Promise<void> {
     const { signal } = this.#ending
     const isOver = (): boolean => signal.aborted
@@ -225,6 +175,13 @@
     }
   }
 
+  async #forgetOldJobs(): Promise<void> {
+    const { clock, propose, timings } = this.#opts
+    const nowMs = clock.monotonicMs()
+    const jobIds = listEndedJobs(this.#state, this.#jobClock, nowMs, timings.keepEndedMs)
+    if (jobIds.length > 0) await propose({ type: 'forget-jobs', jobIds }).run()
+  }
+
   async #decide(): Promise<void> {
     const { clock, metrics, propose, logger } = this.#opts
     const nowMs = clock.monotonicMs()
@@ -234,9 +191,9 @@
       state,
       nowMs,
       acceptedAtMs: this.#jobClock.acceptedAtMs,
-      isUsable: (upstream) => this.#isUsable(upstream),
+      isUsable: (upstream) => this.#roster.isUsable(upstream),
       isStopping: (placement) => this.shouldStop(placement),
-      findTrack: (placement) => this.#sessions.get(placement.upstreamId)?.findTrack(placement),
+      findTrack: (placement) => this.#roster.find(placement.upstreamId)?.findTrack(placement),
     })
     const { placements, preemptions } = planRound(view)
     metrics.recordMs('scheduling_round_ms', clock.monotonicMs() - nowMs)
@@ -281,7 +238,7 @@
       upstreamId,
       waitedMs: Math.round(this.#jobClock.waitedMs(jobId, this.#opts.clock.monotonicMs())),
     })
-    this.#session(upstreamId)?.start(placement)
+    this.#roster.open(upstreamId)?.start(placement)
   }
 }
 
--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -2,16 +2,12 @@
  * One member of control for batch work: its part in agreement, the state, and while it leads the work of
  * the leader. Calls that only a leader can answer are refused with the leader's address.
  */
-import { type Announcement, type ClusterConfig, type JobState } from '@nettlespur/batch.model'
 import type { UpstreamPort } from '@nettlespur/batch.sessions'
 import {
   BatchMachine,
-  describeJob,
   encodeCommand,
   type BatchState,
-  type Command,
   type CommandOutcome,
-  type JobRecord,
 } from '@nettlespur/batch.state'
 import {
   RaftNode,
@@ -20,22 +16,14 @@
   type Standing,
 } from '@nettlespur/consensus.raft'
 import type { Clock } from '@nettlespur/core.clock'
-import { NettlespurError, tryAsync, unwrap } from '@nettlespur/core.errors'
+import { NettlespurError } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import type { LogStore } from '@nettlespur/storage.log'
-import type { EitherAsync } from 'purify-ts'
-import {
-  BatchApi,
-  type JobCall,
-  type LeaderView,
-  type QueueCall,
-  type SubmitCall,
-} from './batchApi.js'
+import type { BatchApi, LeaderView } from './batchApi.js'
+import { BatchCalls } from './batchCalls.js'
 import { BatchLeader } from './batchLeader.js'
 import type { BatchTimings } from './batchTimings.js'
-import { describeStep } from './describeStep.js'
-import { createUnknownQueue, judgeCall, type Authorized } from './judgeCall.js'
 
 /** A caller that finds no leader comes again when one may have been elected. */
 const retryAfterMs = 500
@@ -54,8 +42,10 @@
   timings: BatchTimings
 }
 
-export class BatchNode extends BatchApi {
+export class BatchNode {
   readonly raft: RaftNode<CommandOutcome>
+  /** What the leader answers; refused by any other member. */
+  readonly calls: BatchApi
   readonly #opts: BatchNodeOptions
   readonly #machine: BatchMachine
   #leader: BatchLeader | undefined
@@ -65,10 +55,16 @@
     raft: RaftNode<CommandOutcome>,
     machine: BatchMachine,
   ) {
-    super()
     this.#opts = opts
     this.raft = raft
     this.#machine = machine
+    this.calls = new BatchCalls({
+      raft,
+      getState: () => this.#state,
+      requireLeader: () => this.#requireLeader(),
+      logger: opts.logger,
+      metrics: opts.metrics,
+    })
     machine.applied.subscribe(() => this.#leader?.noteChange())
     raft.standing.subscribe((standing) => {
       this.#follow(standing)
@@ -109,103 +105,6 @@
     return { leaderAddress, term, memberAddresses: members.map(({ peerAddress }) => peerAddress) }
   }
 
-  override submitJob(call: SubmitCall): EitherAsync<NettlespurError, null> {
-    return tryAsync(async () => {
-      this.#requireLeader()
-      const { queue, workspace } = await this.#authorize(call, call.request.jobId)
-      const { request } = call
-      const queueName = queue.name
-      const outcome = await this.#propose({ type: 'submit-job', request, workspace, queueName })
-      const { jobId } = request
-      this.#opts.logger.info({
-        event: 'job.submitted',
-        jobId,
-        workspace,
-        queue: queueName,
-        outcome,
-        steps: request.steps.map(describeStep),
-      })
-      this.#opts.metrics.count(`jobs_submitted_${outcome}_total`)
-      if (outcome === 'unknown-queue') throw createUnknownQueue(call)
-      if (outcome !== 'conflict') return null
-      throw new NettlespurError('idempotency-conflict', `another job has the id ${jobId}`)
-    })
-  }
-
-  override cancelJob(call: JobCall): EitherAsync<NettlespurError, null> {
-    return tryAsync(async () => {
-      this.#requireLeader()
-      const job = await this.#findJob(call)
-      const { jobId } = job.request
-      const outcome = await this.#propose({ type: 'cancel-job', jobId })
-      this.#opts.logger.info({ event: 'job.cancelled', jobId, outcome, status: job.status })
-      return null
-    })
-  }
-
-  override getJobState(call: JobCall): EitherAsync<NettlespurError, JobState> {
-    return tryAsync(async () => {
-      this.#requireLeader()
-      await unwrap(this.raft.readBarrier())
-      return describeJob(await this.#findJob(call))
-    })
-  }
-
-  override countPending(call: QueueCall): EitherAsync<NettlespurError, number> {
-    return tryAsync(async () => {
-      this.#requireLeader()
-      await unwrap(this.raft.readBarrier())
-      const { queue } = await this.#authorize(call, '')
-      let pending = 0
-      for (const job of this.#state.unsettled.values()) {
-        const waits = job.status === 'active' && !job.hasStarted
-        if (waits && job.queue.name === queue.name) pending += 1
-      }
-      return pending
-    })
-  }
-
-  override applyConfig(config: ClusterConfig): EitherAsync<NettlespurError, null> {
-    return tryAsync(async () => {
-      this.#requireLeader()
-      const outcome = await this.#propose({ type: 'apply-config', config })
-      const { version } = config
-      const held = this.#state.config?.version
-      this.#opts.logger.info({ event: 'config.received', version, held, outcome })
-      return null
-    })
-  }
-
-  override readConfig(): EitherAsync<NettlespurError, string> {
-    return tryAsync(async () => {
-      this.#requireLeader()
-      await unwrap(this.raft.readBarrier())
-      return this.#requireConfig().source
-    })
-  }
-
-  override announce(announcement: Announcement): EitherAsync<NettlespurError, null> {
-    return tryAsync(async () => {
-      await this.#requireLeader().announce(announcement)
-      return null
-    })
-  }
-
-  override leave(upstreamId: string): EitherAsync<NettlespurError, null> {
-    return tryAsync(async () => {
-      await this.#requireLeader().leave(upstreamId)
-      return null
-    })
-  }
-
-  override join(member: Member): EitherAsync<NettlespurError, null> {
-    return tryAsync(async () => {
-      this.#requireLeader()
-      await unwrap(this.raft.addMember(member))
-      return null
-    })
-  }
-
   async stop(): Promise<void> {
     this.#leader?.stop()
     this.#leader = undefined
@@ -252,10 +151,6 @@
     this.#leader.start()
   }
 
-  #propose(command: Command): Promise<CommandOutcome> {
-    return unwrap(this.raft.propose(encodeCommand(command)))
-  }
-
   /** Errors: throws `not-leader`; its hint is the leader's address, where that is known. */
   #requireLeader(): BatchLeader {
     if (this.#leader !== undefined) return this.#leader
@@ -265,32 +160,4 @@
       retryAfterMs,
     })
   }
-
-  #requireConfig(): ClusterConfig {
-    const { config } = this.#state
-    if (config !== undefined) return config
-    throw new NettlespurError('no-config', 'no configuration has been applied yet', {
-      retryAfterMs,
-    })
-  }
-
-  /** What the state refuses is looked up again once it is sure to be the newest. */
-  async #authorize(call: QueueCall, rest: string): Promise<Authorized> {
-    const known = judgeCall(this.#requireConfig(), call, rest)
-    if (!(known instanceof NettlespurError)) return known
-    await unwrap(this.raft.readBarrier())
-    const newest = judgeCall(this.#requireConfig(), call, rest)
-    if (newest instanceof NettlespurError) throw newest
-    return newest
-  }
-
-  async #findJob(call: JobCall): Promise<JobRecord> {
-    await this.#authorize(call, call.jobId)
-    const known = this.#state.jobs.get(call.jobId)
-    if (known !== undefined) return known
-    await unwrap(this.raft.readBarrier())
-    const newest = this.#state.jobs.get(call.jobId)
-    if (newest !== undefined) return newest
-    throw new NettlespurError('unknown-job', `no job ${call.jobId}`)
-  }
 }
--- a/batch/service/src/leaderClient.ts
+++ b/batch/service/src/leaderClient.ts
@@ -5,7 +5,6 @@
  */
 import type { Announcement, ClusterConfig, JobState } from '@nettlespur/batch.model'
 import type { Member } from '@nettlespur/consensus.raft'
-import type { Clock } from '@nettlespur/core.clock'
 import {
   NettlespurError,
   toNettlespurError,
@@ -13,20 +12,12 @@
   unwrap,
   type RpcResult,
 } from '@nettlespur/core.errors'
-import type { Logger } from '@nettlespur/core.logger'
-import { callPeer, createRpcClient, type RpcClient } from '@nettlespur/rpc.peer'
+import { callPeer, type RpcClient } from '@nettlespur/rpc.peer'
 import type { EitherAsync } from 'purify-ts'
-import {
-  BatchApi,
-  type JobCall,
-  type LeaderView,
-  type QueueCall,
-  type SubmitCall,
-} from './batchApi.js'
+import { BatchApi, type JobCall, type QueueCall, type SubmitCall } from './batchApi.js'
 import type { BatchRouter } from './createBatchRouter.js'
+import { LeaderFinder, type LeaderFinderOptions } from './leaderFinder.js'
 
-/** A member answers who leads from memory; over links of 1 ms this leaves room for a lost packet. */
-const locateTimeoutMs = 400
 /** Between rounds of asking while nobody leads. */
 const locatePauseMs = 100
 /** Kinds that say that the call has not run and another member may take it. */
@@ -34,14 +25,7 @@
 /** Kinds after which the call may have run; it is sent again, as that changes nothing. */
 const unsure = new Set(['outcome-unknown', 'storage-failed', 'internal'])
 
-export interface LeaderClientOptions {
-  clock: Clock
-  logger: Logger
-  peerKey: string
-  /** Members to ask first. */
-  seeds: readonly string[]
-  /** Of one call to one member. */
-  callTimeoutMs: number
+export interface LeaderClientOptions extends LeaderFinderOptions {
   /** Of the whole call. */
   patienceMs: number
   /** Set where this process is a member itself. */
@@ -58,30 +42,26 @@
 
 export class LeaderClient extends BatchApi {
   readonly #opts: LeaderClientOptions
-  readonly #clients = new Map<string, RpcClient<BatchRouter>>()
-  #seeds: readonly string[]
-  #members: readonly string[] = []
-  #leaderAddress: string | undefined
-  #locating: Promise<void> | undefined
+  readonly #finder: LeaderFinder
 
   constructor(opts: LeaderClientOptions) {
     super()
     this.#opts = opts
-    this.#seeds = opts.seeds
+    this.#finder = new LeaderFinder(opts)
   }
 
   /** The leader's peer address, where one has answered as such. */
   get leaderAddress(): string | undefined {
-    return this.#leaderAddress
+    return this.#finder.leaderAddress
   }
 
   /** The settings name other members to begin with. */
   replaceSeeds(seeds: readonly string[]): void {
-    this.#seeds = seeds
+    this.#finder.replaceSeeds(seeds)
   }
 
   close(): void {
-    for (const client of this.#clients.values()) client.close()
+    this.#finder.close()
   }
 
   override submitJob(input: SubmitCall): EitherAsync<NettlespurError, null> {
@@ -176,7 +156,7 @@
     operation: Operation<T>,
     endMs: number,
   ): Promise<{ readonly value: T } | NettlespurError> {
-    const address = this.#leaderAddress ?? (await this.#locate())
+    const address = this.#finder.leaderAddress ?? (await this.#finder.locate())
     if (address === undefined) {
       const leftMs = endMs - this.#opts.clock.monotonicMs()
       await this.#opts.clock.sleep(Math.max(0, Math.min(locatePauseMs, leftMs)))
@@ -194,64 +174,14 @@
   #call<T>(operation: Operation<T>, address: string): EitherAsync<NettlespurError, T> {
     const { local } = this.#opts
     if (local?.address === address) return operation.local(local.api)
-    return callPeer(() => operation.remote(this.#client(address).call.batch))
+    return callPeer(() => operation.remote(this.#finder.client(address).call.batch))
   }
 
   /** Any other refusal is the leader's own answer. */
   #leave(address: string, error: NettlespurError): void {
     if (!elsewhere.has(error.kind) && !unsure.has(error.kind)) return
-    if (this.#leaderAddress !== address) return
-    this.#setLeader(error.kind === 'not-leader' ? error.hint : undefined, error.message)
-  }
-
-  #setLeader(address: string | undefined, reason: string): void {
-    if (this.#leaderAddress === address) return
-    this.#leaderAddress = address
-    this.#opts.logger.info({ event: 'leader.believed', leaderAddress: address, reason })
-  }
-
-  async #locate(): Promise<string | undefined> {
-    this.#locating ??= this.#askMembers().finally(() => {
-      this.#locating = undefined
-    })
-    await this.#locating
-    return this.#leaderAddress
-  }
-
-  async #askMembers(): Promise<void> {
-    const addresses = [...new Set([...this.#seeds, ...this.#members])]
-    const asked = addresses.map((address) => this.#askMember(address))
-    const views = (await Promise.all(asked)).filter((view) => view !== undefined)
-    const newest = views.filter(({ leaderAddress }) => leaderAddress !== undefined)
-    newest.sort((left, right) => right.term - left.term)
-    const members = views.flatMap(({ memberAddresses }) => memberAddresses)
-    if (members.length > 0) this.#members = [...new Set(members)]
-    this.#setLeader(
-      newest[0]?.leaderAddress,
-      `${views.length} of ${addresses.length} members asked`,
-    )
-  }
-
-  async #askMember(address: string): Promise<LeaderView | undefined> {
-    const { clock } = this.#opts
-    const late = clock.sleep(locateTimeoutMs).then(() => undefined)
-    const asked = this.#client(address)
-      .call.batch.locateLeader.mutate()
-      .catch((thrown: unknown) => {
-        const reason = toNettlespurError(thrown).message
-        this.#opts.logger.debug({ event: 'member.silent', address, reason })
-        return undefined
-      })
-    return Promise.race([asked, late])
-  }
-
-  #client(address: string): RpcClient<BatchRouter> {
-    const known = this.#clients.get(address)
-    if (known !== undefined) return known
-    const { clock, peerKey, callTimeoutMs: timeoutMs } = this.#opts
-    const client = createRpcClient<BatchRouter>({ clock, address, peerKey, timeoutMs })
-    this.#clients.set(address, client)
-    return client
+    if (this.#finder.leaderAddress !== address) return
+    this.#finder.believe(error.kind === 'not-leader' ? error.hint : undefined, error.message)
   }
 
   #giveUp(
--- /dev/null
+++ b/batch/service/src/leaderFinder.ts
@@ -0,0 +1,97 @@
+/** Finds out which member leads, and keeps one connection to each member asked. */
+import type { Clock } from '@nettlespur/core.clock'
+import { toNettlespurError } from '@nettlespur/core.errors'
+import type { Logger } from '@nettlespur/core.logger'
+import { createRpcClient, type RpcClient } from '@nettlespur/rpc.peer'
+import type { LeaderView } from './batchApi.js'
+import type { BatchRouter } from './createBatchRouter.js'
+
+/** A member answers who leads from memory; over links of 1 ms this leaves room for a lost packet. */
+const locateTimeoutMs = 400
+
+export interface LeaderFinderOptions {
+  clock: Clock
+  logger: Logger
+  peerKey: string
+  /** Members to ask first. */
+  seeds: readonly string[]
+  /** Of one call to one member. */
+  callTimeoutMs: number
+}
+
+export class LeaderFinder {
+  readonly #opts: LeaderFinderOptions
+  readonly #clients = new Map<string, RpcClient<BatchRouter>>()
+  #seeds: readonly string[]
+  #members: readonly string[] = []
+  #leaderAddress: string | undefined
+  #locating: Promise<void> | undefined
+
+  constructor(opts: LeaderFinderOptions) {
+    this.#opts = opts
+    this.#seeds = opts.seeds
+  }
+
+  /** Who is believed to lead. */
+  get leaderAddress(): string | undefined {
+    return this.#leaderAddress
+  }
+
+  replaceSeeds(seeds: readonly string[]): void {
+    this.#seeds = seeds
+  }
+
+  close(): void {
+    for (const client of this.#clients.values()) client.close()
+  }
+
+  /** `reason` is for the log. */
+  believe(address: string | undefined, reason: string): void {
+    if (this.#leaderAddress === address) return
+    this.#leaderAddress = address
+    this.#opts.logger.info({ event: 'leader.believed', leaderAddress: address, reason })
+  }
+
+  /** Asks all members known; callers that come meanwhile share the answer. */
+  async locate(): Promise<string | undefined> {
+    this.#locating ??= this.#askMembers().finally(() => {
+      this.#locating = undefined
+    })
+    await this.#locating
+    return this.#leaderAddress
+  }
+
+  async #askMembers(): Promise<void> {
+    const addresses = [...new Set([...this.#seeds, ...this.#members])]
+    const asked = addresses.map((address) => this.#askMember(address))
+    const views = (await Promise.all(asked)).filter((view) => view !== undefined)
+    const newest = views.filter(({ leaderAddress }) => leaderAddress !== undefined)
+    newest.sort((left, right) => right.term - left.term)
+    const members = views.flatMap(({ memberAddresses }) => memberAddresses)
+    if (members.length > 0) this.#members = [...new Set(members)]
+    this.believe(newest[0]?.leaderAddress, `${views.length} of ${addresses.length} members asked`)
+  }
+
+  async #askMember(address: string): Promise<LeaderView | undefined> {
+    const { clock } = this.#opts
+    const late = clock.sleep(locateTimeoutMs).then(() => undefined)
+    const asked = this.client(address)
+      .call.batch.locateLeader.mutate()
+      .catch((thrown: unknown) => {
+        const reason = toNettlespurError(thrown).message
+        this.#opts.logger.debug({ event: 'member.silent', address, reason })
+        return undefined
+      })
+    return Promise.race([asked, late])
+  }
+
+  /** The connection to one member, made on first use. */
+  client(address: string): RpcClient<BatchRouter> {
+    const known = this.#clients.get(address)
+    if (known !== undefined) return known
+    const { clock, peerKey, callTimeoutMs: timeoutMs } = this.#opts
+    const client = createRpcClient<BatchRouter>({ clock, address, peerKey, timeoutMs })
+    this.#clients.set(address, client)
+    return client
+  }
+}
--- /dev/null
+++ b/batch/service/src/upstreamRoster.ts
@@ -0,0 +1,97 @@
+/** The upstreams as one leader knows them: who was heard, who can be given work, and the session with each. */
+import type { Announcement } from '@nettlespur/batch.model'
+import { UpstreamSession, type SessionHost, type UpstreamPort } from '@nettlespur/batch.sessions'
+import type { UpstreamRecord } from '@nettlespur/batch.state'
+import type { Clock } from '@nettlespur/core.clock'
+import type { Logger } from '@nettlespur/core.logger'
+import type { BatchTimings } from './batchTimings.js'
+import { UpstreamHealth } from './upstreamHealth.js'
+import { UpstreamTable } from './upstreamTable.js'
+
+/** Announcements that may be missed before an upstream gets no new work. */
+const missedAnnouncements = 3
+/** After a call without an answer an upstream gets no new work for this long, and until it is heard again. */
+const silentPauseMs = 2000
+
+export interface UpstreamRosterOptions {
+  host: SessionHost
+  clock: Clock
+  logger: Logger
+  port: UpstreamPort
+  timings: BatchTimings
+  /** Ends the sessions. */
+  signal: AbortSignal
+}
+
+export class UpstreamRoster {
+  readonly health = new UpstreamHealth()
+  readonly #opts: UpstreamRosterOptions
+  readonly #takeoverMs: number
+  readonly #sessions = new Map<string, UpstreamSession>()
+  readonly #table = new UpstreamTable()
+
+  constructor(opts: UpstreamRosterOptions) {
+    this.#opts = opts
+    this.#takeoverMs = opts.clock.monotonicMs()
+  }
+
+  get sessions(): Iterable<UpstreamSession> {
+    return this.#sessions.values()
+  }
+
+  find(upstreamId: string): UpstreamSession | undefined {
+    return this.#sessions.get(upstreamId)
+  }
+
+  /** The session with an upstream; undefined where the state does not know it. */
+  open(upstreamId: string): UpstreamSession | undefined {
+    const known = this.#sessions.get(upstreamId)
+    if (known !== undefined) return known
+    const { host, clock, logger, port, timings, signal } = this.#opts
+    const upstream = host.findUpstream(upstreamId)
+    if (upstream === undefined) return undefined
+    const session = new UpstreamSession({
+      target: { upstreamId, address: upstream.description.address },
+      port,
+      host,
+      clock,
+      logger,
+      timings: timings.session,
+      takeoverMs: this.#takeoverMs,
+      signal,
+    })
+    this.#sessions.set(upstreamId, session)
+    return session
+  }
+
+  /** False for an announcement that came after a newer one. */
+  note(announcement: Announcement): boolean {
+    return this.#table.note(announcement, this.#opts.clock.monotonicMs())
+  }
+
+  /** To be called once the state knows the upstream. */
+  noteClock({ upstreamId, clockMs }: Announcement): void {
+    this.open(upstreamId)?.lease.clock.note(clockMs, this.#opts.clock.monotonicMs())
+  }
+
+  forget(upstreamId: string): void {
+    this.#sessions.delete(upstreamId)
+    this.#table.forget(upstreamId)
+  }
+
+  /** Whether new work may go there. */
+  isUsable({ description: { upstreamId }, isDraining, hasLeft }: UpstreamRecord): boolean {
+    if (isDraining || hasLeft || this.#table.isReplaced(upstreamId)) return false
+    const nowMs = this.#opts.clock.monotonicMs()
+    const session = this.#sessions.get(upstreamId)
+    if (session?.lease.clock.isKnown !== true) return false
+    const heardAtMs = this.#table.heardAtMs(upstreamId)
+    const { announceEveryMs } = this.#opts.timings
+    if (nowMs - heardAtMs > announceEveryMs * missedAnnouncements) return false
+    if (session.unanswered > 0) {
+      const { unansweredAtMs } = session
+      if (heardAtMs <= unansweredAtMs || nowMs - unansweredAtMs < silentPauseMs) return false
+    }
+    return !this.health.isQuarantined(upstreamId, nowMs)
+  }
+}
--- /dev/null
+++ b/batch/sessions/src/runOrders.ts
@@ -0,0 +1,83 @@
+/** Gives starts and stops to one upstream, and says what is known of each afterwards. */
+import type { RunRef } from '@nettlespur/batch.model'
+import type { Placement } from '@nettlespur/batch.state'
+import type { Clock } from '@nettlespur/core.clock'
+import { toNettlespurError } from '@nettlespur/core.errors'
+import type { Logger } from '@nettlespur/core.logger'
+import type { LeaseTracker } from './leaseTracker.js'
+import type { SessionHost } from './sessionHost.js'
+import { orderTimeoutMs, startTriesMax } from './sessionOptions.js'
+import type { StartAnswer, StopAnswer, UpstreamPort, UpstreamTarget } from './upstreamPort.js'
+
+export interface RunOrdersOptions {
+  target: UpstreamTarget
+  port: UpstreamPort
+  host: SessionHost
+  clock: Clock
+  logger: Logger
+  lease: LeaseTracker
+}
+
+/** `in-doubt`: it may have been carried out, or may still be. `not-sent`: it surely never will. */
+export type StartResult = StartAnswer | { readonly type: 'in-doubt' | 'not-sent' }
+
+export class RunOrders {
+  readonly #opts: RunOrdersOptions
+
+  constructor(opts: RunOrdersOptions) {
+    this.#opts = opts
+  }
+
+  /** Gives a start, and gives it again where no answer comes. */
+  async start(placement: Placement): Promise<StartResult> {
+    const result = await this.#tryToStart(placement)
+    const reason = result.type === 'refused' ? result.reason : undefined
+    this.#log('run.start', placement, { answer: result.type, reason })
+    return result
+  }
+
+  /** Undefined where no answer came. */
+  async stop(run: RunRef): Promise<StopAnswer | undefined> {
+    const { port, target, host } = this.#opts
+    try {
+      const answer = await port.stop(target, { run, fence: host.fence }, orderTimeoutMs)
+      this.#log('run.stop', run, { answer: answer.type })
+      return answer
+    } catch (thrown) {
+      this.#log('run.stop-unanswered', run, { reason: toNettlespurError(thrown).message })
+      return undefined
+    }
+  }
+
+  async #tryToStart(placement: Placement): Promise<StartResult> {
+    const { port, target, host, lease, clock } = this.#opts
+    const job = host.findJob(placement.jobId)
+    if (job === undefined) return { type: 'not-sent' }
+    const { payload } = job.request
+    const checkpoint = job.steps[placement.step]?.tasks[placement.index]?.checkpoint ?? ''
+    const { fence } = host
+    let mayHaveArrived = false
+    for (let tries = 1; tries <= startTriesMax; tries++) {
+      const leaseEndMs = lease.extend(clock.monotonicMs())
+      const order = { run: placement, payload, checkpoint, leaseEndMs, fence }
+      try {
+        const answer = await port.start(target, order, orderTimeoutMs)
+        return mayHaveArrived && answer.type === 'refused' ? { type: 'in-doubt' } : answer
+      } catch (thrown) {
+        const error = toNettlespurError(thrown)
+        mayHaveArrived ||= error.kind !== 'unreachable'
+        this.#log('run.start-unanswered', placement, { tries, reason: error.message })
+      }
+    }
+    return { type: mayHaveArrived ? 'in-doubt' : 'not-sent' }
+  }
+
+  #log(
+    event: string,
+    { jobId, step, index, attempt }: RunRef,
+    fields: Readonly<Record<string, string | number | undefined>>,
+  ): void {
+    const { logger, target } = this.#opts
+    logger.info({ event, jobId, step, index, attempt, upstreamId: target.upstreamId, ...fields })
+  }
+}
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -12,8 +12,8 @@
 import { listEnds } from './readLook.js'
 import { createRunTrack, type RunTrack } from './runTrack.js'
 import type { SessionHost } from './sessionHost.js'
-import { holdSlackMs, orderTimeoutMs, retryPauseMs, type SessionTimings } from './sessionOptions.js'
-import { giveStart, type StartResult } from './startOrder.js'
+import { holdSlackMs, retryPauseMs, type SessionTimings } from './sessionOptions.js'
+import { RunOrders, type StartResult } from './runOrders.js'
 import type { HoldAnswer, UpstreamPort, UpstreamTarget } from './upstreamPort.js'
 
 export interface UpstreamSessionOptions {
@@ -35,6 +35,7 @@
   /** When the last call without an answer was given up, on our clock. */
   unansweredAtMs = -Infinity
   readonly #opts: UpstreamSessionOptions
+  readonly #orders: RunOrders
   readonly #tracks = new Map<string, RunTrack>()
   #cursor = 0
   /** The newest end shown, committed or not. */
@@ -47,6 +48,7 @@
     const { host, target, takeoverMs, timings } = opts
     const hasPredecessor = host.listPlacements(target.upstreamId).size > 0
     this.lease = new LeaseTracker({ leaseMs: timings.leaseMs, takeoverMs, hasPredecessor })
+    this.#orders = new RunOrders({ ...opts, lease: this.lease })
   }
 
   findTrack(run: RunRef): RunTrack | undefined {
@@ -66,7 +68,7 @@
     const track = createRunTrack(placement, 'starting', this.#nowMs())
     this.#tracks.set(runKey(placement), track)
     this.#wake()
-    void this.#start(track)
+    void this.#orders.start(placement).then((result) => this.#noteStart(track, result))
   }
 
   /** Stops what is to be stopped. To be called after each change of the state. */
@@ -198,24 +200,9 @@
     return true
   }
 
-  async #start(track: RunTrack): Promise<void> {
-    const { placement } = track
-    const { host, port, target, clock, logger } = this.#opts
-    const job = host.findJob(placement.jobId)
-    if (job === undefined) return
-    const checkpoint = job.steps[placement.step]?.tasks[placement.index]?.checkpoint ?? ''
-    const { payload } = job.request
-    const { lease } = this
-    const { fence } = host
-    const common = { port, target, placement, payload, checkpoint, fence, lease, clock, logger }
-    await this.#noteStart(track, await giveStart(common))
-  }
-
   async #noteStart(track: RunTrack, result: StartResult): Promise<void> {
     const { placement } = track
-    const { jobId, step, index, attempt } = placement
     const reason = result.type === 'refused' ? result.reason : undefined
-    this.#log('run.start', { jobId, step, index, attempt, answer: result.type, reason })
     if ('clockMs' in result) this.#noteClock(result.clockMs)
     track.settledAtMs = this.#nowMs()
     if (result.type === 'in-doubt' || result.type === 'not-sent') this.#noteUnanswered()
@@ -248,20 +235,13 @@
     }
   }
 
+  /** Whether the stop was answered. */
   async #giveStop(run: RunRef): Promise<boolean> {
-    const { port, target, host } = this.#opts
-    const { jobId, step, index, attempt } = run
-    try {
-      const answer = await port.stop(target, { run, fence: host.fence }, orderTimeoutMs)
-      this.#noteClock(answer.clockMs)
-      this.#log('run.stop', { jobId, step, index, attempt, answer: answer.type })
-      if (answer.type === 'gone') await this.#end('another life of it answers')
-      return answer.type === 'stopping'
-    } catch (thrown) {
-      const reason = toNettlespurError(thrown).message
-      this.#log('run.stop-unanswered', { jobId, step, index, attempt, reason })
-      return false
-    }
+    const answer = await this.#orders.stop(run)
+    if (answer === undefined) return false
+    this.#noteClock(answer.clockMs)
+    if (answer.type === 'gone') await this.#end('another life of it answers')
+    return answer.type === 'stopping'
   }
 
   #giveUpAfterLease(): void {
