--- a/batch/service/__utils__/faultyPort.ts
+++ b/batch/service/__utils__/faultyPort.ts
@@ -21,12 +21,12 @@
   /** By address: the life that answers there now. */
   findUpstream: (address: string) => FakeUpstream | undefined
   nextFault: (address: string) => LinkFault
+  /** One way; calls on different connections overtake each other. */
+  nextLinkMs: () => number
   /** How much later a late order is carried out. */
   nextDelayMs: () => number
 }
 
-const linkMs = 1
-
 export class FaultyPort extends UpstreamPort {
   readonly #opts: FaultyPortOptions
 
@@ -52,9 +52,9 @@
     timeoutMs: number,
     run: (upstream: FakeUpstream) => Promise<T>,
   ): Promise<T | { type: 'gone'; clockMs: undefined }> {
-    const { clock, findUpstream, nextFault, nextDelayMs } = this.#opts
+    const { clock, findUpstream, nextFault, nextLinkMs, nextDelayMs } = this.#opts
     const fault = nextFault(address)
-    await clock.sleep(linkMs)
+    await clock.sleep(nextLinkMs())
     if (fault === 'refused') throw new NettlespurError('unreachable', 'refused')
     const carryOut = async (): Promise<T | { type: 'gone'; clockMs: undefined }> => {
       const upstream = findUpstream(address)
@@ -64,7 +64,7 @@
     }
     if (fault === 'none') {
       const answer = await carryOut()
-      await clock.sleep(linkMs)
+      await clock.sleep(nextLinkMs())
       return answer
     }
     if (fault === 'answer-lost') await carryOut()
--- a/batch/service/test/leaderModel.test.ts
+++ b/batch/service/test/leaderModel.test.ts
@@ -82,8 +82,16 @@
   failures: fc.array(fc.nat(9), { minLength: 5, maxLength: 5 }),
   clockRate: fc.constantFrom(0.98, 0.99, 1),
   lateMs: fc.integer({ min: 300, max: 12_000 }),
+  linksMs: fc.array(fc.integer({ min: 1, max: 90 }), { minLength: 1, maxLength: 7 }),
 })
 
+interface FleetOptions {
+  clockRate: number
+  lateMs: number
+  failures: readonly number[]
+  linksMs: readonly number[]
+}
+
 class Fleet {
   readonly clock = new ManualClock()
   readonly state = new BatchState()
@@ -98,10 +106,11 @@
   #leader: BatchLeader | undefined
   #sequence = 0
 
-  constructor(opts: { clockRate: number; lateMs: number; failures: readonly number[] }) {
+  constructor(opts: FleetOptions) {
     const { clock } = this
     this.#clockRate = opts.clockRate
     let runs = 0
+    let calls = 0
     this.ledger = new FleetLedger({
       clock,
       acceleratorsEach,
@@ -114,6 +123,7 @@
       clock,
       findUpstream: (address) => this.#upstreams.get(address),
       nextFault: (address) => this.#nextFault(address),
+      nextLinkMs: () => opts.linksMs[calls++ % opts.linksMs.length] ?? 1,
       nextDelayMs: () => opts.lateMs,
     })
     for (let at = 0; at < upstreamCount; at++) this.#revive(at)
@@ -236,8 +246,8 @@
 
 test('whatever links, upstreams and leaders do, no task runs twice, too early or after its end, and every job ends', async (t) => {
   await fc.assert(
-    fc.asyncProperty(schedule, async ({ jobs, troubles, failures, clockRate, lateMs }) => {
-      const fleet = new Fleet({ clockRate, lateMs, failures })
+    fc.asyncProperty(schedule, async ({ jobs, troubles, ...opts }) => {
+      const fleet = new Fleet(opts)
       fleet.commit({ type: 'apply-config', config: createConfig() })
       fleet.elect()
       jobs.forEach(({ atMs, steps, priority }, at) => {
