fix: tell callers within half of their time that no leader was found

A call was tried for 1.6 s, over half of the 3 s that callers give it, and one more try could come on top.

--- a/batch/service/src/leaderFinder.ts
+++ b/batch/service/src/leaderFinder.ts
@@ -7,7 +7,7 @@
 import type { BatchRouter } from './createBatchRouter.js'
 
 /** A member answers who leads from memory; over links of 1 ms this leaves room for a lost packet. */
-const locateTimeoutMs = 400
+const locateTimeoutMs = 300
 
 export interface LeaderFinderOptions {
   clock: Clock
