docs: name the operators' first page OPERATIONS.md

Cause: the users ask for docs/OPERATIONS.md, and two pages on one matter are one too many.

Change: the page is renamed, with its links and the test of its examples.

Conclusion: the section on failed requests is still to be written.

--- a/settings/reader/test/operatingPage.test.ts
+++ b/settings/reader/test/operationsPage.test.ts
@@ -4,7 +4,7 @@
 import { contractSchema } from '@nettlespur/api.schemas'
 import { detectSettingsKind, parseSettings, settingsSchemas } from '../src/index.js'
 
-const page = path.resolve(import.meta.dirname, '../../../../docs/OPERATING.md')
+const page = path.resolve(import.meta.dirname, '../../../../docs/OPERATIONS.md')
 
 test("the settings and the contract on the operators' page have no faults", (t) => {
   const examples = [...readFileSync(page, 'utf8').matchAll(/```yaml\n(.*?)```/gs)].map(
@@ -13,7 +13,7 @@
   const kinds = examples.map((text) => {
     const kind = text.includes('workspace:') ? 'contract' : detectSettingsKind(text)
     const schema = kind === 'contract' ? contractSchema : settingsSchemas[kind ?? 'control']
-    const outcome = parseSettings<unknown>(text, { file: 'OPERATING.md', schema })
+    const outcome = parseSettings<unknown>(text, { file: 'OPERATIONS.md', schema })
     t.is(outcome.isRight() ? '' : outcome.swap().unsafeCoerce().message, '')
     return kind
   })
