feat: keep work off slow upstreams, stop cheap work for urgent jobs, and log and time each call

An urgent job beyond its guarantee may have others of lower priority stopped for at most 250 core-seconds. Each change and each failed read leaves a line with job, outcome, leader and time, and every call a count and a histogram.

--- a/batch/scheduler/src/chooseVictims.ts
+++ b/batch/scheduler/src/chooseVictims.ts
@@ -13,6 +13,8 @@
 export interface VictimGroup {
   readonly runs: readonly Placement[]
   readonly needs: Resources
+  readonly priority: number
+  /** What a stop throws away, urgent work counted more. */
   readonly costCoreSeconds: number
 }
 
@@ -91,7 +93,8 @@
   return costCoreSeconds / Math.max(1, runs.length * needs.accelerators)
 }
 
-function costOf({ victims }: VictimChoice): number {
+/** Of all that the choice stops, in core-seconds. */
+export function costOf({ victims }: VictimChoice): number {
   return victims.reduce((sum, { costCoreSeconds }) => sum + costCoreSeconds, 0)
 }
 
--- a/batch/scheduler/src/listVictimGroups.ts
+++ b/batch/scheduler/src/listVictimGroups.ts
@@ -3,6 +3,9 @@
 import { groupKey, type VictimGroup } from './chooseVictims.js'
 import type { ActiveRun, SchedulerView } from './schedulerView.js'
 
+/** Urgent work that is stopped is late as well: it is stopped only where that saves much other work. */
+const urgentCostTimes = 5
+
 export function listVictimGroups(
   { runs, jobs }: SchedulerView,
   guaranteed: ReadonlySet<string>,
@@ -23,9 +26,12 @@
   if (step === undefined) return
   const key = groupKey(placement, step.isGang)
   const known = groups.get(key)
+  const { priority } = job.queue
+  const weight = priority === 0 ? urgentCostTimes : 1
   groups.set(key, {
     runs: [...(known?.runs ?? []), placement],
     needs: step.needs,
-    costCoreSeconds: (known?.costCoreSeconds ?? 0) + stopCostCoreSeconds,
+    priority,
+    costCoreSeconds: (known?.costCoreSeconds ?? 0) + stopCostCoreSeconds * weight,
   })
 }
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -4,7 +4,7 @@
  */
 import type { Placement } from '@nettlespur/batch.state'
 import { choosePlaces } from './choosePlaces.js'
-import { chooseVictims, type VictimGroup } from './chooseVictims.js'
+import { chooseVictims, costOf, type VictimGroup } from './chooseVictims.js'
 import { listGuaranteed } from './listGuaranteed.js'
 import { listVictimGroups } from './listVictimGroups.js'
 import { orderUnits, type RankedUnit } from './orderUnits.js'
@@ -16,6 +16,12 @@
 /** Gangs that room is kept for at a time: more would leave too little for work that fits. */
 const reservationsMax = 3
 
+/**
+ * Core-seconds of others' work that may be thrown away so that an urgent job beyond its guarantee starts in
+ * time: about a tenth of what an urgent job on time is worth more than one that is late.
+ */
+const borrowCostMax = 250
+
 export function planRound(view: SchedulerView): RoundDecision {
   const guaranteed = listGuaranteed(view.jobs, view.guarantees)
   const round = new Round(view, guaranteed)
@@ -41,9 +47,26 @@
   decide(unit: RankedUnit): void {
     const places = choosePlaces(unit, this.#book)
     if (places.length > 0) this.#place(unit, places)
-    if (places.length === unit.waiting.length) return
-    if (unit.isGuaranteed) this.#makeRoom(unit)
-    else if (unit.step.isGang) this.#reserve(unit)
+    if (places.length < unit.waiting.length) {
+      this.#decideRest({ ...unit, waiting: unit.waiting.slice(places.length) })
+    }
+  }
+
+  /** For what did not fit. */
+  #decideRest(unit: RankedUnit): void {
+    if (unit.isGuaranteed && this.#makeRoom(unit, this.#groups, Infinity)) return
+    if (this.#isUrgent(unit) && this.#makeRoom(unit, this.#listBorrowers(unit), borrowCostMax))
+      return
+    if (unit.step.isGang) this.#reserve(unit)
+  }
+
+  /** Beyond its guarantee it has no claim, but its time is short. */
+  #isUrgent({ job, hope }: RankedUnit): boolean {
+    return job.queue.priority === 0 && hope === 'on-time'
+  }
+
+  #listBorrowers({ job }: RankedUnit): readonly VictimGroup[] {
+    return this.#groups.filter(({ priority }) => priority > job.queue.priority)
   }
 
   #reserve(unit: RankedUnit): void {
@@ -70,10 +93,10 @@
     for (const placement of placed) this.#runs.push(this.#toRun(unit, placement))
   }
 
-  /** Keeps what is being freed for the unit; where that is too little, has more stopped. */
-  #makeRoom(unit: RankedUnit): void {
-    const choice = chooseVictims({ unit, book: this.#book, groups: this.#groups })
-    if (choice === undefined) return
+  /** Keeps what is being freed for the unit; where that is too little, has more stopped. False where it costs too much. */
+  #makeRoom(unit: RankedUnit, groups: readonly VictimGroup[], costMax: number): boolean {
+    const choice = chooseVictims({ unit, book: this.#book, groups })
+    if (choice === undefined || costOf(choice) > costMax) return false
     const stopped = new Set(choice.victims)
     this.#groups = this.#groups.filter((group) => !stopped.has(group))
     for (const { runs, needs } of choice.victims) {
@@ -81,5 +104,6 @@
       for (const { upstreamId } of runs) this.#book.giveBackSoon(upstreamId, needs)
     }
     this.#book.take(choice.places, unit.step)
+    return true
   }
 }
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -22,6 +22,7 @@
 import { JobClock } from './jobClock.js'
 import { listEndedJobs } from './listEndedJobs.js'
 import type { Propose } from './proposer.js'
+import { SpeedWatch, type WatchedRun } from './speedWatch.js'
 import { UpstreamRoster } from './upstreamRoster.js'
 
 /** Rounds that no event asks for: quarantines end, and jobs lose hope, with time alone. */
@@ -44,6 +45,7 @@
   readonly #ending = new AbortController()
   readonly #roster: UpstreamRoster
   readonly #jobClock = new JobClock()
+  readonly #speed = new SpeedWatch()
   readonly #preempted = new Set<string>()
   readonly #wake = new Wake()
 
@@ -133,6 +135,7 @@
     const { clock, logger, metrics, propose } = this.#opts
     const outcome = await propose({ type: 'end-runs', ends: [...ends] }).run()
     if (outcome.isLeft()) return false
+    this.#learnRunTimes(ends)
     for (const { jobId, step, index, attempt, upstreamId, outcome: how } of ends) {
       logger.info({ event: 'run.ended', jobId, step, index, attempt, upstreamId, outcome: how })
       metrics.count(`runs_${how}_total`)
@@ -143,6 +146,17 @@
     return true
   }
 
+  #learnRunTimes(ends: readonly RunEnd[]): void {
+    for (const end of ends) {
+      const track = this.#roster.find(end.upstreamId)?.findTrack(end)
+      const job = this.findJob(end.jobId)
+      const declaredMs = job?.request.steps[end.step]?.expectedRunTimeMs
+      if (end.outcome !== 'done' || track?.isResumed !== false || declaredMs === undefined) continue
+      const actualMs = this.#opts.clock.monotonicMs() - track.startedAtMs
+      this.#speed.noteDone(job?.queue.name ?? '', declaredMs, actualMs)
+    }
+  }
+
   override abandonGang({ jobId, step, attempt }: Placement): void {
     const job = this.findJob(jobId)
     if (job?.request.steps[step]?.isGang !== true) return
@@ -175,6 +189,25 @@
     }
   }
 
+  #isUsable(upstream: UpstreamRecord, nowMs: number): boolean {
+    if (this.#speed.isSlow(upstream.description.upstreamId, nowMs)) return false
+    return this.#roster.isUsable(upstream)
+  }
+
+  /** Runs whose pace tells of their upstreams. */
+  #listWatched(): WatchedRun[] {
+    const { placements } = this.#state
+    return [...placements.upstreamIds].flatMap((upstreamId) =>
+      [...placements.on(upstreamId).values()].flatMap((placement) => {
+        const track = this.#roster.find(upstreamId)?.findTrack(placement)
+        const job = this.findJob(placement.jobId)
+        const step = job?.request.steps[placement.step]
+        if (track === undefined || job === undefined || step === undefined) return []
+        return [{ track, queue: job.queue.name, declaredMs: step.expectedRunTimeMs }]
+      }),
+    )
+  }
+
   async #forgetOldJobs(): Promise<void> {
     const { clock, propose, timings } = this.#opts
     const nowMs = clock.monotonicMs()
@@ -187,11 +220,13 @@
     const nowMs = clock.monotonicMs()
     const state = this.#state
     this.#jobClock.update(state, nowMs)
+    const watched = this.#listWatched()
+    this.#speed.update(watched, nowMs)
     const view = buildView({
       state,
       nowMs,
       acceptedAtMs: this.#jobClock.acceptedAtMs,
-      isUsable: (upstream) => this.#roster.isUsable(upstream),
+      isUsable: (upstream) => this.#isUsable(upstream, nowMs),
       isStopping: (placement) => this.shouldStop(placement),
       findTrack: (placement) => this.#roster.find(placement.upstreamId)?.findTrack(placement),
     })
--- a/batch/service/src/leaderClient.ts
+++ b/batch/service/src/leaderClient.ts
@@ -12,6 +12,7 @@
   unwrap,
   type RpcResult,
 } from '@nettlespur/core.errors'
+import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import { callPeer, type RpcClient } from '@nettlespur/rpc.peer'
 import type { EitherAsync } from 'purify-ts'
 import { BatchApi, type JobCall, type QueueCall, type SubmitCall } from './batchApi.js'
@@ -26,6 +27,7 @@
 const unsure = new Set(['outcome-unknown', 'storage-failed', 'internal'])
 
 export interface LeaderClientOptions extends LeaderFinderOptions {
+  metrics: MetricsRegistry
   /** Of the whole call. */
   patienceMs: number
   /** Set where this process is a member itself. */
@@ -36,6 +38,10 @@
 
 interface Operation<T> {
   readonly name: string
+  /** The job, queue or upstream it is about, for the log. */
+  readonly subject: string
+  /** Whether it changes something: reads are logged only where they fail. */
+  readonly isChange: boolean
   readonly remote: (call: Caller) => Promise<RpcResult<T>>
   readonly local: (api: BatchApi) => EitherAsync<NettlespurError, T>
 }
@@ -67,6 +73,8 @@
   override submitJob(input: SubmitCall): EitherAsync<NettlespurError, null> {
     return this.#run({
       name: 'submit-job',
+      subject: input.request.jobId,
+      isChange: true,
       remote: (call) => call.submitJob.mutate(input),
       local: (api) => api.submitJob(input),
     })
@@ -75,6 +83,8 @@
   override cancelJob(input: JobCall): EitherAsync<NettlespurError, null> {
     return this.#run({
       name: 'cancel-job',
+      subject: input.jobId,
+      isChange: true,
       remote: (call) => call.cancelJob.mutate(input),
       local: (api) => api.cancelJob(input),
     })
@@ -83,6 +93,8 @@
   override getJobState(input: JobCall): EitherAsync<NettlespurError, JobState> {
     return this.#run({
       name: 'get-job',
+      subject: input.jobId,
+      isChange: false,
       remote: (call) => call.getJobState.mutate(input),
       local: (api) => api.getJobState(input),
     })
@@ -91,6 +103,8 @@
   override countPending(input: QueueCall): EitherAsync<NettlespurError, number> {
     return this.#run({
       name: 'count-pending',
+      subject: input.path,
+      isChange: false,
       remote: (call) => call.countPending.mutate(input),
       local: (api) => api.countPending(input),
     })
@@ -99,6 +113,8 @@
   override applyConfig(input: ClusterConfig): EitherAsync<NettlespurError, null> {
     return this.#run({
       name: 'apply-config',
+      subject: `version ${input.version}`,
+      isChange: true,
       remote: (call) => call.applyConfig.mutate(input),
       local: (api) => api.applyConfig(input),
     })
@@ -107,6 +123,8 @@
   override readConfig(): EitherAsync<NettlespurError, string> {
     return this.#run({
       name: 'read-config',
+      subject: '',
+      isChange: false,
       remote: (call) => call.readConfig.mutate(),
       local: (api) => api.readConfig(),
     })
@@ -115,6 +133,8 @@
   override announce(input: Announcement): EitherAsync<NettlespurError, null> {
     return this.#run({
       name: 'announce',
+      subject: input.upstreamId,
+      isChange: false,
       remote: (call) => call.announce.mutate(input),
       local: (api) => api.announce(input),
     })
@@ -123,6 +143,8 @@
   override leave(upstreamId: string): EitherAsync<NettlespurError, null> {
     return this.#run({
       name: 'leave',
+      subject: upstreamId,
+      isChange: true,
       remote: (call) => call.leave.mutate({ upstreamId }),
       local: (api) => api.leave(upstreamId),
     })
@@ -131,6 +153,8 @@
   override join(member: Member): EitherAsync<NettlespurError, null> {
     return this.#run({
       name: 'join',
+      subject: member.memberId,
+      isChange: true,
       remote: (call) => call.join.mutate(member),
       local: (api) => api.join(member),
     })
@@ -138,19 +162,31 @@
 
   #run<T>(operation: Operation<T>): EitherAsync<NettlespurError, T> {
     return tryAsync(async () => {
-      const endMs = this.#opts.clock.monotonicMs() + this.#opts.patienceMs
-      let mayHaveRun = false
-      for (;;) {
-        const attempt = await this.#tryOnce(operation, endMs)
-        if (!(attempt instanceof NettlespurError)) return attempt.value
-        mayHaveRun ||= unsure.has(attempt.kind)
-        if (!elsewhere.has(attempt.kind) && !unsure.has(attempt.kind)) throw attempt
-        if (this.#opts.clock.monotonicMs() >= endMs)
-          throw this.#giveUp(operation, attempt, mayHaveRun)
+      const startMs = this.#opts.clock.monotonicMs()
+      try {
+        const value = await this.#runUntilAnswered(operation, startMs)
+        this.#note(operation, startMs)
+        return value
+      } catch (thrown) {
+        const error = toNettlespurError(thrown)
+        this.#note(operation, startMs, error)
+        throw error
       }
     })
   }
 
+  async #runUntilAnswered<T>(operation: Operation<T>, startMs: number): Promise<T> {
+    const { clock, patienceMs } = this.#opts
+    let mayHaveRun = false
+    for (;;) {
+      const attempt = await this.#tryOnce(operation, startMs + patienceMs)
+      if (!(attempt instanceof NettlespurError)) return attempt.value
+      mayHaveRun ||= unsure.has(attempt.kind)
+      if (!elsewhere.has(attempt.kind) && !unsure.has(attempt.kind)) throw attempt
+      if (clock.monotonicMs() >= startMs + patienceMs) throw toFinalError(attempt, mayHaveRun)
+    }
+  }
+
   /** One call to whoever is believed to lead, or one search for who does. */
   async #tryOnce<T>(
     operation: Operation<T>,
@@ -184,14 +220,26 @@
     this.#finder.believe(error.kind === 'not-leader' ? error.hint : undefined, error.message)
   }
 
-  #giveUp(
-    { name }: Operation<unknown>,
-    last: NettlespurError,
-    mayHaveRun: boolean,
-  ): NettlespurError {
-    const { logger, patienceMs } = this.#opts
-    logger.warn({ event: 'call.given-up', name, mayHaveRun, patienceMs, reason: last.message })
-    if (!mayHaveRun) return last
-    return new NettlespurError('outcome-unknown', last.message, { cause: last })
+  /** One line a change and a failed read, with the leader it went to and how long it took. */
+  #note(
+    { name, subject, isChange }: Operation<unknown>,
+    startMs: number,
+    error?: NettlespurError,
+  ): void {
+    const { clock, logger, metrics } = this.#opts
+    const tookMs = Math.round(clock.monotonicMs() - startMs)
+    const outcome = error?.kind ?? 'done'
+    metrics.recordMs(`call_${name.replaceAll('-', '_')}_ms`, tookMs)
+    metrics.count(`calls_${name.replaceAll('-', '_')}_${outcome.replaceAll('-', '_')}_total`)
+    if (!isChange && error === undefined) return
+    const { leaderAddress } = this
+    const reason = error?.message
+    logger.info({ event: 'call.answered', name, subject, outcome, tookMs, leaderAddress, reason })
   }
 }
+
+/** What is told once the time of a call is up. */
+function toFinalError(last: NettlespurError, mayHaveRun: boolean): NettlespurError {
+  if (!mayHaveRun) return last
+  return new NettlespurError('outcome-unknown', last.message, { cause: last })
+}
--- /dev/null
+++ b/batch/service/test/leaderClient.test.ts
@@ -0,0 +1,105 @@
+/** Finding the leader, and what a caller is told where that fails. */
+import { createJob } from '@nettlespur/batch.samples'
+import { SystemClock } from '@nettlespur/core.clock'
+import { NettlespurError } from '@nettlespur/core.errors'
+import { MetricsRegistry } from '@nettlespur/core.metrics'
+import test, { type ExecutionContext } from 'ava'
+import { peerKey, startFakeMember, type FakeMember } from '../__utils__/index.js'
+import { LeaderClient } from '../src/index.js'
+
+const logger = { debug: noop, info: noop, warn: noop, error: noop }
+
+async function startMembers(t: ExecutionContext): Promise<[FakeMember, FakeMember]> {
+  const members = [await startFakeMember(), await startFakeMember()] as [FakeMember, FakeMember]
+  for (const member of members) {
+    t.teardown(() => member.stop())
+  }
+  return members
+}
+
+function createClient(t: ExecutionContext, seeds: readonly FakeMember[], patienceMs: number) {
+  const client = new LeaderClient({
+    clock: new SystemClock(),
+    logger,
+    metrics: new MetricsRegistry(),
+    peerKey,
+    seeds: seeds.map(({ address }) => address),
+    callTimeoutMs: patienceMs,
+    patienceMs,
+  })
+  t.teardown(() => {
+    client.close()
+  })
+  return client
+}
+
+function submit(client: LeaderClient) {
+  return client.submitJob({ host: 'h', path: '/q/j', request: createJob('j', {}) }).run()
+}
+
+function lead(leader: FakeMember, term: number, ...members: FakeMember[]): void {
+  for (const member of members) {
+    member.view = { leaderAddress: leader.address, term, memberAddresses: [leader.address] }
+  }
+}
+
+test('a member that is not a seed is found through one that is', async (t) => {
+  const [seed, leader] = await startMembers(t)
+  lead(leader, 1, seed)
+  const outcome = await submit(createClient(t, [seed], 5000))
+  t.true(outcome.isRight())
+  t.deepEqual([seed.submitted, leader.submitted], [[], ['j']])
+})
+
+test('of two members that name different leaders the one of the higher term is believed', async (t) => {
+  const [former, leader] = await startMembers(t)
+  lead(former, 1, former)
+  lead(leader, 2, leader)
+  t.true((await submit(createClient(t, [former, leader], 5000))).isRight())
+  t.deepEqual([former.submitted, leader.submitted], [[], ['j']])
+})
+
+test('a leader that has stepped down names the next one', async (t) => {
+  const [former, leader] = await startMembers(t)
+  lead(former, 1, former)
+  former.answer = () =>
+    Promise.reject(new NettlespurError('not-leader', 'no more', { hint: leader.address }))
+  t.true((await submit(createClient(t, [former], 5000))).isRight())
+  t.deepEqual(leader.submitted, ['j'])
+})
+
+test('a call that found no leader has not run, and the caller is told when to come back', async (t) => {
+  const [seed] = await startMembers(t)
+  const error = (await submit(createClient(t, [seed], 200))).swap().unsafeCoerce()
+  t.is(error.kind, 'not-leader')
+  t.is(error.answer.ran, 'no')
+  t.true((error.retryAfterMs ?? 0) > 0)
+})
+
+test('a call that may have reached a leader is never told to have not run', async (t) => {
+  const [leader, other] = await startMembers(t)
+  lead(leader, 1, leader, other)
+  leader.answer = () => {
+    // Whoever is asked from now on knows no leader, so the last try ends as certain as can be.
+    lead(other, 2, other)
+    leader.view = { term: 2, memberAddresses: [] }
+    other.view = { term: 2, memberAddresses: [] }
+    return Promise.reject(new NettlespurError('outcome-unknown', 'in doubt'))
+  }
+  const error = (await submit(createClient(t, [leader, other], 300))).swap().unsafeCoerce()
+  t.is(error.kind, 'outcome-unknown')
+  t.is(error.answer.ran, 'unknown')
+})
+
+test('what the leader itself refuses is told at once', async (t) => {
+  const [leader] = await startMembers(t)
+  lead(leader, 1, leader)
+  leader.answer = () => Promise.reject(new NettlespurError('unauthorized', 'wrong key'))
+  const error = (await submit(createClient(t, [leader], 5000))).swap().unsafeCoerce()
+  t.is(error.kind, 'unauthorized')
+  t.is(leader.submitted.length, 1)
+})
+
+function noop(): void {
+  // Lines are of no interest here.
+}
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -10,7 +10,7 @@
 import type { Logger } from '@nettlespur/core.logger'
 import { LeaseTracker } from './leaseTracker.js'
 import { listEnds } from './readLook.js'
-import { createRunTrack, type RunTrack } from './runTrack.js'
+import { createRunTrack, noteProgress, type RunTrack } from './runTrack.js'
 import type { SessionHost } from './sessionHost.js'
 import { holdSlackMs, retryPauseMs, type SessionTimings } from './sessionOptions.js'
 import { RunOrders, type StartResult } from './runOrders.js'
@@ -66,6 +66,9 @@
   /** Starts a run whose placement is committed. */
   start(placement: Placement): void {
     const track = createRunTrack(placement, 'starting', this.#nowMs())
+    const { jobId, step, index } = placement
+    const task = this.#opts.host.findJob(jobId)?.steps[step]?.tasks[index]
+    track.isResumed = task?.checkpoint !== ''
     this.#tracks.set(runKey(placement), track)
     this.#wake()
     void this.#orders.start(placement).then((result) => this.#noteStart(track, result))
@@ -186,7 +189,7 @@
         continue
       }
       if (track.phase === 'inherited') track.phase = 'settled'
-      track.progressPercent = progressPercent
+      noteProgress(track, progressPercent, this.#nowMs())
       if (checkpoint === track.checkpoint) continue
       track.checkpoint = checkpoint
       track.checkpointAtMs = this.#nowMs()
