refactor: follow runs in one place, and give lists of runs the same log fields

Change: RunTracks, RunLookup and runFields; an upstream that no earlier leader used is not held to wait for a predecessor's lease.

--- a/batch/model/src/taskName.ts
+++ b/batch/model/src/taskName.ts
@@ -20,3 +20,8 @@
 export function runKey(run: RunRef): string {
   return `${taskKey(run)}#${run.attempt}`
 }
+
+/** The fields that name a run in a log line. */
+export function runFields({ jobId, step, index, attempt }: RunRef): RunRef {
+  return { jobId, step, index, attempt }
+}
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -2,7 +2,12 @@
  * The work of one leadership: it talks to the upstreams, decides what starts where, and commits each
  * placement before its start is sent.
  */
-import { runKey, type Announcement } from '@nettlespur/batch.model'
+import {
+  runFields,
+  runKey,
+  upstreamDescriptionSchema,
+  type Announcement,
+} from '@nettlespur/batch.model'
 import { planRound } from '@nettlespur/batch.scheduler'
 import { SessionHost, type UpstreamPort } from '@nettlespur/batch.sessions'
 import type {
@@ -22,7 +27,8 @@
 import { JobClock } from './jobClock.js'
 import { listEndedJobs } from './listEndedJobs.js'
 import type { Propose } from './proposer.js'
-import { SpeedWatch, type WatchedRun } from './speedWatch.js'
+import { learnRunTimes, listWatchedRuns, type RunLookup } from './runLookup.js'
+import { SpeedWatch } from './speedWatch.js'
 import { UpstreamRoster } from './upstreamRoster.js'
 
 /** Rounds that no event asks for: quarantines end, and jobs lose hope, with time alone. */
@@ -63,11 +69,18 @@
     return this.#opts.getState()
   }
 
+  get #runLookup(): RunLookup {
+    return {
+      state: this.#state,
+      findTrack: (placement) => this.#roster.find(placement.upstreamId)?.findTrack(placement),
+    }
+  }
+
   /** Takes up what earlier leaders placed, and begins to decide. */
   start(): void {
     const { upstreamIds } = this.#state.placements
     const inherited = [...upstreamIds]
-    for (const upstreamId of inherited) this.#roster.open(upstreamId)?.resume()
+    for (const upstreamId of inherited) this.#roster.resume(upstreamId)
     this.#opts.logger.info({
       event: 'leader.started',
       term: this.fence,
@@ -95,7 +108,7 @@
     const known = this.#state.upstreams.get(upstreamId)
     if (known?.hasLeft === true) return
     if (!this.#roster.note(announcement)) return
-    const description = describe(announcement)
+    const description = upstreamDescriptionSchema.parse(announcement)
     if (known === undefined || !isDeepStrictEqual(known.description, description)) {
       await this.#propose({ type: 'note-upstream', description })
     }
@@ -135,28 +148,18 @@
     const { clock, logger, metrics, propose } = this.#opts
     const outcome = await propose({ type: 'end-runs', ends: [...ends] }).run()
     if (outcome.isLeft()) return false
-    this.#learnRunTimes(ends)
-    for (const { jobId, step, index, attempt, upstreamId, outcome: how } of ends) {
-      logger.info({ event: 'run.ended', jobId, step, index, attempt, upstreamId, outcome: how })
+    learnRunTimes(this.#speed, this.#runLookup, ends, clock.monotonicMs())
+    for (const end of ends) {
+      const { jobId, upstreamId, outcome: how } = end
+      logger.info({ event: 'run.ended', ...runFields(end), upstreamId, outcome: how })
       metrics.count(`runs_${how}_total`)
-      this.#preempted.delete(runKey({ jobId, step, index, attempt }))
+      this.#preempted.delete(runKey(end))
       if (how === 'failed') this.#roster.health.noteFailure(upstreamId, jobId, clock.monotonicMs())
       if (how === 'done') this.#roster.health.noteSuccess(upstreamId)
     }
     return true
   }
 
-  #learnRunTimes(ends: readonly RunEnd[]): void {
-    for (const end of ends) {
-      const track = this.#roster.find(end.upstreamId)?.findTrack(end)
-      const job = this.findJob(end.jobId)
-      const declaredMs = job?.request.steps[end.step]?.expectedRunTimeMs
-      if (end.outcome !== 'done' || track?.isResumed !== false || declaredMs === undefined) continue
-      const actualMs = this.#opts.clock.monotonicMs() - track.startedAtMs
-      this.#speed.noteDone(job?.queue.name ?? '', declaredMs, actualMs)
-    }
-  }
-
   override abandonGang({ jobId, step, attempt }: Placement): void {
     const job = this.findJob(jobId)
     if (job?.request.steps[step]?.isGang !== true) return
@@ -194,20 +197,6 @@
     return this.#roster.isUsable(upstream)
   }
 
-  /** Runs whose pace tells of their upstreams. */
-  #listWatched(): WatchedRun[] {
-    const { placements } = this.#state
-    return [...placements.upstreamIds].flatMap((upstreamId) =>
-      [...placements.on(upstreamId).values()].flatMap((placement) => {
-        const track = this.#roster.find(upstreamId)?.findTrack(placement)
-        const job = this.findJob(placement.jobId)
-        const step = job?.request.steps[placement.step]
-        if (track === undefined || job === undefined || step === undefined) return []
-        return [{ track, queue: job.queue.name, declaredMs: step.expectedRunTimeMs }]
-      }),
-    )
-  }
-
   async #forgetOldJobs(): Promise<void> {
     const { clock, propose, timings } = this.#opts
     const nowMs = clock.monotonicMs()
@@ -220,15 +209,14 @@
     const nowMs = clock.monotonicMs()
     const state = this.#state
     this.#jobClock.update(state, nowMs)
-    const watched = this.#listWatched()
-    this.#speed.update(watched, nowMs)
+    this.#speed.update(listWatchedRuns(this.#runLookup), nowMs)
     const view = buildView({
       state,
       nowMs,
       acceptedAtMs: this.#jobClock.acceptedAtMs,
       isUsable: (upstream) => this.#isUsable(upstream, nowMs),
       isStopping: (placement) => this.shouldStop(placement),
-      findTrack: (placement) => this.#roster.find(placement.upstreamId)?.findTrack(placement),
+      findTrack: this.#runLookup.findTrack,
     })
     const { placements, preemptions } = planRound(view)
     metrics.recordMs('scheduling_round_ms', clock.monotonicMs() - nowMs)
@@ -246,37 +234,20 @@
   #preempt(runs: readonly Placement[]): void {
     for (const run of runs) {
       this.#preempted.add(runKey(run))
-      const { jobId, step, index, attempt, upstreamId } = run
-      this.#opts.logger.info({
-        event: 'run.preempted',
-        jobId,
-        step,
-        index,
-        attempt,
-        upstreamId,
-        reason: 'guaranteed work waits for its room',
-      })
+      const { upstreamId } = run
+      const reason = 'more urgent work waits for its room'
+      this.#opts.logger.info({ event: 'run.preempted', ...runFields(run), upstreamId, reason })
     }
     if (runs.length > 0) this.noteChange()
   }
 
   /** The state may have refused a placement whose job ended meanwhile. */
   #startPlaced(placement: Placement): void {
-    const { jobId, step, index, attempt, upstreamId } = placement
+    const { jobId, upstreamId } = placement
     if (!this.listPlacements(upstreamId).has(runKey(placement))) return
-    this.#opts.logger.info({
-      event: 'placement.decided',
-      jobId,
-      step,
-      index,
-      attempt,
-      upstreamId,
-      waitedMs: Math.round(this.#jobClock.waitedMs(jobId, this.#opts.clock.monotonicMs())),
-    })
+    const waitedMs = Math.round(this.#jobClock.waitedMs(jobId, this.#opts.clock.monotonicMs()))
+    const fields = { ...runFields(placement), upstreamId, waitedMs }
+    this.#opts.logger.info({ event: 'placement.decided', ...fields })
     this.#roster.open(upstreamId)?.start(placement)
   }
 }
-
-function describe({ upstreamId, pool, address, dataCentre, rack, labels, capacity }: Announcement) {
-  return { upstreamId, pool, address, dataCentre, rack, labels, capacity }
-}
--- a/batch/service/src/upstreamRoster.ts
+++ b/batch/service/src/upstreamRoster.ts
@@ -43,8 +43,17 @@
     return this.#sessions.get(upstreamId)
   }
 
+  /** Takes up what earlier leaders placed on an upstream. */
+  resume(upstreamId: string): void {
+    this.#open(upstreamId, this.#takeoverMs)?.resume()
+  }
+
   /** The session with an upstream; undefined where the state does not know it. */
   open(upstreamId: string): UpstreamSession | undefined {
+    return this.#open(upstreamId, undefined)
+  }
+
+  #open(upstreamId: string, takeoverMs: number | undefined): UpstreamSession | undefined {
     const known = this.#sessions.get(upstreamId)
     if (known !== undefined) return known
     const { host, clock, logger, port, timings, signal } = this.#opts
@@ -57,7 +66,7 @@
       clock,
       logger,
       timings: timings.session,
-      takeoverMs: this.#takeoverMs,
+      takeoverMs,
       signal,
     })
     this.#sessions.set(upstreamId, session)
--- a/batch/sessions/src/leaseTracker.ts
+++ b/batch/sessions/src/leaseTracker.ts
@@ -10,10 +10,8 @@
 export interface LeaseTrackerOptions {
   /** The longest lease that any leader gives. */
   leaseMs: number
-  /** When this leader took over, on its own clock. */
-  takeoverMs: number
-  /** The upstream may hold orders of an earlier leader. */
-  hasPredecessor: boolean
+  /** When this leader took over, on its own clock; undefined where the upstream holds no orders of earlier ones. */
+  takeoverMs: number | undefined
 }
 
 export class LeaseTracker {
@@ -23,11 +21,12 @@
   /** The latest end given out, on the upstream's clock. */
   #latestEndMs = 0
 
-  constructor({ leaseMs, takeoverMs, hasPredecessor }: LeaseTrackerOptions) {
+  constructor({ leaseMs, takeoverMs }: LeaseTrackerOptions) {
     this.#leaseMs = leaseMs
-    this.#predecessorEndMs = hasPredecessor
-      ? takeoverMs + ClockEstimate.longestMs(leaseMs + predecessorMarginMs)
-      : -Infinity
+    this.#predecessorEndMs =
+      takeoverMs === undefined
+        ? -Infinity
+        : takeoverMs + ClockEstimate.longestMs(leaseMs + predecessorMarginMs)
   }
 
   /** The end, on the upstream's clock, of a lease given now; noted as given. */
--- a/batch/sessions/src/runOrders.ts
+++ b/batch/sessions/src/runOrders.ts
@@ -1,5 +1,5 @@
 /** Gives starts and stops to one upstream, and says what is known of each afterwards. */
-import type { RunRef } from '@nettlespur/batch.model'
+import { runFields, type RunRef } from '@nettlespur/batch.model'
 import type { Placement } from '@nettlespur/batch.state'
 import type { Clock } from '@nettlespur/core.clock'
 import { toNettlespurError } from '@nettlespur/core.errors'
@@ -74,10 +74,10 @@
 
   #log(
     event: string,
-    { jobId, step, index, attempt }: RunRef,
+    run: RunRef,
     fields: Readonly<Record<string, string | number | undefined>>,
   ): void {
     const { logger, target } = this.#opts
-    logger.info({ event, jobId, step, index, attempt, upstreamId: target.upstreamId, ...fields })
+    logger.info({ event, ...runFields(run), upstreamId: target.upstreamId, ...fields })
   }
 }
--- /dev/null
+++ b/batch/sessions/src/runTracks.ts
@@ -0,0 +1,54 @@
+/** The runs that a session follows. */
+import { runKey, type RunRef } from '@nettlespur/batch.model'
+import type { Placement } from '@nettlespur/batch.state'
+import { createRunTrack, noteProgress, type RunPhase, type RunTrack } from './runTrack.js'
+import type { RunningRun } from './upstreamPort.js'
+
+export class RunTracks {
+  readonly #byKey = new Map<string, RunTrack>()
+
+  get byKey(): ReadonlyMap<string, RunTrack> {
+    return this.#byKey
+  }
+
+  /** Some were placed by an earlier leader and have not been seen yet. */
+  get hasInherited(): boolean {
+    return [...this.#byKey.values()].some(({ phase }) => phase === 'inherited')
+  }
+
+  find(run: RunRef): RunTrack | undefined {
+    return this.#byKey.get(runKey(run))
+  }
+
+  add(placement: Placement, phase: RunPhase, nowMs: number): RunTrack {
+    const track = createRunTrack(placement, phase, nowMs)
+    this.#byKey.set(runKey(placement), track)
+    return track
+  }
+
+  remove(run: RunRef): void {
+    this.#byKey.delete(runKey(run))
+  }
+
+  /** Takes in what runs. Gives the runs that are not to be there. */
+  noteRunning(
+    running: readonly RunningRun[],
+    placements: ReadonlyMap<string, Placement>,
+    nowMs: number,
+  ): RunRef[] {
+    const strays: RunRef[] = []
+    for (const { run, checkpoint, progressPercent } of running) {
+      const track = this.find(run)
+      if (track === undefined || !placements.has(runKey(run))) {
+        strays.push(run)
+        continue
+      }
+      if (track.phase === 'inherited') track.phase = 'settled'
+      noteProgress(track, progressPercent, nowMs)
+      if (checkpoint === track.checkpoint) continue
+      track.checkpoint = checkpoint
+      track.checkpointAtMs = nowMs
+    }
+    return strays
+  }
+}
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -10,7 +10,8 @@
 import type { Logger } from '@nettlespur/core.logger'
 import { LeaseTracker } from './leaseTracker.js'
 import { listEnds } from './readLook.js'
-import { createRunTrack, noteProgress, type RunTrack } from './runTrack.js'
+import type { RunTrack } from './runTrack.js'
+import { RunTracks } from './runTracks.js'
 import type { SessionHost } from './sessionHost.js'
 import { holdSlackMs, retryPauseMs, type SessionTimings } from './sessionOptions.js'
 import { RunOrders, type StartResult } from './runOrders.js'
@@ -23,8 +24,8 @@
   clock: Clock
   logger: Logger
   timings: SessionTimings
-  /** When this leader took over; undefined where the upstream is new to all leaders. */
-  takeoverMs: number
+  /** When this leader took over, where an earlier one had placed runs there. */
+  takeoverMs: number | undefined
   signal: AbortSignal
 }
 
@@ -36,7 +37,7 @@
   unansweredAtMs = -Infinity
   readonly #opts: UpstreamSessionOptions
   readonly #orders: RunOrders
-  readonly #tracks = new Map<string, RunTrack>()
+  readonly #tracks = new RunTracks()
   #cursor = 0
   /** The newest end shown, committed or not. */
   #shown = 0
@@ -45,42 +46,37 @@
 
   constructor(opts: UpstreamSessionOptions) {
     this.#opts = opts
-    const { host, target, takeoverMs, timings } = opts
-    const hasPredecessor = host.listPlacements(target.upstreamId).size > 0
-    this.lease = new LeaseTracker({ leaseMs: timings.leaseMs, takeoverMs, hasPredecessor })
+    this.lease = new LeaseTracker({ leaseMs: opts.timings.leaseMs, takeoverMs: opts.takeoverMs })
     this.#orders = new RunOrders({ ...opts, lease: this.lease })
   }
 
   findTrack(run: RunRef): RunTrack | undefined {
-    return this.#tracks.get(runKey(run))
+    return this.#tracks.find(run)
   }
 
   /** Takes up what earlier leaders placed there. */
   resume(): void {
-    for (const [key, placement] of this.#placements()) {
-      this.#tracks.set(key, createRunTrack(placement, 'inherited', this.#nowMs()))
+    for (const placement of this.#placements().values()) {
+      this.#tracks.add(placement, 'inherited', this.#nowMs())
     }
     this.#wake()
   }
 
   /** Starts a run whose placement is committed. */
   start(placement: Placement): void {
-    const track = createRunTrack(placement, 'starting', this.#nowMs())
-    const { jobId, step, index } = placement
-    const task = this.#opts.host.findJob(jobId)?.steps[step]?.tasks[index]
-    track.isResumed = task?.checkpoint !== ''
-    this.#tracks.set(runKey(placement), track)
+    const track = this.#tracks.add(placement, 'starting', this.#nowMs())
+    const step = this.#opts.host.findJob(placement.jobId)?.steps[placement.step]
+    track.isResumed = step?.tasks[placement.index]?.checkpoint !== ''
     this.#wake()
     void this.#orders.start(placement).then((result) => this.#noteStart(track, result))
   }
 
   /** Stops what is to be stopped. To be called after each change of the state. */
   review(): void {
-    for (const [key, placement] of this.#placements()) {
-      const track = this.#tracks.get(key)
-      if (track === undefined || track.isStopping || !this.#opts.host.shouldStop(placement))
-        continue
-      void this.#stopUntilAnswered(track)
+    for (const placement of this.#placements().values()) {
+      const track = this.#tracks.find(placement)
+      const isDue = track?.isStopping === false && this.#opts.host.shouldStop(placement)
+      if (isDue) void this.#stopUntilAnswered(track)
     }
   }
 
@@ -121,7 +117,7 @@
   async #look(): Promise<boolean> {
     const { port, target, host, timings, clock } = this.#opts
     const sentAtMs = this.#nowMs()
-    const isPlain = this.lease.clock.isKnown && !this.#hasInherited()
+    const isPlain = this.lease.clock.isKnown && !this.#tracks.hasInherited
     const order = {
       leaseEndMs: this.lease.clock.isKnown ? this.lease.extend(sentAtMs) : undefined,
       fence: host.fence,
@@ -151,10 +147,6 @@
     this.unansweredAtMs = this.#nowMs()
   }
 
-  #hasInherited(): boolean {
-    return [...this.#tracks.values()].some(({ phase }) => phase === 'inherited')
-  }
-
   #noteClock(clockMs: number | undefined): void {
     if (clockMs !== undefined) this.lease.clock.note(clockMs, this.#nowMs())
   }
@@ -164,42 +156,25 @@
     if (answer.type === 'gone') return this.#end('another life of it answers')
     if (answer.type === 'fence') {
       this.#log('upstream.fenced', { fence: this.#opts.host.fence })
-      await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
-      return
+      return this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
     }
     const { running, finished } = answer
     const placements = this.#placements()
-    const ends = listEnds({ running, finished, sentAtMs }, placements, this.#tracks)
-    this.#noteRunning(running, placements)
+    const ends = listEnds({ running, finished, sentAtMs }, placements, this.#tracks.byKey)
+    for (const run of this.#tracks.noteRunning(running, placements, this.#nowMs())) {
+      this.#log('run.stray', { jobId: run.jobId, attempt: run.attempt })
+      void this.#giveStop(run)
+    }
     this.#shown = Math.max(this.#shown, ...finished.map(({ number }) => number))
     if (await this.#commit(ends)) this.#cursor = this.#shown
     else await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
     this.review()
   }
 
-  #noteRunning(
-    running: Extract<HoldAnswer, { type: 'held' }>['running'],
-    placements: ReadonlyMap<string, Placement>,
-  ): void {
-    for (const { run, checkpoint, progressPercent } of running) {
-      const track = this.#tracks.get(runKey(run))
-      if (track === undefined || !placements.has(runKey(run))) {
-        this.#log('run.unknown', { jobId: run.jobId, attempt: run.attempt })
-        void this.#giveStop(run)
-        continue
-      }
-      if (track.phase === 'inherited') track.phase = 'settled'
-      noteProgress(track, progressPercent, this.#nowMs())
-      if (checkpoint === track.checkpoint) continue
-      track.checkpoint = checkpoint
-      track.checkpointAtMs = this.#nowMs()
-    }
-  }
-
   async #commit(ends: readonly RunEnd[]): Promise<boolean> {
     if (ends.length === 0) return true
     if (!(await this.#opts.host.commitEnds(ends))) return false
-    for (const end of ends) this.#tracks.delete(runKey(end))
+    for (const end of ends) this.#tracks.remove(end)
     return true
   }
 
@@ -210,8 +185,7 @@
     track.settledAtMs = this.#nowMs()
     if (result.type === 'in-doubt' || result.type === 'not-sent') this.#noteUnanswered()
     if (result.type === 'gone') return this.#end('another life of it answers')
-    const isShownLater = result.type === 'started' || reason === 'superseded'
-    if (isShownLater) {
+    if (result.type === 'started' || reason === 'superseded') {
       track.phase = 'settled'
       this.review()
       return
@@ -249,25 +223,24 @@
 
   #giveUpAfterLease(): void {
     if (this.#isOver() || !this.lease.isOver(this.#nowMs())) return
-    const lost = [...this.#placements().values()]
-    if (lost.length === 0) return
-    this.#log('upstream.lease-over', { runs: lost.length })
-    void this.#commit(lost.map((placement) => this.#toLost(placement)))
+    this.#log('upstream.lease-over', { runs: this.#placements().size })
+    void this.#commit(this.#listLost())
   }
 
   async #end(reason: string): Promise<void> {
     if (this.#isGone) return
     this.#log('upstream.gone', { reason, runs: this.#placements().size })
-    const lost = [...this.#placements().values()]
-    const committed = await this.#commit(lost.map((placement) => this.#toLost(placement)))
-    if (!committed) return
+    if (!(await this.#commit(this.#listLost()))) return
     this.#isGone = true
     this.#opts.host.noteGone(this.#opts.target.upstreamId)
   }
 
-  #toLost(placement: Placement): RunEnd {
-    const checkpoint = this.findTrack(placement)?.checkpoint
-    return { ...placement, outcome: 'lost', checkpoint }
+  /** All that is placed there, with the newest checkpoint seen of each. */
+  #listLost(): RunEnd[] {
+    return [...this.#placements().values()].map((placement) => {
+      const checkpoint = this.findTrack(placement)?.checkpoint
+      return { ...placement, outcome: 'lost', checkpoint }
+    })
   }
 
   #log(event: string, fields: Readonly<Record<string, string | number | undefined>>): void {
