fix: pause between tries to reach the leader

An instance that has just been elected refuses its own calls until it has applied what was committed, and names itself as the leader; its client called it again at once, without a turn of the event loop, so the instance never got ready before the call's time was up (0.9 s with charge). Ruled out: sessions with upstreams, which sleep between looks.

Change: 20 ms before each further try. A test that fails without it. The settings of the platform's processes have their schemas with the others, so that 'settings check' and the reference know them.

--- a/batch/service/__utils__/fakeMember.ts
+++ b/batch/service/__utils__/fakeMember.ts
@@ -31,6 +31,16 @@
   })
 }
 
+/** The calls of this process itself, without a connection. */
+export function createLocalApi(submit: () => Promise<null>): BatchApi {
+  return new FakeApi({
+    submitted: [],
+    answer: async () => {
+      await submit()
+    },
+  })
+}
+
 class FakeApi extends BatchApi {
   readonly #member: Pick<FakeMember, 'submitted' | 'answer'>
 
--- a/batch/service/__utils__/index.ts
+++ b/batch/service/__utils__/index.ts
@@ -2,4 +2,4 @@
 export { FakeUpstream } from './fakeUpstream.js'
 export { FaultyPort, type LinkFault } from './faultyPort.js'
 export { FleetLedger } from './fleetLedger.js'
-export { peerKey, startFakeMember, type FakeMember } from './fakeMember.js'
+export { createLocalApi, peerKey, startFakeMember, type FakeMember } from './fakeMember.js'
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -81,13 +81,10 @@
     const { upstreamIds } = this.#state.placements
     const inherited = [...upstreamIds]
     for (const upstreamId of inherited) this.#roster.resume(upstreamId)
-    this.#opts.logger.info({
-      event: 'leader.started',
-      term: this.fence,
-      upstreams: this.#state.upstreams.size,
-      inheritedUpstreams: inherited.length,
-      unsettledJobs: this.#state.unsettled.size,
-    })
+    const { upstreams, unsettled } = this.#state
+    const held = { upstreams: upstreams.size, unsettledJobs: unsettled.size }
+    const fields = { term: this.fence, inheritedUpstreams: inherited.length, ...held }
+    this.#opts.logger.info({ event: 'leader.started', ...fields })
     void this.#runRounds()
   }
 
--- a/batch/service/src/leaderClient.ts
+++ b/batch/service/src/leaderClient.ts
@@ -21,6 +21,11 @@
 
 /** Between rounds of asking while nobody leads. */
 const locatePauseMs = 100
+/**
+ * Before each further try. An instance that was just elected names itself until it is ready, and without a
+ * pause the calls to itself would keep it from getting there.
+ */
+const retryPauseMs = 20
 /** Kinds that say that the call has not run and another member may take it. */
 const elsewhere = new Set(['not-leader', 'unreachable', 'no-quorum', 'draining', 'disk-full'])
 /** Kinds after which the call may have run; it is sent again, as that changes nothing. */
@@ -184,6 +189,7 @@
       mayHaveRun ||= unsure.has(attempt.kind)
       if (!elsewhere.has(attempt.kind) && !unsure.has(attempt.kind)) throw attempt
       if (clock.monotonicMs() >= startMs + patienceMs) throw toFinalError(attempt, mayHaveRun)
+      await clock.sleep(retryPauseMs)
     }
   }
 
--- a/batch/service/test/leaderClient.test.ts
+++ b/batch/service/test/leaderClient.test.ts
@@ -4,8 +4,8 @@
 import { NettlespurError } from '@nettlespur/core.errors'
 import { MetricsRegistry } from '@nettlespur/core.metrics'
 import test, { type ExecutionContext } from 'ava'
-import { peerKey, startFakeMember, type FakeMember } from '../__utils__/index.js'
-import { LeaderClient } from '../src/index.js'
+import { createLocalApi, peerKey, startFakeMember, type FakeMember } from '../__utils__/index.js'
+import { LeaderClient, type LeaderClientOptions } from '../src/index.js'
 
 const logger = { debug: noop, info: noop, warn: noop, error: noop }
 
@@ -17,7 +17,12 @@
   return members
 }
 
-function createClient(t: ExecutionContext, seeds: readonly FakeMember[], patienceMs: number) {
+function createClient(
+  t: ExecutionContext,
+  seeds: readonly FakeMember[],
+  patienceMs: number,
+  local?: LeaderClientOptions['local'],
+) {
   const client = new LeaderClient({
     clock: new SystemClock(),
     logger,
@@ -26,6 +31,7 @@
     seeds: seeds.map(({ address }) => address),
     callTimeoutMs: patienceMs,
     patienceMs,
+    local,
   })
   t.teardown(() => {
     client.close()
@@ -91,6 +97,22 @@
   t.is(error.answer.ran, 'unknown')
 })
 
+test('a member that was just elected and is not ready yet is given the time to become so', async (t) => {
+  const [elected] = await startMembers(t)
+  lead(elected, 1, elected)
+  let isReady = false
+  const api = createLocalApi(() => {
+    if (isReady) return Promise.resolve(null)
+    // What makes it ready comes as an event: it is handled only once this process gets round to it.
+    setImmediate(() => {
+      isReady = true
+    })
+    return Promise.reject(new NettlespurError('not-leader', 'soon', { hint: elected.address }))
+  })
+  const client = createClient(t, [elected], 2000, { address: elected.address, api })
+  t.true((await submit(client)).isRight())
+})
+
 test('what the leader itself refuses is told at once', async (t) => {
   const [leader] = await startMembers(t)
   lead(leader, 1, leader)
--- a/scripts/writeSettingsReference.mjs
+++ b/scripts/writeSettingsReference.mjs
@@ -5,6 +5,8 @@
 import { readFileSync, writeFileSync } from 'node:fs'
 import path from 'node:path'
 import {
+  batchControlSettingsSchema,
+  batchEntrySettingsSchema,
   controlSettingsSchema,
   entrySettingsSchema,
   upstreamSettingsSchema,
@@ -20,6 +22,8 @@
 const programs = [
   ['nettlespur-control', controlSettingsSchema, readComments('controlSettings.ts')],
   ['nettlespur-entry', entrySettingsSchema, readComments('entrySettings.ts')],
+  ['Control of batch work', batchControlSettingsSchema, readComments('batchSettings.ts')],
+  ['Entry of batch work', batchEntrySettingsSchema, readComments('batchSettings.ts')],
   ['Stand-in upstream', upstreamSettingsSchema, readComments('upstreamSettings.ts')],
 ]
 
--- a/settings/reader/src/detectSettingsKind.ts
+++ b/settings/reader/src/detectSettingsKind.ts
@@ -1,18 +1,28 @@
 /** Tells which process a settings file is for, from the keys it has. */
 import {
+  batchControlSettingsSchema,
+  batchEntrySettingsSchema,
   controlSettingsSchema,
   entrySettingsSchema,
   upstreamSettingsSchema,
 } from '@nettlespur/settings.schemas'
 import { isMap, isScalar, parseDocument } from 'yaml'
 
-export const settingsKinds = ['control', 'entry', 'upstream'] as const
+export const settingsKinds = [
+  'control',
+  'entry',
+  'upstream',
+  'batch-control',
+  'batch-entry',
+] as const
 export type SettingsKind = (typeof settingsKinds)[number]
 
 export const settingsSchemas = {
   control: controlSettingsSchema,
   entry: entrySettingsSchema,
   upstream: upstreamSettingsSchema,
+  'batch-control': batchControlSettingsSchema,
+  'batch-entry': batchEntrySettingsSchema,
 } as const satisfies Record<SettingsKind, unknown>
 
 /** The kind that knows most of the keys; undefined where two know as many. */
--- a/settings/reader/test/mutations.test.ts
+++ b/settings/reader/test/mutations.test.ts
@@ -18,6 +18,8 @@
   control: ['instanceId', 'dataCentre', 'peerAddress', 'dataFolder', 'members', 'keyFiles'],
   entry: ['instanceId', 'dataCentre', 'listenAddress', 'peerAddress', 'control', 'keyFiles'],
   upstream: ['upstreamId', 'dataCentre', 'rack', 'listenAddress', 'entries'],
+  'batch-control': ['instanceId', 'dataCentre', 'seeds', 'controlAddress', 'dataFolder', 'founds'],
+  'batch-entry': ['instanceId', 'dataCentre', 'seeds', 'callerAddress', 'readinessAddress'],
 }
 
 function check(kind: SettingsKind, text: string): Either<NettlespurError, unknown> {
--- a/settings/reader/test/validSettings.ts
+++ b/settings/reader/test/validSettings.ts
@@ -55,10 +55,31 @@
   log,
 })
 
+const batch = {
+  ...instance,
+  seeds: fc.array(address, { minLength: 1, maxLength: 3 }),
+  peerPort: port,
+  metricsAddress: address,
+}
+
+const batchControl = fc.record({
+  ...batch,
+  controlAddress: address,
+  dataFolder: fc.constant('data'),
+  founds: fc.boolean(),
+  announceEveryMs: positive,
+  leaseMsMax: positive,
+  keepEndedMs: positive,
+})
+
+const batchEntry = fc.record({ ...batch, callerAddress: address, readinessAddress: address })
+
 export const validSettings: fc.Arbitrary<ValidSettings> = fc.oneof(
   control.map((value) => ({ kind: 'control' as const, value })),
   entry.map((value) => ({ kind: 'entry' as const, value })),
   upstream.map((value) => ({ kind: 'upstream' as const, value })),
+  batchControl.map((value) => ({ kind: 'batch-control' as const, value })),
+  batchEntry.map((value) => ({ kind: 'batch-entry' as const, value })),
 )
 
 /** Paths of all values below `value`. */
--- /dev/null
+++ b/settings/schemas/src/batchSettings.ts
@@ -0,0 +1,43 @@
+/** Settings of the two processes that run batch work over control. */
+import { addressSchema, identifierSchema } from '@nettlespur/api.schemas'
+import { z } from 'zod'
+import { logSettingsSchema } from './commonSettings.js'
+
+const portSchema = z.int().min(1).max(65_535)
+
+const batchSettingsSchema = z.strictObject({
+  instanceId: identifierSchema,
+  dataCentre: identifierSchema,
+  log: logSettingsSchema.prefault({}),
+  /** Control addresses of some members. Their peer sides listen on `peerPort` of the same instance. */
+  seeds: z.array(addressSchema).max(16),
+  /** Where control instances listen for each other and for entries. */
+  peerPort: portSchema,
+  /** Counters and histograms over HTTP, as text. */
+  metricsAddress: addressSchema,
+  /** How long a planned stop may take. */
+  drainDeadlineMs: z.int().positive(),
+})
+
+export const batchEntrySettingsSchema = batchSettingsSchema.extend({
+  /** Callers hand in jobs and ask for them here. */
+  callerAddress: addressSchema,
+  /** The balancer asks here whether callers may be sent. */
+  readinessAddress: addressSchema,
+})
+export type BatchEntrySettings = z.infer<typeof batchEntrySettingsSchema>
+
+export const batchControlSettingsSchema = batchSettingsSchema.extend({
+  /** Operators and upstreams call here. */
+  controlAddress: addressSchema,
+  dataFolder: z.string().min(1),
+  /** The whole system starts for the first time: the seeds found the group. */
+  founds: z.boolean(),
+  /** How often upstreams announce themselves. */
+  announceEveryMs: z.int().positive(),
+  /** The longest lease that upstreams grant. */
+  leaseMsMax: z.int().positive(),
+  /** How long an ended job is still shown. */
+  keepEndedMs: z.int().positive(),
+})
+export type BatchControlSettings = z.infer<typeof batchControlSettingsSchema>
--- a/settings/schemas/src/index.ts
+++ b/settings/schemas/src/index.ts
@@ -1,4 +1,10 @@
 /** Schemas and defaults of every settings file. */
+export {
+  batchControlSettingsSchema,
+  batchEntrySettingsSchema,
+  type BatchControlSettings,
+  type BatchEntrySettings,
+} from './batchSettings.js'
 export type { TlsSettings } from './commonSettings.js'
 export {
   controlSettingsSchema,
