fix: forget runs that ended through another member of their gang

A session asks without waiting while it follows a run of an earlier leader that it has not seen; such a run whose gang was done through another member was followed for ever. Ruled out: answers by a higher fence, which are followed by a pause.

Change: each look first drops the runs that are no longer placed. The leader's model counts looks and fails beyond ten a second for each upstream; with the change taken out it did not end within 100 s.

Conclusion: a leader change leaves no busy session behind.

--- a/batch/service/__utils__/faultyPort.ts
+++ b/batch/service/__utils__/faultyPort.ts
@@ -28,6 +28,8 @@
 }
 
 export class FaultyPort extends UpstreamPort {
+  /** Looks so far: an upstream at rest is not to be asked all the time. */
+  looks = 0
   readonly #opts: FaultyPortOptions
 
   constructor(opts: FaultyPortOptions) {
@@ -44,6 +46,7 @@
   }
 
   override hold(to: UpstreamTarget, order: HoldOrder, timeoutMs: number): Promise<HoldAnswer> {
+    this.looks += 1
     return this.#call(to, timeoutMs, (upstream) => upstream.hold(order))
   }
 
--- a/batch/service/test/leaderModel.test.ts
+++ b/batch/service/test/leaderModel.test.ts
@@ -21,6 +21,8 @@
 const attemptsMax = 3
 const troubledMs = 20_000
 const calmMs = 90_000
+/** Ten a second for each upstream: long polls need one in two seconds, and one for each end. */
+const looksMax = (10 * upstreamCount * (troubledMs + calmMs)) / 1000
 const silentLogger = { debug: noop, info: noop, warn: noop, error: noop }
 
 type Trouble =
@@ -98,7 +100,7 @@
   readonly ledger: FleetLedger
   readonly #upstreams = new Map<string, FakeUpstream>()
   readonly #cutUntilMs = new Map<string, number>()
-  readonly #port: FaultyPort
+  readonly port: FaultyPort
   readonly #clockRate: number
   #faults: LinkFault[] = []
   #lives = 0
@@ -119,7 +121,7 @@
         return opts.failures.includes(runs % 10) && runs < 30 ? 'failed' : 'done'
       },
     })
-    this.#port = new FaultyPort({
+    this.port = new FaultyPort({
       clock,
       findUpstream: (address) => this.#upstreams.get(address),
       nextFault: (address) => this.#nextFault(address),
@@ -159,7 +161,7 @@
         announceEveryMs,
         keepEndedMs: 1_000_000,
       },
-      port: this.#port,
+      port: this.port,
       getState: () => this.state,
       propose: (command) => EitherAsync.fromPromise(() => this.#propose(command, term)),
     })
@@ -270,6 +272,7 @@
       assert.deepEqual(fleet.ledger.violations, [])
       assert.deepEqual([...fleet.state.unsettled.keys()], [])
       assert.deepEqual(listUnfinished(fleet), [])
+      assert.ok(fleet.port.looks < looksMax, `${fleet.port.looks} looks`)
     }),
     { numRuns: 60, includeErrorInReport: true },
   )
--- a/batch/sessions/src/runTracks.ts
+++ b/batch/sessions/src/runTracks.ts
@@ -30,6 +30,13 @@
     this.#byKey.delete(runKey(run))
   }
 
+  /** Forgets runs that ended elsewhere: another member of a gang was done, or its job was. */
+  keepOnly(placements: ReadonlyMap<string, Placement>): void {
+    for (const key of this.#byKey.keys()) {
+      if (!placements.has(key)) this.#byKey.delete(key)
+    }
+  }
+
   /** Takes in what runs. Gives the runs that are not to be there. */
   noteRunning(
     running: readonly RunningRun[],
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -13,8 +13,8 @@
 import type { RunTrack } from './runTrack.js'
 import { RunTracks } from './runTracks.js'
 import type { SessionHost } from './sessionHost.js'
-import { holdSlackMs, retryPauseMs, type SessionTimings } from './sessionOptions.js'
 import { RunOrders, type StartResult } from './runOrders.js'
+import { holdSlackMs, retryPauseMs, type SessionTimings } from './sessionOptions.js'
 import type { HoldAnswer, UpstreamPort, UpstreamTarget } from './upstreamPort.js'
 
 export interface UpstreamSessionOptions {
@@ -38,8 +38,8 @@
   readonly #opts: UpstreamSessionOptions
   readonly #orders: RunOrders
   readonly #tracks = new RunTracks()
+  /** The newest end that is committed, and the newest one shown. */
   #cursor = 0
-  /** The newest end shown, committed or not. */
   #shown = 0
   #isLooking = false
   #isGone = false
@@ -117,6 +117,7 @@
   async #look(): Promise<boolean> {
     const { port, target, host, timings, clock } = this.#opts
     const sentAtMs = this.#nowMs()
+    this.#tracks.keepOnly(this.#placements())
     const isPlain = this.lease.clock.isKnown && !this.#tracks.hasInherited
     const order = {
       leaseEndMs: this.lease.clock.isKnown ? this.lease.extend(sentAtMs) : undefined,
@@ -159,9 +160,9 @@
       return this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
     }
     const { running, finished } = answer
-    const placements = this.#placements()
-    const ends = listEnds({ running, finished, sentAtMs }, placements, this.#tracks.byKey)
-    for (const run of this.#tracks.noteRunning(running, placements, this.#nowMs())) {
+    const placed = this.#placements()
+    const ends = listEnds({ running, finished, sentAtMs }, placed, this.#tracks.byKey)
+    for (const run of this.#tracks.noteRunning(running, placed, this.#nowMs())) {
       this.#log('run.stray', { jobId: run.jobId, attempt: run.attempt })
       void this.#giveStop(run)
     }
