--- a/batch/scheduler/src/chooseVictims.ts
+++ b/batch/scheduler/src/chooseVictims.ts
@@ -13,7 +13,6 @@
 export interface VictimGroup {
   readonly runs: readonly Placement[]
   readonly needs: Resources
-  readonly priority: number
   /** What a stop throws away, urgent work counted more. */
   readonly costCoreSeconds: number
 }
@@ -94,7 +93,7 @@
 }
 
 /** Of all that the choice stops, in core-seconds. */
-export function costOf({ victims }: VictimChoice): number {
+function costOf({ victims }: VictimChoice): number {
   return victims.reduce((sum, { costCoreSeconds }) => sum + costCoreSeconds, 0)
 }
 
--- a/batch/scheduler/src/listVictimGroups.ts
+++ b/batch/scheduler/src/listVictimGroups.ts
@@ -26,12 +26,10 @@
   if (step === undefined) return
   const key = groupKey(placement, step.isGang)
   const known = groups.get(key)
-  const { priority } = job.queue
-  const weight = priority === 0 ? urgentCostTimes : 1
+  const weight = job.queue.priority === 0 ? urgentCostTimes : 1
   groups.set(key, {
     runs: [...(known?.runs ?? []), placement],
     needs: step.needs,
-    priority,
     costCoreSeconds: (known?.costCoreSeconds ?? 0) + stopCostCoreSeconds * weight,
   })
 }
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -4,7 +4,7 @@
  */
 import type { Placement } from '@nettlespur/batch.state'
 import { choosePlaces } from './choosePlaces.js'
-import { chooseVictims, costOf, type VictimGroup } from './chooseVictims.js'
+import { chooseVictims, type VictimGroup } from './chooseVictims.js'
 import { listGuaranteed } from './listGuaranteed.js'
 import { listVictimGroups } from './listVictimGroups.js'
 import { orderUnits, type RankedUnit } from './orderUnits.js'
@@ -16,12 +16,6 @@
 /** Gangs that room is kept for at a time: more would leave too little for work that fits. */
 const reservationsMax = 3
 
-/**
- * Core-seconds of others' work that may be thrown away so that an urgent job beyond its guarantee starts in
- * time: about a tenth of what an urgent job on time is worth more than one that is late.
- */
-const borrowCostMax = 250
-
 export function planRound(view: SchedulerView): RoundDecision {
   const guaranteed = listGuaranteed(view.jobs, view.guarantees)
   const round = new Round(view, guaranteed)
@@ -54,21 +48,10 @@
 
   /** For what did not fit. */
   #decideRest(unit: RankedUnit): void {
-    if (unit.isGuaranteed && this.#makeRoom(unit, this.#groups, Infinity)) return
-    if (this.#isUrgent(unit) && this.#makeRoom(unit, this.#listBorrowers(unit), borrowCostMax))
-      return
+    if (unit.isGuaranteed && this.#makeRoom(unit)) return
     if (unit.step.isGang) this.#reserve(unit)
   }
 
-  /** Beyond its guarantee it has no claim, but its time is short. */
-  #isUrgent({ job, hope }: RankedUnit): boolean {
-    return job.queue.priority === 0 && hope === 'on-time'
-  }
-
-  #listBorrowers({ job }: RankedUnit): readonly VictimGroup[] {
-    return this.#groups.filter(({ priority }) => priority > job.queue.priority)
-  }
-
   #reserve(unit: RankedUnit): void {
     if (this.#reservations >= reservationsMax || unit.hope === 'none') return
     this.#reservations += 1
@@ -93,10 +76,10 @@
     for (const placement of placed) this.#runs.push(this.#toRun(unit, placement))
   }
 
-  /** Keeps what is being freed for the unit; where that is too little, has more stopped. False where it costs too much. */
-  #makeRoom(unit: RankedUnit, groups: readonly VictimGroup[], costMax: number): boolean {
-    const choice = chooseVictims({ unit, book: this.#book, groups })
-    if (choice === undefined || costOf(choice) > costMax) return false
+  /** Keeps what is being freed for the unit, and has more stopped where that is too little; false where nothing would do. */
+  #makeRoom(unit: RankedUnit): boolean {
+    const choice = chooseVictims({ unit, book: this.#book, groups: this.#groups })
+    if (choice === undefined) return false
     const stopped = new Set(choice.victims)
     this.#groups = this.#groups.filter((group) => !stopped.has(group))
     for (const { runs, needs } of choice.victims) {
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -245,7 +245,6 @@
   }
 
   #log(event: string, fields: Readonly<Record<string, string | number | undefined>>): void {
-    const { logger, target } = this.#opts
-    logger.info({ event, upstreamId: target.upstreamId, ...fields })
+    this.#opts.logger.info({ event, upstreamId: this.#opts.target.upstreamId, ...fields })
   }
 }
