--- /dev/null
+++ b/consensus/raft/src/readStoredJson.ts
@@ -0,0 +1,10 @@
+/** Commands and snapshots that a state machine keeps as JSON, checked when they are read back. */
+import { NettlespurError } from '@nettlespur/core.errors'
+import type { z } from 'zod'
+
+/** `what` names it in the error. Errors: throws `storage-damaged`. */
+export function readStoredJson<T>(schema: z.ZodType<T>, bytes: Buffer, what: string): T {
+  const parsed = schema.safeParse(JSON.parse(bytes.toString('utf8')))
+  if (parsed.success) return parsed.data
+  throw new NettlespurError('storage-damaged', `${what} cannot be read: ${parsed.error.message}`)
+}
