feat: log and count the end of each job

Cause: writing the page for on-call engineers showed that nothing in the logs says when and how a job ended.

Change: job.ended with status and time, counters by status and a histogram of completion times.

Conclusion: from a job's id its whole course can be read.

--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -27,6 +27,7 @@
 import { JobClock } from './jobClock.js'
 import { listEndedJobs } from './listEndedJobs.js'
 import type { Propose } from './proposer.js'
+import { listActiveJobs, reportEnds } from './reportEnds.js'
 import { learnRunTimes, listWatchedRuns, type RunLookup } from './runLookup.js'
 import { SpeedWatch } from './speedWatch.js'
 import { UpstreamRoster } from './upstreamRoster.js'
@@ -142,17 +143,16 @@
   }
 
   override async commitEnds(ends: readonly RunEnd[]): Promise<boolean> {
-    const { clock, logger, metrics, propose } = this.#opts
+    const { clock, propose } = this.#opts
+    const active = listActiveJobs(this.#state, ends)
     const outcome = await propose({ type: 'end-runs', ends: [...ends] }).run()
     if (outcome.isLeft()) return false
-    learnRunTimes(this.#speed, this.#runLookup, ends, clock.monotonicMs())
+    const nowMs = clock.monotonicMs()
+    learnRunTimes(this.#speed, this.#runLookup, ends, nowMs)
+    reportEnds({ ...this.#opts, ends, jobs: active, jobClock: this.#jobClock, nowMs })
     for (const end of ends) {
-      const { jobId, upstreamId, outcome: how } = end
-      logger.info({ event: 'run.ended', ...runFields(end), upstreamId, outcome: how })
-      metrics.count(`runs_${how}_total`)
       this.#preempted.delete(runKey(end))
-      if (how === 'failed') this.#roster.health.noteFailure(upstreamId, jobId, clock.monotonicMs())
-      if (how === 'done') this.#roster.health.noteSuccess(upstreamId)
+      this.#roster.health.noteEnd(end, nowMs)
     }
     return true
   }
--- /dev/null
+++ b/batch/service/src/reportEnds.ts
@@ -0,0 +1,49 @@
+/** Log lines and counters of runs that ended, and of the jobs that ended with them. */
+import { runFields } from '@nettlespur/batch.model'
+import type { BatchState, JobRecord, RunEnd } from '@nettlespur/batch.state'
+import type { Logger } from '@nettlespur/core.logger'
+import type { MetricsRegistry } from '@nettlespur/core.metrics'
+import type { JobClock } from './jobClock.js'
+
+export interface ReportEndsOptions {
+  logger: Logger
+  metrics: MetricsRegistry
+  ends: readonly RunEnd[]
+  /** Jobs that were active before. */
+  jobs: readonly JobRecord[]
+  jobClock: JobClock
+  nowMs: number
+}
+
+/** The jobs of these runs that have not ended. */
+export function listActiveJobs({ jobs }: BatchState, ends: readonly RunEnd[]): JobRecord[] {
+  const jobIds = new Set(ends.map(({ jobId }) => jobId))
+  return [...jobIds].flatMap((jobId) => {
+    const job = jobs.get(jobId)
+    return job?.status === 'active' ? [job] : []
+  })
+}
+
+/** To be called once the ends are committed. */
+export function reportEnds({
+  logger,
+  metrics,
+  ends,
+  jobs,
+  jobClock,
+  nowMs,
+}: ReportEndsOptions): void {
+  for (const end of ends) {
+    const { upstreamId, outcome } = end
+    logger.info({ event: 'run.ended', ...runFields(end), upstreamId, outcome })
+    metrics.count(`runs_${outcome}_total`)
+  }
+  for (const { status, request, queue } of jobs) {
+    if (status === 'active') continue
+    const { jobId } = request
+    const tookMs = Math.round(jobClock.waitedMs(jobId, nowMs))
+    logger.info({ event: 'job.ended', jobId, queue: queue.name, status, tookMs })
+    metrics.count(`jobs_${status}_total`)
+    metrics.recordMs('job_completion_ms', tookMs)
+  }
+}
--- a/batch/service/src/upstreamHealth.ts
+++ b/batch/service/src/upstreamHealth.ts
@@ -3,28 +3,25 @@
  * everywhere, so failures count by distinct jobs, and one success clears them.
  */
 
+import type { RunEnd } from '@nettlespur/batch.state'
+
 /** Distinct jobs that must have failed in a row. One is often the job's own fault. */
 const failedJobsMin = 2
 /** Longer than most troubles of an upstream last; after it, one run tries it out. */
 const quarantineMs = 8000
 
-interface Record {
+interface FailureRecord {
   failedJobs: Set<string>
   lastFailureMs: number
 }
 
 export class UpstreamHealth {
-  readonly #records = new Map<string, Record>()
-
-  noteFailure(upstreamId: string, jobId: string, nowMs: number): void {
-    const record = this.#records.get(upstreamId) ?? { failedJobs: new Set(), lastFailureMs: nowMs }
-    record.failedJobs.add(jobId)
-    record.lastFailureMs = nowMs
-    this.#records.set(upstreamId, record)
-  }
+  readonly #records = new Map<string, FailureRecord>()
 
-  noteSuccess(upstreamId: string): void {
-    this.#records.delete(upstreamId)
+  /** Ends that say nothing of the upstream are passed over. */
+  noteEnd({ upstreamId, jobId, outcome }: RunEnd, nowMs: number): void {
+    if (outcome === 'done') this.#records.delete(upstreamId)
+    if (outcome === 'failed') this.#noteFailure(upstreamId, jobId, nowMs)
   }
 
   isQuarantined(upstreamId: string, nowMs: number): boolean {
@@ -32,4 +29,11 @@
     if (record === undefined || record.failedJobs.size < failedJobsMin) return false
     return nowMs - record.lastFailureMs < quarantineMs
   }
+
+  #noteFailure(upstreamId: string, jobId: string, nowMs: number): void {
+    const record = this.#records.get(upstreamId) ?? { failedJobs: new Set(), lastFailureMs: nowMs }
+    record.failedJobs.add(jobId)
+    record.lastFailureMs = nowMs
+    this.#records.set(upstreamId, record)
+  }
 }
