revert: keep work off slow upstreams

Cause: the rule was tried so that work leaves upstreams that turn slow.

Likely, not traced: a gang that goes slowly has all its upstreams left alone for 4 s, which takes more room than it saves.

Conclusion: the rule leaves with what only it used; moving work off slow upstreams stays open.

--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -28,8 +28,6 @@
 import { listEndedJobs } from './listEndedJobs.js'
 import type { Propose } from './proposer.js'
 import { listActiveJobs, reportEnds } from './reportEnds.js'
-import { learnRunTimes, listWatchedRuns, type RunLookup } from './runLookup.js'
-import { SpeedWatch } from './speedWatch.js'
 import { UpstreamRoster } from './upstreamRoster.js'
 
 /** Rounds that no event asks for: quarantines end, and jobs lose hope, with time alone. */
@@ -52,7 +50,6 @@
   readonly #ending = new AbortController()
   readonly #roster: UpstreamRoster
   readonly #jobClock = new JobClock()
-  readonly #speed = new SpeedWatch()
   readonly #preempted = new Set<string>()
   readonly #wake = new Wake()
 
@@ -70,13 +67,6 @@
     return this.#opts.getState()
   }
 
-  get #runLookup(): RunLookup {
-    return {
-      state: this.#state,
-      findTrack: (placement) => this.#roster.find(placement.upstreamId)?.findTrack(placement),
-    }
-  }
-
   /** Takes up what earlier leaders placed, and begins to decide. */
   start(): void {
     const { upstreamIds } = this.#state.placements
@@ -148,7 +138,6 @@
     const outcome = await propose({ type: 'end-runs', ends: [...ends] }).run()
     if (outcome.isLeft()) return false
     const nowMs = clock.monotonicMs()
-    learnRunTimes(this.#speed, this.#runLookup, ends, nowMs)
     reportEnds({ ...this.#opts, ends, jobs: active, jobClock: this.#jobClock, nowMs })
     for (const end of ends) {
       this.#preempted.delete(runKey(end))
@@ -189,11 +178,6 @@
     }
   }
 
-  #isUsable(upstream: UpstreamRecord, nowMs: number): boolean {
-    if (this.#speed.isSlow(upstream.description.upstreamId, nowMs)) return false
-    return this.#roster.isUsable(upstream)
-  }
-
   async #forgetOldJobs(): Promise<void> {
     const { clock, propose, timings } = this.#opts
     const nowMs = clock.monotonicMs()
@@ -206,14 +190,13 @@
     const nowMs = clock.monotonicMs()
     const state = this.#state
     this.#jobClock.update(state, nowMs)
-    this.#speed.update(listWatchedRuns(this.#runLookup), nowMs)
     const view = buildView({
       state,
       nowMs,
       acceptedAtMs: this.#jobClock.acceptedAtMs,
-      isUsable: (upstream) => this.#isUsable(upstream, nowMs),
+      isUsable: (upstream) => this.#roster.isUsable(upstream),
       isStopping: (placement) => this.shouldStop(placement),
-      findTrack: this.#runLookup.findTrack,
+      findTrack: (placement) => this.#roster.find(placement.upstreamId)?.findTrack(placement),
     })
     const { placements, preemptions } = planRound(view)
     metrics.recordMs('scheduling_round_ms', clock.monotonicMs() - nowMs)
--- a/batch/sessions/src/runTracks.ts
+++ b/batch/sessions/src/runTracks.ts
@@ -1,7 +1,7 @@
 /** The runs that a session follows. */
 import { runKey, type RunRef } from '@nettlespur/batch.model'
 import type { Placement } from '@nettlespur/batch.state'
-import { createRunTrack, noteProgress, type RunPhase, type RunTrack } from './runTrack.js'
+import { createRunTrack, type RunPhase, type RunTrack } from './runTrack.js'
 import type { RunningRun } from './upstreamPort.js'
 
 export class RunTracks {
@@ -51,7 +51,7 @@
         continue
       }
       if (track.phase === 'inherited') track.phase = 'settled'
-      noteProgress(track, progressPercent, nowMs)
+      track.progressPercent = progressPercent
       if (checkpoint === track.checkpoint) continue
       track.checkpoint = checkpoint
       track.checkpointAtMs = nowMs
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -65,8 +65,6 @@
   /** Starts a run whose placement is committed. */
   start(placement: Placement): void {
     const track = this.#tracks.add(placement, 'starting', this.#nowMs())
-    const step = this.#opts.host.findJob(placement.jobId)?.steps[placement.step]
-    track.isResumed = step?.tasks[placement.index]?.checkpoint !== ''
     this.#wake()
     void this.#orders.start(placement).then((result) => this.#noteStart(track, result))
   }
