--- /dev/null
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -0,0 +1,233 @@
+/** A leader with four fake upstreams over faulty links, on a manual clock. Commits take a few milliseconds. */
+import type { JobRequest } from '@nettlespur/batch.model'
+import { BatchState, type Command, type CommandOutcome } from '@nettlespur/batch.state'
+import { ManualClock } from '@nettlespur/core.clock'
+import { NettlespurError } from '@nettlespur/core.errors'
+import { MetricsRegistry } from '@nettlespur/core.metrics'
+import { EitherAsync, Left, Right } from 'purify-ts'
+import { BatchLeader } from '../src/batchLeader.js'
+import { FakeUpstream } from './fakeUpstream.js'
+import { FaultyPort, type LinkFault } from './faultyPort.js'
+import { FleetLedger } from './fleetLedger.js'
+
+export const upstreamCount = 4
+const acceleratorsEach = 8
+const commitMs = 8
+const announceEveryMs = 1500
+const attemptsMax = 3
+const silentLogger = { debug: noop, info: noop, warn: noop, error: noop }
+
+export type FleetTrouble =
+  | { kind: 'fault'; fault: LinkFault; calls: number }
+  | { kind: 'cut'; upstream: number; forMs: number }
+  | { kind: 'crash'; upstream: number }
+  | { kind: 'new-leader'; zombieMs: number }
+  | { kind: 'cancel'; job: number }
+
+export interface FakeFleetOptions {
+  clockRate: number
+  lateMs: number
+  failures: readonly number[]
+  linksMs: readonly number[]
+}
+
+export class FakeFleet {
+  readonly clock = new ManualClock()
+  readonly state = new BatchState()
+  readonly ledger: FleetLedger
+  readonly #upstreams = new Map<string, FakeUpstream>()
+  readonly #cutUntilMs = new Map<string, number>()
+  readonly port: FaultyPort
+  readonly #clockRate: number
+  #faults: LinkFault[] = []
+  #lives = 0
+  #term = 0
+  #leader: BatchLeader | undefined
+  #sequence = 0
+
+  constructor(opts: FakeFleetOptions) {
+    const { clock } = this
+    this.#clockRate = opts.clockRate
+    let runs = 0
+    let calls = 0
+    this.ledger = new FleetLedger({
+      clock,
+      acceleratorsEach,
+      decideOutcome: () => {
+        runs += 1
+        return opts.failures.includes(runs % 10) && runs < 30 ? 'failed' : 'done'
+      },
+    })
+    this.port = new FaultyPort({
+      clock,
+      findUpstream: (address) => this.#upstreams.get(address),
+      nextFault: (address) => this.#nextFault(address),
+      nextLinkMs: () => opts.linksMs[calls++ % opts.linksMs.length] ?? 1,
+      nextDelayMs: () => opts.lateMs,
+    })
+    this.commit({ type: 'apply-config', config: createFleetConfig() })
+    for (let at = 0; at < upstreamCount; at++) this.#revive(at)
+    void this.#announceForever()
+  }
+
+  get leader(): BatchLeader | undefined {
+    return this.#leader
+  }
+
+  commit(command: Command): CommandOutcome {
+    const outcome = this.state.apply(command)
+    this.#leader?.noteChange()
+    return outcome
+  }
+
+  elect(zombieMs = 0): void {
+    const former = this.#leader
+    if (former !== undefined)
+      this.clock.setTimer(zombieMs, () => {
+        former.stop()
+      })
+    this.#term += 1
+    const term = this.#term
+    this.#leader = new BatchLeader({
+      term,
+      clock: this.clock,
+      logger: silentLogger,
+      metrics: new MetricsRegistry(),
+      timings: {
+        raft: { heartbeatMs: 150, electionTimeoutMs: 700, replaceVoterAfterMs: 2500 },
+        session: { leaseMs: 9500, holdWaitMs: 2000 },
+        announceEveryMs,
+        keepEndedMs: 1_000_000,
+      },
+      port: this.port,
+      getState: () => this.state,
+      propose: (command) => EitherAsync.fromPromise(() => this.#propose(command, term)),
+    })
+    this.#leader.start()
+  }
+
+  apply(trouble: FleetTrouble): void {
+    switch (trouble.kind) {
+      case 'fault':
+        for (let call = 0; call < trouble.calls; call++) this.#faults.push(trouble.fault)
+        return
+      case 'cut':
+        this.#cutUntilMs.set(addressOf(trouble.upstream), this.clock.monotonicMs() + trouble.forMs)
+        return
+      case 'crash':
+        this.#upstreams.get(addressOf(trouble.upstream))?.crash()
+        this.#revive(trouble.upstream)
+        return
+      case 'new-leader':
+        this.elect(trouble.zombieMs)
+        return
+      case 'cancel':
+        this.commit({ type: 'cancel-job', jobId: `job${trouble.job}` })
+    }
+  }
+
+  /** Hands in a job on the queue of that priority. */
+  submit(request: JobRequest, priority: number): void {
+    this.ledger.addJob(request)
+    const queueName = `queue${priority}`
+    this.commit({ type: 'submit-job', request, workspace: 'workspace', queueName })
+  }
+
+  /** One upstream says that it is about to leave. Resolves once the leader has answered. */
+  async drain(at: number): Promise<void> {
+    const upstream = this.#upstreams.get(addressOf(at))
+    if (upstream !== undefined) await this.#announce(upstream, true)
+  }
+
+  upstreamIdOf(at: number): string {
+    return this.#upstreams.get(addressOf(at))?.upstreamId ?? ''
+  }
+
+  calm(): void {
+    this.#faults = []
+    this.#cutUntilMs.clear()
+  }
+
+  async #propose(command: Command, term: number) {
+    await this.clock.sleep(commitMs)
+    if (term === this.#term) return Right(this.commit(command))
+    return Left(new NettlespurError('not-leader', 'another leads'))
+  }
+
+  #nextFault(address: string): LinkFault {
+    if (this.#isCut(address)) return 'silent'
+    return this.#faults.shift() ?? 'none'
+  }
+
+  #isCut(address: string): boolean {
+    return (this.#cutUntilMs.get(address) ?? 0) > this.clock.monotonicMs()
+  }
+
+  #revive(at: number): void {
+    this.#lives += 1
+    const address = addressOf(at)
+    const { clock, ledger } = this
+    const upstreamId = `life${this.#lives}`
+    const clockRate = this.#clockRate
+    this.#upstreams.set(
+      address,
+      new FakeUpstream({ upstreamId, address, clock, clockRate, ledger }),
+    )
+  }
+
+  async #announceForever(): Promise<void> {
+    for (;;) {
+      for (const upstream of this.#upstreams.values()) void this.#announce(upstream)
+      await this.clock.sleep(announceEveryMs)
+    }
+  }
+
+  async #announce(
+    { upstreamId, address, clockMs }: FakeUpstream,
+    isDraining = false,
+  ): Promise<void> {
+    if (this.#isCut(address)) return
+    this.#sequence += 1
+    const announcing = this.#leader?.announce({
+      upstreamId,
+      pool: 'pool',
+      address,
+      dataCentre: 'centre',
+      rack: 'rack',
+      labels: [],
+      capacity: { cpuMillicores: 100_000, memoryMiB: 100_000, accelerators: acceleratorsEach },
+      isDraining,
+      sequence: this.#sequence,
+      clockMs,
+    })
+    await announcing?.catch(() => undefined)
+  }
+}
+
+function createFleetConfig() {
+  return {
+    version: 1,
+    source: '{}',
+    pools: [{ name: 'pool', connectionsMax: 8, guardsCapacity: true }],
+    workspaces: [{ name: 'workspace', keys: [], guaranteedAccelerators: 16 }],
+    queues: [0, 1, 2].map((priority) => ({
+      name: `queue${priority}`,
+      host: 'host',
+      pathPrefix: `/queue${priority}/`,
+      pool: 'pool',
+      priority,
+      attemptsMax,
+      stretch: 2,
+      targetLatencyMs: 1000,
+      anonymous: true,
+    })),
+  }
+}
+
+function addressOf(at: number): string {
+  return `127.0.0.1:${9000 + at}`
+}
+
+function noop(): void {
+  // Lines are of no interest here.
+}
--- a/batch/service/__utils__/fleetLedger.ts
+++ b/batch/service/__utils__/fleetLedger.ts
@@ -16,6 +16,8 @@
 
 export class FleetLedger {
   readonly violations: string[] = []
+  /** Every start that was carried out. */
+  readonly starts: RunRef[] = []
   readonly acceleratorsEach: number
   /** Tasks whose last end was `done` and has been acknowledged. */
   readonly doneTasks = new Set<string>()
@@ -46,6 +48,7 @@
   noteStart(run: RunRef, holder: FakeUpstream): void {
     const key = taskKey(run)
     const name = `${key}#${run.attempt}`
+    this.starts.push(run)
     if (this.#running.has(key)) this.violations.push(`${name} started while another run is going`)
     if (this.doneTasks.has(key)) this.violations.push(`${name} started after it was done`)
     if (!this.#dependenciesAreDone(run)) this.violations.push(`${name} started out of order`)
--- /dev/null
+++ b/batch/service/test/batchLeader.test.ts
@@ -0,0 +1,88 @@
+/** What the leader does in single situations, on a manual clock. */
+import { createJob } from '@nettlespur/batch.samples'
+import test from 'ava'
+import { FakeFleet, upstreamCount } from '../__utils__/index.js'
+
+/** An upstream ends a run at the latest this long after it is told to. */
+const stopMs = 400
+const settledMs = 2000
+
+async function startFleet(): Promise<FakeFleet> {
+  const fleet = new FakeFleet({ clockRate: 1, lateMs: 1000, failures: [], linksMs: [1] })
+  fleet.elect()
+  await fleet.clock.advance(settledMs)
+  return fleet
+}
+
+/** Takes a whole upstream for each task. */
+function createLarge(jobId: string, taskCount: number, expectedRunTimeMs = 10_000) {
+  const needs = { cpuMillicores: 100, memoryMiB: 100, accelerators: 8 }
+  return createJob(jobId, { taskCount, needs, expectedRunTimeMs, isGang: true })
+}
+
+function countStarted(fleet: FakeFleet, jobId: string): number {
+  return fleet.ledger.starts.filter((run) => run.jobId === jobId).length
+}
+
+test('an upstream that is about to leave is recorded before it is answered, and gets no more work', async (t) => {
+  const fleet = await startFleet()
+  const draining = fleet.drain(0)
+  let isRecorded: boolean | undefined
+  void draining.then(() => {
+    isRecorded = fleet.state.upstreams.get(fleet.upstreamIdOf(0))?.isDraining
+  })
+  await fleet.clock.advance(settledMs)
+  t.true(isRecorded)
+  for (let job = 0; job < upstreamCount; job++) fleet.submit(createLarge(`j${job}`, 1), 1)
+  await fleet.clock.advance(settledMs)
+  t.is(fleet.state.placements.on(fleet.upstreamIdOf(0)).size, 0)
+  t.is(fleet.ledger.starts.length, upstreamCount - 1)
+})
+
+test('the next leader still knows which upstream is about to leave', async (t) => {
+  const fleet = await startFleet()
+  const draining = fleet.drain(0)
+  await fleet.clock.advance(settledMs)
+  await draining
+  fleet.elect()
+  await fleet.clock.advance(settledMs)
+  for (let job = 0; job < upstreamCount; job++) fleet.submit(createLarge(`j${job}`, 1), 1)
+  await fleet.clock.advance(settledMs)
+  t.is(fleet.state.placements.on(fleet.upstreamIdOf(0)).size, 0)
+})
+
+test('what runs of a cancelled job is stopped, and what waits of it never starts', async (t) => {
+  const fleet = await startFleet()
+  const needs = { cpuMillicores: 100, memoryMiB: 100, accelerators: 8 }
+  fleet.submit(createJob('j', { taskCount: 6, needs, expectedRunTimeMs: 5000 }), 1)
+  await fleet.clock.advance(settledMs)
+  t.is(countStarted(fleet, 'j'), upstreamCount)
+  fleet.commit({ type: 'cancel-job', jobId: 'j' })
+  await fleet.clock.advance(stopMs)
+  t.deepEqual([...fleet.state.placements.upstreamIds], [])
+  t.false(fleet.state.unsettled.has('j'))
+  await fleet.clock.advance(30_000)
+  t.is(countStarted(fleet, 'j'), upstreamCount)
+})
+
+test('guaranteed work begins once those who borrow its accelerators have stopped', async (t) => {
+  const fleet = await startFleet()
+  fleet.submit(createLarge('borrower', upstreamCount), 1)
+  await fleet.clock.advance(settledMs)
+  fleet.submit(createLarge('guaranteed', 2, 1000), 0)
+  await fleet.clock.advance(stopMs + 100)
+  t.is(countStarted(fleet, 'guaranteed'), 2)
+  await fleet.clock.advance(30_000)
+  t.is(fleet.state.jobs.get('borrower')?.status, 'completed')
+  t.deepEqual(fleet.ledger.violations, [])
+})
+
+test('a gang of which one start stays unanswered is given up before its members wait in vain', async (t) => {
+  const fleet = await startFleet()
+  fleet.apply({ kind: 'cut', upstream: 0, forMs: 20_000 })
+  fleet.submit(createLarge('gang', upstreamCount, 1000), 1)
+  await fleet.clock.advance(2900)
+  t.is(countStarted(fleet, 'gang'), upstreamCount - 1)
+  const left = [...fleet.state.placements.upstreamIds]
+  t.deepEqual(left, [fleet.upstreamIdOf(0)])
+})
