--- /dev/null
+++ b/api/samples/src/index.ts
@@ -0,0 +1,2 @@
+/** Whole values of the common types, to be varied by a test. */
+export * from './samples.js'
--- a/control/service/test/startNode.ts
+++ b/control/service/test/startNode.ts
@@ -2,7 +2,8 @@
 import { mkdtemp } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import path from 'node:path'
-import type { Announcement, JobRequest } from '@nettlespur/api.schemas'
+import { createAnnouncement } from '@nettlespur/api.samples'
+import type { JobRequest } from '@nettlespur/api.schemas'
 import { createContract, createJobRequest, FakeUpstreams } from '@nettlespur/control.fakes'
 import { RaftLog, RpcTransport } from '@nettlespur/control.log'
 import { StateHolder } from '@nettlespur/control.state'
@@ -26,17 +27,7 @@
   stopGraceMs: 2000,
 }
 const roundsMax = 2000
-export const announcement: Announcement = {
-  address: '127.0.0.1:9',
-  dataCentre: 'dc1',
-  rack: 'r1',
-  slots: 8,
-  cpuCores: 32,
-  memoryBytes: 1_000_000,
-  accelerators: 8,
-  state: 'ready',
-  tasks: [],
-}
+export const announcement = createAnnouncement({ address: '127.0.0.1:9' })
 export async function startNode(
   t: ExecutionContext,
   folder?: string,
