--- a/batch/service/src/leaderClient.ts
+++ b/batch/service/src/leaderClient.ts
@@ -21,14 +21,11 @@
 
 /** Between rounds of asking while nobody leads. */
 const locatePauseMs = 100
-/**
- * Before each further try. An instance that was just elected names itself until it is ready, and without a
- * pause the calls to itself would keep it from getting there.
- */
+/** Before each further try: an instance just elected names itself, and only a pause lets it get ready. */
 const retryPauseMs = 20
 /** Kinds that say that the call has not run and another member may take it. */
 const elsewhere = new Set(['not-leader', 'unreachable', 'no-quorum', 'draining', 'disk-full'])
-/** Kinds after which the call may have run; it is sent again, as that changes nothing. */
+/** Kinds after which the call may have run; sending it again changes nothing. */
 const unsure = new Set(['outcome-unknown', 'storage-failed', 'internal'])
 
 export interface LeaderClientOptions extends LeaderFinderOptions {
--- a/entry/fakes/src/fakeControl.ts
+++ b/entry/fakes/src/fakeControl.ts
@@ -34,6 +34,7 @@
 import type { EitherAsync } from 'purify-ts'
 import { BehaviorSubject } from 'rxjs'
 import { FakeClaims } from './fakeClaims.js'
+import { FakeJobs } from './fakeJobs.js'
 
 const fullLeaseMs = 4000
 
@@ -46,7 +47,6 @@
   changes = 0
   readonly announced: Announcements[] = []
   readonly watched: WatchRequest[] = []
-  readonly jobs = new Map<string, JobOutcome>()
   readonly contracts = new Map<string, ContractRecord>()
   readonly upstreams = new Map<string, UpstreamView>()
   readonly claims: FakeClaims
@@ -55,6 +55,7 @@
   /** Entries that a contract view says do not enforce it yet. */
   notYetInForceAt: string[] = []
   readonly #clock: Clock
+  readonly #jobs = new FakeJobs()
   readonly #version = new BehaviorSubject(0)
   #changeIndex = 0
 
@@ -64,6 +65,10 @@
     this.claims = new FakeClaims(clock)
   }
 
+  get jobs(): ReadonlyMap<string, JobOutcome> {
+    return this.#jobs.byId
+  }
+
   putContract(contract: ContractRecord['contract']): ContractRecord {
     const revision = (this.contracts.get(contract.workspace)?.revision ?? 0) + 1
     const record = { contract, revision, changeIndex: ++this.#changeIndex }
@@ -117,53 +122,42 @@
   submitJob(request: JobRequest): EitherAsync<NettlespurError, JobView> {
     return this.#answer(() => {
       this.changes += 1
-      const job: JobView = {
-        jobId: `job-${this.changes}`,
-        workspace: request.workspace,
-        state: 'queued',
-        reason: 'waits for accelerators',
-        gang: request.gang,
-        attempts: 0,
-        submittedAt: this.#clock.now().toISOString(),
-      }
-      this.jobs.set(job.jobId, { job })
-      return job
+      return this.#jobs.add(`job-${this.changes}`, request, this.#clock.now())
     })
   }
 
   /** Ends or moves a job, for a test. */
   setJob(jobId: string, change: Partial<JobView>, answer?: JobAnswer): void {
-    const known = this.#find({ workspace: '', jobId }, false)
-    this.jobs.set(jobId, { job: { ...known.job, ...change }, answer })
+    this.#jobs.change(jobId, change, answer)
     this.#version.next(this.#version.value + 1)
   }
 
   getJob(reference: JobReference): EitherAsync<NettlespurError, JobView> {
-    return this.#answer(() => this.#find(reference).job)
+    return this.#answer(() => this.#jobs.find(reference).job)
   }
 
   awaitAnswer(request: AnswerRequest): EitherAsync<NettlespurError, JobOutcome> {
     return tryAsync(async () => {
       this.#requireReachable()
-      const before = this.#find(request)
+      const before = this.#jobs.find(request)
       if (request.waitMs > 0 && before.answer === undefined) await this.#change(request.waitMs)
-      return this.#find(request)
+      return this.#jobs.find(request)
     })
   }
 
   explainJob(reference: JobReference): EitherAsync<NettlespurError, JobExplanation> {
     return this.#answer(() => {
-      const { job } = this.#find(reference)
+      const { job } = this.#jobs.find(reference)
       return { job, waitsFor: [job.reason], decisions: [] }
     })
   }
 
   cancelJob(reference: JobReference): EitherAsync<NettlespurError, JobView> {
     return this.#answer(() => {
-      const { job } = this.#find(reference)
+      const { job } = this.#jobs.find(reference)
       this.changes += 1
       this.setJob(job.jobId, { state: 'cancelled', reason: 'cancelled by its caller' })
-      return this.#find(reference).job
+      return this.#jobs.find(reference).job
     })
   }
 
@@ -256,13 +250,6 @@
     if (this.failure !== undefined) throw new NettlespurError(this.failure, 'made to fail')
   }
 
-  #find(reference: JobReference, checked = true): JobOutcome {
-    const found = this.jobs.get(reference.jobId)
-    if (found !== undefined && (!checked || found.job.workspace === reference.workspace))
-      return found
-    throw new NettlespurError('unknown-job', reference.jobId)
-  }
-
   /** Resolves at the next change, or after `waitMs`. */
   async #change(waitMs: number): Promise<void> {
     const changed = new AbortController()
--- a/storage/log/src/fileLogStore.ts
+++ b/storage/log/src/fileLogStore.ts
@@ -32,10 +32,7 @@
   readonly folder: string
   readonly clock: Clock
   readonly logger: Logger
-  /**
-   * Whether to keep other processes off the folder; true by default. To be false where whoever starts the
-   * process runs one at a time and hides other processes: a lock of a dead one would never be known as such.
-   */
+  /** Keeps other processes off; true by default. False where one runs at a time and none sees another's end. */
   readonly locksFolder?: boolean
   /** The machine's file system by default. */
   readonly files?: FileSystem
