fix: log each decision of the leader that was not committed

Cause: the last reading found ends, removals and forgotten jobs whose proposal could fail without a line.

Conclusion: no failed proposal is silent.

--- a/batch/scheduler/src/startUnit.ts
+++ b/batch/scheduler/src/startUnit.ts
@@ -13,7 +13,7 @@
   readonly avoided: ReadonlySet<string>
 }
 
-/** The units of a job whose turn has come. */
+/** The units of a job that may start: all steps they depend on are done. */
 export function listUnits(job: JobRecord): StartUnit[] {
   if (job.status !== 'active') return []
   return job.request.steps.flatMap((step, stepNumber) => {
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -12,12 +12,14 @@
 import { SessionHost, type UpstreamPort } from '@nettlespur/batch.sessions'
 import type {
   BatchState,
+  Command,
   JobRecord,
   Placement,
   RunEnd,
   UpstreamRecord,
 } from '@nettlespur/batch.state'
 import { Wake, type Clock } from '@nettlespur/core.clock'
+import { unwrap } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import { setMaxListeners } from 'node:events'
@@ -133,11 +135,9 @@
   }
 
   override async commitEnds(ends: readonly RunEnd[]): Promise<boolean> {
-    const { clock, propose } = this.#opts
     const active = listActiveJobs(this.#state, ends)
-    const outcome = await propose({ type: 'end-runs', ends: [...ends] }).run()
-    if (outcome.isLeft()) return false
-    const nowMs = clock.monotonicMs()
+    if (!(await this.#tryPropose({ type: 'end-runs', ends: [...ends] }))) return false
+    const nowMs = this.#opts.clock.monotonicMs()
     reportEnds({ ...this.#opts, ends, jobs: active, jobClock: this.#jobClock, nowMs })
     for (const end of ends) {
       this.#preempted.delete(runKey(end))
@@ -158,14 +158,22 @@
   override noteGone(upstreamId: string): void {
     this.#roster.forget(upstreamId)
     if (this.findUpstream(upstreamId)?.hasLeft === true) return
-    void this.#opts.propose({ type: 'remove-upstream', upstreamId }).run()
+    void this.#tryPropose({ type: 'remove-upstream', upstreamId })
+  }
+
+  /** Errors: rejects as proposals do. */
+  async #propose(command: Command): Promise<void> {
+    await unwrap(this.#opts.propose(command))
   }
 
-  async #propose(command: Parameters<Propose>[0]): Promise<void> {
+  /** False, with a line in the log, where the command was not committed or that is not known. */
+  async #tryPropose(command: Command): Promise<boolean> {
     const outcome = await this.#opts.propose(command).run()
-    outcome.ifLeft((error) => {
-      throw error
+    outcome.ifLeft(({ kind, message: reason }) => {
+      const { type } = command
+      this.#opts.logger.warn({ event: 'proposal.failed', type, kind, reason })
     })
+    return outcome.isRight()
   }
 
   async #runRounds(): Promise<void> {
@@ -179,14 +187,14 @@
   }
 
   async #forgetOldJobs(): Promise<void> {
-    const { clock, propose, timings } = this.#opts
+    const { clock, timings } = this.#opts
     const nowMs = clock.monotonicMs()
     const jobIds = listEndedJobs(this.#state, this.#jobClock, nowMs, timings.keepEndedMs)
-    if (jobIds.length > 0) await propose({ type: 'forget-jobs', jobIds }).run()
+    if (jobIds.length > 0) await this.#tryPropose({ type: 'forget-jobs', jobIds })
   }
 
   async #decide(): Promise<void> {
-    const { clock, metrics, propose, logger } = this.#opts
+    const { clock, metrics } = this.#opts
     const nowMs = clock.monotonicMs()
     const state = this.#state
     this.#jobClock.update(state, nowMs)
@@ -202,9 +210,7 @@
     metrics.recordMs('scheduling_round_ms', clock.monotonicMs() - nowMs)
     this.#preempt(preemptions)
     if (placements.length === 0) return
-    const outcome = await propose({ type: 'place-tasks', placements }).run()
-    if (outcome.isLeft()) {
-      logger.warn({ event: 'placement.failed', reason: String(outcome.extract()) })
+    if (!(await this.#tryPropose({ type: 'place-tasks', placements }))) {
       await clock.sleep(idleRoundMs, this.#ending.signal)
       return
     }
