fix: show a joining member as a voter only once the change of voters is done

The trial 'a control that is added stands by, replaces a silent voter, and then outlasts the loss of a second one' took a member for a voter while the joint change was under way, and killed a former voter whose agreement was still needed: two of the three former voters were gone, and nothing could be committed any more. An operator who goes by 'member list' would do the same. Ruled out: an election that fails (the former leader still led, term 1 on both disks, and the change stood in the log of the one that joins).

Change: the role shown is voter only for those who vote before and after the change. Decisions about membership do not use that role.

--- a/consensus/raft/src/describeNode.ts
+++ b/consensus/raft/src/describeNode.ts
@@ -1,6 +1,6 @@
 /** How a member stands, for operators. */
 import type { Leader } from './leader.js'
-import type { Member } from './member.js'
+import { isSettledVoter, type Member } from './member.js'
 import type { Replica, RaftRole } from './replica.js'
 import { snapshotMembershipSchema } from './snapshotMembership.js'
 
@@ -47,7 +47,7 @@
   member: Member,
 ): MemberDescription {
   const { memberId } = member
-  const votes = membership.voters.includes(memberId)
+  const votes = isSettledVoter(membership, memberId)
   const leads = standing.value.leaderId === memberId
   const progress = leader?.getProgress(memberId)
   return {
