refactor: drop what no longer has a reader in sessions and members

Cause: reading the whole change once more: the time of a run's checkpoint was kept and never read since the rule for slow upstreams was reverted, and BatchNode.isLeader had no caller.

Change: both are gone, and the argument that only fed the first. Behaviour is unchanged.

--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -90,10 +90,6 @@
     return new BatchNode(opts, raft, machine)
   }
 
-  get isLeader(): boolean {
-    return this.#leader !== undefined
-  }
-
   /** This instance is in the membership as it knows it. */
   get isMember(): boolean {
     return this.raft.describe().members.some(({ memberId }) => memberId === this.#opts.memberId)
--- a/batch/sessions/src/runTrack.ts
+++ b/batch/sessions/src/runTrack.ts
@@ -16,7 +16,6 @@
   startedAtMs: number
   progressPercent: number
   checkpoint: string
-  checkpointAtMs: number
   /** A stop is on its way, or was answered. */
   isStopping: boolean
 }
@@ -29,7 +28,6 @@
     startedAtMs: nowMs,
     progressPercent: 0,
     checkpoint: '',
-    checkpointAtMs: nowMs,
     isStopping: false,
   }
 }
--- a/batch/sessions/src/runTracks.ts
+++ b/batch/sessions/src/runTracks.ts
@@ -41,7 +41,6 @@
   noteRunning(
     running: readonly RunningRun[],
     placements: ReadonlyMap<string, Placement>,
-    nowMs: number,
   ): RunRef[] {
     const strays: RunRef[] = []
     for (const { run, checkpoint, progressPercent } of running) {
@@ -52,9 +51,7 @@
       }
       if (track.phase === 'inherited') track.phase = 'settled'
       track.progressPercent = progressPercent
-      if (checkpoint === track.checkpoint) continue
       track.checkpoint = checkpoint
-      track.checkpointAtMs = nowMs
     }
     return strays
   }
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -160,7 +160,7 @@
     const { running, finished } = answer
     const placed = this.#placements()
     const ends = listEnds({ running, finished, sentAtMs }, placed, this.#tracks.byKey)
-    for (const run of this.#tracks.noteRunning(running, placed, this.#nowMs())) {
+    for (const run of this.#tracks.noteRunning(running, placed)) {
       this.#log('run.stray', { jobId: run.jobId, attempt: run.attempt })
       void this.#giveStop(run)
     }
