--- /dev/null
+++ b/bench/policy/src/deployment.ts
@@ -0,0 +1,150 @@
+/** Deployments as their users describe them: upstreams, kinds of job and how often they come. */
+
+/** One kind of job. Spreads are standard deviations of the logarithm. */
+export interface JobKind {
+  readonly name: string
+  readonly priority: number
+  readonly jobsPerSecond: number
+  /** What a job of mean size earns in time, and when it is late. */
+  readonly worth: number
+  readonly lateWorth: number
+  readonly stretch: number
+  readonly targetLatencyMs: number
+  readonly runTime: { readonly meanMs: number; readonly spread: number; readonly maxMs: number }
+  readonly tasks: { readonly mean: number; readonly max: number }
+  readonly cpuMillicores: number
+  readonly memoryMiB: number
+  /** One is drawn for each job. */
+  readonly accelerators: readonly number[]
+  readonly isGang: boolean
+  /** Shares of jobs that want one rack, that save checkpoints, and that have a second step. */
+  readonly oneRackShare: number
+  readonly checkpointShare: number
+  readonly secondStepShare: number
+  /** Share of runs that fail by their own fault. */
+  readonly failingShare: number
+  /** Declared run times are off by about this share. */
+  readonly declaredSpread: number
+}
+
+export interface Deployment {
+  readonly name: string
+  readonly upstreamCount: number
+  readonly upstreamsPerRack: number
+  readonly cpuMillicores: number
+  readonly memoryMiB: number
+  readonly workspaceCount: number
+  readonly kinds: readonly JobKind[]
+}
+
+export const acceleratorsPerUpstream = 8
+
+const sweep: JobKind = {
+  name: 'large',
+  priority: 1,
+  jobsPerSecond: 0.439,
+  worth: 3,
+  lateWorth: 1.5,
+  stretch: 3,
+  targetLatencyMs: 1000,
+  runTime: { meanMs: 8500, spread: 0.3, maxMs: 11_000 },
+  tasks: { mean: 5, max: 24 },
+  cpuMillicores: 13_000,
+  memoryMiB: 37_000,
+  accelerators: [1, 2, 4, 8, 8],
+  isGang: true,
+  oneRackShare: 0.6,
+  checkpointShare: 0.45,
+  secondStepShare: 0,
+  failingShare: 0.05,
+  declaredSpread: 0.2,
+}
+
+const urgent: JobKind = {
+  ...sweep,
+  name: 'urgent',
+  priority: 0,
+  jobsPerSecond: 1.07,
+  worth: 4,
+  lateWorth: 0.8,
+  stretch: 1.5,
+  targetLatencyMs: 250,
+  runTime: { meanMs: 2500, spread: 0.5, maxMs: 8000 },
+  tasks: { mean: 3, max: 18 },
+  cpuMillicores: 3700,
+  memoryMiB: 15_000,
+  oneRackShare: 0.8,
+  checkpointShare: 0,
+  failingShare: 0.005,
+}
+
+const background: JobKind = {
+  ...sweep,
+  name: 'background',
+  priority: 2,
+  jobsPerSecond: 0.517,
+  worth: 1,
+  lateWorth: 0.5,
+  stretch: 3,
+  targetLatencyMs: 3000,
+  runTime: { meanMs: 6100, spread: 0.3, maxMs: 11_000 },
+  tasks: { mean: 16, max: 72 },
+  cpuMillicores: 2800,
+  memoryMiB: 8000,
+  accelerators: [1],
+  isGang: false,
+  oneRackShare: 0,
+  secondStepShare: 0.3,
+  failingShare: 0.02,
+  declaredSpread: 0.9,
+}
+
+export const thapa: Deployment = {
+  name: 'thapa',
+  upstreamCount: 33,
+  upstreamsPerRack: 8,
+  cpuMillicores: 32_000,
+  memoryMiB: 128_000,
+  workspaceCount: 4,
+  kinds: [sweep, urgent, background],
+}
+
+/** Its upstreams have four times the processors, and its jobs need as much more. */
+export const cscfba: Deployment = {
+  name: 'cscfba',
+  upstreamCount: 32,
+  upstreamsPerRack: 6,
+  cpuMillicores: 128_000,
+  memoryMiB: 256_000,
+  workspaceCount: 4,
+  kinds: [
+    {
+      ...sweep,
+      jobsPerSecond: 0.6,
+      lateWorth: 0.3,
+      tasks: { mean: 4, max: 24 },
+      cpuMillicores: 52_000,
+      memoryMiB: 75_000,
+    },
+    { ...urgent, jobsPerSecond: 2.1, cpuMillicores: 15_000, memoryMiB: 31_000 },
+    {
+      ...background,
+      jobsPerSecond: 0.591,
+      lateWorth: 0.1,
+      runTime: { meanMs: 7600, spread: 0.3, maxMs: 11_000 },
+      tasks: { mean: 12, max: 72 },
+      cpuMillicores: 11_000,
+      memoryMiB: 16_000,
+    },
+  ],
+}
+
+/** The same crowd on more upstreams. */
+export function growDeployment(deployment: Deployment, upstreamCount: number): Deployment {
+  const times = upstreamCount / deployment.upstreamCount
+  const kinds = deployment.kinds.map((kind) => ({
+    ...kind,
+    jobsPerSecond: kind.jobsPerSecond * times,
+  }))
+  return { ...deployment, name: `${deployment.name}-${upstreamCount}`, upstreamCount, kinds }
+}
--- /dev/null
+++ b/bench/policy/src/measurePolicy.ts
@@ -0,0 +1,62 @@
+/** What jobs earn on crowded days, and what a round of decisions costs as the deployment grows. */
+import type { Row } from '@nettlespur/bench.placement'
+import { createCrowdedDay } from './crowdedDay.js'
+import { cscfba, growDeployment, thapa, type Deployment } from './deployment.js'
+import { playDay, type DayResult } from './playDay.js'
+
+export interface PolicyMeasureOptions {
+  /** Days of each deployment. */
+  days?: number
+  /** Upstreams of the grown deployments, one day each. */
+  grownUpstreams?: readonly number[]
+}
+
+const defaultDays = 40
+const defaultGrownUpstreams = [30, 245, 690]
+
+export async function measurePolicy(opts: PolicyMeasureOptions = {}): Promise<Row[]> {
+  const { days = defaultDays, grownUpstreams = defaultGrownUpstreams } = opts
+  const earned = [thapa, cscfba].flatMap((deployment) => measureEarnings(deployment, days))
+  const costs = grownUpstreams.flatMap((count) => measureCost(growDeployment(cscfba, count)))
+  return Promise.resolve([...earned, ...costs])
+}
+
+function measureEarnings(deployment: Deployment, days: number): Row[] {
+  const results = playDays(deployment, days)
+  const prefix = `policy.${deployment.name}`
+  const kinds = deployment.kinds.map(({ name }) => {
+    const shares = results.map(({ kinds: earnings }) => earnings.get(name))
+    const earned = shares.reduce((sum, share) => sum + (share?.earned ?? 0), 0)
+    const owed = shares.reduce((sum, share) => sum + (share?.owed ?? 0), 0)
+    return { name: `${prefix}.${name}`, value: earned / owed, unit: 'ratio' }
+  })
+  const worths = results.map(({ worth }) => worth)
+  const wasted = results.map(({ wastedAcceleratorSeconds }) => wastedAcceleratorSeconds)
+  return [
+    { name: `${prefix}.worth`, value: meanOf(worths), unit: 'ratio' },
+    { name: `${prefix}.worst`, value: Math.min(...worths), unit: 'ratio' },
+    ...kinds,
+    { name: `${prefix}.wasted`, value: meanOf(wasted), unit: 'accelerator_s' },
+  ]
+}
+
+function measureCost(deployment: Deployment): Row[] {
+  const { roundsMs } = playDay(createCrowdedDay(deployment, 1), 1)
+  const sorted = [...roundsMs].sort((left, right) => left - right)
+  const prefix = `policy.${deployment.name}.round`
+  return [
+    { name: `${prefix}_mean`, value: meanOf(roundsMs), unit: 'ms' },
+    { name: `${prefix}_p99`, value: sorted[Math.floor(sorted.length * 0.99)] ?? 0, unit: 'ms' },
+  ]
+}
+
+function playDays(deployment: Deployment, days: number): DayResult[] {
+  return Array.from({ length: days }, (_, at) => {
+    const seed = at + 1
+    return playDay(createCrowdedDay(deployment, seed), seed)
+  })
+}
+
+function meanOf(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length
+}
--- a/bench/suite/src/benches.ts
+++ b/bench/suite/src/benches.ts
@@ -26,6 +26,10 @@
     name: 'placement',
     load: async () => (await import('@nettlespur/bench.placement')).measurePlacement,
   },
+  {
+    name: 'policy',
+    load: async () => (await import('@nettlespur/bench.policy')).measurePolicy,
+  },
   {
     name: 'requests',
     load: async () => (await import('@nettlespur/bench.load')).measureRequests,
