perf: let the cost of a round grow with what changes, not with what runs everywhere

Cause: each step of choosing what to stop, and of finding when a gang fits, copied all rooms and chose all places anew; a unit without room looked at every upstream; each applied command had every session look at every run; each heartbeat asked for a round.

Change: FitTracker counts again only the room that changes, over the racks that could take the unit; a cheap look at accelerators goes first; what runs is listed only where something does not fit. A command reviews the runs of its own jobs; a heartbeat asks for a round only where the upstream became usable or ceased to be; a long round is followed by a pause as long as itself. Ended jobs and upstreams that left are looked for once a second, and lives that left are forgotten after ten minutes (before: never). The leader's rounds are a module of their own.

The model test and the scheduler's tests pass.

--- a/batch/scheduler/src/listVictimGroups.ts
+++ b/batch/scheduler/src/listVictimGroups.ts
@@ -1,11 +1,20 @@
 /** Which runs may be stopped for guaranteed work: all but those that are guaranteed themselves. */
-import type { JobRecord } from '@nettlespur/batch.state'
-import { groupKey, type VictimGroup } from './chooseVictims.js'
+import { runKey, type Resources } from '@nettlespur/batch.model'
+import type { JobRecord, Placement } from '@nettlespur/batch.state'
 import type { ActiveRun, SchedulerView } from './schedulerView.js'
 
+/** Runs that can only be stopped together. */
+export interface VictimGroup {
+  readonly runs: Placement[]
+  readonly needs: Resources
+  /** What a stop throws away, urgent work counted more. */
+  costCoreSeconds: number
+}
+
 /** Urgent work that is stopped is late as well: it is stopped only where that saves much other work. */
 const urgentCostTimes = 5
 
+/** The cheapest for the accelerators that come free first. */
 export function listVictimGroups(
   { runs, jobs }: SchedulerView,
   guaranteed: ReadonlySet<string>,
@@ -17,7 +26,7 @@
     if (job === undefined || run.isStopping || guaranteed.has(run.placement.jobId)) continue
     join(groups, run, job)
   }
-  return [...groups.values()]
+  return [...groups.values()].sort((left, right) => priceOf(left) - priceOf(right))
 }
 
 function join(groups: Map<string, VictimGroup>, run: ActiveRun, job: JobRecord): void {
@@ -25,11 +34,19 @@
   const step = job.request.steps[placement.step]
   if (step === undefined) return
   const key = groupKey(placement, step.isGang)
-  const known = groups.get(key)
   const weight = job.queue.priority === 0 ? urgentCostTimes : 1
-  groups.set(key, {
-    runs: [...(known?.runs ?? []), placement],
-    needs: step.needs,
-    costCoreSeconds: (known?.costCoreSeconds ?? 0) + stopCostCoreSeconds * weight,
-  })
+  const group = groups.get(key) ?? { runs: [], needs: step.needs, costCoreSeconds: 0 }
+  group.runs.push(placement)
+  group.costCoreSeconds += stopCostCoreSeconds * weight
+  groups.set(key, group)
+}
+
+/** Names a group: the gang's attempt, or the single run. */
+function groupKey(run: Placement, isGang: boolean): string {
+  return isGang ? `${run.jobId}/${run.step}#${run.attempt}` : runKey(run)
+}
+
+/** Cost for each accelerator that comes free. */
+function priceOf({ runs, needs, costCoreSeconds }: VictimGroup): number {
+  return costCoreSeconds / Math.max(1, runs.length * needs.accelerators)
 }
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -4,9 +4,9 @@
  */
 import type { Placement } from '@nettlespur/batch.state'
 import { choosePlaces } from './choosePlaces.js'
-import { chooseVictims, type VictimGroup } from './chooseVictims.js'
+import { chooseVictims } from './chooseVictims.js'
 import { listGuaranteed } from './listGuaranteed.js'
-import { listVictimGroups } from './listVictimGroups.js'
+import { listVictimGroups, type VictimGroup } from './listVictimGroups.js'
 import { orderUnits, type RankedUnit } from './orderUnits.js'
 import { reserveGang } from './reserveGang.js'
 import { RoomBook } from './roomBook.js'
@@ -30,15 +30,19 @@
   readonly placements: Placement[] = []
   readonly preemptions: Placement[] = []
   readonly #book: RoomBook
-  /** Those that this round starts included. */
-  readonly #runs: ActiveRun[]
-  #groups: readonly VictimGroup[]
+  readonly #started: ActiveRun[] = []
+  readonly #view: SchedulerView
+  readonly #guaranteed: ReadonlySet<string>
+  /** Those that this round starts included, by their expected ends; listed when first needed. */
+  #runs: ActiveRun[] | undefined
+  /** What may be stopped; listed when first needed. */
+  #groups: readonly VictimGroup[] | undefined
   #reservations = 0
 
   constructor(view: SchedulerView, guaranteed: ReadonlySet<string>) {
-    this.#runs = [...view.runs]
+    this.#view = view
+    this.#guaranteed = guaranteed
     this.#book = new RoomBook(view.rooms, view.nowMs)
-    this.#groups = listVictimGroups(view, guaranteed)
   }
 
   decide(unit: RankedUnit): void {
@@ -58,8 +62,9 @@
   #reserve(unit: RankedUnit): void {
     if (this.#reservations >= reservationsMax || unit.hope === 'none') return
     this.#reservations += 1
-    const runs = this.#runs.sort((left, right) => left.expectedEndMs - right.expectedEndMs)
-    reserveGang({ unit, book: this.#book, runs })
+    this.#runs ??= [...this.#view.runs, ...this.#started]
+    this.#runs.sort((left, right) => left.expectedEndMs - right.expectedEndMs)
+    reserveGang({ unit, book: this.#book, runs: this.#runs })
   }
 
   #toRun({ step }: RankedUnit, placement: Placement): ActiveRun {
@@ -76,15 +81,18 @@
     this.#book.take(places, unit.step)
     const placed = placeUnit(unit, places)
     this.placements.push(...placed)
-    for (const placement of placed) this.#runs.push(this.#toRun(unit, placement))
+    const started = placed.map((placement) => this.#toRun(unit, placement))
+    this.#started.push(...started)
+    this.#runs?.push(...started)
   }
 
   /** Keeps what is being freed for the unit, and has more stopped where that is too little; false where nothing would do. */
   #makeRoom(unit: RankedUnit): boolean {
-    const choice = chooseVictims({ unit, book: this.#book, groups: this.#groups })
+    const groups = (this.#groups ??= listVictimGroups(this.#view, this.#guaranteed))
+    const choice = chooseVictims({ unit, book: this.#book, groups })
     if (choice === undefined) return false
     const stopped = new Set(choice.victims)
-    this.#groups = this.#groups.filter((group) => !stopped.has(group))
+    this.#groups = groups.filter((group) => !stopped.has(group))
     for (const { runs, needs } of choice.victims) {
       this.preemptions.push(...runs)
       for (const { upstreamId } of runs) this.#book.giveBackSoon(upstreamId, needs)
--- a/batch/scheduler/src/reserveGang.ts
+++ b/batch/scheduler/src/reserveGang.ts
@@ -3,11 +3,12 @@
  * free. The earliest time is sought at which it fits as runs are expected to end; what ends before that time
  * may still start there.
  */
-import { choosePlaces } from './choosePlaces.js'
-import { RoomBook, type BookedRoom } from './roomBook.js'
+import type { Resources } from '@nettlespur/batch.model'
+import { trackScopes, type FitScope } from './fitTracker.js'
+import { addResources } from './resources.js'
+import type { BookedRoom, RoomBook } from './roomBook.js'
 import type { ActiveRun } from './schedulerView.js'
 import type { StartUnit } from './startUnit.js'
-import { addResources } from './resources.js'
 
 export interface ReserveGangOptions {
   unit: StartUnit
@@ -18,40 +19,40 @@
 
 /** Books the room; nothing where the gang would not fit even without all that runs. */
 export function reserveGang({ unit, book, runs }: ReserveGangOptions): void {
-  const fits = (ended: number): string[] =>
-    choosePlaces(unit, releaseRuns(book, runs, ended), 'soon')
-  if (fits(runs.length).length === 0) return
-  let low = 0
-  let high = runs.length
-  while (low < high) {
-    const middle = (low + high) >> 1
-    if (fits(middle).length > 0) high = middle
-    else low = middle + 1
-  }
-  const places = fits(low)
-  const fromMs = runs[low - 1]?.expectedEndMs ?? book.nowMs
-  const released = releaseRuns(book, runs, low)
-  for (const upstreamId of new Set(places)) {
-    const room = book.find(upstreamId)
-    const then = released.find(upstreamId)
-    if (room === undefined || then === undefined) continue
-    const count = places.filter((place) => place === upstreamId).length
-    room.later.push({ fromMs, left: addResources(then.soon, unit.step.needs, -count) })
+  const scopes = trackScopes(unit, book, leastRoom)
+  let scope = scopes.find(({ fits }) => fits)
+  let fromMs = book.nowMs
+  for (const { placement, needs, isStopping, expectedEndMs } of runs) {
+    if (scope !== undefined) break
+    if (isStopping) continue
+    const changed = scopes.find((one) => one.has(placement.upstreamId))
+    changed?.change([placement], needs, 1)
+    if (changed?.fits === true) scope = changed
+    fromMs = expectedEndMs
   }
+  if (scope !== undefined) keep({ unit, book, scope, fromMs })
 }
 
-/** The rooms as they will be once the first `ended` runs are over. */
-function releaseRuns(book: RoomBook, runs: readonly ActiveRun[], ended: number): RoomBook {
-  const released = new RoomBook(book.rooms.map(snapshotRoom), book.nowMs)
-  for (const { placement, needs, isStopping } of runs.slice(0, ended)) {
-    if (!isStopping) released.giveBackSoon(placement.upstreamId, needs)
+interface KeepOptions {
+  unit: StartUnit
+  book: RoomBook
+  scope: FitScope
+  fromMs: number
+}
+
+function keep({ unit, book, scope, fromMs }: KeepOptions): void {
+  const places = scope.choosePlaces()
+  for (const upstreamId of new Set(places)) {
+    const then = scope.leftOf(upstreamId)
+    if (then === undefined) continue
+    const count = places.filter((place) => place === upstreamId).length
+    book.find(upstreamId)?.later.push({ fromMs, left: addResources(then, unit.step.needs, -count) })
   }
-  return released
 }
 
 /** Room that is kept for others from some time on counts as taken. */
-function snapshotRoom({ room, free, soon, later }: BookedRoom) {
-  const kept = later.reduce(
+function leastRoom({ soon, later }: BookedRoom): Resources {
+  return later.reduce(
     (least, { left }) => ({
       cpuMillicores: Math.min(least.cpuMillicores, left.cpuMillicores),
       memoryMiB: Math.min(least.memoryMiB, left.memoryMiB),
@@ -59,5 +60,4 @@
     }),
     soon,
   )
-  return { ...room, free, soon: kept }
 }
--- a/batch/scheduler/src/roomBook.ts
+++ b/batch/scheduler/src/roomBook.ts
@@ -37,8 +37,8 @@
   }
 
   /** Tasks that end at `endMs` and fit both now and beside what is to start before that. */
-  countFitting(needs: Resources, from: 'free' | 'soon', endMs: number): number {
-    let count = countFitting(this[from], needs)
+  countFitting(needs: Resources, endMs: number): number {
+    let count = countFitting(this.free, needs)
     for (const { fromMs, left } of this.later) {
       if (fromMs < endMs) count = Math.min(count, countFitting(left, needs))
     }
@@ -79,6 +79,24 @@
     if (room !== undefined) room.soon = addResources(room.soon, needs)
   }
 
+  /** Whether this many tasks could start now by their accelerators alone: a cheap look before the exact one. */
+  mayTake({ needs }: StepSpec, taskCount: number): boolean {
+    if (needs.accelerators === 0) return true
+    let missing = taskCount
+    for (const { free } of this.rooms) {
+      if (free.accelerators < needs.accelerators) continue
+      missing -= Math.floor(free.accelerators / needs.accelerators)
+      if (missing <= 0) return true
+    }
+    return false
+  }
+
+  /** How many of the unit's tasks the upstream can take now. */
+  countTasks(unit: StartUnit, room: BookedRoom): number {
+    const fitting = room.countFitting(unit.step.needs, this.endOf(unit.step))
+    return limitTasks(unit, room.upstreamId, fitting)
+  }
+
   /** Rooms in which the unit's tasks may run, those where they failed only if the others could never do. */
   listAllowed({ job, step, avoided, waiting }: StartUnit): BookedRoom[] {
     const allowed = this.rooms.filter(
@@ -86,6 +104,7 @@
         room.pool === job.queue.pool &&
         (step.requiredLabel === undefined || room.labels.includes(step.requiredLabel)),
     )
+    if (avoided.size === 0) return allowed
     const untried = allowed.filter(({ upstreamId }) => !avoided.has(upstreamId))
     const wanted = step.isGang ? waiting.length : 1
     const couldTake = untried.reduce((sum, room) => sum + countWhenEmpty(step, room), 0)
@@ -98,20 +117,15 @@
   return Math.min(countFitting(room.capacity, step.needs), step.tasksPerUpstreamMax ?? Infinity)
 }
 
-export interface CountTasksOptions {
-  unit: StartUnit
-  book: RoomBook
-  room: BookedRoom
-  /** `free` counts what may be used now, `soon` also what is being stopped. */
-  from: 'free' | 'soon'
+/** How many of the unit's tasks fit where this much is left. */
+export function countTasksIn(unit: StartUnit, upstreamId: string, left: Resources): number {
+  return limitTasks(unit, upstreamId, countFitting(left, unit.step.needs))
 }
 
-/** How many of the unit's tasks the upstream can take. */
-export function countTasks({ unit, book, room, from }: CountTasksOptions): number {
-  const { step, record, waiting } = unit
-  const roomFor = room.countFitting(step.needs, from, book.endOf(step))
-  const fitting = Math.min(roomFor, waiting.length)
-  if (step.tasksPerUpstreamMax === undefined) return fitting
-  const there = record.tasks.filter(({ upstreamId }) => upstreamId === room.upstreamId).length
-  return Math.min(fitting, Math.max(0, step.tasksPerUpstreamMax - there))
+/** As many as wait, and no more on one upstream than the step allows. */
+function limitTasks({ step, record, waiting }: StartUnit, upstreamId: string, fitting: number) {
+  const count = Math.min(fitting, waiting.length)
+  if (step.tasksPerUpstreamMax === undefined || count === 0) return count
+  const there = record.tasks.filter((task) => task.upstreamId === upstreamId).length
+  return Math.min(count, Math.max(0, step.tasksPerUpstreamMax - there))
 }
--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -76,7 +76,7 @@
 
   commit(command: Command): CommandOutcome {
     const outcome = this.state.apply(command)
-    this.#leader?.noteChange()
+    this.#leader?.noteChange(command)
     return outcome
   }
 
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -2,39 +2,31 @@
  * The work of one leadership: it talks to the upstreams, decides what starts where, and commits each
  * placement before its start is sent.
  */
-import {
-  runFields,
-  runKey,
-  upstreamDescriptionSchema,
-  type Announcement,
-} from '@nettlespur/batch.model'
-import { planRound } from '@nettlespur/batch.scheduler'
+import { runKey, upstreamDescriptionSchema, type Announcement } from '@nettlespur/batch.model'
 import { SessionHost, type UpstreamPort } from '@nettlespur/batch.sessions'
-import type {
-  BatchState,
-  Command,
-  JobRecord,
-  Placement,
-  RunEnd,
-  UpstreamRecord,
+import {
+  listPlacements,
+  type BatchState,
+  type Command,
+  type JobRecord,
+  type Placement,
+  type RunEnd,
+  type UpstreamRecord,
 } from '@nettlespur/batch.state'
-import { Wake, type Clock } from '@nettlespur/core.clock'
+import type { Clock } from '@nettlespur/core.clock'
 import { unwrap } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import { setMaxListeners } from 'node:events'
 import { isDeepStrictEqual } from 'node:util'
 import type { BatchTimings } from './batchTimings.js'
-import { buildView } from './buildView.js'
 import { JobClock } from './jobClock.js'
-import { listEndedJobs } from './listEndedJobs.js'
+import { listTouchedJobs } from './listTouchedJobs.js'
 import type { Propose } from './proposer.js'
 import { listActiveJobs, reportEnds } from './reportEnds.js'
+import { SchedulingRounds } from './schedulingRounds.js'
 import { UpstreamRoster } from './upstreamRoster.js'
 
-/** Rounds that no event asks for: quarantines end, and jobs lose hope, with time alone. */
-const idleRoundMs = 500
-
 export interface BatchLeaderOptions {
   term: number
   clock: Clock
@@ -53,7 +45,7 @@
   readonly #roster: UpstreamRoster
   readonly #jobClock = new JobClock()
   readonly #preempted = new Set<string>()
-  readonly #wake = new Wake()
+  readonly #rounds: SchedulingRounds
 
   constructor(opts: BatchLeaderOptions) {
     super()
@@ -61,6 +53,17 @@
     this.fence = opts.term
     const { signal } = this.#ending
     this.#roster = new UpstreamRoster({ ...opts, host: this, signal })
+    this.#rounds = new SchedulingRounds({
+      ...opts,
+      roster: this.#roster,
+      jobClock: this.#jobClock,
+      shouldStop: (placement) => this.shouldStop(placement),
+      preempt: (runs) => {
+        this.#preempt(runs)
+      },
+      tryPropose: (command) => this.#tryPropose(command),
+      signal,
+    })
     // Every session waits on it, some of them several times at once.
     setMaxListeners(0, signal)
   }
@@ -78,7 +81,7 @@
     const held = { upstreams: upstreams.size, unsettledJobs: unsettled.size }
     const fields = { term: this.fence, inheritedUpstreams: inherited.length, ...held }
     this.#opts.logger.info({ event: 'leader.started', ...fields })
-    void this.#runRounds()
+    void this.#rounds.run()
   }
 
   stop(): void {
@@ -87,9 +90,13 @@
   }
 
   /** To be called after each applied command. */
-  noteChange(): void {
-    for (const session of this.#roster.sessions) session.review()
-    this.#wake.notify()
+  noteChange(command: Command): void {
+    for (const jobId of listTouchedJobs(command)) {
+      const job = this.findJob(jobId)
+      if (job !== undefined) this.#review(listPlacements(job))
+    }
+    // What a round placed leaves no more room for the next one.
+    if (command.type !== 'place-tasks') this.#rounds.request()
   }
 
   /** Resolves once control has what matters of it. Errors: rejects as proposals do. */
@@ -97,6 +104,7 @@
     const { upstreamId, isDraining } = announcement
     const known = this.#state.upstreams.get(upstreamId)
     if (known?.hasLeft === true) return
+    const wasUsable = this.#isUsable(upstreamId)
     if (!this.#roster.note(announcement)) return
     const description = upstreamDescriptionSchema.parse(announcement)
     if (known === undefined || !isDeepStrictEqual(known.description, description)) {
@@ -107,7 +115,7 @@
       this.#opts.logger.info({ event: 'upstream.draining', upstreamId })
       await this.#propose({ type: 'drain-upstream', upstreamId })
     }
-    this.#wake.notify()
+    if (this.#isUsable(upstreamId) !== wasUsable) this.#rounds.request()
   }
 
   async leave(upstreamId: string): Promise<void> {
@@ -129,7 +137,7 @@
 
   override shouldStop(placement: Placement): boolean {
     const job = this.findJob(placement.jobId)
-    if (job?.status !== 'active' || this.#preempted.has(runKey(placement))) return true
+    if (job?.status !== 'active' || this.#isPreempted(placement)) return true
     const step = job.steps[placement.step]
     return step !== undefined && placement.attempt <= step.endedGangAttempt
   }
@@ -149,10 +157,10 @@
   override abandonGang({ jobId, step, attempt }: Placement): void {
     const job = this.findJob(jobId)
     if (job?.request.steps[step]?.isGang !== true) return
-    job.steps[step]?.tasks.forEach((task, index) => {
-      if (task.attempt === attempt) this.#preempted.add(runKey({ jobId, step, index, attempt }))
-    })
-    this.noteChange()
+    const members = listPlacements(job).filter(
+      (run) => run.step === step && run.attempt === attempt,
+    )
+    this.#preempt(members)
   }
 
   override noteGone(upstreamId: string): void {
@@ -161,6 +169,20 @@
     void this.#tryPropose({ type: 'remove-upstream', upstreamId })
   }
 
+  #isPreempted(placement: Placement): boolean {
+    return this.#preempted.size > 0 && this.#preempted.has(runKey(placement))
+  }
+
+  /** Has the sessions stop those of the runs that are to be stopped. */
+  #review(runs: readonly Placement[]): void {
+    for (const run of runs) this.#roster.find(run.upstreamId)?.review(run)
+  }
+
+  #isUsable(upstreamId: string): boolean {
+    const upstream = this.findUpstream(upstreamId)
+    return upstream !== undefined && this.#roster.isUsable(upstream)
+  }
+
   /** Errors: rejects as proposals do. */
   async #propose(command: Command): Promise<void> {
     await unwrap(this.#opts.propose(command))
@@ -176,64 +198,9 @@
     return outcome.isRight()
   }
 
-  async #runRounds(): Promise<void> {
-    const { signal } = this.#ending
-    const isOver = (): boolean => signal.aborted
-    while (!isOver()) {
-      await this.#wake.wait(this.#opts.clock, idleRoundMs, signal)
-      if (!isOver()) await this.#decide()
-      if (!isOver()) await this.#forgetOldJobs()
-    }
-  }
-
-  async #forgetOldJobs(): Promise<void> {
-    const { clock, timings } = this.#opts
-    const nowMs = clock.monotonicMs()
-    const jobIds = listEndedJobs(this.#state, this.#jobClock, nowMs, timings.keepEndedMs)
-    if (jobIds.length > 0) await this.#tryPropose({ type: 'forget-jobs', jobIds })
-  }
-
-  async #decide(): Promise<void> {
-    const { clock, metrics } = this.#opts
-    const nowMs = clock.monotonicMs()
-    const state = this.#state
-    this.#jobClock.update(state, nowMs)
-    const view = buildView({
-      state,
-      nowMs,
-      acceptedAtMs: this.#jobClock.acceptedAtMs,
-      isUsable: (upstream) => this.#roster.isUsable(upstream),
-      isStopping: (placement) => this.shouldStop(placement),
-      findTrack: (placement) => this.#roster.find(placement.upstreamId)?.findTrack(placement),
-    })
-    const { placements, preemptions } = planRound(view)
-    metrics.recordMs('scheduling_round_ms', clock.monotonicMs() - nowMs)
-    this.#preempt(preemptions)
-    if (placements.length === 0) return
-    if (!(await this.#tryPropose({ type: 'place-tasks', placements }))) {
-      await clock.sleep(idleRoundMs, this.#ending.signal)
-      return
-    }
-    for (const placement of placements) this.#startPlaced(placement)
-  }
-
+  /** Has the runs stopped, and their gangs with them. */
   #preempt(runs: readonly Placement[]): void {
-    for (const run of runs) {
-      this.#preempted.add(runKey(run))
-      const { upstreamId } = run
-      const reason = 'more urgent work waits for its room'
-      this.#opts.logger.info({ event: 'run.preempted', ...runFields(run), upstreamId, reason })
-    }
-    if (runs.length > 0) this.noteChange()
-  }
-
-  /** The state may have refused a placement whose job ended meanwhile. */
-  #startPlaced(placement: Placement): void {
-    const { jobId, upstreamId } = placement
-    if (!this.listPlacements(upstreamId).has(runKey(placement))) return
-    const waitedMs = Math.round(this.#jobClock.waitedMs(jobId, this.#opts.clock.monotonicMs()))
-    const fields = { ...runFields(placement), upstreamId, waitedMs }
-    this.#opts.logger.info({ event: 'placement.decided', ...fields })
-    this.#roster.open(upstreamId)?.start(placement)
+    for (const run of runs) this.#preempted.add(runKey(run))
+    this.#review(runs)
   }
 }
--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -65,7 +65,7 @@
       logger: opts.logger,
       metrics: opts.metrics,
     })
-    machine.applied.subscribe(() => this.#leader?.noteChange())
+    machine.applied.subscribe((command) => this.#leader?.noteChange(command))
     raft.standing.subscribe((standing) => {
       this.#follow(standing)
     })
--- a/batch/service/src/buildView.ts
+++ b/batch/service/src/buildView.ts
@@ -30,6 +30,7 @@
 
 export function buildView(opts: BuildViewOptions): SchedulerView {
   const { state, nowMs, acceptedAtMs } = opts
+  let runs: readonly ActiveRun[] | undefined
   const usable = [...state.upstreams.values()].filter((upstream) => opts.isUsable(upstream))
   const workspaces = state.config?.workspaces ?? []
   return {
@@ -37,7 +38,10 @@
     jobs: [...state.unsettled.values()],
     acceptedAtMs,
     rooms: usable.map((upstream) => buildRoom(opts, upstream)),
-    runs: usable.flatMap(({ description }) => listRuns(opts, description.upstreamId)),
+    // Only rounds in which something does not fit look at what runs.
+    get runs() {
+      return (runs ??= usable.flatMap(({ description }) => listRuns(opts, description.upstreamId)))
+    },
     guarantees: new Map(
       workspaces.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]),
     ),
@@ -58,20 +62,26 @@
 }
 
 function listRuns(opts: BuildViewOptions, upstreamId: string): ActiveRun[] {
-  return [...opts.state.placements.on(upstreamId).values()].map((placement) => ({
-    placement,
-    needs: findStep(opts.state, placement)?.needs ?? noResources,
-    expectedEndMs: estimateEndMs(opts, placement),
-    isStopping: opts.isStopping(placement),
-    stopCostCoreSeconds: measureStopCost(opts, placement),
-  }))
+  return [...opts.state.placements.on(upstreamId).values()].map((placement) => {
+    const step = findStep(opts.state, placement)
+    const track = opts.findTrack(placement)
+    return {
+      placement,
+      needs: step?.needs ?? noResources,
+      expectedEndMs: estimateEndMs(opts.nowMs, step, track),
+      isStopping: opts.isStopping(placement),
+      stopCostCoreSeconds: measureStopCost(opts.nowMs, step, track),
+    }
+  })
 }
 
 /** By its progress once that says something, else by its declared run time. */
-function estimateEndMs(opts: BuildViewOptions, placement: Placement): number {
-  const { nowMs } = opts
-  const track = opts.findTrack(placement)
-  const declaredMs = findStep(opts.state, placement)?.expectedRunTimeMs ?? 0
+function estimateEndMs(
+  nowMs: number,
+  step: StepSpec | undefined,
+  track: RunTrack | undefined,
+): number {
+  const declaredMs = step?.expectedRunTimeMs ?? 0
   if (track === undefined) return nowMs + declaredMs
   const { startedAtMs, progressPercent } = track
   const declaredEndMs = Math.max(nowMs, startedAtMs + declaredMs)
@@ -80,11 +90,13 @@
   return nowMs + (elapsedMs * (wholePercent - progressPercent)) / progressPercent
 }
 
-function measureStopCost(opts: BuildViewOptions, placement: Placement): number {
-  const step = findStep(opts.state, placement)
+function measureStopCost(
+  nowMs: number,
+  step: StepSpec | undefined,
+  track: RunTrack | undefined,
+): number {
   if (step === undefined) return 0
-  const startedAtMs = opts.findTrack(placement)?.startedAtMs ?? opts.nowMs
-  const runSeconds = (opts.nowMs - startedAtMs) / milliseconds
+  const runSeconds = (nowMs - (track?.startedAtMs ?? nowMs)) / milliseconds
   const lostSeconds = step.checkpoints ? Math.min(restartSeconds, runSeconds) : runSeconds
   const { cpuMillicores, accelerators } = step.needs
   return lostSeconds * (cpuMillicores / milliseconds + accelerators * coresPerAccelerator)
--- a/batch/service/src/jobClock.ts
+++ b/batch/service/src/jobClock.ts
@@ -1,25 +1,23 @@
-/** When this leader first saw each job, and first saw it ended. */
+/** When this leader first saw each job. */
 import type { BatchState } from '@nettlespur/batch.state'
 
 export class JobClock {
   readonly acceptedAtMs = new Map<string, number>()
-  readonly endedAtMs = new Map<string, number>()
 
   update({ unsettled, jobs }: BatchState, nowMs: number): void {
     for (const jobId of unsettled.keys()) {
       if (!this.acceptedAtMs.has(jobId)) this.acceptedAtMs.set(jobId, nowMs)
     }
-    for (const jobId of jobs.keys()) {
-      if (!unsettled.has(jobId) && !this.endedAtMs.has(jobId)) this.endedAtMs.set(jobId, nowMs)
-    }
+    if (this.acceptedAtMs.size > jobs.size) this.#keepOnly(jobs)
   }
 
   waitedMs(jobId: string, nowMs: number): number {
     return nowMs - (this.acceptedAtMs.get(jobId) ?? nowMs)
   }
 
-  forget(jobId: string): void {
-    this.acceptedAtMs.delete(jobId)
-    this.endedAtMs.delete(jobId)
+  #keepOnly(jobs: ReadonlyMap<string, unknown>): void {
+    for (const jobId of this.acceptedAtMs.keys()) {
+      if (!jobs.has(jobId)) this.acceptedAtMs.delete(jobId)
+    }
   }
 }
--- /dev/null
+++ b/batch/service/src/schedulingRounds.ts
@@ -0,0 +1,115 @@
+/**
+ * Decides again and again while a leader leads: whenever something has changed, what starts where and what
+ * makes room for others. Each placement is committed before its start is sent.
+ */
+import { runFields, runKey } from '@nettlespur/batch.model'
+import { planRound, type RoundDecision } from '@nettlespur/batch.scheduler'
+import type { BatchState, Command, Placement } from '@nettlespur/batch.state'
+import { Wake, type Clock } from '@nettlespur/core.clock'
+import type { Logger } from '@nettlespur/core.logger'
+import type { MetricsRegistry } from '@nettlespur/core.metrics'
+import type { BatchTimings } from './batchTimings.js'
+import { buildView } from './buildView.js'
+import { Housekeeper } from './housekeeper.js'
+import type { JobClock } from './jobClock.js'
+import type { UpstreamRoster } from './upstreamRoster.js'
+
+/** Rounds that no event asks for: quarantines end, and jobs lose hope, with time alone. */
+const idleRoundMs = 500
+/** A round that took longer is followed by a pause as long as it took: half of the time is left for calls. */
+const shortRoundMs = 2
+
+export interface SchedulingRoundsOptions {
+  clock: Clock
+  logger: Logger
+  metrics: MetricsRegistry
+  timings: BatchTimings
+  roster: UpstreamRoster
+  jobClock: JobClock
+  getState: () => BatchState
+  shouldStop: (placement: Placement) => boolean
+  preempt: (runs: readonly Placement[]) => void
+  /** False where the command was not committed or that is not known. */
+  tryPropose: (command: Command) => Promise<boolean>
+  /** Ends the rounds. */
+  signal: AbortSignal
+}
+
+export class SchedulingRounds {
+  readonly #opts: SchedulingRoundsOptions
+  readonly #housekeeper: Housekeeper
+  readonly #wake = new Wake()
+
+  constructor(opts: SchedulingRoundsOptions) {
+    this.#opts = opts
+    this.#housekeeper = new Housekeeper({ ...opts, keepEndedMs: opts.timings.keepEndedMs })
+  }
+
+  /** Asks for a round: something has changed that may let work start. */
+  request(): void {
+    this.#wake.notify()
+  }
+
+  async run(): Promise<void> {
+    const { clock, signal } = this.#opts
+    const isOver = (): boolean => signal.aborted
+    while (!isOver()) {
+      await this.#wake.wait(clock, idleRoundMs, signal)
+      if (!isOver()) await this.#decide()
+      if (!isOver()) await this.#housekeeper.look()
+    }
+  }
+
+  async #decide(): Promise<void> {
+    const { clock, metrics, preempt, signal } = this.#opts
+    const nowMs = clock.monotonicMs()
+    const { placements, preemptions } = this.#plan(nowMs)
+    const tookMs = clock.monotonicMs() - nowMs
+    metrics.recordMs('scheduling_round_ms', tookMs)
+    for (const run of preemptions) this.#log('run.preempted', run, { reason: preemptedReason })
+    preempt(preemptions)
+    if (placements.length > 0) await this.#place(placements)
+    if (tookMs > shortRoundMs) await clock.sleep(tookMs, signal)
+  }
+
+  #plan(nowMs: number): RoundDecision {
+    const { getState, roster, jobClock, shouldStop } = this.#opts
+    const state = getState()
+    jobClock.update(state, nowMs)
+    const view = buildView({
+      state,
+      nowMs,
+      acceptedAtMs: jobClock.acceptedAtMs,
+      isUsable: (upstream) => roster.isUsable(upstream),
+      isStopping: shouldStop,
+      findTrack: (placement) => roster.find(placement.upstreamId)?.findTrack(placement),
+    })
+    return planRound(view)
+  }
+
+  async #place(placements: Placement[]): Promise<void> {
+    const { clock, tryPropose, signal } = this.#opts
+    if (await tryPropose({ type: 'place-tasks', placements })) {
+      for (const placement of placements) this.#startPlaced(placement)
+    } else {
+      await clock.sleep(idleRoundMs, signal)
+    }
+  }
+
+  /** The state may have refused a placement whose job ended meanwhile. */
+  #startPlaced(placement: Placement): void {
+    const { clock, getState, jobClock, roster } = this.#opts
+    const { jobId, upstreamId } = placement
+    if (!getState().placements.on(upstreamId).has(runKey(placement))) return
+    const waitedMs = Math.round(jobClock.waitedMs(jobId, clock.monotonicMs()))
+    this.#log('placement.decided', placement, { waitedMs })
+    roster.open(upstreamId)?.start(placement)
+  }
+
+  #log(event: string, run: Placement, fields: Readonly<Record<string, string | number>>): void {
+    const { upstreamId } = run
+    this.#opts.logger.info({ event, ...runFields(run), upstreamId, ...fields })
+  }
+}
+
+const preemptedReason = 'more urgent work waits for its room'
--- /dev/null
+++ b/batch/service/test/housekeeper.test.ts
@@ -0,0 +1,59 @@
+/** What is forgotten, and when, on a manual clock. */
+import { createConfig, createJob, createUpstream } from '@nettlespur/batch.samples'
+import { BatchState, type Command } from '@nettlespur/batch.state'
+import { ManualClock } from '@nettlespur/core.clock'
+import test from 'ava'
+import { Housekeeper } from '../src/housekeeper.js'
+
+const keepEndedMs = 60_000
+/** Longer than the life of an upstream that left is kept. */
+const leftMs = 601_000
+
+function startHousekeeper() {
+  const clock = new ManualClock()
+  const state = new BatchState()
+  state.apply({ type: 'apply-config', config: createConfig(1) })
+  const tryPropose = (command: Command): Promise<boolean> => {
+    state.apply(command)
+    return Promise.resolve(true)
+  }
+  const housekeeper = new Housekeeper({ clock, keepEndedMs, getState: () => state, tryPropose })
+  const lookAfter = async (durationMs: number): Promise<void> => {
+    await clock.advance(durationMs)
+    await housekeeper.look()
+  }
+  return { state, lookAfter }
+}
+
+function submit(state: BatchState, jobId: string): void {
+  const request = createJob(jobId, {})
+  state.apply({ type: 'submit-job', request, workspace: 'w1', queueName: 'queue1' })
+}
+
+test('a job that ended is forgotten once nobody asks for it any more, and an open one is kept', async (t) => {
+  const { state, lookAfter } = startHousekeeper()
+  submit(state, 'ended')
+  submit(state, 'open')
+  state.apply({ type: 'cancel-job', jobId: 'ended' })
+  await lookAfter(0)
+  await lookAfter(keepEndedMs - 1)
+  t.true(state.jobs.has('ended'))
+  await lookAfter(1000)
+  t.deepEqual([...state.jobs.keys()], ['open'])
+})
+
+test('an upstream that left is forgotten late, and not while it holds a run', async (t) => {
+  const { state, lookAfter } = startHousekeeper()
+  for (const upstreamId of ['left', 'busy', 'here']) {
+    state.apply({ type: 'note-upstream', description: createUpstream(upstreamId) })
+  }
+  submit(state, 'j')
+  const placement = { jobId: 'j', step: 0, index: 0, attempt: 1, upstreamId: 'busy' }
+  state.apply({ type: 'place-tasks', placements: [placement] })
+  for (const upstreamId of ['left', 'busy']) state.apply({ type: 'remove-upstream', upstreamId })
+  await lookAfter(0)
+  await lookAfter(leftMs / 2)
+  t.is(state.upstreams.size, 3)
+  await lookAfter(leftMs / 2)
+  t.deepEqual([...state.upstreams.keys()], ['busy', 'here'])
+})
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -69,13 +69,15 @@
     void this.#orders.start(placement).then((result) => this.#noteStart(track, result))
   }
 
-  /** Stops what is to be stopped. To be called after each change of the state. */
-  review(): void {
-    for (const placement of this.#placements().values()) {
-      const track = this.#tracks.find(placement)
-      const isDue = track?.isStopping === false && this.#opts.host.shouldStop(placement)
-      if (isDue) void this.#stopUntilAnswered(track)
-    }
+  /** Stops the run if it is to be stopped. To be called when that may have changed. */
+  review(placement: Placement): void {
+    const track = this.#tracks.find(placement)
+    const isDue = track?.isStopping === false && this.#opts.host.shouldStop(placement)
+    if (isDue) void this.#stopUntilAnswered(track)
+  }
+
+  #reviewAll(): void {
+    for (const placement of this.#placements().values()) this.review(placement)
   }
 
   #placements(): ReadonlyMap<string, Placement> {
@@ -167,7 +169,7 @@
     this.#shown = Math.max(this.#shown, ...finished.map(({ number }) => number))
     if (await this.#commit(ends)) this.#cursor = this.#shown
     else await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
-    this.review()
+    this.#reviewAll()
   }
 
   async #commit(ends: readonly RunEnd[]): Promise<boolean> {
@@ -186,7 +188,7 @@
     if (result.type === 'gone') return this.#end('another life of it answers')
     if (result.type === 'started' || reason === 'superseded') {
       track.phase = 'settled'
-      this.review()
+      this.review(placement)
       return
     }
     if (result.type === 'in-doubt') {
