perf: spend less of the leader's processor on talking to its followers

By profile of a leader of five members on loopback (86 upstreams, 3 jobs a second): a fifth went into compressing messages to members, a tenth into a request to each follower for each single commit, and each body read made an error, with its stack, that was thrown away. Ruled out: the scheduling round (0.4 ms after the change before).

A job's end is reported once where ends of its runs are committed side by side (was: two lines and counts).

--- a/batch/service/src/jobClock.ts
+++ b/batch/service/src/jobClock.ts
@@ -1,8 +1,9 @@
-/** When this leader first saw each job. */
+/** When this leader first saw each job, and whether its end was reported. */
 import type { BatchState } from '@nettlespur/batch.state'
 
 export class JobClock {
   readonly acceptedAtMs = new Map<string, number>()
+  readonly #ended = new Set<string>()
 
   update({ unsettled, jobs }: BatchState, nowMs: number): void {
     for (const jobId of unsettled.keys()) {
@@ -15,9 +16,18 @@
     return nowMs - (this.acceptedAtMs.get(jobId) ?? nowMs)
   }
 
+  /** True the first time: ends of its runs may be committed side by side. */
+  noteEnded(jobId: string): boolean {
+    const isNew = !this.#ended.has(jobId)
+    this.#ended.add(jobId)
+    return isNew
+  }
+
   #keepOnly(jobs: ReadonlyMap<string, unknown>): void {
     for (const jobId of this.acceptedAtMs.keys()) {
-      if (!jobs.has(jobId)) this.acceptedAtMs.delete(jobId)
+      if (jobs.has(jobId)) continue
+      this.acceptedAtMs.delete(jobId)
+      this.#ended.delete(jobId)
     }
   }
 }
--- a/batch/service/src/leaderFinder.ts
+++ b/batch/service/src/leaderFinder.ts
@@ -17,6 +17,8 @@
   seeds: readonly string[]
   /** Of one call to one member. */
   callTimeoutMs: number
+  /** As for any client of a peer. */
+  compresses?: boolean | undefined
 }
 
 export class LeaderFinder {
@@ -89,8 +91,8 @@
   client(address: string): RpcClient<BatchRouter> {
     const known = this.#clients.get(address)
     if (known !== undefined) return known
-    const { clock, peerKey, callTimeoutMs: timeoutMs } = this.#opts
-    const client = createRpcClient<BatchRouter>({ clock, address, peerKey, timeoutMs })
+    const { callTimeoutMs: timeoutMs } = this.#opts
+    const client = createRpcClient<BatchRouter>({ ...this.#opts, address, timeoutMs })
     this.#clients.set(address, client)
     return client
   }
--- a/batch/service/src/reportEnds.ts
+++ b/batch/service/src/reportEnds.ts
@@ -39,8 +39,8 @@
     metrics.count(`runs_${outcome}_total`)
   }
   for (const { status, request, queue } of jobs) {
-    if (status === 'active') continue
     const { jobId } = request
+    if (status === 'active' || !jobClock.noteEnded(jobId)) continue
     const tookMs = Math.round(jobClock.waitedMs(jobId, nowMs))
     logger.info({ event: 'job.ended', jobId, queue: queue.name, status, tookMs })
     metrics.count(`jobs_${status}_total`)
--- a/consensus/raft/src/peerReplicator.ts
+++ b/consensus/raft/src/peerReplicator.ts
@@ -31,6 +31,8 @@
   readonly #snapshots: SnapshotSender<R>
   readonly #wake = new Wake()
   readonly #stopping = new AbortController()
+  /** When the last request was sent. */
+  #sentMs = -Infinity
 
   constructor(opts: PeerReplicatorOptions<R>) {
     this.#opts = opts
@@ -53,12 +55,19 @@
     const { heartbeatMs } = opts.timings
     const { signal } = this.#stopping
     while (!signal.aborted) {
+      await this.#keepGap()
       const answered = await this.#tryExchange()
       if (!answered) await clock.sleep(heartbeatMs * this.#pickRetryShare(), signal)
       else if (!this.#hasMore()) await this.#wake.wait(clock, heartbeatMs, signal)
     }
   }
 
+  async #keepGap(): Promise<void> {
+    const { clock, opts } = this.#opts.replica
+    const leftMs = this.#sentMs + (opts.timings.requestGapMs ?? 0) - clock.monotonicMs()
+    if (leftMs > 0) await clock.sleep(leftMs, this.#stopping.signal)
+  }
+
   #pickRetryShare(): number {
     return shortestRetryShare + this.#opts.replica.random() * (1 - shortestRetryShare)
   }
@@ -115,7 +124,8 @@
 
   #startRequest(): Sent {
     const { replica, countRequest } = this.#opts
-    return { sequence: countRequest(), sentMs: replica.clock.monotonicMs() }
+    this.#sentMs = replica.clock.monotonicMs()
+    return { sequence: countRequest(), sentMs: this.#sentMs }
   }
 
   /** False for an answer that is not of this leadership. */
--- a/consensus/raft/src/raftOptions.ts
+++ b/consensus/raft/src/raftOptions.ts
@@ -12,6 +12,8 @@
   readonly electionTimeoutMs: number
   /** A voter silent for this long is replaced where a learner stands ready. */
   readonly replaceVoterAfterMs: number
+  /** The shortest time between two requests to one peer: what comes meanwhile goes together. Default: 0. */
+  readonly requestGapMs?: number
 }
 
 export interface RaftLimits {
--- a/control/log/src/rpcTransport.ts
+++ b/control/log/src/rpcTransport.ts
@@ -25,6 +25,8 @@
   /** Deadline of each call; well below the election timeout. */
   timeoutMs: number
   ca?: Buffer | undefined
+  /** As for any client of a peer. */
+  compresses?: boolean | undefined
 }
 
 type Caller = RpcClient<RaftRouter>['call']['raft']
--- a/net/server/src/httpRequest.ts
+++ b/net/server/src/httpRequest.ts
@@ -56,17 +56,14 @@
   }
 
   async #collect(): Promise<Either<NettlespurError, Buffer>> {
-    const tooLarge = new NettlespurError(
-      'body-too-large',
-      `the body is larger than ${this.#bodyBytesMax} bytes`,
-    )
-    if (Number(this.header('content-length') ?? 0) > this.#bodyBytesMax) return Left(tooLarge)
+    const declaredBytes = Number(this.header('content-length') ?? 0)
+    if (declaredBytes > this.#bodyBytesMax) return Left(this.#createTooLargeError())
     const chunks: Buffer[] = []
     let size = 0
     try {
       for await (const chunk of this.raw as AsyncIterable<Buffer>) {
         size += chunk.length
-        if (size > this.#bodyBytesMax) return Left(tooLarge)
+        if (size > this.#bodyBytesMax) return Left(this.#createTooLargeError())
         chunks.push(chunk)
       }
     } catch (cause) {
@@ -74,6 +71,11 @@
     }
     return Right(Buffer.concat(chunks))
   }
+
+  #createTooLargeError(): NettlespurError {
+    const message = `the body is larger than ${this.#bodyBytesMax} bytes`
+    return new NettlespurError('body-too-large', message)
+  }
 }
 
 /** Errors: `malformed-json`. */
--- a/rpc/peer/src/createRpcClient.ts
+++ b/rpc/peer/src/createRpcClient.ts
@@ -27,6 +27,8 @@
   /** Deadline of each call, in milliseconds. */
   timeoutMs: number
   ca?: Buffer | undefined
+  /** Without it a call takes a third less processor time, but at rest 30 times the bytes. Default: true. */
+  compresses?: boolean | undefined
 }
 
 export interface RpcClient<R extends AnyTRPCRouter> {
@@ -97,8 +99,7 @@
 
   #connect(): PeerConnection {
     if (this.#connection === undefined || this.#connection.isClosed) {
-      const { address, peerKey, ca } = this.#opts
-      this.#connection = new PeerConnection({ address, peerKey, ca })
+      this.#connection = new PeerConnection(this.#opts)
     }
     return this.#connection
   }
--- a/rpc/peer/src/peerConnection.ts
+++ b/rpc/peer/src/peerConnection.ts
@@ -16,6 +16,8 @@
   peerKey: string
   /** Authority that signed the peer's certificate: set, it makes the connection use TLS. */
   ca?: Buffer | undefined
+  /** Without it a call takes a third less processor time, but at rest 30 times the bytes. Default: true. */
+  compresses?: boolean | undefined
 }
 
 export class PeerConnection {
@@ -93,7 +95,7 @@
     constructor(url: string) {
       super(url, {
         headers: { authorization: formatBearerKey(opts.peerKey) },
-        perMessageDeflate: compression,
+        perMessageDeflate: opts.compresses === false ? false : compression,
         maxPayload: messageBytesMax,
         ...(opts.ca === undefined ? {} : { ca: opts.ca }),
       })
