fix: keep a leader with a slow disk in the group when its followers commit first

Cause: followers may commit entries that the leader itself has not synced yet.

And a leader that was replaced forgot such entries although it had applied them; the next leader's request counted them as held, and the following append found a gap.

Both have a test that fails without the change (the leader applied 2 of 6 and was out).

--- a/consensus/raft/src/applyLoop.ts
+++ b/consensus/raft/src/applyLoop.ts
@@ -88,6 +88,8 @@
   async #takeSnapshot(): Promise<void> {
     const { opts, appliedIndex, memberships, limits, log } = this.#replica
     const index = appliedIndex.value
+    // Followers commit what a leader whose disk is slow has not written yet: its snapshot waits for later entries.
+    if (index > log.writtenIndex) return
     const data = opts.machine.takeSnapshot()
     const membership: SnapshotMembership = {
       membership: memberships.at(index),
--- a/consensus/raft/src/entryLog.ts
+++ b/consensus/raft/src/entryLog.ts
@@ -55,9 +55,9 @@
     this.#trim()
   }
 
-  /** Forgets pushed entries that were never written. */
-  discardUnwritten(): void {
-    this.#cutAfter(this.#writtenIndex)
+  /** Forgets pushed entries that were never written, but for those up to `keptIndex`. */
+  discardUnwritten(keptIndex: number): void {
+    this.#cutAfter(Math.max(this.#writtenIndex, keptIndex))
   }
 
   /** Errors: rejects as the store does. */
--- a/consensus/raft/src/replica.ts
+++ b/consensus/raft/src/replica.ts
@@ -97,8 +97,8 @@
   exclusive<T>(task: () => Promise<T>): Promise<T> {
     return this.#queue.run(async () => {
       if (this.fault !== undefined) throw this.fault
-      if (this.role !== 'leader') this.#discardUnwritten()
       try {
+        if (this.role !== 'leader') await this.#settleUnwritten()
         return await task()
       } catch (thrown) {
         this.#noteFailure(toNettlespurError(thrown))
@@ -110,7 +110,7 @@
   /** Within `exclusive`: takes a higher term, and with it gives its vote where one is named. */
   async adoptTerm(term: number, votedFor?: string): Promise<void> {
     this.becomeFollower(undefined)
-    this.#discardUnwritten()
+    await this.#settleUnwritten()
     await this.opts.store.saveHardState({ term, votedFor })
     this.becomeFollower(undefined)
   }
@@ -146,10 +146,15 @@
     if (index > this.commitIndex.value) this.commitIndex.next(index)
   }
 
-  /** What a former leadership sent out before it was written here. */
-  #discardUnwritten(): void {
-    this.log.discardUnwritten()
-    this.memberships.truncateFrom(this.log.writtenIndex + 1)
+  /**
+   * What a former leadership sent out before it was written here. The followers may have committed it without
+   * this disk: that part is written now, as new leaders take it for held here; the rest is forgotten.
+   */
+  async #settleUnwritten(): Promise<void> {
+    const { log, limits, commitIndex } = this
+    log.discardUnwritten(commitIndex.value)
+    while (log.writtenIndex < log.lastIndex) await log.flush(limits.batchBytes)
+    this.memberships.truncateFrom(log.writtenIndex + 1)
   }
 
   #noteFailure(error: NettlespurError): void {
--- /dev/null
+++ b/consensus/raft/test/slowDisk.test.ts
@@ -0,0 +1,51 @@
+/** A leader whose own disk is far behind those of its followers: they commit what it has not written. */
+import test, { type ExecutionContext } from 'ava'
+import { TestCluster } from '../__utils__/index.js'
+
+const proposals = 6
+const limits = { snapshotEveryEntries: 4, keepEntries: 2 }
+
+/** A leader whose syncs take half a second, and that has just been given some proposals. */
+async function startSlowLeader(t: ExecutionContext) {
+  const cluster = await TestCluster.start({ seed: 1, voters: 3, limits })
+  t.teardown(() => cluster.close())
+  await cluster.clock.advance(10_000)
+  const leaderId = cluster.leader?.describe().leaderId ?? ''
+  const node = cluster.running.get(leaderId)
+  if (node === undefined) throw new Error('nobody leads')
+  node.store.slowShare = 1
+  for (let made = 0; made < proposals; made++) {
+    void cluster.propose(leaderId)
+    await cluster.clock.advance(20)
+  }
+  return { cluster, leaderId, node }
+}
+
+test('a snapshot waits until the leader has written what it covers', async (t) => {
+  const { cluster, leaderId, node } = await startSlowLeader(t)
+  await cluster.clock.advance(100)
+  t.is(node.machine.applied.length, proposals)
+  t.is(node.store.snapshotMeta.index, 0)
+  node.store.slowShare = 0
+  await cluster.clock.advance(10_000)
+  void cluster.propose(leaderId)
+  await cluster.clock.advance(5000)
+  t.is(node.machine.applied.length, proposals + 1)
+  t.true(node.store.snapshotMeta.index > 0)
+  t.deepEqual(cluster.listFaults(), [])
+})
+
+test('a leader that is replaced writes what the followers committed without its disk', async (t) => {
+  const { cluster, leaderId, node } = await startSlowLeader(t)
+  await cluster.clock.advance(100)
+  t.is(node.machine.applied.length, proposals)
+  cluster.links.partition([leaderId])
+  await cluster.clock.advance(6000)
+  cluster.links.partition([])
+  const next = cluster.leader?.describe().leaderId ?? ''
+  t.not(next, leaderId)
+  void cluster.propose(next)
+  await cluster.clock.advance(20_000)
+  t.is(node.machine.applied.length, proposals + 1)
+  t.deepEqual(cluster.listFaults(), [])
+})
