feat: say in the log why the group's membership changes

Change: each change of the membership carries its reason: a disk that was lost, a silent voter, learners that became voters, an operator's call. No other behaviour changes.

--- a/consensus/raft/src/leader.ts
+++ b/consensus/raft/src/leader.ts
@@ -72,11 +72,13 @@
     return entry
   }
 
-  pushMembership(membership: Membership): number {
+  /** The reason goes into the log. */
+  pushMembership(membership: Membership, reason: string): number {
     const { index } = this.push(encodeMembership(membership))
     const { voters, outgoing } = membership
     const { logger } = this.replica.opts
-    logger.info({ event: 'raft.membership', index, voters: voters.join(), joint: outgoing?.join() })
+    const joint = outgoing?.join()
+    logger.info({ event: 'raft.membership', index, voters: voters.join(), joint, reason })
     return index
   }
 
@@ -117,7 +119,7 @@
       return diskId === undefined ? member : { ...member, diskId }
     })
     const learned = members.some(({ diskId }, at) => diskId !== membership.members[at]?.diskId)
-    if (learned) this.pushMembership({ ...membership, members })
+    if (learned) this.pushMembership({ ...membership, members }, 'disks became known')
   }
 
   #matchPeersToMembers(): void {
--- a/consensus/raft/src/membershipKeeper.ts
+++ b/consensus/raft/src/membershipKeeper.ts
@@ -41,7 +41,8 @@
     if (membership.members.some(({ peerAddress }) => peerAddress === member.peerAddress)) {
       throw refuseChange(`a member has the address ${member.peerAddress} already`)
     }
-    await this.#change({ ...membership, members: [...membership.members, member] })
+    const members = [...membership.members, member]
+    await this.#change({ ...membership, members }, `${member.memberId} was added`)
   }
 
   /** Removes a member, and where it was a voter puts a ready learner in its place. Errors: as `add`, `unknown-member`. */
@@ -57,15 +58,16 @@
       (member) => !voters.includes(member.memberId) && this.#getFacts(member.memberId).ready,
     )
     const replaces = standby !== undefined && voters.length < membership.voters.length
-    await this.#change({ members, voters: replaces ? [...voters, standby.memberId] : voters })
+    const next = { members, voters: replaces ? [...voters, standby.memberId] : voters }
+    await this.#change(next, `${memberId} was removed`)
   }
 
-  async #change(next: Membership): Promise<void> {
+  async #change(next: Membership, reason: string): Promise<void> {
     if (!this.#isSettled()) throw refuseChange('another change is under way', 500)
     if (!this.#answersAsQuorum(next)) {
       throw refuseChange('the voters left would be no quorum, as too few of them answer', 500)
     }
-    this.#start(next)
+    this.#start(next, reason)
     const { replica, ended: signal } = this.#leader
     const timeoutMs = replica.opts.timings.electionTimeoutMs * 2
     const isDone = (): boolean => this.#isSettled()
@@ -81,31 +83,30 @@
     return committed && memberships.latest.outgoing === undefined
   }
 
-  #start(next: Membership): void {
+  #start(next: Membership, reason: string): void {
     const { membership } = this.#leader.replica
     const same =
       next.voters.length === membership.voters.length &&
       next.voters.every((voter) => membership.voters.includes(voter))
     if (same) {
-      this.#leader.pushMembership(next)
+      this.#leader.pushMembership(next, reason)
       return
     }
     const kept = new Set(next.members.map(({ memberId }) => memberId))
     const removed = membership.members.filter(({ memberId }) => !kept.has(memberId))
-    this.#leader.pushMembership({
+    const joint = {
       members: [...next.members, ...removed],
       voters: next.voters,
       outgoing: membership.voters,
       removing: removed.map(({ memberId }) => memberId),
-    })
+    }
+    this.#leader.pushMembership(joint, reason)
   }
 
   #finish(): void {
     const { members, voters, removing = [] } = this.#leader.replica.membership
-    this.#leader.pushMembership({
-      members: members.filter(({ memberId }) => !removing.includes(memberId)),
-      voters,
-    })
+    const left = members.filter(({ memberId }) => !removing.includes(memberId))
+    this.#leader.pushMembership({ members: left, voters }, 'the change of voters is done')
   }
 
   #step(): void {
@@ -120,7 +121,9 @@
       getFacts: (memberId) => this.#getFacts(memberId),
       replaceVoterAfterMs: replica.opts.timings.replaceVoterAfterMs,
     })
-    if (next !== undefined && this.#answersAsQuorum(next)) this.#start(next)
+    if (next !== undefined && this.#answersAsQuorum(next.membership)) {
+      this.#start(next.membership, next.reason)
+    }
   }
 
   /** A change that cannot be committed would block every later one. */
--- a/consensus/raft/src/pickMembershipChange.ts
+++ b/consensus/raft/src/pickMembershipChange.ts
@@ -20,8 +20,16 @@
   replaceVoterAfterMs: number
 }
 
-/** Errors: gives undefined where nothing is to be done. */
-export function pickMembershipChange(opts: PickMembershipChangeOptions): Membership | undefined {
+/** The next membership, and what for: the reason goes into the log. */
+export interface MembershipChange {
+  readonly membership: Membership
+  readonly reason: string
+}
+
+/** Undefined where nothing is to be done. */
+export function pickMembershipChange(
+  opts: PickMembershipChangeOptions,
+): MembershipChange | undefined {
   return pickDiskUpdate(opts) ?? pickReplacement(opts) ?? pickPromotion(opts)
 }
 
@@ -32,7 +40,7 @@
 }
 
 /** A voter's disk is never exchanged: its former promises would then count for the new one. */
-function pickDiskUpdate(opts: PickMembershipChangeOptions): Membership | undefined {
+function pickDiskUpdate(opts: PickMembershipChangeOptions): MembershipChange | undefined {
   const { membership, leaderId, getFacts } = opts
   const update = (member: Member): Member => {
     const { diskId } = getFacts(member.memberId)
@@ -43,10 +51,12 @@
   }
   const members = membership.members.map(update)
   const changed = members.some(({ diskId }, at) => diskId !== membership.members[at]?.diskId)
-  return changed ? { ...membership, members } : undefined
+  return changed
+    ? { membership: { ...membership, members }, reason: 'a disk became known' }
+    : undefined
 }
 
-function pickReplacement(opts: PickMembershipChangeOptions): Membership | undefined {
+function pickReplacement(opts: PickMembershipChangeOptions): MembershipChange | undefined {
   const { membership, leaderId, getFacts, replaceVoterAfterMs } = opts
   const others = membership.voters.filter((memberId) => memberId !== leaderId)
   const lost = others.find((memberId) => hasLostDisk(membership, memberId, getFacts))
@@ -55,8 +65,10 @@
   if (leaving === undefined) return undefined
   const staying = membership.voters.filter((memberId) => memberId !== leaving)
   const [standby] = listReadyLearners(opts, staying)
-  if (standby !== undefined) return { ...membership, voters: [...staying, standby] }
-  return lost === undefined ? undefined : { ...membership, voters: staying }
+  if (standby === undefined && lost === undefined) return undefined
+  const voters = standby === undefined ? staying : [...staying, standby]
+  const reason = `${leaving} ${lost === undefined ? 'is silent' : 'has lost its disk'}`
+  return { membership: { ...membership, voters }, reason }
 }
 
 function hasLostDisk(
@@ -69,12 +81,13 @@
   return known !== undefined && diskId !== undefined && known !== diskId
 }
 
-function pickPromotion(opts: PickMembershipChangeOptions): Membership | undefined {
+function pickPromotion(opts: PickMembershipChangeOptions): MembershipChange | undefined {
   const { membership } = opts
   const missing = countWantedVoters(membership.members.length) - membership.voters.length
   const ready = listReadyLearners(opts, membership.voters).slice(0, Math.max(0, missing))
   if (ready.length === 0 || ready.length < missing) return undefined
-  return { ...membership, voters: [...membership.voters, ...ready] }
+  const voters = [...membership.voters, ...ready]
+  return { membership: { ...membership, voters }, reason: 'learners became voters' }
 }
 
 /** First those whose data centre has the fewest voters, so that none comes to hold a majority. */
