--- a/settings/reader/src/index.ts
+++ b/settings/reader/src/index.ts
@@ -6,6 +6,7 @@
   type SettingsKind,
 } from './detectSettingsKind.js'
 export { findNearestName } from './findNearestName.js'
+export { SettingsFollower, type SettingsFollowerOptions } from './settingsFollower.js'
 export {
   parseSettings,
   readSettingsFile,
