fix: place the work of an upstream that has left elsewhere at once

Cause: an upstream that goes tells so and is gone in the same moment. Change: after a look without an answer the session asks again whether the upstream has left. A fake upstream that crashes now breaks its pending looks, as real ones do.

--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -139,10 +139,24 @@
     if (upstream !== undefined) await this.#announce(upstream, true)
   }
 
+  /** One upstream says that it goes, and is gone: nothing answers at its address any more. */
+  leave(at: number): void {
+    const address = addressOf(at)
+    const upstream = this.#upstreams.get(address)
+    if (upstream === undefined) return
+    void this.#leader?.leave(upstream.upstreamId)
+    upstream.crash()
+    this.#cutUntilMs.set(address, Infinity)
+  }
+
   upstreamIdOf(at: number): string {
     return this.#upstreams.get(addressOf(at))?.upstreamId ?? ''
   }
 
+  listUpstreamIds(): string[] {
+    return Array.from({ length: upstreamCount }, (_, at) => this.upstreamIdOf(at))
+  }
+
   calm(): void {
     this.#faults = []
     this.#cutUntilMs.clear()
--- a/batch/service/__utils__/fakeUpstream.ts
+++ b/batch/service/__utils__/fakeUpstream.ts
@@ -14,6 +14,7 @@
   StopOrder,
 } from '@nettlespur/batch.sessions'
 import type { Clock, Timer } from '@nettlespur/core.clock'
+import { NettlespurError } from '@nettlespur/core.errors'
 import type { FleetLedger } from './fleetLedger.js'
 
 const stopMs = 300
@@ -106,6 +107,7 @@
     }
     this.#finished = this.#finished.filter(({ number }) => number > cursor)
     if (waitMs > 0 && this.#finished.length === 0) await this.#waitForEnd(clock, waitMs)
+    if (!this.isUp) throw new NettlespurError('outcome-unknown', 'the connection broke')
     return {
       type: 'held',
       clockMs: this.clockMs,
@@ -128,9 +130,10 @@
     this.#opts.ledger.noteEnd(run, outcome)
   }
 
-  /** Everything that runs here is gone, and nothing is told of it. */
+  /** Everything that runs here is gone, and nothing is told of it but broken connections. */
   crash(): void {
     this.isUp = false
+    for (const wake of this.#waiters) wake()
     const lost = [...this.#held.values()]
     this.#held.clear()
     for (const { run } of lost) this.#opts.ledger.noteEnd(run, 'lapsed')
--- a/batch/service/test/batchLeader.test.ts
+++ b/batch/service/test/batchLeader.test.ts
@@ -86,3 +86,17 @@
   const left = [...fleet.state.placements.upstreamIds]
   t.deepEqual(left, [fleet.upstreamIdOf(0)])
 })
+
+test('what ran on an upstream that has left starts elsewhere at once, and not after a silence', async (t) => {
+  const fleet = await startFleet()
+  fleet.submit(createLarge('j', 1), 1)
+  await fleet.clock.advance(settledMs)
+  const [first] = fleet.ledger.starts
+  const at = fleet
+    .listUpstreamIds()
+    .indexOf(fleet.state.jobs.get('j')?.steps[0]?.tasks[0]?.upstreamId ?? '')
+  t.is(first?.jobId, 'j')
+  fleet.leave(at)
+  await fleet.clock.advance(1000)
+  t.is(countStarted(fleet, 'j'), 2)
+})
--- a/batch/sessions/src/sessionOptions.ts
+++ b/batch/sessions/src/sessionOptions.ts
@@ -1,4 +1,8 @@
-/** Timings of the conversations with upstreams. */
+/** What a conversation with an upstream is made of, and its timings. */
+import type { Clock } from '@nettlespur/core.clock'
+import type { Logger } from '@nettlespur/core.logger'
+import type { SessionHost } from './sessionHost.js'
+import type { UpstreamPort, UpstreamTarget } from './upstreamPort.js'
 
 export interface SessionTimings {
   /** The lease given to all that runs on an upstream. */
@@ -7,6 +11,18 @@
   readonly holdWaitMs: number
 }
 
+export interface UpstreamSessionOptions {
+  target: UpstreamTarget
+  port: UpstreamPort
+  host: SessionHost
+  clock: Clock
+  logger: Logger
+  timings: SessionTimings
+  /** When this leader took over, where an earlier one had placed runs there. */
+  takeoverMs: number | undefined
+  signal: AbortSignal
+}
+
 /**
  * An upstream answers an order in a few milliseconds over links of 1 ms; with a lost packet it takes about
  * 200 ms more. What takes longer is sent again on another connection.
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -5,29 +5,14 @@
  */
 import { runKey, type RunRef } from '@nettlespur/batch.model'
 import type { Placement, RunEnd } from '@nettlespur/batch.state'
-import type { Clock } from '@nettlespur/core.clock'
 import { toNettlespurError } from '@nettlespur/core.errors'
-import type { Logger } from '@nettlespur/core.logger'
 import { LeaseTracker } from './leaseTracker.js'
 import { listEnds } from './readLook.js'
 import type { RunTrack } from './runTrack.js'
 import { RunTracks } from './runTracks.js'
-import type { SessionHost } from './sessionHost.js'
 import { RunOrders, type StartResult } from './runOrders.js'
-import { holdSlackMs, retryPauseMs, type SessionTimings } from './sessionOptions.js'
-import type { HoldAnswer, UpstreamPort, UpstreamTarget } from './upstreamPort.js'
-
-export interface UpstreamSessionOptions {
-  target: UpstreamTarget
-  port: UpstreamPort
-  host: SessionHost
-  clock: Clock
-  logger: Logger
-  timings: SessionTimings
-  /** When this leader took over, where an earlier one had placed runs there. */
-  takeoverMs: number | undefined
-  signal: AbortSignal
-}
+import { holdSlackMs, retryPauseMs, type UpstreamSessionOptions } from './sessionOptions.js'
+import type { HoldAnswer } from './upstreamPort.js'
 
 export class UpstreamSession {
   readonly lease: LeaseTracker
@@ -110,6 +95,8 @@
       if (await this.#look()) continue
       this.#giveUpAfterLease()
       await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
+      // It may have said so just as its connection broke: another look could wait in vain for seconds.
+      if (this.#hasLeft()) await this.#end('it has left')
     }
   }
 
@@ -135,7 +122,6 @@
       this.#noteUnanswered()
       const reason = toNettlespurError(thrown).message
       this.#log('upstream.silent', { unanswered: this.unanswered, reason })
-      if (host.findUpstream(target.upstreamId)?.hasLeft === true) await this.#end('it has left')
       return false
     } finally {
       // Lets other work of this process go first where an upstream answers at once each time.
@@ -143,6 +129,11 @@
     }
   }
 
+  #hasLeft(): boolean {
+    const { host, target } = this.#opts
+    return host.findUpstream(target.upstreamId)?.hasLeft === true
+  }
+
   #noteUnanswered(): void {
     this.unanswered += 1
     this.unansweredAtMs = this.#nowMs()
