fix: give up an upstream that is lost for good once its lease is over

Cause: each look carried a new lease, also into silence, and the bound on what may still run there moved with every try. Ruled out: the gang's end, and the state's refusal of the end (the end was never proposed).

Change: after a call without an answer looks carry no lease until one is answered, and ask for an answer at once, so that the lease is renewed as soon as before once a cut is over (a look was let wait 2 s there). The test fails without the change.

--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -141,11 +141,14 @@
 
   /** One upstream says that it goes, and is gone: nothing answers at its address any more. */
   leave(at: number): void {
+    void this.#leader?.leave(this.upstreamIdOf(at))
+    this.lose(at)
+  }
+
+  /** One upstream is gone for good, and says nothing of it. */
+  lose(at: number): void {
     const address = addressOf(at)
-    const upstream = this.#upstreams.get(address)
-    if (upstream === undefined) return
-    void this.#leader?.leave(upstream.upstreamId)
-    upstream.crash()
+    this.#upstreams.get(address)?.crash()
     this.#cutUntilMs.set(address, Infinity)
   }
 
--- a/batch/service/__utils__/fakeUpstream.ts
+++ b/batch/service/__utils__/fakeUpstream.ts
@@ -45,6 +45,8 @@
   readonly #closed = new Map<string, number>()
   #finished: FinishedRun[] = []
   #ends = 0
+  /** Ends up to this one were listed when a lease lapsed: by the platform's agreement they no longer count. */
+  #lapsedEnds = 0
   #fence = 0
   #leaseEndMs = 0
   #leaseTimer: Timer | undefined
@@ -103,7 +105,7 @@
     if (leaseEndMs !== undefined) this.#renew(leaseEndMs)
     const { ledger, clock } = this.#opts
     for (const { number, run } of this.#finished) {
-      if (number <= cursor) ledger.noteAcknowledged(run)
+      if (number <= cursor && number > this.#lapsedEnds) ledger.noteAcknowledged(run)
     }
     this.#finished = this.#finished.filter(({ number }) => number > cursor)
     if (waitMs > 0 && this.#finished.length === 0) await this.#waitForEnd(clock, waitMs)
@@ -157,6 +159,7 @@
     this.#leaseTimer?.cancel()
     const leftMs = (this.#leaseEndMs - this.clockMs) / this.#opts.clockRate
     this.#leaseTimer = this.#opts.clock.setTimer(leftMs + 1, () => {
+      this.#lapsedEnds = this.#ends
       for (const { run } of [...this.#held.values()]) this.end(run, 'lapsed')
     })
   }
--- a/batch/service/test/batchLeader.test.ts
+++ b/batch/service/test/batchLeader.test.ts
@@ -6,6 +6,8 @@
 /** An upstream ends a run at the latest this long after it is told to. */
 const stopMs = 400
 const settledMs = 2000
+/** The longest that an upstream runs on without being told to, with what its clock may lag. */
+const leaseMs = 9500 * 1.03
 
 async function startFleet(): Promise<FakeFleet> {
   const fleet = new FakeFleet({ clockRate: 1, lateMs: 1000, failures: [], linksMs: [1] })
@@ -87,16 +89,28 @@
   t.deepEqual(left, [fleet.upstreamIdOf(0)])
 })
 
+/** Number of the upstream on which the only task of the job is placed. */
+function findPlace(fleet: FakeFleet, jobId: string): number {
+  const upstreamId = fleet.state.jobs.get(jobId)?.steps[0]?.tasks[0]?.upstreamId ?? ''
+  return fleet.listUpstreamIds().indexOf(upstreamId)
+}
+
 test('what ran on an upstream that has left starts elsewhere at once, and not after a silence', async (t) => {
   const fleet = await startFleet()
   fleet.submit(createLarge('j', 1), 1)
   await fleet.clock.advance(settledMs)
-  const [first] = fleet.ledger.starts
-  const at = fleet
-    .listUpstreamIds()
-    .indexOf(fleet.state.jobs.get('j')?.steps[0]?.tasks[0]?.upstreamId ?? '')
-  t.is(first?.jobId, 'j')
-  fleet.leave(at)
+  t.is(countStarted(fleet, 'j'), 1)
+  fleet.leave(findPlace(fleet, 'j'))
   await fleet.clock.advance(1000)
   t.is(countStarted(fleet, 'j'), 2)
 })
+
+test('what ran on an upstream that is lost for good starts elsewhere once its lease is over', async (t) => {
+  const fleet = await startFleet()
+  fleet.submit(createLarge('j', 1, 60_000), 1)
+  await fleet.clock.advance(settledMs)
+  t.is(countStarted(fleet, 'j'), 1)
+  fleet.lose(findPlace(fleet, 'j'))
+  await fleet.clock.advance(leaseMs + settledMs)
+  t.is(countStarted(fleet, 'j'), 2)
+})
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -105,12 +105,14 @@
     const { port, target, host, timings, clock } = this.#opts
     const sentAtMs = this.#nowMs()
     this.#tracks.keepOnly(this.#placements())
-    const isPlain = this.lease.clock.isKnown && !this.#tracks.hasInherited
+    // Calls into silence must not prolong the lease, or an upstream lost for good would never be given up.
+    const renews = this.lease.clock.isKnown && this.unanswered === 0
+    const mayWait = renews && !this.#tracks.hasInherited && this.#placements().size > 0
     const order = {
-      leaseEndMs: this.lease.clock.isKnown ? this.lease.extend(sentAtMs) : undefined,
+      leaseEndMs: renews ? this.lease.extend(sentAtMs) : undefined,
       fence: host.fence,
       cursor: this.#cursor,
-      waitMs: isPlain && this.#placements().size > 0 ? timings.holdWaitMs : 0,
+      waitMs: mayWait ? timings.holdWaitMs : 0,
     }
     try {
       const answer = await port.hold(target, order, order.waitMs + holdSlackMs)
