feat: move work that cannot end before its upstream leaves

Change: what cannot end in that time by its progress, or by its declared run time, begins again elsewhere at once; what saves its progress works on until 1.5 s before, as moving it earlier gains nothing. The line of an upstream that drains says the time left. Two tests on a manual clock; the fake fleet repeats the time left with each announcement.

--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -36,6 +36,8 @@
   readonly state = new BatchState()
   readonly ledger: FleetLedger
   readonly #upstreams = new Map<string, FakeUpstream>()
+  /** By id, of those that have said that they are about to leave. */
+  readonly #leavesAtMs = new Map<string, number>()
   readonly #cutUntilMs = new Map<string, number>()
   readonly port: FaultyPort
   readonly #clockRate: number
@@ -134,9 +136,11 @@
   }
 
   /** One upstream says that it is about to leave. Resolves once the leader has answered. */
-  async drain(at: number): Promise<void> {
+  async drain(at: number, drainRemainingMs = 60_000): Promise<void> {
     const upstream = this.#upstreams.get(addressOf(at))
-    if (upstream !== undefined) await this.#announce(upstream, true)
+    if (upstream === undefined) return
+    this.#leavesAtMs.set(upstream.upstreamId, this.clock.monotonicMs() + drainRemainingMs)
+    await this.#announce(upstream)
   }
 
   /** One upstream says that it goes, and is gone: nothing answers at its address any more. */
@@ -199,11 +203,9 @@
     }
   }
 
-  async #announce(
-    { upstreamId, address, clockMs }: FakeUpstream,
-    isDraining = false,
-  ): Promise<void> {
+  async #announce({ upstreamId, address, clockMs }: FakeUpstream): Promise<void> {
     if (this.#isCut(address)) return
+    const leavesAtMs = this.#leavesAtMs.get(upstreamId)
     this.#sequence += 1
     const announcing = this.#leader?.announce({
       upstreamId,
@@ -213,7 +215,10 @@
       rack: 'rack',
       labels: [],
       capacity: { cpuMillicores: 100_000, memoryMiB: 100_000, accelerators: acceleratorsEach },
-      isDraining,
+      isDraining: leavesAtMs !== undefined,
+      ...(leavesAtMs === undefined
+        ? {}
+        : { drainRemainingMs: Math.max(0, leavesAtMs - this.clock.monotonicMs()) }),
       sequence: this.#sequence,
       clockMs,
     })
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -101,7 +101,7 @@
 
   /** Resolves once control has what matters of it. Errors: rejects as proposals do. */
   async announce(announcement: Announcement): Promise<void> {
-    const { upstreamId, isDraining } = announcement
+    const { upstreamId, isDraining, drainRemainingMs } = announcement
     const known = this.#state.upstreams.get(upstreamId)
     if (known?.hasLeft === true) return
     const wasUsable = this.#isUsable(upstreamId)
@@ -112,7 +112,7 @@
     }
     this.#roster.noteClock(announcement)
     if (isDraining && known?.isDraining !== true) {
-      this.#opts.logger.info({ event: 'upstream.draining', upstreamId })
+      this.#opts.logger.info({ event: 'upstream.draining', upstreamId, drainRemainingMs })
       await this.#propose({ type: 'drain-upstream', upstreamId })
     }
     if (this.#isUsable(upstreamId) !== wasUsable) this.#rounds.request()
--- a/batch/service/src/buildView.ts
+++ b/batch/service/src/buildView.ts
@@ -19,15 +19,18 @@
 /** Below it, a start-up that took long would count for the whole run. */
 const meaningfulPercent = 20
 
-export interface BuildViewOptions {
+export interface ListRunsOptions {
   state: BatchState
   nowMs: number
-  acceptedAtMs: ReadonlyMap<string, number>
-  isUsable: (upstream: UpstreamRecord) => boolean
   isStopping: (placement: Placement) => boolean
   findTrack: (placement: Placement) => RunTrack | undefined
 }
 
+export interface BuildViewOptions extends ListRunsOptions {
+  acceptedAtMs: ReadonlyMap<string, number>
+  isUsable: (upstream: UpstreamRecord) => boolean
+}
+
 export function buildView(opts: BuildViewOptions): SchedulerView {
   const { state, nowMs, acceptedAtMs } = opts
   let runs: readonly ActiveRun[] | undefined
@@ -61,7 +64,8 @@
   return { upstreamId, pool, rack, labels, capacity, free, soon: addResources(free, stopping) }
 }
 
-function listRuns(opts: BuildViewOptions, upstreamId: string): ActiveRun[] {
+/** What runs on one upstream, and when it is expected to end. */
+export function listRuns(opts: ListRunsOptions, upstreamId: string): ActiveRun[] {
   return [...opts.state.placements.on(upstreamId).values()].map((placement) => {
     const step = findStep(opts.state, placement)
     const track = opts.findTrack(placement)
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -9,9 +9,10 @@
 import type { Logger } from '@nettlespur/core.logger'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import type { BatchTimings } from './batchTimings.js'
-import { buildView } from './buildView.js'
+import { buildView, type ListRunsOptions } from './buildView.js'
 import { Housekeeper } from './housekeeper.js'
 import type { JobClock } from './jobClock.js'
+import { listEvacuees } from './listEvacuees.js'
 import type { UpstreamRoster } from './upstreamRoster.js'
 
 /** Rounds that no event asks for: quarantines end, and jobs lose hope, with time alone. */
@@ -63,6 +64,7 @@
   async #decide(): Promise<void> {
     const { clock, metrics, preempt, signal } = this.#opts
     const nowMs = clock.monotonicMs()
+    this.#evacuate(nowMs)
     const { placements, preemptions } = this.#plan(nowMs)
     const tookMs = clock.monotonicMs() - nowMs
     metrics.recordMs('scheduling_round_ms', tookMs)
@@ -73,20 +75,34 @@
   }
 
   #plan(nowMs: number): RoundDecision {
-    const { getState, roster, jobClock, shouldStop } = this.#opts
-    const state = getState()
-    jobClock.update(state, nowMs)
+    const { getState, roster, jobClock } = this.#opts
+    jobClock.update(getState(), nowMs)
     const view = buildView({
-      state,
-      nowMs,
+      ...this.#createRunsOptions(nowMs),
       acceptedAtMs: jobClock.acceptedAtMs,
       isUsable: (upstream) => roster.isUsable(upstream),
-      isStopping: shouldStop,
-      findTrack: (placement) => roster.find(placement.upstreamId)?.findTrack(placement),
     })
     return planRound(view)
   }
 
+  /** Stops what cannot end where it is, so that it begins again elsewhere. */
+  #evacuate(nowMs: number): void {
+    const { roster, preempt } = this.#opts
+    const runs = listEvacuees(roster.listLeaving(), this.#createRunsOptions(nowMs))
+    for (const run of runs) this.#log('run.evacuated', run, { reason: evacuatedReason })
+    preempt(runs)
+  }
+
+  #createRunsOptions(nowMs: number): ListRunsOptions {
+    const { getState, roster, shouldStop } = this.#opts
+    return {
+      state: getState(),
+      nowMs,
+      isStopping: shouldStop,
+      findTrack: (placement) => roster.find(placement.upstreamId)?.findTrack(placement),
+    }
+  }
+
   async #place(placements: Placement[]): Promise<void> {
     const { clock, tryPropose, signal } = this.#opts
     if (await tryPropose({ type: 'place-tasks', placements })) {
@@ -112,4 +128,5 @@
   }
 }
 
+const evacuatedReason = 'its upstream leaves before it can end'
 const preemptedReason = 'more urgent work waits for its room'
--- a/batch/service/src/upstreamRoster.ts
+++ b/batch/service/src/upstreamRoster.ts
@@ -6,7 +6,7 @@
 import type { Logger } from '@nettlespur/core.logger'
 import type { BatchTimings } from './batchTimings.js'
 import { UpstreamHealth } from './upstreamHealth.js'
-import { UpstreamTable } from './upstreamTable.js'
+import { UpstreamTable, type LeavingUpstream } from './upstreamTable.js'
 
 /** Announcements that may be missed before an upstream gets no new work. */
 const missedAnnouncements = 3
@@ -83,6 +83,11 @@
     this.open(upstreamId)?.lease.clock.note(clockMs, this.#opts.clock.monotonicMs())
   }
 
+  /** Upstreams that have said until when they stay. */
+  listLeaving(): LeavingUpstream[] {
+    return this.#table.listLeaving()
+  }
+
   forget(upstreamId: string): void {
     this.#sessions.delete(upstreamId)
     this.#table.forget(upstreamId)
--- a/batch/service/src/upstreamTable.ts
+++ b/batch/service/src/upstreamTable.ts
@@ -5,6 +5,14 @@
   readonly sequence: number
   readonly heardAtMs: number
   readonly address: string
+  /** On our clock: until then it stays at least. Undefined unless it is about to leave. */
+  readonly leavesAtMs: number | undefined
+}
+
+export interface LeavingUpstream {
+  readonly upstreamId: string
+  /** On our clock: until then it stays at least. */
+  readonly leavesAtMs: number
 }
 
 export class UpstreamTable {
@@ -13,11 +21,13 @@
   readonly #newestAt = new Map<string, string>()
 
   /** False for an announcement that came after a newer one. */
-  note({ upstreamId, sequence, address }: Announcement, nowMs: number): boolean {
+  note(announcement: Announcement, nowMs: number): boolean {
+    const { upstreamId, sequence, address, drainRemainingMs } = announcement
     const known = this.#heard.get(upstreamId)
     if (known !== undefined && sequence <= known.sequence) return false
     if (known === undefined) this.#newestAt.set(address, upstreamId)
-    this.#heard.set(upstreamId, { sequence, heardAtMs: nowMs, address })
+    const leavesAtMs = drainRemainingMs === undefined ? undefined : nowMs + drainRemainingMs
+    this.#heard.set(upstreamId, { sequence, heardAtMs: nowMs, address, leavesAtMs })
     return true
   }
 
@@ -26,6 +36,13 @@
     return this.#heard.get(upstreamId)?.heardAtMs ?? -Infinity
   }
 
+  /** Upstreams that have said until when they stay. */
+  listLeaving(): LeavingUpstream[] {
+    return [...this.#heard].flatMap(([upstreamId, { leavesAtMs }]) =>
+      leavesAtMs === undefined ? [] : [{ upstreamId, leavesAtMs }],
+    )
+  }
+
   /** A later life of the process has announced itself at the same address. */
   isReplaced(upstreamId: string): boolean {
     const address = this.#heard.get(upstreamId)?.address
--- a/batch/service/test/batchLeader.test.ts
+++ b/batch/service/test/batchLeader.test.ts
@@ -114,3 +114,29 @@
   await fleet.clock.advance(leaseMs + settledMs)
   t.is(countStarted(fleet, 'j'), 2)
 })
+
+test('what cannot end before its upstream leaves starts elsewhere at once, and what can is left to end', async (t) => {
+  const fleet = await startFleet()
+  fleet.submit(createLarge('long', 1, 20_000), 1)
+  fleet.submit(createLarge('short', 1, 4000), 1)
+  await fleet.clock.advance(settledMs)
+  void fleet.drain(findPlace(fleet, 'long'), 4500)
+  void fleet.drain(findPlace(fleet, 'short'), 4500)
+  await fleet.clock.advance(settledMs)
+  t.is(countStarted(fleet, 'long'), 2)
+  await fleet.clock.advance(settledMs)
+  t.is(countStarted(fleet, 'short'), 1)
+  t.is(fleet.state.jobs.get('short')?.status, 'completed')
+})
+
+test('what saves its progress works on until shortly before its upstream leaves', async (t) => {
+  const fleet = await startFleet()
+  const needs = { cpuMillicores: 100, memoryMiB: 100, accelerators: 8 }
+  fleet.submit(createJob('j', { needs, expectedRunTimeMs: 20_000, checkpoints: true }), 1)
+  await fleet.clock.advance(settledMs)
+  void fleet.drain(findPlace(fleet, 'j'), 4500)
+  await fleet.clock.advance(settledMs)
+  t.is(countStarted(fleet, 'j'), 1)
+  await fleet.clock.advance(settledMs)
+  t.is(countStarted(fleet, 'j'), 2)
+})
