perf: find the leader's address without describing every member

Each announcement of an upstream is answered with the leader's address; describing all members for that took 4 % of an idle leader's busy time with 245 upstreams (250 of 5,933 ms over 25 s, by profile; not measured again).

--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -95,9 +95,14 @@
     return this.raft.describe().members.some(({ memberId }) => memberId === this.#opts.memberId)
   }
 
+  /** The peer side of the member that leads, as far as this one knows. */
+  get leaderAddress(): string | undefined {
+    return this.raft.leader?.peerAddress
+  }
+
   locateLeader(): LeaderView {
-    const { leaderId, term, members } = this.raft.describe()
-    const leaderAddress = members.find(({ memberId }) => memberId === leaderId)?.peerAddress
+    const { leaderAddress } = this
+    const { term, members } = this.raft.describe()
     return { leaderAddress, term, memberAddresses: members.map(({ peerAddress }) => peerAddress) }
   }
 
@@ -150,7 +155,7 @@
   /** Errors: throws `not-leader`; its hint is the leader's address, where that is known. */
   #requireLeader(): BatchLeader {
     if (this.#leader !== undefined) return this.#leader
-    const { leaderAddress: hint } = this.locateLeader()
+    const { leaderAddress: hint } = this
     throw new NettlespurError('not-leader', `${this.#opts.memberId} does not lead`, {
       hint,
       retryAfterMs,
--- a/consensus/raft/src/raftNode.ts
+++ b/consensus/raft/src/raftNode.ts
@@ -12,7 +12,7 @@
 import { Election } from './election.js'
 import { encodeCommand } from './entryPayload.js'
 import { createNoQuorum, Leader } from './leader.js'
-import type { Member } from './member.js'
+import { findMember, type Member } from './member.js'
 import { MembershipKeeper } from './membershipKeeper.js'
 import type {
   AppendAnswer,
@@ -73,6 +73,13 @@
     return this.#replica.standing
   }
 
+  /** The member that leads, as far as this one knows; a cheap look beside `describe`. */
+  get leader(): Member | undefined {
+    const { standing, membership } = this.#replica
+    const { leaderId } = standing.value
+    return leaderId === undefined ? undefined : findMember(membership, leaderId)
+  }
+
   /** Index of the newest applied entry, from now on. */
   get applied(): Observable<number> {
     return this.#replica.appliedIndex
