fix: let a leader that stood still hear its followers before it judges them lost

Cause: a process that was busy or stopped for longer than an election timeout runs its timers before it reads the answers that came meanwhile, so that the leader took a silent quorum for granted and stepped down. Ruled out: a second loss; all five instances were up and answered. Reads do not rest on it where leases are off, and where they are on they are judged by their own bound.

--- a/consensus/raft/src/leader.ts
+++ b/consensus/raft/src/leader.ts
@@ -185,11 +185,16 @@
     const { clock, opts } = this.replica
     const { heartbeatMs, electionTimeoutMs } = opts.timings
     const isOver = (): boolean => this.ended.aborted
+    let wasSilent = false
     while (!isOver()) {
       await clock.sleep(heartbeatMs, this.ended)
       const nowMs = clock.monotonicMs()
       const heardMs = this.pickQuorum(nowMs, (progress) => progress.heardMs)
-      if (isOver() || nowMs - heardMs <= electionTimeoutMs) continue
+      const isSilent = nowMs - heardMs > electionTimeoutMs
+      // A process that stood still looks at its timers before it reads the answers that came meanwhile.
+      const isLost = isSilent && wasSilent
+      wasSilent = isSilent
+      if (isOver() || !isLost) continue
       opts.logger.warn({ event: 'raft.quorum-lost', term: this.term })
       this.replica.becomeFollower(undefined)
     }
--- a/consensus/raft/test/raftNode.test.ts
+++ b/consensus/raft/test/raftNode.test.ts
@@ -159,3 +159,13 @@
   await cluster.clock.advance(5000)
   t.deepEqual(cluster.listFaults(), [])
 })
+
+test('a leader that stood still for a moment hears its followers again before it judges them lost', async (t) => {
+  const cluster = await startCluster(t, { seed: 4 })
+  const { leaderId = '', term } = requireLeader(cluster).describe()
+  cluster.pauseNode(leaderId)
+  await cluster.clock.advance(1600)
+  cluster.resumeNode(leaderId)
+  await cluster.clock.advance(5000)
+  t.like(requireLeader(cluster).describe(), { leaderId, term })
+})
