fix: read what has arrived before a call is judged late

Cause: a process that was busy or stopped for longer than a call's deadline runs the deadline's timer before it reads the answer that lies in its socket; the call failed, and its connection was closed as silent, just when the process had least time to open new ones (a new leader with 166 conversations to take up). Change: deadlines of calls (HTTP and between members) let the process read once before they strike. The test keeps the process busy over the deadline while a server in another thread answers; it fails without the change.

--- a/net/client/src/openHttp.ts
+++ b/net/client/src/openHttp.ts
@@ -4,7 +4,7 @@
  */
 import http, { type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
 import https from 'node:https'
-import type { Clock } from '@nettlespur/core.clock'
+import { setDeadline, type Clock } from '@nettlespur/core.clock'
 import { NettlespurError, tryAsync } from '@nettlespur/core.errors'
 import type { EitherAsync } from 'purify-ts'
 
@@ -50,7 +50,7 @@
     let cut = (cause: Error): void => {
       request.destroy(cause)
     }
-    const timer = opts.clock.setTimer(opts.timeoutMs, () => {
+    const timer = setDeadline(opts.clock, opts.timeoutMs, () => {
       opts.onTimeout?.()
       cut(new Error(`no whole answer within ${opts.timeoutMs} ms`))
     })
--- /dev/null
+++ b/net/client/test/busyProcess.test.ts
@@ -0,0 +1,44 @@
+/** A call whose answer comes while this process is too busy to read it. */
+import { SystemClock } from '@nettlespur/core.clock'
+import test from 'ava'
+import { once } from 'node:events'
+import { Worker } from 'node:worker_threads'
+import { callHttp } from '../src/index.js'
+
+const timeoutMs = 300
+const answerMs = 100
+
+/** A server in a thread of its own, so that it answers while this one is busy. */
+const server = `
+  const http = require('node:http')
+  const { parentPort } = require('node:worker_threads')
+  const listening = http.createServer((request, response) => {
+    parentPort.postMessage('called')
+    setTimeout(() => response.end('answer'), ${answerMs})
+  })
+  listening.listen(0, '127.0.0.1', () => parentPort.postMessage(listening.address().port))
+`
+
+function beBusy(durationMs: number): void {
+  const untilMs = performance.now() + durationMs
+  while (performance.now() < untilMs);
+}
+
+test('an answer that came in time is taken although its deadline passed before it could be read', async (t) => {
+  const worker = new Worker(server, { eval: true })
+  t.teardown(() => worker.terminate())
+  const [port] = (await once(worker, 'message')) as [number]
+  const called = once(worker, 'message')
+  const clock = new SystemClock()
+  const call = callHttp({
+    clock,
+    address: `127.0.0.1:${port}`,
+    method: 'GET',
+    path: '/',
+    timeoutMs,
+  }).run()
+  await called
+  beBusy(timeoutMs + answerMs)
+  const answer = await call
+  t.is(answer.map(({ body }) => body.toString()).orDefault('none'), 'answer')
+})
--- a/rpc/peer/src/createRpcClient.ts
+++ b/rpc/peer/src/createRpcClient.ts
@@ -3,7 +3,7 @@
  * on demand; one on which nothing came between a call and its deadline is cut, and the next call opens a
  * new one. A peer that cannot be reached, or does not answer whole, is an error of the table.
  */
-import type { Clock, Timer } from '@nettlespur/core.clock'
+import { setDeadline, type Clock, type Timer } from '@nettlespur/core.clock'
 import { NettlespurError } from '@nettlespur/core.errors'
 import {
   createTRPCClient,
@@ -83,7 +83,7 @@
     let mayHaveLeft = false
     let timer: Timer | undefined
     const deadline = new Promise<never>((_, reject) => {
-      timer = this.#opts.clock.setTimer(this.#opts.timeoutMs, () => {
+      timer = setDeadline(this.#opts.clock, this.#opts.timeoutMs, () => {
         if (connection.messageCount === messageCount) connection.destroy()
         reject(this.#createTimeoutError(mayHaveLeft))
       })
