--- a/batch/service/__utils__/fleetLedger.ts
+++ b/batch/fakes/src/fleetLedger.ts
@@ -45,6 +45,17 @@
     return this.#jobs.get(jobId)?.steps[step]?.needs ?? noNeeds
   }
 
+  /** The tasks of a job, by their keys. */
+  listTasks(jobId: string): { key: string; isGang: boolean }[] {
+    const steps = this.#jobs.get(jobId)?.steps ?? []
+    return steps.flatMap(({ taskCount, isGang }, step) =>
+      Array.from({ length: taskCount }, (_, index) => ({
+        key: taskKey({ jobId, step, index }),
+        isGang,
+      })),
+    )
+  }
+
   noteStart(run: RunRef, holder: FakeUpstream): void {
     const key = taskKey(run)
     const name = `${key}#${run.attempt}`
--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -6,9 +6,8 @@
 import { MetricsRegistry } from '@nettlespur/core.metrics'
 import { EitherAsync, Left, Right } from 'purify-ts'
 import { BatchLeader } from '../src/batchLeader.js'
-import { FakeUpstream } from './fakeUpstream.js'
+import { FakeUpstream, FleetLedger } from '@nettlespur/batch.fakes'
 import { FaultyPort, type LinkFault } from './faultyPort.js'
-import { FleetLedger } from './fleetLedger.js'
 
 export const upstreamCount = 4
 const acceleratorsEach = 8
--- a/batch/service/__utils__/faultyPort.ts
+++ b/batch/service/__utils__/faultyPort.ts
@@ -11,7 +11,7 @@
 } from '@nettlespur/batch.sessions'
 import type { Clock } from '@nettlespur/core.clock'
 import { NettlespurError } from '@nettlespur/core.errors'
-import type { FakeUpstream } from './fakeUpstream.js'
+import type { FakeUpstream } from '@nettlespur/batch.fakes'
 
 /** What the link does with one call. `late`: it is carried out seconds later, and nothing is answered. */
 export type LinkFault = 'none' | 'answer-lost' | 'late' | 'refused' | 'silent'
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -6,6 +6,7 @@
 import { BatchState, type Placement, type RunEnd, type RunOutcome } from '@nettlespur/batch.state'
 import { SeededRandom } from '@nettlespur/bench.placement'
 import type { CrowdedDay, DayJob } from './crowdedDay.js'
+import { sumEarnings, type JobEnd, type KindEarnings } from './sumEarnings.js'
 
 /** Between two looks at what has changed. */
 const stepMs = 50
@@ -15,8 +16,6 @@
 const finishMs = 14_000
 /** A task outside its rack takes this many times as long. */
 const remoteTimes = 3
-/** A job that ends later than this many times its objective earns nothing. */
-const lateLimitTimes = 3
 const checkpointMs = 2000
 
 interface Run {
@@ -30,11 +29,6 @@
   stopAtMs: number | undefined
 }
 
-export interface KindEarnings {
-  earned: number
-  owed: number
-}
-
 export interface DayResult {
   /** By kind of job. */
   readonly kinds: ReadonlyMap<string, KindEarnings>
@@ -223,30 +217,17 @@
   }
 
   #measure(): DayResult {
-    const kinds = new Map<string, KindEarnings>()
-    for (const job of this.#day.jobs) {
-      const sums = kinds.get(job.kind.name) ?? { earned: 0, owed: 0 }
-      sums.owed += job.value
-      sums.earned += this.#earn(job)
-      kinds.set(job.kind.name, sums)
-    }
+    const kinds = sumEarnings(this.#day.jobs, (job) => this.#judge(job))
     const all = [...kinds.values()]
-    const worth = sumOf(all, 'earned') / sumOf(all, 'owed')
+    const earned = all.reduce((sum, kind) => sum + kind.earned, 0)
+    const owed = all.reduce((sum, kind) => sum + kind.owed, 0)
     const wastedAcceleratorSeconds = this.#wastedMs / 1000
-    return { kinds, worth, wastedAcceleratorSeconds, roundsMs: this.#roundsMs }
+    return { kinds, worth: earned / owed, wastedAcceleratorSeconds, roundsMs: this.#roundsMs }
   }
 
-  #earn({ request, arriveMs, kind, runTimesMs, value }: DayJob): number {
-    const endedAtMs = this.#endedAtMs.get(request.jobId)
-    if (this.#state.jobs.get(request.jobId)?.status !== 'completed') return 0
-    const chainMs = runTimesMs.reduce((sum, runTimeMs) => sum + runTimeMs, 0)
-    const objectiveMs = kind.stretch * chainMs + kind.targetLatencyMs
-    const tookMs = (endedAtMs ?? Infinity) - arriveMs
-    if (tookMs <= objectiveMs) return value
-    return tookMs <= objectiveMs * lateLimitTimes ? (value * kind.lateWorth) / kind.worth : 0
+  #judge({ request: { jobId }, arriveMs }: DayJob): JobEnd {
+    const endedAtMs = this.#endedAtMs.get(jobId)
+    const isCompleted = this.#state.jobs.get(jobId)?.status === 'completed'
+    return { isCompleted, tookMs: (endedAtMs ?? Infinity) - arriveMs }
   }
 }
-
-function sumOf(all: readonly KindEarnings[], field: keyof KindEarnings): number {
-  return all.reduce((sum, kind) => sum + kind[field], 0)
-}
--- /dev/null
+++ b/bench/policy/src/sumEarnings.ts
@@ -0,0 +1,39 @@
+/** What the jobs of a day earn by when they ended, as their users value them. */
+import type { DayJob } from './crowdedDay.js'
+
+/** A job that ends later than this many times its objective earns nothing. */
+const lateLimitTimes = 3
+
+export interface KindEarnings {
+  earned: number
+  owed: number
+}
+
+export interface JobEnd {
+  readonly isCompleted: boolean
+  /** From its arrival; Infinity where it has not ended. */
+  readonly tookMs: number
+}
+
+/** By kind of job. */
+export function sumEarnings(
+  jobs: readonly DayJob[],
+  judge: (job: DayJob) => JobEnd,
+): Map<string, KindEarnings> {
+  const kinds = new Map<string, KindEarnings>()
+  for (const job of jobs) {
+    const sums = kinds.get(job.kind.name) ?? { earned: 0, owed: 0 }
+    sums.owed += job.value
+    sums.earned += earn(job, judge(job))
+    kinds.set(job.kind.name, sums)
+  }
+  return kinds
+}
+
+function earn({ kind, runTimesMs, value }: DayJob, { isCompleted, tookMs }: JobEnd): number {
+  if (!isCompleted) return 0
+  const chainMs = runTimesMs.reduce((sum, runTimeMs) => sum + runTimeMs, 0)
+  const objectiveMs = kind.stretch * chainMs + kind.targetLatencyMs
+  if (tookMs <= objectiveMs) return value
+  return tookMs <= objectiveMs * lateLimitTimes ? (value * kind.lateWorth) / kind.worth : 0
+}
