fix: take entries again that a member committed but, its disk being full, never wrote

Cause: a leader whose disk fills up steps down and forgets what it had not written, though followers may have committed it; as a follower it then took entries up to its commit index for held, and the next append found a gap, which counts as a broken disk: the member was out for good. Found by reading the way a failed write goes, next to the fault of slow disks; the sites with disk_full had not shown it. Change: only what the log really reaches counts as held. The test (three voters, the leader's disk full for 10 s) fails without the change: 'a gap before 9'.

--- a/consensus/raft/__utils__/memoryLogStore.ts
+++ b/consensus/raft/__utils__/memoryLogStore.ts
@@ -1,5 +1,6 @@
 /** A log store on a MemoryDisk. A write takes time, and a crash meanwhile may lose it. */
 import type { Clock } from '@nettlespur/core.clock'
+import { NettlespurError } from '@nettlespur/core.errors'
 import {
   LogStore,
   type HardState,
@@ -15,6 +16,8 @@
 const neverMs = 1e12
 
 export class MemoryLogStore extends LogStore {
+  /** Takes no more entries. */
+  isFull = false
   /** Share of syncs that are slow. */
   slowShare = 0
   readonly #disk: MemoryDisk
@@ -71,6 +74,7 @@
   }
 
   append(entries: readonly LogEntry[]): Promise<void> {
+    if (this.isFull) return Promise.reject(new NettlespurError('disk-full', 'no space left'))
     return this.#write(() => {
       for (const entry of entries) {
         if (entry.index !== this.lastIndex + 1) throw new Error(`a gap before ${entry.index}`)
--- a/consensus/raft/src/appendHandler.ts
+++ b/consensus/raft/src/appendHandler.ts
@@ -40,8 +40,10 @@
 ): Promise<void> {
   const { log, memberships, commitIndex } = replica
   const sent = entries.map((entry, offset) => ({ ...entry, index: prevIndex + 1 + offset }))
+  // What was committed may be gone from here: a leader whose disk was full never wrote it.
+  const heldIndex = Math.min(commitIndex.value, log.lastIndex)
   const known = (entry: LogEntry): boolean =>
-    entry.index <= commitIndex.value || log.termAt(entry.index) === entry.term
+    entry.index <= heldIndex || log.termAt(entry.index) === entry.term
   const from = sent.findIndex((entry) => !known(entry))
   if (from < 0) return
   const fresh = sent.slice(from)
--- a/consensus/raft/test/slowDisk.test.ts
+++ b/consensus/raft/test/slowDisk.test.ts
@@ -49,3 +49,29 @@
   t.is(node.machine.applied.length, proposals + 1)
   t.deepEqual(cluster.listFaults(), [])
 })
+
+test('a leader whose disk was full takes again what the followers committed without it', async (t) => {
+  const cluster = await TestCluster.start({ seed: 1, voters: 3 })
+  t.teardown(() => cluster.close())
+  await cluster.clock.advance(10_000)
+  const leaderId = cluster.leader?.describe().leaderId ?? ''
+  const node = cluster.running.get(leaderId)
+  if (node === undefined) throw new Error('nobody leads')
+  node.store.slowShare = 1
+  void cluster.propose(leaderId)
+  await cluster.clock.advance(20)
+  node.store.isFull = true
+  for (let made = 1; made < proposals; made++) void cluster.propose(leaderId)
+  await cluster.clock.advance(10_000)
+  t.true(cluster.lines.some((line) => line.includes('kind=disk-full')))
+  node.store.slowShare = 0
+  node.store.isFull = false
+  await cluster.clock.advance(10_000)
+  void cluster.propose(cluster.leader?.describe().leaderId ?? '')
+  await cluster.clock.advance(10_000)
+  t.deepEqual(
+    cluster.lines.filter((line) => line.includes('kind=internal')),
+    [],
+  )
+  t.is(node.machine.applied.length, cluster.history.length)
+})
