test: show that a leader stopped right after its election hands over to nobody

The processes it left showed that the leader had stopped within 0.2 s of its election: no follower's answer counted yet, so transferLeadership found nobody, said nothing and returned; the followers elected another after their timeout. The trial then waited for a line that never comes from a process that had ended.

Change: a test on a manual clock that fails for this each time, and a trial that fails instead of hanging where the line is missing.

--- a/consensus/raft/test/raftNode.test.ts
+++ b/consensus/raft/test/raftNode.test.ts
@@ -169,3 +169,18 @@
   await cluster.clock.advance(5000)
   t.like(requireLeader(cluster).describe(), { leaderId, term })
 })
+
+test('a leader that is stopped right after its election still hands over', async (t) => {
+  const cluster = await startCluster(t)
+  const former = requireLeader(cluster)
+  cluster.crashNode(former.describe().leaderId ?? '')
+  // Its first requests have no answer yet, so that it knows of no follower that could take over.
+  let transfer: Promise<boolean> | undefined
+  for (const { raft } of cluster.running.values()) {
+    raft.standing.subscribe(({ role }) => {
+      if (role === 'leader') transfer ??= raft.transferLeadership()
+    })
+  }
+  await cluster.clock.advance(10_000)
+  t.true(await transfer)
+})
--- a/daemons/trial/__utils__/daemonProcess.ts
+++ b/daemons/trial/__utils__/daemonProcess.ts
@@ -34,6 +34,7 @@
   readonly #child: ChildProcess
   readonly #waiters = new Set<Waiter>()
   readonly #ended: Promise<number | null>
+  #hasEnded = false
 
   constructor(opts: DaemonProcessOptions) {
     const daemon = [process.execPath, opts.bin, '--settings', opts.settingsFile] as const
@@ -47,6 +48,7 @@
       })
     }
     void this.#ended.then((code) => {
+      this.#hasEnded = true
       running.delete(this.#child)
       this.#failWaiters(new Error(`the process ended with ${code ?? 'a signal'}:\n${this.#tail()}`))
     })
@@ -61,6 +63,8 @@
     const wanted = (fields: LogFields): boolean => fields.event === event && matches(fields)
     const past = this.lines.map((line) => parseLine(line)).find(wanted)
     if (past !== undefined) return Promise.resolve(past)
+    if (this.#hasEnded)
+      return Promise.reject(new Error(`it ended without ${event}:\n${this.#tail()}`))
     return new Promise((resolve, reject) => {
       this.#waiters.add({ matches: wanted, resolve, reject })
     })
