--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -7,13 +7,13 @@
 import { EitherAsync, Left, Right } from 'purify-ts'
 import { BatchLeader } from '../src/batchLeader.js'
 import { FakeUpstream, FleetLedger } from '@nettlespur/batch.fakes'
+import { createFleetConfig } from './createFleetConfig.js'
 import { FaultyPort, type LinkFault } from './faultyPort.js'
 
 export const upstreamCount = 4
 const acceleratorsEach = 8
 const commitMs = 8
 const announceEveryMs = 1500
-const attemptsMax = 3
 const silentLogger = { debug: noop, info: noop, warn: noop, error: noop }
 
 export type FleetTrouble =
@@ -225,26 +225,6 @@
   }
 }
 
-function createFleetConfig() {
-  return {
-    version: 1,
-    source: '{}',
-    pools: [{ name: 'pool', connectionsMax: 8, guardsCapacity: true }],
-    workspaces: [{ name: 'workspace', keys: [], guaranteedAccelerators: 16 }],
-    queues: [0, 1, 2].map((priority) => ({
-      name: `queue${priority}`,
-      host: 'host',
-      pathPrefix: `/queue${priority}/`,
-      pool: 'pool',
-      priority,
-      attemptsMax,
-      stretch: 2,
-      targetLatencyMs: 1000,
-      anonymous: true,
-    })),
-  }
-}
-
 function addressOf(at: number): string {
   return `127.0.0.1:${9000 + at}`
 }
