--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -20,6 +20,10 @@
 /** A round that took longer is followed by a pause as long as it took: half of the time is left for calls. */
 const shortRoundMs = 2
 
+/** Why a run is stopped, for the log. */
+const evacuatedReason = 'its upstream leaves before it can end'
+const preemptedReason = 'more urgent work waits for its room'
+
 export interface SchedulingRoundsOptions {
   clock: Clock
   logger: Logger
@@ -127,6 +131,3 @@
     this.#opts.logger.info({ event, ...runFields(run), upstreamId, ...fields })
   }
 }
-
-const evacuatedReason = 'its upstream leaves before it can end'
-const preemptedReason = 'more urgent work waits for its room'
