test: show that a gang late beyond hope is held up by small work that keeps coming

Gangs that can no longer earn get no room kept, and rank behind all others, so that each piece that comes free goes to smaller work. Tried and taken back: keeping room for one such gang where no other waits.

--- a/batch/scheduler/test/planRound.test.ts
+++ b/batch/scheduler/test/planRound.test.ts
@@ -194,3 +194,15 @@
     ['short'],
   )
 })
+
+test('a gang that is late beyond hope still gets its room, against small work that keeps coming', (t) => {
+  const fleet = new Fleet('r1', 'r1')
+  const needs = { cpuMillicores: 1000, memoryMiB: 1000, accelerators: 1 }
+  fleet.submit(createJob('small', { taskCount: 16, needs }))
+  const [first] = fleet.decide().placements
+  fleet.submit(createJob('gang', gang(2, 8)))
+  fleet.nowMs = 1_000_000
+  fleet.submit(createJob('more', { taskCount: 1, needs, expectedRunTimeMs: 5000 }))
+  if (first !== undefined) fleet.end(first, 'done')
+  t.deepEqual(fleet.decide().placements, [])
+})
