fix: keep a log event's fields out of the head of its line

Cause: an event was merged into bunyan's record, so its field `name` took the place of the logger's own and `call.answered` said `process=get-job`; a field `time`, `level` or `instanceId` would have done the same, and `pid`, `msg` and `v` were dropped without a word. Ruled out: renaming that one field only; control.stop-fault and control.leadership-fault of the other processes have a field `name` too. Change: the event is one value of the record, so no field can reach the head; a field with a key of the head is written as `field.KEY`. `call.answered` names the call in `call`, as its users look for it. Conclusion: lines of the entry say process=entry again.

--- a/batch/service/src/leaderClient.ts
+++ b/batch/service/src/leaderClient.ts
@@ -237,7 +237,15 @@
     if (!isChange && error === undefined) return
     const { leaderAddress } = this
     const reason = error?.message
-    logger.info({ event: 'call.answered', name, subject, outcome, tookMs, leaderAddress, reason })
+    logger.info({
+      event: 'call.answered',
+      call: name,
+      subject,
+      outcome,
+      tookMs,
+      leaderAddress,
+      reason,
+    })
   }
 }
 
--- a/core/logger/src/keyValueStream.ts
+++ b/core/logger/src/keyValueStream.ts
@@ -1,18 +1,10 @@
 /** Turns bunyan records into key=value lines. Values with blanks, quotes or line ends are JSON-quoted. */
 import { Writable } from 'node:stream'
 import bunyan from 'bunyan'
+import type { LogEvent } from './logEvent.js'
 
-const recordFields = new Set([
-  'v',
-  'level',
-  'name',
-  'hostname',
-  'pid',
-  'time',
-  'msg',
-  'event',
-  'instanceId',
-])
+/** The keys of a line's head. */
+const headKeys = new Set(['time', 'level', 'process', 'instanceId', 'event'])
 const plainValue = /^[^\s"=\\]+$/
 
 export class KeyValueStream extends Writable {
@@ -29,19 +21,26 @@
   }
 }
 
+/** The event's fields are a value of their own in the record, so that none of them can stand in the head. */
 export function formatRecord(record: Record<string, unknown>): string {
   const time = record.time instanceof Date ? record.time.toISOString() : String(record.time)
+  const { event, ...fields } = record.logged as LogEvent
   const head = [
     `time=${time}`,
     `level=${bunyan.nameFromLevel[record.level as number] ?? 'info'}`,
     `process=${formatValue(record.name)}`,
     `instanceId=${formatValue(record.instanceId)}`,
-    `event=${formatValue(record.event)}`,
+    `event=${formatValue(event)}`,
   ]
-  const fields = Object.entries(record)
-    .filter(([key, value]) => !recordFields.has(key) && value !== undefined)
-    .map(([key, value]) => `${key}=${formatValue(value)}`)
-  return [...head, ...fields].join(' ') + '\n'
+  const rest = Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([key, value]) => `${formatKey(key)}=${formatValue(value)}`)
+  return [...head, ...rest].join(' ') + '\n'
+}
+
+/** A field with the key of a part of the head stays apart from it. */
+function formatKey(key: string): string {
+  return headKeys.has(key) ? `field.${key}` : key
 }
 
 function formatValue(value: unknown): string {
--- a/core/logger/src/logger.ts
+++ b/core/logger/src/logger.ts
@@ -4,19 +4,11 @@
  */
 import bunyan from 'bunyan'
 import { KeyValueStream } from './keyValueStream.js'
+import type { LogEvent } from './logEvent.js'
 
 export const logLevels = ['debug', 'info', 'warn', 'error'] as const
 export type LogLevel = (typeof logLevels)[number]
 
-/** What one field of a log event may hold. */
-export type LogValue = string | number | boolean | null | undefined | readonly (string | number)[]
-
-/** A log event: its dotted name and its fields. */
-export interface LogEvent {
-  readonly event: string
-  readonly [field: string]: LogValue
-}
-
 export interface Logger {
   debug(event: LogEvent): void
   info(event: LogEvent): void
@@ -42,16 +34,16 @@
   })
   return {
     debug: (event) => {
-      target.debug(event)
+      target.debug({ logged: event })
     },
     info: (event) => {
-      target.info(event)
+      target.info({ logged: event })
     },
     warn: (event) => {
-      target.warn(event)
+      target.warn({ logged: event })
     },
     error: (event) => {
-      target.error(event)
+      target.error({ logged: event })
     },
   }
 }
--- a/core/logger/test/logger.test.ts
+++ b/core/logger/test/logger.test.ts
@@ -39,3 +39,18 @@
   )
   t.pass()
 })
+
+test('no field of an event stands in the place of the head of its line', (t) => {
+  const lines: string[] = []
+  const logger = createLogger({
+    name: 'entry',
+    instanceId: 'e1',
+    write: (line) => void lines.push(line),
+  })
+  const fields = { name: 'n', process: 'p', instanceId: 'i', time: 't', level: 'l', pid: 1, v: 2 }
+  logger.info({ event: 'call.answered', ...fields })
+  t.regex(
+    lines[0] ?? '',
+    /^time=20\S+ level=info process=entry instanceId=e1 event=call\.answered name=n field\.process=p field\.instanceId=i field\.time=t field\.level=l pid=1 v=2\n$/,
+  )
+})
