feat: let a leader tell which reads it confirmed late or not at all, and who was silent

Cause: a read that waited for its majority, or was refused for want of one, left nothing at the leader; from outside it could not be told from a silent link. Change: `raft.read-slow` (over a heartbeat) and `raft.read-refused` name the step (commit, quorum, apply), the time and the voters that missed two heartbeats. `read_confirmation_ms` and `read_confirmations_refused_total` are on the metrics. Volume: a line a second and leader; the next one counts those between. Ruled out: a line for each read; a burst of 150 waits on the same answers. Conclusion: the leader's part of a read's time is in the log.

--- a/batch/service/src/batchCalls.ts
+++ b/batch/service/src/batchCalls.ts
@@ -9,6 +9,7 @@
   type JobRecord,
 } from '@nettlespur/batch.state'
 import type { Member, RaftNode } from '@nettlespur/consensus.raft'
+import type { Clock } from '@nettlespur/core.clock'
 import { NettlespurError, tryAsync, unwrap } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
@@ -22,6 +23,7 @@
 const configRetryAfterMs = 500
 
 export interface BatchCallsOptions {
+  clock: Clock
   raft: RaftNode<CommandOutcome>
   getState: () => BatchState
   /** Throws `not-leader`. */
@@ -75,7 +77,7 @@
   override getJobState(call: JobCall): EitherAsync<NettlespurError, JobState> {
     return tryAsync(async () => {
       this.#opts.requireLeader()
-      await unwrap(this.#opts.raft.readBarrier())
+      await this.#confirmRead()
       return describeJob(await this.#findJob(call))
     })
   }
@@ -83,7 +85,7 @@
   override countPending(call: QueueCall): EitherAsync<NettlespurError, number> {
     return tryAsync(async () => {
       this.#opts.requireLeader()
-      await unwrap(this.#opts.raft.readBarrier())
+      await this.#confirmRead()
       const { queue } = await this.#authorize(call, '')
       let pending = 0
       for (const job of this.#state.unsettled.values()) {
@@ -108,7 +110,7 @@
   override readConfig(): EitherAsync<NettlespurError, string> {
     return tryAsync(async () => {
       this.#opts.requireLeader()
-      await unwrap(this.#opts.raft.readBarrier())
+      await this.#confirmRead()
       return this.#requireConfig().source
     })
   }
@@ -139,6 +141,18 @@
     return this.#opts.getState()
   }
 
+  /** Errors: throws `no-quorum` and `not-leader`. */
+  async #confirmRead(): Promise<void> {
+    const { clock, raft, metrics } = this.#opts
+    const startMs = clock.monotonicMs()
+    const confirmed = await raft.readBarrier().run()
+    metrics.recordMs('read_confirmation_ms', clock.monotonicMs() - startMs)
+    if (confirmed.isLeft()) metrics.count('read_confirmations_refused_total')
+    confirmed.ifLeft((error) => {
+      throw error
+    })
+  }
+
   #propose(command: Command): Promise<CommandOutcome> {
     return unwrap(this.#opts.raft.propose(encodeCommand(command)))
   }
@@ -155,7 +169,7 @@
   async #authorize(call: QueueCall, rest: string): Promise<Authorized> {
     const known = judgeCall(this.#requireConfig(), call, rest)
     if (!(known instanceof NettlespurError)) return known
-    await unwrap(this.#opts.raft.readBarrier())
+    await this.#confirmRead()
     const newest = judgeCall(this.#requireConfig(), call, rest)
     if (newest instanceof NettlespurError) throw newest
     return newest
@@ -165,7 +179,7 @@
     await this.#authorize(call, call.jobId)
     const known = this.#state.jobs.get(call.jobId)
     if (known !== undefined) return known
-    await unwrap(this.#opts.raft.readBarrier())
+    await this.#confirmRead()
     const newest = this.#state.jobs.get(call.jobId)
     if (newest !== undefined) return newest
     throw new NettlespurError('unknown-job', `no job ${call.jobId}`)
--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -59,6 +59,7 @@
     this.raft = raft
     this.#machine = machine
     this.calls = new BatchCalls({
+      clock: opts.clock,
       raft,
       getState: () => this.#state,
       requireLeader: () => this.#requireLeader(),
--- a/consensus/raft/__utils__/testCluster.ts
+++ b/consensus/raft/__utils__/testCluster.ts
@@ -30,6 +30,8 @@
   slowShare?: number
   timings?: Partial<RaftTimings>
   limits?: Partial<RaftLimits>
+  /** As for a node; true by default. */
+  leaseReads?: boolean
 }
 
 export class TestCluster {
@@ -101,6 +103,7 @@
       machine,
       timings: { ...defaultTimings, ...this.#opts.timings },
       limits: this.#opts.limits ?? {},
+      leaseReads: this.#opts.leaseReads ?? true,
       random: this.#random,
     })
     raft.standing.subscribe(({ role, term }) => {
--- a/consensus/raft/src/confirmLeadership.ts
+++ b/consensus/raft/src/confirmLeadership.ts
@@ -7,22 +7,47 @@
 import { NettlespurError } from '@nettlespur/core.errors'
 import { startWith } from 'rxjs'
 import { createNoQuorum, type Leader } from './leader.js'
+import type { ReadStep } from './readWatch.js'
 import { waitFor } from './waitFor.js'
 
 const clockDriftShare = 0.1
 
 /** Errors: rejects with `no-quorum` and `not-leader`. */
 export async function confirmLeadership<R>(leader: Leader<R>): Promise<void> {
-  const { replica } = leader
-  const { clock, commitIndex, appliedIndex, opts } = replica
+  const { clock, opts } = leader.replica
+  const startMs = clock.monotonicMs()
+  const { step, confirmed } = await confirm(leader)
+  const tookMs = clock.monotonicMs() - startMs
+  if (!confirmed) leader.reads.note({ outcome: 'refused', step, tookMs })
+  else if (tookMs > opts.timings.heartbeatMs) leader.reads.note({ outcome: 'slow', step, tookMs })
+  if (!confirmed) throw refuse(leader)
+}
+
+/** The step named is the one that failed, or the one that took longest. */
+async function confirm<R>(leader: Leader<R>): Promise<{ step: ReadStep; confirmed: boolean }> {
+  const { clock, commitIndex, appliedIndex, opts } = leader.replica
   const timeoutMs = opts.timings.electionTimeoutMs
   const isKnown = (index: number): boolean => index >= leader.firstIndex
   const commits = leader.whileLeading(commitIndex)
-  if (!(await waitFor(clock, commits, isKnown, { timeoutMs }))) throw refuse(leader)
+  const startMs = clock.monotonicMs()
+  if (!(await waitFor(clock, commits, isKnown, { timeoutMs }))) return fail('commit')
   const readIndex = commitIndex.value
-  if (!holdsLease(leader) && !(await askQuorum(leader))) throw refuse(leader)
+  const committedMs = clock.monotonicMs()
+  if (!holdsLease(leader) && !(await askQuorum(leader))) return fail('quorum')
+  const confirmedMs = clock.monotonicMs()
   const isApplied = (index: number): boolean => index >= readIndex
-  if (!(await waitFor(clock, appliedIndex, isApplied, { timeoutMs }))) throw refuse(leader)
+  if (!(await waitFor(clock, appliedIndex, isApplied, { timeoutMs }))) return fail('apply')
+  const steps: [ReadStep, number][] = [
+    ['commit', committedMs - startMs],
+    ['quorum', confirmedMs - committedMs],
+    ['apply', clock.monotonicMs() - confirmedMs],
+  ]
+  const [longest] = steps.sort(([, left], [, right]) => right - left)
+  return { step: longest?.[0] ?? 'quorum', confirmed: true }
+}
+
+function fail(step: ReadStep): { step: ReadStep; confirmed: false } {
+  return { step, confirmed: false }
 }
 
 function holdsLease<R>(leader: Leader<R>): boolean {
--- a/consensus/raft/src/leader.ts
+++ b/consensus/raft/src/leader.ts
@@ -10,6 +10,7 @@
 import { PeerReplicator } from './peerReplicator.js'
 import type { Proposals } from './proposals.js'
 import { pickQuorumValue } from './quorum.js'
+import { ReadWatch } from './readWatch.js'
 import type { Replica } from './replica.js'
 import { Wake } from '@nettlespur/core.clock'
 
@@ -26,6 +27,8 @@
   transferring = false
   /** Gone for good once another member was told to stand. */
   mayHoldLease = true
+  /** Told of reads whose confirmation was slow or refused. */
+  readonly reads: ReadWatch<R>
   readonly #proposals: Proposals<R>
   readonly #peers = new Map<string, PeerReplicator<R>>()
   readonly #flushWake = new Wake()
@@ -35,6 +38,7 @@
 
   constructor(replica: Replica<R>, proposals: Proposals<R>, disks: ReadonlyMap<string, string>) {
     this.replica = replica
+    this.reads = new ReadWatch(this)
     this.#proposals = proposals
     this.term = replica.term
     this.firstIndex = replica.log.lastIndex + 1
--- /dev/null
+++ b/consensus/raft/src/readWatch.ts
@@ -0,0 +1,55 @@
+/**
+ * Tells which reads of a leader were confirmed slowly or refused, in which step, and which voters were silent.
+ * A burst of reads waits on the same answers: it leaves one line a second, which counts the others.
+ */
+import type { Leader } from './leader.js'
+
+const lineEveryMs = 1000
+
+/** What a read waits on, in this order. */
+export type ReadStep = 'commit' | 'quorum' | 'apply'
+
+export interface ReadEnd {
+  readonly outcome: 'slow' | 'refused'
+  readonly step: ReadStep
+  readonly tookMs: number
+}
+
+export class ReadWatch<R> {
+  readonly #leader: Leader<R>
+  #lineMs = -Infinity
+  #unwritten = 0
+
+  constructor(leader: Leader<R>) {
+    this.#leader = leader
+  }
+
+  note({ outcome, step, tookMs }: ReadEnd): void {
+    const { clock, opts } = this.#leader.replica
+    const nowMs = clock.monotonicMs()
+    if (nowMs - this.#lineMs < lineEveryMs) {
+      this.#unwritten += 1
+      return
+    }
+    const event = `raft.read-${outcome}`
+    const { term, ended } = this.#leader
+    const others = this.#unwritten
+    const base = { event, term, step, tookMs: Math.round(tookMs), hasEnded: ended.aborted, others }
+    opts.logger.info({ ...base, silent: this.#listSilent(nowMs) })
+    this.#lineMs = nowMs
+    this.#unwritten = 0
+  }
+
+  /** `MEMBER:MILLISECONDS` since its last answer, for each voter that missed two heartbeats. */
+  #listSilent(nowMs: number): string[] {
+    const { replica } = this.#leader
+    const { voters, outgoing } = replica.membership
+    const quietMsMax = 2 * replica.opts.timings.heartbeatMs
+    return [...new Set([...voters, ...(outgoing ?? [])])]
+      .filter((memberId) => memberId !== replica.memberId)
+      .map((memberId) => ({ memberId, heardMs: this.#leader.getProgress(memberId)?.heardMs }))
+      .map(({ memberId, heardMs }) => ({ memberId, quietMs: nowMs - (heardMs ?? -Infinity) }))
+      .filter(({ quietMs }) => quietMs > quietMsMax)
+      .map(({ memberId, quietMs }) => `${memberId}:${Math.round(quietMs)}`)
+  }
+}
