feat: count callers' connections, and tell of each that ends with a call unanswered

Cause: an answer lost between caller and entry left nothing: neither the number of connections, nor who ended one, nor what was on it. Change: a server may be given a watcher of its connections. Found on the way: Node's own listener ends this side before a later listener sees the caller's end, so ours goes first (the test said `us` without it).

--- a/net/server/src/createHttpServer.ts
+++ b/net/server/src/createHttpServer.ts
@@ -15,6 +15,7 @@
   tryAsync,
   unwrap,
 } from '@nettlespur/core.errors'
+import { watchConnections, type ConnectionWatcher } from './connectionWatch.js'
 import { HttpRequest } from './httpRequest.js'
 import { matchRoute, type HttpReply, type Route } from './route.js'
 
@@ -41,6 +42,8 @@
   tls?: TlsFiles | undefined
   /** Told of each failure of kind `internal`, whose cause callers do not see. */
   onInternalError?: (error: NettlespurError) => void
+  /** Told of connections and of those that ended before their answers. */
+  connections?: ConnectionWatcher
 }
 
 export interface HttpServer {
@@ -75,6 +78,7 @@
     open.forEach(endConnectionAfter)
   }
   server.on('clientError', answerClientError)
+  if (opts.connections !== undefined) watchConnections(server, opts.connections)
   await listen(server, opts.address)
   const bound = server.address() as AddressInfo
   const host = bound.family === 'IPv6' ? `[${bound.address}]` : bound.address
--- a/net/server/src/index.ts
+++ b/net/server/src/index.ts
@@ -1,4 +1,5 @@
 /** An HTTP server with routes, limits, keys and answers from the error table. */
+export type { ConnectionWatcher, CutConnection } from './connectionWatch.js'
 export {
   createHttpServer,
   writeError,
