fix: replace a connection that answers neither a call nor any later one

Cause: a connection was judged by whether anything came on it since the call. Answers to earlier calls kept it alive while nothing went the other way, so the next call waited on it as well. Change: calls are numbered; at a call's deadline a connection that has answered none from this one on is left to its earlier calls, and further ones open a new one. One on which nothing came at all is cut as before. A call may be given limits of its own: its deadline, the silence after which further calls go over a new connection while it waits on, and a signal that its answer is wanted no more. Ruled out: to cut such a connection; the earlier answers still arrive on it. Conclusion: one of the ways to a 504 is closed; the wait of 700 ms is left.

--- a/rpc/peer/src/index.ts
+++ b/rpc/peer/src/index.ts
@@ -1,4 +1,5 @@
 /** tRPC between the product's own processes: keyed, with a deadline on each call. */
+export { limitCall, type CallLimits } from './callLimits.js'
 export { callPeer } from './callPeer.js'
 export { createRpcClient, type RpcClient, type RpcClientOptions } from './createRpcClient.js'
 export { createRpcServer, type RpcServerOptions } from './createRpcServer.js'
--- a/rpc/peer/src/peerConnection.ts
+++ b/rpc/peer/src/peerConnection.ts
@@ -28,6 +28,9 @@
   #socket: WebSocket | undefined
   #closed = false
   #messages = 0
+  #calls = 0
+  #callsInProgress = 0
+  #newestAnswered = 0
   #settle: { resolve: () => void; reject: (error: NettlespurError) => void } | undefined
 
   constructor(opts: PeerConnectionOptions) {
@@ -55,6 +58,30 @@
     return this.#messages
   }
 
+  get callsInProgress(): number {
+    return this.#callsInProgress
+  }
+
+  /** The highest number of a call that was answered. */
+  get newestAnswered(): number {
+    return this.#newestAnswered
+  }
+
+  /** The number of the next call. */
+  startCall(): number {
+    this.#callsInProgress += 1
+    this.#calls += 1
+    return this.#calls
+  }
+
+  noteAnswer(number: number): void {
+    this.#newestAnswered = Math.max(this.#newestAnswered, number)
+  }
+
+  endCall(): void {
+    this.#callsInProgress -= 1
+  }
+
   /** Cuts the connection; calls on it fail at once. */
   destroy(): void {
     this.#end('the connection was closed')
--- a/rpc/peer/test/silentProxy.ts
+++ b/rpc/peer/test/silentProxy.ts
@@ -6,6 +6,8 @@
   opened = 0
   readonly #server: Server
   readonly #sockets = new Set<Socket>()
+  /** The sides from which calls come. */
+  readonly #callers = new Set<Socket>()
 
   private constructor(target: string) {
     const separator = target.lastIndexOf(':')
@@ -13,6 +15,7 @@
     this.#server = createServer((inner) => {
       this.opened += 1
       const outer = connect(to)
+      this.#callers.add(inner)
       inner.pipe(outer).pipe(inner)
       for (const socket of [inner, outer]) {
         this.#sockets.add(socket)
@@ -40,6 +43,14 @@
     }
   }
 
+  /** From now on the connections that are open carry answers, and no calls. */
+  silenceCalls(): void {
+    for (const socket of this.#callers) {
+      socket.unpipe()
+      socket.resume()
+    }
+  }
+
   async close(): Promise<void> {
     const closed = once(this.#server, 'close')
     this.#server.close()
