fix: end a search for the leader once its answer is sure

Cause: a search waited for every member it asked, so that it took its whole 300 ms whenever one was down, though the leader had answered at once. Its calls on connections gone silent were cut only after 700 ms, so that the next search asked over the same ones. Change: a search ends when the leader of the newest term says so itself and a majority of all asked or named knows of no later term: a later leader would have had to be elected by one of them. A member that says nothing for 300 ms is asked over a new connection next time; calls in progress on the old one go on. The log names the members that have not answered. Ruled out: to take the first member that says it leads; a former leader behind a partition says so too, and a call to it costs 700 ms (test of two leaders).

--- a/batch/service/src/leaderFinder.ts
+++ b/batch/service/src/leaderFinder.ts
@@ -2,10 +2,11 @@
 import type { Clock } from '@nettlespur/core.clock'
 import { toNettlespurError } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
-import { createRpcClient, type RpcClient } from '@nettlespur/rpc.peer'
+import { createRpcClient, limitCall, type RpcClient } from '@nettlespur/rpc.peer'
 import type { LeaderView } from './batchApi.js'
 import type { Belief } from './callTrace.js'
 import type { BatchRouter } from './createBatchRouter.js'
+import { LeaderSearch } from './leaderSearch.js'
 
 /** A member answers who leads from memory; over links of 1 ms this leaves room for a lost packet. */
 const locateTimeoutMs = 300
@@ -82,20 +83,30 @@
 
   async #askMembers(): Promise<void> {
     const addresses = [...new Set([...this.#seeds, ...this.#members])]
-    const asked = addresses.map((address) => this.#askMember(address))
-    const views = (await Promise.all(asked)).filter((view) => view !== undefined)
-    const newest = views.filter(({ leaderAddress }) => leaderAddress !== undefined)
-    newest.sort((left, right) => right.term - left.term)
-    const members = views.flatMap(({ memberAddresses }) => memberAddresses)
-    if (members.length > 0) this.#members = [...new Set(members)]
-    this.believe(newest[0]?.leaderAddress, `${views.length} of ${addresses.length} members asked`)
+    const search = new LeaderSearch(addresses)
+    // Waiting for all of them took 300 ms whenever one was down, though the leader had answered at once.
+    await new Promise<void>((resolve) => {
+      const asked = addresses.map(async (address) => {
+        const view = await this.#askMember(address)
+        if (view !== undefined) search.note(address, view)
+        if (search.isDecided) resolve()
+      })
+      void Promise.all(asked).then(() => {
+        resolve()
+      })
+    })
+    const { memberAddresses, leaderAddress } = search
+    if (memberAddresses.length > 0) this.#members = memberAddresses
+    this.believe(leaderAddress, search.describe())
   }
 
+  /** A member that says nothing may be up behind a connection gone silent: the next search opens another. */
   async #askMember(address: string): Promise<LeaderView | undefined> {
     const { clock } = this.#opts
-    const late = clock.sleep(locateTimeoutMs).then(() => undefined)
+    const answered = new AbortController()
+    const late = clock.sleep(locateTimeoutMs, answered.signal).then(() => undefined)
     const asked = this.client(address)
-      .call.batch.locateLeader.mutate()
+      .call.batch.locateLeader.mutate(undefined, limitCall({ silentAfterMs: locateTimeoutMs }))
       .then((view) => {
         this.hear(address)
         return view
@@ -105,7 +116,9 @@
         this.#opts.logger.debug({ event: 'member.silent', address, reason })
         return undefined
       })
-    return Promise.race([asked, late])
+    const view = await Promise.race([asked, late])
+    answered.abort()
+    return view
   }
 
   /** The connection to one member, made on first use. */
