fix: ask a read in doubt again while its first question may still be answered

Cause: a read was called like a change, one try after the other, and given up in doubt after 1,000 ms. One silent call (700 ms) and one search (300 ms) were the whole of it, while the caller gave 3,000 ms; an answer that was 100 ms late was thrown away. Change: a read without an answer after 300 ms (ten times the slowest of a burst) is asked again, where necessary of another leader and over a new connection, and twice as long later once more; the first answer counts, also a late one. It goes on until 500 ms before the caller's deadline (`Deadline-Ms`). A refusal that is certain is told after the patience of 1,000 ms as before, with when to come back, and a read whose caller has left is not asked again. Submissions, cancels and all else go one try after the other as before and keep their truth. Ruled out: to hold every read to its deadline; where nobody leads the caller is better off coming back. To ask earlier than 300 ms; a busy leader would get more questions for nothing. A leader that never answers gets at most 4 a read in 3 s. Conclusion: an entry that was idle since a disturbance answers within the time its caller gives, wherever a leader is there.

--- a/batch/service/src/callTrace.ts
+++ b/batch/service/src/callTrace.ts
@@ -12,11 +12,18 @@
   readonly quietMs: number
 }
 
+interface StartedAttempt {
+  readonly address: string
+  readonly startMs: number
+  /** Empty while it has none. */
+  end: string
+}
+
 export class CallTrace {
   readonly #clock: Clock
   readonly #startMs: number
   readonly #wait: CallerWait
-  readonly #ends: string[] = []
+  readonly #attempts: StartedAttempt[] = []
   #belief: Belief | undefined
   #searches = 0
   #searchMs = 0
@@ -35,6 +42,10 @@
     return this.#searchMs
   }
 
+  get deadlineMs(): number | undefined {
+    return this.#wait.deadlineMs
+  }
+
   get callerIsGone(): boolean {
     return this.#wait.gone?.aborted === true
   }
@@ -49,10 +60,14 @@
     }
   }
 
-  /** One call of a member: the first belief is the one that the call came to. */
-  noteAttempt(belief: Belief, outcome: string, tookMs: number): void {
+  /** A call of a member begins; gives what is to be told its outcome. The log shows the first one's belief. */
+  startAttempt(belief: Belief): (outcome: string) => void {
+    const attempt = { address: belief.address, startMs: this.#clock.monotonicMs(), end: '' }
     this.#belief ??= belief
-    this.#ends.push(`${outcome}@${belief.address}+${Math.round(tookMs)}ms`)
+    this.#attempts.push(attempt)
+    return (outcome) => {
+      attempt.end = `${outcome}@${attempt.address}+${this.#since(attempt.startMs)}ms`
+    }
   }
 
   /** Fields of a log line. */
@@ -65,10 +80,21 @@
       leaderQuietMs: round(this.#belief?.quietMs),
       searches: this.#searches,
       searchMs: Math.round(this.#searchMs),
-      attempts: this.#ends.length,
-      attemptEnds: this.#ends.length === 0 ? undefined : this.#ends,
+      attempts: this.#attempts.length,
+      attemptEnds: this.#attempts.length === 0 ? undefined : this.#listEnds(),
     }
   }
+
+  /** A call without an outcome yet is `open`. */
+  #listEnds(): string[] {
+    return this.#attempts.map(({ address, startMs, end }) => {
+      return end === '' ? `open@${address}+${this.#since(startMs)}ms` : end
+    })
+  }
+
+  #since(startMs: number): number {
+    return Math.round(this.#clock.monotonicMs() - startMs)
+  }
 }
 
 function round(durationMs: number | undefined): number | undefined {
--- /dev/null
+++ b/batch/service/src/leaderCaller.ts
@@ -0,0 +1,94 @@
+/** One try of a call: at the member believed to lead, or after a search for it. */
+import { setDeadline, type Clock, type Timer } from '@nettlespur/core.clock'
+import { NettlespurError, toNettlespurError, unwrap } from '@nettlespur/core.errors'
+import { callPeer, type CallLimits } from '@nettlespur/rpc.peer'
+import type { EitherAsync } from 'purify-ts'
+import type { BatchApi } from './batchApi.js'
+import { isFinal, type Attempt } from './callOutcomes.js'
+import type { CallTrace } from './callTrace.js'
+import type { LeaderFinder } from './leaderFinder.js'
+import type { Operation } from './operation.js'
+
+/** Between rounds of asking while nobody leads. */
+const locatePauseMs = 100
+
+export interface LeaderCallerOptions {
+  clock: Clock
+  finder: LeaderFinder
+  /** Set where this process is a member itself. */
+  local?: { readonly address: string; readonly api: BatchApi } | undefined
+}
+
+export interface TryOptions {
+  readonly trace: CallTrace
+  /** Until the call is given up. */
+  readonly leftMs: number
+  readonly limits: CallLimits
+}
+
+export class LeaderCaller {
+  readonly #opts: LeaderCallerOptions
+
+  constructor(opts: LeaderCallerOptions) {
+    this.#opts = opts
+  }
+
+  /** Never rejects. */
+  async tryOnce<T>(operation: Operation<T>, opts: TryOptions): Promise<Attempt<T>> {
+    const { clock, finder } = this.#opts
+    const address = finder.leaderAddress ?? (await opts.trace.search(() => finder.locate()))
+    if (address !== undefined) return this.#callMember(operation, address, opts)
+    await clock.sleep(Math.max(0, Math.min(locatePauseMs, opts.leftMs)))
+    return new NettlespurError('not-leader', 'no member leads', { retryAfterMs: 500 })
+  }
+
+  async #callMember<T>(
+    operation: Operation<T>,
+    address: string,
+    { trace, limits }: TryOptions,
+  ): Promise<Attempt<T>> {
+    const { finder } = this.#opts
+    const endAttempt = trace.startAttempt(finder.describeBelief(address))
+    const silence = this.#watchSilence(address, limits)
+    try {
+      const value = await unwrap(this.#call(operation, address, limits))
+      finder.hear(address)
+      endAttempt('done')
+      return { value }
+    } catch (thrown) {
+      const error = toNettlespurError(thrown)
+      endAttempt(error.kind)
+      if (limits.unwanted?.aborted !== true) this.#leave(address, error)
+      return error
+    } finally {
+      silence?.cancel()
+    }
+  }
+
+  #call<T>(
+    operation: Operation<T>,
+    address: string,
+    limits: CallLimits,
+  ): EitherAsync<NettlespurError, T> {
+    const { local, finder } = this.#opts
+    if (local?.address === address) return operation.local(local.api)
+    return callPeer(() => operation.remote(finder.client(address).call.batch, limits))
+  }
+
+  /** A member that says nothing for so long may lead no more: the next try asks who does. */
+  #watchSilence(address: string, { silentAfterMs }: CallLimits): Timer | undefined {
+    if (silentAfterMs === undefined) return undefined
+    const { clock, finder } = this.#opts
+    const startMs = clock.monotonicMs()
+    return setDeadline(clock, silentAfterMs, () => {
+      finder.doubt(address, startMs)
+    })
+  }
+
+  /** Any other refusal is the leader's own answer. */
+  #leave(address: string, error: NettlespurError): void {
+    const { finder } = this.#opts
+    if (isFinal(error) || finder.leaderAddress !== address) return
+    finder.believe(error.kind === 'not-leader' ? error.hint : undefined, error.message)
+  }
+}
--- a/batch/service/src/leaderClient.ts
+++ b/batch/service/src/leaderClient.ts
@@ -6,6 +6,7 @@
 import type { Announcement, ClusterConfig, JobState } from '@nettlespur/batch.model'
 import type { Member } from '@nettlespur/consensus.raft'
 import type { NettlespurError } from '@nettlespur/core.errors'
+import { limitCall } from '@nettlespur/rpc.peer'
 import type { EitherAsync } from 'purify-ts'
 import { BatchApi, type JobCall, type QueueCall, type SubmitCall } from './batchApi.js'
 import { CallLog } from './callLog.js'
@@ -77,7 +78,7 @@
         name: 'get-job',
         subject: input.jobId,
         sort: 'read',
-        remote: (calls) => calls.getJobState.mutate(input),
+        remote: (calls, limits) => calls.getJobState.mutate(input, limitCall(limits)),
         local: (api) => api.getJobState(input),
       },
       wait,
@@ -93,7 +94,7 @@
         name: 'count-pending',
         subject: input.path,
         sort: 'read',
-        remote: (calls) => calls.countPending.mutate(input),
+        remote: (calls, limits) => calls.countPending.mutate(input, limitCall(limits)),
         local: (api) => api.countPending(input),
       },
       wait,
--- a/batch/service/src/leaderFinder.ts
+++ b/batch/service/src/leaderFinder.ts
@@ -60,6 +60,13 @@
     this.#opts.logger.info({ event: 'leader.believed', leaderAddress: address, reason })
   }
 
+  /** The member was called at `sinceMs` and nothing has come from it: who leads is asked anew. */
+  doubt(address: string, sinceMs: number): void {
+    const heardMs = this.#heardMs.get(address) ?? -Infinity
+    if (this.#leaderAddress !== address || heardMs > sinceMs) return
+    this.believe(undefined, `${address} has been silent`)
+  }
+
   /** What is known of a member before it is called. */
   describeBelief(address: string): Belief {
     const nowMs = this.#opts.clock.monotonicMs()
@@ -91,7 +98,7 @@
         if (view !== undefined) search.note(address, view)
         if (search.isDecided) resolve()
       })
-      void Promise.all(asked).then(() => {
+      void Promise.allSettled(asked).then(() => {
         resolve()
       })
     })
--- a/batch/service/src/operation.ts
+++ b/batch/service/src/operation.ts
@@ -1,6 +1,6 @@
 /** One call of the batch api in the form in which it is sent to whoever leads. */
 import type { NettlespurError, RpcResult } from '@nettlespur/core.errors'
-import type { RpcClient } from '@nettlespur/rpc.peer'
+import type { CallLimits, RpcClient } from '@nettlespur/rpc.peer'
 import type { EitherAsync } from 'purify-ts'
 import type { BatchApi } from './batchApi.js'
 import type { BatchRouter } from './createBatchRouter.js'
@@ -14,6 +14,6 @@
   readonly subject: string
   /** What the log keeps of it: each change, reads as a summary, repeated ones only where they fail. */
   readonly sort: 'change' | 'read' | 'repeated'
-  readonly remote: (calls: MemberCalls) => Promise<RpcResult<T>>
+  readonly remote: (calls: MemberCalls, limits: CallLimits) => Promise<RpcResult<T>>
   readonly local: (api: BatchApi) => EitherAsync<NettlespurError, T>
 }
--- a/batch/service/test/callLog.test.ts
+++ b/batch/service/test/callLog.test.ts
@@ -27,8 +27,9 @@
     { tookMs = 20, wait = {}, error = undefined as NettlespurError | undefined } = {},
   ): Promise<void> => {
     const trace = new CallTrace(clock, wait)
+    const endAttempt = trace.startAttempt(belief)
     await clock.advance(tookMs)
-    trace.noteAttempt(belief, error?.kind ?? 'done', tookMs)
+    endAttempt(error?.kind ?? 'done')
     log.note(createOperation(subject, sort), trace, leader, error)
   }
   return { clock, log, note, ...recorder }
@@ -120,3 +121,12 @@
   await found
   t.like(trace.describe(), { tookMs: 300, searches: 1, searchMs: 300, attempts: 0 })
 })
+
+test('a call of a member that has no outcome yet is shown as open', async (t) => {
+  const clock = new ManualClock()
+  const trace = new CallTrace(clock, {})
+  trace.startAttempt(belief)
+  await clock.advance(300)
+  trace.startAttempt(belief)('done')
+  t.deepEqual(trace.describe().attemptEnds, [`open@${leader}+300ms`, `done@${leader}+0ms`])
+})
--- a/batch/service/test/stateQueries.test.ts
+++ b/batch/service/test/stateQueries.test.ts
@@ -9,6 +9,8 @@
  *
  * Cause: a read in doubt ended the call like a change in doubt, although a read can be asked again.
  */
+import { createJob } from '@nettlespur/batch.samples'
+import { NettlespurError } from '@nettlespur/core.errors'
 import test, { type ExecutionContext } from 'ava'
 import { MemberGroup } from '../__utils__/index.js'
 
@@ -104,6 +106,77 @@
   t.true(tookMs < deadlineMs, `${tookMs} ms`)
 })
 
+test('where no member leads a query is told so after the usual patience, with when to come back', async (t) => {
+  const group = await startGroup(t)
+  group.member(0).answerState = () => Promise.reject(new NettlespurError('not-leader', 'no more'))
+  for (const at of [0, 1, 2]) group.member(at).view = { term: 2, memberAddresses: [] }
+  const { outcome, tookMs } = await group.settle(ask(group, 'a'))
+  t.like(outcome.extract(), { kind: 'not-leader', retryAfterMs: 500 })
+  t.true(tookMs >= timings.patienceMs && tookMs < timings.patienceMs + 200, `${tookMs} ms`)
+})
+
+test('an entry that reaches no member tells so after the usual patience, with when to come back', async (t) => {
+  const group = await startGroup(t)
+  for (const at of [0, 1, 2]) {
+    group.link(at).silence()
+    group.link(at).isDark = true
+  }
+  const { outcome, tookMs } = await group.settle(ask(group, 'a'))
+  t.like(outcome.extract(), { kind: 'not-leader', retryAfterMs: 500 })
+  t.true(tookMs < timings.patienceMs + 500, `${tookMs} ms`)
+})
+
+test('a leader too slow for the caller is asked at most four times, and the caller keeps time for another entry', async (t) => {
+  const group = await startGroup(t)
+  group.member(0).answerState = async () => {
+    await group.clock.sleep(10 * deadlineMs)
+    return 'completed'
+  }
+  const { outcome, tookMs } = await group.settle(ask(group, 'a'))
+  t.like(outcome.extract(), { kind: 'outcome-unknown' })
+  t.is(tookMs, deadlineMs - 500)
+  t.true(group.member(0).asked.filter((jobId) => jobId === 'a').length <= 4)
+})
+
+test('a query whose caller has left is not asked again', async (t) => {
+  const group = await startGroup(t)
+  const gone = new AbortController()
+  group.member(0).answerState = () => {
+    gone.abort()
+    return Promise.reject(new NettlespurError('no-quorum', 'no majority'))
+  }
+  const call = { host: 'h', path: '/q/a', jobId: 'a' }
+  const read = group.client.getJobState(call, { deadlineMs, gone: gone.signal }).run()
+  t.like((await group.settle(read)).outcome.extract(), { kind: 'no-quorum' })
+  t.is(group.member(0).asked.filter((jobId) => jobId === 'a').length, 1)
+})
+
+test('what the leader says of a job is told at once', async (t) => {
+  const group = await startGroup(t)
+  group.member(0).answerState = () => Promise.reject(new NettlespurError('unknown-job', 'none'))
+  const { outcome, tookMs } = await group.settle(ask(group, 'a'))
+  t.like(outcome.extract(), { kind: 'unknown-job' })
+  t.is(tookMs, 0)
+})
+
+test('a submission on a silent connection is not under way twice, and ends in doubt', async (t) => {
+  const group = await startGroup(t)
+  for (const at of [0, 1, 2]) {
+    group.link(at).silence()
+    group.link(at).isDark = true
+  }
+  const { outcome, tookMs } = await group.settle(submit(group, 'a'))
+  t.like(outcome.extract(), { kind: 'outcome-unknown' })
+  t.is(outcome.swap().unsafeCoerce().answer.ran, 'unknown')
+  t.true(tookMs < timings.patienceMs + 500, `${tookMs} ms`)
+  t.deepEqual(group.member(0).submitted, [])
+})
+
+function submit({ client }: MemberGroup, jobId: string) {
+  const request = createJob(jobId, {})
+  return client.submitJob({ host: 'h', path: `/q/${jobId}`, request }, { deadlineMs }).run()
+}
+
 function turn(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve))
 }
