fix: have callers sent elsewhere by an entry that reaches no member, and keep its way to the leader fresh

Cause: readiness said only that no stop was under way, and an entry learnt of a silent connection, another leader or its own isolation from the first caller that waited for it. Change: a watch asks the leader once a second where it was quiet, searches anew where it does not say that it leads, and after three looks that no member answers (about 2.5 s) the entry is not ready until one answers. A member that knows no leader is an answer: an election takes nobody out of the balancer. Ruled out: readiness by whether a leader is known. In an election all entries would leave the balancer at once, and come back up to a second after it.

--- a/batch/service/src/leaderClient.ts
+++ b/batch/service/src/leaderClient.ts
@@ -11,6 +11,7 @@
 import { CallLog } from './callLog.js'
 import type { CallerWait } from './callerWait.js'
 import { LeaderFinder } from './leaderFinder.js'
+import { LeaderWatch } from './leaderWatch.js'
 import { OperationRunner, type OperationRunnerOptions } from './operationRunner.js'
 
 export type LeaderClientOptions = Omit<OperationRunnerOptions, 'finder' | 'log'>
@@ -18,12 +19,14 @@
 export class LeaderClient extends BatchApi {
   readonly #finder: LeaderFinder
   readonly #log: CallLog
+  readonly #watch: LeaderWatch
   readonly #runner: OperationRunner
 
   constructor(opts: LeaderClientOptions) {
     super()
     this.#finder = new LeaderFinder(opts)
     this.#log = new CallLog(opts)
+    this.#watch = new LeaderWatch(opts, this.#finder)
     this.#runner = new OperationRunner({ ...opts, finder: this.#finder, log: this.#log })
   }
 
@@ -32,6 +35,16 @@
     return this.#finder.leaderAddress
   }
 
+  /** False while no member has answered for some seconds; true unless `watch` runs. */
+  get reachesMembers(): boolean {
+    return this.#watch.reachesMembers
+  }
+
+  /** Keeps the way to the leader fresh until `signal` is aborted. */
+  watch(signal: AbortSignal): Promise<void> {
+    return this.#watch.run(signal)
+  }
+
   /** The settings name other members to begin with. */
   replaceSeeds(seeds: readonly string[]): void {
     this.#finder.replaceSeeds(seeds)
--- a/batch/service/src/leaderFinder.ts
+++ b/batch/service/src/leaderFinder.ts
@@ -71,6 +71,26 @@
     this.#heardMs.set(address, this.#opts.clock.monotonicMs())
   }
 
+  /** Since any member answered, in milliseconds; undefined where none has yet. */
+  get quietMs(): number | undefined {
+    const heardMs = Math.max(...this.#heardMs.values())
+    return heardMs === -Infinity ? undefined : this.#opts.clock.monotonicMs() - heardMs
+  }
+
+  /** Makes sure of a leader that has been quiet for `quietMs`. False where no member answers. */
+  async refresh(quietMs: number): Promise<boolean> {
+    const startMs = this.#opts.clock.monotonicMs()
+    const address = this.#leaderAddress
+    if (address !== undefined) {
+      if (this.describeBelief(address).quietMs < quietMs) return true
+      const view = await this.#askMember(address)
+      if (view?.leaderAddress === address) return true
+      if (this.#leaderAddress === address) this.believe(undefined, 'it does not say that it leads')
+    }
+    await this.locate()
+    return [...this.#heardMs.values()].some((heardMs) => heardMs >= startMs)
+  }
+
   /** Asks all members known; callers that come meanwhile share the answer. */
   async locate(): Promise<string | undefined> {
     this.#locating ??= this.#askMembers().finally(() => {
