test: show what rows, heartbeats and records of other writers cost today

Cause: an answer of an upstream, a heartbeat and a stored record are each read as one whole by a schema that takes missing fields as defaults and drops fields it doesn't know. One bad row loses all rows of its answer, a row with a name of another form is dropped in silence, and what it stood for is taken as ended.

Ruled out: that the process dies of such bodies at these routes; it lives.

--- a/batch/service/__utils__/faultyPort.ts
+++ b/batch/service/__utils__/faultyPort.ts
@@ -13,8 +13,11 @@
 import { NettlespurError } from '@nettlespur/core.errors'
 import type { FakeUpstream } from '@nettlespur/batch.fakes'
 
-/** What the link does with one call. `late`: it is carried out seconds later, and nothing is answered. */
-export type LinkFault = 'none' | 'answer-lost' | 'late' | 'refused' | 'silent'
+/**
+ * What the link does with one call. `late`: it is carried out seconds later, and nothing is answered. `unread-rows`:
+ * every second row of a look cannot be read, and is left out of its lists.
+ */
+export type LinkFault = 'none' | 'answer-lost' | 'late' | 'refused' | 'silent' | 'unread-rows'
 
 export interface FaultyPortOptions {
   clock: Clock
@@ -47,13 +50,17 @@
 
   override hold(to: UpstreamTarget, order: HoldOrder, timeoutMs: number): Promise<HoldAnswer> {
     this.looks += 1
-    return this.#call(to, timeoutMs, (upstream) => upstream.hold(order))
+    const turn = this.looks
+    return this.#call(to, timeoutMs, async (upstream, fault) => {
+      const answer = await upstream.hold(order)
+      return fault === 'unread-rows' ? leaveOutRows(answer, turn) : answer
+    })
   }
 
   async #call<T>(
     { upstreamId, address }: UpstreamTarget,
     timeoutMs: number,
-    run: (upstream: FakeUpstream) => Promise<T>,
+    run: (upstream: FakeUpstream, fault: LinkFault) => Promise<T>,
   ): Promise<T | { type: 'gone'; clockMs: undefined }> {
     const { clock, findUpstream, nextFault, nextLinkMs, nextDelayMs } = this.#opts
     const fault = nextFault(address)
@@ -63,9 +70,9 @@
       const upstream = findUpstream(address)
       if (upstream?.isUp !== true) throw new NettlespurError('unreachable', 'nobody listens')
       if (upstream.upstreamId !== upstreamId) return { type: 'gone', clockMs: undefined }
-      return run(upstream)
+      return run(upstream, fault)
     }
-    if (fault === 'none') {
+    if (fault === 'none' || fault === 'unread-rows') {
       const answer = await carryOut()
       await clock.sleep(nextLinkMs())
       return answer
@@ -80,3 +87,15 @@
     throw new NettlespurError('outcome-unknown', `no answer within ${timeoutMs} ms`)
   }
 }
+
+/** The rows that are left depend on the turn, so that a run is listed in some looks and in others not. */
+function leaveOutRows(answer: HoldAnswer, turn: number): HoldAnswer {
+  if (answer.type !== 'held') return answer
+  const isRead = (_: unknown, at: number): boolean => (at + turn) % 2 === 0
+  const running = answer.running.filter(isRead)
+  const finished = answer.finished.filter(isRead)
+  const listed = answer.running.length + answer.finished.length
+  const unreadRows = listed - running.length - finished.length
+  const left = { ...answer, running, finished, unreadRows }
+  return left
+}
--- /dev/null
+++ b/batch/service/test/foreignAnnouncements.test.ts
@@ -0,0 +1,70 @@
+/** Announcements of other writers at the leader: what is known of other upstreams, and of the same one, holds. */
+import type { Announcement } from '@nettlespur/batch.model'
+import { createJob } from '@nettlespur/batch.samples'
+import test from 'ava'
+import { FakeFleet, upstreamCount } from '../__utils__/index.js'
+
+const settledMs = 2000
+const needs = { cpuMillicores: 100, memoryMiB: 100, accelerators: 8 }
+
+async function startFleet(): Promise<FakeFleet> {
+  const fleet = new FakeFleet({ clockRate: 1, lateMs: 1000, failures: [], linksMs: [1] })
+  fleet.elect()
+  await fleet.clock.advance(settledMs)
+  return fleet
+}
+
+/** What an upstream of the fleet says of itself, in the words of another writer. */
+function createAnnouncement(fleet: FakeFleet, fields: Partial<Announcement>): Announcement {
+  const description = fleet.state.upstreams.get(fleet.upstreamIdOf(0))?.description
+  if (description === undefined) throw new Error('the fleet has not announced itself')
+  return { ...description, isDraining: false, sequence: 1e6, clockMs: 1, ...fields }
+}
+
+async function hear(fleet: FakeFleet, announcement: Announcement): Promise<void> {
+  const heard = fleet.leader?.announce(announcement)
+  await fleet.clock.advance(100)
+  await heard
+}
+
+/** Upstreams on which work starts if each is asked for one task that fills it. */
+async function countUsed(fleet: FakeFleet): Promise<number> {
+  fleet.submit(createJob('j', { taskCount: 6, needs, expectedRunTimeMs: 60_000 }), 1)
+  await fleet.clock.advance(settledMs)
+  return new Set(fleet.ledger.starts.map(({ index }) => index)).size
+}
+
+test('an announcement of a pool that is not configured does not undo the last good one of the same id', async (t) => {
+  const fleet = await startFleet()
+  const upstreamId = fleet.upstreamIdOf(0)
+  const before = fleet.state.upstreams.get(upstreamId)
+  await hear(fleet, createAnnouncement(fleet, { pool: 'unknown', isDraining: true }))
+  t.deepEqual(fleet.state.upstreams.get(upstreamId), before)
+  t.is(await countUsed(fleet), upstreamCount)
+})
+
+test('an announcement of a pool that is not configured changes nothing of another upstream at its address', async (t) => {
+  const fleet = await startFleet()
+  await hear(fleet, createAnnouncement(fleet, { upstreamId: 'foreign', pool: 'unknown' }))
+  t.false(fleet.state.upstreams.has('foreign'))
+  t.is(await countUsed(fleet), upstreamCount)
+})
+
+test('an upstream of a pool that is dropped can still say that it is about to leave', async (t) => {
+  const fleet = await startFleet()
+  const { config } = fleet.state
+  if (config === undefined) return t.fail()
+  fleet.commit({ type: 'apply-config', config: { ...config, version: 2, pools: [], queues: [] } })
+  await hear(fleet, createAnnouncement(fleet, { isDraining: true }))
+  t.true(fleet.state.upstreams.get(fleet.upstreamIdOf(0))?.isDraining)
+})
+
+test('a late announcement of a life that is over does not keep the next life at its address from work', async (t) => {
+  const fleet = await startFleet()
+  const late = createAnnouncement(fleet, { upstreamId: 'former-life', sequence: 1 })
+  await hear(fleet, late)
+  t.is(await countUsed(fleet), upstreamCount - 1)
+  await fleet.clock.advance(5 * settledMs)
+  const used = new Set([...fleet.state.placements.upstreamIds])
+  t.true(used.has(fleet.upstreamIdOf(0)))
+})
--- a/batch/service/test/leaderModel.test.ts
+++ b/batch/service/test/leaderModel.test.ts
@@ -1,6 +1,7 @@
 /**
  * The leader's work against upstreams with faulty links, over many schedules: late orders, lost answers,
- * cuts, crashes with new lives at the same address, changes of the leader. Time is a manual clock.
+ * rows that cannot be read, cuts, crashes with new lives at the same address, changes of the leader. Time is a
+ * manual clock.
  */
 import type { JobRequest, StepSpec } from '@nettlespur/batch.model'
 import test from 'ava'
@@ -13,13 +14,25 @@
 /** Ten a second for each upstream: long polls need one in two seconds, and one for each end. */
 const looksMax = (10 * upstreamCount * (troubledMs + calmMs)) / 1000
 
-const linkFault = fc.constantFrom<LinkFault>('answer-lost', 'late', 'refused', 'silent')
+const linkFault = fc.constantFrom<LinkFault>(
+  'answer-lost',
+  'late',
+  'refused',
+  'silent',
+  'unread-rows',
+)
 const trouble: fc.Arbitrary<FleetTrouble> = fc.oneof(
   fc.record({
     kind: fc.constant('fault' as const),
     fault: linkFault,
     calls: fc.integer({ min: 1, max: 6 }),
   }),
+  // Looks in a row of which the leader can read every second row, at whichever upstreams are asked.
+  fc.record({
+    kind: fc.constant('fault' as const),
+    fault: fc.constant<LinkFault>('unread-rows'),
+    calls: fc.integer({ min: 1, max: 60 }),
+  }),
   fc.record({
     kind: fc.constant('cut' as const),
     upstream: fc.nat(upstreamCount - 1),
--- /dev/null
+++ b/batch/state/test/foreignRecords.test.ts
@@ -0,0 +1,104 @@
+/** Commands and snapshots that are torn, foreign or of a newer version: refused by name, never half taken. */
+import { createConfig, createJob, createUpstream } from '@nettlespur/batch.samples'
+import { NettlespurError } from '@nettlespur/core.errors'
+import test from 'ava'
+import fc from 'fast-check'
+import assert from 'node:assert/strict'
+import { BatchMachine, encodeCommand, type Command } from '../src/index.js'
+
+const run = { jobId: 'j', step: 0, index: 0, attempt: 1, upstreamId: 'u1' }
+const request = createJob('j', {}, { dependsOn: [0] })
+const commands: readonly Command[] = [
+  { type: 'apply-config', config: createConfig(1) },
+  { type: 'note-upstream', description: createUpstream('u1') },
+  { type: 'submit-job', request, workspace: 'w1', queueName: 'queue1' },
+  { type: 'place-tasks', placements: [run] },
+  { type: 'end-runs', ends: [{ ...run, outcome: 'stopped', checkpoint: 'c' }] },
+  { type: 'drain-upstream', upstreamId: 'u1' },
+  { type: 'remove-upstream', upstreamId: 'u1' },
+  { type: 'cancel-job', jobId: 'j' },
+  { type: 'forget-jobs', jobIds: ['other'] },
+  { type: 'forget-upstreams', upstreamIds: ['other'] },
+]
+
+function createMachine(): BatchMachine {
+  const machine = new BatchMachine()
+  commands.slice(0, 4).forEach((command, at) => machine.apply(at + 1, encodeCommand(command)))
+  return machine
+}
+
+/** Every way to add one field that this version does not know, at each object within. */
+function listNewer(value: unknown): unknown[] {
+  if (Array.isArray(value)) {
+    const items: unknown[] = value
+    return items.flatMap((item, at) => listNewer(item).map((newer) => items.with(at, newer)))
+  }
+  if (typeof value !== 'object' || value === null) return []
+  const inner = Object.entries(value).flatMap(([key, field]) =>
+    listNewer(field).map((newer) => ({ ...value, [key]: newer })),
+  )
+  return [{ ...value, fieldOfNewerVersion: 1 }, ...inner]
+}
+
+/** Nothing of the state may change, and the error names the record. */
+function assertRefused(machine: BatchMachine, what: RegExp, take: () => void): void {
+  const before = machine.takeSnapshot().toString()
+  assert.throws(take, (thrown) => {
+    assert.ok(thrown instanceof NettlespurError)
+    assert.equal(thrown.kind, 'storage-damaged')
+    assert.match(thrown.message, what)
+    return true
+  })
+  assert.equal(machine.takeSnapshot().toString(), before)
+}
+
+test('a command with a field of a newer version is refused by its index, and changes nothing', (t) => {
+  for (const command of commands) {
+    for (const newer of listNewer(command)) {
+      const machine = createMachine()
+      const bytes = Buffer.from(JSON.stringify(newer))
+      assertRefused(machine, /command at 77/, () => machine.apply(77, bytes))
+    }
+  }
+  t.pass()
+})
+
+test('a snapshot with a field of a newer version is refused by its index, and changes nothing', (t) => {
+  const snapshot = JSON.parse(createMachine().takeSnapshot().toString()) as unknown
+  for (const newer of listNewer(snapshot)) {
+    const machine = createMachine()
+    assertRefused(machine, /snapshot at 77/, () => {
+      machine.restore(77, Buffer.from(JSON.stringify(newer)))
+    })
+  }
+  t.pass()
+})
+
+test('torn and foreign bytes are refused by name, as commands and as snapshots', (t) => {
+  const torn = commands.map((command) => encodeCommand(command).subarray(0, -1))
+  const bytes = fc.oneof(
+    fc.constantFrom(...torn),
+    fc.uint8Array().map((array) => Buffer.from(array)),
+    fc.jsonValue().map((value) => Buffer.from(JSON.stringify(value))),
+  )
+  fc.assert(
+    fc.property(bytes, (foreign) => {
+      const machine = createMachine()
+      assertRefused(machine, /command at 77/, () => machine.apply(77, foreign))
+      assertRefused(machine, /snapshot at 77/, () => {
+        machine.restore(77, foreign)
+      })
+    }),
+    { numRuns: 200 },
+  )
+  t.pass()
+})
+
+test('what this version writes is read back by it', (t) => {
+  const machine = createMachine()
+  commands.slice(4).forEach((command, at) => machine.apply(at + 5, encodeCommand(command)))
+  const snapshot = machine.takeSnapshot()
+  const restored = new BatchMachine()
+  restored.restore(9, snapshot)
+  t.deepEqual(JSON.parse(restored.takeSnapshot().toString()), JSON.parse(snapshot.toString()))
+})
