fix: let a bad row cost no other row, and a bad heartbeat nothing that is known

Ruled out: leaving a row that can't be read out and going on as before. Refusing the whole look, as today, loses the rows beside it, and with them the lease of all that runs there.

While such rows are there and a placed run isn't listed, the run is not taken as ended and nothing is acknowledged; once everything placed is listed the unread rows can be nobody's here, and ends are acknowledged as ever. A run that stays hidden for 3 s gets no new lease, and counts as lost when the lease of all that runs there is over on the slowest clock; the upstream gets no new work for 30 s. The next life at an address is used again once a former one, announced late, is gone.

--- a/batch/fakes/src/fakeUpstream.ts
+++ b/batch/fakes/src/fakeUpstream.ts
@@ -119,6 +119,7 @@
         progressPercent: 0,
       })),
       finished: [...this.#finished],
+      unreadRows: 0,
     }
   }
 
--- a/batch/model/src/upstreamDescription.ts
+++ b/batch/model/src/upstreamDescription.ts
@@ -3,7 +3,7 @@
 import { z } from 'zod'
 import { resourcesSchema } from './jobRequest.js'
 
-export const upstreamDescriptionSchema = z.object({
+export const upstreamDescriptionSchema = z.strictObject({
   upstreamId: z.string(),
   pool: z.string(),
   address: addressSchema,
@@ -24,3 +24,9 @@
   clockMs: z.number(),
 })
 export type Announcement = z.infer<typeof announcementSchema>
+
+/** The part of an announcement that is committed. */
+export function toDescription(announcement: Announcement): UpstreamDescription {
+  const { upstreamId, pool, address, dataCentre, rack, labels, capacity } = announcement
+  return { upstreamId, pool, address, dataCentre, rack, labels, capacity }
+}
--- a/batch/service/__utils__/faultyPort.ts
+++ b/batch/service/__utils__/faultyPort.ts
@@ -96,6 +96,5 @@
   const finished = answer.finished.filter(isRead)
   const listed = answer.running.length + answer.finished.length
   const unreadRows = listed - running.length - finished.length
-  const left = { ...answer, running, finished, unreadRows }
-  return left
+  return { ...answer, running, finished, unreadRows }
 }
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -2,7 +2,7 @@
  * The work of one leadership: it talks to the upstreams, decides what starts where, and commits each
  * placement before its start is sent.
  */
-import { runKey, upstreamDescriptionSchema, type Announcement } from '@nettlespur/batch.model'
+import { runKey, toDescription, type Announcement } from '@nettlespur/batch.model'
 import { SessionHost, type UpstreamPort } from '@nettlespur/batch.sessions'
 import {
   listPlacements,
@@ -23,6 +23,7 @@
 import { JobClock } from './jobClock.js'
 import { listTouchedJobs } from './listTouchedJobs.js'
 import type { Propose } from './proposer.js'
+import { RecordFaults } from './recordFaults.js'
 import { listActiveJobs, reportEnds } from './reportEnds.js'
 import { SchedulingRounds } from './schedulingRounds.js'
 import { UpstreamRoster } from './upstreamRoster.js'
@@ -46,11 +47,13 @@
   readonly #jobClock = new JobClock()
   readonly #preempted = new Set<string>()
   readonly #rounds: SchedulingRounds
+  readonly #faults: RecordFaults
 
   constructor(opts: BatchLeaderOptions) {
     super()
     this.#opts = opts
     this.fence = opts.term
+    this.#faults = new RecordFaults(opts)
     const { signal } = this.#ending
     this.#roster = new UpstreamRoster({ ...opts, host: this, signal })
     this.#rounds = new SchedulingRounds({
@@ -103,10 +106,10 @@
   async announce(announcement: Announcement): Promise<void> {
     const { upstreamId, isDraining, drainRemainingMs } = announcement
     const known = this.#state.upstreams.get(upstreamId)
-    if (known?.hasLeft === true) return
+    if (known?.hasLeft === true || !this.#isOfKnownPool(announcement)) return
     const wasUsable = this.#isUsable(upstreamId)
     if (!this.#roster.note(announcement)) return
-    const description = upstreamDescriptionSchema.parse(announcement)
+    const description = toDescription(announcement)
     if (known === undefined || !isDeepStrictEqual(known.description, description)) {
       await this.#propose({ type: 'note-upstream', description })
     }
@@ -169,6 +172,19 @@
     void this.#tryPropose({ type: 'remove-upstream', upstreamId })
   }
 
+  /**
+   * An upstream of a pool that was dropped still says when it leaves. Any other pool that is not configured is of
+   * another writer, or not configured yet: the upstream is heard again soon, and until then it changes nothing.
+   */
+  #isOfKnownPool({ upstreamId, pool }: Announcement): boolean {
+    const { config } = this.#state
+    if (config === undefined || config.pools.some(({ name }) => name === pool)) return true
+    if (this.findUpstream(upstreamId)?.description.pool === pool) return true
+    const reason = `pool ${pool} is not configured`
+    this.#faults.note({ kind: 'unknown-pool', sender: upstreamId, reason })
+    return false
+  }
+
   #isPreempted(placement: Placement): boolean {
     return this.#preempted.size > 0 && this.#preempted.has(runKey(placement))
   }
--- a/batch/service/src/index.ts
+++ b/batch/service/src/index.ts
@@ -11,3 +11,9 @@
 export type { BatchTimings } from './batchTimings.js'
 export { createBatchRouter, type BatchRouter } from './createBatchRouter.js'
 export { LeaderClient, type LeaderClientOptions } from './leaderClient.js'
+export {
+  RecordFaults,
+  type RecordFault,
+  type RecordFaultKind,
+  type RecordFaultsOptions,
+} from './recordFaults.js'
--- a/batch/service/src/upstreamRoster.ts
+++ b/batch/service/src/upstreamRoster.ts
@@ -12,6 +12,8 @@
 const missedAnnouncements = 3
 /** After a call without an answer an upstream gets no new work for this long, and until it is heard again. */
 const silentPauseMs = 2000
+/** An upstream whose looks hid a run gets no new work for this long: longer than the lease that then ends the run. */
+const unlistedPauseMs = 30_000
 
 export interface UpstreamRosterOptions {
   host: SessionHost
@@ -102,6 +104,7 @@
     const heardAtMs = this.#table.heardAtMs(upstreamId)
     const { announceEveryMs } = this.#opts.timings
     if (nowMs - heardAtMs > announceEveryMs * missedAnnouncements) return false
+    if (nowMs - session.unlistedAtMs < unlistedPauseMs) return false
     if (session.unanswered > 0) {
       const { unansweredAtMs } = session
       if (heardAtMs <= unansweredAtMs || nowMs - unansweredAtMs < silentPauseMs) return false
--- a/batch/service/src/upstreamTable.ts
+++ b/batch/service/src/upstreamTable.ts
@@ -46,7 +46,10 @@
   /** A later life of the process has announced itself at the same address. */
   isReplaced(upstreamId: string): boolean {
     const address = this.#heard.get(upstreamId)?.address
-    return address !== undefined && this.#newestAt.get(address) !== upstreamId
+    if (address === undefined) return false
+    // None once the newest is gone: it was a former life whose announcement came late, and this one is the next.
+    const newest = this.#newestAt.get(address)
+    return newest !== undefined && newest !== upstreamId
   }
 
   forget(upstreamId: string): void {
--- a/batch/sessions/src/readLook.ts
+++ b/batch/sessions/src/readLook.ts
@@ -16,32 +16,48 @@
 export interface Look {
   readonly running: readonly RunningRun[]
   readonly finished: readonly FinishedRun[]
+  /** Rows of the two lists that could not be read. */
+  readonly unreadRows: number
   /** When it was sent, on our clock. */
   readonly sentAtMs: number
 }
 
-/** Ends of placed runs that the look shows, those included that will never run. */
-export function listEnds(
+export interface LookReading {
+  /** Ends of placed runs, those included that will never run. */
+  readonly ends: readonly RunEnd[]
+  /** Runs that would have ended, were it not for rows that could not be read: one of these may be theirs. */
+  readonly unlisted: readonly RunTrack[]
+  /** No row that could not be read can be the end of a run placed there: all of these are listed. */
+  readonly mayAcknowledge: boolean
+}
+
+export function readLook(
   look: Look,
   placements: ReadonlyMap<string, Placement>,
   tracks: ReadonlyMap<string, RunTrack>,
-): RunEnd[] {
-  const ends: RunEnd[] = []
-  const seen = new Set(look.running.map(({ run }) => runKey(run)))
-  for (const { run, outcome, checkpoint } of look.finished) {
-    const placement = placements.get(runKey(run))
-    seen.add(runKey(run))
-    if (placement !== undefined) {
-      ends.push({ ...placement, outcome: outcomes[outcome], checkpoint })
-    }
-  }
-  for (const [key, placement] of placements) {
+): LookReading {
+  const isWhole = look.unreadRows === 0
+  const seen = new Set([...look.running, ...look.finished].map(({ run }) => runKey(run)))
+  const absent = [...placements.keys()].filter((key) => !seen.has(key))
+  const settled = absent.flatMap((key) => {
     const track = tracks.get(key)
-    if (!seen.has(key) && track !== undefined && isSettledBefore(track, look.sentAtMs)) {
-      ends.push({ ...placement, outcome: 'lost', checkpoint: track.checkpoint })
-    }
-  }
-  return ends
+    return track !== undefined && isSettledBefore(track, look.sentAtMs) ? [track] : []
+  })
+  const ends = listShownEnds(look, placements)
+  const mayAcknowledge = isWhole || absent.length === 0
+  if (!isWhole) return { ends, unlisted: settled, mayAcknowledge }
+  return { ends: [...ends, ...settled.map(toLost)], unlisted: [], mayAcknowledge }
+}
+
+function listShownEnds({ finished }: Look, placements: ReadonlyMap<string, Placement>): RunEnd[] {
+  return finished.flatMap(({ run, outcome, checkpoint }) => {
+    const placement = placements.get(runKey(run))
+    return placement === undefined ? [] : [{ ...placement, outcome: outcomes[outcome], checkpoint }]
+  })
+}
+
+function toLost({ placement, checkpoint }: RunTrack): RunEnd {
+  return { ...placement, outcome: 'lost', checkpoint }
 }
 
 /** Under this leader's fence no earlier leader's order is carried out any more. */
--- a/batch/sessions/src/runTrack.ts
+++ b/batch/sessions/src/runTrack.ts
@@ -16,6 +16,11 @@
   startedAtMs: number
   progressPercent: number
   checkpoint: string
+  /**
+   * Since when, on our clock, it has been missing from looks with rows that could not be read; undefined where it is
+   * listed.
+   */
+  unlistedSinceMs?: number | undefined
   /** A stop is on its way, or was answered. */
   isStopping: boolean
 }
--- a/batch/sessions/src/runTracks.ts
+++ b/batch/sessions/src/runTracks.ts
@@ -1,10 +1,13 @@
 /** The runs that a session follows. */
 import { runKey, type RunRef } from '@nettlespur/batch.model'
-import type { Placement } from '@nettlespur/batch.state'
+import type { Placement, RunEnd } from '@nettlespur/batch.state'
 import { createRunTrack, type RunPhase, type RunTrack } from './runTrack.js'
+import { unlistedMsMax } from './sessionOptions.js'
 import type { RunningRun } from './upstreamPort.js'
 
 export class RunTracks {
+  /** When a run was last missing from a look with rows that could not be read, on our clock. */
+  unlistedAtMs = -Infinity
   readonly #byKey = new Map<string, RunTrack>()
 
   get byKey(): ReadonlyMap<string, RunTrack> {
@@ -50,9 +53,30 @@
         continue
       }
       if (track.phase === 'inherited') track.phase = 'settled'
+      track.unlistedSinceMs = undefined
       track.progressPercent = progressPercent
       track.checkpoint = checkpoint
     }
     return strays
   }
+
+  /** Runs that a look with unread rows does not show. */
+  noteUnlisted(unlisted: readonly RunTrack[], nowMs: number): void {
+    if (unlisted.length > 0) this.unlistedAtMs = nowMs
+    for (const track of unlisted) track.unlistedSinceMs ??= nowMs
+  }
+
+  /** Looks go on to hide a run that may be there. */
+  hasHidden(nowMs: number): boolean {
+    return [...this.#byKey.values()].some(
+      ({ unlistedSinceMs = Infinity }) => nowMs - unlistedSinceMs >= unlistedMsMax,
+    )
+  }
+
+  /** The ends of all that is placed there, with the newest checkpoint seen of each. */
+  listLost(placements: ReadonlyMap<string, Placement>): RunEnd[] {
+    return [...placements.values()].map((placement) => {
+      return { ...placement, outcome: 'lost', checkpoint: this.find(placement)?.checkpoint }
+    })
+  }
 }
--- a/batch/sessions/src/sessionOptions.ts
+++ b/batch/sessions/src/sessionOptions.ts
@@ -34,3 +34,7 @@
 export const startTriesMax = 2
 /** Between calls to an upstream that does not answer. */
 export const retryPauseMs = 250
+/** After a look with unread rows: an upstream that answers at once each time is not to be asked without end. */
+export const unreadPauseMs = 100
+/** Some looks later a row that was torn once is whole again; a run that is still unlisted cannot be followed. */
+export const unlistedMsMax = 3000
--- a/batch/sessions/src/upstreamPort.ts
+++ b/batch/sessions/src/upstreamPort.ts
@@ -84,6 +84,8 @@
         readonly type: 'held'
         readonly running: readonly RunningRun[]
         readonly finished: readonly FinishedRun[]
+        /** Rows of the two lists that could not be read: what they stood for may run, or may have ended. */
+        readonly unreadRows: number
       }
     | { readonly type: 'fence' }
     | { readonly type: 'gone' }
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -6,12 +6,18 @@
 import { runKey, type RunRef } from '@nettlespur/batch.model'
 import type { Placement, RunEnd } from '@nettlespur/batch.state'
 import { toNettlespurError } from '@nettlespur/core.errors'
+import { EndCursor } from './endCursor.js'
 import { LeaseTracker } from './leaseTracker.js'
-import { listEnds } from './readLook.js'
+import { readLook } from './readLook.js'
 import type { RunTrack } from './runTrack.js'
 import { RunTracks } from './runTracks.js'
 import { RunOrders, type StartResult } from './runOrders.js'
-import { holdSlackMs, retryPauseMs, type UpstreamSessionOptions } from './sessionOptions.js'
+import {
+  holdSlackMs,
+  retryPauseMs,
+  unreadPauseMs,
+  type UpstreamSessionOptions,
+} from './sessionOptions.js'
 import type { HoldAnswer } from './upstreamPort.js'
 
 export class UpstreamSession {
@@ -23,9 +29,7 @@
   readonly #opts: UpstreamSessionOptions
   readonly #orders: RunOrders
   readonly #tracks = new RunTracks()
-  /** The newest end that is committed, and the newest one shown. */
-  #cursor = 0
-  #shown = 0
+  readonly #cursor = new EndCursor()
   #isLooking = false
   #isGone = false
 
@@ -35,6 +39,11 @@
     this.#orders = new RunOrders({ ...opts, lease: this.lease })
   }
 
+  /** When looks last hid a run that may be there, on our clock. */
+  get unlistedAtMs(): number {
+    return this.#tracks.unlistedAtMs
+  }
+
   findTrack(run: RunRef): RunTrack | undefined {
     return this.#tracks.find(run)
   }
@@ -87,16 +96,18 @@
   }
 
   #isWanted(): boolean {
-    return !this.#isOver() && (this.#placements().size > 0 || this.#cursor < this.#shown)
+    return !this.#isOver() && (this.#placements().size > 0 || this.#cursor.isBehind)
   }
 
   async #lookWhileWanted(): Promise<void> {
     while (this.#isWanted()) {
-      if (await this.#look()) continue
-      this.#giveUpAfterLease()
+      const isAnswered = await this.#look()
+      if (!isAnswered || this.#tracks.hasHidden(this.#nowMs())) this.#giveUpAfterLease()
+      if (isAnswered) continue
       await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
       // It may have said so just as its connection broke: another look could wait in vain for seconds.
-      if (this.#hasLeft()) await this.#end('it has left')
+      const { host, target } = this.#opts
+      if (host.findUpstream(target.upstreamId)?.hasLeft === true) await this.#end('it has left')
     }
   }
 
@@ -105,13 +116,15 @@
     const { port, target, host, timings, clock } = this.#opts
     const sentAtMs = this.#nowMs()
     this.#tracks.keepOnly(this.#placements())
-    // Calls into silence must not prolong the lease, or an upstream lost for good would never be given up.
-    const renews = this.lease.clock.isKnown && this.unanswered === 0
+    // Calls into silence must not prolong the lease, or an upstream lost for good would never be given up. Nor must
+    // looks that go on to hide a run: once the lease is over it has surely ended, which no list may tell of it.
+    const renews =
+      this.lease.clock.isKnown && this.unanswered === 0 && !this.#tracks.hasHidden(sentAtMs)
     const mayWait = renews && !this.#tracks.hasInherited && this.#placements().size > 0
     const order = {
       leaseEndMs: renews ? this.lease.extend(sentAtMs) : undefined,
       fence: host.fence,
-      cursor: this.#cursor,
+      cursor: this.#cursor.committed,
       waitMs: mayWait ? timings.holdWaitMs : 0,
     }
     try {
@@ -131,11 +144,6 @@
     }
   }
 
-  #hasLeft(): boolean {
-    const { host, target } = this.#opts
-    return host.findUpstream(target.upstreamId)?.hasLeft === true
-  }
-
   #noteUnanswered(): void {
     this.unanswered += 1
     this.unansweredAtMs = this.#nowMs()
@@ -152,17 +160,21 @@
       this.#log('upstream.fenced', { fence: this.#opts.host.fence })
       return this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
     }
-    const { running, finished } = answer
     const placed = this.#placements()
-    const ends = listEnds({ running, finished, sentAtMs }, placed, this.#tracks.byKey)
-    for (const run of this.#tracks.noteRunning(running, placed)) {
+    const reading = readLook({ ...answer, sentAtMs }, placed, this.#tracks.byKey)
+    for (const run of this.#tracks.noteRunning(answer.running, placed)) {
       this.#log('run.stray', { jobId: run.jobId, attempt: run.attempt })
       void this.#giveStop(run)
     }
-    this.#shown = Math.max(this.#shown, ...finished.map(({ number }) => number))
-    if (await this.#commit(ends)) this.#cursor = this.#shown
-    else await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
+    this.#tracks.noteUnlisted(reading.unlisted, this.#nowMs())
+    this.#cursor.noteShown(answer.finished)
+    if (!(await this.#commit(reading.ends))) {
+      await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
+    } else if (reading.mayAcknowledge) {
+      this.#cursor.advance()
+    }
     this.#reviewAll()
+    if (answer.unreadRows > 0) await this.#opts.clock.sleep(unreadPauseMs, this.#opts.signal)
   }
 
   async #commit(ends: readonly RunEnd[]): Promise<boolean> {
@@ -218,25 +230,17 @@
   #giveUpAfterLease(): void {
     if (this.#isOver() || !this.lease.isOver(this.#nowMs())) return
     this.#log('upstream.lease-over', { runs: this.#placements().size })
-    void this.#commit(this.#listLost())
+    void this.#commit(this.#tracks.listLost(this.#placements()))
   }
 
   async #end(reason: string): Promise<void> {
     if (this.#isGone) return
     this.#log('upstream.gone', { reason, runs: this.#placements().size })
-    if (!(await this.#commit(this.#listLost()))) return
+    if (!(await this.#commit(this.#tracks.listLost(this.#placements())))) return
     this.#isGone = true
     this.#opts.host.noteGone(this.#opts.target.upstreamId)
   }
 
-  /** All that is placed there, with the newest checkpoint seen of each. */
-  #listLost(): RunEnd[] {
-    return [...this.#placements().values()].map((placement) => {
-      const checkpoint = this.findTrack(placement)?.checkpoint
-      return { ...placement, outcome: 'lost', checkpoint }
-    })
-  }
-
   #log(event: string, fields: Readonly<Record<string, string | number | undefined>>): void {
     this.#opts.logger.info({ event, upstreamId: this.#opts.target.upstreamId, ...fields })
   }
