--- a/batch/model/src/clusterConfig.ts
+++ b/batch/model/src/clusterConfig.ts
@@ -5,7 +5,7 @@
 import { z } from 'zod'
 
 /** A place where jobs are handed in, and how its jobs are treated. */
-export const queueConfigSchema = z.object({
+export const queueConfigSchema = z.strictObject({
   name: z.string(),
   /** Value of the `Host` header that leads here. */
   host: z.string(),
@@ -25,7 +25,7 @@
 })
 export type QueueConfig = z.infer<typeof queueConfigSchema>
 
-export const poolConfigSchema = z.object({
+export const poolConfigSchema = z.strictObject({
   name: z.string(),
   /** Open connections that one upstream takes. */
   connectionsMax: countSchema,
@@ -34,7 +34,7 @@
 })
 export type PoolConfig = z.infer<typeof poolConfigSchema>
 
-export const workspaceConfigSchema = z.object({
+export const workspaceConfigSchema = z.strictObject({
   name: z.string(),
   keys: z.array(z.string()),
   /** Accelerators that its jobs of priority 0 can have at any time. */
@@ -42,7 +42,7 @@
 })
 export type WorkspaceConfig = z.infer<typeof workspaceConfigSchema>
 
-export const clusterConfigSchema = z.object({
+export const clusterConfigSchema = z.strictObject({
   version: countSchema,
   queues: z.array(queueConfigSchema),
   pools: z.array(poolConfigSchema),
--- a/batch/model/src/jobRequest.ts
+++ b/batch/model/src/jobRequest.ts
@@ -3,14 +3,14 @@
 import { z } from 'zod'
 
 /** What one task needs of its upstream, or what an upstream has. */
-export const resourcesSchema = z.object({
+export const resourcesSchema = z.strictObject({
   cpuMillicores: countSchema,
   memoryMiB: countSchema,
   accelerators: countSchema,
 })
 export type Resources = z.infer<typeof resourcesSchema>
 
-export const stepSpecSchema = z.object({
+export const stepSpecSchema = z.strictObject({
   taskCount: positiveCountSchema,
   needs: resourcesSchema,
   /** What the caller believes that one task takes; often far off. */
@@ -32,7 +32,7 @@
 })
 export type StepSpec = z.infer<typeof stepSpecSchema>
 
-export const jobRequestSchema = z.object({
+export const jobRequestSchema = z.strictObject({
   jobId: z.string(),
   /** Handed to each task as it is. */
   payload: z.string(),
--- a/batch/model/src/taskName.ts
+++ b/batch/model/src/taskName.ts
@@ -2,7 +2,7 @@
 import { countSchema } from '@nettlespur/api.schemas'
 import { z } from 'zod'
 
-export const taskRefSchema = z.object({
+export const taskRefSchema = z.strictObject({
   jobId: z.string(),
   step: countSchema,
   index: countSchema,
--- a/batch/state/src/batchState.ts
+++ b/batch/state/src/batchState.ts
@@ -2,11 +2,7 @@
  * The state that all members of control agree on: the configuration, the jobs with the placement of each
  * task, and the upstreams. Commands give the same result on each member.
  */
-import {
-  clusterConfigSchema,
-  upstreamDescriptionSchema,
-  type ClusterConfig,
-} from '@nettlespur/batch.model'
+import { clusterConfigSchema, type ClusterConfig } from '@nettlespur/batch.model'
 import { isDeepStrictEqual } from 'node:util'
 import { z } from 'zod'
 import type { Command, CommandOf, CommandOutcome, RunEnd } from './command.js'
@@ -20,7 +16,8 @@
   type UpstreamRecord,
 } from './records.js'
 
-export const batchSnapshotSchema = z.object({
+/** Fields of a newer version are refused, here as in all that is stored: what they change would be lost. */
+export const batchSnapshotSchema = z.strictObject({
   config: clusterConfigSchema.optional(),
   jobs: z.array(jobRecordSchema),
   upstreams: z.array(upstreamRecordSchema),
@@ -153,9 +150,8 @@
 
   #noteUpstream({ description }: CommandOf<'note-upstream'>): CommandOutcome {
     const known = this.upstreams.get(description.upstreamId)
-    const parsed = upstreamDescriptionSchema.parse(description)
     this.upstreams.set(description.upstreamId, {
-      description: parsed,
+      description,
       isDraining: known?.isDraining ?? false,
       hasLeft: known?.hasLeft ?? false,
     })
--- a/batch/state/src/command.ts
+++ b/batch/state/src/command.ts
@@ -31,21 +31,21 @@
 export type RunEnd = z.infer<typeof runEndSchema>
 
 export const commandSchema = z.discriminatedUnion('type', [
-  z.object({ type: z.literal('apply-config'), config: clusterConfigSchema }),
-  z.object({
+  z.strictObject({ type: z.literal('apply-config'), config: clusterConfigSchema }),
+  z.strictObject({
     type: z.literal('submit-job'),
     request: jobRequestSchema,
     workspace: z.string(),
     queueName: z.string(),
   }),
-  z.object({ type: z.literal('cancel-job'), jobId: z.string() }),
-  z.object({ type: z.literal('place-tasks'), placements: z.array(placementSchema) }),
-  z.object({ type: z.literal('end-runs'), ends: z.array(runEndSchema) }),
-  z.object({ type: z.literal('note-upstream'), description: upstreamDescriptionSchema }),
-  z.object({ type: z.literal('drain-upstream'), upstreamId: z.string() }),
-  z.object({ type: z.literal('remove-upstream'), upstreamId: z.string() }),
-  z.object({ type: z.literal('forget-jobs'), jobIds: z.array(z.string()) }),
-  z.object({ type: z.literal('forget-upstreams'), upstreamIds: z.array(z.string()) }),
+  z.strictObject({ type: z.literal('cancel-job'), jobId: z.string() }),
+  z.strictObject({ type: z.literal('place-tasks'), placements: z.array(placementSchema) }),
+  z.strictObject({ type: z.literal('end-runs'), ends: z.array(runEndSchema) }),
+  z.strictObject({ type: z.literal('note-upstream'), description: upstreamDescriptionSchema }),
+  z.strictObject({ type: z.literal('drain-upstream'), upstreamId: z.string() }),
+  z.strictObject({ type: z.literal('remove-upstream'), upstreamId: z.string() }),
+  z.strictObject({ type: z.literal('forget-jobs'), jobIds: z.array(z.string()) }),
+  z.strictObject({ type: z.literal('forget-upstreams'), upstreamIds: z.array(z.string()) }),
 ])
 export type Command = z.infer<typeof commandSchema>
 export type CommandOf<T extends Command['type']> = Extract<Command, { type: T }>
--- a/batch/state/src/records.ts
+++ b/batch/state/src/records.ts
@@ -7,7 +7,7 @@
 } from '@nettlespur/batch.model'
 import { z } from 'zod'
 
-export const taskRecordSchema = z.object({
+export const taskRecordSchema = z.strictObject({
   /** `placed`: an upstream may be running it, or may still come to run it. */
   phase: z.enum(['waiting', 'placed', 'done']),
   /** The last attempt that was placed; 0 before the first. */
@@ -23,7 +23,7 @@
 })
 export type TaskRecord = z.infer<typeof taskRecordSchema>
 
-export const stepRecordSchema = z.object({
+export const stepRecordSchema = z.strictObject({
   tasks: z.array(taskRecordSchema),
   /** Attempts of the whole gang that failed. */
   gangFailures: countSchema,
@@ -37,7 +37,7 @@
 export const jobStatusSchema = z.enum(['active', 'completed', 'failed', 'cancelled'])
 export type JobStatus = z.infer<typeof jobStatusSchema>
 
-export const jobRecordSchema = z.object({
+export const jobRecordSchema = z.strictObject({
   request: jobRequestSchema,
   workspace: z.string(),
   /** As it was when the job came, or as the newest configuration that still has it says. */
@@ -51,7 +51,7 @@
 })
 export type JobRecord = z.infer<typeof jobRecordSchema>
 
-export const upstreamRecordSchema = z.object({
+export const upstreamRecordSchema = z.strictObject({
   description: upstreamDescriptionSchema,
   /** It takes no new work. */
   isDraining: z.boolean(),
