fix: refuse records of a newer version from disks and peers by name

Ruled out: refusing an entry only when it is applied, as today: by then it is committed, and every member stops at it.

A follower looks at each entry before it stores any of a request, so that a kind that none of ours has is refused and not acknowledged.

--- a/consensus/raft/src/appendHandler.ts
+++ b/consensus/raft/src/appendHandler.ts
@@ -1,5 +1,6 @@
 /** Takes a leader's entries. What is acknowledged is synced. */
 import type { LogEntry } from '@nettlespur/storage.log'
+import { checkEntry } from './entryPayload.js'
 import type { AppendAnswer, AppendRequest } from './messages.js'
 import type { Replica } from './replica.js'
 
@@ -47,6 +48,8 @@
   const from = sent.findIndex((entry) => !known(entry))
   if (from < 0) return
   const fresh = sent.slice(from)
+  // Before any of them is stored: an entry that cannot be read would stop every member once it is committed.
+  fresh.forEach(checkEntry)
   const firstIndex = prevIndex + 1 + from
   if (firstIndex <= log.lastIndex) {
     memberships.truncateFrom(firstIndex)
--- a/consensus/raft/src/entryPayload.ts
+++ b/consensus/raft/src/entryPayload.ts
@@ -1,5 +1,7 @@
 /** What lies in an entry's payload: one byte that says which kind it is, then its content. */
+import { NettlespurError, toNettlespurError } from '@nettlespur/core.errors'
 import { membershipSchema, type Membership } from './member.js'
+import { readStoredJson } from './readStoredJson.js'
 
 const kinds = { empty: 0, command: 1, membership: 2 } as const
 
@@ -23,7 +25,7 @@
   ])
 }
 
-/** Errors: throws for a payload that none of the encoders made. */
+/** Errors: throws `storage-damaged` for a payload that none of the encoders made. */
 export function decodePayload(payload: Buffer): EntryContent {
   const content = payload.subarray(1)
   switch (payload[0]) {
@@ -34,7 +36,7 @@
     case kinds.membership:
       return { type: 'membership', membership: decodeMembership(content) }
     default:
-      throw new Error(`an entry of unknown kind ${String(payload[0])}`)
+      throw new NettlespurError('storage-damaged', `an entry of unknown kind ${String(payload[0])}`)
   }
 }
 
@@ -43,5 +45,15 @@
 }
 
 function decodeMembership(content: Buffer): Membership {
-  return membershipSchema.parse(JSON.parse(content.toString('utf8')))
+  return readStoredJson(membershipSchema, content, 'the membership of an entry')
+}
+
+/** Errors: throws `storage-damaged`, naming the entry, for a payload that none of the encoders made. */
+export function checkEntry({ index, payload }: { index: number; payload: Buffer }): void {
+  try {
+    decodePayload(payload)
+  } catch (thrown) {
+    const { message } = toNettlespurError(thrown)
+    throw new NettlespurError('storage-damaged', `entry ${index}: ${message}`, { cause: thrown })
+  }
 }
--- a/consensus/raft/src/member.ts
+++ b/consensus/raft/src/member.ts
@@ -5,7 +5,7 @@
 import { addressSchema, identifierSchema } from '@nettlespur/api.schemas'
 import { z } from 'zod'
 
-export const memberSchema = z.object({
+export const memberSchema = z.strictObject({
   memberId: identifierSchema,
   peerAddress: addressSchema,
   dataCentre: identifierSchema,
@@ -14,7 +14,7 @@
 })
 export type Member = z.infer<typeof memberSchema>
 
-export const membershipSchema = z.object({
+export const membershipSchema = z.strictObject({
   members: z.array(memberSchema),
   voters: z.array(identifierSchema),
   /** The former voters while a change is under way: both majorities count. */
--- a/consensus/raft/src/messages.ts
+++ b/consensus/raft/src/messages.ts
@@ -1,11 +1,14 @@
-/** What members send each other. Every answer carries the term and the disk of who gives it. */
+/**
+ * What members send each other. Every answer carries the term and the disk of who gives it. A message with a field that
+ * this version does not know is refused: without it, it would say something else.
+ */
 import { countSchema, identifierSchema } from '@nettlespur/api.schemas'
 import { z } from 'zod'
 
 const bytesSchema = z.instanceof(Buffer)
 const answerShape = { term: countSchema, diskId: z.string() }
 
-export const voteRequestSchema = z.object({
+export const voteRequestSchema = z.strictObject({
   term: countSchema,
   candidateId: identifierSchema,
   diskId: z.string(),
@@ -18,13 +21,13 @@
 })
 export type VoteRequest = z.infer<typeof voteRequestSchema>
 
-export const voteAnswerSchema = z.object({ ...answerShape, granted: z.boolean() })
+export const voteAnswerSchema = z.strictObject({ ...answerShape, granted: z.boolean() })
 export type VoteAnswer = z.infer<typeof voteAnswerSchema>
 
-export const sentEntrySchema = z.object({ term: countSchema, payload: bytesSchema })
+export const sentEntrySchema = z.strictObject({ term: countSchema, payload: bytesSchema })
 
 /** Entries that follow `prevIndex`; none of them is a heartbeat. */
-export const appendRequestSchema = z.object({
+export const appendRequestSchema = z.strictObject({
   term: countSchema,
   leaderId: identifierSchema,
   prevIndex: countSchema,
@@ -34,7 +37,7 @@
 })
 export type AppendRequest = z.infer<typeof appendRequestSchema>
 
-export const appendAnswerSchema = z.object({
+export const appendAnswerSchema = z.strictObject({
   ...answerShape,
   accepted: z.boolean(),
   /** Accepted: the last index known to equal the leader's, synced. Refused: where the logs may still be equal. */
@@ -43,7 +46,7 @@
 export type AppendAnswer = z.infer<typeof appendAnswerSchema>
 
 /** One piece of a snapshot. */
-export const installRequestSchema = z.object({
+export const installRequestSchema = z.strictObject({
   term: countSchema,
   leaderId: identifierSchema,
   snapshotIndex: countSchema,
@@ -55,7 +58,7 @@
 })
 export type InstallRequest = z.infer<typeof installRequestSchema>
 
-export const installAnswerSchema = z.object({
+export const installAnswerSchema = z.strictObject({
   ...answerShape,
   /** The bytes held so far: where the next piece begins. */
   nextOffset: countSchema,
@@ -64,5 +67,8 @@
 })
 export type InstallAnswer = z.infer<typeof installAnswerSchema>
 
-export const timeoutNowRequestSchema = z.object({ term: countSchema, leaderId: identifierSchema })
+export const timeoutNowRequestSchema = z.strictObject({
+  term: countSchema,
+  leaderId: identifierSchema,
+})
 export type TimeoutNowRequest = z.infer<typeof timeoutNowRequestSchema>
--- a/consensus/raft/src/snapshotMembership.ts
+++ b/consensus/raft/src/snapshotMembership.ts
@@ -2,7 +2,7 @@
 import { z } from 'zod'
 import { membershipSchema } from './member.js'
 
-export const snapshotMembershipSchema = z.object({
+export const snapshotMembershipSchema = z.strictObject({
   membership: membershipSchema,
   takenAt: z.iso.datetime(),
 })
--- a/storage/log/src/smallFile.ts
+++ b/storage/log/src/smallFile.ts
@@ -1,4 +1,7 @@
-/** Small files of one JSON value under a checksum: the disk identity and the hard state. */
+/**
+ * Small files of one JSON value under a checksum: the disk identity and the hard state. A field of a newer version is
+ * refused as damage is: a promise that it stands for would be broken unknowingly.
+ */
 import path from 'node:path'
 import { crc32 } from 'node:zlib'
 import { z } from 'zod'
@@ -9,13 +12,13 @@
 export const diskIdFile = 'disk-id'
 export const hardStateFile = 'hard-state'
 
-export const diskIdSchema = z.object({ diskId: z.string().min(1) })
-export const hardStateSchema = z.object({
+export const diskIdSchema = z.strictObject({ diskId: z.string().min(1) })
+export const hardStateSchema = z.strictObject({
   term: z.number().int().nonnegative(),
   votedFor: z.string().optional(),
 })
 
-const envelopeSchema = z.object({ crc: z.number(), value: z.string() })
+const envelopeSchema = z.strictObject({ crc: z.number(), value: z.string() })
 
 export function writeSmallFile(
   files: FileSystem,
@@ -28,7 +31,7 @@
   return writeAside(files, path.join(folder, name), Buffer.from(JSON.stringify(envelope)))
 }
 
-/** Rejects with `storage-damaged` where the file is not as written. */
+/** Rejects with `storage-damaged` where the file is not as written, or not as this version writes it. */
 export async function readSmallFile<T>(
   files: FileSystem,
   folder: string,
@@ -40,7 +43,9 @@
   const envelope = envelopeSchema.safeParse(parseJson(bytes.toString()))
   if (!envelope.success) throw damagedError(file, 0, 'not readable')
   if (crc32(envelope.data.value) !== envelope.data.crc) throw damagedError(file, 0, 'bad checksum')
-  return schema.parse(parseJson(envelope.data.value))
+  const content = schema.safeParse(parseJson(envelope.data.value))
+  if (!content.success) throw damagedError(file, 0, `other content: ${content.error.message}`)
+  return content.data
 }
 
 function parseJson(text: string): unknown {
--- a/storage/log/src/snapshotFile.ts
+++ b/storage/log/src/snapshotFile.ts
@@ -12,7 +12,7 @@
 const crcBytes = 4
 const namePattern = /^snapshot-(\d{8})-(\d{15})\.snap$/
 
-const headSchema = z.object({
+const headSchema = z.strictObject({
   generation: z.number().int().nonnegative(),
   /** True for a snapshot installed from a leader: no segment of its generation is older than it. */
   installed: z.boolean(),
@@ -54,15 +54,24 @@
   return Buffer.concat([...parts, crc])
 }
 
-/** Undefined where the file is not as written, or is another's. */
+/** Undefined where the file is not as written, is another's, or of a newer version. */
 export function decodeSnapshot(bytes: Buffer, id: SnapshotId): StoredSnapshot | undefined {
   const crcOffset = bytes.length - crcBytes
   if (crcOffset < headOffset || !bytes.subarray(0, magic.length).equals(magic)) return undefined
   if (crc32(bytes.subarray(0, crcOffset)) !== bytes.readUInt32BE(crcOffset)) return undefined
   const dataOffset = headOffset + bytes.readUInt32BE(magic.length)
-  const head = headSchema.parse(JSON.parse(bytes.toString('utf8', headOffset, dataOffset)))
+  const head = decodeHead(bytes.subarray(headOffset, dataOffset))
+  if (head === undefined) return undefined
   if (head.generation !== id.generation || head.index !== id.index) return undefined
   const { generation, installed, index, term, membership } = head
   const data = bytes.subarray(dataOffset, crcOffset)
   return { generation, installed, meta: { index, term, membership }, data }
 }
+
+function decodeHead(bytes: Buffer): z.infer<typeof headSchema> | undefined {
+  try {
+    return headSchema.safeParse(JSON.parse(bytes.toString('utf8'))).data
+  } catch {
+    return undefined
+  }
+}
