--- a/batch/sessions/src/runTracks.ts
+++ b/batch/sessions/src/runTracks.ts
@@ -60,10 +60,12 @@
     return strays
   }
 
-  /** Runs that a look with unread rows does not show. */
-  noteUnlisted(unlisted: readonly RunTrack[], nowMs: number): void {
+  /** Takes in what a look with unread rows does not show. Gives the runs that were listed until now. */
+  noteUnlisted(unlisted: readonly RunTrack[], nowMs: number): RunRef[] {
     if (unlisted.length > 0) this.unlistedAtMs = nowMs
-    for (const track of unlisted) track.unlistedSinceMs ??= nowMs
+    const fresh = unlisted.filter(({ unlistedSinceMs }) => unlistedSinceMs === undefined)
+    for (const track of fresh) track.unlistedSinceMs = nowMs
+    return fresh.map(({ placement }) => placement)
   }
 
   /** Looks go on to hide a run that may be there. */
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -3,7 +3,7 @@
  * keeps the one lease of all that runs there, and brings the ends into the committed state. Ends are
  * acknowledged to the upstream only once they are committed.
  */
-import { runKey, type RunRef } from '@nettlespur/batch.model'
+import { runFields, runKey, type RunRef } from '@nettlespur/batch.model'
 import type { Placement, RunEnd } from '@nettlespur/batch.state'
 import { toNettlespurError } from '@nettlespur/core.errors'
 import { EndCursor } from './endCursor.js'
@@ -166,7 +166,9 @@
       this.#log('run.stray', { jobId: run.jobId, attempt: run.attempt })
       void this.#giveStop(run)
     }
-    this.#tracks.noteUnlisted(reading.unlisted, this.#nowMs())
+    for (const run of this.#tracks.noteUnlisted(reading.unlisted, this.#nowMs())) {
+      this.#log('run.unlisted', runFields(run))
+    }
     this.#cursor.noteShown(answer.finished)
     if (!(await this.#commit(reading.ends))) {
       await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
