test: play troubles over a whole group of control, and hold it to its promise once it is calm

The promise: 6.45 s after it (three rounds of 1.75 s, the longest silence and the longest poll; 1.2 s for a leader that reads twice) all members name the leader of the highest term, 150 reads at once are answered within 700 ms, and so it stays for 30 s; every accepted job is known. BatchNode takes the limits and the random numbers of agreement, which RaftNode took already. The fakes of storage.log and consensus.raft can be had by other packages' tests under `/fakes`.

--- /dev/null
+++ b/batch/service/__utils__/group/controlGroup.ts
@@ -0,0 +1,144 @@
+/** Five members of control on one manual clock, and a caller that hands in jobs all the time. */
+import { createJob } from '@nettlespur/batch.samples'
+import type { Member } from '@nettlespur/consensus.raft'
+import { createSeededRandom } from '@nettlespur/consensus.raft/fakes'
+import { ManualClock } from '@nettlespur/core.clock'
+import type { Logger, LogEvent } from '@nettlespur/core.logger'
+import type { BatchNode, BatchTimings } from '../../src/index.js'
+import { createFleetConfig } from '../createFleetConfig.js'
+import { GroupMember } from './groupMember.js'
+import { MemberLinks } from './memberLinks.js'
+
+/** Those of the platform's processes. */
+export const groupTimings: BatchTimings = {
+  raft: { heartbeatMs: 150, electionTimeoutMs: 700, replaceVoterAfterMs: 2500, requestGapMs: 20 },
+  session: { leaseMs: 9500, holdWaitMs: 2000 },
+  announceEveryMs: 1500,
+  keepEndedMs: 1_000_000,
+}
+const callTimeoutMs = groupTimings.raft.electionTimeoutMs / 2
+const foundersCount = 3
+const membersCount = 5
+const dataCentres = 3
+const foundedMs = 12_000
+const submitEveryMs = 200
+
+export class ControlGroup {
+  readonly clock = new ManualClock(new Date('2026-01-01T00:00:00Z'))
+  readonly random: () => number
+  readonly links: MemberLinks
+  readonly members: GroupMember[] = []
+  /** Jobs that were accepted. */
+  readonly accepted: string[] = []
+  /** Broken promises, in words. */
+  readonly faults: string[] = []
+  readonly lines: string[] = []
+  #jobs = 0
+  #submits = true
+
+  constructor(seed: number) {
+    this.random = createSeededRandom(seed)
+    this.links = new MemberLinks(this.clock, this.random, callTimeoutMs)
+  }
+
+  /** A group that has a configuration, and five voters. */
+  static async found(seed: number): Promise<ControlGroup> {
+    const group = new ControlGroup(seed)
+    const founders = Array.from({ length: foundersCount }, (_, at) => describeMember(at + 1))
+    for (let number = 1; number <= membersCount; number++) {
+      group.addMember(number <= foundersCount ? founders : [])
+    }
+    await group.clock.advance(foundedMs)
+    void group.leader?.node?.calls.applyConfig(createFleetConfig()).run()
+    void group.#submitForever()
+    await group.clock.advance(1000)
+    return group
+  }
+
+  /** Starts a machine with an empty disk under the next number. */
+  addMember(founders: readonly Member[] = []): void {
+    const member = describeMember(this.members.length + 1)
+    const { clock, random, links } = this
+    const added = new GroupMember({
+      member,
+      founders,
+      clock,
+      random,
+      links,
+      logger: this.#createLogger(member.memberId),
+      timings: groupTimings,
+      findLeaderId: () => this.leader?.member.memberId,
+    })
+    this.members.push(added)
+    added.start()
+  }
+
+  /** The member that leads in the highest term. */
+  get leader(): GroupMember | undefined {
+    return this.members
+      .filter(({ node, isPaused }) => !isPaused && node?.raft.describe().role === 'leader')
+      .sort((left, right) => termOf(right.node) - termOf(left.node))[0]
+  }
+
+  /** Those that have a process. */
+  get live(): GroupMember[] {
+    return this.members.filter(({ isUp }) => isUp)
+  }
+
+  describe(): string {
+    return this.members
+      .map(({ member, node, isUp, isPaused, disk }) => {
+        const { members, ...rest } = node?.raft.describe() ?? { members: [] }
+        const roles = members.map(({ memberId, role }) => `${memberId}=${role}`).join()
+        const state = `up=${isUp} paused=${isPaused} stalled=${disk.isStalled}`
+        return `${member.memberId}: ${state} ${JSON.stringify(rest)} ${roles}`
+      })
+      .join('\n')
+  }
+
+  stopSubmitting(): void {
+    this.#submits = false
+  }
+
+  callOf(jobId: string) {
+    return { host: 'host', path: `/queue0/${jobId}`, jobId }
+  }
+
+  note(line: string): void {
+    this.lines.push(`${Math.round(this.clock.monotonicMs())} ${line}`)
+  }
+
+  async #submitForever(): Promise<void> {
+    while (this.#submits) {
+      void this.#submit()
+      await this.clock.sleep(submitEveryMs)
+    }
+  }
+
+  async #submit(): Promise<void> {
+    const { leader } = this
+    const life = leader?.life
+    if (life?.node === undefined) return
+    const jobId = `j${this.#jobs++}`
+    const request = createJob(jobId, {})
+    const outcome = await life.node.calls.submitJob({ ...this.callOf(jobId), request }).run()
+    if (outcome.isRight() && !life.hasEnded && !life.clock.isPaused) this.accepted.push(jobId)
+  }
+
+  #createLogger(memberId: string): Logger {
+    const write = ({ event, ...fields }: LogEvent): void => {
+      if (event === 'job.submitted') return
+      this.note(`${memberId} ${event} ${JSON.stringify(fields)}`)
+    }
+    return { debug: write, info: write, warn: write, error: write }
+  }
+}
+
+function describeMember(number: number): Member {
+  const peerAddress = `10.0.0.${number}:7000`
+  return { memberId: `c${number}`, peerAddress, dataCentre: `dc${number % dataCentres}` }
+}
+
+function termOf(node: BatchNode | undefined): number {
+  return node?.raft.describe().term ?? 0
+}
--- /dev/null
+++ b/batch/service/__utils__/group/groupTrouble.ts
@@ -0,0 +1,201 @@
+/** What befalls a group, drawn from its random numbers: troubles that overlap and come in series. */
+import type { ControlGroup } from './controlGroup.js'
+import type { GroupMember } from './groupMember.js'
+
+export const troubleKinds = [
+  'kill',
+  'kill-all',
+  'power',
+  'power-all',
+  'lose-disk',
+  'replace',
+  'freeze',
+  'suspend',
+  'isolate',
+  'deafen',
+  'cut-way',
+  'halves',
+  'lossy',
+  'slow-disk',
+  'stall-disk',
+  'stall-disks',
+  'full-disk',
+  'stop',
+  'stop-in-turn',
+  'transfer',
+] as const
+export type TroubleKind = (typeof troubleKinds)[number]
+
+/** The tolerance of the deployments: so many members may be lost with what they hold. */
+const lossesMax = 2
+const leaderShare = 0.45
+/** What a process is given to stop. */
+const stopMs = 6000
+const lookEveryMs = 50
+const downMs = { shortest: 100, longest: 4000 }
+
+export class GroupTrouble {
+  readonly #group: ControlGroup
+  #losses = 0
+  #stopping = 0
+  #isCalm = false
+
+  constructor(group: ControlGroup) {
+    this.#group = group
+  }
+
+  apply(kind: TroubleKind): void {
+    if (this.#isCalm) return
+    const { members, links, clock, random } = this.#group
+    const target = this.#pickTarget()
+    const forMs = downMs.shortest + random() * (downMs.longest - downMs.shortest)
+    this.#group.note(`TROUBLE ${kind} ${target.member.memberId} ${Math.round(forMs)}`)
+    const later = (run: () => void): void => void clock.setTimer(forMs, run)
+    const others = members.filter((member) => member !== target)
+    switch (kind) {
+      case 'kill':
+      case 'power':
+        if (kind === 'kill') target.kill()
+        else target.losePower()
+        later(() => {
+          target.start()
+        })
+        return
+      case 'kill-all':
+      case 'power-all':
+        for (const member of members) {
+          if (kind === 'kill-all') member.kill()
+          else member.losePower()
+          clock.setTimer(forMs / 3 + random() * 300, () => {
+            member.start()
+          })
+        }
+        return
+      case 'lose-disk':
+        if (this.#mayLose(target)) target.loseDisk()
+        later(() => {
+          target.start()
+        })
+        return
+      case 'replace':
+        if (!this.#mayLose(target)) return
+        target.kill()
+        target.isRemoved = true
+        this.#group.addMember()
+        return
+      case 'freeze':
+      case 'suspend':
+        target.pause(kind)
+        later(() => {
+          target.resume()
+        })
+        return
+      case 'isolate':
+      case 'deafen':
+        for (const { member } of others) {
+          links.cutWay(member.memberId, target.member.memberId)
+          if (kind === 'isolate') links.cutWay(target.member.memberId, member.memberId)
+        }
+        this.#healLinks(forMs)
+        return
+      case 'cut-way':
+        links.cutWay(target.member.memberId, this.#pickTarget().member.memberId)
+        this.#healLinks(forMs)
+        return
+      case 'halves':
+        this.#cutHalves()
+        this.#healLinks(forMs)
+        return
+      case 'lossy':
+        links.lossShare = 0.3 * random()
+        this.#healLinks(forMs)
+        return
+      case 'slow-disk':
+      case 'stall-disk':
+      case 'full-disk':
+        if (kind === 'slow-disk') target.disk.isSlow = true
+        if (kind === 'stall-disk') target.disk.stall()
+        if (kind === 'full-disk') target.disk.isFull = true
+        later(() => {
+          target.disk.heal()
+        })
+        return
+      case 'stall-disks':
+        for (const { disk } of members) if (random() < 0.6) disk.stall()
+        later(() => {
+          for (const { disk } of members) disk.heal()
+        })
+        return
+      case 'stop':
+        this.#stop(target, forMs / 2)
+        return
+      case 'stop-in-turn':
+        members.forEach((member, at) => {
+          clock.setTimer(at * (200 + forMs / 4), () => {
+            this.#stop(member, forMs / 6)
+          })
+        })
+        return
+      case 'transfer':
+        void target.node?.raft.transferLeadership()
+    }
+  }
+
+  /** Ends all troubles: what was not removed for good is back, once those that are stopping have stopped. */
+  async calm(): Promise<void> {
+    const { members, links, clock } = this.#group
+    this.#isCalm = true
+    links.heal()
+    for (const member of members) {
+      member.disk.heal()
+      member.resume()
+    }
+    const endMs = clock.monotonicMs() + stopMs
+    while (this.#stopping > 0 && clock.monotonicMs() < endMs) await clock.advance(lookEveryMs)
+    if (this.#stopping > 0) this.#group.faults.push(`${this.#stopping} do not stop`)
+    for (const member of members) member.start()
+    this.#group.note('CALM')
+  }
+
+  #pickTarget(): GroupMember {
+    const { members, leader, random } = this.#group
+    const present = members.filter(({ isRemoved }) => !isRemoved)
+    const picked = present[Math.floor(random() * present.length)]
+    const target = random() < leaderShare ? (leader ?? picked) : picked
+    if (target === undefined) throw new Error('a group without members')
+    return target
+  }
+
+  #mayLose(target: GroupMember): boolean {
+    if (this.#losses === lossesMax || target.isRemoved) return false
+    this.#losses += 1
+    return true
+  }
+
+  #stop(member: GroupMember, downForMs: number): void {
+    if (this.#isCalm || !member.isUp) return
+    this.#stopping += 1
+    void member.stop().then(() => {
+      this.#stopping -= 1
+      this.#group.clock.setTimer(downForMs, () => {
+        member.start()
+      })
+    })
+  }
+
+  #cutHalves(): void {
+    const { members, links, random } = this.#group
+    const sides = members.map(() => random() < 0.5)
+    members.forEach((one, at) => {
+      members.forEach((other, otherAt) => {
+        if (sides[at] !== sides[otherAt]) links.cutWay(one.member.memberId, other.member.memberId)
+      })
+    })
+  }
+
+  #healLinks(forMs: number): void {
+    this.#group.clock.setTimer(forMs, () => {
+      this.#group.links.heal()
+    })
+  }
+}
--- /dev/null
+++ b/batch/service/__utils__/group/memberTransport.ts
@@ -0,0 +1,40 @@
+/** The messages of agreement of one life of a process. */
+import {
+  RaftTransport,
+  type AppendAnswer,
+  type AppendRequest,
+  type InstallAnswer,
+  type InstallRequest,
+  type Member,
+  type TimeoutNowRequest,
+  type VoteAnswer,
+  type VoteRequest,
+} from '@nettlespur/consensus.raft'
+import type { MemberLife, MemberLinks } from './memberLinks.js'
+
+export class MemberTransport extends RaftTransport {
+  readonly #links: MemberLinks
+  readonly #from: MemberLife
+
+  constructor(links: MemberLinks, from: MemberLife) {
+    super()
+    this.#links = links
+    this.#from = from
+  }
+
+  override requestVote(to: Member, request: VoteRequest): Promise<VoteAnswer> {
+    return this.#links.call(this.#from, to.memberId, ({ raft }) => raft.handleVote(request))
+  }
+
+  override appendEntries(to: Member, request: AppendRequest): Promise<AppendAnswer> {
+    return this.#links.call(this.#from, to.memberId, ({ raft }) => raft.handleAppend(request))
+  }
+
+  override installSnapshot(to: Member, request: InstallRequest): Promise<InstallAnswer> {
+    return this.#links.call(this.#from, to.memberId, ({ raft }) => raft.handleInstall(request))
+  }
+
+  override timeoutNow(to: Member, request: TimeoutNowRequest): Promise<void> {
+    return this.#links.call(this.#from, to.memberId, ({ raft }) => raft.handleTimeoutNow(request))
+  }
+}
--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -12,6 +12,7 @@
 import {
   RaftNode,
   type Member,
+  type RaftLimits,
   type RaftTransport,
   type Standing,
 } from '@nettlespur/consensus.raft'
@@ -40,6 +41,10 @@
   transport: RaftTransport
   port: UpstreamPort
   timings: BatchTimings
+  /** Of agreement, where they are not to be its own. */
+  limits?: Partial<RaftLimits>
+  /** A number in [0, 1); Math.random by default. */
+  random?: () => number
 }
 
 export class BatchNode {
@@ -74,7 +79,7 @@
   /** Errors: rejects with `storage-damaged` and `storage-failed`. */
   static async open(opts: BatchNodeOptions): Promise<BatchNode> {
     const machine = new BatchMachine()
-    const { memberId, initialMembers, clock, logger, store, transport, timings } = opts
+    const { memberId, initialMembers, clock, logger, store, transport, timings, random } = opts
     const raft = await RaftNode.open({
       memberId,
       initialMembers,
@@ -84,6 +89,8 @@
       transport,
       machine,
       timings: timings.raft,
+      limits: opts.limits ?? {},
+      ...(random === undefined ? {} : { random }),
       // The platform may suspend an instance, and its steady clock does not count that time.
       leaseReads: false,
     })
--- a/consensus/raft/__utils__/index.ts
+++ b/consensus/raft/__utils__/index.ts
@@ -1,2 +1,3 @@
 /** Nodes in memory, for tests only. */
+export { createSeededRandom } from './seededRandom.js'
 export { createMember, TestCluster, type TestClusterOptions } from './testCluster.js'
