--- a/batch/service/__utils__/group/controlGroup.ts
+++ b/batch/service/__utils__/group/controlGroup.ts
@@ -22,6 +22,8 @@
 const dataCentres = 3
 const foundedMs = 12_000
 const submitEveryMs = 200
+/** In calm, so that many schedules can be played. */
+const calmSubmitEveryMs = 1500
 
 export class ControlGroup {
   readonly clock = new ManualClock(new Date('2026-01-01T00:00:00Z'))
@@ -34,6 +36,7 @@
   readonly faults: string[] = []
   readonly lines: string[] = []
   #jobs = 0
+  #submitEveryMs = submitEveryMs
   #submits = true
 
   constructor(seed: number) {
@@ -96,6 +99,11 @@
       .join('\n')
   }
 
+  /** Fewer jobs come in from now on. */
+  calmDown(): void {
+    this.#submitEveryMs = calmSubmitEveryMs
+  }
+
   stopSubmitting(): void {
     this.#submits = false
   }
@@ -111,7 +119,7 @@
   async #submitForever(): Promise<void> {
     while (this.#submits) {
       void this.#submit()
-      await this.clock.sleep(submitEveryMs)
+      await this.clock.sleep(this.#submitEveryMs)
     }
   }
 
--- a/batch/service/__utils__/group/groupTrouble.ts
+++ b/batch/service/__utils__/group/groupTrouble.ts
@@ -154,6 +154,7 @@
     while (this.#stopping > 0 && clock.monotonicMs() < endMs) await clock.advance(lookEveryMs)
     if (this.#stopping > 0) this.#group.faults.push(`${this.#stopping} do not stop`)
     for (const member of members) member.start()
+    this.#group.calmDown()
     this.#group.note('CALM')
   }
 
--- a/storage/log/test/writeFaults.test.ts
+++ b/storage/log/test/writeFaults.test.ts
@@ -45,6 +45,29 @@
   })
 }
 
+for (const [name, write] of Object.entries(writes)) {
+  test(`a disk that was full at ${name} takes every change again once it has room`, async (t) => {
+    const files = new MemoryFileSystem()
+    const store = await openStore(files)
+    await store.append([toEntry(1), toEntry(2), toEntry(3)])
+    files.fault = (operation) => {
+      if (operation === 'write' || operation === 'createFile') failWith('ENOSPC')
+    }
+    t.like(await t.throwsAsync(write(store)), { kind: 'disk-full' })
+    t.like(await t.throwsAsync(store.append([toEntry(4, 2)])), { kind: 'disk-full' })
+    t.deepEqual(await readAll(store), [toEntry(1), toEntry(2), toEntry(3)])
+    t.deepEqual([store.lastIndex, store.hardState.term, store.snapshotMeta.index], [3, 0, 0])
+    files.fault = () => undefined
+    await store.append([toEntry(4, 5, 'a longer text than that of the entry refused')])
+    await store.truncateFrom(3)
+    await store.saveHardState({ term: 8, votedFor: 'y' })
+    await store.append([toEntry(3, 8)])
+    const again = await openStore(files.crash('lost'))
+    t.deepEqual(await readAll(again), [toEntry(1), toEntry(2), toEntry(3, 8)])
+    t.is(again.hardState.term, 8)
+  })
+}
+
 test('changes that waited behind a failed write fail with it and are undone', async (t) => {
   const files = new MemoryFileSystem()
   const store = await openStore(files)
