feat: tell when an instance waits for committed entries that it lost

Sight for the loop without end of the apply task: the line `raft.apply-waits`, once each time, with what is applied, committed and held.

--- a/consensus/raft/src/applyLoop.ts
+++ b/consensus/raft/src/applyLoop.ts
@@ -14,6 +14,8 @@
   readonly #wake = new Wake()
   #entriesSinceSnapshot = 0
   #bytesSinceSnapshot = 0
+  /** What is committed and not held here is told once. */
+  #isWaiting = false
 
   constructor(replica: Replica<R>, proposals: Proposals<R>) {
     this.#replica = replica
@@ -52,9 +54,19 @@
       if (entry.index !== appliedIndex.value + 1 || entry.index > commitIndex.value) break
       this.#apply(entry)
     }
+    this.#noteWaiting(entries.length > 0)
     if (this.#isSnapshotDue()) await this.#tryToTakeSnapshot()
   }
 
+  #noteWaiting(isHeld: boolean): void {
+    const { opts, log, appliedIndex, commitIndex } = this.#replica
+    if (!isHeld && !this.#isWaiting) {
+      const [applied, committed] = [appliedIndex.value, commitIndex.value]
+      opts.logger.warn({ event: 'raft.apply-waits', applied, committed, held: log.lastIndex })
+    }
+    this.#isWaiting = !isHeld
+  }
+
   #apply(entry: LogEntry): void {
     const { opts, appliedIndex } = this.#replica
     const content = decodePayload(entry.payload)
