fix: let an instance that lost committed entries wait for them instead of asking for them without end

The apply task now sleeps for a heartbeat, or until more is committed, whenever it found nothing to apply. Ruled out: a wake-up that is lost by it; what is committed while it reads still wakes its next wait at once.

--- a/consensus/raft/src/applyLoop.ts
+++ b/consensus/raft/src/applyLoop.ts
@@ -35,13 +35,18 @@
 
   /** One task, until `signal` is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    const { commitIndex, appliedIndex, clock } = this.#replica
+    const { commitIndex, appliedIndex, clock, opts } = this.#replica
     const watching = commitIndex.subscribe(() => {
       this.#wake.notify()
     })
     while (!signal.aborted) {
-      if (appliedIndex.value < commitIndex.value) await this.#applyNext()
-      else await this.#wake.wait(clock, idleCheckMs, signal)
+      const before = appliedIndex.value
+      const isBehind = before < commitIndex.value
+      if (isBehind) await this.#applyNext()
+      if (appliedIndex.value > before) continue
+      // What is committed may be gone from here until the leader sends it again: asked for at once, it was asked
+      // for 1,000 times within one moment, and nothing else ever ran.
+      await this.#wake.wait(clock, isBehind ? opts.timings.heartbeatMs : idleCheckMs, signal)
     }
     watching.unsubscribe()
   }
