fix: take part again once a full disk has room

The first write that failed stopped the store for good, also where it was a full disk that had refused it. Now a write that finds the disk full refuses it and what waits behind it. Before the next one the torn end of the segment is cut back to what was synced, and a file that was left aside is removed. What leaves the disk unknown stays final, as before: a failed sync, a rename, the first segment of an install. Sight: `storage.full` when it begins, `storage.resumed` with the number of writes refused.

--- a/storage/log/src/commitQueue.ts
+++ b/storage/log/src/commitQueue.ts
@@ -1,8 +1,9 @@
 /**
  * Puts all writes of one store in one line. Changes of the log that wait together become one frame, and so
- * share one write and one sync; other writes run by themselves, in their turn. The first write that fails
- * stops the line for good: it and all that wait or come later get the same error, and changes not yet
- * durable are undone in memory.
+ * share one write and one sync; other writes run by themselves, in their turn. A write that fails stops the
+ * line for good: it and all that wait or come later get the same error, and changes not yet durable are
+ * undone in memory. A full disk refuses only it and what waits: later writes are tried again, since a member
+ * that stayed away after 0.5 s without room, five of them one after the other, left a group without a leader.
  */
 import type { NettlespurError } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
@@ -15,6 +16,8 @@
   readonly batchBytesMax: number
   /** Makes the changes durable, as a whole. */
   readonly write: (changes: readonly LogChange[]) => Promise<void>
+  /** Removes what a write that a full disk refused has left. */
+  readonly cutTail: () => Promise<void>
 }
 
 interface Waiting {
@@ -28,12 +31,18 @@
   #waiting: Waiting[] = []
   #running: Promise<void> | undefined
   #failure: NettlespurError | undefined
+  #refused = 0
 
   constructor(opts: CommitQueueOptions) {
     this.#opts = opts
   }
 
-  /** Set once a write has failed. */
+  /** The last write found the disk full. */
+  get isFull(): boolean {
+    return this.#refused > 0
+  }
+
+  /** Set once a write has failed for good. */
   get failure(): NettlespurError | undefined {
     return this.#failure
   }
@@ -63,15 +72,23 @@
   async #runBatch(batch: Waiting[]): Promise<void> {
     const works = batch.map(({ work }) => work)
     try {
+      if (this.isFull) await this.#opts.cutTail()
       const [first] = works
       if (typeof first === 'function') await first()
       else await this.#opts.write(works.filter((work) => typeof work !== 'function'))
+      this.#noteRoom()
       for (const { resolve } of batch) resolve()
     } catch (error) {
-      this.#stop(batch, toStorageError(error))
+      this.#refuse(batch, toStorageError(error))
     }
   }
 
+  #noteRoom(): void {
+    if (!this.isFull) return
+    this.#opts.logger.info({ event: 'storage.resumed', refused: this.#refused })
+    this.#refused = 0
+  }
+
   /** One write of another kind, or as many changes as go together. */
   #takeBatch(): Waiting[] {
     let count = 0
@@ -86,15 +103,15 @@
     return this.#waiting.splice(0, count)
   }
 
-  #stop(batch: Waiting[], failure: NettlespurError): void {
-    this.#failure = failure
-    this.#opts.logger.error({
-      event: 'storage.stopped',
-      kind: failure.kind,
-      reason: failure.message,
-    })
+  #refuse(batch: Waiting[], failure: NettlespurError): void {
+    const { kind, message: reason } = failure
+    const isFinal = kind !== 'disk-full'
+    if (isFinal) this.#failure = failure
+    if (isFinal) this.#opts.logger.error({ event: 'storage.stopped', kind, reason })
+    else if (!this.isFull) this.#opts.logger.warn({ event: 'storage.full', reason })
     const lost = [...batch, ...this.#waiting]
     this.#waiting = []
+    if (!isFinal) this.#refused += lost.length
     for (const { work } of lost.toReversed()) {
       if (typeof work !== 'function') work.undo()
     }
--- a/storage/log/src/fileLogStore.ts
+++ b/storage/log/src/fileLogStore.ts
@@ -4,11 +4,10 @@
  *
  * Entries show in `lastIndex` and to readers from the call that appends them, so that further calls can
  * follow; they are durable once that call's promise resolves. `hardState` and `snapshotMeta` change only
- * then. After a failed write the store reads only, and shows what was durable.
+ * then. After a failed write the store shows what was durable, and but for a full disk reads only.
  */
 import path from 'node:path'
 import type { Clock } from '@nettlespur/core.clock'
-import { NettlespurError } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
 import { CommitQueue } from './commitQueue.js'
 import type { FileSystem } from './fileSystem.js'
@@ -22,7 +21,7 @@
 import { SegmentedLog } from './segmentedLog.js'
 import { hardStateFile, writeSmallFile } from './smallFile.js'
 import { SnapshotFolder } from './snapshotFolder.js'
-import { toStorageError } from './storageErrors.js'
+import { check, toStorageError } from './storageErrors.js'
 
 const defaultSegmentBytesMax = 4 * 1024 * 1024
 const defaultBatchBytesMax = 1024 * 1024
@@ -86,6 +85,7 @@
       logger: opts.logger,
       batchBytesMax: opts.batchBytesMax ?? defaultBatchBytesMax,
       write: (changes) => this.#log.write(changes),
+      cutTail: () => this.#log.cutTail(),
     })
   }
 
@@ -182,10 +182,15 @@
     if (this.#installing || index <= this.#snapshotIndexAsked) return this.#waitForEarlier()
     check(this.termAt(index) === term, `no entry ${index} of term ${term} to snapshot`)
     this.#snapshotIndexAsked = index
-    await this.#queue.add(async () => {
-      await this.#snapshots.save(snapshot)
-      await this.#log.compact(this.#index, index - keepEntries + 1)
-    })
+    try {
+      await this.#queue.add(async () => {
+        await this.#snapshots.save(snapshot)
+        await this.#log.compact(this.#index, index - keepEntries + 1)
+      })
+    } catch (error) {
+      this.#snapshotIndexAsked = this.snapshotMeta.index
+      throw error
+    }
   }
 
   /** Until it resolves, other changes of the log are refused. */
@@ -221,7 +226,7 @@
   async #close(): Promise<void> {
     await this.#queue.settle()
     try {
-      if (this.#queue.failure === undefined) await this.#log.seal()
+      if (this.#queue.failure === undefined && !this.#queue.isFull) await this.#log.seal()
     } finally {
       await this.#log.close()
       await this.#lock?.release()
@@ -243,8 +248,3 @@
     check(!this.#installing, 'a snapshot is being installed')
   }
 }
-
-/** These are faults of the caller, not of the disk. */
-function check(condition: boolean, reason: string): void {
-  if (!condition) throw new NettlespurError('internal', reason)
-}
--- a/storage/log/src/segment.ts
+++ b/storage/log/src/segment.ts
@@ -10,7 +10,7 @@
   segmentHeaderBytes,
   type SegmentId,
 } from './segmentHeader.js'
-import { toStorageError } from './storageErrors.js'
+import { toFinalError, toStorageError } from './storageErrors.js'
 import { createAside } from './writeAside.js'
 
 export class Segment {
@@ -76,7 +76,7 @@
     this.#nextIndex = Math.max(this.#nextIndex, nextIndex)
     const frame = encodeFrame(this.#nonce, this.#frames, body)
     await this.#file.write(frame, this.#sizeBytes)
-    await this.#file.sync()
+    await this.#sync()
     const offsetBytes = this.#sizeBytes + frameHeaderBytes
     this.#sizeBytes += frame.length
     this.#frames++
@@ -95,7 +95,7 @@
    */
   async cutTail(): Promise<void> {
     await this.#file.truncate(this.#sizeBytes)
-    await this.#file.sync()
+    await this.#sync()
   }
 
   async read(offsetBytes: number, lengthBytes: number): Promise<Buffer> {
@@ -110,6 +110,15 @@
     }
   }
 
+  /** Where it failed, the next one may pass without what this one was for. */
+  async #sync(): Promise<void> {
+    try {
+      await this.#file.sync()
+    } catch (error) {
+      throw toFinalError(error)
+    }
+  }
+
   /** Closes the file, once reads in progress have ended. */
   async retire(): Promise<void> {
     if (this.#retired) return
--- a/storage/log/src/segmentedLog.ts
+++ b/storage/log/src/segmentedLog.ts
@@ -6,6 +6,7 @@
 import type { LogChange } from './logChange.js'
 import type { LogIndex } from './logIndex.js'
 import { Segment } from './segment.js'
+import { toFinalError } from './storageErrors.js'
 
 export interface SegmentedLogOptions {
   readonly files: FileSystem
@@ -59,12 +60,17 @@
   /** Leaves all segments behind for the first one of another generation. */
   async startGeneration(generation: number, firstIndex: number): Promise<void> {
     const former = this.#segments
-    const first = await this.#create({ generation, number: 1, firstIndex })
+    const first = await this.#createFirst({ generation, number: 1, firstIndex })
     this.#segments = [first]
     this.#nextIndex = firstIndex
     for (const segment of former) await this.#remove(segment)
   }
 
+  /** Cuts what a refused write left behind the last frame. */
+  async cutTail(): Promise<void> {
+    await this.#segments.at(-1)?.cutTail()
+  }
+
   async seal(): Promise<void> {
     await this.#segments.at(-1)?.seal()
   }
@@ -83,6 +89,15 @@
     return next
   }
 
+  /** Without it, what came next would go to a segment that is void. */
+  async #createFirst(id: Segment['id']): Promise<Segment> {
+    try {
+      return await this.#create(id)
+    } catch (error) {
+      throw toFinalError(error)
+    }
+  }
+
   #create(id: Segment['id']): Promise<Segment> {
     return Segment.create(this.#opts.files, this.#opts.folder, id)
   }
--- a/storage/log/src/storageErrors.ts
+++ b/storage/log/src/storageErrors.ts
@@ -15,3 +15,15 @@
   const kind = code === 'ENOSPC' || code === 'EDQUOT' ? 'disk-full' : 'storage-failed'
   return new NettlespurError(kind, message, { cause: thrown })
 }
+
+/** `storage-failed` whatever the reason: what is on the disk now is not known, so it must not be gone on from. */
+export function toFinalError(thrown: unknown): NettlespurError {
+  const { kind, message } = toStorageError(thrown)
+  if (kind === 'storage-damaged') return toStorageError(thrown)
+  return new NettlespurError('storage-failed', message, { cause: thrown })
+}
+
+/** These are faults of the caller, not of the disk. */
+export function check(condition: boolean, reason: string): void {
+  if (!condition) throw new NettlespurError('internal', reason)
+}
--- a/storage/log/src/writeAside.ts
+++ b/storage/log/src/writeAside.ts
@@ -1,6 +1,7 @@
 /** Replaces a file as a whole: after a crash at any step either the old or the new one is there. */
 import path from 'node:path'
 import type { FileSystem, OpenFile } from './fileSystem.js'
+import { toFinalError } from './storageErrors.js'
 
 export const asideSuffix = '.tmp'
 
@@ -18,12 +19,23 @@
   const opened = await files.createFile(aside)
   try {
     await opened.write(bytes, 0)
-    await opened.sync()
-    await files.renameFile(aside, file)
-    await files.syncFolder(path.dirname(file))
+    await putInPlace(files, opened, file)
   } catch (error) {
     await opened.close().catch(() => undefined)
+    // A disk that refused the bytes may take them later, under the same name.
+    await files.removeFile(aside).catch(() => undefined)
     throw error
   }
   return opened
 }
+
+/** Where a step of it fails, it is not known which file is there after a crash. */
+async function putInPlace(files: FileSystem, opened: OpenFile, file: string): Promise<void> {
+  try {
+    await opened.sync()
+    await files.renameFile(file + asideSuffix, file)
+    await files.syncFolder(path.dirname(file))
+  } catch (error) {
+    throw toFinalError(error)
+  }
+}
--- /dev/null
+++ b/storage/log/test/fullDisk.test.ts
@@ -0,0 +1,60 @@
+/** A disk that is full now and then: what it refused never was, and what it took is there after any crash. */
+import test from 'ava'
+import fc from 'fast-check'
+import {
+  emptyState,
+  failWith,
+  holdsState,
+  lossKinds,
+  MemoryFileSystem,
+  openStore,
+  planCommand,
+  stepsArbitrary,
+} from '../__utils__/index.js'
+
+const small = { segmentBytesMax: 200, batchBytesMax: 150 }
+const needsRoom = new Set(['write', 'createFile'])
+
+test('over any changes and any spells without room a store holds what it took, also after a crash', async (t) => {
+  const plan = fc.record({
+    steps: stepsArbitrary,
+    /** By operation that needs room, whether there is some. */
+    room: fc.array(fc.boolean(), { minLength: 1, maxLength: 25 }),
+    loss: fc.constantFrom(...lossKinds),
+  })
+  await fc.assert(
+    fc.asyncProperty(plan, async ({ steps, room, loss }) => {
+      const files = new MemoryFileSystem()
+      const store = await openStore(files, small)
+      let asked = 0
+      files.fault = (operation) => {
+        if (needsRoom.has(operation) && room[asked++ % room.length] === false) failWith('ENOSPC')
+      }
+      let state = emptyState
+      let allowed = [emptyState]
+      for (const { command } of steps) {
+        const planned = planCommand(state, command)
+        if (planned === undefined) continue
+        const [outcome] = await Promise.allSettled([planned.run(store)])
+        allowed = [outcome.status === 'fulfilled' ? planned.next : state]
+        // An install that stopped half way ends the store: a start finds out what there is.
+        if (outcome.status === 'rejected' && !isFull(outcome.reason)) {
+          allowed = [state, planned.next]
+          break
+        }
+        state = allowed[0] ?? state
+        if (!(await holdsState(store, state))) throw new Error(`after ${command.kind}`)
+      }
+      files.fault = () => undefined
+      const again = await openStore(files.crash(loss), small)
+      const held = await Promise.all(allowed.map((one) => holdsState(again, one)))
+      if (!held.includes(true)) throw new Error('after the crash')
+    }),
+    { numRuns: 500 },
+  )
+  t.pass()
+})
+
+function isFull(thrown: unknown): boolean {
+  return (thrown as { kind?: string }).kind === 'disk-full'
+}
