--- a/consensus/raft/src/applyLoop.ts
+++ b/consensus/raft/src/applyLoop.ts
@@ -114,12 +114,14 @@
     }
     this.#entriesSinceSnapshot = 0
     this.#bytesSinceSnapshot = 0
+    const startMs = opts.clock.monotonicMs()
     await this.#replica.exclusive(async () => {
       const term = log.termAt(index)
       if (term === undefined || index <= opts.store.snapshotMeta.index) return
       await opts.store.saveSnapshot({ meta: { index, term, membership }, data }, limits.keepEntries)
       memberships.compact(index)
-      opts.logger.info({ event: 'raft.snapshot-taken', index, bytes: data.length })
+      const tookMs = Math.round(opts.clock.monotonicMs() - startMs)
+      opts.logger.info({ event: 'raft.snapshot-taken', index, bytes: data.length, tookMs })
     })
   }
 }
