--- a/consensus/raft/src/applyLoop.ts
+++ b/consensus/raft/src/applyLoop.ts
@@ -16,6 +16,7 @@
   #bytesSinceSnapshot = 0
   /** What is committed and not held here is told once. */
   #isWaiting = false
+  #isSaving = false
 
   constructor(replica: Replica<R>, proposals: Proposals<R>) {
     this.#replica = replica
@@ -60,7 +61,8 @@
       this.#apply(entry)
     }
     this.#noteWaiting(entries.length > 0)
-    if (this.#isSnapshotDue()) await this.#tryToTakeSnapshot()
+    // Reads wait for what is applied, not for the disk: with a save that hung, one of six was answered.
+    if (this.#isSnapshotDue() && !this.#isSaving) void this.#tryToTakeSnapshot()
   }
 
   #noteWaiting(isHeld: boolean): void {
@@ -95,11 +97,13 @@
 
   /** Without a snapshot the log grows on; the next one is due as late as ever. */
   async #tryToTakeSnapshot(): Promise<void> {
+    this.#isSaving = true
     try {
       await this.#takeSnapshot()
     } catch (cause) {
       this.#replica.opts.logger.warn({ event: 'raft.snapshot-failed', reason: String(cause) })
     }
+    this.#isSaving = false
   }
 
   async #takeSnapshot(): Promise<void> {
