--- a/bench/policy/src/measurePolicy.ts
+++ b/bench/policy/src/measurePolicy.ts
@@ -31,11 +31,13 @@
     return { name: `${prefix}.${name}`, value: earned / owed, unit: 'ratio' }
   })
   const worths = results.map(({ worth }) => worth)
+  const heldUpDays = results.filter(({ heldUp }) => heldUp > 0).length
   const wasted = results.map(({ wastedAcceleratorSeconds }) => wastedAcceleratorSeconds)
   return [
     { name: `${prefix}.worth`, value: meanOf(worths), unit: 'ratio' },
     { name: `${prefix}.worst`, value: Math.min(...worths), unit: 'ratio' },
     ...kinds,
+    { name: `${prefix}.held_up_days`, value: heldUpDays / results.length, unit: 'ratio' },
     { name: `${prefix}.wasted`, value: meanOf(wasted), unit: 'accelerator_s' },
   ]
 }
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -6,6 +6,7 @@
 import { BatchState, type Placement, type RunEnd, type RunOutcome } from '@nettlespur/batch.state'
 import { SeededRandom } from '@nettlespur/bench.placement'
 import type { CrowdedDay, DayJob } from './crowdedDay.js'
+import { HeldUpWatch } from './heldUpWatch.js'
 import { sumEarnings, type JobEnd, type KindEarnings } from './sumEarnings.js'
 
 /** Between two looks at what has changed. */
@@ -36,6 +37,8 @@
   readonly worth: number
   /** Run time of stopped runs that no checkpoint saved, in accelerator-seconds. */
   readonly wastedAcceleratorSeconds: number
+  /** Jobs that are held up as the day ends. */
+  readonly heldUp: number
   /** What building the view and deciding took, of each round. */
   readonly roundsMs: readonly number[]
 }
@@ -54,6 +57,7 @@
   readonly #endedAtMs = new Map<string, number>()
   readonly #runs = new Map<string, Run>()
   readonly #roundsMs: number[] = []
+  readonly #heldUp = new HeldUpWatch()
   #wastedMs = 0
   #nowMs = 0
 
@@ -75,10 +79,15 @@
       while ((losses[0]?.atMs ?? Infinity) <= this.#nowMs) this.#lose(losses.shift()?.upstreamId)
       this.#endRuns()
       this.#decide()
+      this.#heldUp.look(this.#state, this.#listRunning(), this.#nowMs)
     }
     return this.#measure()
   }
 
+  #listRunning(): Placement[] {
+    return [...this.#runs.values()].map(({ placement }) => placement)
+  }
+
   #submit(job: DayJob | undefined): void {
     if (job === undefined) return
     const { request, workspace, kind } = job
@@ -222,7 +231,9 @@
     const earned = all.reduce((sum, kind) => sum + kind.earned, 0)
     const owed = all.reduce((sum, kind) => sum + kind.owed, 0)
     const wastedAcceleratorSeconds = this.#wastedMs / 1000
-    return { kinds, worth: earned / owed, wastedAcceleratorSeconds, roundsMs: this.#roundsMs }
+    const heldUp = this.#heldUp.count(this.#nowMs)
+    const worth = earned / owed
+    return { kinds, worth, wastedAcceleratorSeconds, heldUp, roundsMs: this.#roundsMs }
   }
 
   #judge({ request: { jobId }, arriveMs }: DayJob): JobEnd {
