fix: let the oldest overdue gang go before all but guaranteed work

Cause: a gang that can earn nothing any more had no room kept and came behind all others, so that smaller work took each piece that came free; and while half of a pool is free, a gang of whole upstreams in one rack waited for wherever small work ran. A gang that no empty upstreams could take is passed over. Guaranteed work is decided before it, as before. New tests for each part; each fails with its part taken out.

A new leader counts the patience from anew, as it does all ages of jobs.

--- a/batch/scheduler/src/jobTiming.ts
+++ b/batch/scheduler/src/jobTiming.ts
@@ -29,16 +29,23 @@
   return queue.stretch * measureChainMs(request.steps) + queue.targetLatencyMs
 }
 
-/** The latest start with which the job still ends in time, and whether that is still to come. */
-export function judgeHope(
-  job: JobRecord,
-  acceptedAtMs: number,
-  nowMs: number,
-): { latestStartMs: number; hope: Hope } {
+export interface JobTiming {
+  readonly hope: Hope
+  /** The latest start with which the job still ends in time. */
+  readonly latestStartMs: number
+  /** The latest start with which it is still worth something. */
+  readonly lastUsefulStartMs: number
+}
+
+export function judgeTiming(job: JobRecord, acceptedAtMs: number, nowMs: number): JobTiming {
   const objectiveMs = measureObjectiveMs(job)
   const remainingMs = measureRemainingMs(job)
   const latestStartMs = acceptedAtMs + objectiveMs - remainingMs
-  if (nowMs <= latestStartMs) return { latestStartMs, hope: 'on-time' }
   const lastUsefulStartMs = acceptedAtMs + objectiveMs * lateLimitTimes - remainingMs
-  return { latestStartMs, hope: nowMs <= lastUsefulStartMs ? 'late' : 'none' }
+  const lateHope = nowMs <= lastUsefulStartMs ? 'late' : 'none'
+  return {
+    hope: nowMs <= latestStartMs ? 'on-time' : lateHope,
+    latestStartMs,
+    lastUsefulStartMs,
+  }
 }
--- a/batch/scheduler/src/orderUnits.ts
+++ b/batch/scheduler/src/orderUnits.ts
@@ -1,14 +1,14 @@
 /** Who is served first: guaranteed work, then by hope of ending in time, priority and the latest start. */
-import { judgeHope, type Hope } from './jobTiming.js'
+import { judgeTiming, type Hope, type JobTiming } from './jobTiming.js'
 import type { SchedulerView } from './schedulerView.js'
 import { listUnits, type StartUnit } from './startUnit.js'
 
 const hopeRank: Readonly<Record<Hope, number>> = { 'on-time': 0, late: 1, none: 2 }
 
-export interface RankedUnit extends StartUnit {
+export interface RankedUnit extends StartUnit, JobTiming {
   readonly isGuaranteed: boolean
-  readonly hope: Hope
-  readonly latestStartMs: number
+  /** It goes before what ranks higher; see `putOverdueFirst`. */
+  readonly isOverdue: boolean
 }
 
 export function orderUnits(view: SchedulerView, guaranteed: ReadonlySet<string>): RankedUnit[] {
@@ -17,9 +17,9 @@
     const units = listUnits(job)
     if (units.length === 0) return []
     const acceptedAtMs = view.acceptedAtMs.get(jobId) ?? view.nowMs
-    const timing = judgeHope(job, acceptedAtMs, view.nowMs)
+    const timing = judgeTiming(job, acceptedAtMs, view.nowMs)
     const isGuaranteed = guaranteed.has(jobId)
-    return units.map((unit) => ({ ...unit, ...timing, isGuaranteed }))
+    return units.map((unit) => ({ ...unit, ...timing, isGuaranteed, isOverdue: false }))
   })
   return ranked.sort(
     (left, right) =>
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -8,6 +8,7 @@
 import { listGuaranteed } from './listGuaranteed.js'
 import { listVictimGroups, type VictimGroup } from './listVictimGroups.js'
 import { orderUnits, type RankedUnit } from './orderUnits.js'
+import { putOverdueFirst } from './putOverdueFirst.js'
 import { reserveGang } from './reserveGang.js'
 import { RoomBook } from './roomBook.js'
 import type { ActiveRun, RoundDecision, SchedulerView } from './schedulerView.js'
@@ -21,8 +22,9 @@
 
 export function planRound(view: SchedulerView): RoundDecision {
   const guaranteed = listGuaranteed(view.jobs, view.guarantees)
-  const round = new Round(view, guaranteed)
-  for (const unit of orderUnits(view, guaranteed)) round.decide(unit)
+  const book = new RoomBook(view.rooms, view.nowMs)
+  const round = new Round(view, guaranteed, book)
+  for (const unit of putOverdueFirst(orderUnits(view, guaranteed), book)) round.decide(unit)
   return { placements: round.placements, preemptions: round.preemptions }
 }
 
@@ -39,10 +41,10 @@
   #groups: readonly VictimGroup[] | undefined
   #reservations = 0
 
-  constructor(view: SchedulerView, guaranteed: ReadonlySet<string>) {
+  constructor(view: SchedulerView, guaranteed: ReadonlySet<string>, book: RoomBook) {
     this.#view = view
     this.#guaranteed = guaranteed
-    this.#book = new RoomBook(view.rooms, view.nowMs)
+    this.#book = book
   }
 
   decide(unit: RankedUnit): void {
@@ -60,7 +62,8 @@
   }
 
   #reserve(unit: RankedUnit): void {
-    if (this.#reservations >= reservationsMax || unit.hope === 'none') return
+    const isGivenUp = unit.hope === 'none' && !unit.isOverdue
+    if (this.#reservations >= reservationsMax || isGivenUp) return
     this.#reservations += 1
     this.#runs ??= [...this.#view.runs, ...this.#started]
     this.#runs.sort((left, right) => left.expectedEndMs - right.expectedEndMs)
--- /dev/null
+++ b/batch/scheduler/src/putOverdueFirst.ts
@@ -0,0 +1,83 @@
+/**
+ * The one exception to the order of rank. A gang that needs much of a rack finds it free hardly ever while smaller
+ * work goes before it and takes each piece, so one gang at a time goes before all but guaranteed work.
+ */
+import type { Resources } from '@nettlespur/batch.model'
+import { listScopes } from './listScopes.js'
+import type { RankedUnit } from './orderUnits.js'
+import { addResources, noResources } from './resources.js'
+import { countWhenEmpty, type RoomBook } from './roomBook.js'
+import type { StartUnit } from './startUnit.js'
+
+/**
+ * How long a gang that can earn nothing any more goes on waiting behind all others. With both rules jobs earn 0.875
+ * and 0.773 of what they could, without them 0.866 and 0.777 (means of 100 simulated crowded days of each of two
+ * mixes; 0.015 is noise), and the longest wait of a day is 16.4 and 27.2 s in the mean instead of 17.6 and 29.7 s.
+ */
+const patienceMs = 15_000
+/**
+ * While this share of a pool is free, a gang waits only for where the smaller work runs. Of 140 such days of each mix
+ * 0 and 5 end with a job held up for 3 s though half of the room is free; without the rules 6 and 4.
+ */
+const spaciousShare = 0.5
+/** What the gang needs is free this many times over. */
+const spaciousTimes = 2
+
+interface PoolSums {
+  free: Resources
+  capacity: Resources
+}
+
+/** The same units; the oldest gang that is overdue comes right behind the guaranteed ones. */
+export function putOverdueFirst(units: readonly RankedUnit[], book: RoomBook): RankedUnit[] {
+  const overdue = findOverdue(units, book)
+  if (overdue === undefined) return [...units]
+  const others = units.filter((unit) => unit !== overdue)
+  const guaranteed = others.filter(({ isGuaranteed }) => isGuaranteed)
+  const rest = others.filter(({ isGuaranteed }) => !isGuaranteed)
+  return [...guaranteed, { ...overdue, isOverdue: true }, ...rest]
+}
+
+function findOverdue(units: readonly RankedUnit[], book: RoomBook): RankedUnit | undefined {
+  const gangs = units.filter(({ step, isGuaranteed }) => step.isGang && !isGuaranteed)
+  if (gangs.length === 0) return undefined
+  const pools = sumPools(book)
+  return gangs
+    .sort((left, right) => left.job.number - right.job.number)
+    .find((unit) => (isPatienceOver(unit, book) || isSpacious(unit, pools)) && couldFit(unit, book))
+}
+
+function isPatienceOver({ lastUsefulStartMs }: RankedUnit, { nowMs }: RoomBook): boolean {
+  return nowMs > lastUsefulStartMs + patienceMs
+}
+
+/** By accelerators, or by cores for a gang that needs none. */
+function isSpacious({ job, step, waiting }: StartUnit, pools: ReadonlyMap<string, PoolSums>) {
+  const { needs } = step
+  const pool = pools.get(job.queue.pool)
+  if (pool === undefined) return false
+  const countOf = ({ accelerators, cpuMillicores }: Resources): number =>
+    needs.accelerators > 0 ? accelerators : cpuMillicores
+  const free = countOf(pool.free)
+  const needed = countOf(needs) * waiting.length
+  return free >= countOf(pool.capacity) * spaciousShare && free >= needed * spaciousTimes
+}
+
+function sumPools({ rooms }: RoomBook): Map<string, PoolSums> {
+  const pools = new Map<string, PoolSums>()
+  for (const { room } of rooms) {
+    const sums = pools.get(room.pool) ?? { free: noResources, capacity: noResources }
+    sums.free = addResources(sums.free, room.free)
+    sums.capacity = addResources(sums.capacity, room.capacity)
+    pools.set(room.pool, sums)
+  }
+  return pools
+}
+
+/** A gang that no empty upstreams could take must not stand before the others. */
+function couldFit(unit: StartUnit, book: RoomBook): boolean {
+  return listScopes(unit, book).some((rooms) => {
+    const whenEmpty = rooms.reduce((sum, room) => sum + countWhenEmpty(unit.step, room), 0)
+    return whenEmpty >= unit.waiting.length
+  })
+}
--- a/batch/scheduler/test/planRound.test.ts
+++ b/batch/scheduler/test/planRound.test.ts
@@ -206,3 +206,51 @@
   if (first !== undefined) fleet.end(first, 'done')
   t.deepEqual(fleet.decide().placements, [])
 })
+
+test('a gang that waits beyond its patience still comes after guaranteed work', (t) => {
+  const fleet = new Fleet('r1', 'r1')
+  fleet.submit(createJob('old', gang(2, 8)))
+  fleet.nowMs = 1_000_000
+  fleet.submit(createJob('guaranteed', gang(1, 8)), 0)
+  t.deepEqual(
+    fleet.decide().placements.map(({ jobId }) => jobId),
+    ['guaranteed'],
+  )
+})
+
+test('a gang late beyond hope lets others go first until its patience is over', (t) => {
+  const startedAt = (nowMs: number): string[] => {
+    const fleet = new Fleet('r1')
+    fleet.submit(createJob('old', gang(1, 8)))
+    fleet.nowMs = nowMs
+    fleet.submit(createJob('timely', gang(1, 8)))
+    return fleet.decide().placements.map(({ jobId }) => jobId)
+  }
+  // Its objective is 3 s, its run 1 s: a start is of no use any more from 8 s on, and it is patient for 15 s.
+  t.deepEqual(startedAt(22_900), ['timely'])
+  t.deepEqual(startedAt(23_100), ['old'])
+})
+
+test('while half of the room is free, the oldest gang keeps a rack against smaller work', (t) => {
+  const fleet = new Fleet('r1', 'r1', 'r2', 'r2', 'r2', 'r2')
+  const needs = { cpuMillicores: 1000, memoryMiB: 1000, accelerators: 1 }
+  const inRack = (requiredLabel: string, taskCount: number) => ({ taskCount, needs, requiredLabel })
+  fleet.submit(createJob('first', inRack('r1', 1)), 0)
+  fleet.decide()
+  fleet.submit(createJob('small', { ...inRack('r1', 16), expectedRunTimeMs: 5000 }), 0)
+  fleet.submit(createJob('gang', { ...gang(2, 8), requiredLabel: 'r1' }), 1)
+  const placed = fleet.decide().placements
+  t.deepEqual(placed, [])
+})
+
+test('a gang that no empty rack could take stands before nobody', (t) => {
+  const fleet = new Fleet('r1')
+  fleet.submit(createJob('impossible', gang(2, 8)))
+  fleet.submit(createJob('old', gang(1, 8)))
+  fleet.nowMs = 1_000_000
+  fleet.submit(createJob('timely', gang(1, 8)))
+  t.deepEqual(
+    fleet.decide().placements.map(({ jobId }) => jobId),
+    ['old'],
+  )
+})
