fix: let a newcomer whose addition was never committed ask again

An instance now counts itself a member where the committed membership names it, or where it is in its newest one and hears a leader; else it asks to be added, which changes nothing for one that is. Ruled out: having the leader look for members that only former leaders knew; it has nothing to know them by. A vote looks at the same word for hearing a leader (`hearsLeader`), which moves to the replica.

--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -97,9 +97,9 @@
     return new BatchNode(opts, raft, machine)
   }
 
-  /** This instance is in the membership as it knows it. */
+  /** Where it is not, this instance asks to be added. */
   get isMember(): boolean {
-    return this.raft.describe().members.some(({ memberId }) => memberId === this.#opts.memberId)
+    return this.raft.isMember
   }
 
   /** The peer side of the member that leads, as far as this one knows. */
--- a/batch/service/test/orphanedMember.test.ts
+++ b/batch/service/test/orphanedMember.test.ts
@@ -31,7 +31,9 @@
   t.true(members.some(({ memberId }) => memberId === newcomer?.member.memberId))
 })
 
-test('the schedule that left a newcomer outside is survived', async (t) => {
-  const { group } = await playGroup(50035)
-  t.deepEqual(group.faults, [], group.describe())
+test('the schedules that left a newcomer outside are survived', async (t) => {
+  for (const seed of [50035, 40127]) {
+    const { group } = await playGroup(seed)
+    t.deepEqual(group.faults, [], `seed ${seed}\n${group.describe()}`)
+  }
 })
--- a/consensus/raft/src/raftNode.ts
+++ b/consensus/raft/src/raftNode.ts
@@ -80,6 +80,17 @@
     return leaderId === undefined ? undefined : findMember(membership, leaderId)
   }
 
+  /**
+   * This instance is a member for good, or a leader of now takes it for one. An addition that was never
+   * committed leaves it in its own log alone: newcomers that took that for granted stayed outside for ever.
+   */
+  get isMember(): boolean {
+    const { memberships, membership, commitIndex, memberId, hearsLeader } = this.#replica
+    const committed = memberships.at(commitIndex.value)
+    if (findMember(membership, memberId) === undefined) return false
+    return findMember(committed, memberId) !== undefined || hearsLeader
+  }
+
   /** Index of the newest applied entry, from now on. */
   get applied(): Observable<number> {
     return this.#replica.appliedIndex
--- a/consensus/raft/src/replica.ts
+++ b/consensus/raft/src/replica.ts
@@ -89,6 +89,12 @@
     return this.fault === undefined && sameDisk && isVoter(this.membership, this.memberId)
   }
 
+  /** A leader was heard within an election timeout. */
+  get hearsLeader(): boolean {
+    const { clock, timings } = this.opts
+    return clock.monotonicMs() - this.heardLeaderMs < timings.electionTimeoutMs
+  }
+
   random(): number {
     return (this.opts.random ?? Math.random)()
   }
--- a/consensus/raft/src/voteHandler.ts
+++ b/consensus/raft/src/voteHandler.ts
@@ -23,13 +23,7 @@
   if (findMember(membership, candidateId) !== undefined) {
     if (!acceptsDisk(membership, candidateId, diskId)) return false
   }
-  return request.transfer || !hearsLeader(replica)
-}
-
-function hearsLeader<R>(replica: Replica<R>): boolean {
-  if (replica.role === 'leader') return true
-  const { timings, clock } = replica.opts
-  return clock.monotonicMs() - replica.heardLeaderMs < timings.electionTimeoutMs
+  return request.transfer || !(replica.role === 'leader' || replica.hearsLeader)
 }
 
 async function decide<R>(replica: Replica<R>, request: VoteRequest): Promise<boolean> {
