--- a/batch/service/__utils__/group/groupMember.ts
+++ b/batch/service/__utils__/group/groupMember.ts
@@ -127,7 +127,7 @@
   async stop(): Promise<void> {
     const life = this.#life
     if (life === undefined) return
-    await Promise.race([life.ending, stopNode(life)])
+    await Promise.race([life.ending, this.#stopNode(life)])
     if (this.#life === life) this.kill()
   }
 
@@ -167,6 +167,16 @@
     void this.#keepMembership(life, node)
   }
 
+  /** As the processes do, which end also where a step of it fails. */
+  async #stopNode({ node }: Life): Promise<void> {
+    try {
+      await node?.raft.transferLeadership()
+      await node?.stop()
+    } catch (thrown) {
+      this.#opts.logger.error({ event: 'control.stop-fault', reason: String(thrown) })
+    }
+  }
+
   async #keepMembership(life: Life, node: BatchNode): Promise<void> {
     const { links, findLeaderId, member } = this.#opts
     for (;;) {
@@ -180,11 +190,6 @@
   }
 }
 
-async function stopNode({ node }: Life): Promise<void> {
-  await node?.raft.transferLeadership()
-  await node?.stop()
-}
-
 function createPromise() {
   let resolve: () => void = () => undefined
   const promise = new Promise<void>((settle) => {
