--- a/control/service/src/controlNode.ts
+++ b/control/service/src/controlNode.ts
@@ -212,8 +212,7 @@
   #startSession(term: number): void {
     const session = new LeaderSession(this.#opts, term)
     this.#session = session
-    const { instanceId } = this.#opts
-    this.#opts.logger.info({ event: 'control.leads', instanceId, term, epoch: session.epoch })
+    this.#opts.logger.info({ event: 'control.leads', term, epoch: session.epoch })
     this.#switched = this.#switched.then(() => {
       if (this.#session === session) session.start()
     })
