test: hold a read to what the search for the leader may cost

Cause: since reads are asked again after 300 ms, the bound of 800 ms held without the early end of the search as well. Change: the bound is 400 ms, and the comment at the search has the figures. Ruled out: nothing. Figures (manual clock, a member down): 320 ms, and 620 ms with the early end of the search taken out, which the test refuses now. Conclusion: the early end of the search has a test that fails without it.

--- a/batch/service/src/leaderFinder.ts
+++ b/batch/service/src/leaderFinder.ts
@@ -91,7 +91,7 @@
   async #askMembers(): Promise<void> {
     const addresses = [...new Set([...this.#seeds, ...this.#members])]
     const search = new LeaderSearch(addresses)
-    // A member that is down would cost 300 ms each time: 1,020 ms of a read on a silent connection, not 720.
+    // A member that is down would cost 300 ms: a read on a silent connection 620 ms, not 320 (manual clock).
     await new Promise<void>((resolve) => {
       const asked = addresses.map(async (address) => {
         const view = await this.#askMember(address)
--- a/batch/service/test/stateQueries.test.ts
+++ b/batch/service/test/stateQueries.test.ts
@@ -81,7 +81,7 @@
   group.link(2).isDark = true
   const { outcome, tookMs } = await group.settle(ask(group, 'a'))
   t.is(outcome.extract(), 'completed')
-  t.true(tookMs < timings.callTimeoutMs + 100, `${tookMs} ms`)
+  t.true(tookMs < 400, `${tookMs} ms`)
 })
 
 test('of a burst on a silent connection every query is answered', async (t) => {
