test: keep rows hidden for seconds in the model, up to the lease that ends them

Cause: with every second row left out in turn no run stayed hidden for the 3 s after which no lease is given, so the model never came to that path.

Change: hidden-rows leaves out the same rows over 150 looks; up to 400 calls in a row instead of 60.

--- a/batch/service/__utils__/faultyPort.ts
+++ b/batch/service/__utils__/faultyPort.ts
@@ -14,10 +14,14 @@
 import type { FakeUpstream } from '@nettlespur/batch.fakes'
 
 /**
- * What the link does with one call. `late`: it is carried out seconds later, and nothing is answered. `unread-rows`:
- * every second row of a look cannot be read, and is left out of its lists.
+ * What the link does with one call. `late`: it is carried out seconds later, and nothing is answered. `unread-rows` and
+ * `hidden-rows`: every second row of a look cannot be read, and is left out of its lists.
  */
-export type LinkFault = 'none' | 'answer-lost' | 'late' | 'refused' | 'silent' | 'unread-rows'
+export type LinkFault =
+  'none' | 'answer-lost' | 'late' | 'refused' | 'silent' | 'unread-rows' | 'hidden-rows'
+
+/** Over all upstreams; each is asked about ten times a second while rows are unread. */
+const hiddenLooks = 150
 
 export interface FaultyPortOptions {
   clock: Clock
@@ -53,7 +57,9 @@
     const turn = this.looks
     return this.#call(to, timeoutMs, async (upstream, fault) => {
       const answer = await upstream.hold(order)
-      return fault === 'unread-rows' ? leaveOutRows(answer, turn) : answer
+      if (fault === 'unread-rows') return leaveOutRows(answer, turn)
+      if (fault === 'hidden-rows') return leaveOutRows(answer, Math.floor(turn / hiddenLooks))
+      return answer
     })
   }
 
@@ -72,7 +78,7 @@
       if (upstream.upstreamId !== upstreamId) return { type: 'gone', clockMs: undefined }
       return run(upstream, fault)
     }
-    if (fault === 'none' || fault === 'unread-rows') {
+    if (['none', 'unread-rows', 'hidden-rows'].includes(fault)) {
       const answer = await carryOut()
       await clock.sleep(nextLinkMs())
       return answer
@@ -88,7 +94,10 @@
   }
 }
 
-/** The rows that are left depend on the turn, so that a run is listed in some looks and in others not. */
+/**
+ * Which rows are left changes with the turn: each time, so that a run is now listed and now not, or slowly, so that it
+ * is hidden for seconds.
+ */
 function leaveOutRows(answer: HoldAnswer, turn: number): HoldAnswer {
   if (answer.type !== 'held') return answer
   const isRead = (_: unknown, at: number): boolean => (at + turn) % 2 === 0
--- a/batch/service/test/leaderModel.test.ts
+++ b/batch/service/test/leaderModel.test.ts
@@ -30,8 +30,8 @@
   // Looks in a row of which the leader can read every second row, at whichever upstreams are asked.
   fc.record({
     kind: fc.constant('fault' as const),
-    fault: fc.constant<LinkFault>('unread-rows'),
-    calls: fc.integer({ min: 1, max: 60 }),
+    fault: fc.constantFrom<LinkFault>('unread-rows', 'hidden-rows'),
+    calls: fc.integer({ min: 1, max: 400 }),
   }),
   fc.record({
     kind: fc.constant('cut' as const),
