--- /dev/null
+++ b/control/log/test/slowStart.test.ts
@@ -0,0 +1,40 @@
+/**
+ * What operators saw: a control instance that was started on a busy machine neither served nor ended. Its first
+ * commit took longer than a read waits for one, the start failed of it, and what had been started went on alone.
+ */
+import { StateHolder } from '@nettlespur/control.state'
+import { ManualClock } from '@nettlespur/core.clock'
+import { MemoryFileSystem, openStore, silentLogger } from '@nettlespur/storage.log/fakes'
+import test from 'ava'
+import { RaftLog, RpcTransport } from '../src/index.js'
+
+const electionTimeoutMs = 1500
+/** Longer than a read waits for the first commit. */
+const syncMs = 4 * electionTimeoutMs
+
+test('a sole voter whose disk is slow at the start leads once its first entry is written', async (t) => {
+  const clock = new ManualClock()
+  const store = await openStore(new MemoryFileSystem())
+  const append = store.append.bind(store)
+  store.append = async (entries) => {
+    await clock.sleep(syncMs)
+    await append(entries)
+  }
+  const opening = RaftLog.open({
+    memberId: 'c1',
+    initialMembers: [{ memberId: 'c1', peerAddress: '127.0.0.1:1', dataCentre: 'dc1' }],
+    clock,
+    logger: silentLogger(),
+    store,
+    transport: new RpcTransport({ clock, peerKey: 'not-used', timeoutMs: 1000 }),
+    holder: new StateHolder(),
+    timings: { heartbeatMs: 250, electionTimeoutMs, replaceVoterAfterMs: 60_000 },
+  })
+  const outcome = opening.then(
+    (log) => log.leadership.value.isLeader,
+    (thrown: unknown) => thrown,
+  )
+  await clock.advance(3 * syncMs)
+  t.is(await outcome, true)
+  await (await opening).stop()
+})
