--- a/control/log/src/raftLog.ts
+++ b/control/log/src/raftLog.ts
@@ -10,7 +10,7 @@
 } from '@nettlespur/consensus.raft'
 import type { Command, CommandResult, StateHolder } from '@nettlespur/control.state'
 import type { Clock } from '@nettlespur/core.clock'
-import { NettlespurError, unwrap } from '@nettlespur/core.errors'
+import { NettlespurError } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
 import type { LogStore } from '@nettlespur/storage.log'
 import { EitherAsync, Left } from 'purify-ts'
@@ -40,6 +40,9 @@
   random?: () => number
 }
 
+/** Kinds that a sole voter tells while its first entry is not on its disk yet. */
+const passing = new Set(['no-quorum', 'not-leader'])
+
 export class RaftLog extends ReplicatedLog {
   readonly leadership: BehaviorSubject<Leadership>
   /** For the router through which other members reach this one. */
@@ -118,9 +121,15 @@
     await this.#store.close()
   }
 
+  /** However long the disk takes: a start that gave up here would leave the process running without a use. */
   async #awaitLeading(): Promise<void> {
-    await firstValueFrom(this.leadership.pipe(filter(({ isLeader }) => isLeader)))
-    await unwrap(this.#node.readBarrier())
+    for (;;) {
+      await firstValueFrom(this.leadership.pipe(filter(({ isLeader }) => isLeader)))
+      const ready = await this.#node.readBarrier().run()
+      const error = ready.swap().toMaybe().extract()
+      if (error === undefined) return
+      if (!passing.has(error.kind)) throw error
+    }
   }
 
   #toLeadership({ role, term, leaderId }: Standing): Leadership {
