test: ask who may have run a call on the manual clock

Cause: on the real clock, with 300 ms of patience, a search that took 300 ms on a busy machine (load average 48) left no time for the call, and the answer not-leader was true; the test took it for a broken promise. It now runs on the manual clock and demands besides that the call did reach the leader. What it demanded is unchanged.

--- a/batch/service/test/leaderClient.test.ts
+++ b/batch/service/test/leaderClient.test.ts
@@ -4,7 +4,13 @@
 import { NettlespurError } from '@nettlespur/core.errors'
 import { MetricsRegistry } from '@nettlespur/core.metrics'
 import test, { type ExecutionContext } from 'ava'
-import { createLocalApi, peerKey, startFakeMember, type FakeMember } from '../__utils__/index.js'
+import {
+  createLocalApi,
+  MemberGroup,
+  peerKey,
+  startFakeMember,
+  type FakeMember,
+} from '../__utils__/index.js'
 import { LeaderClient, type LeaderClientOptions } from '../src/index.js'
 
 const logger = { debug: noop, info: noop, warn: noop, error: noop }
@@ -83,16 +89,18 @@
 })
 
 test('a call that may have reached a leader is never told to have not run', async (t) => {
-  const [leader, other] = await startMembers(t)
-  lead(leader, 1, leader, other)
-  leader.answer = () => {
+  // On the manual clock: on a busy machine the search alone could take the time, and the call reach nobody.
+  const group = await MemberGroup.start(2, { callTimeoutMs: 300, patienceMs: 300 })
+  t.teardown(() => group.stop())
+  group.lead(0, 1, [0, 1])
+  group.member(0).answer = () => {
     // Whoever is asked from now on knows no leader, so the last try ends as certain as can be.
-    lead(other, 2, other)
-    leader.view = { term: 2, memberAddresses: [] }
-    other.view = { term: 2, memberAddresses: [] }
+    for (const at of [0, 1]) group.member(at).view = { term: 2, memberAddresses: [] }
     return Promise.reject(new NettlespurError('outcome-unknown', 'in doubt'))
   }
-  const error = (await submit(createClient(t, [leader, other], 300))).swap().unsafeCoerce()
+  const { outcome } = await group.settle(submit(group.client))
+  const error = outcome.swap().unsafeCoerce()
+  t.deepEqual(group.member(0).submitted, ['j'])
   t.is(error.kind, 'outcome-unknown')
   t.is(error.answer.ran, 'unknown')
 })
