--- a/batch/service/__utils__/index.ts
+++ b/batch/service/__utils__/index.ts
@@ -2,3 +2,6 @@
 export { FakeFleet, upstreamCount, type FleetTrouble } from './fakeFleet.js'
 export { FaultyPort, type LinkFault } from './faultyPort.js'
 export { createLocalApi, peerKey, startFakeMember, type FakeMember } from './fakeMember.js'
+export { createRecorder, type Recorder } from './recorder.js'
+export { MemberGroup, type MemberGroupTimings } from './memberGroup.js'
+export { MemberLink } from './memberLink.js'
--- /dev/null
+++ b/batch/service/src/callTrace.ts
@@ -0,0 +1,102 @@
+/** What one call waited on: searches for the leader, and calls of members with what each ended in. */
+import type { Clock } from '@nettlespur/core.clock'
+import type { LogEvent } from '@nettlespur/core.logger'
+import type { CallerWait } from './callerWait.js'
+
+/** What was known of a member when it was called as the leader. */
+export interface Belief {
+  readonly address: string
+  /** Since it was first believed to lead. */
+  readonly ageMs: number
+  /** Since it last answered this process. */
+  readonly quietMs: number
+}
+
+interface StartedAttempt {
+  readonly address: string
+  readonly startMs: number
+  /** Empty while it has none. */
+  end: string
+}
+
+export class CallTrace {
+  readonly #clock: Clock
+  readonly #startMs: number
+  readonly #wait: CallerWait
+  readonly #attempts: StartedAttempt[] = []
+  #belief: Belief | undefined
+  #searches = 0
+  #searchMs = 0
+
+  constructor(clock: Clock, wait: CallerWait) {
+    this.#clock = clock
+    this.#startMs = clock.monotonicMs()
+    this.#wait = wait
+  }
+
+  get tookMs(): number {
+    return this.#clock.monotonicMs() - this.#startMs
+  }
+
+  get searchMs(): number {
+    return this.#searchMs
+  }
+
+  get deadlineMs(): number | undefined {
+    return this.#wait.deadlineMs
+  }
+
+  get callerIsGone(): boolean {
+    return this.#wait.gone?.aborted === true
+  }
+
+  async search<T>(run: () => Promise<T>): Promise<T> {
+    const startMs = this.#clock.monotonicMs()
+    this.#searches += 1
+    try {
+      return await run()
+    } finally {
+      this.#searchMs += this.#clock.monotonicMs() - startMs
+    }
+  }
+
+  /** A call of a member begins; gives what is to be told its outcome. The log shows the first one's belief. */
+  startAttempt(belief: Belief): (outcome: string) => void {
+    const attempt = { address: belief.address, startMs: this.#clock.monotonicMs(), end: '' }
+    this.#belief ??= belief
+    this.#attempts.push(attempt)
+    return (outcome) => {
+      attempt.end = `${outcome}@${attempt.address}+${this.#since(attempt.startMs)}ms`
+    }
+  }
+
+  /** Fields of a log line. */
+  describe(): Omit<LogEvent, 'event'> {
+    return {
+      tookMs: Math.round(this.tookMs),
+      deadlineMs: this.#wait.deadlineMs,
+      callerIsGone: this.callerIsGone ? true : undefined,
+      beliefAgeMs: round(this.#belief?.ageMs),
+      leaderQuietMs: round(this.#belief?.quietMs),
+      searches: this.#searches,
+      searchMs: Math.round(this.#searchMs),
+      attempts: this.#attempts.length,
+      attemptEnds: this.#attempts.length === 0 ? undefined : this.#listEnds(),
+    }
+  }
+
+  /** A call without an outcome yet is `open`. */
+  #listEnds(): string[] {
+    return this.#attempts.map(({ address, startMs, end }) => {
+      return end === '' ? `open@${address}+${this.#since(startMs)}ms` : end
+    })
+  }
+
+  #since(startMs: number): number {
+    return Math.round(this.#clock.monotonicMs() - startMs)
+  }
+}
+
+function round(durationMs: number | undefined): number | undefined {
+  return durationMs === undefined ? undefined : Math.round(durationMs)
+}
--- a/batch/service/src/leaderFinder.ts
+++ b/batch/service/src/leaderFinder.ts
@@ -2,9 +2,11 @@
 import type { Clock } from '@nettlespur/core.clock'
 import { toNettlespurError } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
-import { createRpcClient, type RpcClient } from '@nettlespur/rpc.peer'
+import { createRpcClient, limitCall, type RpcClient } from '@nettlespur/rpc.peer'
 import type { LeaderView } from './batchApi.js'
+import type { Belief } from './callTrace.js'
 import type { BatchRouter } from './createBatchRouter.js'
+import { LeaderSearch } from './leaderSearch.js'
 
 /** A member answers who leads from memory; over links of 1 ms this leaves room for a lost packet. */
 const locateTimeoutMs = 300
@@ -27,6 +29,9 @@
   #seeds: readonly string[]
   #members: readonly string[] = []
   #leaderAddress: string | undefined
+  #believedMs = 0
+  /** When each member last answered. */
+  readonly #heardMs = new Map<string, number>()
   #locating: Promise<void> | undefined
 
   constructor(opts: LeaderFinderOptions) {
@@ -51,9 +56,49 @@
   believe(address: string | undefined, reason: string): void {
     if (this.#leaderAddress === address) return
     this.#leaderAddress = address
+    this.#believedMs = this.#opts.clock.monotonicMs()
     this.#opts.logger.info({ event: 'leader.believed', leaderAddress: address, reason })
   }
 
+  /** The member was called at `sinceMs` and nothing has come from it: who leads is asked anew. */
+  doubt(address: string, sinceMs: number): void {
+    const heardMs = this.#heardMs.get(address) ?? -Infinity
+    if (this.#leaderAddress !== address || heardMs > sinceMs) return
+    this.believe(undefined, `${address} has been silent`)
+  }
+
+  /** What is known of a member before it is called. */
+  describeBelief(address: string): Belief {
+    const nowMs = this.#opts.clock.monotonicMs()
+    const heardMs = this.#heardMs.get(address) ?? this.#believedMs
+    return { address, ageMs: nowMs - this.#believedMs, quietMs: nowMs - heardMs }
+  }
+
+  /** The member answered, whatever it said. */
+  hear(address: string): void {
+    this.#heardMs.set(address, this.#opts.clock.monotonicMs())
+  }
+
+  /** Since any member answered, in milliseconds; undefined where none has yet. */
+  get quietMs(): number | undefined {
+    const heardMs = Math.max(...this.#heardMs.values())
+    return heardMs === -Infinity ? undefined : this.#opts.clock.monotonicMs() - heardMs
+  }
+
+  /** Makes sure of a leader that has been quiet for `quietMs`. False where no member answers. */
+  async refresh(quietMs: number): Promise<boolean> {
+    const startMs = this.#opts.clock.monotonicMs()
+    const address = this.#leaderAddress
+    if (address !== undefined) {
+      if (this.describeBelief(address).quietMs < quietMs) return true
+      const view = await this.#askMember(address)
+      if (view?.leaderAddress === address) return true
+      if (this.#leaderAddress === address) this.believe(undefined, 'it does not say that it leads')
+    }
+    await this.locate()
+    return [...this.#heardMs.values()].some((heardMs) => heardMs >= startMs)
+  }
+
   /** Asks all members known; callers that come meanwhile share the answer. */
   async locate(): Promise<string | undefined> {
     this.#locating ??= this.#askMembers().finally(() => {
@@ -65,26 +110,42 @@
 
   async #askMembers(): Promise<void> {
     const addresses = [...new Set([...this.#seeds, ...this.#members])]
-    const asked = addresses.map((address) => this.#askMember(address))
-    const views = (await Promise.all(asked)).filter((view) => view !== undefined)
-    const newest = views.filter(({ leaderAddress }) => leaderAddress !== undefined)
-    newest.sort((left, right) => right.term - left.term)
-    const members = views.flatMap(({ memberAddresses }) => memberAddresses)
-    if (members.length > 0) this.#members = [...new Set(members)]
-    this.believe(newest[0]?.leaderAddress, `${views.length} of ${addresses.length} members asked`)
+    const search = new LeaderSearch(addresses)
+    // Waiting for all of them took 300 ms whenever one was down, though the leader had answered at once.
+    await new Promise<void>((resolve) => {
+      const asked = addresses.map(async (address) => {
+        const view = await this.#askMember(address)
+        if (view !== undefined) search.note(address, view)
+        if (search.isDecided) resolve()
+      })
+      void Promise.allSettled(asked).then(() => {
+        resolve()
+      })
+    })
+    const { memberAddresses, leaderAddress } = search
+    if (memberAddresses.length > 0) this.#members = memberAddresses
+    this.believe(leaderAddress, search.describe())
   }
 
+  /** A member that says nothing may be up behind a connection gone silent: the next search opens another. */
   async #askMember(address: string): Promise<LeaderView | undefined> {
     const { clock } = this.#opts
-    const late = clock.sleep(locateTimeoutMs).then(() => undefined)
+    const answered = new AbortController()
+    const late = clock.sleep(locateTimeoutMs, answered.signal).then(() => undefined)
     const asked = this.client(address)
-      .call.batch.locateLeader.mutate()
+      .call.batch.locateLeader.mutate(undefined, limitCall({ silentAfterMs: locateTimeoutMs }))
+      .then((view) => {
+        this.hear(address)
+        return view
+      })
       .catch((thrown: unknown) => {
         const reason = toNettlespurError(thrown).message
         this.#opts.logger.debug({ event: 'member.silent', address, reason })
         return undefined
       })
-    return Promise.race([asked, late])
+    const view = await Promise.race([asked, late])
+    answered.abort()
+    return view
   }
 
   /** The connection to one member, made on first use. */
