--- a/consensus/raft/src/applyLoop.ts
+++ b/consensus/raft/src/applyLoop.ts
@@ -14,6 +14,9 @@
   readonly #wake = new Wake()
   #entriesSinceSnapshot = 0
   #bytesSinceSnapshot = 0
+  /** What is committed and not held here is told once. */
+  #isWaiting = false
+  #isSaving = false
 
   constructor(replica: Replica<R>, proposals: Proposals<R>) {
     this.#replica = replica
@@ -33,13 +36,18 @@
 
   /** One task, until `signal` is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    const { commitIndex, appliedIndex, clock } = this.#replica
+    const { commitIndex, appliedIndex, clock, opts } = this.#replica
     const watching = commitIndex.subscribe(() => {
       this.#wake.notify()
     })
     while (!signal.aborted) {
-      if (appliedIndex.value < commitIndex.value) await this.#applyNext()
-      else await this.#wake.wait(clock, idleCheckMs, signal)
+      const before = appliedIndex.value
+      const isBehind = before < commitIndex.value
+      if (isBehind) await this.#applyNext()
+      if (appliedIndex.value > before) continue
+      // What is committed may be gone from here until the leader sends it again: asked for at once, it was asked
+      // for 1,000 times within one moment, and nothing else ever ran.
+      await this.#wake.wait(clock, isBehind ? opts.timings.heartbeatMs : idleCheckMs, signal)
     }
     watching.unsubscribe()
   }
@@ -52,7 +60,18 @@
       if (entry.index !== appliedIndex.value + 1 || entry.index > commitIndex.value) break
       this.#apply(entry)
     }
-    if (this.#isSnapshotDue()) await this.#tryToTakeSnapshot()
+    this.#noteWaiting(entries.length > 0)
+    // Reads wait for what is applied, not for the disk: with a save that hung, one of six was answered.
+    if (this.#isSnapshotDue() && !this.#isSaving) void this.#tryToTakeSnapshot()
+  }
+
+  #noteWaiting(isHeld: boolean): void {
+    const { opts, log, appliedIndex, commitIndex } = this.#replica
+    if (!isHeld && !this.#isWaiting) {
+      const [applied, committed] = [appliedIndex.value, commitIndex.value]
+      opts.logger.warn({ event: 'raft.apply-waits', applied, committed, held: log.lastIndex })
+    }
+    this.#isWaiting = !isHeld
   }
 
   #apply(entry: LogEntry): void {
@@ -78,11 +97,13 @@
 
   /** Without a snapshot the log grows on; the next one is due as late as ever. */
   async #tryToTakeSnapshot(): Promise<void> {
+    this.#isSaving = true
     try {
       await this.#takeSnapshot()
     } catch (cause) {
       this.#replica.opts.logger.warn({ event: 'raft.snapshot-failed', reason: String(cause) })
     }
+    this.#isSaving = false
   }
 
   async #takeSnapshot(): Promise<void> {
@@ -97,12 +118,14 @@
     }
     this.#entriesSinceSnapshot = 0
     this.#bytesSinceSnapshot = 0
+    const startMs = opts.clock.monotonicMs()
     await this.#replica.exclusive(async () => {
       const term = log.termAt(index)
       if (term === undefined || index <= opts.store.snapshotMeta.index) return
       await opts.store.saveSnapshot({ meta: { index, term, membership }, data }, limits.keepEntries)
       memberships.compact(index)
-      opts.logger.info({ event: 'raft.snapshot-taken', index, bytes: data.length })
+      const tookMs = Math.round(opts.clock.monotonicMs() - startMs)
+      opts.logger.info({ event: 'raft.snapshot-taken', index, bytes: data.length, tookMs })
     })
   }
 }
