test: give an entry that is being stopped time for the request that comes late

Cause: the test's stop took 1.2 s, all of it notice. Beside a load average of 48 the test process stood still for longer; its request came after the stop, and it waited for ever for it to reach the upstream. Traced in the process that hung: this file, the listener of the fake upstream with no connection, no timer but that listener's own. It had failed so before, beside loads only. The stop now takes 8 s; what the test demands is unchanged.

--- a/daemons/entry/test/startEntry.test.ts
+++ b/daemons/entry/test/startEntry.test.ts
@@ -98,7 +98,8 @@
 test('readiness turns first, while work and announcements are still taken', async (t) => {
   const { entry, upstream, control } = await start(t, {
     timings: { watchWaitMs: 100, unreadyNoticeMs: 600_000 },
-    drainDeadlineMs: 1200,
+    // All of it is notice. A process that stands still for longer sends its request too late, and would wait for ever.
+    drainDeadlineMs: 8000,
   })
   const stopped = entry.stop()
   t.is((await send(entry, 'GET', '/readyz')).unsafeCoerce().status, 503)
