--- a/storage/log/src/fileLogStore.ts
+++ b/storage/log/src/fileLogStore.ts
@@ -166,9 +166,8 @@
     await this.#queue.add(truncateEntries(this.#index, index))
   }
 
-  async saveHardState(state: HardState): Promise<void> {
+  async saveHardState({ term, votedFor }: HardState): Promise<void> {
     this.#checkWritable()
-    const { term, votedFor } = state
     await this.#queue.add(async () => {
       await writeSmallFile(this.#files, this.#folder, hardStateFile, { term, votedFor })
       this.#hardState = { term, votedFor }
@@ -216,11 +215,12 @@
   /** The snapshot's new name is the step that counts: it voids every segment of the generation before. */
   async #install(snapshot: Snapshot): Promise<void> {
     const { index } = snapshot.meta
-    const former = await this.#snapshots.install(snapshot)
-    this.#index = new LogIndex(index + 1)
-    this.#snapshotIndexAsked = index
-    await this.#log.startGeneration(this.#snapshots.generation, index + 1)
-    await former.remove()
+    await this.#log.startGeneration(this.#snapshots.generation + 1, index + 1, async () => {
+      await this.#snapshots.install(snapshot)
+      this.#index = new LogIndex(index + 1)
+      this.#snapshotIndexAsked = index
+    })
+    await this.#snapshots.removeFormer()
   }
 
   async #close(): Promise<void> {
--- a/storage/log/src/segment.ts
+++ b/storage/log/src/segment.ts
@@ -11,7 +11,13 @@
   type SegmentId,
 } from './segmentHeader.js'
 import { toFinalError, toStorageError } from './storageErrors.js'
-import { createAside } from './writeAside.js'
+import { prepareAside } from './writeAside.js'
+
+/** A segment that has its room on the disk, and no name yet. */
+export interface PreparedSegment {
+  place(): Promise<Segment>
+  discard(): Promise<void>
+}
 
 export class Segment {
   readonly id: SegmentId
@@ -35,17 +41,20 @@
     this.#nextIndex = findNextIndex(id, scan)
   }
 
-  /** Its head is synced before it gets its name: a segment is never seen without a whole head. */
   static async create(files: FileSystem, folder: string, id: SegmentId): Promise<Segment> {
+    return (await Segment.prepare(files, folder, id)).place()
+  }
+
+  /** Its head is synced before it gets its name: a segment is never seen without a whole head. */
+  static async prepare(files: FileSystem, folder: string, id: SegmentId): Promise<PreparedSegment> {
     const nonce = randomBytes(nonceBytes)
     const filePath = path.join(folder, nameSegment(id))
-    const file = await createAside(files, filePath, encodeSegmentHeader({ ...id, nonce }))
-    return new Segment(id, filePath, file, {
-      nonce,
-      records: [],
-      frames: 0,
-      endBytes: segmentHeaderBytes,
-    })
+    const aside = await prepareAside(files, filePath, encodeSegmentHeader({ ...id, nonce }))
+    const scan = { nonce, records: [], frames: 0, endBytes: segmentHeaderBytes }
+    return {
+      place: async () => new Segment(id, filePath, await aside.place(), scan),
+      discard: () => aside.discard(),
+    }
   }
 
   static async open(
--- a/storage/log/src/segmentedLog.ts
+++ b/storage/log/src/segmentedLog.ts
@@ -6,7 +6,6 @@
 import type { LogChange } from './logChange.js'
 import type { LogIndex } from './logIndex.js'
 import { Segment } from './segment.js'
-import { toFinalError } from './storageErrors.js'
 
 export interface SegmentedLogOptions {
   readonly files: FileSystem
@@ -57,11 +56,25 @@
     }
   }
 
-  /** Leaves all segments behind for the first one of another generation. */
-  async startGeneration(generation: number, firstIndex: number): Promise<void> {
+  /**
+   * Leaves all segments behind for the first one of another generation, which `putInForce` makes the one that
+   * counts. The segment has its room before that: without it what came next would go to a segment that is void.
+   */
+  async startGeneration(
+    generation: number,
+    firstIndex: number,
+    putInForce: () => Promise<void>,
+  ): Promise<void> {
     const former = this.#segments
-    const first = await this.#createFirst({ generation, number: 1, firstIndex })
-    this.#segments = [first]
+    const { files, folder } = this.#opts
+    const prepared = await Segment.prepare(files, folder, { generation, number: 1, firstIndex })
+    try {
+      await putInForce()
+    } catch (error) {
+      await prepared.discard()
+      throw error
+    }
+    this.#segments = [await prepared.place()]
     this.#nextIndex = firstIndex
     for (const segment of former) await this.#remove(segment)
   }
@@ -89,15 +102,6 @@
     return next
   }
 
-  /** Without it, what came next would go to a segment that is void. */
-  async #createFirst(id: Segment['id']): Promise<Segment> {
-    try {
-      return await this.#create(id)
-    } catch (error) {
-      throw toFinalError(error)
-    }
-  }
-
   #create(id: Segment['id']): Promise<Segment> {
     return Segment.create(this.#opts.files, this.#opts.folder, id)
   }
--- a/storage/log/src/snapshotFolder.ts
+++ b/storage/log/src/snapshotFolder.ts
@@ -21,11 +21,6 @@
   readonly base: RecoveredSnapshot
 }
 
-/** Older snapshots, to be removed once nothing needs them. */
-export interface FormerSnapshots {
-  remove(): Promise<void>
-}
-
 export class SnapshotFolder {
   readonly #opts: SnapshotFolderOptions
   #generation: number
@@ -47,12 +42,12 @@
 
   async save(snapshot: Snapshot): Promise<void> {
     await this.#write({ ...snapshot, generation: this.#generation, installed: false })
-    await this.#removeFormer()
+    await this.removeFormer()
   }
 
-  async install(snapshot: Snapshot): Promise<FormerSnapshots> {
+  /** Older ones stay until `removeFormer`. */
+  async install(snapshot: Snapshot): Promise<void> {
     await this.#write({ ...snapshot, generation: this.#generation + 1, installed: true })
-    return { remove: () => this.#removeFormer() }
   }
 
   /** Begins anew where a newer snapshot took the place of the one being read. */
@@ -83,7 +78,7 @@
     this.#meta = meta
   }
 
-  async #removeFormer(): Promise<void> {
+  async removeFormer(): Promise<void> {
     const { files, folder } = this.#opts
     const current = nameSnapshot({ generation: this.#generation, index: this.#meta.index })
     const names = await files.listFolder(folder)
--- a/storage/log/src/writeAside.ts
+++ b/storage/log/src/writeAside.ts
@@ -5,6 +5,13 @@
 
 export const asideSuffix = '.tmp'
 
+/** A file whose content is synced and which has no name yet: to give it one takes no room for content. */
+export interface FileAside {
+  /** Gives it its name, and leaves it open. */
+  place(): Promise<OpenFile>
+  discard(): Promise<void>
+}
+
 export async function writeAside(files: FileSystem, file: string, bytes: Buffer): Promise<void> {
   await (await createAside(files, file, bytes)).close()
 }
@@ -15,26 +22,46 @@
   file: string,
   bytes: Buffer,
 ): Promise<OpenFile> {
+  return (await prepareAside(files, file, bytes)).place()
+}
+
+export async function prepareAside(
+  files: FileSystem,
+  file: string,
+  bytes: Buffer,
+): Promise<FileAside> {
   const aside = file + asideSuffix
   const opened = await files.createFile(aside)
-  try {
-    await opened.write(bytes, 0)
-    await putInPlace(files, opened, file)
-  } catch (error) {
+  const discard = async (): Promise<void> => {
     await opened.close().catch(() => undefined)
     // A disk that refused the bytes may take them later, under the same name.
     await files.removeFile(aside).catch(() => undefined)
-    throw error
   }
-  return opened
+  const orDiscard = async (step: () => Promise<void>): Promise<void> => {
+    try {
+      await step()
+    } catch (error) {
+      await discard()
+      throw error
+    }
+  }
+  await orDiscard(() => opened.write(bytes, 0))
+  await orDiscard(() => orFinal(() => opened.sync()))
+  const rename = async (): Promise<void> => {
+    await files.renameFile(aside, file)
+    await files.syncFolder(path.dirname(file))
+  }
+  const place = async (): Promise<OpenFile> => {
+    await orDiscard(() => orFinal(rename))
+    return opened
+  }
+  return { place, discard }
 }
 
-/** Where a step of it fails, it is not known which file is there after a crash. */
-async function putInPlace(files: FileSystem, opened: OpenFile, file: string): Promise<void> {
+/** Where such a step fails, it is not known which file is there after a crash. */
+async function orFinal(step: () => Promise<void>): Promise<void> {
   try {
-    await opened.sync()
-    await files.renameFile(file + asideSuffix, file)
-    await files.syncFolder(path.dirname(file))
+    await step()
   } catch (error) {
     throw toFinalError(error)
   }
--- a/storage/log/test/fullDisk.test.ts
+++ b/storage/log/test/fullDisk.test.ts
@@ -37,11 +37,7 @@
         if (planned === undefined) continue
         const [outcome] = await Promise.allSettled([planned.run(store)])
         allowed = [outcome.status === 'fulfilled' ? planned.next : state]
-        // An install that stopped half way ends the store: a start finds out what there is.
-        if (outcome.status === 'rejected' && !isFull(outcome.reason)) {
-          allowed = [state, planned.next]
-          break
-        }
+        if (outcome.status === 'rejected' && !isFull(outcome.reason)) throw outcome.reason
         state = allowed[0] ?? state
         if (!(await holdsState(store, state))) throw new Error(`after ${command.kind}`)
       }
