--- a/batch/service/__utils__/memberLink.ts
+++ b/batch/service/__utils__/memberLink.ts
@@ -1,6 +1,7 @@
 /** A TCP link to a member: what is open on it can go silent for good, and new connections too. */
 import { once } from 'node:events'
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { Transform } from 'node:stream'
 
 export class MemberLink {
   /** Pieces that were read on either side: while it stands still, nothing is on its way. */
@@ -8,6 +9,8 @@
   opened = 0
   /** New connections are taken and carry nothing, as to a machine without power. */
   isDark = false
+  /** Waited for before anything of the member's is passed on. */
+  holdAnswers: () => Promise<unknown> = () => Promise.resolve()
   readonly #server: Server
   readonly #towards = new Set<Socket>()
   readonly #back = new Set<Socket>()
@@ -23,7 +26,7 @@
       }
       const outer = connect({ host, port: Number(port) })
       this.#keep(this.#back, outer)
-      inner.pipe(outer).pipe(inner)
+      inner.pipe(outer).pipe(this.#createHold()).pipe(inner)
     })
   }
 
@@ -56,6 +59,22 @@
     await closed
   }
 
+  /** Pieces pass one after the other; several may be held at a time. */
+  #createHold(): Transform {
+    const hold: Transform = new Transform({
+      transform: (piece, _encoding, taken) => {
+        void this.holdAnswers().then(() => hold.push(piece))
+        taken()
+      },
+      flush: (ended) => {
+        void this.holdAnswers().then(() => {
+          ended()
+        })
+      },
+    })
+    return hold
+  }
+
   #keep(side: Set<Socket>, socket: Socket): void {
     side.add(socket)
     // Else the last bytes wait for an acknowledgement, for 40 ms of real time.
--- /dev/null
+++ b/batch/service/test/slowMembers.test.ts
@@ -0,0 +1,44 @@
+/**
+ * Members that answer after 350 ms each, as over a squeezed link or from slow processors: later than a search
+ * waits for them, and well within the 700 ms of a call and the 1,000 ms of a caller. Calls have to be answered
+ * still, and callers must not be sent elsewhere: all processes see the same, and would be taken out together.
+ */
+import test, { type ExecutionContext } from 'ava'
+import { MemberGroup } from '../__utils__/index.js'
+
+/** As the platform's processes have them. */
+const timings = { callTimeoutMs: 700, patienceMs: 1000 }
+const answerMs = 350
+
+async function startSlow(t: ExecutionContext): Promise<MemberGroup> {
+  const group = await MemberGroup.start(3, timings)
+  const stopping = new AbortController()
+  group.lead(0, 1, [0, 1, 2])
+  const watching = group.client.watch(stopping.signal)
+  t.teardown(async () => {
+    stopping.abort()
+    await group.settle(watching)
+    await group.stop()
+  })
+  await group.settle(group.clock.sleep(1500))
+  for (const at of [0, 1, 2]) group.link(at).holdAnswers = () => group.clock.sleep(answerMs)
+  return group
+}
+
+test('a process whose members all answer late does not say that it reaches none', async (t) => {
+  const group = await startSlow(t)
+  await group.settle(group.clock.sleep(10_000))
+  t.deepEqual(group.recorder.named('members.unreachable'), [])
+  t.true(group.client.reachesMembers)
+})
+
+test('a read is answered whenever it comes while all members answer late', async (t) => {
+  const group = await startSlow(t)
+  const outcomes: unknown[] = []
+  for (let at = 0; at < 10; at++) {
+    await group.settle(group.clock.sleep(730))
+    const asked = group.client.getJobState({ host: 'h', path: '/q/a', jobId: 'a' }).run()
+    outcomes.push((await group.settle(asked)).outcome.extract())
+  }
+  t.deepEqual(outcomes, Array(10).fill('completed'))
+})
