fix: keep the leader and the connection that answer late, and count late answers as answers

A look waits 300 ms for a member. Where all of them answer after that, the belief in the leader was dropped, each call opened a connection anew, and an entry said that it reaches no member.

--- a/batch/service/src/leaderCaller.ts
+++ b/batch/service/src/leaderCaller.ts
@@ -52,7 +52,7 @@
     const silence = this.#watchSilence(address, limits)
     try {
       const value = await unwrap(this.#call(operation, address, limits))
-      finder.hear(address)
+      finder.hearLeader(address)
       endAttempt('done')
       return { value }
     } catch (thrown) {
--- a/batch/service/src/leaderFinder.ts
+++ b/batch/service/src/leaderFinder.ts
@@ -33,6 +33,8 @@
   /** When each member last answered. */
   readonly #heardMs = new Map<string, number>()
   #locating: Promise<void> | undefined
+  /** When the last look at the leader ended. */
+  #lookedMs = -Infinity
 
   constructor(opts: LeaderFinderOptions) {
     this.#opts = opts
@@ -79,6 +81,12 @@
     this.#heardMs.set(address, this.#opts.clock.monotonicMs())
   }
 
+  /** The member did what only a leader does; it may have been doubted meanwhile. */
+  hearLeader(address: string): void {
+    this.hear(address)
+    if (this.#leaderAddress === undefined) this.believe(address, 'it answered as the leader')
+  }
+
   /** Since any member answered, in milliseconds; undefined where none has yet. */
   get quietMs(): number | undefined {
     const heardMs = Math.max(...this.#heardMs.values())
@@ -87,16 +95,24 @@
 
   /** Makes sure of a leader that has been quiet for `quietMs`. False where no member answers. */
   async refresh(quietMs: number): Promise<boolean> {
-    const startMs = this.#opts.clock.monotonicMs()
+    const sinceMs = this.#lookedMs
+    const isAnswered = await this.#look(quietMs)
+    this.#lookedMs = this.#opts.clock.monotonicMs()
+    // Answers that came after the look before had ended count too: a slow member is no silent one.
+    return isAnswered || [...this.#heardMs.values()].some((heardMs) => heardMs > sinceMs)
+  }
+
+  async #look(quietMs: number): Promise<boolean> {
     const address = this.#leaderAddress
     if (address !== undefined) {
       if (this.describeBelief(address).quietMs < quietMs) return true
       const view = await this.#askMember(address)
       if (view?.leaderAddress === address) return true
-      if (this.#leaderAddress === address) this.believe(undefined, 'it does not say that it leads')
+      const isDenied = view !== undefined && this.#leaderAddress === address
+      if (isDenied) this.believe(undefined, 'it does not say that it leads')
     }
     await this.locate()
-    return [...this.#heardMs.values()].some((heardMs) => heardMs >= startMs)
+    return false
   }
 
   /** Asks all members known; callers that come meanwhile share the answer. */
@@ -122,6 +138,8 @@
         resolve()
       })
     })
+    // Nothing was learnt: who was believed to lead may be as slow as the others.
+    if (search.isUnanswered) return
     const { memberAddresses, leaderAddress } = search
     if (memberAddresses.length > 0) this.#members = memberAddresses
     this.believe(leaderAddress, search.describe())
@@ -136,6 +154,7 @@
       .call.batch.locateLeader.mutate(undefined, limitCall({ silentAfterMs: locateTimeoutMs }))
       .then((view) => {
         this.hear(address)
+        if (view.leaderAddress === address) this.#takeLate(address)
         return view
       })
       .catch((thrown: unknown) => {
@@ -148,6 +167,12 @@
     return view
   }
 
+  /** The answer came after a search had ended without one; while one runs, newer terms are waited for. */
+  #takeLate(address: string): void {
+    if (this.#locating !== undefined || this.#leaderAddress !== undefined) return
+    this.believe(address, 'it says late that it leads')
+  }
+
   /** The connection to one member, made on first use. */
   client(address: string): RpcClient<BatchRouter> {
     const known = this.#clients.get(address)
--- a/batch/service/src/leaderSearch.ts
+++ b/batch/service/src/leaderSearch.ts
@@ -28,6 +28,10 @@
     return views.length > all.size / 2
   }
 
+  get isUnanswered(): boolean {
+    return this.#views.size === 0
+  }
+
   /** Named by the newest term that names one. */
   get leaderAddress(): string | undefined {
     const naming = [...this.#views.values()].filter(
--- a/rpc/peer/src/peerCalls.ts
+++ b/rpc/peer/src/peerCalls.ts
@@ -47,6 +47,7 @@
       end.mayHaveLeft = true
       const result = await Promise.race([send(connection, runtime, op), end.reached])
       connection.noteAnswer(number)
+      this.#takeBack(connection)
       return result
     } finally {
       silence?.cancel()
@@ -88,6 +89,17 @@
     this.#connection = undefined
   }
 
+  /**
+   * A connection that was replaced and answers after all is slow, not silent. Over a link on which answers take
+   * longer than the silence allowed, each call would else open a connection, and none would be answered in time.
+   */
+  #takeBack(connection: PeerConnection): void {
+    const newer = this.#connection
+    if (newer === connection || connection.isClosed || (newer?.newestAnswered ?? 0) > 0) return
+    this.#connection = connection
+    if (newer !== undefined) this.#dropIfUnused(newer)
+  }
+
   #dropIfUnused(connection: PeerConnection): void {
     if (connection === this.#connection && !connection.isClosed) return
     if (connection.callsInProgress > 0) return
@@ -97,6 +109,7 @@
 
   #connect(): PeerConnection {
     if (this.#connection === undefined || this.#connection.isClosed) {
+      if (this.#connection !== undefined) this.#dropIfUnused(this.#connection)
       this.#connection = new PeerConnection(this.#opts)
       this.#connections.add(this.#connection)
     }
