test: show that a gang waits for one rack for ever where half of the room is free

From 62.7 s on over half of the accelerators were free, in several racks. One rack is what it prefers; across racks it runs three times as long.

--- a/batch/scheduler/test/planRound.test.ts
+++ b/batch/scheduler/test/planRound.test.ts
@@ -254,3 +254,23 @@
     ['old'],
   )
 })
+
+/**
+ * What users saw: a gang of four whole upstreams waited for 29 s, to the end of the day, while half of the room was
+ * free. Each rack held something, and the gang prefers one rack: it was kept from all others, although it would only
+ * have been slower there.
+ */
+test('a gang that has waited for a rack as long as two would cost it starts in two, where half of the room is free', (t) => {
+  const racks = ['r1', 'r2', 'r3', 'r4']
+  const fleet = new Fleet(...racks.flatMap((rack) => [rack, rack]))
+  const needs = { cpuMillicores: 1000, memoryMiB: 1000, accelerators: 8 }
+  for (const requiredLabel of racks) {
+    fleet.submit(createJob(`in-${requiredLabel}`, { taskCount: 1, needs, requiredLabel }), 0)
+  }
+  t.is(fleet.decide().placements.length, racks.length)
+  fleet.submit(createJob('gang', { ...gang(2, 8), prefersOneRack: true, expectedRunTimeMs: 5000 }))
+  fleet.nowMs = 9_900
+  t.deepEqual(fleet.decide().placements, [])
+  fleet.nowMs = 10_100
+  t.is(fleet.decide().placements.length, 2)
+})
