fix: start a gang across racks where half of the room is free and it has waited as long as that costs

To spread at once: a rack that comes free soon serves better, so the gang waits as long as being spread costs it (twice its declared time), and loses at most twice the least either way. Change: the oldest gang that goes before others, where half of its pool and twice its needs are free, may be spread once it has waited so long. Nothing else changes: no gang is spread on a crowded pool.

--- a/batch/scheduler/src/jobTiming.ts
+++ b/batch/scheduler/src/jobTiming.ts
@@ -30,6 +30,8 @@
 }
 
 export interface JobTiming {
+  /** Since the job was accepted, as far as this leader knows. */
+  readonly waitedMs: number
   readonly hope: Hope
   /** The latest start with which the job still ends in time. */
   readonly latestStartMs: number
@@ -44,6 +46,7 @@
   const lastUsefulStartMs = acceptedAtMs + objectiveMs * lateLimitTimes - remainingMs
   const lateHope = nowMs <= lastUsefulStartMs ? 'late' : 'none'
   return {
+    waitedMs: nowMs - acceptedAtMs,
     hope: nowMs <= latestStartMs ? 'on-time' : lateHope,
     latestStartMs,
     lastUsefulStartMs,
--- a/batch/scheduler/src/orderUnits.ts
+++ b/batch/scheduler/src/orderUnits.ts
@@ -9,6 +9,8 @@
   readonly isGuaranteed: boolean
   /** It goes before what ranks higher; see `putOverdueFirst`. */
   readonly isOverdue: boolean
+  /** Where no rack takes it, several together may. */
+  readonly maySpread: boolean
 }
 
 export function orderUnits(view: SchedulerView, guaranteed: ReadonlySet<string>): RankedUnit[] {
@@ -19,7 +21,13 @@
     const acceptedAtMs = view.acceptedAtMs.get(jobId) ?? view.nowMs
     const timing = judgeTiming(job, acceptedAtMs, view.nowMs)
     const isGuaranteed = guaranteed.has(jobId)
-    return units.map((unit) => ({ ...unit, ...timing, isGuaranteed, isOverdue: false }))
+    return units.map((unit) => ({
+      ...unit,
+      ...timing,
+      isGuaranteed,
+      isOverdue: false,
+      maySpread: false,
+    }))
   })
   return ranked.sort(
     (left, right) =>
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -48,13 +48,19 @@
   }
 
   decide(unit: RankedUnit): void {
-    const places = choosePlaces(unit, this.#book)
+    const places = this.#choosePlaces(unit)
     if (places.length > 0) this.#place(unit, places)
     if (places.length < unit.waiting.length) {
       this.#decideRest({ ...unit, waiting: unit.waiting.slice(places.length) })
     }
   }
 
+  #choosePlaces(unit: RankedUnit): string[] {
+    const places = choosePlaces(unit, this.#book)
+    if (places.length > 0 || !unit.maySpread) return places
+    return choosePlaces({ ...unit, step: { ...unit.step, prefersOneRack: false } }, this.#book)
+  }
+
   /** For what did not fit. */
   #decideRest(unit: RankedUnit): void {
     if (unit.isGuaranteed && this.#makeRoom(unit)) return
--- a/batch/scheduler/src/putOverdueFirst.ts
+++ b/batch/scheduler/src/putOverdueFirst.ts
@@ -20,6 +20,13 @@
  * 0 and 5 end with a job held up for 3 s though half of the room is free; without the rules 6 and 4.
  */
 const spaciousShare = 0.5
+/**
+ * How many times as long a gang that prefers one rack runs across racks, by the platform's agreement. It waits no
+ * longer than being spread costs it, so that it never loses more than twice the least; and it is spread only while
+ * half of its pool is free, where it keeps nobody waiting. Without this a gang of four whole upstreams waited for
+ * 29 s beside more than half of the room, to the end of a day.
+ */
+const spreadTimes = 3
 /** What the gang needs is free this many times over. */
 const spaciousTimes = 2
 
@@ -30,23 +37,32 @@
 
 /** The same units; the oldest gang that is overdue comes right behind the guaranteed ones. */
 export function putOverdueFirst(units: readonly RankedUnit[], book: RoomBook): RankedUnit[] {
-  const overdue = findOverdue(units, book)
+  const gangs = units.filter(({ step, isGuaranteed }) => step.isGang && !isGuaranteed)
+  if (gangs.length === 0) return [...units]
+  const pools = sumPools(book)
+  const overdue = findOverdue(gangs, pools, book)
   if (overdue === undefined) return [...units]
+  const maySpread = isSpacious(overdue, pools) && hasWaitedForRack(overdue)
   const others = units.filter((unit) => unit !== overdue)
   const guaranteed = others.filter(({ isGuaranteed }) => isGuaranteed)
   const rest = others.filter(({ isGuaranteed }) => !isGuaranteed)
-  return [...guaranteed, { ...overdue, isOverdue: true }, ...rest]
+  return [...guaranteed, { ...overdue, isOverdue: true, maySpread }, ...rest]
 }
 
-function findOverdue(units: readonly RankedUnit[], book: RoomBook): RankedUnit | undefined {
-  const gangs = units.filter(({ step, isGuaranteed }) => step.isGang && !isGuaranteed)
-  if (gangs.length === 0) return undefined
-  const pools = sumPools(book)
-  return gangs
+function findOverdue(
+  gangs: readonly RankedUnit[],
+  pools: ReadonlyMap<string, PoolSums>,
+  book: RoomBook,
+): RankedUnit | undefined {
+  return [...gangs]
     .sort((left, right) => left.job.number - right.job.number)
     .find((unit) => (isPatienceOver(unit, book) || isSpacious(unit, pools)) && couldFit(unit, book))
 }
 
+function hasWaitedForRack({ step, waitedMs }: RankedUnit): boolean {
+  return step.prefersOneRack && waitedMs >= step.expectedRunTimeMs * (spreadTimes - 1)
+}
+
 function isPatienceOver({ lastUsefulStartMs }: RankedUnit, { nowMs }: RoomBook): boolean {
   return nowMs > lastUsefulStartMs + patienceMs
 }
