--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -45,6 +45,8 @@
   limits?: Partial<RaftLimits>
   /** A number in [0, 1); Math.random by default. */
   random?: () => number
+  /** As for agreement. */
+  onFault?: (fault: NettlespurError) => void
 }
 
 export class BatchNode {
@@ -92,6 +94,7 @@
       timings: timings.raft,
       limits: opts.limits ?? {},
       ...(random === undefined ? {} : { random }),
+      ...(opts.onFault === undefined ? {} : { onFault: opts.onFault }),
       // The platform may suspend an instance, and its steady clock does not count that time.
       leaseReads: false,
     })
--- a/consensus/raft/src/raftNode.ts
+++ b/consensus/raft/src/raftNode.ts
@@ -182,8 +182,10 @@
     this.#tasks = Promise.all([
       this.#election.run(signal),
       this.#applying.run(signal).catch((thrown: unknown) => {
-        this.#replica.fault = toNettlespurError(thrown)
+        const fault = toNettlespurError(thrown)
+        this.#replica.fault = fault
         this.#replica.opts.logger.error({ event: 'raft.apply-failed', reason: String(thrown) })
+        this.#replica.opts.onFault?.(fault)
         this.#replica.becomeFollower(undefined)
       }),
     ])
--- a/consensus/raft/src/raftOptions.ts
+++ b/consensus/raft/src/raftOptions.ts
@@ -1,4 +1,5 @@
 /** What a Raft node is made of. */
+import type { NettlespurError } from '@nettlespur/core.errors'
 import type { Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
 import type { LogStore } from '@nettlespur/storage.log'
@@ -55,6 +56,8 @@
    * monotonic clock stands still while the instance is suspended: a former leader would trust its lease then.
    */
   leaseReads?: boolean
+  /** Told when this member takes part no more: only a new start finds out what its disk holds. */
+  onFault?: (fault: NettlespurError) => void
   /** A number in [0, 1); Math.random by default. */
   random?: () => number
 }
--- a/consensus/raft/src/replica.ts
+++ b/consensus/raft/src/replica.ts
@@ -166,8 +166,11 @@
   #noteFailure(error: NettlespurError): void {
     this.log.reload()
     this.memberships.truncateFrom(this.log.writtenIndex + 1)
-    if (error.kind !== 'disk-full') this.fault = error
     this.opts.logger.error({ event: 'raft.write-failed', kind: error.kind, reason: error.message })
+    if (error.kind !== 'disk-full') {
+      this.fault = error
+      this.opts.onFault?.(error)
+    }
     if (this.role !== 'follower') this.becomeFollower(undefined)
   }
 }
