--- /dev/null
+++ b/consensus/raft/test/refusedEntry.test.ts
@@ -0,0 +1,25 @@
+/** A peer's message that cannot be read is refused by itself: the member that refused it takes the next one. */
+import test from 'ava'
+import { TestCluster } from '../__utils__/index.js'
+
+const command = Buffer.from([1, 7])
+const unknownKind = Buffer.from([9])
+const request = { term: 1, leaderId: 'c2', prevIndex: 0, prevTerm: 0, commitIndex: 0 }
+
+test('a member that refused an entry of a newer version takes the entries that stand in its place', async (t) => {
+  const cluster = new TestCluster({ seed: 1, voters: 3 })
+  t.teardown(() => cluster.close())
+  await cluster.startNode('c1')
+  const raft = cluster.running.get('c1')?.raft
+  if (raft === undefined) return t.fail()
+  const refused = t.throwsAsync(
+    raft.handleAppend({ ...request, entries: [{ term: 1, payload: unknownKind }] }),
+  )
+  await cluster.clock.advance(600)
+  await refused
+  const sound = { ...request, term: 2, entries: [{ term: 2, payload: command }] }
+  const taken = t.notThrowsAsync(raft.handleAppend(sound))
+  await cluster.clock.advance(600)
+  await taken
+  t.is(raft.describe().lastIndex, 1)
+})
