--- /dev/null
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -0,0 +1,74 @@
+/** A small fleet whose rounds are decided over the real state. */
+import type { JobRequest } from '@nettlespur/batch.model'
+import { createConfig, createUpstream } from '@nettlespur/batch.samples'
+import { BatchState, type Placement } from '@nettlespur/batch.state'
+import { addResources, noResources, planRound, type ActiveRun } from '../src/index.js'
+
+export class Fleet {
+  readonly state = new BatchState()
+  nowMs = 0
+  readonly #acceptedAtMs = new Map<string, number>()
+  readonly #stopping = new Set<string>()
+
+  constructor(...racks: string[]) {
+    this.state.apply({ type: 'apply-config', config: createConfig(1) })
+    racks.forEach((rack, at) => {
+      const description = createUpstream(`u${at}`, rack)
+      this.state.apply({ type: 'note-upstream', description })
+    })
+  }
+
+  submit(request: JobRequest, priority = 1): void {
+    const queueName = `queue${priority}`
+    this.state.apply({ type: 'submit-job', request, workspace: 'w1', queueName })
+    this.#acceptedAtMs.set(request.jobId, this.nowMs)
+  }
+
+  /** Decides once and puts the placements into the state. */
+  decide() {
+    const decision = planRound({
+      nowMs: this.nowMs,
+      jobs: [...this.state.unsettled.values()],
+      acceptedAtMs: this.#acceptedAtMs,
+      rooms: [...this.state.upstreams.values()].map(({ description }) => this.#room(description)),
+      runs: this.#runs(),
+      guarantees: new Map([['w1', 16]]),
+    })
+    this.state.apply({ type: 'place-tasks', placements: decision.placements })
+    for (const run of decision.preemptions) this.#stopping.add(name(run))
+    return decision
+  }
+
+  end(run: Placement, outcome: 'done' | 'failed' | 'stopped'): void {
+    this.state.apply({ type: 'end-runs', ends: [{ ...run, outcome, checkpoint: '' }] })
+  }
+
+  #room(description: ReturnType<typeof createUpstream>) {
+    let used = noResources
+    let stopping = noResources
+    for (const run of this.state.placements.on(description.upstreamId).values()) {
+      const needs = this.state.jobs.get(run.jobId)?.request.steps[run.step]?.needs ?? noResources
+      used = addResources(used, needs)
+      if (this.#stopping.has(name(run))) stopping = addResources(stopping, needs)
+    }
+    const free = addResources(description.capacity, used, -1)
+    return { ...description, free, soon: addResources(free, stopping) }
+  }
+
+  #runs(): ActiveRun[] {
+    return [...this.state.upstreams.keys()].flatMap((upstreamId) =>
+      [...this.state.placements.on(upstreamId).values()].map((placement) => ({
+        placement,
+        needs:
+          this.state.jobs.get(placement.jobId)?.request.steps[placement.step]?.needs ?? noResources,
+        expectedEndMs: 1000,
+        stopCostCoreSeconds: 1,
+        isStopping: this.#stopping.has(name(placement)),
+      })),
+    )
+  }
+}
+
+function name({ jobId, step, index, attempt }: Placement): string {
+  return `${jobId}.${step}.${index}#${attempt}`
+}
