test: show that a run placed on an upstream that is just being given up never ends

Traced in its log: upstream.gone of a crashed life with one run at 05.534; the placement of another run there committed at 05.551, the ends at 05.552; its start told that the life is gone at 05.554; no run.ended. The session had given up two milliseconds before and took no notice. Only another leader would have freed the job.

--- /dev/null
+++ b/batch/service/test/goneUpstream.test.ts
@@ -0,0 +1,151 @@
+/**
+ * What users saw: a job was running to the end, though nothing of it ran anywhere. An upstream crashed and its next
+ * life answered; while the ends of all that was placed on the former life were being committed, another placement
+ * there was committed, and its start was told that the life is over. The session had given up by then, and nobody
+ * ended that run.
+ *
+ * Evidence: in a log of separate processes under faults, `upstream.gone` with one run at 05.534, `placement.decided`
+ * of the other at 05.551, its `run.start` with the answer `gone` at 05.554, and no `run.ended` after it.
+ */
+import { runKey } from '@nettlespur/batch.model'
+import { createConfig, createJob, createUpstream } from '@nettlespur/batch.samples'
+import {
+  SessionHost,
+  UpstreamPort,
+  UpstreamSession,
+  type HoldAnswer,
+  type StartAnswer,
+  type StopAnswer,
+} from '@nettlespur/batch.sessions'
+import {
+  BatchState,
+  type JobRecord,
+  type Placement,
+  type RunEnd,
+  type UpstreamRecord,
+} from '@nettlespur/batch.state'
+import { ManualClock } from '@nettlespur/core.clock'
+import test from 'ava'
+
+const upstreamId = 'u1'
+const commitMs = 20
+const startMs = 5
+const gone = { type: 'gone', clockMs: undefined } as const
+
+/** Another life answers at its address. */
+class GonePort extends UpstreamPort {
+  readonly #clock: ManualClock
+
+  constructor(clock: ManualClock) {
+    super()
+    this.#clock = clock
+  }
+
+  override async start(): Promise<StartAnswer> {
+    await this.#clock.sleep(startMs)
+    return gone
+  }
+
+  override stop(): Promise<StopAnswer> {
+    return Promise.resolve(gone)
+  }
+
+  override hold(): Promise<HoldAnswer> {
+    return Promise.resolve(gone)
+  }
+}
+
+/** Commits over the real state, after a moment. */
+class SlowHost extends SessionHost {
+  override readonly fence = 1
+  readonly state = new BatchState()
+  readonly gone: string[] = []
+  /** Commits that fail first. */
+  failing = 0
+  readonly #clock: ManualClock
+
+  constructor(clock: ManualClock) {
+    super()
+    this.#clock = clock
+    this.state.apply({ type: 'apply-config', config: createConfig(1) })
+    this.state.apply({ type: 'note-upstream', description: createUpstream(upstreamId) })
+    const request = createJob('j', { taskCount: 2 })
+    this.state.apply({ type: 'submit-job', request, workspace: 'w1', queueName: 'queue1' })
+  }
+
+  place(index: number): Placement {
+    const placement = { jobId: 'j', step: 0, index, attempt: 1, upstreamId }
+    this.state.apply({ type: 'place-tasks', placements: [placement] })
+    return placement
+  }
+
+  override findJob(jobId: string): JobRecord | undefined {
+    return this.state.jobs.get(jobId)
+  }
+
+  override findUpstream(): UpstreamRecord | undefined {
+    return this.state.upstreams.get(upstreamId)
+  }
+
+  override listPlacements(): ReadonlyMap<string, Placement> {
+    return this.state.placements.on(upstreamId)
+  }
+
+  override shouldStop(): boolean {
+    return false
+  }
+
+  override async commitEnds(ends: readonly RunEnd[]): Promise<boolean> {
+    await this.#clock.sleep(commitMs)
+    this.failing -= 1
+    if (this.failing >= 0) return false
+    this.state.apply({ type: 'end-runs', ends: [...ends] })
+    return true
+  }
+
+  override abandonGang(): void {
+    // No gangs here.
+  }
+
+  override noteGone(goneId: string): void {
+    this.gone.push(goneId)
+  }
+}
+
+function startSession() {
+  const clock = new ManualClock()
+  const host = new SlowHost(clock)
+  const silent = (): void => undefined
+  const session = new UpstreamSession({
+    target: { upstreamId, address: '127.0.0.1:9000' },
+    port: new GonePort(clock),
+    host,
+    clock,
+    logger: { debug: silent, info: silent, warn: silent, error: silent },
+    timings: { leaseMs: 9500, holdWaitMs: 2000 },
+    takeoverMs: 0,
+    signal: new AbortController().signal,
+  })
+  return { clock, host, session }
+}
+
+test('a run that is placed on an upstream while its end is being committed ends too', async (t) => {
+  const { clock, host, session } = startSession()
+  session.start(host.place(0))
+  // The first look tells of it at once, so its end is committed a millisecond later.
+  await clock.advance(commitMs - 1)
+  const late = host.place(1)
+  session.start(late)
+  await clock.advance(10_000)
+  t.false(host.state.placements.on(upstreamId).has(runKey(late)))
+  t.deepEqual(host.gone, [upstreamId])
+})
+
+test('the ends of an upstream that is gone are proposed again where their commit fails', async (t) => {
+  const { clock, host, session } = startSession()
+  host.failing = 3
+  session.start(host.place(0))
+  await clock.advance(10_000)
+  t.is(host.state.placements.on(upstreamId).size, 0)
+  t.deepEqual(host.gone, [upstreamId])
+})
