fix: end what is placed on an upstream while it is being given up

The end of a life is a file of its own now: whoever is told of it waits for the same ending, which goes on until nothing is placed there, and tells the host once. A start that is told so after that begins another ending. Ruled out: to refuse placements there once the life is known to be over; one that is already on its way to its commit comes all the same.

--- /dev/null
+++ b/batch/sessions/src/upstreamEnding.ts
@@ -0,0 +1,49 @@
+/** Ends all that is placed on an upstream whose life is over, and then the session, however often it is told. */
+import { retryPauseMs, type UpstreamSessionOptions } from './sessionOptions.js'
+
+export interface UpstreamEndingOptions extends Pick<
+  UpstreamSessionOptions,
+  'target' | 'host' | 'clock' | 'logger' | 'signal'
+> {
+  /** Commits the ends of all that is placed there; false where that failed. */
+  commitLost: () => Promise<boolean>
+}
+
+export class UpstreamEnding {
+  /** Nothing is placed there any more, and the host knows. */
+  isOver = false
+  readonly #opts: UpstreamEndingOptions
+  #ending: Promise<void> | undefined
+
+  constructor(opts: UpstreamEndingOptions) {
+    this.#opts = opts
+  }
+
+  /** Several calls may be told at a time. */
+  end(reason: string): Promise<void> {
+    this.#ending ??= this.#endAll(reason).finally(() => {
+      this.#ending = undefined
+    })
+    return this.#ending
+  }
+
+  /**
+   * What is placed there while ends are being committed is told of by nobody else, also where the answer to its
+   * start comes only later: else its job would be running for as long as this leader leads, and none of it anywhere.
+   */
+  async #endAll(reason: string): Promise<void> {
+    const { clock, signal, host, logger, target, commitLost } = this.#opts
+    const { upstreamId } = target
+    const countPlaced = (): number => host.listPlacements(upstreamId).size
+    if (!this.isOver || countPlaced() > 0) {
+      logger.info({ event: 'upstream.gone', upstreamId, reason, runs: countPlaced() })
+    }
+    while (!signal.aborted && countPlaced() > 0) {
+      const isCommitted = await commitLost()
+      if (!isCommitted || countPlaced() > 0) await clock.sleep(retryPauseMs, signal)
+    }
+    if (this.isOver || signal.aborted) return
+    this.isOver = true
+    host.noteGone(upstreamId)
+  }
+}
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -18,6 +18,7 @@
   unreadPauseMs,
   type UpstreamSessionOptions,
 } from './sessionOptions.js'
+import { UpstreamEnding } from './upstreamEnding.js'
 import type { HoldAnswer } from './upstreamPort.js'
 
 export class UpstreamSession {
@@ -30,13 +31,15 @@
   readonly #orders: RunOrders
   readonly #tracks = new RunTracks()
   readonly #cursor = new EndCursor()
+  readonly #ending: UpstreamEnding
   #isLooking = false
-  #isGone = false
 
   constructor(opts: UpstreamSessionOptions) {
     this.#opts = opts
     this.lease = new LeaseTracker({ leaseMs: opts.timings.leaseMs, takeoverMs: opts.takeoverMs })
     this.#orders = new RunOrders({ ...opts, lease: this.lease })
+    const commitLost = () => this.#commit(this.#tracks.listLost(this.#placements()))
+    this.#ending = new UpstreamEnding({ ...opts, commitLost })
   }
 
   /** When looks last hid a run that may be there, on our clock. */
@@ -92,7 +95,7 @@
   }
 
   #isOver(): boolean {
-    return this.#isGone || this.#opts.signal.aborted
+    return this.#ending.isOver || this.#opts.signal.aborted
   }
 
   #isWanted(): boolean {
@@ -107,7 +110,8 @@
       await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
       // It may have said so just as its connection broke: another look could wait in vain for seconds.
       const { host, target } = this.#opts
-      if (host.findUpstream(target.upstreamId)?.hasLeft === true) await this.#end('it has left')
+      if (host.findUpstream(target.upstreamId)?.hasLeft === true)
+        await this.#ending.end('it has left')
     }
   }
 
@@ -155,7 +159,7 @@
 
   async #take(answer: HoldAnswer, sentAtMs: number): Promise<void> {
     if (this.#isOver()) return
-    if (answer.type === 'gone') return this.#end('another life of it answers')
+    if (answer.type === 'gone') return this.#ending.end('another life of it answers')
     if (answer.type === 'fence') {
       this.#log('upstream.fenced', { fence: this.#opts.host.fence })
       return this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
@@ -192,7 +196,7 @@
     if ('clockMs' in result) this.#noteClock(result.clockMs)
     track.settledAtMs = this.#nowMs()
     if (result.type === 'in-doubt' || result.type === 'not-sent') this.#noteUnanswered()
-    if (result.type === 'gone') return this.#end('another life of it answers')
+    if (result.type === 'gone') return this.#ending.end('another life of it answers')
     if (result.type === 'started' || reason === 'superseded') {
       track.phase = 'settled'
       this.review(placement)
@@ -225,7 +229,7 @@
     const answer = await this.#orders.stop(run)
     if (answer === undefined) return false
     this.#noteClock(answer.clockMs)
-    if (answer.type === 'gone') await this.#end('another life of it answers')
+    if (answer.type === 'gone') await this.#ending.end('another life of it answers')
     return answer.type === 'stopping'
   }
 
@@ -235,14 +239,6 @@
     void this.#commit(this.#tracks.listLost(this.#placements()))
   }
 
-  async #end(reason: string): Promise<void> {
-    if (this.#isGone) return
-    this.#log('upstream.gone', { reason, runs: this.#placements().size })
-    if (!(await this.#commit(this.#tracks.listLost(this.#placements())))) return
-    this.#isGone = true
-    this.#opts.host.noteGone(this.#opts.target.upstreamId)
-  }
-
   #log(event: string, fields: Readonly<Record<string, string | number | undefined>>): void {
     this.#opts.logger.info({ event, upstreamId: this.#opts.target.upstreamId, ...fields })
   }
