--- a/batch/service/__utils__/index.ts
+++ b/batch/service/__utils__/index.ts
@@ -5,3 +5,4 @@
 export { createRecorder, type Recorder } from './recorder.js'
 export { MemberGroup, type MemberGroupTimings } from './memberGroup.js'
 export { MemberLink } from './memberLink.js'
+export { startWatchedGroup } from './startWatchedGroup.js'
--- a/batch/service/test/leaderWatch.test.ts
+++ b/batch/service/test/leaderWatch.test.ts
@@ -6,25 +6,8 @@
  * Evidence: on a day with three of eight entries cut off for 6 s, one of them refused 20 queries in a row after
  * 1.0 to 1.3 s each, and was ready all the while.
  */
-import test, { type ExecutionContext } from 'ava'
-import { MemberGroup } from '../__utils__/index.js'
-
-/** As the platform's processes have them. */
-const timings = { callTimeoutMs: 700, patienceMs: 1000 }
-
-async function startWatched(t: ExecutionContext): Promise<MemberGroup> {
-  const group = await MemberGroup.start(3, timings)
-  const stopping = new AbortController()
-  group.lead(0, 1, [0, 1, 2])
-  const watching = group.client.watch(stopping.signal)
-  t.teardown(async () => {
-    stopping.abort()
-    await group.settle(watching)
-    await group.stop()
-  })
-  await group.settle(group.clock.sleep(1500))
-  return group
-}
+import test from 'ava'
+import { startWatchedGroup, type MemberGroup } from '../__utils__/index.js'
 
 function ask({ client }: MemberGroup, jobId: string) {
   return client.getJobState({ host: 'h', path: `/q/${jobId}`, jobId }).run()
@@ -38,7 +21,7 @@
 }
 
 test('an idle process learns that its connections went silent before anyone calls', async (t) => {
-  const group = await startWatched(t)
+  const group = await startWatchedGroup(t)
   for (const at of [0, 1, 2]) group.link(at).silence()
   await group.settle(group.clock.sleep(3000))
   const { outcome, tookMs } = await group.settle(ask(group, 'a'))
@@ -47,7 +30,7 @@
 })
 
 test('an idle process learns of another leader before anyone calls', async (t) => {
-  const group = await startWatched(t)
+  const group = await startWatchedGroup(t)
   cutOff(group, [0])
   group.lead(1, 2, [1, 2])
   await group.settle(group.clock.sleep(3000))
@@ -55,7 +38,7 @@
 })
 
 test('a process that no member answers says so within 4 s, and is back once one does', async (t) => {
-  const group = await startWatched(t)
+  const group = await startWatchedGroup(t)
   cutOff(group, [0, 1, 2])
   await group.settle(group.clock.sleep(4000))
   t.false(group.client.reachesMembers)
@@ -67,7 +50,7 @@
 })
 
 test('a member that knows no leader is an answer: an election is no isolation', async (t) => {
-  const group = await startWatched(t)
+  const group = await startWatchedGroup(t)
   cutOff(group, [0])
   for (const at of [1, 2]) group.member(at).view = { term: 2, memberAddresses: [] }
   await group.settle(group.clock.sleep(10_000))
--- a/batch/service/test/slowMembers.test.ts
+++ b/batch/service/test/slowMembers.test.ts
@@ -4,23 +4,12 @@
  * still, and callers must not be sent elsewhere: all processes see the same, and would be taken out together.
  */
 import test, { type ExecutionContext } from 'ava'
-import { MemberGroup } from '../__utils__/index.js'
+import { startWatchedGroup, type MemberGroup } from '../__utils__/index.js'
 
-/** As the platform's processes have them. */
-const timings = { callTimeoutMs: 700, patienceMs: 1000 }
 const answerMs = 350
 
 async function startSlow(t: ExecutionContext): Promise<MemberGroup> {
-  const group = await MemberGroup.start(3, timings)
-  const stopping = new AbortController()
-  group.lead(0, 1, [0, 1, 2])
-  const watching = group.client.watch(stopping.signal)
-  t.teardown(async () => {
-    stopping.abort()
-    await group.settle(watching)
-    await group.stop()
-  })
-  await group.settle(group.clock.sleep(1500))
+  const group = await startWatchedGroup(t)
   for (const at of [0, 1, 2]) group.link(at).holdAnswers = () => group.clock.sleep(answerMs)
   return group
 }
