refactor: let the clocks of tests sleep as all clocks do

sleepOn of core.clock stood again, word for word, in the pausable clock of agreement's tests and in the member clock of the model of a whole group; it is exported and called there. No product code calls it anew.

--- a/batch/service/__utils__/group/memberClock.ts
+++ b/batch/service/__utils__/group/memberClock.ts
@@ -2,7 +2,7 @@
  * The steady clock of one process on the clock of the world. Frozen, its timers wait although time goes on;
  * suspended, its time stands still as well.
  */
-import type { Clock, ManualClock, Timer } from '@nettlespur/core.clock'
+import { sleepOn, type Clock, type ManualClock, type Timer } from '@nettlespur/core.clock'
 
 /** Sums of times differ by less than this; a shorter timer would be due at the same time for ever. */
 const roundingMs = 0.001
@@ -55,19 +55,7 @@
   }
 
   sleep(durationMs: number, signal?: AbortSignal): Promise<void> {
-    return new Promise((resolve) => {
-      if (signal?.aborted === true) {
-        resolve()
-        return
-      }
-      const finish = (): void => {
-        timer.cancel()
-        signal?.removeEventListener('abort', finish)
-        resolve()
-      }
-      const timer = this.setTimer(durationMs, finish)
-      signal?.addEventListener('abort', finish, { once: true })
-    })
+    return sleepOn(this, durationMs, signal)
   }
 
   /** Resolves at once, or when the process goes on. */
--- a/consensus/raft/__utils__/pausableClock.ts
+++ b/consensus/raft/__utils__/pausableClock.ts
@@ -1,5 +1,5 @@
 /** The clock of one node on a shared one. Paused, its timers wait although time goes on. */
-import type { Clock, ManualClock, Timer } from '@nettlespur/core.clock'
+import { sleepOn, type Clock, type ManualClock, type Timer } from '@nettlespur/core.clock'
 
 export class PausableClock implements Clock {
   readonly #clock: ManualClock
@@ -34,19 +34,7 @@
   }
 
   sleep(durationMs: number, signal?: AbortSignal): Promise<void> {
-    return new Promise((resolve) => {
-      if (signal?.aborted === true) {
-        resolve()
-        return
-      }
-      const finish = (): void => {
-        timer.cancel()
-        signal?.removeEventListener('abort', finish)
-        resolve()
-      }
-      const timer = this.setTimer(durationMs, finish)
-      signal?.addEventListener('abort', finish, { once: true })
-    })
+    return sleepOn(this, durationMs, signal)
   }
 
   pause(): void {
--- a/core/clock/src/index.ts
+++ b/core/clock/src/index.ts
@@ -2,5 +2,6 @@
 export type { Clock, Timer } from './clock.js'
 export { ManualClock } from './manualClock.js'
 export { setDeadline } from './setDeadline.js'
+export { sleepOn } from './sleepOn.js'
 export { SystemClock } from './systemClock.js'
 export { Wake } from './wake.js'
