fix: let a member go on that refuses an entry it cannot read

Cause: the check of a leader's entries threw within the member's turn, where every failure but a full disk counts as a fault of the store for good. One entry of a newer version stopped its member until the next start.

Ruled out: mapping the kind `storage-damaged` to a passing fault, as the store itself reports a damaged log under that kind, and that must stop the member.

Change: the entries are checked right after the sender is accepted as the leader, before anything is written; the refusal leaves the turn as a value and is thrown outside it, with one log line `raft.entries-refused`.

--- a/consensus/raft/src/appendHandler.ts
+++ b/consensus/raft/src/appendHandler.ts
@@ -1,26 +1,59 @@
 /** Takes a leader's entries. What is acknowledged is synced. */
+import { NettlespurError, toNettlespurError } from '@nettlespur/core.errors'
 import type { LogEntry } from '@nettlespur/storage.log'
 import { checkEntry } from './entryPayload.js'
 import type { AppendAnswer, AppendRequest } from './messages.js'
 import type { Replica } from './replica.js'
 
-export function handleAppend<R>(
+/**
+ * Errors: rejects with `storage-damaged` for an entry that cannot be read, and takes none of the request. That is
+ * thrown outside the turn, where it would count as a fault of the store and end this member's part for good.
+ */
+export async function handleAppend<R>(
   replica: Replica<R>,
   request: AppendRequest,
 ): Promise<AppendAnswer> {
-  return replica.exclusive(async () => {
-    if (!(await acceptLeader(replica, request))) return createAnswer(replica, false, 0)
-    const { prevIndex, prevTerm, entries } = request
-    const ownTerm = replica.log.termAt(prevIndex)
-    const behindSnapshot = prevIndex < replica.opts.store.snapshotMeta.index
-    if (!behindSnapshot && ownTerm !== prevTerm) {
-      return createAnswer(replica, false, findCommonBound(replica, prevIndex, ownTerm))
-    }
-    await takeEntries(replica, request)
-    const matchIndex = prevIndex + entries.length
-    replica.commitTo(Math.min(request.commitIndex, matchIndex))
-    return createAnswer(replica, true, matchIndex)
-  })
+  const answer = await replica.exclusive(() => takeRequest(replica, request))
+  if (answer instanceof NettlespurError) throw answer
+  return answer
+}
+
+async function takeRequest<R>(
+  replica: Replica<R>,
+  request: AppendRequest,
+): Promise<AppendAnswer | NettlespurError> {
+  if (!(await acceptLeader(replica, request))) return createAnswer(replica, false, 0)
+  const unreadable = findUnreadable(request)
+  if (unreadable === undefined) return takeAccepted(replica, request)
+  const { kind, message: reason } = unreadable
+  const { logger } = replica.opts
+  logger.error({ event: 'raft.entries-refused', leaderId: request.leaderId, kind, reason })
+  return unreadable
+}
+
+async function takeAccepted<R>(replica: Replica<R>, request: AppendRequest): Promise<AppendAnswer> {
+  const { prevIndex, prevTerm, entries } = request
+  const ownTerm = replica.log.termAt(prevIndex)
+  const behindSnapshot = prevIndex < replica.opts.store.snapshotMeta.index
+  if (!behindSnapshot && ownTerm !== prevTerm) {
+    return createAnswer(replica, false, findCommonBound(replica, prevIndex, ownTerm))
+  }
+  await takeEntries(replica, request)
+  const matchIndex = prevIndex + entries.length
+  replica.commitTo(Math.min(request.commitIndex, matchIndex))
+  return createAnswer(replica, true, matchIndex)
+}
+
+/** Before any entry is stored: one that cannot be read would stop every member once it is committed. */
+function findUnreadable({ prevIndex, entries }: AppendRequest): NettlespurError | undefined {
+  try {
+    entries.forEach((entry, offset) => {
+      checkEntry({ ...entry, index: prevIndex + 1 + offset })
+    })
+    return undefined
+  } catch (thrown) {
+    return toNettlespurError(thrown)
+  }
 }
 
 /** Within `exclusive`: whether the sender leads, which also holds back an election here. */
@@ -48,8 +81,6 @@
   const from = sent.findIndex((entry) => !known(entry))
   if (from < 0) return
   const fresh = sent.slice(from)
-  // Before any of them is stored: an entry that cannot be read would stop every member once it is committed.
-  fresh.forEach(checkEntry)
   const firstIndex = prevIndex + 1 + from
   if (firstIndex <= log.lastIndex) {
     memberships.truncateFrom(firstIndex)
