--- a/batch/service/src/buildView.ts
+++ b/batch/service/src/buildView.ts
@@ -102,8 +102,12 @@
   if (step === undefined) return 0
   const runSeconds = (nowMs - (track?.startedAtMs ?? nowMs)) / milliseconds
   const lostSeconds = step.checkpoints ? Math.min(restartSeconds, runSeconds) : runSeconds
-  const { cpuMillicores, accelerators } = step.needs
-  return lostSeconds * (cpuMillicores / milliseconds + accelerators * coresPerAccelerator)
+  return lostSeconds * measureCores(step.needs)
+}
+
+/** What a task occupies, in cores: accelerators count as several. */
+export function measureCores({ cpuMillicores, accelerators }: Resources): number {
+  return cpuMillicores / milliseconds + accelerators * coresPerAccelerator
 }
 
 function findStep(state: BatchState, { jobId, step }: Placement): StepSpec | undefined {
--- a/bench/policy/src/deployment.ts
+++ b/bench/policy/src/deployment.ts
@@ -139,6 +139,46 @@
   ],
 }
 
+/** Long gangs of half an upstream's processors a task, beside short urgent ones: what is stopped here is dear. */
+export const fsww: Deployment = {
+  name: 'fsww',
+  upstreamCount: 33,
+  upstreamsPerRack: 8,
+  cpuMillicores: 128_000,
+  memoryMiB: 512_000,
+  workspaceCount: 4,
+  kinds: [
+    {
+      ...sweep,
+      jobsPerSecond: 0.43,
+      lateWorth: 0.9,
+      runTime: { meanMs: 11_000, spread: 0.3, maxMs: 11_000 },
+      tasks: { mean: 5, max: 30 },
+      cpuMillicores: 52_000,
+      memoryMiB: 150_000,
+    },
+    {
+      ...urgent,
+      jobsPerSecond: 1.65,
+      tasks: { mean: 3.4, max: 21 },
+      cpuMillicores: 15_000,
+      memoryMiB: 44_000,
+      declaredSpread: 0.5,
+    },
+    {
+      ...background,
+      jobsPerSecond: 0.41,
+      lateWorth: 0.3,
+      runTime: { meanMs: 9500, spread: 0.3, maxMs: 11_000 },
+      tasks: { mean: 16, max: 94 },
+      cpuMillicores: 11_000,
+      memoryMiB: 59_000,
+      checkpointShare: 0.45,
+      declaredSpread: 0.2,
+    },
+  ],
+}
+
 /** The same crowd on more upstreams. */
 export function growDeployment(deployment: Deployment, upstreamCount: number): Deployment {
   const times = upstreamCount / deployment.upstreamCount
--- a/bench/policy/src/measurePolicy.ts
+++ b/bench/policy/src/measurePolicy.ts
@@ -1,7 +1,7 @@
 /** What jobs earn on crowded days, and what a round of decisions costs as the deployment grows. */
 import type { Row } from '@nettlespur/bench.placement'
 import { createCrowdedDay } from './crowdedDay.js'
-import { cscfba, growDeployment, thapa, type Deployment } from './deployment.js'
+import { cscfba, fsww, growDeployment, thapa, type Deployment } from './deployment.js'
 import { playDay, type DayResult } from './playDay.js'
 
 export interface PolicyMeasureOptions {
@@ -16,7 +16,7 @@
 
 export async function measurePolicy(opts: PolicyMeasureOptions = {}): Promise<Row[]> {
   const { days = defaultDays, grownUpstreams = defaultGrownUpstreams } = opts
-  const earned = [thapa, cscfba].flatMap((deployment) => measureEarnings(deployment, days))
+  const earned = [thapa, cscfba, fsww].flatMap((deployment) => measureEarnings(deployment, days))
   const costs = grownUpstreams.flatMap((count) => measureCost(growDeployment(cscfba, count)))
   return Promise.resolve([...earned, ...costs])
 }
@@ -32,13 +32,13 @@
   })
   const worths = results.map(({ worth }) => worth)
   const heldUpDays = results.filter(({ heldUp }) => heldUp > 0).length
-  const wasted = results.map(({ wastedAcceleratorSeconds }) => wastedAcceleratorSeconds)
+  const wasted = results.map(({ wastedCoreSeconds }) => wastedCoreSeconds)
   return [
     { name: `${prefix}.worth`, value: meanOf(worths), unit: 'ratio' },
     { name: `${prefix}.worst`, value: Math.min(...worths), unit: 'ratio' },
     ...kinds,
     { name: `${prefix}.held_up_days`, value: heldUpDays / results.length, unit: 'ratio' },
-    { name: `${prefix}.wasted`, value: meanOf(wasted), unit: 'accelerator_s' },
+    { name: `${prefix}.wasted`, value: meanOf(wasted), unit: 'core_s' },
   ]
 }
 
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -1,7 +1,7 @@
 /** Plays a crowded day with the scheduler and the state of the product, in simulated time. */
 import { runKey } from '@nettlespur/batch.model'
 import { planRound } from '@nettlespur/batch.scheduler'
-import { buildView } from '@nettlespur/batch.service'
+import { buildView, measureCores } from '@nettlespur/batch.service'
 import type { RunTrack } from '@nettlespur/batch.sessions'
 import { BatchState, type Placement, type RunEnd, type RunOutcome } from '@nettlespur/batch.state'
 import { SeededRandom } from '@nettlespur/bench.placement'
@@ -35,8 +35,10 @@
   readonly kinds: ReadonlyMap<string, KindEarnings>
   /** Earned by all jobs, as a share of what they could. */
   readonly worth: number
-  /** Run time of stopped runs that no checkpoint saved, in accelerator-seconds. */
-  readonly wastedAcceleratorSeconds: number
+  /** Run time of stopped runs that no checkpoint saved, in core-seconds. */
+  readonly wastedCoreSeconds: number
+  /** Runs that were stopped for others. */
+  readonly stoppedRuns: number
   /** Jobs that are held up as the day ends. */
   readonly heldUp: number
   /** What building the view and deciding took, of each round. */
@@ -59,6 +61,7 @@
   readonly #roundsMs: number[] = []
   readonly #heldUp = new HeldUpWatch()
   #wastedMs = 0
+  #stoppedRuns = 0
   #nowMs = 0
 
   constructor(day: CrowdedDay, seed: number) {
@@ -133,7 +136,10 @@
     const step = this.#byId.get(placement.jobId)?.request.steps[placement.step]
     const ranMs = Math.max(0, this.#nowMs - track.startedAtMs)
     const savedMs = step?.checkpoints === true ? this.#savedMs(ranMs, outcome) : 0
-    if (outcome !== 'done') this.#wastedMs += (ranMs - savedMs) * (step?.needs.accelerators ?? 0)
+    if (outcome === 'stopped') this.#stoppedRuns += 1
+    if (outcome !== 'done' && step !== undefined) {
+      this.#wastedMs += (ranMs - savedMs) * measureCores(step.needs)
+    }
     const progress = resumedAt + savedMs / Math.max(1, lengthMs)
     return savedMs > 0
       ? { ...placement, outcome, checkpoint: String(progress) }
@@ -230,10 +236,11 @@
     const all = [...kinds.values()]
     const earned = all.reduce((sum, kind) => sum + kind.earned, 0)
     const owed = all.reduce((sum, kind) => sum + kind.owed, 0)
-    const wastedAcceleratorSeconds = this.#wastedMs / 1000
+    const wastedCoreSeconds = this.#wastedMs / 1000
+    const stoppedRuns = this.#stoppedRuns
     const heldUp = this.#heldUp.count(this.#nowMs)
     const worth = earned / owed
-    return { kinds, worth, wastedAcceleratorSeconds, heldUp, roundsMs: this.#roundsMs }
+    return { kinds, worth, wastedCoreSeconds, stoppedRuns, heldUp, roundsMs: this.#roundsMs }
   }
 
   #judge({ request: { jobId }, arriveMs }: DayJob): JobEnd {
