feat: free room for guaranteed work upstream by upstream, where that costs least

Cause: what may be stopped was ranked by its cost for each accelerator that comes free, over all upstreams of a rack. Ruled out: that the stops themselves are the fault; only guaranteed work has others stopped, and its users are promised that.

Test first: planRound 'a wide gang is spared …' fails on the code before.

--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -7,6 +7,8 @@
 export class Fleet {
   readonly state = new BatchState()
   nowMs = 0
+  /** What a stop of one of a job's runs throws away, in core-seconds; 1 where a job has none here. */
+  readonly stopCosts = new Map<string, number>()
   readonly #acceptedAtMs = new Map<string, number>()
   readonly #stopping = new Set<string>()
 
@@ -62,7 +64,7 @@
         needs:
           this.state.jobs.get(placement.jobId)?.request.steps[placement.step]?.needs ?? noResources,
         expectedEndMs: 1000,
-        stopCostCoreSeconds: 1,
+        stopCostCoreSeconds: this.stopCosts.get(placement.jobId) ?? 1,
         isStopping: this.#stopping.has(name(placement)),
       })),
     )
--- a/batch/scheduler/src/chooseVictims.ts
+++ b/batch/scheduler/src/chooseVictims.ts
@@ -1,7 +1,10 @@
 /**
- * Frees room for a unit that is guaranteed it, by stopping runs of others. Members of a gang are stopped
- * together, as one that is stopped ends the rest; the room of all of them counts.
+ * Frees room for a unit by stopping runs of others. Room is freed upstream by upstream, the cheapest for each task
+ * of the unit first: cheap runs that are spread over many upstreams free accelerators, but no place for a task
+ * that needs several of them side by side. Members of a gang are stopped together, as one that is stopped ends
+ * the rest; the room of all of them counts.
  */
+import { RoomFreeing } from './roomFreeing.js'
 import { trackScopes, type FitScope } from './fitTracker.js'
 import type { VictimGroup } from './listVictimGroups.js'
 import type { RoomBook } from './roomBook.js'
@@ -27,23 +30,22 @@
 }: ChooseVictimsOptions): VictimChoice | undefined {
   const scopes = trackScopes(unit, book, ({ soon }) => soon)
   const choices = scopes.flatMap((scope) => stopUntilFits(scope, groups) ?? [])
-  const [best] = choices.sort((left, right) => costOf(left) - costOf(right))
+  const [best] = choices.sort((left, right) => sumCost(left.victims) - sumCost(right.victims))
   return best
 }
 
-/** Stops the cheapest until the unit fits, then spares those not needed. */
+/** Stops what is cheapest until the unit fits, then spares what is not needed after all. */
 function stopUntilFits(
   scope: FitScope,
-  cheapFirst: readonly VictimGroup[],
+  groups: readonly VictimGroup[],
 ): VictimChoice | undefined {
+  const freeing = new RoomFreeing(scope, groups)
   const stopped: VictimGroup[] = []
-  for (const group of cheapFirst) {
-    if (scope.fits) break
-    if (!group.runs.some(({ upstreamId }) => scope.has(upstreamId))) continue
-    stopped.push(group)
-    scope.change(group.runs, group.needs, 1)
+  while (!scope.fits) {
+    const cheapest = freeing.takeCheapest()
+    if (cheapest === undefined) return undefined
+    stopped.push(...cheapest)
   }
-  if (!scope.fits) return undefined
   const victims = spare(scope, stopped)
   return { victims, places: scope.choosePlaces() }
 }
@@ -59,7 +61,7 @@
   })
 }
 
-/** Of all that the choice stops, in core-seconds. */
-function costOf({ victims }: VictimChoice): number {
+/** Of all that is stopped, in core-seconds. */
+export function sumCost(victims: readonly VictimGroup[]): number {
   return victims.reduce((sum, { costCoreSeconds }) => sum + costCoreSeconds, 0)
 }
--- a/batch/scheduler/src/fitTracker.ts
+++ b/batch/scheduler/src/fitTracker.ts
@@ -41,6 +41,16 @@
     return this.#total >= this.#unit.waiting.length
   }
 
+  /** Tasks of the unit that find no place. */
+  get missing(): number {
+    return Math.max(0, this.#unit.waiting.length - this.#total)
+  }
+
+  /** Tasks of the unit that fit on one upstream. */
+  countOn(upstreamId: string): number {
+    return this.#rooms.get(upstreamId)?.count ?? 0
+  }
+
   has(upstreamId: string): boolean {
     return this.#rooms.has(upstreamId)
   }
--- a/batch/scheduler/test/planRound.test.ts
+++ b/batch/scheduler/test/planRound.test.ts
@@ -91,6 +91,31 @@
   t.is(fleet.decide().preemptions.length, 1)
 })
 
+test('a wide gang is spared where the room of one of its members is wanted and small runs give it for less', (t) => {
+  const fleet = new Fleet('r1', 'r1', 'r1')
+  fleet.submit(createJob('wide', createGang(2, 8)))
+  fleet.submit(createJob('small', { taskCount: 8 }))
+  t.is(fleet.decide().placements.length, 10)
+  // For each accelerator that comes free the gang is the cheaper: 1.25 core-seconds instead of 1.5.
+  fleet.stopCosts.set('wide', 10)
+  fleet.stopCosts.set('small', 1.5)
+  fleet.submit(createJob('guaranteed', createGang(1, 8)), 0)
+  const stopped = fleet.decide().preemptions.map(({ jobId }) => jobId)
+  t.deepEqual(new Set(stopped), new Set(['small']))
+})
+
+test('a gang of several tasks is given the upstreams that are cheapest to free', (t) => {
+  const fleet = new Fleet('r1', 'r1', 'r1')
+  for (const at of [0, 1, 2]) {
+    fleet.submit(createJob(`borrower${at}`, createGang(1, 8)))
+    fleet.stopCosts.set(`borrower${at}`, 3 - at)
+  }
+  fleet.decide()
+  fleet.submit(createJob('guaranteed', createGang(2, 8)), 0)
+  const stopped = fleet.decide().preemptions.map(({ jobId }) => jobId)
+  t.deepEqual(new Set(stopped), new Set(['borrower1', 'borrower2']))
+})
+
 test('a task goes elsewhere after it failed, and back only where nowhere else could take it', (t) => {
   const fleet = new Fleet('r1', 'r1')
   fleet.submit(createJob('j', { taskCount: 1 }))
--- a/bench/policy/src/deployment.ts
+++ b/bench/policy/src/deployment.ts
@@ -156,6 +156,7 @@
       tasks: { mean: 5, max: 30 },
       cpuMillicores: 52_000,
       memoryMiB: 150_000,
+      failingShare: 0.005,
     },
     {
       ...urgent,
@@ -173,6 +174,7 @@
       tasks: { mean: 16, max: 94 },
       cpuMillicores: 11_000,
       memoryMiB: 59_000,
+      failingShare: 0.005,
       checkpointShare: 0.45,
       declaredSpread: 0.2,
     },
