feat: let urgent work beyond its guarantee stop what is worth less than itself

Change: a unit that can still end in time may throw away as much work as it does itself. Each `run.preempted` line now names the job it is for and what is lost, and `runs_preempted_total` counts them.

--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -37,7 +37,7 @@
       guarantees: new Map([['w1', 16]]),
     })
     this.state.apply({ type: 'place-tasks', placements: decision.placements })
-    for (const run of decision.preemptions) this.#stopping.add(name(run))
+    for (const { run } of decision.preemptions) this.#stopping.add(name(run))
     return decision
   }
 
--- a/batch/scheduler/src/chooseVictims.ts
+++ b/batch/scheduler/src/chooseVictims.ts
@@ -20,6 +20,8 @@
   book: RoomBook
   /** What may be stopped, the cheapest for the room it gives first. */
   groups: readonly VictimGroup[]
+  /** What may be thrown away for the unit. */
+  costMaxCoreSeconds: number
 }
 
 /** The cheapest choice found over the racks; undefined where stopping everything would not do. */
@@ -27,18 +29,16 @@
   unit,
   book,
   groups,
+  costMaxCoreSeconds,
 }: ChooseVictimsOptions): VictimChoice | undefined {
   const scopes = trackScopes(unit, book, ({ soon }) => soon)
   const choices = scopes.flatMap((scope) => stopUntilFits(scope, groups) ?? [])
   const [best] = choices.sort((left, right) => sumCost(left.victims) - sumCost(right.victims))
-  return best
+  return best !== undefined && sumCost(best.victims) <= costMaxCoreSeconds ? best : undefined
 }
 
 /** Stops what is cheapest until the unit fits, then spares what is not needed after all. */
-function stopUntilFits(
-  scope: FitScope,
-  groups: readonly VictimGroup[],
-): VictimChoice | undefined {
+function stopUntilFits(scope: FitScope, groups: readonly VictimGroup[]): VictimChoice | undefined {
   const freeing = new RoomFreeing(scope, groups)
   const stopped: VictimGroup[] = []
   while (!scope.fits) {
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -1,17 +1,18 @@
 /**
  * One round of decisions. Units come in their order of rank; each takes its room from what the ones before
- * left. Guaranteed work that does not fit has others stopped, and its room is kept for it meanwhile.
+ * left. Guaranteed and urgent work that does not fit may have others stopped, and their room is kept for it meanwhile.
  */
 import type { Placement } from '@nettlespur/batch.state'
 import { choosePlaces } from './choosePlaces.js'
 import { chooseVictims } from './chooseVictims.js'
 import { listGuaranteed } from './listGuaranteed.js'
 import { listVictimGroups, type VictimGroup } from './listVictimGroups.js'
+import { limitStopCost } from './limitStopCost.js'
 import { orderUnits, type RankedUnit } from './orderUnits.js'
 import { putOverdueFirst } from './putOverdueFirst.js'
 import { reserveGang } from './reserveGang.js'
 import { RoomBook } from './roomBook.js'
-import type { ActiveRun, RoundDecision, SchedulerView } from './schedulerView.js'
+import type { ActiveRun, Preemption, RoundDecision, SchedulerView } from './schedulerView.js'
 import { placeUnit } from './startUnit.js'
 
 /**
@@ -30,7 +31,7 @@
 
 class Round {
   readonly placements: Placement[] = []
-  readonly preemptions: Placement[] = []
+  readonly preemptions: Preemption[] = []
   readonly #book: RoomBook
   readonly #started: ActiveRun[] = []
   readonly #view: SchedulerView
@@ -63,7 +64,7 @@
 
   /** For what did not fit. */
   #decideRest(unit: RankedUnit): void {
-    if (unit.isGuaranteed && this.#makeRoom(unit)) return
+    if (this.#makeRoom(unit)) return
     if (unit.step.isGang) this.#reserve(unit)
   }
 
@@ -97,13 +98,17 @@
 
   /** Keeps what is being freed for the unit, and has more stopped where that is too little; false where nothing would do. */
   #makeRoom(unit: RankedUnit): boolean {
+    const costMaxCoreSeconds = limitStopCost(unit)
+    if (costMaxCoreSeconds === 0) return false
     const groups = (this.#groups ??= listVictimGroups(this.#view, this.#guaranteed))
-    const choice = chooseVictims({ unit, book: this.#book, groups })
+    const choice = chooseVictims({ unit, book: this.#book, groups, costMaxCoreSeconds })
     if (choice === undefined) return false
     const stopped = new Set(choice.victims)
     this.#groups = groups.filter((group) => !stopped.has(group))
-    for (const { runs, needs } of choice.victims) {
-      this.preemptions.push(...runs)
+    for (const { runs, needs, costCoreSeconds } of choice.victims) {
+      const preemption = { forJobId: unit.job.request.jobId, isGuaranteed: unit.isGuaranteed }
+      const lostCoreSeconds = costCoreSeconds / runs.length
+      this.preemptions.push(...runs.map((run) => ({ run, lostCoreSeconds, ...preemption })))
       for (const { upstreamId } of runs) this.#book.giveBackSoon(upstreamId, needs)
     }
     this.#book.take(choice.places, unit.step)
--- a/batch/scheduler/src/resources.ts
+++ b/batch/scheduler/src/resources.ts
@@ -1,6 +1,10 @@
 /** Sums over what tasks need and upstreams have. */
 import type { Resources } from '@nettlespur/batch.model'
 
+/** Agreed with the users: what one accelerator counts for when work is measured in core-seconds. */
+const coresPerAccelerator = 8
+const millicoresPerCore = 1000
+
 export const noResources: Resources = { cpuMillicores: 0, memoryMiB: 0, accelerators: 0 }
 
 /** `left` and `times` times `right`. */
@@ -24,3 +28,8 @@
 function countOf(free: number, needed: number): number {
   return needed === 0 ? (free < 0 ? 0 : Infinity) : Math.max(0, Math.floor(free / needed))
 }
+
+/** What a task occupies, in cores: accelerators count as several. */
+export function measureCores({ cpuMillicores, accelerators }: Resources): number {
+  return cpuMillicores / millicoresPerCore + accelerators * coresPerAccelerator
+}
--- a/batch/scheduler/src/schedulerView.ts
+++ b/batch/scheduler/src/schedulerView.ts
@@ -39,9 +39,18 @@
   readonly guarantees: ReadonlyMap<string, number>
 }
 
+/** A run to stop, so that other work can start in its place. */
+export interface Preemption {
+  readonly run: Placement
+  readonly forJobId: string
+  /** Whether that job has its room promised; else it is urgent and its own work is worth more. */
+  readonly isGuaranteed: boolean
+  /** Its share of what the stop throws away, in core-seconds; urgent work counts five times. */
+  readonly lostCoreSeconds: number
+}
+
 /** What a round has decided. */
 export interface RoundDecision {
   readonly placements: Placement[]
-  /** Runs to stop, so that guaranteed work can start in their place. */
-  readonly preemptions: Placement[]
+  readonly preemptions: Preemption[]
 }
--- a/batch/service/src/buildView.ts
+++ b/batch/service/src/buildView.ts
@@ -2,6 +2,7 @@
 import type { Resources, StepSpec } from '@nettlespur/batch.model'
 import {
   addResources,
+  measureCores,
   noResources,
   type ActiveRun,
   type SchedulerView,
@@ -10,8 +11,6 @@
 import type { RunTrack } from '@nettlespur/batch.sessions'
 import type { BatchState, Placement, UpstreamRecord } from '@nettlespur/batch.state'
 
-/** Agreed with the platform: what one accelerator counts for in core-seconds. */
-const coresPerAccelerator = 8
 /** A stop saves a checkpoint; what is lost then is the time until the task is at work again. */
 const restartSeconds = 1
 const milliseconds = 1000
@@ -105,11 +104,6 @@
   return lostSeconds * measureCores(step.needs)
 }
 
-/** What a task occupies, in cores: accelerators count as several. */
-export function measureCores({ cpuMillicores, accelerators }: Resources): number {
-  return cpuMillicores / milliseconds + accelerators * coresPerAccelerator
-}
-
 function findStep(state: BatchState, { jobId, step }: Placement): StepSpec | undefined {
   return state.jobs.get(jobId)?.request.steps[step]
 }
--- a/batch/service/src/index.ts
+++ b/batch/service/src/index.ts
@@ -7,7 +7,7 @@
   type SubmitCall,
 } from './batchApi.js'
 export type { CallerWait } from './callerWait.js'
-export { buildView, type BuildViewOptions, measureCores } from './buildView.js'
+export { buildView, type BuildViewOptions } from './buildView.js'
 export { BatchNode, type BatchNodeOptions } from './batchNode.js'
 export type { BatchTimings } from './batchTimings.js'
 export { createBatchRouter, type BatchRouter } from './createBatchRouter.js'
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -3,7 +3,7 @@
  * makes room for others. Each placement is committed before its start is sent.
  */
 import { runFields, runKey } from '@nettlespur/batch.model'
-import { planRound, type RoundDecision } from '@nettlespur/batch.scheduler'
+import { planRound, type Preemption, type RoundDecision } from '@nettlespur/batch.scheduler'
 import type { BatchState, Command, Placement } from '@nettlespur/batch.state'
 import { Wake, type Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
@@ -22,7 +22,8 @@
 
 /** Why a run is stopped, for the log. */
 const evacuatedReason = 'its upstream leaves before it can end'
-const preemptedReason = 'more urgent work waits for its room'
+const guaranteedReason = 'its room is guaranteed to another job'
+const urgentReason = 'urgent work that is worth more waits for its room'
 
 export interface SchedulingRoundsOptions {
   clock: Clock
@@ -66,14 +67,13 @@
   }
 
   async #decide(): Promise<void> {
-    const { clock, metrics, preempt, signal } = this.#opts
+    const { clock, metrics, signal } = this.#opts
     const nowMs = clock.monotonicMs()
     this.#evacuate(nowMs)
     const { placements, preemptions } = this.#plan(nowMs)
     const tookMs = clock.monotonicMs() - nowMs
     metrics.recordMs('scheduling_round_ms', tookMs)
-    for (const run of preemptions) this.#log('run.preempted', run, { reason: preemptedReason })
-    preempt(preemptions)
+    this.#preempt(preemptions)
     if (placements.length > 0) await this.#place(placements)
     if (tookMs > shortRoundMs) await clock.sleep(tookMs, signal)
   }
@@ -97,6 +97,17 @@
     preempt(runs)
   }
 
+  #preempt(preemptions: readonly Preemption[]): void {
+    const { metrics, preempt } = this.#opts
+    for (const { run, forJobId, isGuaranteed, lostCoreSeconds } of preemptions) {
+      const reason = isGuaranteed ? guaranteedReason : urgentReason
+      const lost = Math.round(lostCoreSeconds)
+      this.#log('run.preempted', run, { reason, forJobId, lostCoreSeconds: lost })
+      metrics.count('runs_preempted_total')
+    }
+    preempt(preemptions.map(({ run }) => run))
+  }
+
   #createRunsOptions(nowMs: number): ListRunsOptions {
     const { getState, roster, shouldStop } = this.#opts
     return {
