feat: one search for the leader an entry, and callers told what is known while nobody leads

Cause: followers went on naming a leader that had stepped down for as long as nobody could be elected; a search took the newest name from any member; each call searched on its own every 100 ms, and a call that was told "does not lead" began anew. A call held its caller for its whole patience also where the outage was known, and one that may have run was answered 504 after 1 s, which its caller could not settle either.

Ruled out: shorter pauses or a longer patience in each call; the words believed were wrong.

Change: members name a leader only while they hear it. A member's own word goes before what others say of it, and a refuted claim is not believed again on another's word. One search an entry with growing, jittered pauses, and calls wait for its word. From 2 s on (an election, and a second one) calls are refused at once, with a time to come back that grows with the outage. What may have run is sent again under its id until 500 ms before the caller's deadline, while members answer. Log lines leader.lost, leader.missing (1, 2, 4 s …), leader.believed with how long and how many searches. `waitFor` moves to core/clock, where both use it.

--- a/batch/service/__utils__/fakeMember.ts
+++ b/batch/service/__utils__/fakeMember.ts
@@ -20,6 +20,8 @@
   /** Jobs that reached it. */
   readonly submitted: string[]
   view: LeaderView
+  /** How often it was asked who leads. */
+  located: number
   /** What a submission ends in: by default it is taken. */
   answer: () => Promise<void>
   /** Jobs whose state was asked for here. */
@@ -32,12 +34,18 @@
 export async function startFakeMember(): Promise<FakeMember> {
   const member = {
     submitted: [] as string[],
+    located: 0,
     view: { term: 0, memberAddresses: [] } as LeaderView,
     answer: () => Promise.resolve(),
     ...createStates(),
   }
   const api = new FakeApi(member)
-  const router = createBatchRouter(api, { locateLeader: () => member.view })
+  const router = createBatchRouter(api, {
+    locateLeader: () => {
+      member.located += 1
+      return member.view
+    },
+  })
   const server = await createRpcServer({ address: '127.0.0.1:0', router, peerKeys: [peerKey] })
   return Object.assign(member, {
     address: server.address,
--- a/batch/service/__utils__/startWatchedGroup.ts
+++ b/batch/service/__utils__/startWatchedGroup.ts
@@ -1,4 +1,4 @@
-/** Three members of which the first leads, and a client that keeps its way to the leader fresh. */
+/** Three members or as many as are asked for, of which the first leads, and a client that keeps its way to the leader fresh. */
 import type { ExecutionContext } from 'ava'
 import { MemberGroup } from './memberGroup.js'
 
@@ -8,10 +8,14 @@
 const firstLookMs = 1500
 
 /** Stopped with the test. The watch has found the leader. */
-export async function startWatchedGroup(t: ExecutionContext): Promise<MemberGroup> {
-  const group = await MemberGroup.start(3, timings)
+export async function startWatchedGroup(
+  t: ExecutionContext,
+  memberCount = 3,
+): Promise<MemberGroup> {
+  const group = await MemberGroup.start(memberCount, timings)
   const stopping = new AbortController()
-  group.lead(0, 1, [0, 1, 2])
+  const all = Array.from({ length: memberCount }, (_, at) => at)
+  group.lead(0, 1, all)
   const watching = group.client.watch(stopping.signal)
   t.teardown(async () => {
     stopping.abort()
--- a/batch/service/src/callTrace.ts
+++ b/batch/service/src/callTrace.ts
@@ -27,6 +27,7 @@
   #belief: Belief | undefined
   #searches = 0
   #searchMs = 0
+  #openSearches = 0
 
   constructor(clock: Clock, wait: CallerWait) {
     this.#clock = clock
@@ -50,12 +51,19 @@
     return this.#wait.gone?.aborted === true
   }
 
+  /** A try of the call waits for a leader to be found. */
+  get isSearching(): boolean {
+    return this.#openSearches > 0
+  }
+
   async search<T>(run: () => Promise<T>): Promise<T> {
     const startMs = this.#clock.monotonicMs()
     this.#searches += 1
+    this.#openSearches += 1
     try {
       return await run()
     } finally {
+      this.#openSearches -= 1
       this.#searchMs += this.#clock.monotonicMs() - startMs
     }
   }
--- a/batch/service/src/leaderCaller.ts
+++ b/batch/service/src/leaderCaller.ts
@@ -9,9 +9,6 @@
 import type { LeaderFinder } from './leaderFinder.js'
 import type { Operation } from './operation.js'
 
-/** Between rounds of asking while nobody leads. */
-const locatePauseMs = 100
-
 export interface LeaderCallerOptions {
   clock: Clock
   finder: LeaderFinder
@@ -21,8 +18,8 @@
 
 export interface TryOptions {
   readonly trace: CallTrace
-  /** Until the call is given up. */
-  readonly leftMs: number
+  /** How long it may wait for a leader to be found. */
+  readonly searchMs: number
   readonly limits: CallLimits
 }
 
@@ -35,11 +32,24 @@
 
   /** Never rejects. */
   async tryOnce<T>(operation: Operation<T>, opts: TryOptions): Promise<Attempt<T>> {
-    const { clock, finder } = this.#opts
-    const address = finder.leaderAddress ?? (await opts.trace.search(() => finder.locate()))
+    const { finder } = this.#opts
+    const { trace, searchMs, limits } = opts
+    const search = () => finder.awaitLeader(searchMs, limits.unwanted)
+    const address = finder.leaderAddress ?? (await trace.search(search))
     if (address !== undefined) return this.#callMember(operation, address, opts)
-    await clock.sleep(Math.max(0, Math.min(locatePauseMs, opts.leftMs)))
-    return new NettlespurError('not-leader', 'no member leads', { retryAfterMs: 500 })
+    return finder.outage.createRefusal()
+  }
+
+  /** Whether a call would be sent to a member now. */
+  get knowsLeader(): boolean {
+    return this.#opts.finder.leaderAddress !== undefined
+  }
+
+  /** What a call that comes now is told at once; undefined where it may still be answered in time. */
+  refuseAtOnce(): NettlespurError | undefined {
+    const { outage } = this.#opts.finder
+    if (this.knowsLeader || !outage.isLong) return undefined
+    return outage.createRefusal()
   }
 
   async #callMember<T>(
@@ -89,6 +99,7 @@
   #leave(address: string, error: NettlespurError): void {
     const { finder } = this.#opts
     if (isFinal(error) || finder.leaderAddress !== address) return
-    finder.believe(error.kind === 'not-leader' ? error.hint : undefined, error.message)
+    if (error.kind === 'not-leader') finder.deny(address, error.hint, error.message)
+    else finder.believe(undefined, error.message)
   }
 }
--- a/batch/service/src/leaderFinder.ts
+++ b/batch/service/src/leaderFinder.ts
@@ -1,12 +1,19 @@
-/** Finds out which member leads, and keeps one connection to each member asked. */
-import type { Clock } from '@nettlespur/core.clock'
+/**
+ * Finds out which member leads, and keeps one connection to each member asked. However many calls wait, one search at a
+ * time runs, with growing pauses, and the calls wait for its word.
+ */
+import { waitFor, type Clock } from '@nettlespur/core.clock'
 import { toNettlespurError } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
 import { createRpcClient, limitCall, type RpcClient } from '@nettlespur/rpc.peer'
 import type { LeaderView } from './batchApi.js'
+import { setMaxListeners } from 'node:events'
+import { BehaviorSubject } from 'rxjs'
 import type { Belief } from './callTrace.js'
 import type { BatchRouter } from './createBatchRouter.js'
-import { LeaderSearch } from './leaderSearch.js'
+import { LeaderOutage } from './leaderOutage.js'
+import { LeaderSearch, type LeaderClaim } from './leaderSearch.js'
+import { SearchPauses } from './searchPauses.js'
 
 /** A member answers who leads from memory; over links of 1 ms this leaves room for a lost packet. */
 const locateTimeoutMs = 300
@@ -19,6 +26,8 @@
   seeds: readonly string[]
   /** Of one call to one member. */
   callTimeoutMs: number
+  /** A number in [0, 1); Math.random by default. */
+  random?: (() => number) | undefined
   /** As for any client of a peer. */
   compresses?: boolean | undefined
 }
@@ -28,8 +37,16 @@
   readonly #clients = new Map<string, RpcClient<BatchRouter>>()
   #seeds: readonly string[]
   #members: readonly string[] = []
-  #leaderAddress: string | undefined
+  readonly #believed = new BehaviorSubject<string | undefined>(undefined)
   #believedMs = 0
+  /** Of the belief, where a member named it with one. */
+  #term: number | undefined
+  /** By address, the newest term in which the member was found not to lead. */
+  readonly #refutedTerms = new Map<string, number>()
+  readonly #outage: LeaderOutage
+  readonly #closing = new AbortController()
+  #waiting = 0
+  #isSeeking = false
   /** When each member last answered. */
   readonly #heardMs = new Map<string, number>()
   #locating: Promise<void> | undefined
@@ -39,11 +56,13 @@
   constructor(opts: LeaderFinderOptions) {
     this.#opts = opts
     this.#seeds = opts.seeds
+    this.#outage = new LeaderOutage(opts)
+    setMaxListeners(0, this.#closing.signal)
   }
 
   /** Who is believed to lead. */
   get leaderAddress(): string | undefined {
-    return this.#leaderAddress
+    return this.#believed.value
   }
 
   replaceSeeds(seeds: readonly string[]): void {
@@ -51,21 +70,65 @@
   }
 
   close(): void {
+    this.#closing.abort()
     for (const client of this.#clients.values()) client.close()
   }
 
+  /** What is known of the time without a leader. */
+  get outage(): LeaderOutage {
+    return this.#outage
+  }
+
   /** `reason` is for the log. */
-  believe(address: string | undefined, reason: string): void {
-    if (this.#leaderAddress === address) return
-    this.#leaderAddress = address
+  believe(address: string | undefined, reason: string, term?: number): void {
+    const before = this.leaderAddress
+    if (before === address) return
+    this.#term = term
     this.#believedMs = this.#opts.clock.monotonicMs()
-    this.#opts.logger.info({ event: 'leader.believed', leaderAddress: address, reason })
+    if (address === undefined) this.#outage.begin(before, reason)
+    else this.#outage.end(address, reason)
+    this.#believed.next(address)
+  }
+
+  /** The member said that it does not lead, and names who does where it knows that. */
+  deny(address: string, namedAddress: string | undefined, reason: string): void {
+    if (this.leaderAddress !== address || namedAddress === address) return
+    const term = this.#term ?? 0
+    this.#refutedTerms.set(address, Math.max(term, this.#refutedTerms.get(address) ?? 0))
+    const isNews = namedAddress !== undefined && !this.#refutedTerms.has(namedAddress)
+    this.believe(isNews ? namedAddress : undefined, reason)
+  }
+
+  /** The leader as soon as one is found; undefined after `waitMs`, or once `unwanted` is aborted. */
+  async awaitLeader(waitMs: number, unwanted?: AbortSignal): Promise<string | undefined> {
+    const signal = AbortSignal.any([this.#closing.signal, ...(unwanted ? [unwanted] : [])])
+    this.#waiting += 1
+    void this.#seek()
+    const isFound = (address: string | undefined): boolean => address !== undefined
+    await waitFor(this.#opts.clock, this.#believed, isFound, { timeoutMs: waitMs, signal })
+    this.#waiting -= 1
+    return this.leaderAddress
+  }
+
+  /** One task however many wait: searches until a leader is found or nobody waits any more. */
+  async #seek(): Promise<void> {
+    if (this.#isSeeking) return
+    this.#isSeeking = true
+    const { signal } = this.#closing
+    const pauses = new SearchPauses(this.#opts.random)
+    const isWanted = (): boolean =>
+      this.#waiting > 0 && this.leaderAddress === undefined && !signal.aborted
+    while (isWanted()) {
+      await this.locate()
+      if (isWanted()) await this.#opts.clock.sleep(pauses.nextMs(), signal)
+    }
+    this.#isSeeking = false
   }
 
   /** The member was called at `sinceMs` and nothing has come from it: who leads is asked anew. */
   doubt(address: string, sinceMs: number): void {
     const heardMs = this.#heardMs.get(address) ?? -Infinity
-    if (this.#leaderAddress !== address || heardMs > sinceMs) return
+    if (this.leaderAddress !== address || heardMs > sinceMs) return
     this.believe(undefined, `${address} has been silent`)
   }
 
@@ -84,7 +147,7 @@
   /** The member did what only a leader does; it may have been doubted meanwhile. */
   hearLeader(address: string): void {
     this.hear(address)
-    if (this.#leaderAddress === undefined) this.believe(address, 'it answered as the leader')
+    if (this.leaderAddress === undefined) this.believe(address, 'it answered as the leader')
   }
 
   /** Since any member answered, in milliseconds; undefined where none has yet. */
@@ -103,12 +166,12 @@
   }
 
   async #look(quietMs: number): Promise<boolean> {
-    const address = this.#leaderAddress
+    const address = this.leaderAddress
     if (address !== undefined) {
       if (this.describeBelief(address).quietMs < quietMs) return true
       const view = await this.#askMember(address)
       if (view?.leaderAddress === address) return true
-      const isDenied = view !== undefined && this.#leaderAddress === address
+      const isDenied = view !== undefined && this.leaderAddress === address
       if (isDenied) this.believe(undefined, 'it does not say that it leads')
     }
     await this.locate()
@@ -121,7 +184,7 @@
       this.#locating = undefined
     })
     await this.#locating
-    return this.#leaderAddress
+    return this.leaderAddress
   }
 
   async #askMembers(): Promise<void> {
@@ -138,11 +201,18 @@
         resolve()
       })
     })
+    this.#outage.noteSearch(search.describe())
     // Nothing was learnt: who was believed to lead may be as slow as the others.
     if (search.isUnanswered) return
-    const { memberAddresses, leaderAddress } = search
+    const { memberAddresses } = search
     if (memberAddresses.length > 0) this.#members = memberAddresses
-    this.believe(leaderAddress, search.describe())
+    const claim = search.findLeader((other) => this.#isRefuted(other))
+    this.believe(claim?.address, search.describe(), claim?.term)
+  }
+
+  #isRefuted({ address, term }: LeaderClaim): boolean {
+    const refutedTerm = this.#refutedTerms.get(address)
+    return refutedTerm !== undefined && refutedTerm >= term
   }
 
   /** A member that says nothing may be up behind a connection gone silent: the next search opens another. */
@@ -169,7 +239,7 @@
 
   /** The answer came after a search had ended without one; while one runs, newer terms are waited for. */
   #takeLate(address: string): void {
-    if (this.#locating !== undefined || this.#leaderAddress !== undefined) return
+    if (this.#locating !== undefined || this.leaderAddress !== undefined) return
     this.believe(address, 'it says late that it leads')
   }
 
--- a/batch/service/src/leaderSearch.ts
+++ b/batch/service/src/leaderSearch.ts
@@ -1,6 +1,16 @@
-/** What members have answered so far to the question who leads, and whether more answers could change it. */
+/**
+ * What members have answered so far to the question who leads, and whether more answers could change it. A member's
+ * own word goes before what others say of it: one that has stepped down is still named by those that it led.
+ */
 import type { LeaderView } from './batchApi.js'
 
+/** That a member leads in a term, by its own word or another's. */
+export interface LeaderClaim {
+  readonly address: string
+  readonly term: number
+  readonly isOwnWord: boolean
+}
+
 export class LeaderSearch {
   readonly #asked: readonly string[]
   readonly #views = new Map<string, LeaderView>()
@@ -32,13 +42,24 @@
     return this.#views.size === 0
   }
 
-  /** Named by the newest term that names one. */
-  get leaderAddress(): string | undefined {
-    const naming = [...this.#views.values()].filter(
-      ({ leaderAddress }) => leaderAddress !== undefined,
+  /** Named by the newest term that names one and was not refuted; `isRefuted` knows of earlier searches and calls. */
+  findLeader(isRefuted: (claim: LeaderClaim) => boolean): LeaderClaim | undefined {
+    const claims = [...this.#views].flatMap(([by, { leaderAddress: address, term }]) =>
+      address === undefined ? [] : [{ address, term, isOwnWord: by === address }],
+    )
+    const standing = claims.filter(
+      (claim) => claim.isOwnWord || !(this.#isDenied(claim) || isRefuted(claim)),
     )
-    naming.sort((left, right) => right.term - left.term)
-    return naming[0]?.leaderAddress
+    standing.sort(
+      (left, right) => right.term - left.term || Number(right.isOwnWord) - Number(left.isOwnWord),
+    )
+    return standing[0]
+  }
+
+  /** The member that is named has answered by itself, in that term or a later one, and does not say that it leads. */
+  #isDenied({ address, term }: LeaderClaim): boolean {
+    const own = this.#views.get(address)
+    return own !== undefined && own.leaderAddress !== address && own.term >= term
   }
 
   get memberAddresses(): string[] {
--- a/batch/service/src/leaderWatch.ts
+++ b/batch/service/src/leaderWatch.ts
@@ -10,6 +10,8 @@
 const quietMs = 1000
 /** Between looks after one that nobody answered. */
 const retryMs = 500
+/** Between looks while members answer and none leads: calls are refused on the word of the last look. */
+const missingMs = 250
 /** Looks in a row that nobody answered: about 2.5 s, more than the 2 s in which a group without a leader elects one. */
 const missesMax = 3
 
@@ -38,10 +40,15 @@
     while (!signal.aborted) {
       const isAnswered = await this.#finder.refresh(quietMs)
       this.#note(isAnswered)
-      await this.#opts.clock.sleep(isAnswered ? quietMs : retryMs, signal)
+      await this.#opts.clock.sleep(this.#pauseMs(isAnswered), signal)
     }
   }
 
+  #pauseMs(isAnswered: boolean): number {
+    if (!isAnswered) return retryMs
+    return this.#finder.leaderAddress === undefined ? missingMs : quietMs
+  }
+
   #note(isAnswered: boolean): void {
     const couldReach = this.reachesMembers
     this.#misses = isAnswered ? 0 : this.#misses + 1
--- a/batch/service/src/operationRunner.ts
+++ b/batch/service/src/operationRunner.ts
@@ -9,10 +9,18 @@
 import { LeaderCaller, type LeaderCallerOptions } from './leaderCaller.js'
 import type { LeaderFinderOptions } from './leaderFinder.js'
 import type { Operation } from './operation.js'
-import { runRead } from './runRead.js'
+import { answerMarginMs, runRead } from './runRead.js'
 
-/** Before each further try: an instance just elected names itself, and only a pause lets it get ready. */
-const retryPauseMs = 20
+/** Before a further try: an instance just elected names itself, and only pauses let it get ready; each is longer. */
+const firstPauseMs = 20
+const longestPauseMs = 160
+const pauseGrowth = 2
+
+/** Members that are up answer a search within 300 ms, and searches come several a second while nobody is known to lead. */
+const silentMs = 1000
+
+/** After so long without a leader it is looked at anew whether the call is still worth its wait. */
+const searchSliceMs = 400
 
 export interface OperationRunnerOptions
   extends LeaderFinderOptions, LeaderCallerOptions, CallLogOptions {
@@ -52,25 +60,45 @@
   }
 
   #runUntilAnswered<T>(operation: Operation<T>, trace: CallTrace): Promise<T> {
-    if (operation.sort !== 'read') return this.#runInTurn(operation, trace)
     const { clock, patienceMs } = this.#opts
+    const refusal = this.#caller.refuseAtOnce()
+    if (refusal !== undefined) return Promise.reject(refusal)
+    if (operation.sort !== 'read') return this.#runInTurn(operation, trace)
     return runRead({ clock, patienceMs, caller: this.#caller, operation, trace })
   }
 
   /** One try after the other: what may change something is never under way twice from here. */
   async #runInTurn<T>(operation: Operation<T>, trace: CallTrace): Promise<T> {
-    const { patienceMs } = this.#opts
     let mayHaveRun = false
+    let pauseMs = firstPauseMs
     for (;;) {
-      const leftMs = patienceMs - trace.tookMs
-      const attempt = await this.#caller.tryOnce(operation, { trace, leftMs, limits: {} })
+      const limitMs = this.#limitMs(trace, mayHaveRun)
+      const searchMs = Math.max(0, Math.min(searchSliceMs, limitMs - trace.tookMs))
+      const attempt = await this.#caller.tryOnce(operation, { trace, searchMs, limits: {} })
       if (!(attempt instanceof NettlespurError)) return attempt.value
       mayHaveRun ||= isInDoubt(attempt)
       if (isFinal(attempt)) throw attempt
-      if (trace.tookMs >= patienceMs) throw toFinalError(attempt, mayHaveRun)
-      await this.#clock.sleep(retryPauseMs)
+      const isOver = trace.callerIsGone || trace.tookMs >= this.#limitMs(trace, mayHaveRun)
+      if (isOver) throw toFinalError(attempt, mayHaveRun)
+      await this.#clock.sleep(pauseMs)
+      pauseMs = Math.min(longestPauseMs, pauseMs * pauseGrowth)
     }
   }
+
+  /**
+   * How long the call may take. What has surely not run is told soon, with when to come back. What may have run is sent
+   * again for as long as the caller waits and members answer: under its id it runs once, so a whole answer takes the
+   * place of a doubt that the caller could not settle either. Where no member answers, another entry may do better.
+   */
+  #limitMs({ deadlineMs }: CallTrace, mayHaveRun: boolean): number {
+    const { patienceMs, finder } = this.#opts
+    if (deadlineMs === undefined) return patienceMs
+    const wholeMs = deadlineMs - answerMarginMs
+    const { quietMs = Infinity } = finder
+    return mayHaveRun && quietMs < silentMs
+      ? Math.max(patienceMs, wholeMs)
+      : Math.min(patienceMs, Math.max(0, wholeMs))
+  }
 }
 
 /** What is told once the time of a call is up. */
--- a/batch/service/src/runRead.ts
+++ b/batch/service/src/runRead.ts
@@ -18,8 +18,10 @@
 const askAgainAfterMs = 300
 /** What a try learned of the leader counts for the next one, and a member just elected gets ready. */
 const retryPauseMs = 20
+/** For a further question after a leader has been silent: that one is mostly found again at once. */
+const searchMsMin = 300
 /** Left of the caller's time: the way back, and one more question at another entry. */
-const answerMarginMs = 500
+export const answerMarginMs = 500
 
 export interface RunReadOptions<T> {
   clock: Clock
@@ -53,7 +55,8 @@
     const { clock } = this.#opts
     try {
       for (;;) {
-        void this.#ask()
+        // While nobody is known to lead, one try waits for all.
+        if (!this.#opts.trace.isSearching) void this.#ask()
         await this.#awaitEnd()
         const attempts = this.#ended.splice(0)
         for (const attempt of attempts) {
@@ -73,14 +76,16 @@
   }
 
   async #ask(): Promise<void> {
-    const { caller, operation, trace } = this.#opts
+    const { caller, operation, trace, patienceMs } = this.#opts
     const leftMs = this.#leftMs
+    const patienceLeftMs = Math.max(searchMsMin, patienceMs - trace.tookMs)
+    const searchMs = Math.max(0, Math.min(leftMs, patienceLeftMs))
     const limits = {
       timeoutMs: leftMs,
       silentAfterMs: this.#pauseMs,
       unwanted: this.#over.signal,
     }
-    this.#ended.push(await caller.tryOnce(operation, { trace, leftMs, limits }))
+    this.#ended.push(await caller.tryOnce(operation, { trace, searchMs, limits }))
     this.#wake.notify()
   }
 
--- a/consensus/raft/src/confirmLeadership.ts
+++ b/consensus/raft/src/confirmLeadership.ts
@@ -8,7 +8,7 @@
 import { startWith } from 'rxjs'
 import { createNoQuorum, type Leader } from './leader.js'
 import type { ReadStep } from './readWatch.js'
-import { waitFor } from './waitFor.js'
+import { waitFor } from '@nettlespur/core.clock'
 
 const clockDriftShare = 0.1
 
--- a/consensus/raft/src/membershipKeeper.ts
+++ b/consensus/raft/src/membershipKeeper.ts
@@ -7,7 +7,7 @@
 import { findMember, type Member, type Membership } from './member.js'
 import { pickMembershipChange, type MemberFacts } from './pickMembershipChange.js'
 import { hasQuorum } from './quorum.js'
-import { waitFor } from './waitFor.js'
+import { waitFor } from '@nettlespur/core.clock'
 
 const readyLagEntries = 64
 const readySilenceTimeouts = 1
--- a/consensus/raft/src/poll.ts
+++ b/consensus/raft/src/poll.ts
@@ -3,7 +3,7 @@
  * log is empty every voter must agree: an empty log cannot tell a new cluster from lost disks, and a voter
  * that holds entries refuses.
  */
-import { waitFor } from './waitFor.js'
+import { waitFor } from '@nettlespur/core.clock'
 import { BehaviorSubject } from 'rxjs'
 import { acceptsDisk, isVoter, type Member } from './member.js'
 import type { VoteAnswer, VoteRequest } from './messages.js'
--- a/consensus/raft/src/raftNode.ts
+++ b/consensus/raft/src/raftNode.ts
@@ -73,10 +73,14 @@
     return this.#replica.standing
   }
 
-  /** The member that leads, as far as this one knows; a cheap look beside `describe`. */
+  /**
+   * The member that leads, as far as this one knows; a cheap look beside `describe`. A leader that has been silent for
+   * an election timeout is not named: while no majority can elect, its followers would name it on and on.
+   */
   get leader(): Member | undefined {
-    const { standing, membership } = this.#replica
+    const { standing, membership, role, hearsLeader } = this.#replica
     const { leaderId } = standing.value
+    if (role !== 'leader' && !hearsLeader) return undefined
     return leaderId === undefined ? undefined : findMember(membership, leaderId)
   }
 
--- a/consensus/raft/src/transferLeadership.ts
+++ b/consensus/raft/src/transferLeadership.ts
@@ -6,7 +6,7 @@
 import { startWith } from 'rxjs'
 import type { Leader } from './leader.js'
 import { isVoter, type Member } from './member.js'
-import { waitFor } from './waitFor.js'
+import { waitFor } from '@nettlespur/core.clock'
 
 /** In election timeouts: one to hear of a voter that could lead, one until that is elected. */
 const handOverTimeouts = 2
--- a/consensus/raft/src/waitFor.ts
+++ b/core/clock/src/waitFor.ts
@@ -1,5 +1,5 @@
 /** Waiting for a value that changes over time, with a deadline. */
-import type { Clock } from '@nettlespur/core.clock'
+import type { Clock } from './clock.js'
 import { filter, type Observable } from 'rxjs'
 
 /** True where a value passed before the deadline, the end of `values` and the abortion of `signal`. */
