--- a/bench/policy/src/index.ts
+++ b/bench/policy/src/index.ts
@@ -1,4 +1,5 @@
 /** Plays crowded days against the scheduler of batch work and measures what its jobs earn and what a round costs. */
+export { boundEarnings } from './boundEarnings.js'
 export { createCrowdedDay, type CrowdedDay } from './crowdedDay.js'
 export { cscfba, fsww, growDeployment, thapa, type Deployment } from './deployment.js'
 export { measurePolicy, type PolicyMeasureOptions } from './measurePolicy.js'
--- a/bench/policy/src/measurePolicy.ts
+++ b/bench/policy/src/measurePolicy.ts
@@ -1,5 +1,6 @@
 /** What jobs earn on crowded days, and what a round of decisions costs as the deployment grows. */
 import type { Row } from '@nettlespur/bench.placement'
+import { boundEarnings } from './boundEarnings.js'
 import { createCrowdedDay } from './crowdedDay.js'
 import { cscfba, fsww, growDeployment, thapa, type Deployment } from './deployment.js'
 import { playDay, type DayResult } from './playDay.js'
@@ -30,11 +31,14 @@
     const owed = shares.reduce((sum, share) => sum + (share?.owed ?? 0), 0)
     return { name: `${prefix}.${name}`, value: earned / owed, unit: 'ratio' }
   })
+  const bounds = results.map(({ bound }) => bound)
   const worths = results.map(({ worth }) => worth)
   const heldUpDays = results.filter(({ heldUp }) => heldUp > 0).length
   const wasted = results.map(({ wastedCoreSeconds }) => wastedCoreSeconds)
   return [
     { name: `${prefix}.worth`, value: meanOf(worths), unit: 'ratio' },
+    { name: `${prefix}.bound`, value: meanOf(bounds), unit: 'ratio' },
+    { name: `${prefix}.of_bound`, value: meanOf(worths) / meanOf(bounds), unit: 'ratio' },
     { name: `${prefix}.worst`, value: Math.min(...worths), unit: 'ratio' },
     ...kinds,
     { name: `${prefix}.held_up_days`, value: heldUpDays / results.length, unit: 'ratio' },
@@ -52,10 +56,15 @@
   ]
 }
 
-function playDays(deployment: Deployment, days: number): DayResult[] {
+interface BoundedResult extends DayResult {
+  readonly bound: number
+}
+
+function playDays(deployment: Deployment, days: number): BoundedResult[] {
   return Array.from({ length: days }, (_, at) => {
     const seed = at + 1
-    return playDay(createCrowdedDay(deployment, seed), seed)
+    const day = createCrowdedDay(deployment, seed)
+    return { ...playDay(day, seed), bound: boundEarnings(day) }
   })
 }
 
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -14,7 +14,7 @@
 /** From a placement to the task at work, and from a stop to its end: a commit, a call, an answer. */
 const orderMs = 40
 /** After the last arrival jobs have this long to end. */
-const finishMs = 14_000
+export const finishMs = 14_000
 /** A task outside its rack takes this many times as long. */
 const remoteTimes = 3
 const checkpointMs = 2000
--- a/bench/policy/src/sumEarnings.ts
+++ b/bench/policy/src/sumEarnings.ts
@@ -2,7 +2,7 @@
 import type { DayJob } from './crowdedDay.js'
 
 /** A job that ends later than this many times its objective earns nothing. */
-const lateLimitTimes = 3
+export const lateLimitTimes = 3
 
 export interface KindEarnings {
   earned: number
@@ -30,10 +30,16 @@
   return kinds
 }
 
-function earn({ kind, runTimesMs, value }: DayJob, { isCompleted, tookMs }: JobEnd): number {
-  if (!isCompleted) return 0
+/** By when, from its arrival, a job earns its whole worth. */
+export function measureObjectiveMs({ kind, runTimesMs }: DayJob): number {
   const chainMs = runTimesMs.reduce((sum, runTimeMs) => sum + runTimeMs, 0)
-  const objectiveMs = kind.stretch * chainMs + kind.targetLatencyMs
+  return kind.stretch * chainMs + kind.targetLatencyMs
+}
+
+function earn(job: DayJob, { isCompleted, tookMs }: JobEnd): number {
+  if (!isCompleted) return 0
+  const { kind, value } = job
+  const objectiveMs = measureObjectiveMs(job)
   if (tookMs <= objectiveMs) return value
   return tookMs <= objectiveMs * lateLimitTimes ? (value * kind.lateWorth) / kind.worth : 0
 }
