fix: search for a leader every 150 ms while an election may be under way

Cause: pauses that grow from 50 to 400 ms meet the end of an election of about 1.1 s with a pause of 400 ms, so callers waited up to 400 ms more than with the former 100 ms between rounds. Change: 150 ms, drawn from 0.6 of it, until 2 s have passed; then 400 ms.

--- a/batch/service/src/leaderFinder.ts
+++ b/batch/service/src/leaderFinder.ts
@@ -1,6 +1,6 @@
 /**
  * Finds out which member leads, and keeps one connection to each member asked. However many calls wait, one search at a
- * time runs, with growing pauses, and the calls wait for its word.
+ * time runs, with drawn pauses, and the calls wait for its word.
  */
 import { waitFor, type Clock } from '@nettlespur/core.clock'
 import { toNettlespurError } from '@nettlespur/core.errors'
@@ -11,9 +11,9 @@
 import { BehaviorSubject } from 'rxjs'
 import type { Belief } from './callTrace.js'
 import type { BatchRouter } from './createBatchRouter.js'
+import { drawSearchPauseMs } from './drawSearchPauseMs.js'
 import { LeaderOutage } from './leaderOutage.js'
 import { LeaderSearch, type LeaderClaim } from './leaderSearch.js'
-import { SearchPauses } from './searchPauses.js'
 
 /** A member answers who leads from memory; over links of 1 ms this leaves room for a lost packet. */
 const locateTimeoutMs = 300
@@ -115,12 +115,13 @@
     if (this.#isSeeking) return
     this.#isSeeking = true
     const { signal } = this.#closing
-    const pauses = new SearchPauses(this.#opts.random)
+    const { clock, random = Math.random } = this.#opts
     const isWanted = (): boolean =>
       this.#waiting > 0 && this.leaderAddress === undefined && !signal.aborted
     while (isWanted()) {
       await this.locate()
-      if (isWanted()) await this.#opts.clock.sleep(pauses.nextMs(), signal)
+      const pauseMs = drawSearchPauseMs(this.#outage.lastedMs, random())
+      if (isWanted()) await clock.sleep(pauseMs, signal)
     }
     this.#isSeeking = false
   }
