fix: do not take a silent leader on the word of those that still name it

All eight entries doubt it after 300 ms of silence; six believe it again at once, since its followers name it for 700 ms more, and learn of the next leader, elected at 3.33 s, only at 3.5 to 3.8 s. Each search besides takes its whole 300 ms, as a suspended member never answers.

Ruled out: that the members name it too long (one election timeout, as meant).

Change: silence refutes a claim as a denial does; the member's own word, also a late one, restores it. A search ends 50 ms after a majority has answered and nobody leads.

Tests: leaderOutage 'a leader that falls silent …' (on the code before, the entry believes the silent leader at 700 ms): the read is answered within 250 ms of the election. leaderClient 'of two members …' failed once beside load (average 20): its two members are asked in real time, and one answered after the 300 ms of a search; it runs on the manual clock now, with the same check.

--- a/batch/service/src/leaderFinder.ts
+++ b/batch/service/src/leaderFinder.ts
@@ -2,7 +2,7 @@
  * Finds out which member leads, and keeps one connection to each member asked. However many calls wait, one search at a
  * time runs, with drawn pauses, and the calls wait for its word.
  */
-import { waitFor, type Clock } from '@nettlespur/core.clock'
+import { setDeadline, waitFor, type Clock, type Timer } from '@nettlespur/core.clock'
 import { toNettlespurError } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
 import { createRpcClient, limitCall, type RpcClient } from '@nettlespur/rpc.peer'
@@ -17,6 +17,11 @@
 
 /** A member answers who leads from memory; over links of 1 ms this leaves room for a lost packet. */
 const locateTimeoutMs = 300
+/**
+ * Once a majority has answered and none of it leads, the others are given this long: a suspended leader never answers,
+ * and each search would take the whole 300 ms while the next one is being elected. One that is slow is taken late.
+ */
+const stragglersMs = 50
 
 export interface LeaderFinderOptions {
   clock: Clock
@@ -50,6 +55,8 @@
   /** When each member last answered. */
   readonly #heardMs = new Map<string, number>()
   #locating: Promise<void> | undefined
+  /** The one that runs. */
+  #search: LeaderSearch | undefined
   /** When the last look at the leader ended. */
   #lookedMs = -Infinity
 
@@ -93,12 +100,17 @@
   /** The member said that it does not lead, and names who does where it knows that. */
   deny(address: string, namedAddress: string | undefined, reason: string): void {
     if (this.leaderAddress !== address || namedAddress === address) return
-    const term = this.#term ?? 0
-    this.#refutedTerms.set(address, Math.max(term, this.#refutedTerms.get(address) ?? 0))
+    this.#refute(address)
     const isNews = namedAddress !== undefined && !this.#refutedTerms.has(namedAddress)
     this.believe(isNews ? namedAddress : undefined, reason)
   }
 
+  /** No other member's word brings the belief back in its term. */
+  #refute(address: string): void {
+    const term = this.#term ?? 0
+    this.#refutedTerms.set(address, Math.max(term, this.#refutedTerms.get(address) ?? 0))
+  }
+
   /** The leader as soon as one is found; undefined after `waitMs`, or once `unwanted` is aborted. */
   async awaitLeader(waitMs: number, unwanted?: AbortSignal): Promise<string | undefined> {
     const signal = AbortSignal.any([this.#closing.signal, ...(unwanted ? [unwanted] : [])])
@@ -126,10 +138,15 @@
     this.#isSeeking = false
   }
 
-  /** The member was called at `sinceMs` and nothing has come from it: who leads is asked anew. */
+  /**
+   * The member was called at `sinceMs` and nothing has come from it: who leads is asked anew, and until it answers by
+   * itself no other's word counts for it. Its followers name a leader that is suspended for 700 ms more; of eight
+   * processes six believed them again and learned of the next leader 0.2 to 0.5 s after its election.
+   */
   doubt(address: string, sinceMs: number): void {
     const heardMs = this.#heardMs.get(address) ?? -Infinity
     if (this.leaderAddress !== address || heardMs > sinceMs) return
+    this.#refute(address)
     this.believe(undefined, `${address} has been silent`)
   }
 
@@ -191,17 +208,22 @@
   async #askMembers(): Promise<void> {
     const addresses = [...new Set([...this.#seeds, ...this.#members])]
     const search = new LeaderSearch(addresses)
+    this.#search = search
     // A member that is down would cost 300 ms: a read on a silent connection 620 ms, not 320 (manual clock).
+    let stragglers: Timer | undefined
     await new Promise<void>((resolve) => {
       const asked = addresses.map(async (address) => {
         const view = await this.#askMember(address)
         if (view !== undefined) search.note(address, view)
         if (search.isDecided) resolve()
+        if (search.hasMajority) stragglers ??= setDeadline(this.#opts.clock, stragglersMs, resolve)
       })
       void Promise.allSettled(asked).then(() => {
         resolve()
       })
     })
+    stragglers?.cancel()
+    this.#search = undefined
     this.#outage.noteSearch(search.describe())
     // Nothing was learnt: who was believed to lead may be as slow as the others.
     if (search.isUnanswered) return
@@ -225,7 +247,7 @@
       .call.batch.locateLeader.mutate(undefined, limitCall({ silentAfterMs: locateTimeoutMs }))
       .then((view) => {
         this.hear(address)
-        if (view.leaderAddress === address) this.#takeLate(address)
+        if (view.leaderAddress === address) this.#takeOwnWord(address, view)
         return view
       })
       .catch((thrown: unknown) => {
@@ -238,10 +260,10 @@
     return view
   }
 
-  /** The answer came after a search had ended without one; while one runs, newer terms are waited for. */
-  #takeLate(address: string): void {
-    if (this.#locating !== undefined || this.leaderAddress !== undefined) return
-    this.believe(address, 'it says late that it leads')
+  /** It may come after the search that asked for it: then it counts for the one that runs, or by itself. */
+  #takeOwnWord(address: string, view: LeaderView): void {
+    if (this.#search !== undefined) this.#search.note(address, view)
+    else if (this.leaderAddress === undefined) this.believe(address, 'it says late that it leads')
   }
 
   /** The connection to one member, made on first use. */
--- a/batch/service/src/leaderSearch.ts
+++ b/batch/service/src/leaderSearch.ts
@@ -38,6 +38,11 @@
     return views.length > all.size / 2
   }
 
+  /** More than half of those that were asked have answered. */
+  get hasMajority(): boolean {
+    return this.#views.size > this.#asked.length / 2
+  }
+
   get isUnanswered(): boolean {
     return this.#views.size === 0
   }
--- a/batch/service/test/leaderClient.test.ts
+++ b/batch/service/test/leaderClient.test.ts
@@ -64,11 +64,14 @@
 })
 
 test('of two members that name different leaders the one of the higher term is believed', async (t) => {
-  const [former, leader] = await startMembers(t)
-  lead(former, 1, former)
-  lead(leader, 2, leader)
-  t.true((await submit(createClient(t, [former, leader], 5000))).isRight())
-  t.deepEqual([former.submitted, leader.submitted], [[], ['j']])
+  // On the manual clock: beside load one of two answers can come after the 300 ms of a search, and not be heard in it.
+  const group = await MemberGroup.start(2, { callTimeoutMs: 5000, patienceMs: 5000 })
+  t.teardown(() => group.stop())
+  group.lead(0, 1, [0])
+  group.lead(1, 2, [1])
+  const { outcome } = await group.settle(submit(group.client))
+  t.true(outcome.isRight())
+  t.deepEqual([group.member(0).submitted, group.member(1).submitted], [[], ['j']])
 })
 
 test('a leader that has stepped down names the next one', async (t) => {
--- a/batch/service/test/leaderOutage.test.ts
+++ b/batch/service/test/leaderOutage.test.ts
@@ -96,3 +96,18 @@
     t.deepEqual([...new Set(told.map(({ kind }) => kind))], ['done'])
   })
 }
+
+test('a leader that falls silent is not taken on the word of those that still name it', async (t) => {
+  const group = await startWatchedGroup(t, all.length)
+  group.link(0).silence()
+  group.link(0).isDark = true
+  const call = { host: 'h', path: '/q/a', jobId: 'a' }
+  const read = group.client.getJobState(call, { deadlineMs }).run()
+  await group.settle(group.clock.sleep(700))
+  t.is(group.client.leaderAddress, undefined)
+  group.lead(1, 2, [1, 2, 3, 4])
+  const { outcome, tookMs } = await group.settle(read)
+  t.is(outcome.extract(), 'completed')
+  t.true(tookMs <= 250, `${tookMs} ms after the election`)
+  t.is(group.client.leaderAddress, group.link(1).address)
+})
