--- a/batch/service/src/leaderFinder.ts
+++ b/batch/service/src/leaderFinder.ts
@@ -3,20 +3,19 @@
  * time runs, with drawn pauses, and the calls wait for its word.
  */
 import { setDeadline, waitFor, type Clock, type Timer } from '@nettlespur/core.clock'
-import { toNettlespurError } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
-import { createRpcClient, limitCall, type RpcClient } from '@nettlespur/rpc.peer'
-import type { LeaderView } from './batchApi.js'
+import type { RpcClient } from '@nettlespur/rpc.peer'
 import { setMaxListeners } from 'node:events'
 import { BehaviorSubject } from 'rxjs'
+import type { LeaderView } from './batchApi.js'
 import type { Belief } from './callTrace.js'
 import type { BatchRouter } from './createBatchRouter.js'
 import { drawSearchPauseMs } from './drawSearchPauseMs.js'
 import { LeaderOutage } from './leaderOutage.js'
-import { LeaderSearch, type LeaderClaim } from './leaderSearch.js'
+import { LeaderSearch } from './leaderSearch.js'
+import { MemberClients } from './memberClients.js'
+import { RefutedClaims } from './refutedClaims.js'
 
-/** A member answers who leads from memory; over links of 1 ms this leaves room for a lost packet. */
-const locateTimeoutMs = 300
 /**
  * Once a majority has answered and none of it leads, the others are given this long: a suspended leader never answers,
  * and each search would take the whole 300 ms while the next one is being elected. One that is slow is taken late.
@@ -39,15 +38,15 @@
 
 export class LeaderFinder {
   readonly #opts: LeaderFinderOptions
-  readonly #clients = new Map<string, RpcClient<BatchRouter>>()
+  readonly #clients: MemberClients
   #seeds: readonly string[]
   #members: readonly string[] = []
   readonly #believed = new BehaviorSubject<string | undefined>(undefined)
   #believedMs = 0
   /** Of the belief, where a member named it with one. */
   #term: number | undefined
-  /** By address, the newest term in which the member was found not to lead. */
-  readonly #refutedTerms = new Map<string, number>()
+  /** No other member's word brings these back; only the member's own does. */
+  readonly #refuted = new RefutedClaims()
   readonly #outage: LeaderOutage
   readonly #closing = new AbortController()
   #waiting = 0
@@ -63,6 +62,7 @@
   constructor(opts: LeaderFinderOptions) {
     this.#opts = opts
     this.#seeds = opts.seeds
+    this.#clients = new MemberClients(opts)
     this.#outage = new LeaderOutage(opts)
     setMaxListeners(0, this.#closing.signal)
   }
@@ -78,7 +78,7 @@
 
   close(): void {
     this.#closing.abort()
-    for (const client of this.#clients.values()) client.close()
+    this.#clients.close()
   }
 
   /** What is known of the time without a leader. */
@@ -100,17 +100,11 @@
   /** The member said that it does not lead, and names who does where it knows that. */
   deny(address: string, namedAddress: string | undefined, reason: string): void {
     if (this.leaderAddress !== address || namedAddress === address) return
-    this.#refute(address)
-    const isNews = namedAddress !== undefined && !this.#refutedTerms.has(namedAddress)
+    this.#refuted.add(address, this.#term)
+    const isNews = namedAddress !== undefined && !this.#refuted.knows(namedAddress)
     this.believe(isNews ? namedAddress : undefined, reason)
   }
 
-  /** No other member's word brings the belief back in its term. */
-  #refute(address: string): void {
-    const term = this.#term ?? 0
-    this.#refutedTerms.set(address, Math.max(term, this.#refutedTerms.get(address) ?? 0))
-  }
-
   /** The leader as soon as one is found; undefined after `waitMs`, or once `unwanted` is aborted. */
   async awaitLeader(waitMs: number, unwanted?: AbortSignal): Promise<string | undefined> {
     const signal = AbortSignal.any([this.#closing.signal, ...(unwanted ? [unwanted] : [])])
@@ -146,7 +140,7 @@
   doubt(address: string, sinceMs: number): void {
     const heardMs = this.#heardMs.get(address) ?? -Infinity
     if (this.leaderAddress !== address || heardMs > sinceMs) return
-    this.#refute(address)
+    this.#refuted.add(address, this.#term)
     this.believe(undefined, `${address} has been silent`)
   }
 
@@ -229,50 +223,26 @@
     if (search.isUnanswered) return
     const { memberAddresses } = search
     if (memberAddresses.length > 0) this.#members = memberAddresses
-    const claim = search.findLeader((other) => this.#isRefuted(other))
+    const claim = search.findLeader((other) => this.#refuted.has(other))
     this.believe(claim?.address, search.describe(), claim?.term)
   }
 
-  #isRefuted({ address, term }: LeaderClaim): boolean {
-    const refutedTerm = this.#refutedTerms.get(address)
-    return refutedTerm !== undefined && refutedTerm >= term
-  }
-
-  /** A member that says nothing may be up behind a connection gone silent: the next search opens another. */
-  async #askMember(address: string): Promise<LeaderView | undefined> {
-    const { clock } = this.#opts
-    const answered = new AbortController()
-    const late = clock.sleep(locateTimeoutMs, answered.signal).then(() => undefined)
-    const asked = this.client(address)
-      .call.batch.locateLeader.mutate(undefined, limitCall({ silentAfterMs: locateTimeoutMs }))
-      .then((view) => {
-        this.hear(address)
-        if (view.leaderAddress === address) this.#takeOwnWord(address, view)
-        return view
-      })
-      .catch((thrown: unknown) => {
-        const reason = toNettlespurError(thrown).message
-        this.#opts.logger.debug({ event: 'member.silent', address, reason })
-        return undefined
-      })
-    const view = await Promise.race([asked, late])
-    answered.abort()
-    return view
+  #askMember(address: string): Promise<LeaderView | undefined> {
+    return this.#clients.askLeader(address, (view) => {
+      this.hear(address)
+      if (view.leaderAddress === address) this.#takeOwnWord(address, view)
+    })
   }
 
   /** It may come after the search that asked for it: then it counts for the one that runs, or by itself. */
   #takeOwnWord(address: string, view: LeaderView): void {
     if (this.#search !== undefined) this.#search.note(address, view)
-    else if (this.leaderAddress === undefined) this.believe(address, 'it says late that it leads')
+    else if (this.leaderAddress === undefined)
+      this.believe(address, 'it says late that it leads', view.term)
   }
 
-  /** The connection to one member, made on first use. */
+  /** The connection to one member. */
   client(address: string): RpcClient<BatchRouter> {
-    const known = this.#clients.get(address)
-    if (known !== undefined) return known
-    const { callTimeoutMs: timeoutMs } = this.#opts
-    const client = createRpcClient<BatchRouter>({ ...this.#opts, address, timeoutMs })
-    this.#clients.set(address, client)
-    return client
+    return this.#clients.get(address)
   }
 }
