fix: look for what to stop for three urgent units a round at most

Cause: each waiting urgent unit beyond its guarantee had the round go over all that runs.

Change: three looks a round, by rank; the next round goes on.

--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -21,6 +21,12 @@
  */
 const reservationsMax = 3
 
+/**
+ * Urgent units beyond their guarantee for which a round looks for something to stop, the first in rank. Each look goes
+ * over all that runs: without a bound a round of a crowded day of 245 upstreams took 82 to 86 ms at the 99th percentile.
+ */
+const urgentLooksMax = 3
+
 export function planRound(view: SchedulerView): RoundDecision {
   const guaranteed = listGuaranteed(view.jobs, view.guarantees)
   const book = new RoomBook(view.rooms, view.nowMs)
@@ -41,6 +47,7 @@
   /** What may be stopped; listed when first needed. */
   #groups: readonly VictimGroup[] | undefined
   #reservations = 0
+  #urgentLooks = 0
 
   constructor(view: SchedulerView, guaranteed: ReadonlySet<string>, book: RoomBook) {
     this.#view = view
@@ -100,6 +107,7 @@
   #makeRoom(unit: RankedUnit): boolean {
     const costMaxCoreSeconds = limitStopCost(unit)
     if (costMaxCoreSeconds === 0) return false
+    if (!unit.isGuaranteed && ++this.#urgentLooks > urgentLooksMax) return false
     const groups = (this.#groups ??= listVictimGroups(this.#view, this.#guaranteed))
     const choice = chooseVictims({ unit, book: this.#book, groups, costMaxCoreSeconds })
     if (choice === undefined) return false
--- a/batch/scheduler/test/planRound.test.ts
+++ b/batch/scheduler/test/planRound.test.ts
@@ -99,6 +99,18 @@
   t.true(stopped.every(({ forJobId, isGuaranteed }) => forJobId === 'urgent' && !isGuaranteed))
 })
 
+test('a round stops others for three urgent jobs at most, and the next one goes on', (t) => {
+  const fleet = new Fleet('r1', 'r1', 'r1', 'r1', 'r1', 'r1', 'r1')
+  fleet.submit(createJob('small', { taskCount: 56 }))
+  fleet.decide()
+  // Two are guaranteed, the other five are beyond it.
+  for (const at of [0, 1, 2, 3, 4, 5, 6]) {
+    fleet.submit(createJob(`urgent${at}`, createGang(1, 8)), 0)
+  }
+  const helped = () => new Set(fleet.decide().preemptions.map(({ forJobId }) => forJobId)).size
+  t.is(helped(), 2 + 3)
+})
+
 test('only as many are stopped as are needed', (t) => {
   const fleet = new Fleet('r1', 'r1')
   for (const at of [0, 1, 2, 3]) fleet.submit(createJob(`borrower${at}`, createGang(1, 4)))
