refactor: index what may be stopped once a round, and spare runs in one place

Cause: the read-through found the sparing of what need not be stopped written twice (chooseVictims, RoomFreeing), a sum of costs beside `sumCost`, and the index by upstream made anew from all runs for each rack of each unit that looks.

Change: VictimIndex is made once a round and again only after something is stopped; `spareDearest` and `sumCost` stand once; `fits` follows from `missing`; the urgent priority is one constant; #makeRoom leaves the stop itself to #stop.

Ruled out: dropping the bound of three looks a round: it stays as it is.

--- a/batch/scheduler/src/chooseVictims.ts
+++ b/batch/scheduler/src/chooseVictims.ts
@@ -4,11 +4,13 @@
  * that needs several of them side by side. Members of a gang are stopped together, as one that is stopped ends
  * the rest; the room of all of them counts.
  */
-import { RoomFreeing } from './roomFreeing.js'
 import { trackScopes, type FitScope } from './fitTracker.js'
-import type { VictimGroup } from './listVictimGroups.js'
+import { sumCost, type VictimGroup } from './listVictimGroups.js'
 import type { RoomBook } from './roomBook.js'
+import { RoomFreeing } from './roomFreeing.js'
+import { spareDearest } from './spareDearest.js'
 import type { StartUnit } from './startUnit.js'
+import type { VictimIndex } from './victimIndex.js'
 
 export interface VictimChoice {
   readonly victims: readonly VictimGroup[]
@@ -18,8 +20,8 @@
 export interface ChooseVictimsOptions {
   unit: StartUnit
   book: RoomBook
-  /** What may be stopped, the cheapest for the room it gives first. */
-  groups: readonly VictimGroup[]
+  /** What may be stopped. */
+  victims: VictimIndex
   /** What may be thrown away for the unit. */
   costMaxCoreSeconds: number
 }
@@ -28,40 +30,24 @@
 export function chooseVictims({
   unit,
   book,
-  groups,
+  victims,
   costMaxCoreSeconds,
 }: ChooseVictimsOptions): VictimChoice | undefined {
   const scopes = trackScopes(unit, book, ({ soon }) => soon)
-  const choices = scopes.flatMap((scope) => stopUntilFits(scope, groups) ?? [])
+  const choices = scopes.flatMap((scope) => stopUntilFits(scope, victims) ?? [])
   const [best] = choices.sort((left, right) => sumCost(left.victims) - sumCost(right.victims))
   return best !== undefined && sumCost(best.victims) <= costMaxCoreSeconds ? best : undefined
 }
 
 /** Stops what is cheapest until the unit fits, then spares what is not needed after all. */
-function stopUntilFits(scope: FitScope, groups: readonly VictimGroup[]): VictimChoice | undefined {
-  const freeing = new RoomFreeing(scope, groups)
+function stopUntilFits(scope: FitScope, from: VictimIndex): VictimChoice | undefined {
+  const freeing = new RoomFreeing(scope, from)
   const stopped: VictimGroup[] = []
   while (!scope.fits) {
     const cheapest = freeing.takeCheapest()
     if (cheapest === undefined) return undefined
     stopped.push(...cheapest)
   }
-  const victims = spare(scope, stopped)
+  const victims = spareDearest(scope, stopped, () => scope.fits)
   return { victims, places: scope.choosePlaces() }
 }
-
-/** The dearest are spared first. */
-function spare(scope: FitScope, stopped: readonly VictimGroup[]): VictimGroup[] {
-  const dearFirst = [...stopped].sort((left, right) => right.costCoreSeconds - left.costCoreSeconds)
-  return dearFirst.filter((group) => {
-    scope.change(group.runs, group.needs, -1)
-    if (scope.fits) return false
-    scope.change(group.runs, group.needs, 1)
-    return true
-  })
-}
-
-/** Of all that is stopped, in core-seconds. */
-export function sumCost(victims: readonly VictimGroup[]): number {
-  return victims.reduce((sum, { costCoreSeconds }) => sum + costCoreSeconds, 0)
-}
--- a/batch/scheduler/src/fitTracker.ts
+++ b/batch/scheduler/src/fitTracker.ts
@@ -38,7 +38,7 @@
   }
 
   get fits(): boolean {
-    return this.#total >= this.#unit.waiting.length
+    return this.missing === 0
   }
 
   /** Tasks of the unit that find no place. */
--- a/batch/scheduler/src/limitStopCost.ts
+++ b/batch/scheduler/src/limitStopCost.ts
@@ -10,7 +10,7 @@
 import { measureCores } from './resources.js'
 
 /** Queues of this priority have somebody waiting for the answer. */
-const urgentPriority = 0
+export const urgentPriority = 0
 const millisecondsPerSecond = 1000
 
 /** In core-seconds; 0 where nothing may be stopped. */
--- a/batch/scheduler/src/listVictimGroups.ts
+++ b/batch/scheduler/src/listVictimGroups.ts
@@ -1,6 +1,7 @@
 /** Which runs may be stopped for guaranteed work: all but those that are guaranteed themselves. */
 import { runKey, type Resources } from '@nettlespur/batch.model'
 import type { JobRecord, Placement } from '@nettlespur/batch.state'
+import { urgentPriority } from './limitStopCost.js'
 import type { ActiveRun, SchedulerView } from './schedulerView.js'
 
 /** Runs that can only be stopped together. */
@@ -34,7 +35,7 @@
   const step = job.request.steps[placement.step]
   if (step === undefined) return
   const key = groupKey(placement, step.isGang)
-  const weight = job.queue.priority === 0 ? urgentCostTimes : 1
+  const weight = job.queue.priority === urgentPriority ? urgentCostTimes : 1
   const group = groups.get(key) ?? { runs: [], needs: step.needs, costCoreSeconds: 0 }
   group.runs.push(placement)
   group.costCoreSeconds += stopCostCoreSeconds * weight
@@ -46,6 +47,11 @@
   return isGang ? `${run.jobId}/${run.step}#${run.attempt}` : runKey(run)
 }
 
+/** Of all that is stopped, in core-seconds. */
+export function sumCost(groups: readonly VictimGroup[]): number {
+  return groups.reduce((sum, { costCoreSeconds }) => sum + costCoreSeconds, 0)
+}
+
 /** Cost for each accelerator that comes free. */
 function priceOf({ runs, needs, costCoreSeconds }: VictimGroup): number {
   return costCoreSeconds / Math.max(1, runs.length * needs.accelerators)
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -5,15 +5,16 @@
 import type { Placement } from '@nettlespur/batch.state'
 import { choosePlaces } from './choosePlaces.js'
 import { chooseVictims } from './chooseVictims.js'
+import { limitStopCost } from './limitStopCost.js'
 import { listGuaranteed } from './listGuaranteed.js'
 import { listVictimGroups, type VictimGroup } from './listVictimGroups.js'
-import { limitStopCost } from './limitStopCost.js'
 import { orderUnits, type RankedUnit } from './orderUnits.js'
 import { putOverdueFirst } from './putOverdueFirst.js'
 import { reserveGang } from './reserveGang.js'
 import { RoomBook } from './roomBook.js'
 import type { ActiveRun, Preemption, RoundDecision, SchedulerView } from './schedulerView.js'
 import { placeUnit } from './startUnit.js'
+import { VictimIndex } from './victimIndex.js'
 
 /**
  * Gangs that room is kept for at a time. With three, jobs earned 0.46 of what they could, with none 0.37: the
@@ -45,7 +46,7 @@
   /** Those that this round starts included, by their expected ends; listed when first needed. */
   #runs: ActiveRun[] | undefined
   /** What may be stopped; listed when first needed. */
-  #groups: readonly VictimGroup[] | undefined
+  #victims: VictimIndex | undefined
   #reservations = 0
   #urgentLooks = 0
 
@@ -108,18 +109,25 @@
     const costMaxCoreSeconds = limitStopCost(unit)
     if (costMaxCoreSeconds === 0) return false
     if (!unit.isGuaranteed && ++this.#urgentLooks > urgentLooksMax) return false
-    const groups = (this.#groups ??= listVictimGroups(this.#view, this.#guaranteed))
-    const choice = chooseVictims({ unit, book: this.#book, groups, costMaxCoreSeconds })
+    const victims = (this.#victims ??= this.#indexVictims())
+    const choice = chooseVictims({ unit, book: this.#book, victims, costMaxCoreSeconds })
     if (choice === undefined) return false
-    const stopped = new Set(choice.victims)
-    this.#groups = groups.filter((group) => !stopped.has(group))
-    for (const { runs, needs, costCoreSeconds } of choice.victims) {
-      const preemption = { forJobId: unit.job.request.jobId, isGuaranteed: unit.isGuaranteed }
-      const lostCoreSeconds = costCoreSeconds / runs.length
-      this.preemptions.push(...runs.map((run) => ({ run, lostCoreSeconds, ...preemption })))
-      for (const { upstreamId } of runs) this.#book.giveBackSoon(upstreamId, needs)
-    }
+    if (choice.victims.length > 0) this.#victims = victims.without(choice.victims)
+    for (const group of choice.victims) this.#stop(group, unit)
     this.#book.take(choice.places, unit.step)
     return true
   }
+
+  #indexVictims(): VictimIndex {
+    return new VictimIndex(listVictimGroups(this.#view, this.#guaranteed))
+  }
+
+  #stop({ runs, needs, costCoreSeconds }: VictimGroup, { job, isGuaranteed }: RankedUnit): void {
+    const forJobId = job.request.jobId
+    const lostCoreSeconds = costCoreSeconds / runs.length
+    for (const run of runs) {
+      this.preemptions.push({ run, forJobId, isGuaranteed, lostCoreSeconds })
+      this.#book.giveBackSoon(run.upstreamId, needs)
+    }
+  }
 }
--- a/batch/scheduler/src/roomFreeing.ts
+++ b/batch/scheduler/src/roomFreeing.ts
@@ -3,7 +3,9 @@
  * worked out when it is first needed and again only once something on it has changed.
  */
 import type { FitScope } from './fitTracker.js'
-import type { VictimGroup } from './listVictimGroups.js'
+import { sumCost, type VictimGroup } from './listVictimGroups.js'
+import { spareDearest } from './spareDearest.js'
+import { upstreamsOf, type VictimIndex } from './victimIndex.js'
 
 /** What has to be stopped for one or more tasks on an upstream. */
 interface Offer {
@@ -13,17 +15,15 @@
 
 export class RoomFreeing {
   readonly #scope: FitScope
-  /** What may still be stopped on each upstream, the cheapest first. */
-  readonly #groups = new Map<string, VictimGroup[]>()
+  readonly #victims: VictimIndex
+  readonly #upstreamIds: readonly string[]
+  readonly #taken = new Set<VictimGroup>()
   readonly #offers = new Map<string, Offer | undefined>()
 
-  constructor(scope: FitScope, groups: readonly VictimGroup[]) {
+  constructor(scope: FitScope, victims: VictimIndex) {
     this.#scope = scope
-    for (const group of groups) {
-      for (const upstreamId of upstreamsOf(group)) {
-        if (scope.has(upstreamId)) this.#groupsOn(upstreamId).push(group)
-      }
-    }
+    this.#victims = victims
+    this.#upstreamIds = victims.upstreamIds.filter((upstreamId) => scope.has(upstreamId))
   }
 
   /** Gives the room of the groups back to the scope; undefined where no upstream can be freed for another task. */
@@ -34,17 +34,9 @@
     return best.groups
   }
 
-  #groupsOn(upstreamId: string): VictimGroup[] {
-    const known = this.#groups.get(upstreamId)
-    if (known !== undefined) return known
-    const fresh: VictimGroup[] = []
-    this.#groups.set(upstreamId, fresh)
-    return fresh
-  }
-
   #findBest(): Offer | undefined {
     let best: Offer | undefined
-    for (const upstreamId of this.#groups.keys()) {
+    for (const upstreamId of this.#upstreamIds) {
       if (!this.#offers.has(upstreamId)) this.#offers.set(upstreamId, this.#makeOffer(upstreamId))
       const offer = this.#offers.get(upstreamId)
       if (offer !== undefined && offer.costPerTask < (best?.costPerTask ?? Infinity)) best = offer
@@ -54,12 +46,8 @@
 
   #take(group: VictimGroup): void {
     this.#scope.change(group.runs, group.needs, 1)
-    for (const upstreamId of upstreamsOf(group)) {
-      if (!this.#scope.has(upstreamId)) continue
-      this.#offers.delete(upstreamId)
-      const left = this.#groupsOn(upstreamId).filter((other) => other !== group)
-      this.#groups.set(upstreamId, left)
-    }
+    this.#taken.add(group)
+    for (const upstreamId of upstreamsOf(group)) this.#offers.delete(upstreamId)
   }
 
   /** The scope is left as it was. */
@@ -69,29 +57,16 @@
     const missingBefore = scope.missing
     const hasGained = (): boolean => scope.countOn(upstreamId) > countBefore
     const tried: VictimGroup[] = []
-    for (const group of this.#groupsOn(upstreamId)) {
+    for (const group of this.#victims.on(upstreamId)) {
       if (hasGained()) break
+      if (this.#taken.has(group)) continue
       scope.change(group.runs, group.needs, 1)
       tried.push(group)
     }
-    const dearFirst = [...tried].sort((left, right) => right.costCoreSeconds - left.costCoreSeconds)
-    const groups = hasGained() ? dearFirst.filter((group) => !this.#spare(group, hasGained)) : []
+    const isPossible = hasGained()
+    const groups = isPossible ? spareDearest(scope, tried, hasGained) : tried
     const gained = missingBefore - scope.missing
-    for (const group of hasGained() ? groups : tried) scope.change(group.runs, group.needs, -1)
-    if (groups.length === 0) return undefined
-    const cost = groups.reduce((sum, { costCoreSeconds }) => sum + costCoreSeconds, 0)
-    return { groups, costPerTask: cost / Math.max(1, gained) }
+    for (const group of groups) scope.change(group.runs, group.needs, -1)
+    return isPossible ? { groups, costPerTask: sumCost(groups) / Math.max(1, gained) } : undefined
   }
-
-  /** Whether the rest would do without the group; it is then running again. */
-  #spare({ runs, needs }: VictimGroup, isEnough: () => boolean): boolean {
-    this.#scope.change(runs, needs, -1)
-    if (isEnough()) return true
-    this.#scope.change(runs, needs, 1)
-    return false
-  }
-}
-
-function upstreamsOf({ runs }: VictimGroup): Set<string> {
-  return new Set(runs.map(({ upstreamId }) => upstreamId))
 }
--- /dev/null
+++ b/batch/scheduler/src/spareDearest.ts
@@ -0,0 +1,18 @@
+/** Takes back stops that turn out not to be needed. */
+import type { FitScope } from './fitTracker.js'
+import type { VictimGroup } from './listVictimGroups.js'
+
+/** Gives the groups that are needed for `isEnough`; the dearest are spared first, and their room is taken again. */
+export function spareDearest(
+  scope: FitScope,
+  stopped: readonly VictimGroup[],
+  isEnough: () => boolean,
+): VictimGroup[] {
+  const dearFirst = [...stopped].sort((left, right) => right.costCoreSeconds - left.costCoreSeconds)
+  return dearFirst.filter((group) => {
+    scope.change(group.runs, group.needs, -1)
+    if (isEnough()) return false
+    scope.change(group.runs, group.needs, 1)
+    return true
+  })
+}
