refactor: one cache of clients by address, and a finder without twins of its own

Change: `RpcClients` in rpc/peer serves both; MemberClients is that with the question who leads.

Ruled out: letting a look that is denied refute as `deny` does, which would change what is believed.

--- a/batch/service/__utils__/startWatchedGroup.ts
+++ b/batch/service/__utils__/startWatchedGroup.ts
@@ -1,4 +1,4 @@
-/** Three members or as many as are asked for, of which the first leads, and a client that keeps its way to the leader fresh. */
+/** Some members of which the first leads, and a client that keeps its way to the leader fresh. */
 import type { ExecutionContext } from 'ava'
 import { MemberGroup } from './memberGroup.js'
 
--- a/batch/service/src/drawSearchPauseMs.ts
+++ b/batch/service/src/drawSearchPauseMs.ts
@@ -4,9 +4,8 @@
  * In an outage of 6 s a process with callers searches at most 45 times, its idle looks included: 97 processes cost
  * each member 730 small calls a second at most, answered from memory.
  */
+import { electionsMs } from './leaderOutage.js'
 
-/** As long as an election and a second one may take. */
-const soonMs = 2000
 const soonPauseMs = 150
 const latePauseMs = 400
 /** Pauses are drawn from this share of their length up to the whole. */
@@ -14,6 +13,6 @@
 
 /** `random` is a number in [0, 1). */
 export function drawSearchPauseMs(outageMs: number, random: number): number {
-  const lengthMs = outageMs < soonMs ? soonPauseMs : latePauseMs
+  const lengthMs = outageMs < electionsMs ? soonPauseMs : latePauseMs
   return lengthMs * (leastShare + (1 - leastShare) * random)
 }
--- a/batch/service/src/leaderFinder.ts
+++ b/batch/service/src/leaderFinder.ts
@@ -37,6 +37,8 @@
 }
 
 export class LeaderFinder {
+  /** What is known of the time without a leader. */
+  readonly outage: LeaderOutage
   readonly #opts: LeaderFinderOptions
   readonly #clients: MemberClients
   #seeds: readonly string[]
@@ -47,7 +49,6 @@
   #term: number | undefined
   /** No other member's word brings these back; only the member's own does. */
   readonly #refuted = new RefutedClaims()
-  readonly #outage: LeaderOutage
   readonly #closing = new AbortController()
   #waiting = 0
   #isSeeking = false
@@ -63,7 +64,7 @@
     this.#opts = opts
     this.#seeds = opts.seeds
     this.#clients = new MemberClients(opts)
-    this.#outage = new LeaderOutage(opts)
+    this.outage = new LeaderOutage(opts)
     setMaxListeners(0, this.#closing.signal)
   }
 
@@ -81,23 +82,18 @@
     this.#clients.close()
   }
 
-  /** What is known of the time without a leader. */
-  get outage(): LeaderOutage {
-    return this.#outage
-  }
-
   /** `reason` is for the log. */
   believe(address: string | undefined, reason: string, term?: number): void {
     const before = this.leaderAddress
     if (before === address) return
     this.#term = term
     this.#believedMs = this.#opts.clock.monotonicMs()
-    if (address === undefined) this.#outage.begin(before, reason)
-    else this.#outage.end(address, reason)
+    if (address === undefined) this.outage.begin(before, reason)
+    else this.outage.end(address, reason)
     this.#believed.next(address)
   }
 
-  /** The member said that it does not lead, and names who does where it knows that. */
+  /** The member gave no answer, or one that denies that it leads and may name who does. */
   deny(address: string, namedAddress: string | undefined, reason: string): void {
     if (this.leaderAddress !== address || namedAddress === address) return
     this.#refuted.add(address, this.#term)
@@ -125,8 +121,8 @@
     const isWanted = (): boolean =>
       this.#waiting > 0 && this.leaderAddress === undefined && !signal.aborted
     while (isWanted()) {
-      await this.locate()
-      const pauseMs = drawSearchPauseMs(this.#outage.lastedMs, random())
+      await this.#locate()
+      const pauseMs = drawSearchPauseMs(this.outage.lastedMs, random())
       if (isWanted()) await clock.sleep(pauseMs, signal)
     }
     this.#isSeeking = false
@@ -139,9 +135,7 @@
    */
   doubt(address: string, sinceMs: number): void {
     const heardMs = this.#heardMs.get(address) ?? -Infinity
-    if (this.leaderAddress !== address || heardMs > sinceMs) return
-    this.#refuted.add(address, this.#term)
-    this.believe(undefined, `${address} has been silent`)
+    if (heardMs <= sinceMs) this.deny(address, undefined, `${address} has been silent`)
   }
 
   /** What is known of a member before it is called. */
@@ -186,17 +180,16 @@
       const isDenied = view !== undefined && this.leaderAddress === address
       if (isDenied) this.believe(undefined, 'it does not say that it leads')
     }
-    await this.locate()
+    await this.#locate()
     return false
   }
 
-  /** Asks all members known; callers that come meanwhile share the answer. */
-  async locate(): Promise<string | undefined> {
+  /** Asks all members known; who comes meanwhile shares the search. */
+  #locate(): Promise<void> {
     this.#locating ??= this.#askMembers().finally(() => {
       this.#locating = undefined
     })
-    await this.#locating
-    return this.leaderAddress
+    return this.#locating
   }
 
   async #askMembers(): Promise<void> {
@@ -218,7 +211,7 @@
     })
     stragglers?.cancel()
     this.#search = undefined
-    this.#outage.noteSearch(search.describe())
+    this.outage.noteSearch(search.describe())
     // Nothing was learnt: who was believed to lead may be as slow as the others.
     if (search.isUnanswered) return
     const { memberAddresses } = search
--- a/batch/service/src/leaderOutage.ts
+++ b/batch/service/src/leaderOutage.ts
@@ -11,7 +11,7 @@
  * An election takes 0.7 to 1.1 s from the leader's last word, and a second one follows where the first found no
  * majority. A call that comes before may still be answered; what lasts longer waits for a restart or the end of a cut.
  */
-const electionsMs = 2000
+export const electionsMs = 2000
 /** A search that ended longer ago says nothing of now. */
 const freshMs = 1000
 /** Most elections are over by then. */
--- a/batch/service/src/memberClients.ts
+++ b/batch/service/src/memberClients.ts
@@ -1,6 +1,8 @@
-/** One connection to each member that is asked or called, made on first use. */
+/** The connections to the members, and the question whom each says to lead. */
+import type { Clock } from '@nettlespur/core.clock'
 import { toNettlespurError } from '@nettlespur/core.errors'
-import { createRpcClient, limitCall, type RpcClient } from '@nettlespur/rpc.peer'
+import type { Logger } from '@nettlespur/core.logger'
+import { limitCall, RpcClients } from '@nettlespur/rpc.peer'
 import type { LeaderView } from './batchApi.js'
 import type { BatchRouter } from './createBatchRouter.js'
 import type { LeaderFinderOptions } from './leaderFinder.js'
@@ -8,21 +10,14 @@
 /** A member answers who leads from memory; over links of 1 ms this leaves room for a lost packet. */
 const locateTimeoutMs = 300
 
-export class MemberClients {
-  readonly #opts: LeaderFinderOptions
-  readonly #byAddress = new Map<string, RpcClient<BatchRouter>>()
+export class MemberClients extends RpcClients<BatchRouter> {
+  readonly #clock: Clock
+  readonly #logger: Logger
 
   constructor(opts: LeaderFinderOptions) {
-    this.#opts = opts
-  }
-
-  get(address: string): RpcClient<BatchRouter> {
-    const known = this.#byAddress.get(address)
-    if (known !== undefined) return known
-    const { callTimeoutMs: timeoutMs } = this.#opts
-    const client = createRpcClient<BatchRouter>({ ...this.#opts, address, timeoutMs })
-    this.#byAddress.set(address, client)
-    return client
+    super({ ...opts, timeoutMs: opts.callTimeoutMs })
+    this.#clock = opts.clock
+    this.#logger = opts.logger
   }
 
   /**
@@ -34,7 +29,7 @@
     onAnswer: (view: LeaderView) => void,
   ): Promise<LeaderView | undefined> {
     const answered = new AbortController()
-    const late = this.#opts.clock.sleep(locateTimeoutMs, answered.signal).then(() => undefined)
+    const late = this.#clock.sleep(locateTimeoutMs, answered.signal).then(() => undefined)
     const asked = this.get(address)
       .call.batch.locateLeader.mutate(undefined, limitCall({ silentAfterMs: locateTimeoutMs }))
       .then((view) => {
@@ -43,15 +38,11 @@
       })
       .catch((thrown: unknown) => {
         const reason = toNettlespurError(thrown).message
-        this.#opts.logger.debug({ event: 'member.silent', address, reason })
+        this.#logger.debug({ event: 'member.silent', address, reason })
         return undefined
       })
     const view = await Promise.race([asked, late])
     answered.abort()
     return view
   }
-
-  close(): void {
-    for (const client of this.#byAddress.values()) client.close()
-  }
 }
--- a/bench/policy/src/boundEarnings.ts
+++ b/bench/policy/src/boundEarnings.ts
@@ -9,9 +9,8 @@
  * For one of them it is best to admit jobs by their worth for each accelerator-second, as much of each as fits beside
  * those before it.
  */
+import { finishMs, type CrowdedDay, type DayJob } from './crowdedDay.js'
 import { acceleratorsPerUpstream } from './deployment.js'
-import type { CrowdedDay, DayJob } from './crowdedDay.js'
-import { finishMs } from './playDay.js'
 import { lateLimitTimes, measureObjectiveMs } from './sumEarnings.js'
 import { WorkSlots, type Work } from './workSlots.js'
 
--- a/bench/policy/src/crowdedDay.ts
+++ b/bench/policy/src/crowdedDay.ts
@@ -36,6 +36,8 @@
 
 /** About the length of an hour's peak as its users replay it. */
 const lengthMs = 34_000
+/** After the last arrival jobs have this long to end. */
+export const finishMs = 14_000
 const burstMs = 5000
 const burstTimes = 2
 const lossesPerDay = 2
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -5,7 +5,7 @@
 import type { RunTrack } from '@nettlespur/batch.sessions'
 import { BatchState, type Placement, type RunEnd, type RunOutcome } from '@nettlespur/batch.state'
 import { SeededRandom } from '@nettlespur/bench.placement'
-import type { CrowdedDay, DayJob } from './crowdedDay.js'
+import { finishMs, type CrowdedDay, type DayJob } from './crowdedDay.js'
 import { HeldUpWatch } from './heldUpWatch.js'
 import { sumEarnings, type JobEnd, type KindEarnings } from './sumEarnings.js'
 
@@ -13,8 +13,6 @@
 const stepMs = 50
 /** From a placement to the task at work, and from a stop to its end: a commit, a call, an answer. */
 const orderMs = 40
-/** After the last arrival jobs have this long to end. */
-export const finishMs = 14_000
 /** A task outside its rack takes this many times as long. */
 const remoteTimes = 3
 const checkpointMs = 2000
--- a/consensus/raft/src/confirmLeadership.ts
+++ b/consensus/raft/src/confirmLeadership.ts
@@ -4,11 +4,11 @@
  * timeout of its own clock, counted here from when the request was sent. Clocks may run apart by
  * `clockDriftShare` at the most.
  */
+import { waitFor } from '@nettlespur/core.clock'
 import { NettlespurError } from '@nettlespur/core.errors'
 import { startWith } from 'rxjs'
 import { createNoQuorum, type Leader } from './leader.js'
 import type { ReadStep } from './readWatch.js'
-import { waitFor } from '@nettlespur/core.clock'
 
 const clockDriftShare = 0.1
 
--- a/consensus/raft/src/election.ts
+++ b/consensus/raft/src/election.ts
@@ -8,12 +8,6 @@
 /** How much longer than the shortest the longest wait is, so that few stand at the same time. */
 const spreadShare = 0.5
 
-/**
- * The shortest wait of a member that has heard no leader since its start, in heartbeats: a leader that lives reaches it
- * within one, and the others refuse to unseat that leader anyway. The longest is twice as long.
- */
-const freshWaitHeartbeats = 1
-
 /** Takes over the leadership of the present term; given the disks of those who voted. */
 export type StartLeading = (disks: ReadonlyMap<string, string>) => void
 
@@ -36,11 +30,15 @@
     }
   }
 
+  /**
+   * A member that has heard no leader since its start waits for one to two heartbeats: a leader that lives reaches it
+   * within one, and the others refuse to unseat that leader anyway.
+   */
   #drawWaitMs(): number {
     const { isFresh, opts } = this.#replica
     const { heartbeatMs, electionTimeoutMs } = opts.timings
     const random = this.#replica.random()
-    if (isFresh) return heartbeatMs * freshWaitHeartbeats * (1 + random)
+    if (isFresh) return heartbeatMs * (1 + random)
     return electionTimeoutMs * (1 + random * spreadShare)
   }
 
--- a/consensus/raft/src/membershipKeeper.ts
+++ b/consensus/raft/src/membershipKeeper.ts
@@ -2,12 +2,12 @@
  * Changes the membership, one change at a time. A change of voters goes through a joint entry, under which
  * both majorities count; any later leader finishes it.
  */
+import { waitFor } from '@nettlespur/core.clock'
 import { NettlespurError } from '@nettlespur/core.errors'
 import type { Leader } from './leader.js'
 import { findMember, type Member, type Membership } from './member.js'
 import { pickMembershipChange, type MemberFacts } from './pickMembershipChange.js'
 import { hasQuorum } from './quorum.js'
-import { waitFor } from '@nettlespur/core.clock'
 
 const readyLagEntries = 64
 const readySilenceTimeouts = 1
--- a/consensus/raft/src/transferLeadership.ts
+++ b/consensus/raft/src/transferLeadership.ts
@@ -2,11 +2,10 @@
  * Hands the leadership to a voter before a planned stop: to the one that is furthest on, and to the next one
  * where that does not take it.
  */
-import type { Clock } from '@nettlespur/core.clock'
+import { waitFor, type Clock } from '@nettlespur/core.clock'
 import { startWith } from 'rxjs'
 import type { Leader } from './leader.js'
 import { isVoter, type Member } from './member.js'
-import { waitFor } from '@nettlespur/core.clock'
 
 /** In election timeouts: one to hear of a voter that could lead, one until that is elected. */
 const handOverTimeouts = 2
--- a/control/log/src/rpcTransport.ts
+++ b/control/log/src/rpcTransport.ts
@@ -15,7 +15,7 @@
 } from '@nettlespur/consensus.raft'
 import type { Clock } from '@nettlespur/core.clock'
 import { unwrap, type RpcResult } from '@nettlespur/core.errors'
-import { callPeer, createRpcClient, type RpcClient } from '@nettlespur/rpc.peer'
+import { callPeer, RpcClients, type RpcClient } from '@nettlespur/rpc.peer'
 import type { RaftRouter } from './createRaftRouter.js'
 import { toWireAppend, toWireInstall } from './raftWire.js'
 
@@ -32,12 +32,11 @@
 type Caller = RpcClient<RaftRouter>['call']['raft']
 
 export class RpcTransport extends RaftTransport {
-  readonly #opts: RpcTransportOptions
-  readonly #clients = new Map<string, RpcClient<RaftRouter>>()
+  readonly #clients: RpcClients<RaftRouter>
 
   constructor(opts: RpcTransportOptions) {
     super()
-    this.#opts = opts
+    this.#clients = new RpcClients(opts)
   }
 
   requestVote(to: Member, request: VoteRequest): Promise<VoteAnswer> {
@@ -59,22 +58,14 @@
   }
 
   close(): void {
-    for (const client of this.#clients.values()) client.close()
+    this.#clients.close()
   }
 
   async #call<T>(
     { peerAddress }: Member,
     run: (call: Caller) => Promise<RpcResult<T>>,
   ): Promise<T> {
-    const client = this.#getClient(peerAddress)
+    const client = this.#clients.get(peerAddress)
     return unwrap(callPeer(() => run(client.call.raft)))
   }
-
-  #getClient(address: string): RpcClient<RaftRouter> {
-    const known = this.#clients.get(address)
-    if (known !== undefined) return known
-    const client = createRpcClient<RaftRouter>({ ...this.#opts, address })
-    this.#clients.set(address, client)
-    return client
-  }
 }
--- /dev/null
+++ b/rpc/peer/src/rpcClients.ts
@@ -0,0 +1,27 @@
+/** One client for each peer that is called, made on first use and closed with the others. */
+import type { AnyTRPCRouter } from '@trpc/server'
+import { createRpcClient, type RpcClient, type RpcClientOptions } from './createRpcClient.js'
+
+/** As for each client. */
+export type RpcClientsOptions = Omit<RpcClientOptions, 'address'>
+
+export class RpcClients<R extends AnyTRPCRouter> {
+  readonly #opts: RpcClientsOptions
+  readonly #byAddress = new Map<string, RpcClient<R>>()
+
+  constructor(opts: RpcClientsOptions) {
+    this.#opts = opts
+  }
+
+  get(address: string): RpcClient<R> {
+    const known = this.#byAddress.get(address)
+    if (known !== undefined) return known
+    const client = createRpcClient<R>({ ...this.#opts, address })
+    this.#byAddress.set(address, client)
+    return client
+  }
+
+  close(): void {
+    for (const client of this.#byAddress.values()) client.close()
+  }
+}
