refactor: share what tests of connections and of a led cluster set up

Cause: the router whose call is held stood twice in the tests of rpc/peer, and starting a cluster up to its leader four times in those of raft. Change: `createHeldRouter` and `startLedCluster`; the assertions stand as they were.

--- a/consensus/raft/__utils__/testCluster.ts
+++ b/consensus/raft/__utils__/testCluster.ts
@@ -17,7 +17,7 @@
   replaceVoterAfterMs: 20_000,
 }
 
-interface RunningNode {
+export interface RunningNode {
   readonly raft: RaftNode<number>
   readonly machine: RecordingMachine
   readonly store: MemoryLogStore
--- a/consensus/raft/test/hangingSave.test.ts
+++ b/consensus/raft/test/hangingSave.test.ts
@@ -4,7 +4,7 @@
  * as long as its disk hung: with four healthy members beside it, each read ended as `no-quorum`.
  */
 import test from 'ava'
-import { TestCluster } from '../__utils__/index.js'
+import { startLedCluster } from '../__utils__/index.js'
 
 const limits = { snapshotEveryEntries: 4, keepEntries: 2 }
 const hangsMs = 6000
@@ -12,13 +12,8 @@
 const answerMs = 1000
 
 test('a leader answers reads and changes while the save of its snapshot hangs', async (t) => {
-  const cluster = await TestCluster.start({ seed: 1, voters: 5, limits })
-  t.teardown(() => cluster.close())
-  await cluster.clock.advance(10_000)
-  const { leader } = cluster
-  const leaderId = leader?.describe().leaderId ?? ''
-  const store = cluster.running.get(leaderId)?.store
-  if (leader === undefined || store === undefined) throw new Error('nobody leads')
+  const { cluster, leaderId, node } = await startLedCluster(t, { seed: 1, voters: 5, limits })
+  const { raft: leader, store } = node
   const saveSnapshot = store.saveSnapshot.bind(store)
   let savings = 0
   store.saveSnapshot = async (snapshot, keepEntries) => {
--- a/consensus/raft/test/lostCommitted.test.ts
+++ b/consensus/raft/test/lostCommitted.test.ts
@@ -7,7 +7,7 @@
  */
 import { NettlespurError } from '@nettlespur/core.errors'
 import test from 'ava'
-import { TestCluster } from '../__utils__/index.js'
+import { startLedCluster } from '../__utils__/index.js'
 
 const limits = { snapshotEveryEntries: 4, keepEntries: 2 }
 const savingMs = 400
@@ -16,12 +16,7 @@
 const readsMax = 1000
 
 test('a leader that lost committed entries with a failed write waits for them and lets others run', async (t) => {
-  const cluster = await TestCluster.start({ seed: 1, voters: 3, limits })
-  t.teardown(() => cluster.close())
-  await cluster.clock.advance(10_000)
-  const leaderId = cluster.leader?.describe().leaderId ?? ''
-  const node = cluster.running.get(leaderId)
-  if (node === undefined) throw new Error('nobody leads')
+  const { cluster, leaderId, node } = await startLedCluster(t, { seed: 1, voters: 3, limits })
   const { store, machine } = node
   const saveSnapshot = store.saveSnapshot.bind(store)
   store.saveSnapshot = async () => {
--- a/consensus/raft/test/namedLeader.test.ts
+++ b/consensus/raft/test/namedLeader.test.ts
@@ -1,16 +1,13 @@
 /** Whom a member names as the leader, while no majority is left to elect another. */
 import test from 'ava'
-import { TestCluster } from '../__utils__/index.js'
+import { startLedCluster } from '../__utils__/index.js'
 
 test('a member names a leader only as long as it hears it', async (t) => {
-  const cluster = await TestCluster.start({ seed: 1, voters: 3, leaseReads: false })
-  t.teardown(() => cluster.close())
-  await cluster.clock.advance(10_000)
-  const leaderId = cluster.leader?.leader?.memberId
+  const { cluster, leaderId } = await startLedCluster(t, { seed: 1, voters: 3, leaseReads: false })
   const [lastId = '', otherId = ''] = [...cluster.running.keys()].filter((id) => id !== leaderId)
   const last = cluster.running.get(lastId)?.raft
   t.is(last?.leader?.memberId, leaderId)
-  cluster.crashNode(leaderId ?? '')
+  cluster.crashNode(leaderId)
   cluster.crashNode(otherId)
   await cluster.clock.advance(10_000)
   t.is(last?.leader, undefined)
--- a/consensus/raft/test/slowDisk.test.ts
+++ b/consensus/raft/test/slowDisk.test.ts
@@ -1,18 +1,13 @@
 /** A leader whose own disk is far behind those of its followers: they commit what it has not written. */
 import test, { type ExecutionContext } from 'ava'
-import { TestCluster } from '../__utils__/index.js'
+import { startLedCluster, TestCluster } from '../__utils__/index.js'
 
 const proposals = 6
 const limits = { snapshotEveryEntries: 4, keepEntries: 2 }
 
 /** A leader whose syncs take half a second, and that has just been given some proposals. */
 async function startSlowLeader(t: ExecutionContext) {
-  const cluster = await TestCluster.start({ seed: 1, voters: 3, limits })
-  t.teardown(() => cluster.close())
-  await cluster.clock.advance(10_000)
-  const leaderId = cluster.leader?.describe().leaderId ?? ''
-  const node = cluster.running.get(leaderId)
-  if (node === undefined) throw new Error('nobody leads')
+  const { cluster, leaderId, node } = await startLedCluster(t, { seed: 1, voters: 3, limits })
   node.store.slowShare = 1
   for (let made = 0; made < proposals; made++) {
     void cluster.propose(leaderId)
--- a/rpc/peer/test/callLimits.test.ts
+++ b/rpc/peer/test/callLimits.test.ts
@@ -1,10 +1,8 @@
 /** Calls with limits of their own, and what they do to the connection that they share with others. */
 import test, { type ExecutionContext } from 'ava'
 import { ManualClock } from '@nettlespur/core.clock'
-import type { RpcResult } from '@nettlespur/core.errors'
 import { createKey } from '@nettlespur/net.keys'
-import { initTRPC } from '@trpc/server'
-import { Subject, firstValueFrom } from 'rxjs'
+import { firstValueFrom } from 'rxjs'
 import {
   callPeer,
   createRpcClient,
@@ -12,6 +10,7 @@
   limitCall,
   type CallLimits,
 } from '../src/index.js'
+import { createHeldRouter, type HeldRouter } from './heldRouter.js'
 import { SilentProxy } from './silentProxy.js'
 
 const timeoutMs = 1000
@@ -20,25 +19,15 @@
 
 async function startTrial(t: ExecutionContext) {
   const clock = new ManualClock()
-  const release = new Subject<string>()
-  const waiting = new Subject<void>()
-  const { router, procedure } = initTRPC.create()
-  const held = router({
-    ask: procedure.mutation((): RpcResult<string> => ({ ok: true, value: 'asked' })),
-    wait: procedure.mutation(async (): Promise<RpcResult<string>> => {
-      const released = firstValueFrom(release)
-      waiting.next()
-      return { ok: true, value: await released }
-    }),
-  })
+  const { release, waiting, router } = createHeldRouter()
   const server = await createRpcServer({
     address: '127.0.0.1:0',
-    router: held,
+    router,
     peerKeys: [peerKey],
   })
   const proxy = await SilentProxy.start(server.address)
   const { address } = proxy
-  const client = createRpcClient<typeof held>({ clock, address, peerKey, timeoutMs })
+  const client = createRpcClient<HeldRouter>({ clock, address, peerKey, timeoutMs })
   t.teardown(async () => {
     client.close()
     await proxy.close()
--- a/rpc/peer/test/connections.test.ts
+++ b/rpc/peer/test/connections.test.ts
@@ -2,33 +2,15 @@
 import { createServer, type AddressInfo, type Socket } from 'node:net'
 import test from 'ava'
 import { ManualClock } from '@nettlespur/core.clock'
-import type { RpcResult } from '@nettlespur/core.errors'
 import { createKey } from '@nettlespur/net.keys'
-import { initTRPC } from '@trpc/server'
-import { Subject, firstValueFrom } from 'rxjs'
+import { firstValueFrom } from 'rxjs'
 import { callPeer, createRpcClient, createRpcServer } from '../src/index.js'
+import { createHeldRouter, type HeldRouter } from './heldRouter.js'
 import { SilentProxy } from './silentProxy.js'
 
 const timeoutMs = 1000
 const peerKey = createKey()
 
-/** `wait` answers when released; `ask` at once. */
-function createHeldRouter() {
-  const release = new Subject<string>()
-  const waiting = new Subject<void>()
-  const { router, procedure } = initTRPC.create()
-  const held = router({
-    ask: procedure.mutation((): RpcResult<string> => ({ ok: true, value: 'asked' })),
-    wait: procedure.mutation(async (): Promise<RpcResult<string>> => {
-      const released = firstValueFrom(release)
-      waiting.next()
-      return { ok: true, value: await released }
-    }),
-  })
-  return { release, waiting, router: held }
-}
-type HeldRouter = ReturnType<typeof createHeldRouter>['router']
-
 async function startTrial() {
   const clock = new ManualClock()
   const held = createHeldRouter()
