--- a/batch/service/src/index.ts
+++ b/batch/service/src/index.ts
@@ -18,3 +18,4 @@
   type RecordFaultKind,
   type RecordFaultsOptions,
 } from './recordFaults.js'
+export { UpstreamHealth } from './upstreamHealth.js'
--- a/bench/policy/src/crowdedDay.ts
+++ b/bench/policy/src/crowdedDay.ts
@@ -6,6 +6,8 @@
   UpstreamDescription,
 } from '@nettlespur/batch.model'
 import { SeededRandom } from '@nettlespur/bench.placement'
+import { drawTroubles, noTroubles, type DayTroubles } from './dayTroubles.js'
+import type { Goal } from './goal.js'
 import { acceleratorsPerUpstream, type Deployment, type JobKind } from './deployment.js'
 
 export interface DayJob {
@@ -31,7 +33,9 @@
   /** In order of arrival. */
   readonly jobs: readonly DayJob[]
   readonly losses: readonly Loss[]
+  readonly troubles: DayTroubles
   readonly lengthMs: number
+  readonly goal: Goal
 }
 
 /** About the length of an hour's peak as its users replay it. */
@@ -67,7 +71,26 @@
     atMs: random.between(0, lengthMs),
   }))
   const byArrival = jobs.sort((left, right) => left.arriveMs - right.arriveMs)
-  return { config: createConfig(deployment), upstreams, jobs: byArrival, losses, lengthMs }
+  return {
+    config: createConfig(deployment),
+    upstreams,
+    jobs: byArrival,
+    losses,
+    troubles: noTroubles,
+    lengthMs,
+    goal: deployment.goal,
+  }
+}
+
+/** The same crowd, and upstreams that fail, hang or turn slow, seconds without a leader, and cancelled jobs. */
+export function createTroubledDay(deployment: Deployment, seed: number): CrowdedDay {
+  const day = createCrowdedDay(deployment, seed)
+  const troubles = drawTroubles(new SeededRandom(~seed), {
+    upstreamIds: day.upstreams.map(({ upstreamId }) => upstreamId),
+    jobIds: day.jobs.map(({ request }) => request.jobId),
+    lengthMs,
+  })
+  return { ...day, troubles }
 }
 
 function listArrivals(
--- a/bench/policy/src/deployment.ts
+++ b/bench/policy/src/deployment.ts
@@ -1,4 +1,5 @@
-/** Deployments as their users describe them: upstreams, kinds of job and how often they come. */
+/** Deployments as their users describe them: upstreams, kinds of job, how often they come, and what counts. */
+import { crewsGoal, depotsGoal, officesGoal, type Goal } from './goal.js'
 
 /** One kind of job. Spreads are standard deviations of the logarithm. */
 export interface JobKind {
@@ -35,6 +36,7 @@
   readonly memoryMiB: number
   readonly workspaceCount: number
   readonly kinds: readonly JobKind[]
+  readonly goal: Goal
 }
 
 export const acceleratorsPerUpstream = 8
@@ -101,6 +103,7 @@
 
 export const thapa: Deployment = {
   name: 'thapa',
+  goal: crewsGoal,
   upstreamCount: 33,
   upstreamsPerRack: 8,
   cpuMillicores: 32_000,
@@ -112,6 +115,7 @@
 /** Its upstreams have four times the processors, and its jobs need as much more. */
 export const cscfba: Deployment = {
   name: 'cscfba',
+  goal: officesGoal,
   upstreamCount: 32,
   upstreamsPerRack: 6,
   cpuMillicores: 128_000,
@@ -142,6 +146,7 @@
 /** Long gangs of half an upstream's processors a task, beside short urgent ones: what is stopped here is dear. */
 export const fsww: Deployment = {
   name: 'fsww',
+  goal: depotsGoal,
   upstreamCount: 33,
   upstreamsPerRack: 8,
   cpuMillicores: 128_000,
--- a/bench/policy/src/measurePolicy.ts
+++ b/bench/policy/src/measurePolicy.ts
@@ -1,8 +1,9 @@
 /** What jobs earn on crowded days, and what a round of decisions costs as the deployment grows. */
 import type { Row } from '@nettlespur/bench.placement'
 import { boundEarnings } from './boundEarnings.js'
-import { createCrowdedDay } from './crowdedDay.js'
+import { createCrowdedDay, createTroubledDay } from './crowdedDay.js'
 import { cscfba, fsww, growDeployment, thapa, type Deployment } from './deployment.js'
+import type { DayParts } from './judgeDay.js'
 import { playDay, type DayResult } from './playDay.js'
 
 export interface PolicyMeasureOptions {
@@ -17,9 +18,11 @@
 
 export async function measurePolicy(opts: PolicyMeasureOptions = {}): Promise<Row[]> {
   const { days = defaultDays, grownUpstreams = defaultGrownUpstreams } = opts
-  const earned = [thapa, cscfba, fsww].flatMap((deployment) => measureEarnings(deployment, days))
+  const deployments = [thapa, cscfba, fsww]
+  const earned = deployments.flatMap((deployment) => measureEarnings(deployment, days))
+  const troubled = deployments.flatMap((deployment) => measureTroubledDays(deployment, days))
   const costs = grownUpstreams.flatMap((count) => measureCost(growDeployment(cscfba, count)))
-  return Promise.resolve([...earned, ...costs])
+  return Promise.resolve([...earned, ...troubled, ...costs])
 }
 
 function measureEarnings(deployment: Deployment, days: number): Row[] {
@@ -46,6 +49,35 @@
   ]
 }
 
+const partRows: Readonly<Record<keyof DayParts, string>> = {
+  wholeDay: 'whole_day',
+  worstWindows: 'worst_windows',
+  worstKind: 'worst_kind',
+  worstWorkspace: 'worst_workspace',
+  servedInNines: 'served_in_nines',
+}
+
+/** By what the users of the deployment count. */
+function measureTroubledDays(deployment: Deployment, days: number): Row[] {
+  const results = Array.from({ length: days }, (_, at) => {
+    return playDay(createTroubledDay(deployment, at + 1), at + 1)
+  })
+  const prefix = `policy.${deployment.name}.troubled`
+  const verdicts = results.map(({ verdict }) => verdict)
+  const parts = Object.entries(partRows).map(([part, name]) => {
+    const values = verdicts.map((verdict) => verdict[part as keyof DayParts])
+    return { name: `${prefix}.${name}`, value: meanOf(values), unit: 'ratio' }
+  })
+  const wasted = results.map(({ wastedCoreSeconds }) => wastedCoreSeconds)
+  const unserved = verdicts.map((verdict) => verdict.unserved)
+  return [
+    { name: `${prefix}.total`, value: meanOf(verdicts.map(({ total }) => total)), unit: 'ratio' },
+    ...parts,
+    { name: `${prefix}.unserved`, value: meanOf(unserved), unit: 'ratio' },
+    { name: `${prefix}.wasted`, value: meanOf(wasted), unit: 'core_s' },
+  ]
+}
+
 function measureCost(deployment: Deployment): Row[] {
   const { roundsMs } = playDay(createCrowdedDay(deployment, 1), 1)
   const sorted = [...roundsMs].sort((left, right) => left - right)
--- /dev/null
+++ b/bench/policy/src/playedRuns.ts
@@ -0,0 +1,198 @@
+/** All runs of a day: they start, work at the pace of their upstreams, and end. */
+import { runKey } from '@nettlespur/batch.model'
+import { measureCores } from '@nettlespur/batch.scheduler'
+import type { RunTrack } from '@nettlespur/batch.sessions'
+import type { BatchState, Placement, RunEnd, RunOutcome } from '@nettlespur/batch.state'
+import type { SeededRandom } from '@nettlespur/bench.placement'
+import type { CrowdedDay, DayJob } from './crowdedDay.js'
+import { isFailing, isOver, measurePace, type PlayedRun } from './playedRun.js'
+
+/** From a placement to the task at work, and from a stop to its end: a commit, a call, an answer. */
+const orderMs = 40
+/** A task outside its rack takes this many times as long. */
+const remoteTimes = 3
+const checkpointMs = 2000
+/** On an upstream that fails what it starts. */
+const failsAfterMs = 200
+const wholePercent = 100
+
+export interface PlayedRunsOptions {
+  day: CrowdedDay
+  random: SeededRandom
+  state: BatchState
+}
+
+export class PlayedRuns {
+  wastedCoreSeconds = 0
+  stoppedRuns = 0
+  readonly #opts: PlayedRunsOptions
+  readonly #byId: ReadonlyMap<string, DayJob>
+  readonly #runs = new Map<string, PlayedRun>()
+
+  constructor(opts: PlayedRunsOptions) {
+    this.#opts = opts
+    this.#byId = new Map(opts.day.jobs.map((job) => [job.request.jobId, job]))
+  }
+
+  listPlacements(): Placement[] {
+    return [...this.#runs.values()].map(({ placement }) => placement)
+  }
+
+  isStopping(placement: Placement): boolean {
+    return this.#runs.get(runKey(placement))?.stopAtMs !== undefined
+  }
+
+  findTrack(placement: Placement): RunTrack | undefined {
+    return this.#runs.get(runKey(placement))?.track
+  }
+
+  /** Lets all runs work until `nowMs`; the members of a gang go as fast as the slowest of them. */
+  advance(nowMs: number, byMs: number): void {
+    const { troubles } = this.#opts.day
+    for (const gang of this.#listGangs()) {
+      const paces = gang.map(({ placement }) => measurePace(troubles, placement.upstreamId, nowMs))
+      const pace = Math.min(...paces)
+      for (const run of gang) {
+        const workedMs = Math.min(byMs, Math.max(0, nowMs - run.startsAtMs))
+        run.doneMs = Math.min(run.endsAtDoneMs, run.doneMs + workedMs * pace)
+        run.track.progressPercent = Math.floor((wholePercent * run.doneMs) / run.lengthMs)
+      }
+    }
+  }
+
+  /** The ends of all runs that are over or were stopped by now. */
+  takeEnds(nowMs: number): RunEnd[] {
+    const ends: RunEnd[] = []
+    for (const run of [...this.#runs.values()]) {
+      if (!this.#runs.has(runKey(run.placement))) continue
+      if ((run.stopAtMs ?? Infinity) <= nowMs) ends.push(...this.#end(run, 'stopped'))
+      else if (isOver(run)) ends.push(...this.#end(run, run.outcome))
+    }
+    return ends
+  }
+
+  /** The ends of all that runs on an upstream that is lost. */
+  lose(upstreamId: string): RunEnd[] {
+    return [...this.#runs.values()].flatMap((run) => {
+      const isThere = this.#runs.has(runKey(run.placement))
+      return isThere && run.placement.upstreamId === upstreamId ? this.#end(run, 'lost') : []
+    })
+  }
+
+  stop(placement: Placement, nowMs: number): void {
+    const run = this.#runs.get(runKey(placement))
+    if (run !== undefined) run.stopAtMs ??= nowMs + orderMs
+  }
+
+  stopJob(jobId: string, nowMs: number): void {
+    for (const { placement } of this.#runs.values()) {
+      if (placement.jobId === jobId) this.stop(placement, nowMs)
+    }
+  }
+
+  start(placements: readonly Placement[], nowMs: number): void {
+    const steps = new Map<string, Placement[]>()
+    for (const placement of placements) {
+      const key = `${placement.jobId}/${placement.step}`
+      steps.set(key, [...(steps.get(key) ?? []), placement])
+    }
+    for (const group of steps.values()) {
+      const times = this.#areSpread(group) ? remoteTimes : 1
+      for (const placement of group) {
+        this.#runs.set(runKey(placement), this.#create(placement, times, nowMs))
+      }
+    }
+  }
+
+  #listGangs(): PlayedRun[][] {
+    const gangs = new Map<string, PlayedRun[]>()
+    for (const run of this.#runs.values()) {
+      const { jobId, step, attempt } = run.placement
+      const isGang = this.#stepOf(run.placement)?.isGang === true
+      const key = isGang ? `${jobId}/${step}#${attempt}` : runKey(run.placement)
+      const gang = gangs.get(key)
+      if (gang === undefined) gangs.set(key, [run])
+      else gang.push(run)
+    }
+    return [...gangs.values()]
+  }
+
+  /** All members of a gang end with one of them. */
+  #end(run: PlayedRun, outcome: RunOutcome): RunEnd[] {
+    const { jobId, step, attempt } = run.placement
+    const isGang = this.#stepOf(run.placement)?.isGang === true
+    const members = [...this.#runs.values()].filter(
+      ({ placement }) =>
+        placement.jobId === jobId && placement.step === step && placement.attempt === attempt,
+    )
+    const ended = isGang ? members : [run]
+    const others = outcome === 'done' ? 'done' : 'broken'
+    const ends = ended.map((member) => this.#toEnd(member, member === run ? outcome : others))
+    for (const member of ended) this.#runs.delete(runKey(member.placement))
+    return ends
+  }
+
+  #toEnd(run: PlayedRun, outcome: RunOutcome): RunEnd {
+    const { placement, resumedAt, lengthMs, doneMs } = run
+    const step = this.#stepOf(placement)
+    const ranMs = Math.max(0, doneMs - resumedAt * lengthMs)
+    const savedMs = step?.checkpoints === true ? savedMsOf(ranMs, outcome) : 0
+    if (outcome === 'stopped') this.stoppedRuns += 1
+    if (outcome !== 'done' && step !== undefined) {
+      this.wastedCoreSeconds += ((ranMs - savedMs) * measureCores(step.needs)) / 1000
+    }
+    if (savedMs === 0) return { ...placement, outcome }
+    return { ...placement, outcome, checkpoint: String(resumedAt + savedMs / lengthMs) }
+  }
+
+  #stepOf({ jobId, step }: Placement) {
+    return this.#byId.get(jobId)?.request.steps[step]
+  }
+
+  #areSpread(group: readonly Placement[]): boolean {
+    const [first] = group
+    if (first === undefined || this.#stepOf(first)?.prefersOneRack !== true) return false
+    const { upstreams } = this.#opts.state
+    const racks = group.map(({ upstreamId }) => upstreams.get(upstreamId)?.description.rack)
+    return new Set(racks).size > 1
+  }
+
+  #create(placement: Placement, times: number, nowMs: number): PlayedRun {
+    const { day, random, state } = this.#opts
+    const { jobId, step, index, upstreamId } = placement
+    const job = this.#byId.get(jobId)
+    const checkpoint = state.jobs.get(jobId)?.steps[step]?.tasks[index]?.checkpoint ?? ''
+    const resumedAt = checkpoint === '' ? 0 : Math.min(1, Number(checkpoint))
+    const lengthMs = Math.max(1, (job?.runTimesMs[step] ?? 0) * times)
+    const doneMs = resumedAt * lengthMs
+    const isDoomed = isFailing(day.troubles, upstreamId, nowMs)
+    const fails = isDoomed || random.chance(job?.kind.failingShare ?? 0)
+    const failsAtMs = doneMs + (isDoomed ? failsAfterMs : random.next() * (lengthMs - doneMs))
+    const startsAtMs = nowMs + orderMs
+    return {
+      placement,
+      resumedAt,
+      lengthMs,
+      startsAtMs,
+      doneMs,
+      outcome: fails ? 'failed' : 'done',
+      endsAtDoneMs: fails ? Math.min(lengthMs, failsAtMs) : lengthMs,
+      stopAtMs: undefined,
+      track: {
+        placement,
+        phase: 'settled',
+        settledAtMs: startsAtMs,
+        startedAtMs: startsAtMs,
+        progressPercent: Math.floor(wholePercent * resumedAt),
+        checkpoint,
+        isStopping: false,
+      },
+    }
+  }
+}
+
+/** A stop saves all; what ends otherwise keeps its last regular checkpoint. */
+function savedMsOf(ranMs: number, outcome: RunOutcome): number {
+  if (outcome === 'stopped' || outcome === 'broken') return ranMs
+  return Math.floor(ranMs / checkpointMs) * checkpointMs
+}
--- a/bench/policy/src/sumEarnings.ts
+++ b/bench/policy/src/sumEarnings.ts
@@ -1,5 +1,6 @@
 /** What the jobs of a day earn by when they ended, as their users value them. */
 import type { DayJob } from './crowdedDay.js'
+import type { JobOutcome } from './judgeDay.js'
 
 /** A job that ends later than this many times its objective earns nothing. */
 export const lateLimitTimes = 3
@@ -16,15 +17,12 @@
 }
 
 /** By kind of job. */
-export function sumEarnings(
-  jobs: readonly DayJob[],
-  judge: (job: DayJob) => JobEnd,
-): Map<string, KindEarnings> {
+export function sumEarnings(outcomes: readonly JobOutcome[]): Map<string, KindEarnings> {
   const kinds = new Map<string, KindEarnings>()
-  for (const job of jobs) {
+  for (const { job, earned } of outcomes) {
     const sums = kinds.get(job.kind.name) ?? { earned: 0, owed: 0 }
     sums.owed += job.value
-    sums.earned += earn(job, judge(job))
+    sums.earned += earned
     kinds.set(job.kind.name, sums)
   }
   return kinds
@@ -36,7 +34,8 @@
   return kind.stretch * chainMs + kind.targetLatencyMs
 }
 
-function earn(job: DayJob, { isCompleted, tookMs }: JobEnd): number {
+/** What a job earns that ended so. */
+export function earn(job: DayJob, { isCompleted, tookMs }: JobEnd): number {
   if (!isCompleted) return 0
   const { kind, value } = job
   const objectiveMs = measureObjectiveMs(job)
