fix: let a new leader use upstreams that it asks itself, before their next announcement

Cause: a new leader took no upstream as usable before it had heard its announcement. An announcement comes each 1.5 s, and after a change of leader its sender first tries the former one for up to a second.

Ruled out: the election (cut at 5.20 s, leader at 6.33 s), the read barrier (0.12 s), doubt about inherited runs (ends came in at 6.5 s).

Change: at take-over every known upstream that is not leaving is asked once, idle ones too; an answered look counts as heard. The first round waits until all have answered or been given up, at most 300 ms, since a view of a part of them stops work for want of room that is there. leader.deciding says how long that took and how many can be used.

Shown by three tests on a manual clock, red before.

--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -77,14 +77,21 @@
 
   /** Takes up what earlier leaders placed, and begins to decide. */
   start(): void {
-    const { upstreamIds } = this.#state.placements
-    const inherited = [...upstreamIds]
-    for (const upstreamId of inherited) this.#roster.resume(upstreamId)
-    const { upstreams, unsettled } = this.#state
-    const held = { upstreams: upstreams.size, unsettledJobs: unsettled.size }
-    const fields = { term: this.fence, inheritedUpstreams: inherited.length, ...held }
-    this.#opts.logger.info({ event: 'leader.started', ...fields })
-    void this.#rounds.run()
+    const { upstreams, unsettled, placements } = this.#state
+    const inheritedUpstreams = [...placements.upstreamIds].length
+    const held = { inheritedUpstreams, upstreams: upstreams.size, unsettledJobs: unsettled.size }
+    this.#opts.logger.info({ event: 'leader.started', term: this.fence, ...held })
+    void this.#decideAfterTakeover()
+  }
+
+  async #decideAfterTakeover(): Promise<void> {
+    const { clock, logger } = this.#opts
+    const begunAtMs = clock.monotonicMs()
+    await this.#roster.takeOver(this.#state)
+    const tookMs = Math.round(clock.monotonicMs() - begunAtMs)
+    const usableUpstreams = this.#roster.countUsable(this.#state)
+    logger.info({ event: 'leader.deciding', term: this.fence, tookMs, usableUpstreams })
+    await this.#rounds.run()
   }
 
   stop(): void {
--- a/batch/service/src/upstreamRoster.ts
+++ b/batch/service/src/upstreamRoster.ts
@@ -1,7 +1,7 @@
 /** The upstreams as one leader knows them: who was heard, who can be given work, and the session with each. */
 import type { Announcement } from '@nettlespur/batch.model'
 import { UpstreamSession, type SessionHost, type UpstreamPort } from '@nettlespur/batch.sessions'
-import type { UpstreamRecord } from '@nettlespur/batch.state'
+import type { BatchState, UpstreamRecord } from '@nettlespur/batch.state'
 import type { Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
 import type { BatchTimings } from './batchTimings.js'
@@ -14,6 +14,8 @@
 const silentPauseMs = 2000
 /** An upstream whose looks hid a run gets no new work for this long: longer than the lease that then ends the run. */
 const unlistedPauseMs = 30_000
+/** Upstreams that live answer well within it; those that do not hold up the others no longer. */
+const takeoverWaitMs = 300
 
 export interface UpstreamRosterOptions {
   host: SessionHost
@@ -45,9 +47,21 @@
     return this.#sessions.get(upstreamId)
   }
 
-  /** Takes up what earlier leaders placed on an upstream. */
-  resume(upstreamId: string): void {
-    this.#open(upstreamId, this.#takeoverMs)?.resume()
+  /**
+   * Takes up what earlier leaders placed, and asks the idle upstreams too: otherwise none could be used before its next
+   * announcement, which may be seconds away while its sender still tries the former leader. Resolves once most
+   * have answered: a decision that sees some of the upstreams only would stop work for want of room that is there.
+   */
+  async takeOver({ upstreams, placements }: BatchState): Promise<void> {
+    const holders = new Set(placements.upstreamIds)
+    const idle = [...upstreams.values()].filter(({ description, isDraining, hasLeft }) => {
+      return !isDraining && !hasLeft && !holders.has(description.upstreamId)
+    })
+    for (const upstreamId of holders) this.#open(upstreamId, this.#takeoverMs)?.resume()
+    for (const { description } of idle) this.open(description.upstreamId)?.greet()
+    const answered = [...this.sessions].map(({ answers }) => answers.first)
+    const { clock, signal } = this.#opts
+    await Promise.race([Promise.all(answered), clock.sleep(takeoverWaitMs, signal)])
   }
 
   /** The session with an upstream; undefined where the state does not know it. */
@@ -95,18 +109,23 @@
     this.#table.forget(upstreamId)
   }
 
+  countUsable({ upstreams }: BatchState): number {
+    return [...upstreams.values()].filter((upstream) => this.isUsable(upstream)).length
+  }
+
   /** Whether new work may go there. */
   isUsable({ description: { upstreamId }, isDraining, hasLeft }: UpstreamRecord): boolean {
     if (isDraining || hasLeft || this.#table.isReplaced(upstreamId)) return false
     const nowMs = this.#opts.clock.monotonicMs()
     const session = this.#sessions.get(upstreamId)
     if (session?.lease.clock.isKnown !== true) return false
-    const heardAtMs = this.#table.heardAtMs(upstreamId)
+    const { answers } = session
+    const heardAtMs = Math.max(this.#table.heardAtMs(upstreamId), answers.answeredAtMs)
     const { announceEveryMs } = this.#opts.timings
     if (nowMs - heardAtMs > announceEveryMs * missedAnnouncements) return false
     if (nowMs - session.unlistedAtMs < unlistedPauseMs) return false
-    if (session.unanswered > 0) {
-      const { unansweredAtMs } = session
+    if (answers.unanswered > 0) {
+      const { unansweredAtMs } = answers
       if (heardAtMs <= unansweredAtMs || nowMs - unansweredAtMs < silentPauseMs) return false
     }
     return !this.health.isQuarantined(upstreamId, nowMs)
--- a/batch/service/test/batchLeader.test.ts
+++ b/batch/service/test/batchLeader.test.ts
@@ -140,3 +140,42 @@
   await fleet.clock.advance(settledMs)
   t.is(countStarted(fleet, 'j'), 2)
 })
+
+/** Far below the time to the next announcement. */
+const takeoverMs = 500
+
+test('a new leader gives work to idle upstreams before they announce themselves to it', async (t) => {
+  const fleet = await startFleet()
+  fleet.elect()
+  for (let job = 0; job < upstreamCount; job++) fleet.submit(createLarge(`j${job}`, 1), 1)
+  await fleet.clock.advance(takeoverMs)
+  t.is(fleet.ledger.starts.length, upstreamCount)
+})
+
+test('a new leader gives no work to an upstream that answers nothing', async (t) => {
+  const fleet = await startFleet()
+  fleet.apply({ kind: 'cut', upstream: 0, forMs: 20_000 })
+  fleet.elect()
+  for (let job = 0; job < upstreamCount; job++) fleet.submit(createLarge(`j${job}`, 1), 1)
+  await fleet.clock.advance(takeoverMs)
+  t.is(fleet.ledger.starts.length, upstreamCount - 1)
+  t.is(fleet.state.placements.on(fleet.upstreamIdOf(0)).size, 0)
+})
+
+test('a new leader stops nothing for work that upstreams have room for which answer a little later', async (t) => {
+  const fleet = new FakeFleet({ clockRate: 1, lateMs: 1000, failures: [], linksMs: [1, 60] })
+  fleet.elect()
+  await fleet.clock.advance(settledMs)
+  fleet.submit(createLarge('borrower', upstreamCount / 2), 1)
+  await fleet.clock.advance(500)
+  fleet.elect()
+  fleet.submit(createLarge('guaranteed', 2, 1000), 0)
+  await fleet.clock.advance(takeoverMs)
+  t.is(countStarted(fleet, 'guaranteed'), 2)
+  t.is(countStarted(fleet, 'borrower'), 2)
+  t.is(fleet.state.placements.on(findFirstPlace(fleet, 'borrower')).size, 1)
+})
+
+function findFirstPlace(fleet: FakeFleet, jobId: string): string {
+  return fleet.state.jobs.get(jobId)?.steps[0]?.tasks[0]?.upstreamId ?? ''
+}
--- /dev/null
+++ b/batch/sessions/src/callAnswers.ts
@@ -0,0 +1,32 @@
+/** Whether an upstream answers our calls. */
+export class CallAnswers {
+  /** Calls in a row that got no answer. */
+  unanswered = 0
+  /** When the last call without an answer was given up, on our clock. */
+  unansweredAtMs = -Infinity
+  /** When it last answered, on our clock. */
+  answeredAtMs = -Infinity
+  /** Resolves once the first call was answered or given up. */
+  readonly first: Promise<void>
+  readonly #noteFirst: () => void
+
+  constructor() {
+    let noteFirst = (): void => undefined
+    this.first = new Promise((resolve) => {
+      noteFirst = resolve
+    })
+    this.#noteFirst = noteFirst
+  }
+
+  noteAnswered(nowMs: number): void {
+    this.unanswered = 0
+    this.answeredAtMs = nowMs
+    this.#noteFirst()
+  }
+
+  noteUnanswered(nowMs: number): void {
+    this.unanswered += 1
+    this.unansweredAtMs = nowMs
+    this.#noteFirst()
+  }
+}
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -6,6 +6,7 @@
 import { runFields, runKey, type RunRef } from '@nettlespur/batch.model'
 import type { Placement, RunEnd } from '@nettlespur/batch.state'
 import { toNettlespurError } from '@nettlespur/core.errors'
+import { CallAnswers } from './callAnswers.js'
 import { EndCursor } from './endCursor.js'
 import { LeaseTracker } from './leaseTracker.js'
 import { readLook } from './readLook.js'
@@ -23,16 +24,14 @@
 
 export class UpstreamSession {
   readonly lease: LeaseTracker
-  /** Calls in a row that got no answer. */
-  unanswered = 0
-  /** When the last call without an answer was given up, on our clock. */
-  unansweredAtMs = -Infinity
+  readonly answers = new CallAnswers()
   readonly #opts: UpstreamSessionOptions
   readonly #orders: RunOrders
   readonly #tracks = new RunTracks()
   readonly #cursor = new EndCursor()
   readonly #ending: UpstreamEnding
   #isLooking = false
+  #isGreeting = false
 
   constructor(opts: UpstreamSessionOptions) {
     this.#opts = opts
@@ -59,6 +58,12 @@
     this.#wake()
   }
 
+  /** Looks once though nothing is placed there: whether it answers, and what its clock says. */
+  greet(): void {
+    this.#isGreeting = true
+    this.#wake()
+  }
+
   /** Starts a run whose placement is committed. */
   start(placement: Placement): void {
     const track = this.#tracks.add(placement, 'starting', this.#nowMs())
@@ -99,7 +104,8 @@
   }
 
   #isWanted(): boolean {
-    return !this.#isOver() && (this.#placements().size > 0 || this.#cursor.isBehind)
+    if (this.#isOver()) return false
+    return this.#isGreeting || this.#placements().size > 0 || this.#cursor.isBehind
   }
 
   async #lookWhileWanted(): Promise<void> {
@@ -123,7 +129,7 @@
     // Calls into silence must not prolong the lease, or an upstream lost for good would never be given up. Nor must
     // looks that go on to hide a run: once the lease is over it has surely ended, which no list may tell of it.
     const renews =
-      this.lease.clock.isKnown && this.unanswered === 0 && !this.#tracks.hasHidden(sentAtMs)
+      this.lease.clock.isKnown && this.answers.unanswered === 0 && !this.#tracks.hasHidden(sentAtMs)
     const mayWait = renews && !this.#tracks.hasInherited && this.#placements().size > 0
     const order = {
       leaseEndMs: renews ? this.lease.extend(sentAtMs) : undefined,
@@ -133,26 +139,23 @@
     }
     try {
       const answer = await port.hold(target, order, order.waitMs + holdSlackMs)
-      this.unanswered = 0
+      this.answers.noteAnswered(this.#nowMs())
       this.#noteClock(answer.clockMs)
       await this.#take(answer, sentAtMs)
       return true
     } catch (thrown) {
-      this.#noteUnanswered()
+      this.answers.noteUnanswered(this.#nowMs())
       const reason = toNettlespurError(thrown).message
-      this.#log('upstream.silent', { unanswered: this.unanswered, reason })
+      const { unanswered } = this.answers
+      this.#log('upstream.silent', { unanswered, reason })
       return false
     } finally {
+      this.#isGreeting = false
       // Lets other work of this process go first where an upstream answers at once each time.
       await clock.sleep(0)
     }
   }
 
-  #noteUnanswered(): void {
-    this.unanswered += 1
-    this.unansweredAtMs = this.#nowMs()
-  }
-
   #noteClock(clockMs: number | undefined): void {
     if (clockMs !== undefined) this.lease.clock.note(clockMs, this.#nowMs())
   }
@@ -195,7 +198,8 @@
     const reason = result.type === 'refused' ? result.reason : undefined
     if ('clockMs' in result) this.#noteClock(result.clockMs)
     track.settledAtMs = this.#nowMs()
-    if (result.type === 'in-doubt' || result.type === 'not-sent') this.#noteUnanswered()
+    if (result.type === 'in-doubt' || result.type === 'not-sent')
+      this.answers.noteUnanswered(this.#nowMs())
     if (result.type === 'gone') return this.#ending.end('another life of it answers')
     if (result.type === 'started' || reason === 'superseded') {
       track.phase = 'settled'
