fix: let every member keep since when jobs wait, so that a new leader does not take them for new

Cause: the clock of jobs began anew with each leadership, so after a change of leader every waiting job counted as just accepted: late ones went before timely ones, hopeless ones before all, and latest starts lay seconds too far ahead.

Ruled out: a time in the command (the time of day jumps, and steady clocks of members do not compare).

--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -6,6 +6,7 @@
 import { MetricsRegistry } from '@nettlespur/core.metrics'
 import { EitherAsync, Left, Right } from 'purify-ts'
 import { BatchLeader } from '../src/batchLeader.js'
+import { JobClock } from '../src/jobClock.js'
 import { FakeUpstream, FleetLedger } from '@nettlespur/batch.fakes'
 import { createFleetConfig } from './createFleetConfig.js'
 import { FaultyPort, type LinkFault } from './faultyPort.js'
@@ -43,6 +44,8 @@
   #faults: LinkFault[] = []
   #lives = 0
   #term = 0
+  /** All leaders here are the same member. */
+  readonly #jobClock = new JobClock()
   #leader: BatchLeader | undefined
   #sequence = 0
 
@@ -77,6 +80,7 @@
 
   commit(command: Command): CommandOutcome {
     const outcome = this.state.apply(command)
+    this.#jobClock.noteApplied(command, this.state, this.clock.monotonicMs())
     this.#leader?.noteChange(command)
     return outcome
   }
@@ -101,6 +105,7 @@
         keepEndedMs: 1_000_000,
       },
       port: this.port,
+      jobClock: this.#jobClock,
       getState: () => this.state,
       propose: (command) => EitherAsync.fromPromise(() => this.#propose(command, term)),
     })
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -20,7 +20,7 @@
 import { setMaxListeners } from 'node:events'
 import { isDeepStrictEqual } from 'node:util'
 import type { BatchTimings } from './batchTimings.js'
-import { JobClock } from './jobClock.js'
+import type { JobClock } from './jobClock.js'
 import { listTouchedJobs } from './listTouchedJobs.js'
 import type { Propose } from './proposer.js'
 import { RecordFaults } from './recordFaults.js'
@@ -35,6 +35,8 @@
   metrics: MetricsRegistry
   timings: BatchTimings
   port: UpstreamPort
+  /** The member's own, kept whoever leads. */
+  jobClock: JobClock
   getState: () => BatchState
   propose: Propose
 }
@@ -44,7 +46,6 @@
   readonly #opts: BatchLeaderOptions
   readonly #ending = new AbortController()
   readonly #roster: UpstreamRoster
-  readonly #jobClock = new JobClock()
   readonly #preempted = new Set<string>()
   readonly #rounds: SchedulingRounds
   readonly #faults: RecordFaults
@@ -59,7 +60,6 @@
     this.#rounds = new SchedulingRounds({
       ...opts,
       roster: this.#roster,
-      jobClock: this.#jobClock,
       shouldStop: (placement) => this.shouldStop(placement),
       preempt: (runs) => {
         this.#preempt(runs)
@@ -156,7 +156,7 @@
     const active = listActiveJobs(this.#state, ends)
     if (!(await this.#tryPropose({ type: 'end-runs', ends: [...ends] }))) return false
     const nowMs = this.#opts.clock.monotonicMs()
-    reportEnds({ ...this.#opts, ends, jobs: active, jobClock: this.#jobClock, nowMs })
+    reportEnds({ ...this.#opts, ends, jobs: active, nowMs })
     for (const end of ends) {
       this.#preempted.delete(runKey(end))
       this.#roster.health.noteEnd(end, nowMs)
--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -24,6 +24,7 @@
 import type { BatchApi, LeaderView } from './batchApi.js'
 import { BatchCalls } from './batchCalls.js'
 import { BatchLeader } from './batchLeader.js'
+import { JobClock } from './jobClock.js'
 import type { BatchTimings } from './batchTimings.js'
 
 /** A caller that finds no leader comes again when one may have been elected. */
@@ -55,6 +56,7 @@
   readonly calls: BatchApi
   readonly #opts: BatchNodeOptions
   readonly #machine: BatchMachine
+  readonly #jobClock = new JobClock()
   #leader: BatchLeader | undefined
 
   private constructor(
@@ -73,7 +75,10 @@
       logger: opts.logger,
       metrics: opts.metrics,
     })
-    machine.applied.subscribe((command) => this.#leader?.noteChange(command))
+    machine.applied.subscribe((command) => {
+      this.#jobClock.noteApplied(command, this.#state, opts.clock.monotonicMs())
+      this.#leader?.noteChange(command)
+    })
     raft.standing.subscribe((standing) => {
       this.#follow(standing)
     })
@@ -157,6 +162,7 @@
       metrics,
       timings,
       port,
+      jobClock: this.#jobClock,
       getState: () => this.#state,
       propose: (command) => this.raft.propose(encodeCommand(command)),
     })
