fix: refuse an upstream's announcement soon where no leader is found

Ruled out: the same wait for callers (an election is short, and another entry sees the same outage); an upstream tries the next member at once.

Change: an announcement waits 200 ms for a leader to be found, in place of 900. Tests: red before (1,000 ms until told), and a leader that is elected 60 ms later still takes it.

--- a/batch/service/__utils__/fakeMember.ts
+++ b/batch/service/__utils__/fakeMember.ts
@@ -22,7 +22,7 @@
   view: LeaderView
   /** How often it was asked who leads. */
   located: number
-  /** What a submission ends in: by default it is taken. */
+  /** What a submission or an announcement ends in: by default it is taken. */
   answer: () => Promise<void>
   /** Jobs whose state was asked for here. */
   readonly asked: string[]
@@ -91,11 +91,17 @@
     })
   }
 
+  override announce(): EitherAsync<NettlespurError, null> {
+    return tryAsync(async () => {
+      await this.#member.answer()
+      return null
+    })
+  }
+
   override cancelJob = refuse<null>
   override countPending = refuse<number>
   override applyConfig = refuse<null>
   override readConfig = refuse<string>
-  override announce = refuse<null>
   override leave = refuse<null>
   override join = refuse<null>
 }
--- a/batch/service/src/leaderClient.ts
+++ b/batch/service/src/leaderClient.ts
@@ -15,6 +15,12 @@
 import { LeaderWatch } from './leaderWatch.js'
 import { OperationRunner, type OperationRunnerOptions } from './operationRunner.js'
 
+/**
+ * A member that reaches no leader may be cut off while others follow one, and the upstream tries the next member at once:
+ * what it has to say, that it is about to leave above all, then arrives a second sooner for each such member.
+ */
+const announcePatienceMs = 200
+
 export type LeaderClientOptions = Omit<OperationRunnerOptions, 'finder' | 'log'>
 
 export class LeaderClient extends BatchApi {
@@ -139,6 +145,7 @@
       name: 'announce',
       subject: input.upstreamId,
       sort: 'repeated',
+      patienceMs: announcePatienceMs,
       remote: (calls) => calls.announce.mutate(input),
       local: (api) => api.announce(input),
     })
--- a/batch/service/src/operation.ts
+++ b/batch/service/src/operation.ts
@@ -14,6 +14,8 @@
   readonly subject: string
   /** What the log keeps of it: each change, reads as a summary, repeated ones only where they fail. */
   readonly sort: 'change' | 'read' | 'repeated'
+  /** How long the call waits for a leader to be found, where that is less than the usual patience. */
+  readonly patienceMs?: number
   readonly remote: (calls: MemberCalls, limits: CallLimits) => Promise<RpcResult<T>>
   readonly local: (api: BatchApi) => EitherAsync<NettlespurError, T>
 }
--- a/batch/service/src/operationRunner.ts
+++ b/batch/service/src/operationRunner.ts
@@ -72,13 +72,14 @@
     let mayHaveRun = false
     let pauseMs = firstPauseMs
     for (;;) {
-      const limitMs = this.#limitMs(trace, mayHaveRun)
+      const limitMs = this.#limitMs(operation, trace, mayHaveRun)
       const searchMs = Math.max(0, Math.min(searchSliceMs, limitMs - trace.tookMs))
       const attempt = await this.#caller.tryOnce(operation, { trace, searchMs, limits: {} })
       if (!(attempt instanceof NettlespurError)) return attempt.value
       mayHaveRun ||= isInDoubt(attempt)
       if (isFinal(attempt)) throw attempt
-      const isOver = trace.callerIsGone || trace.tookMs >= this.#limitMs(trace, mayHaveRun)
+      const isOver =
+        trace.callerIsGone || trace.tookMs >= this.#limitMs(operation, trace, mayHaveRun)
       if (isOver) throw toFinalError(attempt, mayHaveRun)
       await this.#clock.sleep(pauseMs)
       pauseMs = Math.min(longestPauseMs, pauseMs * pauseGrowth)
@@ -90,8 +91,9 @@
    * again for as long as the caller waits and members answer: under its id it runs once, so a whole answer takes the
    * place of a doubt that the caller could not settle either. Where no member answers, another entry may do better.
    */
-  #limitMs({ deadlineMs }: CallTrace, mayHaveRun: boolean): number {
-    const { patienceMs, finder } = this.#opts
+  #limitMs(operation: Operation<unknown>, { deadlineMs }: CallTrace, mayHaveRun: boolean): number {
+    const { finder } = this.#opts
+    const { patienceMs = this.#opts.patienceMs } = operation
     if (deadlineMs === undefined) return patienceMs
     const wholeMs = deadlineMs - answerMarginMs
     const { quietMs = Infinity } = finder
--- /dev/null
+++ b/batch/service/test/announceWithoutLeader.test.ts
@@ -0,0 +1,54 @@
+/**
+ * What users saw: while two of five members were cut off, upstreams that were about to leave told those two first. Each held
+ * the announcement for 0.9 s before it was refused, and work went on being placed on upstreams that were leaving.
+ */
+import { NettlespurError } from '@nettlespur/core.errors'
+import test from 'ava'
+import { startWatchedGroup, type MemberGroup } from '../__utils__/index.js'
+
+const all = [0, 1, 2, 3, 4]
+/** Well within the second after which an upstream tries another member by itself. */
+const soonMs = 400
+
+async function announce({ client, clock }: MemberGroup) {
+  const startMs = clock.monotonicMs()
+  const outcome = await client
+    .announce({
+      upstreamId: 'u',
+      pool: 'pool',
+      address: '127.0.0.1:9000',
+      dataCentre: 'centre',
+      rack: 'r1',
+      labels: [],
+      capacity: { cpuMillicores: 1000, memoryMiB: 1000, accelerators: 8 },
+      isDraining: true,
+      sequence: 1,
+      clockMs: 0,
+    })
+    .run()
+  const { kind } = outcome.swap().orDefault(new NettlespurError('not-leader', 'done'))
+  return { isTaken: outcome.isRight(), kind, tookMs: clock.monotonicMs() - startMs }
+}
+
+function stepDown(group: MemberGroup): void {
+  group.member(0).answer = () => Promise.reject(new NettlespurError('not-leader', 'stepped down'))
+  group.member(0).view = { ...group.member(0).view, leaderAddress: undefined }
+}
+
+test('an announcement is refused soon where no leader is found', async (t) => {
+  const group = await startWatchedGroup(t, all.length)
+  stepDown(group)
+  const { isTaken, kind, tookMs } = (await group.settle(announce(group))).outcome
+  t.false(isTaken)
+  t.is(kind, 'not-leader')
+  t.true(tookMs <= soonMs, `${tookMs} ms`)
+})
+
+test('an announcement still reaches a leader that is elected a moment later', async (t) => {
+  const group = await startWatchedGroup(t, all.length)
+  stepDown(group)
+  const announcing = announce(group)
+  await group.settle(group.clock.sleep(60))
+  group.lead(1, 2, all)
+  t.true((await group.settle(announcing)).outcome.isTaken)
+})
