--- a/daemons/trial/test/claims.test.ts
+++ b/daemons/trial/test/claims.test.ts
@@ -154,8 +154,10 @@
 test('an entry killed before its request took effect: the resend is told so, and the next one runs it once', async (t) => {
   const { cluster, first, second, upstream } = await start(t)
   await askUpstream(cluster, upstream, '/v1/standin/faults', { stall: ['run'] })
+  const warmUp = await first.process.waitFor('request.routed')
   const cut = send(first, 'k5', 'span 10').catch(() => undefined)
-  await first.process.waitFor('request.routed', ({ attempt }) => attempt === '1')
+  // Its claim is committed by then: before, the other entry's body could be the one that is claimed.
+  await first.process.waitFor('request.routed', ({ taskId }) => taskId !== warmUp.taskId)
   await waitUntil(async () => {
     const conflict = await send(second, 'k5', 'another body')
     return readKind(conflict) === 'idempotency-conflict' ? true : undefined
