--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -4,6 +4,9 @@
 import { BatchState, type Placement } from '@nettlespur/batch.state'
 import { addResources, noResources, planRound, type ActiveRun } from '../src/index.js'
 
+/** When all that runs is expected to end, from now. */
+const runsOnMs = 1000
+
 export class Fleet {
   readonly state = new BatchState()
   nowMs = 0
@@ -63,7 +66,7 @@
         placement,
         needs:
           this.state.jobs.get(placement.jobId)?.request.steps[placement.step]?.needs ?? noResources,
-        expectedEndMs: 1000,
+        expectedEndMs: this.nowMs + runsOnMs,
         stopCostCoreSeconds: this.stopCosts.get(placement.jobId) ?? 1,
         isStopping: this.#stopping.has(name(placement)),
       })),
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -16,15 +16,9 @@
 import { placeUnit } from './startUnit.js'
 import { VictimIndex } from './victimIndex.js'
 
-/**
- * Gangs that room is kept for at a time. With three, jobs earned 0.46 of what they could, with none 0.37: the
- * means of four crowded days of two deployments, 0.05 apart from trial to trial.
- */
-const reservationsMax = 3
-
 /**
  * Urgent units beyond their guarantee for which a round looks for something to stop, the first in rank. Each look goes
- * over all that runs: without a bound a round of a crowded day of 245 upstreams took 82 to 86 ms at the 99th percentile.
+ * over all that runs, so without a bound a crowded round would take times as long.
  */
 const urgentLooksMax = 3
 
@@ -47,7 +41,6 @@
   #runs: ActiveRun[] | undefined
   /** What may be stopped; listed when first needed. */
   #victims: VictimIndex | undefined
-  #reservations = 0
   #urgentLooks = 0
 
   constructor(view: SchedulerView, guaranteed: ReadonlySet<string>, book: RoomBook) {
@@ -73,13 +66,11 @@
   /** For what did not fit. */
   #decideRest(unit: RankedUnit): void {
     if (this.#makeRoom(unit)) return
-    if (unit.step.isGang) this.#reserve(unit)
+    if (unit.isOverdue) this.#reserve(unit)
   }
 
+  /** Only for the gang that is overdue: room kept idle for others leaves more jobs with nothing than it serves. */
   #reserve(unit: RankedUnit): void {
-    const isGivenUp = unit.hope === 'none' && !unit.isOverdue
-    if (this.#reservations >= reservationsMax || isGivenUp) return
-    this.#reservations += 1
     this.#runs ??= [...this.#view.runs, ...this.#started]
     this.#runs.sort((left, right) => left.expectedEndMs - right.expectedEndMs)
     reserveGang({ unit, book: this.#book, runs: this.#runs })
--- a/batch/scheduler/src/putOverdueFirst.ts
+++ b/batch/scheduler/src/putOverdueFirst.ts
@@ -9,23 +9,14 @@
 import { countWhenEmpty, type RoomBook } from './roomBook.js'
 import type { StartUnit } from './startUnit.js'
 
-/**
- * How long a gang that can earn nothing any more goes on waiting behind all others. With both rules jobs earn 0.875
- * and 0.773 of what they could, without them 0.866 and 0.777 (means of 100 simulated crowded days of each of two
- * mixes; 0.015 is noise), and the longest wait of a day is 16.4 and 27.2 s in the mean instead of 17.6 and 29.7 s.
- */
+/** How long a gang that can earn nothing any more goes on waiting behind all others: it must end too. */
 const patienceMs = 15_000
-/**
- * While this share of a pool is free, a gang waits only for where the smaller work runs. Of 140 such days of each mix
- * 0 and 5 end with a job held up for 3 s though half of the room is free; without the rules 6 and 4.
- */
+/** While this share of a pool is free, a gang waits only for where the smaller work runs. */
 const spaciousShare = 0.5
 /**
  * How many times as long a gang that prefers one rack runs across racks, by the platform's agreement. It waits no
  * longer than being spread costs it, so that it never loses more than twice the least; and it is spread only while
- * half of its pool is free, where it keeps nobody waiting. Without this a gang of four whole upstreams waited for
- * 29 s beside more than half of the room, to the end of a day. On 40 simulated days of each mix 0 and 2 end with a
- * job held up, without it 0 and 3; worth is 0.858 and 0.766, without it 0.861 and 0.769 (0.015 is noise).
+ * half of its pool is free, where it keeps nobody waiting. Otherwise it could wait without end beside ample room.
  */
 const spreadTimes = 3
 /** What the gang needs is free this many times over. */
--- a/batch/scheduler/test/overdueGangs.test.ts
+++ b/batch/scheduler/test/overdueGangs.test.ts
@@ -15,6 +15,20 @@
   t.deepEqual(fleet.decide().placements, [])
 })
 
+test('room is kept for a gang that is overdue, and only what ends in time starts there meanwhile', (t) => {
+  const fleet = new Fleet('r1', 'r1')
+  fleet.submit(createJob('first', createGang(1, 4)))
+  fleet.decide()
+  fleet.submit(createJob('waits', createGang(2, 8)))
+  fleet.nowMs = 1_000_000
+  fleet.submit(createJob('long', { expectedRunTimeMs: 5000 }))
+  fleet.submit(createJob('short', { expectedRunTimeMs: 900 }))
+  t.deepEqual(
+    fleet.decide().placements.map(({ jobId }) => jobId),
+    ['short'],
+  )
+})
+
 test('a gang that waits beyond its patience still comes after guaranteed work', (t) => {
   const fleet = new Fleet('r1', 'r1')
   fleet.submit(createJob('old', createGang(2, 8)))
--- a/batch/service/src/runRead.ts
+++ b/batch/service/src/runRead.ts
@@ -11,9 +11,8 @@
 import type { Operation } from './operation.js'
 
 /**
- * Ten times the slowest of 95 to 146 reads asked for at once (29 ms, three days of our own with a line for
- * each read); twice as long before each further question. The 700 ms of a call would leave a read no time:
- * with all connections silent it ends at 1,020 ms without an answer, this way at 740 ms with one (manual clock).
+ * Many times what the slowest of a burst of reads takes; twice as long before each further question. With the whole
+ * time of a call before the second question, a read over silent connections would end without an answer.
  */
 const askAgainAfterMs = 300
 /** What a try learned of the leader counts for the next one, and a member just elected gets ready. */
--- a/batch/state/src/batchState.ts
+++ b/batch/state/src/batchState.ts
@@ -134,8 +134,8 @@
   }
 
   /**
-   * Touches only what an end touches. Listing all of a job's runs for each of its ends took two thirds of the time in
-   * which a member that starts again applies its log: 4,086 commands 565 ms instead of 114 (a day of 245 upstreams).
+   * Touches only what an end touches: listing all of a job's runs for each of its ends would take most of the time in
+   * which a member that starts again applies its log.
    */
   #endRuns(ends: readonly RunEnd[]): CommandOutcome {
     let outcome: CommandOutcome = 'unchanged'
--- a/consensus/raft/src/replica.ts
+++ b/consensus/raft/src/replica.ts
@@ -100,7 +100,7 @@
   /**
    * No leader has been heard since the start, and none can rest on what this member promised before it: reads are
    * confirmed by a quorum. Such members elect within a few heartbeats: after a loss of power of all five a leader stands
-   * 0.1 to 0.2 s after the last of a majority has opened its log (two runs), instead of 0.9 s (one run).
+   * soon after the last of a majority has opened its log, in place of a whole election timeout later.
    */
   get isFresh(): boolean {
     return this.opts.leaseReads === false && !this.#hasKnownLeader
--- a/consensus/raft/src/transferLeadership.ts
+++ b/consensus/raft/src/transferLeadership.ts
@@ -56,8 +56,7 @@
 
   /**
    * Right after an election nobody has answered yet. A leader that does not wait for a first answer leaves the
-   * group without one for 2.0 s, else 0.11 s: medians of 40 simulated elections, each followed by a stop at
-   * once, with three voters and an election timeout of 1.5 s.
+   * group without one for an election timeout and more.
    */
   async #awaitTarget(): Promise<Member | undefined> {
     if (this.#listUntried().length === 0) return undefined
