fix: take only the first answer of an upstream for an announcement

Cause, found by reading the diff: with any answered look taken for an announcement, an upstream that answers but no longer announces itself stayed in use. The usual reason is that it is about to leave and its announcement does not get through; work placed there is thrown away.

Change: the first answer alone counts, which is what a new leader needs. Test: red before (the muted upstream got the new tasks), green now.

--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -39,6 +39,7 @@
   /** By id, of those that have said that they are about to leave. */
   readonly #leavesAtMs = new Map<string, number>()
   readonly #cutUntilMs = new Map<string, number>()
+  readonly #muted = new Set<string>()
   readonly port: FaultyPort
   readonly #clockRate: number
   #faults: LinkFault[] = []
@@ -160,6 +161,11 @@
     this.#cutUntilMs.set(address, Infinity)
   }
 
+  /** One upstream announces itself no longer, and answers as before. */
+  mute(at: number): void {
+    this.#muted.add(addressOf(at))
+  }
+
   upstreamIdOf(at: number): string {
     return this.#upstreams.get(addressOf(at))?.upstreamId ?? ''
   }
@@ -208,7 +214,7 @@
   }
 
   async #announce({ upstreamId, address, clockMs }: FakeUpstream): Promise<void> {
-    if (this.#isCut(address)) return
+    if (this.#isCut(address) || this.#muted.has(address)) return
     const leavesAtMs = this.#leavesAtMs.get(upstreamId)
     this.#sequence += 1
     const announcing = this.#leader?.announce({
--- a/batch/service/src/upstreamRoster.ts
+++ b/batch/service/src/upstreamRoster.ts
@@ -49,8 +49,8 @@
 
   /**
    * Takes up what earlier leaders placed, and asks the idle upstreams too: otherwise none could be used before its next
-   * announcement, which may be seconds away while its sender still tries the former leader. Resolves once most
-   * have answered: a decision that sees some of the upstreams only would stop work for want of room that is there.
+   * announcement, which may be seconds away while its sender still tries the former leader. Resolves once all have
+   * answered or been given up, or time is up: a decision that sees a part of them would stop work for room that is there.
    */
   async takeOver({ upstreams, placements }: BatchState): Promise<void> {
     const holders = new Set(placements.upstreamIds)
@@ -120,7 +120,8 @@
     const session = this.#sessions.get(upstreamId)
     if (session?.lease.clock.isKnown !== true) return false
     const { answers } = session
-    const heardAtMs = Math.max(this.#table.heardAtMs(upstreamId), answers.answeredAtMs)
+    // Its first answer counts as an announcement. Later ones do not: one that no longer announces itself may be leaving.
+    const heardAtMs = Math.max(this.#table.heardAtMs(upstreamId), answers.firstAnswerAtMs)
     const { announceEveryMs } = this.#opts.timings
     if (nowMs - heardAtMs > announceEveryMs * missedAnnouncements) return false
     if (nowMs - session.unlistedAtMs < unlistedPauseMs) return false
--- a/batch/service/test/batchLeader.test.ts
+++ b/batch/service/test/batchLeader.test.ts
@@ -141,6 +141,8 @@
   t.is(countStarted(fleet, 'j'), 2)
 })
 
+/** Three announcements are missing by then, and some. */
+const unheardMs = 5000
 /** Far below the time to the next announcement. */
 const takeoverMs = 500
 
@@ -176,6 +178,20 @@
   t.is(fleet.state.placements.on(findFirstPlace(fleet, 'borrower')).size, 1)
 })
 
+test('an upstream that answers but no longer announces itself gets no new work', async (t) => {
+  const fleet = await startFleet()
+  const needs = { cpuMillicores: 100, memoryMiB: 100, accelerators: 1 }
+  fleet.submit(createJob('running', { needs, expectedRunTimeMs: 60_000 }), 1)
+  await fleet.clock.advance(settledMs)
+  const at = findPlace(fleet, 'running')
+  fleet.mute(at)
+  await fleet.clock.advance(unheardMs)
+  fleet.submit(createJob('more', { taskCount: 3, needs, expectedRunTimeMs: 60_000 }), 1)
+  await fleet.clock.advance(settledMs)
+  t.is(countStarted(fleet, 'more'), 3)
+  t.is(fleet.state.placements.on(fleet.upstreamIdOf(at)).size, 1)
+})
+
 function findFirstPlace(fleet: FakeFleet, jobId: string): string {
   return fleet.state.jobs.get(jobId)?.steps[0]?.tasks[0]?.upstreamId ?? ''
 }
--- a/batch/sessions/src/callAnswers.ts
+++ b/batch/sessions/src/callAnswers.ts
@@ -4,8 +4,8 @@
   unanswered = 0
   /** When the last call without an answer was given up, on our clock. */
   unansweredAtMs = -Infinity
-  /** When it last answered, on our clock. */
-  answeredAtMs = -Infinity
+  /** When it first answered, on our clock. */
+  firstAnswerAtMs = -Infinity
   /** Resolves once the first call was answered or given up. */
   readonly first: Promise<void>
   readonly #noteFirst: () => void
@@ -20,7 +20,7 @@
 
   noteAnswered(nowMs: number): void {
     this.unanswered = 0
-    this.answeredAtMs = nowMs
+    if (this.firstAnswerAtMs === -Infinity) this.firstAnswerAtMs = nowMs
     this.#noteFirst()
   }
 
