refactor: drop what served several reservations a round, of which there is one now

Since room is kept for the overdue gang only, a round reserves at most once: the sorted list kept for further reservations, and the least room beside earlier ones, were dead.

--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -37,8 +37,6 @@
   readonly #started: ActiveRun[] = []
   readonly #view: SchedulerView
   readonly #guaranteed: ReadonlySet<string>
-  /** Those that this round starts included, by their expected ends; listed when first needed. */
-  #runs: ActiveRun[] | undefined
   /** What may be stopped; listed when first needed. */
   #victims: VictimIndex | undefined
   #urgentLooks = 0
@@ -71,9 +69,9 @@
 
   /** Only for the gang that is overdue: room kept idle for others leaves more jobs with nothing than it serves. */
   #reserve(unit: RankedUnit): void {
-    this.#runs ??= [...this.#view.runs, ...this.#started]
-    this.#runs.sort((left, right) => left.expectedEndMs - right.expectedEndMs)
-    reserveGang({ unit, book: this.#book, runs: this.#runs })
+    const runs = [...this.#view.runs, ...this.#started]
+    runs.sort((left, right) => left.expectedEndMs - right.expectedEndMs)
+    reserveGang({ unit, book: this.#book, runs })
   }
 
   #toRun({ step }: RankedUnit, placement: Placement): ActiveRun {
@@ -90,9 +88,7 @@
     this.#book.take(places, unit.step)
     const placed = placeUnit(unit, places)
     this.placements.push(...placed)
-    const started = placed.map((placement) => this.#toRun(unit, placement))
-    this.#started.push(...started)
-    this.#runs?.push(...started)
+    this.#started.push(...placed.map((placement) => this.#toRun(unit, placement)))
   }
 
   /** Keeps what is being freed for the unit, and has more stopped where that is too little; false where nothing would do. */
--- a/batch/scheduler/src/reserveGang.ts
+++ b/batch/scheduler/src/reserveGang.ts
@@ -3,10 +3,9 @@
  * free. The earliest time is sought at which it fits as runs are expected to end; what ends before that time
  * may still start there.
  */
-import type { Resources } from '@nettlespur/batch.model'
 import { trackScopes, type FitScope } from './fitTracker.js'
 import { addResources } from './resources.js'
-import type { BookedRoom, RoomBook } from './roomBook.js'
+import type { RoomBook } from './roomBook.js'
 import type { ActiveRun } from './schedulerView.js'
 import type { StartUnit } from './startUnit.js'
 
@@ -19,7 +18,7 @@
 
 /** Books the room; nothing where the gang would not fit even without all that runs. */
 export function reserveGang({ unit, book, runs }: ReserveGangOptions): void {
-  const scopes = trackScopes(unit, book, leastRoom)
+  const scopes = trackScopes(unit, book, ({ soon }) => soon)
   let scope = scopes.find(({ fits }) => fits)
   let fromMs = book.nowMs
   for (const { placement, needs, isStopping, expectedEndMs } of runs) {
@@ -49,15 +48,3 @@
     book.find(upstreamId)?.later.push({ fromMs, left: addResources(then, unit.step.needs, -count) })
   }
 }
-
-/** Room that is kept for others from some time on counts as taken. */
-function leastRoom({ soon, later }: BookedRoom): Resources {
-  return later.reduce(
-    (least, { left }) => ({
-      cpuMillicores: Math.min(least.cpuMillicores, left.cpuMillicores),
-      memoryMiB: Math.min(least.memoryMiB, left.memoryMiB),
-      accelerators: Math.min(least.accelerators, left.accelerators),
-    }),
-    soon,
-  )
-}
