feat: tell in the log why a run was lost, and how long after its start

An end 'lost' stood for four things: another life of the upstream answers, it has left, its lease is over, the start never began. The incident's logs tell them apart only by the lines around each end, and nothing says that the run had begun 10 ms before its upstream was gone.

run.lost names the cause, what was known of the run, and the time since its start: one line for each run that ends so. No decision changes.

--- a/batch/sessions/src/runTracks.ts
+++ b/batch/sessions/src/runTracks.ts
@@ -1,6 +1,6 @@
 /** The runs that a session follows. */
 import { runKey, type RunRef } from '@nettlespur/batch.model'
-import type { Placement, RunEnd } from '@nettlespur/batch.state'
+import type { Placement } from '@nettlespur/batch.state'
 import { createRunTrack, type RunPhase, type RunTrack } from './runTrack.js'
 import { unlistedMsMax } from './sessionOptions.js'
 import type { RunningRun } from './upstreamPort.js'
@@ -29,6 +29,11 @@
     return track
   }
 
+  /** Takes up what earlier leaders placed. */
+  inherit(placements: Iterable<Placement>, nowMs: number): void {
+    for (const placement of placements) this.add(placement, 'inherited', nowMs)
+  }
+
   remove(run: RunRef): void {
     this.#byKey.delete(runKey(run))
   }
@@ -74,11 +79,4 @@
       ({ unlistedSinceMs = Infinity }) => nowMs - unlistedSinceMs >= unlistedMsMax,
     )
   }
-
-  /** The ends of all that is placed there, with the newest checkpoint seen of each. */
-  listLost(placements: ReadonlyMap<string, Placement>): RunEnd[] {
-    return [...placements.values()].map((placement) => {
-      return { ...placement, outcome: 'lost', checkpoint: this.find(placement)?.checkpoint }
-    })
-  }
 }
--- a/batch/sessions/src/upstreamEnding.ts
+++ b/batch/sessions/src/upstreamEnding.ts
@@ -1,12 +1,21 @@
 /** Ends all that is placed on an upstream whose life is over, and then the session, however often it is told. */
+import type { LossCause } from './lossCause.js'
 import { retryPauseMs, type UpstreamSessionOptions } from './sessionOptions.js'
 
+/** How the life of an upstream ends. */
+export type EndingCause = Extract<LossCause, 'crashed' | 'left'>
+
+const reasons: Readonly<Record<EndingCause, string>> = {
+  crashed: 'another life of it answers',
+  left: 'it has left',
+}
+
 export interface UpstreamEndingOptions extends Pick<
   UpstreamSessionOptions,
   'target' | 'host' | 'clock' | 'logger' | 'signal'
 > {
   /** Commits the ends of all that is placed there; false where that failed. */
-  commitLost: () => Promise<boolean>
+  commitLost: (cause: EndingCause) => Promise<boolean>
 }
 
 export class UpstreamEnding {
@@ -20,8 +29,8 @@
   }
 
   /** Several calls may be told at a time. */
-  end(reason: string): Promise<void> {
-    this.#ending ??= this.#endAll(reason).finally(() => {
+  end(cause: EndingCause): Promise<void> {
+    this.#ending ??= this.#endAll(cause).finally(() => {
       this.#ending = undefined
     })
     return this.#ending
@@ -31,15 +40,16 @@
    * What is placed there while ends are being committed is told of by nobody else, also where the answer to its
    * start comes only later: else its job would be running for as long as this leader leads, and none of it anywhere.
    */
-  async #endAll(reason: string): Promise<void> {
+  async #endAll(cause: EndingCause): Promise<void> {
     const { clock, signal, host, logger, target, commitLost } = this.#opts
     const { upstreamId } = target
     const countPlaced = (): number => host.listPlacements(upstreamId).size
     if (!this.isOver || countPlaced() > 0) {
+      const reason = reasons[cause]
       logger.info({ event: 'upstream.gone', upstreamId, reason, runs: countPlaced() })
     }
     while (!signal.aborted && countPlaced() > 0) {
-      const isCommitted = await commitLost()
+      const isCommitted = await commitLost(cause)
       if (!isCommitted || countPlaced() > 0) await clock.sleep(retryPauseMs, signal)
     }
     if (this.isOver || signal.aborted) return
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -9,6 +9,8 @@
 import { CallAnswers } from './callAnswers.js'
 import { EndCursor } from './endCursor.js'
 import { LeaseTracker } from './leaseTracker.js'
+import type { LossCause } from './lossCause.js'
+import { LostRuns } from './lostRuns.js'
 import { readLook } from './readLook.js'
 import type { RunTrack } from './runTrack.js'
 import { RunTracks } from './runTracks.js'
@@ -28,6 +30,7 @@
   readonly #opts: UpstreamSessionOptions
   readonly #orders: RunOrders
   readonly #tracks = new RunTracks()
+  readonly #lost: LostRuns
   readonly #cursor = new EndCursor()
   readonly #ending: UpstreamEnding
   #isLooking = false
@@ -37,7 +40,8 @@
     this.#opts = opts
     this.lease = new LeaseTracker({ leaseMs: opts.timings.leaseMs, takeoverMs: opts.takeoverMs })
     this.#orders = new RunOrders({ ...opts, lease: this.lease })
-    const commitLost = () => this.#commit(this.#tracks.listLost(this.#placements()))
+    this.#lost = new LostRuns({ ...opts, tracks: this.#tracks })
+    const commitLost = (cause: LossCause) => this.#commitLost(cause)
     this.#ending = new UpstreamEnding({ ...opts, commitLost })
   }
 
@@ -52,9 +56,7 @@
 
   /** Takes up what earlier leaders placed there. */
   resume(): void {
-    for (const placement of this.#placements().values()) {
-      this.#tracks.add(placement, 'inherited', this.#nowMs())
-    }
+    this.#tracks.inherit(this.#placements().values(), this.#nowMs())
     this.#wake()
   }
 
@@ -116,8 +118,7 @@
       await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
       // It may have said so just as its connection broke: another look could wait in vain for seconds.
       const { host, target } = this.#opts
-      if (host.findUpstream(target.upstreamId)?.hasLeft === true)
-        await this.#ending.end('it has left')
+      if (host.findUpstream(target.upstreamId)?.hasLeft === true) await this.#ending.end('left')
     }
   }
 
@@ -162,7 +163,7 @@
 
   async #take(answer: HoldAnswer, sentAtMs: number): Promise<void> {
     if (this.#isOver()) return
-    if (answer.type === 'gone') return this.#ending.end('another life of it answers')
+    if (answer.type === 'gone') return this.#ending.end('crashed')
     if (answer.type === 'fence') {
       this.#log('upstream.fenced', { fence: this.#opts.host.fence })
       return this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
@@ -200,7 +201,7 @@
     track.settledAtMs = this.#nowMs()
     if (result.type === 'in-doubt' || result.type === 'not-sent')
       this.answers.noteUnanswered(this.#nowMs())
-    if (result.type === 'gone') return this.#ending.end('another life of it answers')
+    if (result.type === 'gone') return this.#ending.end('crashed')
     if (result.type === 'started' || reason === 'superseded') {
       track.phase = 'settled'
       this.review(placement)
@@ -211,7 +212,8 @@
       this.#opts.host.abandonGang(placement)
       return this.#stopUntilAnswered(track)
     }
-    if (!(await this.#commit([{ ...placement, outcome: 'lost' }]))) track.phase = 'settled'
+    const isCommitted = await this.#commit(this.#lost.listEnds([placement], 'not-started'))
+    if (!isCommitted) track.phase = 'settled'
   }
 
   /** Once a stop is answered, a start of this attempt that comes later is refused. */
@@ -233,14 +235,19 @@
     const answer = await this.#orders.stop(run)
     if (answer === undefined) return false
     this.#noteClock(answer.clockMs)
-    if (answer.type === 'gone') await this.#ending.end('another life of it answers')
+    if (answer.type === 'gone') await this.#ending.end('crashed')
     return answer.type === 'stopping'
   }
 
   #giveUpAfterLease(): void {
     if (this.#isOver() || !this.lease.isOver(this.#nowMs())) return
     this.#log('upstream.lease-over', { runs: this.#placements().size })
-    void this.#commit(this.#tracks.listLost(this.#placements()))
+    void this.#commitLost('lease-over')
+  }
+
+  /** Ends all that is placed there. */
+  #commitLost(cause: LossCause): Promise<boolean> {
+    return this.#commit(this.#lost.listEnds(this.#placements().values(), cause))
   }
 
   #log(event: string, fields: Readonly<Record<string, string | number | undefined>>): void {
