test: a task that crashes each upstream that starts it is not started without end

Fails on the code as it is: 'poison/0/0 started 3 times more after 3 crashes'. The ledger now watches the promise in every test that plays upstreams.

--- a/batch/fakes/src/fakeUpstream.ts
+++ b/batch/fakes/src/fakeUpstream.ts
@@ -18,6 +18,8 @@
 import type { FleetLedger } from './fleetLedger.js'
 
 const stopMs = 300
+/** From the start of a run that crashes its upstream until the crash. */
+const crashAfterMs = 10
 
 interface HeldRun {
   readonly run: RunRef
@@ -33,6 +35,8 @@
   /** Of its own clock against ours: from 0.98 to 1. */
   clockRate: number
   ledger: FleetLedger
+  /** Told once a run has brought it down; to call `crash` is left to its owner. */
+  onCrashingRun?: () => void
 }
 
 export class FakeUpstream {
@@ -81,6 +85,7 @@
     const startedAtMs = clock.monotonicMs()
     this.#held.set(runKey(run), { run, needs, startedAtMs, isStopping: false })
     ledger.noteStart(run, this)
+    if (ledger.crashes(run)) this.#crashSoon(run)
     return { type: 'started', clockMs }
   }
 
@@ -146,6 +151,15 @@
     return this.#held.has(runKey(run))
   }
 
+  #crashSoon(run: RunRef): void {
+    const { clock, ledger, onCrashingRun } = this.#opts
+    clock.setTimer(crashAfterMs, () => {
+      if (!this.isUp || !this.holds(run)) return
+      ledger.noteCrashUnder(run)
+      onCrashingRun?.()
+    })
+  }
+
   #close(run: RunRef): void {
     const closed = this.#closed.get(taskKey(run)) ?? 0
     this.#closed.set(taskKey(run), Math.max(closed, run.attempt))
--- a/batch/fakes/src/fleetLedger.ts
+++ b/batch/fakes/src/fleetLedger.ts
@@ -5,6 +5,8 @@
 import type { FakeUpstream } from './fakeUpstream.js'
 
 const gangWaitMs = 3000
+/** After this many crashes a task that causes them may be started that many times more, less one. */
+const crashesMax = 3
 const noNeeds: Resources = { cpuMillicores: 0, memoryMiB: 0, accelerators: 0 }
 
 export interface FleetLedgerOptions {
@@ -12,6 +14,8 @@
   acceleratorsEach: number
   /** How a run that is let work ends. */
   decideOutcome: (run: RunRef) => 'done' | 'failed'
+  /** Whether the run brings down the upstream that starts it. */
+  crashes?: (run: RunRef) => boolean
 }
 
 export class FleetLedger {
@@ -27,6 +31,9 @@
   readonly #running = new Map<string, RunRef>()
   /** The run of each task that ended `done` last, acknowledged or not. */
   readonly endedDone = new Map<string, RunRef>()
+  /** Upstreams that a task has brought down. */
+  readonly crashesUnder = new Map<string, number>()
+  readonly #startsAfterCrashes = new Map<string, number>()
 
   constructor(opts: FleetLedgerOptions) {
     this.#opts = opts
@@ -63,6 +70,7 @@
     if (this.#running.has(key)) this.violations.push(`${name} started while another run is going`)
     if (this.doneTasks.has(key)) this.violations.push(`${name} started after it was done`)
     if (!this.#dependenciesAreDone(run)) this.violations.push(`${name} started out of order`)
+    this.#countCrashBudget(key)
     this.#running.set(key, run)
     const step = this.#stepOf(run)
     if (step?.isGang === true) this.#joinGang(run)
@@ -77,10 +85,28 @@
     for (const member of this.#membersOf(run)) this.#endEverywhere(member, 'broken')
   }
 
+  crashes(run: RunRef): boolean {
+    return this.#opts.crashes?.(run) ?? false
+  }
+
+  noteCrashUnder(run: RunRef): void {
+    const key = taskKey(run)
+    this.crashesUnder.set(key, (this.crashesUnder.get(key) ?? 0) + 1)
+  }
+
   noteAcknowledged(run: RunRef): void {
     if (this.endedDone.get(taskKey(run))?.attempt === run.attempt) this.doneTasks.add(taskKey(run))
   }
 
+  #countCrashBudget(key: string): void {
+    if ((this.crashesUnder.get(key) ?? 0) < crashesMax) return
+    const starts = (this.#startsAfterCrashes.get(key) ?? 0) + 1
+    this.#startsAfterCrashes.set(key, starts)
+    if (starts === crashesMax) {
+      this.violations.push(`${key} started ${starts} times more after ${crashesMax} crashes`)
+    }
+  }
+
   #work(run: RunRef, holder: FakeUpstream): void {
     const outcome = this.#opts.decideOutcome(run)
     this.#opts.clock.setTimer(this.#stepOf(run)?.expectedRunTimeMs ?? 0, () => {
--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -1,5 +1,5 @@
 /** A leader with four fake upstreams over faulty links, on a manual clock. Commits take a few milliseconds. */
-import type { JobRequest } from '@nettlespur/batch.model'
+import type { JobRequest, RunRef } from '@nettlespur/batch.model'
 import { BatchState, type Command, type CommandOutcome } from '@nettlespur/batch.state'
 import { ManualClock } from '@nettlespur/core.clock'
 import { NettlespurError } from '@nettlespur/core.errors'
@@ -15,6 +15,8 @@
 const acceleratorsEach = 8
 const commitMs = 8
 const announceEveryMs = 1500
+/** Until the next life of an upstream that a run has brought down. */
+const reviveMs = 3000
 const silentLogger = { debug: noop, info: noop, warn: noop, error: noop }
 
 export type FleetTrouble =
@@ -29,6 +31,8 @@
   lateMs: number
   failures: readonly number[]
   linksMs: readonly number[]
+  /** Whether the run brings down the upstream that starts it. */
+  crashes?: (run: RunRef) => boolean
 }
 
 export class FakeFleet {
@@ -62,6 +66,7 @@
         runs += 1
         return opts.failures.includes(runs % 10) && runs < 30 ? 'failed' : 'done'
       },
+      ...(opts.crashes === undefined ? {} : { crashes: opts.crashes }),
     })
     this.port = new FaultyPort({
       clock,
@@ -200,9 +205,15 @@
     const { clock, ledger } = this
     const upstreamId = `life${this.#lives}`
     const clockRate = this.#clockRate
+    const onCrashingRun = (): void => {
+      this.#upstreams.get(address)?.crash()
+      clock.setTimer(reviveMs, () => {
+        this.#revive(at)
+      })
+    }
     this.#upstreams.set(
       address,
-      new FakeUpstream({ upstreamId, address, clock, clockRate, ledger }),
+      new FakeUpstream({ upstreamId, address, clock, clockRate, ledger, onCrashingRun }),
     )
   }
 
@@ -215,6 +226,7 @@
 
   async #announce({ upstreamId, address, clockMs }: FakeUpstream): Promise<void> {
     if (this.#isCut(address) || this.#muted.has(address)) return
+    if (this.#upstreams.get(address)?.isUp !== true) return
     const leavesAtMs = this.#leavesAtMs.get(upstreamId)
     this.#sequence += 1
     const announcing = this.#leader?.announce({
