fix: give up a task under which upstreams crash, instead of starting it without end

What callers saw: one task brought down 17 upstreams in 56 s, each with all that ran beside it; urgent quotes ended late or not at all meanwhile.

Cause: only an end 'failed' draws on a budget. A run that goes down with its upstream ended as 'lost', like one that was refused or whose upstream left, and 'lost' may be repeated without end. Evidence: in the recording each run.ended of the task says outcome=lost, each start has a decision of its own, and starts 2 to 17 are by one leader, so no count was lost with a leader and no order came late.

Ends by a crash are an outcome of their own now, committed with what speaks against the run: 'sole' where it alone had not yet been seen at work for a second, 'shared' where others had not either or the upstream may only be cut off, 'none' where others had just started and it had been at work. Two sole blames, or five crashes however blamed, end the job as failed, with the reason in its record and in job.ended. A gang counts as a whole, once an attempt.

Before: 'poison/0/0 started 3 times more after 3 crashes', without end. After: given up after two; 60 schedules of crashing jobs, cuts and new leaders break nothing.

Not yet: a neighbour that had just started shares the blame, and may be given up when it meets two such tasks.

--- a/batch/service/src/reportEnds.ts
+++ b/batch/service/src/reportEnds.ts
@@ -38,11 +38,20 @@
     logger.info({ event: 'run.ended', ...runFields(end), upstreamId, outcome })
     metrics.count(`runs_${outcome}_total`)
   }
-  for (const { status, request, queue } of jobs) {
+  for (const { status, failure, request, queue } of jobs) {
     const { jobId } = request
     if (status === 'active' || !jobClock.noteEnded(jobId)) continue
     const tookMs = Math.round(jobClock.waitedMs(jobId, nowMs))
-    logger.info({ event: 'job.ended', jobId, queue: queue.name, status, tookMs })
+    logger.info({
+      event: 'job.ended',
+      jobId,
+      queue: queue.name,
+      status,
+      reason: failure?.reason,
+      step: failure?.step,
+      index: failure?.index,
+      tookMs,
+    })
     metrics.count(`jobs_${status}_total`)
     metrics.recordMs('job_completion_ms', tookMs)
   }
--- a/batch/service/test/crashingTasks.test.ts
+++ b/batch/service/test/crashingTasks.test.ts
@@ -1,21 +1,118 @@
 /** Tasks that bring down the upstreams that start them, beside work that has nothing to do with it. */
+import type { RunRef } from '@nettlespur/batch.model'
 import { createJob } from '@nettlespur/batch.samples'
 import test from 'ava'
-import { FakeFleet } from '../__utils__/index.js'
+import fc from 'fast-check'
+import assert from 'node:assert/strict'
+import { FakeFleet, upstreamCount } from '../__utils__/index.js'
 
 const links = { clockRate: 1, lateMs: 1000, failures: [], linksMs: [1, 2, 3] }
 const settledMs = 60_000
 
-function startFleet(crashingJobs: readonly string[]): FakeFleet {
-  const fleet = new FakeFleet({ ...links, crashes: ({ jobId }) => crashingJobs.includes(jobId) })
+function startFleet(crashes: (run: RunRef) => boolean): FakeFleet {
+  const fleet = new FakeFleet({ ...links, crashes })
   fleet.elect()
   return fleet
 }
 
+function statusOf(fleet: FakeFleet, jobId: string): string | undefined {
+  return fleet.state.jobs.get(jobId)?.status
+}
+
 test('a task that crashes each upstream that starts it is not started without end', async (t) => {
-  const fleet = startFleet(['poison'])
+  const fleet = startFleet(({ jobId }) => jobId === 'poison')
   fleet.submit(createJob('poison', { expectedRunTimeMs: 800 }), 0)
   await fleet.clock.advance(settledMs)
   t.deepEqual(fleet.ledger.violations, [])
-  t.is(fleet.state.jobs.get('poison')?.status, 'failed')
+  t.is(statusOf(fleet, 'poison'), 'failed')
+})
+
+test('a gang of which one member crashes its upstream is not started without end', async (t) => {
+  const fleet = startFleet(({ jobId, index }) => jobId === 'poison' && index === 1)
+  const needs = { cpuMillicores: 1000, memoryMiB: 1000, accelerators: 5 }
+  fleet.submit(createJob('poison', { isGang: true, taskCount: 3, needs }), 0)
+  await fleet.clock.advance(settledMs)
+  t.deepEqual(fleet.ledger.violations, [])
+  t.is(statusOf(fleet, 'poison'), 'failed')
+})
+
+test('a crashing task that each new leader finds under way is not started without end', async (t) => {
+  const fleet = startFleet(({ jobId }) => jobId === 'poison')
+  fleet.submit(createJob('poison', {}), 0)
+  for (let second = 0; second < settledMs / 1000; second++) {
+    await fleet.clock.advance(1000)
+    if (second % 3 === 1) fleet.elect()
+  }
+  t.deepEqual(fleet.ledger.violations, [])
+  t.is(statusOf(fleet, 'poison'), 'failed')
+})
+
+test('an upstream that crashes by itself over and over has no sound job given up', async (t) => {
+  const fleet = startFleet(() => false)
+  for (let at = 0; at < 6; at++) {
+    fleet.submit(createJob(`sound${at}`, { taskCount: 4, expectedRunTimeMs: 3000 }), 1)
+  }
+  for (let second = 0; second < 12; second++) {
+    await fleet.clock.advance(1000)
+    fleet.apply({ kind: 'crash', upstream: 0 })
+  }
+  await fleet.clock.advance(settledMs)
+  t.deepEqual(
+    [...fleet.state.jobs.values()].map(({ status }) => status),
+    Array.from({ length: 6 }, () => 'completed'),
+  )
+})
+
+const schedule = fc.record({
+  crashing: fc.uniqueArray(fc.nat(5), { maxLength: 3 }),
+  jobs: fc.array(
+    fc.record({
+      atMs: fc.nat(6000),
+      priority: fc.nat(2),
+      taskCount: fc.integer({ min: 1, max: upstreamCount }),
+      accelerators: fc.integer({ min: 1, max: 8 }),
+      expectedRunTimeMs: fc.integer({ min: 50, max: 5000 }),
+      isGang: fc.boolean(),
+    }),
+    { minLength: 6, maxLength: 6 },
+  ),
+  electionsAtMs: fc.array(fc.nat(15_000), { maxLength: 3 }),
+  cuts: fc.array(
+    fc.record({ atMs: fc.nat(15_000), upstream: fc.nat(upstreamCount - 1), forMs: fc.nat(14_000) }),
+    { maxLength: 2 },
+  ),
+})
+
+test('whichever tasks crash their upstreams, under whichever leaders, none is started three times more after three crashes', async (t) => {
+  await fc.assert(
+    fc.asyncProperty(schedule, async ({ crashing, jobs, electionsAtMs, cuts }) => {
+      const fleet = startFleet(({ jobId }) => crashing.some((at) => jobId === `job${at}`))
+      jobs.forEach(({ atMs, priority, accelerators, ...step }, at) => {
+        const needs = { cpuMillicores: 100, memoryMiB: 100, accelerators }
+        const request = createJob(`job${at}`, { ...step, needs })
+        fleet.clock.setTimer(atMs, () => {
+          fleet.submit(request, priority)
+        })
+      })
+      for (const atMs of electionsAtMs) {
+        fleet.clock.setTimer(atMs, () => {
+          fleet.elect()
+        })
+      }
+      for (const { atMs, ...cut } of cuts) {
+        fleet.clock.setTimer(atMs, () => {
+          fleet.apply({ kind: 'cut', ...cut })
+        })
+      }
+      await fleet.clock.advance(15_000)
+      fleet.calm()
+      await fleet.clock.advance(120_000)
+      fleet.leader?.stop()
+      assert.deepEqual(fleet.ledger.violations, [])
+      assert.deepEqual([...fleet.state.unsettled.keys()], [])
+      for (const at of crashing) assert.equal(statusOf(fleet, `job${at}`), 'failed')
+    }),
+    { numRuns: 60, includeErrorInReport: true },
+  )
+  t.pass()
 })
--- a/batch/sessions/src/lostRuns.ts
+++ b/batch/sessions/src/lostRuns.ts
@@ -1,13 +1,14 @@
 /** The ends of runs that no list of their upstream shows as ended: one line of the log each, with what is known of it. */
-import { runFields } from '@nettlespur/batch.model'
-import type { Placement, RunEnd } from '@nettlespur/batch.state'
+import { runFields, runKey } from '@nettlespur/batch.model'
+import type { CrashBlame, Placement, RunEnd } from '@nettlespur/batch.state'
+import { blameCrash } from './blameCrash.js'
 import type { LossCause } from './lossCause.js'
 import type { RunTracks } from './runTracks.js'
 import type { UpstreamSessionOptions } from './sessionOptions.js'
 
 export interface LostRunsOptions extends Pick<
   UpstreamSessionOptions,
-  'target' | 'clock' | 'logger'
+  'target' | 'host' | 'clock' | 'logger'
 > {
   tracks: RunTracks
 }
@@ -19,16 +20,38 @@
     this.#opts = opts
   }
 
-  /** With the newest checkpoint seen of each. */
-  listEnds(placements: Iterable<Placement>, cause: LossCause): RunEnd[] {
-    return [...placements].map((placement) => {
-      this.#log(placement, cause)
+  /** The run never was, and will never be, at work. */
+  listUnstarted(placement: Placement): RunEnd[] {
+    this.#log(placement, 'not-started')
+    return [{ ...placement, outcome: 'lost' }]
+  }
+
+  /** Of all that is placed on an upstream whose life is over, with the newest checkpoint seen of each. */
+  listEnds(placements: readonly Placement[], cause: LossCause): RunEnd[] {
+    const blames = this.#blame(placements, cause)
+    return placements.map((placement) => {
+      const blame = blames.get(runKey(placement))
+      this.#log(placement, cause, blame)
       const checkpoint = this.#opts.tracks.find(placement)?.checkpoint
-      return { ...placement, outcome: 'lost', checkpoint }
+      if (blame === undefined) return { ...placement, outcome: 'lost', checkpoint }
+      return { ...placement, outcome: 'crashed', checkpoint, blame }
+    })
+  }
+
+  /** None for an upstream that had said that it leaves. A run that never got there went down with nothing. */
+  #blame(placements: readonly Placement[], cause: LossCause): ReadonlyMap<string, CrashBlame> {
+    const { host, target, tracks } = this.#opts
+    const upstream = host.findUpstream(target.upstreamId)
+    if (cause === 'left' || upstream?.isDraining === true) return new Map()
+    return blameCrash({
+      placements: placements.filter((placement) => tracks.find(placement)?.phase !== 'refused'),
+      tracks,
+      isGang: ({ jobId, step }) => host.findJob(jobId)?.request.steps[step]?.isGang === true,
+      isCertain: cause === 'crashed',
     })
   }
 
-  #log(placement: Placement, cause: LossCause): void {
+  #log(placement: Placement, cause: LossCause, blame?: CrashBlame): void {
     const { clock, logger, target, tracks } = this.#opts
     const track = tracks.find(placement)
     const sinceStartMs = track && Math.round(clock.monotonicMs() - track.startedAtMs)
@@ -37,7 +60,9 @@
       ...runFields(placement),
       upstreamId: target.upstreamId,
       cause,
+      blame,
       phase: track?.phase,
+      isProven: track?.isProven,
       sinceStartMs,
     })
   }
--- a/batch/sessions/src/runTrack.ts
+++ b/batch/sessions/src/runTrack.ts
@@ -4,9 +4,10 @@
 /**
  * `starting`: the order is under way. `inherited`: placed by an earlier leader, not yet seen. `settled`:
  * the upstream has answered at `settledAtMs`, so a look sent later shows the run or its end, or it will
- * never run. `in-doubt`: an order may have got there, and a stop is to settle it.
+ * never run. `in-doubt`: an order may have got there, and a stop is to settle it. `refused`: another life of the upstream
+ * got the order.
  */
-export type RunPhase = 'starting' | 'inherited' | 'settled' | 'in-doubt'
+export type RunPhase = 'starting' | 'inherited' | 'settled' | 'in-doubt' | 'refused'
 
 export interface RunTrack {
   readonly placement: Placement
@@ -23,6 +24,8 @@
   unlistedSinceMs?: number | undefined
   /** A stop is on its way, or was answered. */
   isStopping: boolean
+  /** It was seen at work for so long after its start that it will not crash its upstream by being started. */
+  isProven: boolean
 }
 
 export function createRunTrack(placement: Placement, phase: RunPhase, nowMs: number): RunTrack {
@@ -34,5 +37,6 @@
     progressPercent: 0,
     checkpoint: '',
     isStopping: false,
+    isProven: false,
   }
 }
--- a/batch/sessions/src/runTracks.ts
+++ b/batch/sessions/src/runTracks.ts
@@ -2,7 +2,7 @@
 import { runKey, type RunRef } from '@nettlespur/batch.model'
 import type { Placement } from '@nettlespur/batch.state'
 import { createRunTrack, type RunPhase, type RunTrack } from './runTrack.js'
-import { unlistedMsMax } from './sessionOptions.js'
+import { provenAfterMs, unlistedMsMax } from './sessionOptions.js'
 import type { RunningRun } from './upstreamPort.js'
 
 export class RunTracks {
@@ -49,6 +49,7 @@
   noteRunning(
     running: readonly RunningRun[],
     placements: ReadonlyMap<string, Placement>,
+    nowMs: number,
   ): RunRef[] {
     const strays: RunRef[] = []
     for (const { run, checkpoint, progressPercent } of running) {
@@ -58,6 +59,7 @@
         continue
       }
       if (track.phase === 'inherited') track.phase = 'settled'
+      track.isProven ||= track.phase === 'settled' && nowMs - track.settledAtMs >= provenAfterMs
       track.unlistedSinceMs = undefined
       track.progressPercent = progressPercent
       track.checkpoint = checkpoint
--- a/batch/sessions/src/sessionOptions.ts
+++ b/batch/sessions/src/sessionOptions.ts
@@ -38,3 +38,8 @@
 export const unreadPauseMs = 100
 /** Some looks later a row that was torn once is whole again; a run that is still unlisted cannot be followed. */
 export const unlistedMsMax = 3000
+/**
+ * A run that crashes its upstream does so as it starts. An answer that shows it this long after the answer to its start was
+ * given after that, also where a lost packet held the answer up.
+ */
+export const provenAfterMs = 1000
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -170,7 +170,7 @@
     }
     const placed = this.#placements()
     const reading = readLook({ ...answer, sentAtMs }, placed, this.#tracks.byKey)
-    for (const run of this.#tracks.noteRunning(answer.running, placed)) {
+    for (const run of this.#tracks.noteRunning(answer.running, placed, this.#nowMs())) {
       this.#log('run.stray', { jobId: run.jobId, attempt: run.attempt })
       void this.#giveStop(run)
     }
@@ -201,7 +201,10 @@
     track.settledAtMs = this.#nowMs()
     if (result.type === 'in-doubt' || result.type === 'not-sent')
       this.answers.noteUnanswered(this.#nowMs())
-    if (result.type === 'gone') return this.#ending.end('crashed')
+    if (result.type === 'gone') {
+      track.phase = 'refused'
+      return this.#ending.end('crashed')
+    }
     if (result.type === 'started' || reason === 'superseded') {
       track.phase = 'settled'
       this.review(placement)
@@ -212,8 +215,7 @@
       this.#opts.host.abandonGang(placement)
       return this.#stopUntilAnswered(track)
     }
-    const isCommitted = await this.#commit(this.#lost.listEnds([placement], 'not-started'))
-    if (!isCommitted) track.phase = 'settled'
+    if (!(await this.#commit(this.#lost.listUnstarted(placement)))) track.phase = 'settled'
   }
 
   /** Once a stop is answered, a start of this attempt that comes later is refused. */
@@ -247,7 +249,7 @@
 
   /** Ends all that is placed there. */
   #commitLost(cause: LossCause): Promise<boolean> {
-    return this.#commit(this.#lost.listEnds(this.#placements().values(), cause))
+    return this.#commit(this.#lost.listEnds([...this.#placements().values()], cause))
   }
 
   #log(event: string, fields: Readonly<Record<string, string | number | undefined>>): void {
--- a/batch/state/src/command.ts
+++ b/batch/state/src/command.ts
@@ -6,6 +6,7 @@
   upstreamDescriptionSchema,
 } from '@nettlespur/batch.model'
 import { z } from 'zod'
+import { crashBlameSchema } from './crashRecord.js'
 
 /** How a run ended. */
 export const runOutcomeSchema = z.enum([
@@ -13,8 +14,10 @@
   'failed',
   /** It was stopped on an order. */
   'stopped',
-  /** Its lease ran out, or its upstream is gone, or it never began and never will. */
+  /** Its lease ran out, or its upstream has left, or it never began and never will. */
   'lost',
+  /** Its upstream crashed under it, or fell silent for good. */
+  'crashed',
   /** Another member of its gang ended. */
   'broken',
 ])
@@ -27,6 +30,8 @@
   outcome: runOutcomeSchema,
   /** Absent where none was saved during the run. */
   checkpoint: z.string().optional(),
+  /** With outcome `crashed`. */
+  blame: crashBlameSchema.optional(),
 })
 export type RunEnd = z.infer<typeof runEndSchema>
 
--- a/batch/state/src/endRun.ts
+++ b/batch/state/src/endRun.ts
@@ -1,5 +1,7 @@
 /** What the end of one run changes in its job. */
 import type { Placement, RunEnd } from './command.js'
+import { countCrash, type Crash } from './crashRecord.js'
+import { findFailure } from './findFailure.js'
 import { listStepPlacements } from './placementIndex.js'
 import type { JobRecord, StepRecord, TaskRecord } from './records.js'
 
@@ -19,7 +21,7 @@
   release(task)
   if (isGang) endGangMember(step, task, end)
   else endTask(task, end)
-  if (job.status === 'active') job.status = judge(job)
+  if (job.status === 'active') judge(job)
   return over
 }
 
@@ -27,12 +29,14 @@
   return { jobId, step, index, attempt, upstreamId }
 }
 
-function endTask(task: TaskRecord, { outcome, checkpoint, upstreamId }: RunEnd): void {
+function endTask(task: TaskRecord, end: RunEnd): void {
+  const { outcome, checkpoint, upstreamId } = end
   if (outcome === 'done') task.phase = 'done'
   if (outcome === 'failed') {
     task.failures += 1
     task.failedOn.push(upstreamId)
   }
+  if (outcome === 'crashed') task.crashes = countCrash(task.crashes, toCrash(end))
   if (checkpoint !== undefined && checkpoint !== '') task.checkpoint = checkpoint
 }
 
@@ -50,6 +54,7 @@
     task.failedOn.push(upstreamId)
     countGangFailure(step, attempt)
   }
+  if (outcome === 'crashed') step.gangCrashes = countCrash(step.gangCrashes, toCrash(end))
   step.endedGangAttempt = Math.max(step.endedGangAttempt, attempt)
   if (checkpoint === undefined || checkpoint === '') return
   // Any member's checkpoint holds for the gang, and all members must resume from the same one.
@@ -67,14 +72,18 @@
   delete task.upstreamId
 }
 
-function judge(job: JobRecord): JobRecord['status'] {
-  const { attemptsMax } = job.queue
-  const failed = job.steps.some((step, at) =>
-    job.request.steps[at]?.isGang === true
-      ? step.gangFailures >= attemptsMax
-      : step.tasks.some(({ failures }) => failures >= attemptsMax),
-  )
-  if (failed) return 'failed'
-  const done = job.steps.every(({ tasks }) => tasks.every(({ phase }) => phase === 'done'))
-  return done ? 'completed' : 'active'
+/** Who is to blame for a crash is not known of ends that do not say so. */
+function toCrash({ attempt, blame = 'shared' }: RunEnd): Crash {
+  return { attempt, blame }
+}
+
+function judge(job: JobRecord): void {
+  const failure = findFailure(job)
+  if (failure !== undefined) {
+    job.status = 'failed'
+    job.failure = failure
+    return
+  }
+  const isDone = job.steps.every(({ tasks }) => tasks.every(({ phase }) => phase === 'done'))
+  if (isDone) job.status = 'completed'
 }
--- a/batch/state/src/index.ts
+++ b/batch/state/src/index.ts
@@ -2,6 +2,7 @@
 export { BatchMachine, encodeCommand } from './batchMachine.js'
 export { batchSnapshotSchema, BatchState, type BatchSnapshot } from './batchState.js'
 export * from './command.js'
+export { isSuspect, type CrashBlame } from './crashRecord.js'
 export { describeJob } from './describeJob.js'
 export { listPlacements, PlacementIndex } from './placementIndex.js'
 export type { JobRecord, JobStatus, StepRecord, TaskRecord, UpstreamRecord } from './records.js'
--- a/batch/state/src/records.ts
+++ b/batch/state/src/records.ts
@@ -6,6 +6,7 @@
   upstreamDescriptionSchema,
 } from '@nettlespur/batch.model'
 import { z } from 'zod'
+import { crashRecordSchema } from './crashRecord.js'
 
 export const taskRecordSchema = z.strictObject({
   /** `placed`: an upstream may be running it, or may still come to run it. */
@@ -20,6 +21,8 @@
   checkpoint: z.string(),
   /** Upstreams on which it has failed. */
   failedOn: z.array(z.string()),
+  /** Outside gangs. Absent before the first crash. */
+  crashes: crashRecordSchema.optional(),
 })
 export type TaskRecord = z.infer<typeof taskRecordSchema>
 
@@ -31,18 +34,36 @@
   failedGangAttempt: countSchema,
   /** The last attempt of the gang that is over: what still runs of it is to be stopped. */
   endedGangAttempt: countSchema,
+  /** Of the gang as a whole. Absent before the first crash. */
+  gangCrashes: crashRecordSchema.optional(),
 })
 export type StepRecord = z.infer<typeof stepRecordSchema>
 
 export const jobStatusSchema = z.enum(['active', 'completed', 'failed', 'cancelled'])
 export type JobStatus = z.infer<typeof jobStatusSchema>
 
+/** Why a job was given up. */
+export const jobFailureSchema = z.strictObject({
+  reason: z.enum([
+    /** A task, or a gang, has failed as often as its queue allows. */
+    'attempts-used-up',
+    /** Upstreams crash under a task, or a gang. */
+    'crashes-upstreams',
+  ]),
+  step: countSchema,
+  /** The task; absent for a gang. */
+  index: countSchema.optional(),
+})
+export type JobFailure = z.infer<typeof jobFailureSchema>
+
 export const jobRecordSchema = z.strictObject({
   request: jobRequestSchema,
   workspace: z.string(),
   /** As it was when the job came, or as the newest configuration that still has it says. */
   queue: queueConfigSchema,
   status: jobStatusSchema,
+  /** With status `failed`; absent where a former version gave the job up. */
+  failure: jobFailureSchema.optional(),
   /** A task has been placed at least once. */
   hasStarted: z.boolean(),
   /** Counts accepted jobs, so that their order is the same everywhere. */
--- a/bench/policy/src/playedRuns.ts
+++ b/bench/policy/src/playedRuns.ts
@@ -186,6 +186,7 @@
         progressPercent: Math.floor(wholePercent * resumedAt),
         checkpoint,
         isStopping: false,
+        isProven: true,
       },
     }
   }
