--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -12,6 +12,8 @@
   nowMs = 0
   /** What a stop of one of a job's runs throws away, in core-seconds; 1 where a job has none here. */
   readonly stopCosts = new Map<string, number>()
+  /** Runs, by their names, that were seen at work for long enough to be trusted. */
+  readonly proven = new Set<string>()
   readonly #acceptedAtMs = new Map<string, number>()
   readonly #stopping = new Set<string>()
 
@@ -37,6 +39,7 @@
       acceptedAtMs: this.#acceptedAtMs,
       rooms: [...this.state.upstreams.values()].map(({ description }) => this.#room(description)),
       runs: this.#runs(),
+      isProven: (run) => this.proven.has(name(run)),
       guarantees: new Map([['w1', 16]]),
     })
     this.state.apply({ type: 'place-tasks', placements: decision.placements })
@@ -44,6 +47,16 @@
     return decision
   }
 
+  /** All that runs is seen at work. */
+  prove(): void {
+    for (const { placement } of this.#runs()) this.proven.add(name(placement))
+  }
+
+  /** The upstream of the run crashes under it alone. */
+  crash(run: Placement): void {
+    this.state.apply({ type: 'end-runs', ends: [{ ...run, outcome: 'crashed', blame: 'sole' }] })
+  }
+
   end(run: Placement, outcome: 'done' | 'failed' | 'stopped'): void {
     this.state.apply({ type: 'end-runs', ends: [{ ...run, outcome, checkpoint: '' }] })
   }
@@ -57,7 +70,9 @@
       if (this.#stopping.has(name(run))) stopping = addResources(stopping, needs)
     }
     const free = addResources(description.capacity, used, -1)
-    return { ...description, free, soon: addResources(free, stopping) }
+    const runs = [...this.state.placements.on(description.upstreamId).values()]
+    const isQuiet = runs.every((run) => this.proven.has(name(run)))
+    return { ...description, free, soon: addResources(free, stopping), isQuiet }
   }
 
   #runs(): ActiveRun[] {
--- a/batch/scheduler/src/choosePlaces.ts
+++ b/batch/scheduler/src/choosePlaces.ts
@@ -2,7 +2,7 @@
  * Chooses upstreams for the tasks of a unit: the tightest fit, so that whole upstreams and racks stay free
  * for large gangs, and one rack for what is slow across racks.
  */
-import { fillTightest, type CountedRoom } from './fillTightest.js'
+import { fillEmptiest, fillTightest, type CountedRoom } from './fillTightest.js'
 import { listScopes } from './listScopes.js'
 import type { BookedRoom, RoomBook } from './roomBook.js'
 import type { StartUnit } from './startUnit.js'
@@ -13,12 +13,13 @@
  */
 export function choosePlaces(unit: StartUnit, book: RoomBook): string[] {
   const wanted = unit.waiting.length
+  const fill = unit.isOnTrial ? fillEmptiest : fillTightest
   if (!book.mayTake(unit.step, unit.step.isGang ? wanted : 1)) return []
   const scopes = listScopes(unit, book).map((rooms) => countScope(unit, book, rooms))
-  if (!unit.step.isGang) return scopes.flatMap(({ rooms }) => fillTightest(rooms, wanted))
+  if (!unit.step.isGang) return scopes.flatMap(({ rooms }) => fill(rooms, wanted))
   const fitting = scopes.filter(({ total }) => total >= wanted)
   const [tightest] = fitting.sort((left, right) => left.total - right.total)
-  return tightest === undefined ? [] : fillTightest(tightest.rooms, wanted)
+  return tightest === undefined ? [] : fill(tightest.rooms, wanted)
 }
 
 interface CountedScope {
--- /dev/null
+++ b/batch/scheduler/src/limitTrials.ts
@@ -0,0 +1,74 @@
+/**
+ * How many tasks of a step may start while some of them are suspected of crashing their upstreams. Tasks of a step run the
+ * same thing: where one does harm the others may too, so they start one, two, four and so on at a time, as those before
+ * are seen at work. Otherwise a step of many such tasks would bring down as many upstreams at once.
+ */
+import {
+  isSuspectTask,
+  type JobRecord,
+  type Placement,
+  type StepRecord,
+} from '@nettlespur/batch.state'
+
+export interface LimitTrialsOptions {
+  job: JobRecord
+  stepNumber: number
+  record: StepRecord
+  /** Indexes of the tasks that wait. */
+  waiting: readonly number[]
+  isProven: (run: Placement) => boolean
+}
+
+export interface TrialLimit {
+  /** Indexes of suspects that may start now, each on trial. */
+  readonly suspects: readonly number[]
+  /** Indexes of the others that may start now. */
+  readonly others: readonly number[]
+}
+
+export function limitTrials(opts: LimitTrialsOptions): TrialLimit {
+  const { job, stepNumber, record, waiting } = opts
+  const isSuspect = (index: number): boolean => isSuspectTask(job, { step: stepNumber, index })
+  if (!record.tasks.some(({ crashes }) => crashes !== undefined)) {
+    return { suspects: [], others: waiting }
+  }
+  const { provenCount, startingCount, hasOpenTrial } = countStarted(opts, isSuspect)
+  const suspects = waiting.filter(isSuspect)
+  const others = waiting.filter((index) => !isSuspect(index))
+  if (suspects.length === 0 && !hasOpenTrial) return { suspects, others }
+  const allowed = Math.max(0, Math.max(1, provenCount) - startingCount)
+  return {
+    suspects: suspects.slice(0, allowed),
+    others: others.slice(0, Math.max(0, allowed - suspects.length)),
+  }
+}
+
+interface StartedCounts {
+  /** Tasks that are done or were seen at work for long enough. */
+  readonly provenCount: number
+  /** Tasks that have just started. */
+  readonly startingCount: number
+  /** A suspect is among those that have just started. */
+  readonly hasOpenTrial: boolean
+}
+
+function countStarted(
+  { job, stepNumber, record, isProven }: LimitTrialsOptions,
+  isSuspect: (index: number) => boolean,
+): StartedCounts {
+  let provenCount = 0
+  let startingCount = 0
+  let hasOpenTrial = false
+  const { jobId } = job.request
+  for (const [index, { phase, attempt, upstreamId }] of record.tasks.entries()) {
+    if (phase === 'waiting') continue
+    const run = { jobId, step: stepNumber, index, attempt, upstreamId: upstreamId ?? '' }
+    if (phase === 'done' || isProven(run)) {
+      provenCount += 1
+      continue
+    }
+    startingCount += 1
+    hasOpenTrial ||= isSuspect(index)
+  }
+  return { provenCount, startingCount, hasOpenTrial }
+}
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -86,6 +86,7 @@
 
   #place(unit: RankedUnit, places: readonly string[]): void {
     this.#book.take(places, unit.step)
+    if (unit.isOnTrial) this.#book.close(places)
     const placed = placeUnit(unit, places)
     this.placements.push(...placed)
     this.#started.push(...placed.map((placement) => this.#toRun(unit, placement)))
--- a/batch/scheduler/src/roomBook.ts
+++ b/batch/scheduler/src/roomBook.ts
@@ -1,6 +1,6 @@
 /** The rooms of one round as they fill up: each decision takes from what the next one finds. */
 import type { Resources, StepSpec } from '@nettlespur/batch.model'
-import { addResources, countFitting } from './resources.js'
+import { addResources, countFitting, noResources } from './resources.js'
 import type { UpstreamRoom } from './schedulerView.js'
 import type { StartUnit } from './startUnit.js'
 
@@ -16,6 +16,8 @@
   free: Resources
   soon: Resources
   readonly later: LaterRoom[] = []
+  /** Something starts there in this round. */
+  #isTaken = false
 
   constructor(room: UpstreamRoom) {
     this.room = room
@@ -27,8 +29,20 @@
     return this.room.upstreamId
   }
 
+  /** What starts there would be the only one to blame for a crash. */
+  get isQuiet(): boolean {
+    return !this.#isTaken && this.room.isQuiet
+  }
+
+  /** Nothing more is to start there for now. */
+  close(): void {
+    this.free = noResources
+    this.soon = noResources
+  }
+
   /** Takes the room of one task that ends at `endMs`. */
   take(needs: Resources, endMs: number): void {
+    this.#isTaken = true
     this.free = addResources(this.free, needs, -1)
     this.soon = addResources(this.soon, needs, -1)
     for (const later of this.later) {
@@ -73,6 +87,11 @@
     }
   }
 
+  /** Nothing more is to start on the upstreams named. */
+  close(upstreamIds: readonly string[]): void {
+    for (const upstreamId of upstreamIds) this.#byId.get(upstreamId)?.close()
+  }
+
   /** The room of a run that is about to be stopped. */
   giveBackSoon(upstreamId: string, needs: Resources): void {
     const room = this.#byId.get(upstreamId)
@@ -97,21 +116,35 @@
     return limitTasks(unit, room.upstreamId, fitting)
   }
 
-  /** Rooms in which the unit's tasks may run, those where they failed only if the others could never do. */
-  listAllowed({ job, step, avoided, waiting }: StartUnit): BookedRoom[] {
+  /**
+   * Rooms in which the unit's tasks may run: those where they failed only if the others could never do, and those that are
+   * not quiet likewise, where they start on trial.
+   */
+  listAllowed(unit: StartUnit): BookedRoom[] {
+    const { job, step, avoided, isOnTrial } = unit
     const allowed = this.rooms.filter(
       ({ room }) =>
         room.pool === job.queue.pool &&
         (step.requiredLabel === undefined || room.labels.includes(step.requiredLabel)),
     )
-    if (avoided.size === 0) return allowed
-    const untried = allowed.filter(({ upstreamId }) => !avoided.has(upstreamId))
-    const wanted = step.isGang ? waiting.length : 1
-    const couldTake = untried.reduce((sum, room) => sum + countWhenEmpty(step, room), 0)
-    return couldTake >= wanted ? untried : allowed
+    const untried = preferWhere(unit, allowed, ({ upstreamId }) => !avoided.has(upstreamId))
+    return isOnTrial ? preferWhere(unit, untried, ({ isQuiet }) => isQuiet) : untried
   }
 }
 
+/** The rooms for which the condition holds, where they could take the unit when empty; else all. */
+function preferWhere(
+  { step, waiting }: StartUnit,
+  rooms: BookedRoom[],
+  isPreferred: (room: BookedRoom) => boolean,
+): BookedRoom[] {
+  const preferred = rooms.filter(isPreferred)
+  if (preferred.length === rooms.length) return rooms
+  const wanted = step.isGang ? waiting.length : 1
+  const couldTake = preferred.reduce((sum, room) => sum + countWhenEmpty(step, room), 0)
+  return couldTake >= wanted ? preferred : rooms
+}
+
 /** How many tasks of the step the upstream takes when nothing else runs there. */
 export function countWhenEmpty(step: StepSpec, { room }: BookedRoom): number {
   return Math.min(countFitting(room.capacity, step.needs), step.tasksPerUpstreamMax ?? Infinity)
--- a/batch/scheduler/src/schedulerView.ts
+++ b/batch/scheduler/src/schedulerView.ts
@@ -13,6 +13,8 @@
   readonly free: Resources
   /** `free`, and what runs that are being stopped will give back. */
   readonly soon: Resources
+  /** What starts there would be the only one to blame if it crashed: no run there is new, and it has not crashed lately. */
+  readonly isQuiet: boolean
 }
 
 /** A run that may be stopped for others. */
@@ -35,6 +37,8 @@
   readonly acceptedAtMs: ReadonlyMap<string, number>
   readonly rooms: readonly UpstreamRoom[]
   readonly runs: readonly ActiveRun[]
+  /** Whether the run was seen at work for long enough that it will not crash its upstream by being started. */
+  readonly isProven: (run: Placement) => boolean
   /** Accelerators that each workspace is guaranteed. */
   readonly guarantees: ReadonlyMap<string, number>
 }
--- a/batch/scheduler/src/startUnit.ts
+++ b/batch/scheduler/src/startUnit.ts
@@ -1,6 +1,12 @@
 /** What can be started on its own: a whole gang, or the waiting tasks of a step of which each may start alone. */
 import type { StepSpec } from '@nettlespur/batch.model'
-import type { JobRecord, Placement, StepRecord } from '@nettlespur/batch.state'
+import {
+  isSuspectTask,
+  type JobRecord,
+  type Placement,
+  type StepRecord,
+} from '@nettlespur/batch.state'
+import { limitTrials } from './limitTrials.js'
 
 export interface StartUnit {
   readonly job: JobRecord
@@ -11,10 +17,12 @@
   readonly waiting: readonly number[]
   /** Upstreams on which one of them has failed. */
   readonly avoided: ReadonlySet<string>
+  /** It is suspected of crashing the upstreams that start it: nothing else is to start where it does for a while. */
+  readonly isOnTrial: boolean
 }
 
 /** The units of a job that may start: all steps they depend on are done. */
-export function listUnits(job: JobRecord): StartUnit[] {
+export function listUnits(job: JobRecord, isProven: (run: Placement) => boolean): StartUnit[] {
   if (job.status !== 'active') return []
   return job.request.steps.flatMap((step, stepNumber) => {
     const record = job.steps[stepNumber]
@@ -23,11 +31,29 @@
     // A gang starts whole, once all of its former attempt has ended.
     const isStartable = step.isGang ? waiting.length === step.taskCount : waiting.length > 0
     if (!isStartable) return []
-    const avoided = new Set(waiting.flatMap((index) => record.tasks[index]?.failedOn ?? []))
-    return [{ job, stepNumber, step, record, waiting, avoided }]
+    const unit = { job, stepNumber, step, record }
+    if (step.isGang) return [createUnit(unit, waiting, isSuspectTask(job, firstTask(stepNumber)))]
+    const { suspects, others } = limitTrials({ job, stepNumber, record, waiting, isProven })
+    const trials = suspects.map((index) => createUnit(unit, [index], true))
+    return others.length === 0 ? trials : [...trials, createUnit(unit, others, false)]
   })
 }
 
+/** Stands for its gang. */
+function firstTask(step: number) {
+  return { step, index: 0 }
+}
+
+function createUnit(
+  unit: Pick<StartUnit, 'job' | 'stepNumber' | 'step' | 'record'>,
+  waiting: readonly number[],
+  isOnTrial: boolean,
+): StartUnit {
+  const { tasks } = unit.record
+  const avoided = new Set(waiting.flatMap((index) => tasks[index]?.failedOn ?? []))
+  return { ...unit, waiting, avoided, isOnTrial }
+}
+
 /** Places the waiting tasks, in their order, on as many upstreams as are given. */
 export function placeUnit(unit: StartUnit, upstreamIds: readonly string[]): Placement[] {
   const { job, stepNumber, step, record, waiting } = unit
--- a/batch/service/src/buildView.ts
+++ b/batch/service/src/buildView.ts
@@ -28,6 +28,10 @@
 export interface BuildViewOptions extends ListRunsOptions {
   acceptedAtMs: ReadonlyMap<string, number>
   isUsable: (upstream: UpstreamRecord) => boolean
+  /** A run on trial has just started there. */
+  hasTrial: (upstream: UpstreamRecord) => boolean
+  /** See `UpstreamRoom`. */
+  isQuiet: (upstream: UpstreamRecord) => boolean
 }
 
 export function buildView(opts: BuildViewOptions): SchedulerView {
@@ -40,6 +44,7 @@
     jobs: [...state.unsettled.values()],
     acceptedAtMs,
     rooms: usable.map((upstream) => buildRoom(opts, upstream)),
+    isProven: (placement) => opts.findTrack(placement)?.isProven === true,
     // Only rounds in which something does not fit look at what runs.
     get runs() {
       return (runs ??= usable.flatMap(({ description }) => listRuns(opts, description.upstreamId)))
@@ -50,8 +55,12 @@
   }
 }
 
-function buildRoom(opts: BuildViewOptions, { description }: UpstreamRecord): UpstreamRoom {
-  const { upstreamId, pool, rack, labels, capacity } = description
+function buildRoom(opts: BuildViewOptions, upstream: UpstreamRecord): UpstreamRoom {
+  const { upstreamId, pool, rack, labels, capacity } = upstream.description
+  const known = { upstreamId, pool, rack, labels, capacity }
+  if (opts.hasTrial(upstream)) {
+    return { ...known, free: noResources, soon: noResources, isQuiet: false }
+  }
   let used: Resources = noResources
   let stopping: Resources = noResources
   for (const placement of opts.state.placements.on(upstreamId).values()) {
@@ -60,7 +69,15 @@
     if (opts.isStopping(placement)) stopping = addResources(stopping, needs)
   }
   const free = addResources(capacity, used, -1)
-  return { upstreamId, pool, rack, labels, capacity, free, soon: addResources(free, stopping) }
+  return {
+    ...known,
+    free,
+    soon: addResources(free, stopping),
+    // Only starts on trial ask for it.
+    get isQuiet() {
+      return opts.isQuiet(upstream)
+    },
+  }
 }
 
 /** What runs on one upstream, and when it is expected to end. */
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -85,6 +85,8 @@
       ...this.#createRunsOptions(nowMs),
       acceptedAtMs: jobClock.acceptedAtMs,
       isUsable: (upstream) => roster.isUsable(upstream),
+      hasTrial: ({ description }) => roster.find(description.upstreamId)?.tracks.hasTrial === true,
+      isQuiet: (upstream) => roster.isQuiet(upstream),
     })
     return planRound(view)
   }
@@ -114,7 +116,7 @@
       state: getState(),
       nowMs,
       isStopping: shouldStop,
-      findTrack: (placement) => roster.find(placement.upstreamId)?.findTrack(placement),
+      findTrack: (placement) => roster.find(placement.upstreamId)?.tracks.find(placement),
     }
   }
 
--- a/batch/service/src/upstreamHealth.ts
+++ b/batch/service/src/upstreamHealth.ts
@@ -9,6 +9,9 @@
 /** Longer than most troubles of an upstream last; after it, one run tries it out. */
 const quarantineMs = 8000
 
+/** How long an address counts as one where lives end soon. */
+const crashedLatelyMs = 20_000
+
 interface FailureRecord {
   failedJobs: Set<string>
   lastFailureMs: number
@@ -16,6 +19,8 @@
 
 export class UpstreamHealth {
   readonly #records = new Map<string, FailureRecord>()
+  /** When a life last crashed at each address, the oldest first. */
+  readonly #crashedAtMs = new Map<string, number>()
 
   /** Ends that say nothing of the upstream are passed over. */
   noteEnd({ upstreamId, jobId, outcome }: RunEnd, nowMs: number): void {
@@ -29,6 +34,20 @@
     return nowMs - record.lastFailureMs < quarantineMs
   }
 
+  /** A life at that address crashed; the next one there may do so too. */
+  noteCrash(address: string, nowMs: number): void {
+    for (const [oldAddress, crashedAtMs] of this.#crashedAtMs) {
+      if (nowMs - crashedAtMs < crashedLatelyMs) break
+      this.#crashedAtMs.delete(oldAddress)
+    }
+    this.#crashedAtMs.delete(address)
+    this.#crashedAtMs.set(address, nowMs)
+  }
+
+  hasCrashedLately(address: string, nowMs: number): boolean {
+    return nowMs - (this.#crashedAtMs.get(address) ?? -Infinity) < crashedLatelyMs
+  }
+
   #noteFailure(upstreamId: string, jobId: string, nowMs: number): void {
     const record = this.#records.get(upstreamId) ?? { failedJobs: new Set(), lastFailureMs: nowMs }
     record.failedJobs.add(jobId)
--- a/batch/service/src/upstreamRoster.ts
+++ b/batch/service/src/upstreamRoster.ts
@@ -113,6 +113,12 @@
     return [...upstreams.values()].filter((upstream) => this.isUsable(upstream)).length
   }
 
+  /** Whether what starts there would be the only one to blame for a crash. */
+  isQuiet({ description: { upstreamId, address } }: UpstreamRecord): boolean {
+    if (this.health.hasCrashedLately(address, this.#opts.clock.monotonicMs())) return false
+    return this.#sessions.get(upstreamId)?.tracks.hasUnproven !== true
+  }
+
   /** Whether new work may go there. */
   isUsable({ description: { upstreamId }, isDraining, hasLeft }: UpstreamRecord): boolean {
     if (isDraining || hasLeft || this.#table.isReplaced(upstreamId)) return false
@@ -124,7 +130,7 @@
     const heardAtMs = Math.max(this.#table.heardAtMs(upstreamId), answers.firstAnswerAtMs)
     const { announceEveryMs } = this.#opts.timings
     if (nowMs - heardAtMs > announceEveryMs * missedAnnouncements) return false
-    if (nowMs - session.unlistedAtMs < unlistedPauseMs) return false
+    if (nowMs - session.tracks.unlistedAtMs < unlistedPauseMs) return false
     if (answers.unanswered > 0) {
       const { unansweredAtMs } = answers
       if (heardAtMs <= unansweredAtMs || nowMs - unansweredAtMs < silentPauseMs) return false
--- a/batch/service/test/crashingTasks.test.ts
+++ b/batch/service/test/crashingTasks.test.ts
@@ -47,6 +47,26 @@
   t.is(statusOf(fleet, 'poison'), 'failed')
 })
 
+test('sound work is done although crashing tasks bring down what it runs on', async (t) => {
+  const fleet = startFleet(({ jobId }) => jobId.startsWith('poison'))
+  for (let at = 0; at < 8; at++) {
+    fleet.submit(createJob(`sound${at}`, { taskCount: 3, expectedRunTimeMs: 4000 }), 1)
+  }
+  for (let at = 0; at < 3; at++) {
+    await fleet.clock.advance(700)
+    fleet.submit(createJob(`poison${at}`, { taskCount: 2 }), 0)
+  }
+  await fleet.clock.advance(settledMs)
+  const sound = [...fleet.state.jobs.values()].filter(({ request }) =>
+    request.jobId.startsWith('sound'),
+  )
+  t.deepEqual(
+    sound.map(({ status }) => status),
+    sound.map(() => 'completed'),
+  )
+  t.deepEqual(fleet.ledger.violations, [])
+})
+
 test('an upstream that crashes by itself over and over has no sound job given up', async (t) => {
   const fleet = startFleet(() => false)
   for (let at = 0; at < 6; at++) {
--- a/batch/sessions/src/blameCrash.ts
+++ b/batch/sessions/src/blameCrash.ts
@@ -1,12 +1,13 @@
 /** Who may have brought an upstream down, of all that was placed there. */
 import { runKey } from '@nettlespur/batch.model'
 import type { CrashBlame, Placement } from '@nettlespur/batch.state'
-import type { RunTracks } from './runTracks.js'
 
 export interface BlameCrashOptions {
   /** All that was placed there. */
   placements: readonly Placement[]
-  tracks: RunTracks
+  isProven: (placement: Placement) => boolean
+  /** False while the order to start it is still on its way: the next life of the upstream may be the one to get it. */
+  mayHaveStarted: (placement: Placement) => boolean
   isGang: (placement: Placement) => boolean
   /** It is certain that the upstream crashed: one that is only silent may be cut off, with all that runs there well. */
   isCertain: boolean
@@ -14,10 +15,11 @@
 
 /** By run key. */
 export function blameCrash(opts: BlameCrashOptions): Map<string, CrashBlame> {
-  const { placements, tracks, isCertain } = opts
-  const fresh = placements.filter((placement) => tracks.find(placement)?.isProven !== true)
+  const { placements, isProven, mayHaveStarted, isCertain } = opts
+  const started = placements.filter(mayHaveStarted)
+  const fresh = started.filter((placement) => !isProven(placement))
   // Where all have been at work for a while, any of them may have done it.
-  const suspects = fresh.length > 0 ? fresh : placements
+  const suspects = fresh.length > 0 ? fresh : started
   const units = new Set(suspects.map((placement) => unitKey(placement, opts.isGang(placement))))
   const blame: CrashBlame = isCertain && fresh.length > 0 && units.size === 1 ? 'sole' : 'shared'
   const suspected = new Set(suspects.map(runKey))
--- a/batch/sessions/src/index.ts
+++ b/batch/sessions/src/index.ts
@@ -1,8 +1,10 @@
 /** One conversation for each upstream that runs batch tasks. */
+export { blameCrash } from './blameCrash.js'
 export { ClockEstimate } from './clockEstimate.js'
 export { LeaseTracker } from './leaseTracker.js'
-export type { RunTrack } from './runTrack.js'
+export { createRunTrack, type RunTrack } from './runTrack.js'
 export { SessionHost } from './sessionHost.js'
+export { provenAfterMs } from './sessionOptions.js'
 export type { SessionTimings, UpstreamSessionOptions } from './sessionOptions.js'
 export * from './upstreamPort.js'
 export { UpstreamSession } from './upstreamSession.js'
--- a/batch/sessions/src/lossCause.ts
+++ b/batch/sessions/src/lossCause.ts
@@ -6,5 +6,7 @@
   | 'left'
   /** It has been silent until its lease was surely over. */
   | 'lease-over'
+  /** It answers, but hides the run, and no lease was given for so long that the run has surely ended. */
+  | 'unlisted'
   /** The upstream refused the start, or it surely never arrived. */
   | 'not-started'
--- a/batch/sessions/src/lostRuns.ts
+++ b/batch/sessions/src/lostRuns.ts
@@ -6,6 +6,14 @@
 import type { RunTracks } from './runTracks.js'
 import type { UpstreamSessionOptions } from './sessionOptions.js'
 
+const mayBeCrash: Readonly<Record<LossCause, boolean>> = {
+  crashed: true,
+  'lease-over': true,
+  left: false,
+  unlisted: false,
+  'not-started': false,
+}
+
 export interface LostRunsOptions extends Pick<
   UpstreamSessionOptions,
   'target' | 'host' | 'clock' | 'logger'
@@ -38,14 +46,15 @@
     })
   }
 
-  /** None for an upstream that had said that it leaves. A run that never got there went down with nothing. */
+  /** None where the upstream has not crashed. A run that never got there went down with nothing. */
   #blame(placements: readonly Placement[], cause: LossCause): ReadonlyMap<string, CrashBlame> {
     const { host, target, tracks } = this.#opts
     const upstream = host.findUpstream(target.upstreamId)
-    if (cause === 'left' || upstream?.isDraining === true) return new Map()
+    if (!mayBeCrash[cause] || upstream?.isDraining === true) return new Map()
     return blameCrash({
       placements: placements.filter((placement) => tracks.find(placement)?.phase !== 'refused'),
-      tracks,
+      isProven: (placement) => tracks.find(placement)?.isProven === true,
+      mayHaveStarted: (placement) => tracks.find(placement)?.phase !== 'starting',
       isGang: ({ jobId, step }) => host.findJob(jobId)?.request.steps[step]?.isGang === true,
       isCertain: cause === 'crashed',
     })
--- a/batch/sessions/src/runTrack.ts
+++ b/batch/sessions/src/runTrack.ts
@@ -26,14 +26,16 @@
   isStopping: boolean
   /** It was seen at work for so long after its start that it will not crash its upstream by being started. */
   isProven: boolean
+  /** It is suspected of crashing its upstream: until it is proven, nothing else starts there. */
+  readonly isOnTrial: boolean
 }
 
-export function createRunTrack(placement: Placement, phase: RunPhase, nowMs: number): RunTrack {
+export type NewRunTrack = Pick<RunTrack, 'placement' | 'phase' | 'startedAtMs' | 'isOnTrial'>
+
+export function createRunTrack(run: NewRunTrack): RunTrack {
   return {
-    placement,
-    phase,
-    settledAtMs: nowMs,
-    startedAtMs: nowMs,
+    ...run,
+    settledAtMs: run.startedAtMs,
     progressPercent: 0,
     checkpoint: '',
     isStopping: false,
--- a/batch/sessions/src/runTracks.ts
+++ b/batch/sessions/src/runTracks.ts
@@ -1,10 +1,24 @@
 /** The runs that a session follows. */
 import { runKey, type RunRef } from '@nettlespur/batch.model'
-import type { Placement } from '@nettlespur/batch.state'
+import { isSuspectTask, type JobRecord, type Placement } from '@nettlespur/batch.state'
 import { createRunTrack, type RunPhase, type RunTrack } from './runTrack.js'
 import { provenAfterMs, unlistedMsMax } from './sessionOptions.js'
 import type { RunningRun } from './upstreamPort.js'
 
+export interface FollowOptions {
+  placement: Placement
+  phase: RunPhase
+  /** The job it belongs to; undefined once that is forgotten. */
+  job: JobRecord | undefined
+  nowMs: number
+}
+
+/** What others than the session itself may read. */
+export type ReadonlyRunTracks = Pick<
+  RunTracks,
+  'find' | 'hasTrial' | 'hasUnproven' | 'unlistedAtMs'
+>
+
 export class RunTracks {
   /** When a run was last missing from a look with rows that could not be read, on our clock. */
   unlistedAtMs = -Infinity
@@ -23,15 +37,25 @@
     return this.#byKey.get(runKey(run))
   }
 
-  add(placement: Placement, phase: RunPhase, nowMs: number): RunTrack {
-    const track = createRunTrack(placement, phase, nowMs)
-    this.#byKey.set(runKey(placement), track)
-    return track
+  /** Some run has not yet been seen at work for long enough; an upstream that crashes now has it among the suspects. */
+  get hasUnproven(): boolean {
+    for (const { isProven } of this.#byKey.values()) if (!isProven) return true
+    return false
   }
 
-  /** Takes up what earlier leaders placed. */
-  inherit(placements: Iterable<Placement>, nowMs: number): void {
-    for (const placement of placements) this.add(placement, 'inherited', nowMs)
+  /** Nothing else is to start there for now. */
+  get hasTrial(): boolean {
+    for (const { isOnTrial, isProven } of this.#byKey.values()) {
+      if (isOnTrial && !isProven) return true
+    }
+    return false
+  }
+
+  follow({ placement, phase, job, nowMs }: FollowOptions): RunTrack {
+    const isOnTrial = job !== undefined && isSuspectTask(job, placement)
+    const track = createRunTrack({ placement, phase, isOnTrial, startedAtMs: nowMs })
+    this.#byKey.set(runKey(placement), track)
+    return track
   }
 
   remove(run: RunRef): void {
--- a/batch/sessions/src/upstreamEnding.ts
+++ b/batch/sessions/src/upstreamEnding.ts
@@ -1,4 +1,5 @@
 /** Ends all that is placed on an upstream whose life is over, and then the session, however often it is told. */
+import type { LeaseTracker } from './leaseTracker.js'
 import type { LossCause } from './lossCause.js'
 import { retryPauseMs, type UpstreamSessionOptions } from './sessionOptions.js'
 
@@ -15,7 +16,7 @@
   'target' | 'host' | 'clock' | 'logger' | 'signal'
 > {
   /** Commits the ends of all that is placed there; false where that failed. */
-  commitLost: (cause: EndingCause) => Promise<boolean>
+  commitLost: (cause: LossCause) => Promise<boolean>
 }
 
 export class UpstreamEnding {
@@ -36,6 +37,16 @@
     return this.#ending
   }
 
+  /** Ends what runs there once nothing can run any more; the upstream may still answer later. */
+  giveUpAfterLease(lease: LeaseTracker, cause: LossCause): void {
+    const { clock, signal, host, logger, target, commitLost } = this.#opts
+    if (this.isOver || signal.aborted || !lease.isOver(clock.monotonicMs())) return
+    const { upstreamId } = target
+    const runs = host.listPlacements(upstreamId).size
+    logger.info({ event: 'upstream.lease-over', upstreamId, cause, runs })
+    void commitLost(cause)
+  }
+
   /**
    * What is placed there while ends are being committed is told of by nobody else, also where the answer to its
    * start comes only later: else its job would be running for as long as this leader leads, and none of it anywhere.
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -7,13 +7,14 @@
 import type { Placement, RunEnd } from '@nettlespur/batch.state'
 import { toNettlespurError } from '@nettlespur/core.errors'
 import { CallAnswers } from './callAnswers.js'
+import { createLook } from './createLook.js'
 import { EndCursor } from './endCursor.js'
 import { LeaseTracker } from './leaseTracker.js'
 import type { LossCause } from './lossCause.js'
 import { LostRuns } from './lostRuns.js'
 import { readLook } from './readLook.js'
-import type { RunTrack } from './runTrack.js'
-import { RunTracks } from './runTracks.js'
+import type { RunPhase, RunTrack } from './runTrack.js'
+import { RunTracks, type ReadonlyRunTracks } from './runTracks.js'
 import { RunOrders, type StartResult } from './runOrders.js'
 import {
   holdSlackMs,
@@ -45,18 +46,14 @@
     this.#ending = new UpstreamEnding({ ...opts, commitLost })
   }
 
-  /** When looks last hid a run that may be there, on our clock. */
-  get unlistedAtMs(): number {
-    return this.#tracks.unlistedAtMs
-  }
-
-  findTrack(run: RunRef): RunTrack | undefined {
-    return this.#tracks.find(run)
+  /** The runs placed there, as this leader has seen them. */
+  get tracks(): ReadonlyRunTracks {
+    return this.#tracks
   }
 
   /** Takes up what earlier leaders placed there. */
   resume(): void {
-    this.#tracks.inherit(this.#placements().values(), this.#nowMs())
+    for (const placement of this.#placements().values()) this.#follow(placement, 'inherited')
     this.#wake()
   }
 
@@ -68,7 +65,7 @@
 
   /** Starts a run whose placement is committed. */
   start(placement: Placement): void {
-    const track = this.#tracks.add(placement, 'starting', this.#nowMs())
+    const track = this.#follow(placement, 'starting')
     this.#wake()
     void this.#orders.start(placement).then((result) => this.#noteStart(track, result))
   }
@@ -80,6 +77,11 @@
     if (isDue) void this.#stopUntilAnswered(track)
   }
 
+  #follow(placement: Placement, phase: RunPhase): RunTrack {
+    const job = this.#opts.host.findJob(placement.jobId)
+    return this.#tracks.follow({ placement, phase, job, nowMs: this.#nowMs() })
+  }
+
   #reviewAll(): void {
     for (const placement of this.#placements().values()) this.review(placement)
   }
@@ -101,6 +103,10 @@
     })
   }
 
+  #pause(): Promise<void> {
+    return this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
+  }
+
   #isOver(): boolean {
     return this.#ending.isOver || this.#opts.signal.aborted
   }
@@ -113,9 +119,11 @@
   async #lookWhileWanted(): Promise<void> {
     while (this.#isWanted()) {
       const isAnswered = await this.#look()
-      if (!isAnswered || this.#tracks.hasHidden(this.#nowMs())) this.#giveUpAfterLease()
+      const isHiding = this.#tracks.hasHidden(this.#nowMs())
+      if (!isAnswered) this.#ending.giveUpAfterLease(this.lease, 'lease-over')
+      else if (isHiding) this.#ending.giveUpAfterLease(this.lease, 'unlisted')
       if (isAnswered) continue
-      await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
+      await this.#pause()
       // It may have said so just as its connection broke: another look could wait in vain for seconds.
       const { host, target } = this.#opts
       if (host.findUpstream(target.upstreamId)?.hasLeft === true) await this.#ending.end('left')
@@ -127,17 +135,15 @@
     const { port, target, host, timings, clock } = this.#opts
     const sentAtMs = this.#nowMs()
     this.#tracks.keepOnly(this.#placements())
-    // Calls into silence must not prolong the lease, or an upstream lost for good would never be given up. Nor must
-    // looks that go on to hide a run: once the lease is over it has surely ended, which no list may tell of it.
-    const renews =
-      this.lease.clock.isKnown && this.answers.unanswered === 0 && !this.#tracks.hasHidden(sentAtMs)
-    const mayWait = renews && !this.#tracks.hasInherited && this.#placements().size > 0
-    const order = {
-      leaseEndMs: renews ? this.lease.extend(sentAtMs) : undefined,
-      fence: host.fence,
-      cursor: this.#cursor.committed,
-      waitMs: mayWait ? timings.holdWaitMs : 0,
-    }
+    const look = createLook({
+      lease: this.lease,
+      answers: this.answers,
+      tracks: this.#tracks,
+      isInUse: this.#placements().size > 0,
+      holdWaitMs: timings.holdWaitMs,
+      nowMs: sentAtMs,
+    })
+    const order = { ...look, fence: host.fence, cursor: this.#cursor.committed }
     try {
       const answer = await port.hold(target, order, order.waitMs + holdSlackMs)
       this.answers.noteAnswered(this.#nowMs())
@@ -166,7 +172,7 @@
     if (answer.type === 'gone') return this.#ending.end('crashed')
     if (answer.type === 'fence') {
       this.#log('upstream.fenced', { fence: this.#opts.host.fence })
-      return this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
+      return this.#pause()
     }
     const placed = this.#placements()
     const reading = readLook({ ...answer, sentAtMs }, placed, this.#tracks.byKey)
@@ -179,7 +185,7 @@
     }
     this.#cursor.noteShown(answer.finished)
     if (!(await this.#commit(reading.ends))) {
-      await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
+      await this.#pause()
     } else if (reading.mayAcknowledge) {
       this.#cursor.advance()
     }
@@ -228,7 +234,7 @@
         track.phase = 'settled'
         return
       }
-      await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
+      await this.#pause()
     }
   }
 
@@ -241,12 +247,6 @@
     return answer.type === 'stopping'
   }
 
-  #giveUpAfterLease(): void {
-    if (this.#isOver() || !this.lease.isOver(this.#nowMs())) return
-    this.#log('upstream.lease-over', { runs: this.#placements().size })
-    void this.#commitLost('lease-over')
-  }
-
   /** Ends all that is placed there. */
   #commitLost(cause: LossCause): Promise<boolean> {
     return this.#commit(this.#lost.listEnds([...this.#placements().values()], cause))
--- a/batch/state/src/crashRecord.ts
+++ b/batch/state/src/crashRecord.ts
@@ -63,7 +63,7 @@
   return record.soleBlamed >= soleBlamedMax || record.crashes >= crashesMax
 }
 
-/** Its next start is to show whether it is to blame. */
+/** Its next start is to show whether it is to blame: it is a start on trial. */
 export function isSuspect(record: CrashRecord | undefined): boolean {
   if (record === undefined) return false
   return record.blamed > 0 || record.crashes > blamelessCrashesMax
--- a/bench/policy/src/crowdedDay.ts
+++ b/bench/policy/src/crowdedDay.ts
@@ -6,7 +6,7 @@
   UpstreamDescription,
 } from '@nettlespur/batch.model'
 import { SeededRandom } from '@nettlespur/bench.placement'
-import { drawTroubles, noTroubles, type DayTroubles } from './dayTroubles.js'
+import { drawCrashingJobs, drawTroubles, noTroubles, type DayTroubles } from './dayTroubles.js'
 import type { Goal } from './goal.js'
 import { acceleratorsPerUpstream, type Deployment, type JobKind } from './deployment.js'
 
@@ -93,6 +93,14 @@
   return { ...day, troubles }
 }
 
+/** A troubled day on which some jobs bring down each upstream that starts one of their tasks. */
+export function createCrashingDay(deployment: Deployment, seed: number): CrowdedDay {
+  const day = createTroubledDay(deployment, seed)
+  const jobIds = day.jobs.map(({ request }) => request.jobId)
+  const crashingJobs = drawCrashingJobs(new SeededRandom(~seed * 2), jobIds)
+  return { ...day, troubles: { ...day.troubles, crashingJobs } }
+}
+
 function listArrivals(
   random: SeededRandom,
   { jobsPerSecond }: JobKind,
--- a/bench/policy/src/dayTroubles.ts
+++ b/bench/policy/src/dayTroubles.ts
@@ -22,6 +22,8 @@
   readonly leaderless: readonly Span[]
   /** After how long jobs are cancelled, by their ids. */
   readonly cancelAfterMs: ReadonlyMap<string, number>
+  /** Ids of jobs whose tasks bring down the upstreams that start them. */
+  readonly crashingJobs: ReadonlySet<string>
 }
 
 export interface DrawTroublesOptions {
@@ -41,6 +43,7 @@
 const kinds: readonly UpstreamTroubleKind[] = ['failing', 'hanging', 'slow']
 const leaderlessMs = { least: 1500, most: 4000 }
 const cancelShare = 0.07
+const crashingShare = 0.02
 const cancelMs = { least: 500, most: 8000 }
 
 export function drawTroubles(random: SeededRandom, opts: DrawTroublesOptions): DayTroubles {
@@ -65,15 +68,25 @@
     upstreams,
     leaderless: random.chance(troubleChance) ? [{ fromMs, toMs }] : [],
     cancelAfterMs,
+    crashingJobs: new Set(),
   }
 }
 
+/** Jobs whose tasks crash their upstreams. */
+export function drawCrashingJobs(
+  random: SeededRandom,
+  jobIds: readonly string[],
+): ReadonlySet<string> {
+  return new Set(jobIds.filter(() => random.chance(crashingShare)))
+}
+
 /** None, for days on which all is well. */
 export const noTroubles: DayTroubles = {
   paces: new Map(),
   upstreams: [],
   leaderless: [],
   cancelAfterMs: new Map(),
+  crashingJobs: new Set(),
 }
 
 export function isWithin({ fromMs, toMs }: Span, nowMs: number): boolean {
--- a/bench/policy/src/index.ts
+++ b/bench/policy/src/index.ts
@@ -1,6 +1,11 @@
 /** Plays crowded days against the scheduler of batch work and measures what its jobs earn and what a round costs. */
 export { boundEarnings } from './boundEarnings.js'
-export { createCrowdedDay, createTroubledDay, type CrowdedDay } from './crowdedDay.js'
+export {
+  createCrashingDay,
+  createCrowdedDay,
+  createTroubledDay,
+  type CrowdedDay,
+} from './crowdedDay.js'
 export { cscfba, fsww, growDeployment, thapa, type Deployment } from './deployment.js'
 export { measurePolicy, type PolicyMeasureOptions } from './measurePolicy.js'
 export { playDay, type DayResult } from './playDay.js'
--- a/bench/policy/src/measurePolicy.ts
+++ b/bench/policy/src/measurePolicy.ts
@@ -1,7 +1,7 @@
 /** What jobs earn on crowded days, and what a round of decisions costs as the deployment grows. */
 import type { Row } from '@nettlespur/bench.placement'
 import { boundEarnings } from './boundEarnings.js'
-import { createCrowdedDay, createTroubledDay } from './crowdedDay.js'
+import { createCrashingDay, createCrowdedDay, createTroubledDay } from './crowdedDay.js'
 import { cscfba, fsww, growDeployment, thapa, type Deployment } from './deployment.js'
 import type { DayParts } from './judgeDay.js'
 import { playDay, type DayResult } from './playDay.js'
@@ -21,8 +21,9 @@
   const deployments = [thapa, cscfba, fsww]
   const earned = deployments.flatMap((deployment) => measureEarnings(deployment, days))
   const troubled = deployments.flatMap((deployment) => measureTroubledDays(deployment, days))
+  const crashing = deployments.flatMap((deployment) => measureCrashingDays(deployment, days))
   const costs = grownUpstreams.flatMap((count) => measureCost(growDeployment(cscfba, count)))
-  return Promise.resolve([...earned, ...troubled, ...costs])
+  return Promise.resolve([...earned, ...troubled, ...crashing, ...costs])
 }
 
 function measureEarnings(deployment: Deployment, days: number): Row[] {
@@ -78,6 +79,24 @@
   ]
 }
 
+/** Days on which some jobs bring down the upstreams that start them. */
+function measureCrashingDays(deployment: Deployment, days: number): Row[] {
+  const results = Array.from({ length: days }, (_, at) => {
+    return playDay(createCrashingDay(deployment, at + 1), at + 1)
+  })
+  const prefix = `policy.${deployment.name}.crashing`
+  const totals = results.map(({ verdict }) => verdict.total)
+  return [
+    { name: `${prefix}.total`, value: meanOf(totals), unit: 'ratio' },
+    { name: `${prefix}.crashes`, value: meanOf(results.map((day) => day.crashes)), unit: 'count' },
+    {
+      name: `${prefix}.given_up_sound`,
+      value: meanOf(results.map((day) => day.givenUpSound)),
+      unit: 'jobs',
+    },
+  ]
+}
+
 function measureCost(deployment: Deployment): Row[] {
   const { roundsMs } = playDay(createCrowdedDay(deployment, 1), 1)
   const sorted = [...roundsMs].sort((left, right) => left - right)
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -1,5 +1,6 @@
 /** Plays a crowded day with the scheduler and the state of the product, in simulated time. */
 import { planRound } from '@nettlespur/batch.scheduler'
+import type { UpstreamDescription } from '@nettlespur/batch.model'
 import { buildView, UpstreamHealth } from '@nettlespur/batch.service'
 import { BatchState, type RunEnd } from '@nettlespur/batch.state'
 import { SeededRandom } from '@nettlespur/bench.placement'
@@ -24,6 +25,10 @@
   readonly wastedCoreSeconds: number
   /** Runs that were stopped for others. */
   readonly stoppedRuns: number
+  /** Upstreams that runs brought down. */
+  readonly crashes: number
+  /** Jobs given up for crashes that others caused. */
+  readonly givenUpSound: number
   /** Jobs that are held up as the day ends. */
   readonly heldUp: number
   /** What building the view and deciding took, of each round. */
@@ -97,12 +102,19 @@
   #takeEnds(ends: RunEnd[]): void {
     this.#state.apply({ type: 'end-runs', ends })
     for (const end of ends) {
-      this.#health.noteEnd(end, this.#nowMs)
+      this.#noteHealth(end)
       const isActive = this.#state.jobs.get(end.jobId)?.status === 'active'
       if (!isActive && !this.#endedAtMs.has(end.jobId)) this.#endedAtMs.set(end.jobId, this.#nowMs)
     }
   }
 
+  #noteHealth(end: RunEnd): void {
+    this.#health.noteEnd(end, this.#nowMs)
+    const upstream = this.#state.upstreams.get(end.upstreamId)
+    if (end.outcome !== 'crashed' || upstream === undefined) return
+    this.#health.noteCrash(upstream.description.address, this.#nowMs)
+  }
+
   #decide(): void {
     const begunAt = process.hrtime.bigint()
     const view = buildView({
@@ -110,7 +122,11 @@
       nowMs: this.#nowMs,
       acceptedAtMs: this.#acceptedAtMs,
       isUsable: ({ description: { upstreamId }, hasLeft }) =>
-        !hasLeft && !this.#health.isQuarantined(upstreamId, this.#nowMs),
+        !hasLeft &&
+        !this.#runs.crashes.isDown(upstreamId) &&
+        !this.#health.isQuarantined(upstreamId, this.#nowMs),
+      hasTrial: ({ description }) => this.#runs.hasTrial(description.upstreamId),
+      isQuiet: ({ description }) => this.#isQuiet(description),
       isStopping: (placement) => this.#runs.isStopping(placement),
       findTrack: (placement) => this.#runs.findTrack(placement),
     })
@@ -121,9 +137,17 @@
     this.#runs.start(placements, this.#nowMs)
   }
 
+  #isQuiet({ upstreamId, address }: UpstreamDescription): boolean {
+    if (this.#health.hasCrashedLately(address, this.#nowMs)) return false
+    return !this.#runs.hasUnproven(upstreamId)
+  }
+
   #measure(): DayResult {
     const { jobs, troubles, goal } = this.#day
-    const owed = jobs.filter(({ request }) => !troubles.cancelAfterMs.has(request.jobId))
+    const { cancelAfterMs, crashingJobs } = troubles
+    const owed = jobs.filter(
+      ({ request: { jobId } }) => !cancelAfterMs.has(jobId) && !crashingJobs.has(jobId),
+    )
     const outcomes = owed.map((job) => this.#judge(job))
     const { wastedCoreSeconds, stoppedRuns } = this.#runs
     const verdict = judgeDay({ outcomes, goal, wastedCoreSeconds })
@@ -133,11 +157,17 @@
       verdict,
       wastedCoreSeconds,
       stoppedRuns,
+      crashes: this.#runs.crashes.count,
+      givenUpSound: owed.filter((job) => this.#isGivenUp(job)).length,
       heldUp: this.#heldUp.count(this.#nowMs),
       roundsMs: this.#roundsMs,
     }
   }
 
+  #isGivenUp({ request }: DayJob): boolean {
+    return this.#state.jobs.get(request.jobId)?.failure?.reason === 'crashes-upstreams'
+  }
+
   #judge(job: DayJob): JobOutcome {
     const { jobId } = job.request
     const tookMs = (this.#endedAtMs.get(jobId) ?? Infinity) - job.arriveMs
--- a/bench/policy/src/playedRun.ts
+++ b/bench/policy/src/playedRun.ts
@@ -19,6 +19,8 @@
   /** How it ends once it has done this much. */
   readonly outcome: RunOutcome
   readonly endsAtDoneMs: number
+  /** It brings its upstream down as it starts. */
+  readonly isCrashing: boolean
   stopAtMs: number | undefined
 }
 
--- a/bench/policy/src/playedRuns.ts
+++ b/bench/policy/src/playedRuns.ts
@@ -1,17 +1,30 @@
 /** All runs of a day: they start, work at the pace of their upstreams, and end. */
 import { runKey } from '@nettlespur/batch.model'
 import { measureCores } from '@nettlespur/batch.scheduler'
-import type { RunTrack } from '@nettlespur/batch.sessions'
-import type { BatchState, Placement, RunEnd, RunOutcome } from '@nettlespur/batch.state'
+import {
+  blameCrash,
+  createRunTrack,
+  provenAfterMs,
+  type RunTrack,
+} from '@nettlespur/batch.sessions'
+import {
+  isSuspectTask,
+  type BatchState,
+  type CrashBlame,
+  type Placement,
+  type RunEnd,
+  type RunOutcome,
+} from '@nettlespur/batch.state'
 import type { SeededRandom } from '@nettlespur/bench.placement'
 import type { CrowdedDay, DayJob } from './crowdedDay.js'
+import { PlayedCrashes } from './playedCrashes.js'
+import { savedMsOf } from './savedMs.js'
 import { isFailing, isOver, measurePace, type PlayedRun } from './playedRun.js'
 
 /** From a placement to the task at work, and from a stop to its end: a commit, a call, an answer. */
 const orderMs = 40
 /** A task outside its rack takes this many times as long. */
 const remoteTimes = 3
-const checkpointMs = 2000
 /** On an upstream that fails what it starts. */
 const failsAfterMs = 200
 const wholePercent = 100
@@ -25,6 +38,7 @@
 export class PlayedRuns {
   wastedCoreSeconds = 0
   stoppedRuns = 0
+  readonly crashes = new PlayedCrashes()
   readonly #opts: PlayedRunsOptions
   readonly #byId: ReadonlyMap<string, DayJob>
   readonly #runs = new Map<string, PlayedRun>()
@@ -46,15 +60,35 @@
     return this.#runs.get(runKey(placement))?.track
   }
 
+  hasTrial(upstreamId: string): boolean {
+    if (this.crashes.count === 0) return false
+    return this.#listUnproven(upstreamId).some(({ track }) => track.isOnTrial)
+  }
+
+  hasUnproven(upstreamId: string): boolean {
+    return this.#listUnproven(upstreamId).length > 0
+  }
+
+  #listOn(upstreamId: string): PlayedRun[] {
+    return [...this.#runs.values()].filter(({ placement }) => placement.upstreamId === upstreamId)
+  }
+
+  #listUnproven(upstreamId: string): PlayedRun[] {
+    return this.#listOn(upstreamId).filter(({ track }) => !track.isProven)
+  }
+
   /** Lets all runs work until `nowMs`; the members of a gang go as fast as the slowest of them. */
   advance(nowMs: number, byMs: number): void {
     const { troubles } = this.#opts.day
     for (const gang of this.#listGangs()) {
-      const paces = gang.map(({ placement }) => measurePace(troubles, placement.upstreamId, nowMs))
+      const paces = gang.map(({ placement: { upstreamId } }) =>
+        this.crashes.isDown(upstreamId) ? 0 : measurePace(troubles, upstreamId, nowMs),
+      )
       const pace = Math.min(...paces)
       for (const run of gang) {
         const workedMs = Math.min(byMs, Math.max(0, nowMs - run.startsAtMs))
         run.doneMs = Math.min(run.endsAtDoneMs, run.doneMs + workedMs * pace)
+        this.#prove(run, nowMs)
         run.track.progressPercent = Math.floor((wholePercent * run.doneMs) / run.lengthMs)
       }
     }
@@ -62,9 +96,12 @@
 
   /** The ends of all runs that are over or were stopped by now. */
   takeEnds(nowMs: number): RunEnd[] {
-    const ends: RunEnd[] = []
+    const ends = this.crashes
+      .takeRevived(nowMs)
+      .flatMap((upstreamId) => this.#endCrashed(upstreamId))
     for (const run of [...this.#runs.values()]) {
       if (!this.#runs.has(runKey(run.placement))) continue
+      if (this.crashes.isDown(run.placement.upstreamId)) continue
       if ((run.stopAtMs ?? Infinity) <= nowMs) ends.push(...this.#end(run, 'stopped'))
       else if (isOver(run)) ends.push(...this.#end(run, run.outcome))
     }
@@ -73,10 +110,30 @@
 
   /** The ends of all that runs on an upstream that is lost. */
   lose(upstreamId: string): RunEnd[] {
-    return [...this.#runs.values()].flatMap((run) => {
-      const isThere = this.#runs.has(runKey(run.placement))
-      return isThere && run.placement.upstreamId === upstreamId ? this.#end(run, 'lost') : []
+    return this.#listOn(upstreamId).flatMap((run) =>
+      this.#runs.has(runKey(run.placement)) ? this.#end(run, 'lost') : [],
+    )
+  }
+
+  #prove({ track, placement, startsAtMs, isCrashing }: PlayedRun, nowMs: number): void {
+    const { upstreamId } = placement
+    this.crashes.look({ upstreamId, startsAtMs, isCrashing }, nowMs)
+    if (this.crashes.isDown(upstreamId)) return
+    track.isProven ||= nowMs - startsAtMs >= provenAfterMs
+  }
+
+  #endCrashed(upstreamId: string): RunEnd[] {
+    const runs = this.#listOn(upstreamId)
+    const blames = blameCrash({
+      placements: runs.map(({ placement }) => placement),
+      isProven: (placement) => this.findTrack(placement)?.isProven === true,
+      mayHaveStarted: () => true,
+      isGang: (placement) => this.#stepOf(placement)?.isGang === true,
+      isCertain: true,
     })
+    return runs.flatMap((run) =>
+      this.#runs.has(runKey(run.placement)) ? this.#end(run, 'crashed', blames) : [],
+    )
   }
 
   stop(placement: Placement, nowMs: number): void {
@@ -118,7 +175,7 @@
   }
 
   /** All members of a gang end with one of them. */
-  #end(run: PlayedRun, outcome: RunOutcome): RunEnd[] {
+  #end(run: PlayedRun, outcome: RunOutcome, blames?: ReadonlyMap<string, CrashBlame>): RunEnd[] {
     const { jobId, step, attempt } = run.placement
     const isGang = this.#stepOf(run.placement)?.isGang === true
     const members = [...this.#runs.values()].filter(
@@ -127,7 +184,11 @@
     )
     const ended = isGang ? members : [run]
     const others = outcome === 'done' ? 'done' : 'broken'
-    const ends = ended.map((member) => this.#toEnd(member, member === run ? outcome : others))
+    const ends = ended.map((member) => {
+      const blame = blames?.get(runKey(member.placement))
+      if (blame !== undefined) return { ...this.#toEnd(member, 'crashed'), blame }
+      return this.#toEnd(member, member === run ? outcome : others)
+    })
     for (const member of ended) this.#runs.delete(runKey(member.placement))
     return ends
   }
@@ -169,6 +230,16 @@
     const fails = isDoomed || random.chance(job?.kind.failingShare ?? 0)
     const failsAtMs = doneMs + (isDoomed ? failsAfterMs : random.next() * (lengthMs - doneMs))
     const startsAtMs = nowMs + orderMs
+    const record = state.jobs.get(jobId)
+    const isOnTrial = record !== undefined && isSuspectTask(record, placement)
+    const track = createRunTrack({
+      placement,
+      phase: 'settled',
+      startedAtMs: startsAtMs,
+      isOnTrial,
+    })
+    track.progressPercent = Math.floor(wholePercent * resumedAt)
+    track.checkpoint = checkpoint
     return {
       placement,
       resumedAt,
@@ -178,22 +249,8 @@
       outcome: fails ? 'failed' : 'done',
       endsAtDoneMs: fails ? Math.min(lengthMs, failsAtMs) : lengthMs,
       stopAtMs: undefined,
-      track: {
-        placement,
-        phase: 'settled',
-        settledAtMs: startsAtMs,
-        startedAtMs: startsAtMs,
-        progressPercent: Math.floor(wholePercent * resumedAt),
-        checkpoint,
-        isStopping: false,
-        isProven: true,
-      },
+      isCrashing: day.troubles.crashingJobs.has(jobId),
+      track,
     }
   }
 }
-
-/** A stop saves all; what ends otherwise keeps its last regular checkpoint. */
-function savedMsOf(ranMs: number, outcome: RunOutcome): number {
-  if (outcome === 'stopped' || outcome === 'broken') return ranMs
-  return Math.floor(ranMs / checkpointMs) * checkpointMs
-}
