fix: keep the room that an upstream last announced, whichever leader hears an older announcement

What callers would see: a start on an upstream whose room has shrunk brings it over its capacity where it does not guard it itself.

Cause: the number that tells a late announcement apart was known to one leader only. A new leader took an announcement from before the shrinking, held up on its way, and committed the former room again. Evidence: the new test had 8 accelerators in the state in place of 2.

Records of the former version have no number and take the next announcement.

Ruled out: runs that are being stopped, in doubt or of an earlier leader are counted until their end is committed; schedules of upstreams that do not guard their room, shrink and grow, with new leaders and a crashing job, break nothing.

--- a/batch/fakes/src/fakeUpstream.ts
+++ b/batch/fakes/src/fakeUpstream.ts
@@ -18,6 +18,8 @@
 import type { FleetLedger } from './fleetLedger.js'
 
 const stopMs = 300
+/** A room that shrank counts this much later: its next announcement may be delayed. */
+const shrunkGraceMs = 4500
 /** From the start of a run that crashes its upstream until the crash. */
 const crashAfterMs = 10
 
@@ -35,6 +37,8 @@
   /** Of its own clock against ours: from 0.98 to 1. */
   clockRate: number
   ledger: FleetLedger
+  /** It refuses what does not fit; else it starts whatever it is told to. */
+  guardsCapacity?: boolean
   /** Told once a run has brought it down; to call `crash` is left to its owner. */
   onCrashingRun?: () => void
 }
@@ -55,9 +59,12 @@
   #leaseEndMs = 0
   #leaseTimer: Timer | undefined
   readonly #waiters = new Set<() => void>()
+  #accelerators: number
+  #shrunkAtMs = -Infinity
 
   constructor(opts: FakeUpstreamOptions) {
     this.#opts = opts
+    this.#accelerators = opts.ledger.acceleratorsEach
     this.upstreamId = opts.upstreamId
     this.address = opts.address
     opts.ledger.addHolder(this)
@@ -67,6 +74,17 @@
     return Math.floor(this.#opts.clock.monotonicMs() * this.#opts.clockRate) + 1000
   }
 
+  /** What it has now, as its announcements say. */
+  get accelerators(): number {
+    return this.#accelerators
+  }
+
+  /** Its room shrinks or grows while it runs. */
+  resize(accelerators: number): void {
+    if (accelerators < this.#accelerators) this.#shrunkAtMs = this.#opts.clock.monotonicMs()
+    this.#accelerators = accelerators
+  }
+
   start({ run, leaseEndMs, fence }: StartOrder): StartAnswer {
     const { ledger, clock } = this.#opts
     const clockMs = this.clockMs
@@ -79,10 +97,12 @@
       return { type: 'refused', reason: 'superseded', clockMs }
     }
     const needs = ledger.needsOf(run)
-    if (this.#used() + needs.accelerators > ledger.acceleratorsEach) {
-      return { type: 'refused', reason: 'no-room', clockMs }
-    }
     const startedAtMs = clock.monotonicMs()
+    if (this.#used() + needs.accelerators > this.#accelerators) {
+      if (this.#opts.guardsCapacity !== false)
+        return { type: 'refused', reason: 'no-room', clockMs }
+      if (startedAtMs - this.#shrunkAtMs > shrunkGraceMs) ledger.noteOverfilled(run)
+    }
     this.#held.set(runKey(run), { run, needs, startedAtMs, isStopping: false })
     ledger.noteStart(run, this)
     if (ledger.crashes(run)) this.#crashSoon(run)
--- a/batch/fakes/src/fleetLedger.ts
+++ b/batch/fakes/src/fleetLedger.ts
@@ -94,6 +94,10 @@
     this.crashesUnder.set(key, (this.crashesUnder.get(key) ?? 0) + 1)
   }
 
+  noteOverfilled(run: RunRef): void {
+    this.violations.push(`${taskKey(run)}#${run.attempt} brought its upstream over its capacity`)
+  }
+
   noteAcknowledged(run: RunRef): void {
     if (this.endedDone.get(taskKey(run))?.attempt === run.attempt) this.doneTasks.add(taskKey(run))
   }
--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -33,6 +33,8 @@
   linksMs: readonly number[]
   /** Whether the run brings down the upstream that starts it. */
   crashes?: (run: RunRef) => boolean
+  /** Upstreams refuse what does not fit; true if left out. */
+  guardsCapacity?: boolean
 }
 
 export class FakeFleet {
@@ -46,6 +48,7 @@
   readonly #muted = new Set<string>()
   readonly port: FaultyPort
   readonly #clockRate: number
+  readonly #guardsCapacity: boolean
   #faults: LinkFault[] = []
   #lives = 0
   #term = 0
@@ -57,6 +60,7 @@
   constructor(opts: FakeFleetOptions) {
     const { clock } = this
     this.#clockRate = opts.clockRate
+    this.#guardsCapacity = opts.guardsCapacity ?? true
     let runs = 0
     let calls = 0
     this.ledger = new FleetLedger({
@@ -166,6 +170,11 @@
     this.#cutUntilMs.set(address, Infinity)
   }
 
+  /** The room of one upstream shrinks or grows; its next announcement says so. */
+  resize(at: number, accelerators: number): void {
+    this.#upstreams.get(addressOf(at))?.resize(accelerators)
+  }
+
   /** One upstream announces itself no longer, and answers as before. */
   mute(at: number): void {
     this.#muted.add(addressOf(at))
@@ -213,7 +222,15 @@
     }
     this.#upstreams.set(
       address,
-      new FakeUpstream({ upstreamId, address, clock, clockRate, ledger, onCrashingRun }),
+      new FakeUpstream({
+        upstreamId,
+        address,
+        clock,
+        clockRate,
+        ledger,
+        guardsCapacity: this.#guardsCapacity,
+        onCrashingRun,
+      }),
     )
   }
 
@@ -224,7 +241,7 @@
     }
   }
 
-  async #announce({ upstreamId, address, clockMs }: FakeUpstream): Promise<void> {
+  async #announce({ upstreamId, address, clockMs, accelerators }: FakeUpstream): Promise<void> {
     if (this.#isCut(address) || this.#muted.has(address)) return
     if (this.#upstreams.get(address)?.isUp !== true) return
     const leavesAtMs = this.#leavesAtMs.get(upstreamId)
@@ -236,7 +253,7 @@
       dataCentre: 'centre',
       rack: 'rack',
       labels: [],
-      capacity: { cpuMillicores: 100_000, memoryMiB: 100_000, accelerators: acceleratorsEach },
+      capacity: { cpuMillicores: 100_000, memoryMiB: 100_000, accelerators },
       isDraining: leavesAtMs !== undefined,
       ...(leavesAtMs === undefined
         ? {}
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -5,6 +5,7 @@
 import { runKey, toDescription, type Announcement } from '@nettlespur/batch.model'
 import { SessionHost, type UpstreamPort } from '@nettlespur/batch.sessions'
 import {
+  isLateAnnouncement,
   listPlacements,
   type BatchState,
   type Command,
@@ -114,11 +115,12 @@
     const { upstreamId, isDraining, drainRemainingMs } = announcement
     const known = this.#state.upstreams.get(upstreamId)
     if (known?.hasLeft === true || !this.#isOfKnownPool(announcement)) return
+    if (isLateAnnouncement(known, announcement.sequence)) return
     const wasUsable = this.#isUsable(upstreamId)
     if (!this.#roster.note(announcement)) return
     const description = toDescription(announcement)
     if (known === undefined || !isDeepStrictEqual(known.description, description)) {
-      await this.#propose({ type: 'note-upstream', description })
+      await this.#propose({ type: 'note-upstream', description, sequence: announcement.sequence })
     }
     this.#roster.noteClock(announcement)
     if (isDraining && known?.isDraining !== true) {
--- a/batch/state/src/batchState.ts
+++ b/batch/state/src/batchState.ts
@@ -25,6 +25,15 @@
 })
 export type BatchSnapshot = z.infer<typeof batchSnapshotSchema>
 
+/** The description that is kept comes from a later announcement: an upstream's room may have shrunk meanwhile. */
+export function isLateAnnouncement(
+  known: UpstreamRecord | undefined,
+  sequence: number | undefined,
+): boolean {
+  if (known?.sequence === undefined || sequence === undefined) return false
+  return sequence < known.sequence
+}
+
 export class BatchState {
   config: ClusterConfig | undefined
   readonly jobs = new Map<string, JobRecord>()
@@ -151,10 +160,12 @@
     return outcome
   }
 
-  #noteUpstream({ description }: CommandOf<'note-upstream'>): CommandOutcome {
+  #noteUpstream({ description, sequence }: CommandOf<'note-upstream'>): CommandOutcome {
     const known = this.upstreams.get(description.upstreamId)
+    if (isLateAnnouncement(known, sequence)) return 'unchanged'
     this.upstreams.set(description.upstreamId, {
       description,
+      ...(sequence === undefined ? {} : { sequence }),
       isDraining: known?.isDraining ?? false,
       hasLeft: known?.hasLeft ?? false,
     })
--- a/batch/state/src/command.ts
+++ b/batch/state/src/command.ts
@@ -46,7 +46,12 @@
   z.strictObject({ type: z.literal('cancel-job'), jobId: z.string() }),
   z.strictObject({ type: z.literal('place-tasks'), placements: z.array(placementSchema) }),
   z.strictObject({ type: z.literal('end-runs'), ends: z.array(runEndSchema) }),
-  z.strictObject({ type: z.literal('note-upstream'), description: upstreamDescriptionSchema }),
+  z.strictObject({
+    type: z.literal('note-upstream'),
+    description: upstreamDescriptionSchema,
+    /** Of the announcement; absent where a former version proposed it. */
+    sequence: z.number().optional(),
+  }),
   z.strictObject({ type: z.literal('drain-upstream'), upstreamId: z.string() }),
   z.strictObject({ type: z.literal('remove-upstream'), upstreamId: z.string() }),
   z.strictObject({ type: z.literal('forget-jobs'), jobIds: z.array(z.string()) }),
--- a/batch/state/src/index.ts
+++ b/batch/state/src/index.ts
@@ -1,6 +1,11 @@
 /** The committed state of batch work, and the commands that change it. */
 export { BatchMachine, encodeCommand } from './batchMachine.js'
-export { batchSnapshotSchema, BatchState, type BatchSnapshot } from './batchState.js'
+export {
+  batchSnapshotSchema,
+  BatchState,
+  isLateAnnouncement,
+  type BatchSnapshot,
+} from './batchState.js'
 export * from './command.js'
 export type { CrashBlame } from './crashRecord.js'
 export { describeJob } from './describeJob.js'
--- a/batch/state/src/records.ts
+++ b/batch/state/src/records.ts
@@ -74,6 +74,8 @@
 
 export const upstreamRecordSchema = z.strictObject({
   description: upstreamDescriptionSchema,
+  /** Of the announcement that the description comes from; absent where a former version noted it. */
+  sequence: z.number().optional(),
   /** It takes no new work. */
   isDraining: z.boolean(),
   /** It has said that it ends: what it ran is over once it no longer answers. */
--- a/batch/state/test/batchState.test.ts
+++ b/batch/state/test/batchState.test.ts
@@ -1,6 +1,6 @@
 /** The committed state: configurations, jobs, placements and ends. */
 import test from 'ava'
-import { createConfig, createJob } from '@nettlespur/batch.samples'
+import { createConfig, createJob, createUpstream } from '@nettlespur/batch.samples'
 import { BatchState, describeJob, type RunOutcome } from '../src/index.js'
 
 function createState(): BatchState {
@@ -116,6 +116,23 @@
   t.false(state.unsettled.has('j'))
 })
 
+test('a late announcement does not undo what a later one has said, and one without a number is taken', (t) => {
+  const state = createState()
+  const describe = (accelerators: number) => {
+    const description = createUpstream('u1')
+    return { ...description, capacity: { ...description.capacity, accelerators } }
+  }
+  const note = (accelerators: number, sequence?: number) =>
+    state.apply({ type: 'note-upstream', description: describe(accelerators), sequence })
+  t.is(note(8), 'done')
+  t.is(note(2, 7), 'done')
+  t.is(note(8, 6), 'unchanged')
+  const restored = BatchState.restore(structuredClone(state.snapshot()))
+  const late = { type: 'note-upstream', description: describe(8), sequence: 5 } as const
+  t.is(restored.apply(late), 'unchanged')
+  t.is(restored.upstreams.get('u1')?.description.capacity.accelerators, 2)
+})
+
 test('a state restored from its snapshot is the same, with its placements', (t) => {
   const state = createState()
   submit(state, createJob('j', { taskCount: 2 }, { dependsOn: [0] }))
