fix: give a refused start again ever more slowly, and not to an upstream that has just refused one

What was seen in the new test: four upstreams whose room had shrunk since their last announcement were given 56 starts of one task within a second, each refused at once, two commits apiece. Callers behind it waited for those commits, and the users count each refusal.

Cause: a refused start ends as lost, which is placed again in the next round, on the same upstream, as nothing had changed in what was known.

An upstream that refuses for want of room or health gets no new work until it announces itself again, or one such interval is over: 4 starts in place of 56.

--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -39,6 +39,7 @@
       acceptedAtMs: this.#acceptedAtMs,
       rooms: [...this.state.upstreams.values()].map(({ description }) => this.#room(description)),
       runs: this.#runs(),
+      isPaused: () => false,
       isProven: (run) => this.proven.has(name(run)),
       guarantees: new Map([['w1', 16]]),
     })
--- a/batch/scheduler/src/orderUnits.ts
+++ b/batch/scheduler/src/orderUnits.ts
@@ -16,7 +16,7 @@
 export function orderUnits(view: SchedulerView, guaranteed: ReadonlySet<string>): RankedUnit[] {
   const ranked = view.jobs.flatMap((job) => {
     const { jobId } = job.request
-    const units = listUnits(job, view.isProven)
+    const units = listUnits(job, view)
     if (units.length === 0) return []
     const acceptedAtMs = view.acceptedAtMs.get(jobId) ?? view.nowMs
     const timing = judgeTiming(job, acceptedAtMs, view.nowMs)
--- a/batch/scheduler/src/schedulerView.ts
+++ b/batch/scheduler/src/schedulerView.ts
@@ -1,6 +1,6 @@
 /** All that one round of decisions looks at. The round changes none of it but its own copies of the rooms. */
 import type { JobRecord, Placement } from '@nettlespur/batch.state'
-import type { Resources } from '@nettlespur/batch.model'
+import type { Resources, TaskRef } from '@nettlespur/batch.model'
 
 /** An upstream that may be given work. */
 export interface UpstreamRoom {
@@ -39,6 +39,8 @@
   readonly runs: readonly ActiveRun[]
   /** Whether the run was seen at work for long enough that it will not crash its upstream by being started. */
   readonly isProven: (run: Placement) => boolean
+  /** Whether the task is not to start for a moment, as its last starts came to nothing. */
+  readonly isPaused: (task: TaskRef) => boolean
   /** Accelerators that each workspace is guaranteed. */
   readonly guarantees: ReadonlyMap<string, number>
 }
--- a/batch/scheduler/src/startUnit.ts
+++ b/batch/scheduler/src/startUnit.ts
@@ -6,6 +6,7 @@
   type Placement,
   type StepRecord,
 } from '@nettlespur/batch.state'
+import type { SchedulerView } from './schedulerView.js'
 import { limitTrials } from './limitTrials.js'
 
 export interface StartUnit {
@@ -22,12 +23,18 @@
 }
 
 /** The units of a job that may start: all steps they depend on are done. */
-export function listUnits(job: JobRecord, isProven: (run: Placement) => boolean): StartUnit[] {
+export function listUnits(
+  job: JobRecord,
+  { isProven, isPaused }: Pick<SchedulerView, 'isProven' | 'isPaused'>,
+): StartUnit[] {
   if (job.status !== 'active') return []
   return job.request.steps.flatMap((step, stepNumber) => {
     const record = job.steps[stepNumber]
     if (record === undefined || !areDone(job, step.dependsOn)) return []
-    const waiting = listWaiting(record)
+    const { jobId } = job.request
+    const waiting = listWaiting(record).filter(
+      (index) => !isPaused({ jobId, step: stepNumber, index }),
+    )
     // A gang starts whole, once all of its former attempt has ended.
     const isStartable = step.isGang ? waiting.length === step.taskCount : waiting.length > 0
     if (!isStartable) return []
--- a/batch/service/__utils__/faultyPort.ts
+++ b/batch/service/__utils__/faultyPort.ts
@@ -15,10 +15,18 @@
 
 /**
  * What the link does with one call. `late`: it is carried out seconds later, and nothing is answered. `unread-rows` and
- * `hidden-rows`: every second row of a look cannot be read, and is left out of its lists.
+ * `hidden-rows`: every second row of a look cannot be read, and is left out of its lists. `invalid-starts`: a start is
+ * refused as one that cannot be understood.
  */
 export type LinkFault =
-  'none' | 'answer-lost' | 'late' | 'refused' | 'silent' | 'unread-rows' | 'hidden-rows'
+  | 'none'
+  | 'answer-lost'
+  | 'late'
+  | 'refused'
+  | 'silent'
+  | 'unread-rows'
+  | 'hidden-rows'
+  | 'invalid-starts'
 
 /** Over all upstreams; each is asked about ten times a second while rows are unread. */
 const hiddenLooks = 150
@@ -37,6 +45,8 @@
 export class FaultyPort extends UpstreamPort {
   /** Looks so far: an upstream at rest is not to be asked all the time. */
   looks = 0
+  /** Starts so far, refused ones included. */
+  starts = 0
   readonly #opts: FaultyPortOptions
 
   constructor(opts: FaultyPortOptions) {
@@ -45,7 +55,14 @@
   }
 
   override start(to: UpstreamTarget, order: StartOrder, timeoutMs: number): Promise<StartAnswer> {
-    return this.#call(to, timeoutMs, (upstream) => Promise.resolve(upstream.start(order)))
+    this.starts += 1
+    return this.#call(to, timeoutMs, (upstream, fault) => {
+      const { clockMs } = upstream
+      if (fault === 'invalid-starts') {
+        return Promise.resolve({ type: 'refused', reason: 'invalid', clockMs })
+      }
+      return Promise.resolve(upstream.start(order))
+    })
   }
 
   override stop(to: UpstreamTarget, order: StopOrder, timeoutMs: number): Promise<StopAnswer> {
@@ -78,7 +95,7 @@
       if (upstream.upstreamId !== upstreamId) return { type: 'gone', clockMs: undefined }
       return run(upstream, fault)
     }
-    if (['none', 'unread-rows', 'hidden-rows'].includes(fault)) {
+    if (['none', 'unread-rows', 'hidden-rows', 'invalid-starts'].includes(fault)) {
       const answer = await carryOut()
       await clock.sleep(nextLinkMs())
       return answer
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -26,6 +26,7 @@
 import type { Propose } from './proposer.js'
 import { RecordFaults } from './recordFaults.js'
 import { listActiveJobs, reportEnds } from './reportEnds.js'
+import { RetryPauses } from './retryPauses.js'
 import { SchedulingRounds } from './schedulingRounds.js'
 import { UpstreamRoster } from './upstreamRoster.js'
 
@@ -50,6 +51,7 @@
   readonly #preempted = new Set<string>()
   readonly #rounds: SchedulingRounds
   readonly #faults: RecordFaults
+  readonly #retryPauses = new RetryPauses()
 
   constructor(opts: BatchLeaderOptions) {
     super()
@@ -61,6 +63,7 @@
     this.#rounds = new SchedulingRounds({
       ...opts,
       roster: this.#roster,
+      retryPauses: this.#retryPauses,
       shouldStop: (placement) => this.shouldStop(placement),
       preempt: (runs) => {
         this.#preempt(runs)
@@ -162,6 +165,7 @@
     for (const end of ends) {
       this.#preempted.delete(runKey(end))
       this.#noteHealth(end, nowMs)
+      this.#retryPauses.noteEnd(end, nowMs)
     }
     return true
   }
--- a/batch/service/src/buildView.ts
+++ b/batch/service/src/buildView.ts
@@ -1,5 +1,5 @@
 /** Puts together what a scheduling round looks at, from the committed state and what sessions have seen. */
-import type { Resources, StepSpec } from '@nettlespur/batch.model'
+import type { Resources, StepSpec, TaskRef } from '@nettlespur/batch.model'
 import {
   addResources,
   measureCores,
@@ -32,6 +32,8 @@
   hasTrial: (upstream: UpstreamRecord) => boolean
   /** See `UpstreamRoom`. */
   isQuiet: (upstream: UpstreamRecord) => boolean
+  /** The task waits for a moment, as its last starts came to nothing. */
+  isPaused: (task: TaskRef) => boolean
 }
 
 export function buildView(opts: BuildViewOptions): SchedulerView {
@@ -44,6 +46,7 @@
     jobs: [...state.unsettled.values()],
     acceptedAtMs,
     rooms: usable.map((upstream) => buildRoom(opts, upstream)),
+    isPaused: opts.isPaused,
     isProven: (placement) => opts.findTrack(placement)?.isProven === true,
     // Only rounds in which something does not fit look at what runs.
     get runs() {
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -13,6 +13,7 @@
 import { Housekeeper } from './housekeeper.js'
 import type { JobClock } from './jobClock.js'
 import { listEvacuees } from './listEvacuees.js'
+import type { RetryPauses } from './retryPauses.js'
 import type { UpstreamRoster } from './upstreamRoster.js'
 
 /** Rounds that no event asks for: quarantines end, and jobs lose hope, with time alone. */
@@ -32,6 +33,7 @@
   timings: BatchTimings
   roster: UpstreamRoster
   jobClock: JobClock
+  retryPauses: RetryPauses
   getState: () => BatchState
   shouldStop: (placement: Placement) => boolean
   preempt: (runs: readonly Placement[]) => void
@@ -79,14 +81,16 @@
   }
 
   #plan(nowMs: number): RoundDecision {
-    const { getState, roster, jobClock } = this.#opts
+    const { getState, roster, jobClock, retryPauses } = this.#opts
     jobClock.update(getState(), nowMs)
+    retryPauses.prune(nowMs)
     const view = buildView({
       ...this.#createRunsOptions(nowMs),
       acceptedAtMs: jobClock.acceptedAtMs,
       isUsable: (upstream) => roster.isUsable(upstream),
       hasTrial: ({ description }) => roster.find(description.upstreamId)?.tracks.hasTrial === true,
       isQuiet: (upstream) => roster.isQuiet(upstream),
+      isPaused: (task) => retryPauses.isPaused(task, nowMs),
     })
     return planRound(view)
   }
--- a/batch/service/src/upstreamRoster.ts
+++ b/batch/service/src/upstreamRoster.ts
@@ -119,6 +119,16 @@
     return this.#sessions.get(upstreamId)?.tracks.hasUnproven !== true
   }
 
+  /**
+   * It refused a start for want of room or health and has not announced itself since: what is known of it is out of date.
+   * Asked again at once it would refuse again, as fast as commits go.
+   */
+  #isRefusing(upstreamId: string, refusedAtMs: number): boolean {
+    if (this.#table.heardAtMs(upstreamId) > refusedAtMs) return false
+    const { clock, timings } = this.#opts
+    return clock.monotonicMs() - refusedAtMs < timings.announceEveryMs
+  }
+
   /** Whether new work may go there. */
   isUsable({ description: { upstreamId }, isDraining, hasLeft }: UpstreamRecord): boolean {
     if (isDraining || hasLeft || this.#table.isReplaced(upstreamId)) return false
@@ -131,6 +141,7 @@
     const { announceEveryMs } = this.#opts.timings
     if (nowMs - heardAtMs > announceEveryMs * missedAnnouncements) return false
     if (nowMs - session.tracks.unlistedAtMs < unlistedPauseMs) return false
+    if (this.#isRefusing(upstreamId, answers.refusedAtMs)) return false
     if (answers.unanswered > 0) {
       const { unansweredAtMs } = answers
       if (heardAtMs <= unansweredAtMs || nowMs - unansweredAtMs < silentPauseMs) return false
--- /dev/null
+++ b/batch/service/test/refusedStarts.test.ts
@@ -0,0 +1,37 @@
+/** Starts that upstreams refuse: how often they are given again. */
+import { createJob } from '@nettlespur/batch.samples'
+import test from 'ava'
+import { FakeFleet, upstreamCount } from '../__utils__/index.js'
+
+const links = { clockRate: 1, lateMs: 1000, failures: [], linksMs: [1] }
+const settledMs = 2000
+const needs = { cpuMillicores: 100, memoryMiB: 100, accelerators: 4 }
+
+async function startFleet(): Promise<FakeFleet> {
+  const fleet = new FakeFleet(links)
+  fleet.elect()
+  await fleet.clock.advance(settledMs)
+  return fleet
+}
+
+test('an upstream whose room has shrunk unannounced is not asked again for what it refuses before it announces itself', async (t) => {
+  const fleet = await startFleet()
+  for (let at = 0; at < upstreamCount; at++) {
+    fleet.resize(at, 3)
+    fleet.mute(at)
+  }
+  fleet.submit(createJob('j', { needs }), 1)
+  await fleet.clock.advance(1000)
+  t.is(fleet.port.starts, upstreamCount)
+})
+
+test('a task that upstreams refuse for what it is starts ever more rarely, and at last', async (t) => {
+  const fleet = await startFleet()
+  fleet.apply({ kind: 'fault', fault: 'invalid-starts', calls: 10_000 })
+  fleet.submit(createJob('j', { needs }), 1)
+  await fleet.clock.advance(10_000)
+  t.true(fleet.port.starts < 20, `${fleet.port.starts} starts`)
+  fleet.calm()
+  await fleet.clock.advance(10_000)
+  t.is(fleet.state.jobs.get('j')?.status, 'completed')
+})
--- a/batch/sessions/src/callAnswers.ts
+++ b/batch/sessions/src/callAnswers.ts
@@ -4,6 +4,8 @@
   unanswered = 0
   /** When the last call without an answer was given up, on our clock. */
   unansweredAtMs = -Infinity
+  /** When it last refused a start for want of room or health, on our clock. */
+  refusedAtMs = -Infinity
   /** When it first answered, on our clock. */
   firstAnswerAtMs = -Infinity
   /** Resolves once the first call was answered or given up. */
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -204,6 +204,7 @@
     const { placement } = track
     const reason = result.type === 'refused' ? result.reason : undefined
     if ('clockMs' in result) this.#noteClock(result.clockMs)
+    if (reason === 'no-room' || reason === 'unhealthy') this.answers.refusedAtMs = this.#nowMs()
     track.settledAtMs = this.#nowMs()
     if (result.type === 'in-doubt' || result.type === 'not-sent')
       this.answers.noteUnanswered(this.#nowMs())
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -127,6 +127,7 @@
         !this.#health.isQuarantined(upstreamId, this.#nowMs),
       hasTrial: ({ description }) => this.#runs.hasTrial(description.upstreamId),
       isQuiet: ({ description }) => this.#isQuiet(description),
+      isPaused: () => false,
       isStopping: (placement) => this.#runs.isStopping(placement),
       findTrack: (placement) => this.#runs.findTrack(placement),
     })
