test: crashing jobs and shrinking upstreams in the soak, and nothing given up without cause

Checked: no crashing task is started three times more after three crashes, no start brings an upstream over a room that it announced 4.5 s ago, and a job is shown as failed only if a task or gang of it failed, or went down with its upstream, often enough.

--- a/batch/fakes/src/fakeUpstream.ts
+++ b/batch/fakes/src/fakeUpstream.ts
@@ -61,6 +61,7 @@
   readonly #waiters = new Set<() => void>()
   #accelerators: number
   #shrunkAtMs = -Infinity
+  #isRoomHeard = true
 
   constructor(opts: FakeUpstreamOptions) {
     this.#opts = opts
@@ -83,6 +84,14 @@
   resize(accelerators: number): void {
     if (accelerators < this.#accelerators) this.#shrunkAtMs = this.#opts.clock.monotonicMs()
     this.#accelerators = accelerators
+    this.#isRoomHeard = false
+  }
+
+  /** An announcement was answered, or was not: a room that has shrunk counts from the first that was. */
+  noteAnnounced(isAnswered: boolean): void {
+    if (this.#isRoomHeard) return
+    this.#isRoomHeard = isAnswered
+    if (this.#shrunkAtMs > -Infinity) this.#shrunkAtMs = this.#opts.clock.monotonicMs()
   }
 
   start({ run, leaseEndMs, fence }: StartOrder): StartAnswer {
@@ -164,7 +173,7 @@
     for (const wake of this.#waiters) wake()
     const lost = [...this.#held.values()]
     this.#held.clear()
-    for (const { run } of lost) this.#opts.ledger.noteEnd(run, 'lapsed')
+    for (const { run } of lost) this.#opts.ledger.noteWentDown(run)
   }
 
   holds(run: RunRef): boolean {
--- a/batch/fakes/src/fleetLedger.ts
+++ b/batch/fakes/src/fleetLedger.ts
@@ -2,6 +2,7 @@
 import { taskKey, type JobRequest, type Resources, type RunRef } from '@nettlespur/batch.model'
 import type { FinishedOutcome } from '@nettlespur/batch.sessions'
 import type { Clock } from '@nettlespur/core.clock'
+import { GiveUpReasons } from './giveUpReasons.js'
 import type { FakeUpstream } from './fakeUpstream.js'
 
 const gangWaitMs = 3000
@@ -33,6 +34,7 @@
   readonly endedDone = new Map<string, RunRef>()
   /** Upstreams that a task has brought down. */
   readonly crashesUnder = new Map<string, number>()
+  readonly #reasons = new GiveUpReasons()
   readonly #startsAfterCrashes = new Map<string, number>()
 
   constructor(opts: FleetLedgerOptions) {
@@ -80,6 +82,7 @@
   noteEnd(run: RunRef, outcome: FinishedOutcome): void {
     const key = taskKey(run)
     this.#running.delete(key)
+    if (outcome === 'failed') this.#reasons.noteFailure(run, this.#stepOf(run)?.isGang === true)
     if (outcome === 'done') this.endedDone.set(key, run)
     if (this.#stepOf(run)?.isGang !== true || outcome === 'done') return
     for (const member of this.#membersOf(run)) this.#endEverywhere(member, 'broken')
@@ -98,6 +101,17 @@
     this.violations.push(`${taskKey(run)}#${run.attempt} brought its upstream over its capacity`)
   }
 
+  /** Its upstream crashed. */
+  noteWentDown(run: RunRef): void {
+    this.#reasons.noteCrash(run, this.#stepOf(run)?.isGang === true)
+    this.noteEnd(run, 'lapsed')
+  }
+
+  /** Whether the job has failed, or gone down with upstreams, often enough to be given up. */
+  mayBeGivenUp(jobId: string): boolean {
+    return this.#reasons.mayBeGivenUp(jobId)
+  }
+
   noteAcknowledged(run: RunRef): void {
     if (this.endedDone.get(taskKey(run))?.attempt === run.attempt) this.doneTasks.add(taskKey(run))
   }
--- /dev/null
+++ b/batch/fakes/src/giveUpReasons.ts
@@ -0,0 +1,36 @@
+/** What speaks for giving jobs up: how often their tasks and gangs failed, and went down with their upstreams. */
+import { taskKey, type RunRef } from '@nettlespur/batch.model'
+
+/** The fewest that any queue of a test allows. */
+const failuresMin = 2
+/** Agreed with the users. */
+const crashesMin = 2
+
+export class GiveUpReasons {
+  readonly #failures = new Map<string, number>()
+  readonly #crashes = new Map<string, number>()
+  readonly #jobs = new Set<string>()
+
+  noteFailure(run: RunRef, isGang: boolean): void {
+    this.#count(this.#failures, run, { isGang, least: failuresMin })
+  }
+
+  noteCrash(run: RunRef, isGang: boolean): void {
+    this.#count(this.#crashes, run, { isGang, least: crashesMin })
+  }
+
+  mayBeGivenUp(jobId: string): boolean {
+    return this.#jobs.has(jobId)
+  }
+
+  #count(
+    counts: Map<string, number>,
+    run: RunRef,
+    { isGang, least }: { isGang: boolean; least: number },
+  ): void {
+    const key = isGang ? `${run.jobId}/${run.step}` : taskKey(run)
+    const count = (counts.get(key) ?? 0) + 1
+    counts.set(key, count)
+    if (count >= least) this.#jobs.add(run.jobId)
+  }
+}
