--- a/batch/sessions/src/lostRuns.ts
+++ b/batch/sessions/src/lostRuns.ts
@@ -23,6 +23,8 @@
 
 export class LostRuns {
   readonly #opts: LostRunsOptions
+  /** Runs that have their line, by key: where a commit fails their ends are listed again. */
+  readonly #told = new Set<string>()
 
   constructor(opts: LostRunsOptions) {
     this.#opts = opts
@@ -61,6 +63,8 @@
   }
 
   #log(placement: Placement, cause: LossCause, blame?: CrashBlame): void {
+    if (this.#told.has(runKey(placement))) return
+    this.#told.add(runKey(placement))
     const { clock, logger, target, tracks } = this.#opts
     const track = tracks.find(placement)
     const sinceStartMs = track && Math.round(clock.monotonicMs() - track.startedAtMs)
--- a/batch/sessions/src/runTracks.ts
+++ b/batch/sessions/src/runTracks.ts
@@ -1,18 +1,12 @@
 /** The runs that a session follows. */
 import { runKey, type RunRef } from '@nettlespur/batch.model'
-import { isSuspectTask, type JobRecord, type Placement } from '@nettlespur/batch.state'
+import { isSuspectTask, type Placement } from '@nettlespur/batch.state'
+import type { Clock } from '@nettlespur/core.clock'
 import { createRunTrack, type RunPhase, type RunTrack } from './runTrack.js'
-import { provenAfterMs, unlistedMsMax } from './sessionOptions.js'
+import type { SessionHost } from './sessionHost.js'
+import { provenAfterMs, unlistedMsMax, type UpstreamSessionOptions } from './sessionOptions.js'
 import type { RunningRun } from './upstreamPort.js'
 
-export interface FollowOptions {
-  placement: Placement
-  phase: RunPhase
-  /** The job it belongs to; undefined once that is forgotten. */
-  job: JobRecord | undefined
-  nowMs: number
-}
-
 /** What others than the session itself may read. */
 export type ReadonlyRunTracks = Pick<
   RunTracks,
@@ -23,6 +17,13 @@
   /** When a run was last missing from a look with rows that could not be read, on our clock. */
   unlistedAtMs = -Infinity
   readonly #byKey = new Map<string, RunTrack>()
+  readonly #host: SessionHost
+  readonly #clock: Clock
+
+  constructor({ host, clock }: Pick<UpstreamSessionOptions, 'host' | 'clock'>) {
+    this.#host = host
+    this.#clock = clock
+  }
 
   get byKey(): ReadonlyMap<string, RunTrack> {
     return this.#byKey
@@ -51,9 +52,11 @@
     return false
   }
 
-  follow({ placement, phase, job, nowMs }: FollowOptions): RunTrack {
+  follow(placement: Placement, phase: RunPhase): RunTrack {
+    const job = this.#host.findJob(placement.jobId)
     const isOnTrial = job !== undefined && isSuspectTask(job, placement)
-    const track = createRunTrack({ placement, phase, isOnTrial, startedAtMs: nowMs })
+    const startedAtMs = this.#clock.monotonicMs()
+    const track = createRunTrack({ placement, phase, isOnTrial, startedAtMs })
     this.#byKey.set(runKey(placement), track)
     return track
   }
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -13,7 +13,7 @@
 import type { LossCause } from './lossCause.js'
 import { LostRuns } from './lostRuns.js'
 import { readLook } from './readLook.js'
-import type { RunPhase, RunTrack } from './runTrack.js'
+import type { RunTrack } from './runTrack.js'
 import { RunTracks, type ReadonlyRunTracks } from './runTracks.js'
 import { RunOrders, type StartResult } from './runOrders.js'
 import {
@@ -30,7 +30,7 @@
   readonly answers = new CallAnswers()
   readonly #opts: UpstreamSessionOptions
   readonly #orders: RunOrders
-  readonly #tracks = new RunTracks()
+  readonly #tracks: RunTracks
   readonly #lost: LostRuns
   readonly #cursor = new EndCursor()
   readonly #ending: UpstreamEnding
@@ -39,6 +39,7 @@
 
   constructor(opts: UpstreamSessionOptions) {
     this.#opts = opts
+    this.#tracks = new RunTracks(opts)
     this.lease = new LeaseTracker({ leaseMs: opts.timings.leaseMs, takeoverMs: opts.takeoverMs })
     this.#orders = new RunOrders({ ...opts, lease: this.lease })
     this.#lost = new LostRuns({ ...opts, tracks: this.#tracks })
@@ -53,7 +54,7 @@
 
   /** Takes up what earlier leaders placed there. */
   resume(): void {
-    for (const placement of this.#placements().values()) this.#follow(placement, 'inherited')
+    for (const placement of this.#placements().values()) this.#tracks.follow(placement, 'inherited')
     this.#wake()
   }
 
@@ -65,7 +66,7 @@
 
   /** Starts a run whose placement is committed. */
   start(placement: Placement): void {
-    const track = this.#follow(placement, 'starting')
+    const track = this.#tracks.follow(placement, 'starting')
     this.#wake()
     void this.#orders.start(placement).then((result) => this.#noteStart(track, result))
   }
@@ -77,11 +78,6 @@
     if (isDue) void this.#stopUntilAnswered(track)
   }
 
-  #follow(placement: Placement, phase: RunPhase): RunTrack {
-    const job = this.#opts.host.findJob(placement.jobId)
-    return this.#tracks.follow({ placement, phase, job, nowMs: this.#nowMs() })
-  }
-
   #reviewAll(): void {
     for (const placement of this.#placements().values()) this.review(placement)
   }
@@ -103,10 +99,6 @@
     })
   }
 
-  #pause(): Promise<void> {
-    return this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
-  }
-
   #isOver(): boolean {
     return this.#ending.isOver || this.#opts.signal.aborted
   }
@@ -119,11 +111,11 @@
   async #lookWhileWanted(): Promise<void> {
     while (this.#isWanted()) {
       const isAnswered = await this.#look()
-      const isHiding = this.#tracks.hasHidden(this.#nowMs())
       if (!isAnswered) this.#ending.giveUpAfterLease(this.lease, 'lease-over')
-      else if (isHiding) this.#ending.giveUpAfterLease(this.lease, 'unlisted')
+      else if (this.#tracks.hasHidden(this.#nowMs()))
+        this.#ending.giveUpAfterLease(this.lease, 'unlisted')
       if (isAnswered) continue
-      await this.#pause()
+      await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
       // It may have said so just as its connection broke: another look could wait in vain for seconds.
       const { host, target } = this.#opts
       if (host.findUpstream(target.upstreamId)?.hasLeft === true) await this.#ending.end('left')
@@ -172,7 +164,7 @@
     if (answer.type === 'gone') return this.#ending.end('crashed')
     if (answer.type === 'fence') {
       this.#log('upstream.fenced', { fence: this.#opts.host.fence })
-      return this.#pause()
+      return this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
     }
     const placed = this.#placements()
     const reading = readLook({ ...answer, sentAtMs }, placed, this.#tracks.byKey)
@@ -185,7 +177,7 @@
     }
     this.#cursor.noteShown(answer.finished)
     if (!(await this.#commit(reading.ends))) {
-      await this.#pause()
+      await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
     } else if (reading.mayAcknowledge) {
       this.#cursor.advance()
     }
@@ -235,7 +227,7 @@
         track.phase = 'settled'
         return
       }
-      await this.#pause()
+      await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
     }
   }
 
