fix: give a task up only for crashes under it, not for those under other members of its gang

Cause: the crash budget counted a gang as a whole. The users allow to give a task up under which two upstreams have crashed; two members under which one crashed each are not that. Our ledger made the same mistake, so the soak did not see it; it counts members by themselves now.

Each task has a record of its own: all crashes, those it may have caused, those where it had just started and the upstream surely crashed. A start without an answer, or an upstream that is only silent, speaks for a trial and not for more. A start on trial waits for no quiet upstream where others have room.

--- a/batch/fakes/src/fleetLedger.ts
+++ b/batch/fakes/src/fleetLedger.ts
@@ -103,7 +103,7 @@
 
   /** Its upstream crashed. */
   noteWentDown(run: RunRef): void {
-    this.#reasons.noteCrash(run, this.#stepOf(run)?.isGang === true)
+    this.#reasons.noteCrash(run)
     this.noteEnd(run, 'lapsed')
   }
 
--- a/batch/fakes/src/giveUpReasons.ts
+++ b/batch/fakes/src/giveUpReasons.ts
@@ -15,8 +15,9 @@
     this.#count(this.#failures, run, { isGang, least: failuresMin })
   }
 
-  noteCrash(run: RunRef, isGang: boolean): void {
-    this.#count(this.#crashes, run, { isGang, least: crashesMin })
+  /** Members of a gang count each by itself. */
+  noteCrash(run: RunRef): void {
+    this.#count(this.#crashes, run, { isGang: false, least: crashesMin })
   }
 
   mayBeGivenUp(jobId: string): boolean {
--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -55,7 +55,7 @@
 
   /** The upstream of the run crashes under it alone. */
   crash(run: Placement): void {
-    this.state.apply({ type: 'end-runs', ends: [{ ...run, outcome: 'crashed', blame: 'sole' }] })
+    this.state.apply({ type: 'end-runs', ends: [{ ...run, outcome: 'crashed', blame: 'blamed' }] })
   }
 
   end(run: Placement, outcome: 'done' | 'failed' | 'stopped'): void {
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -51,12 +51,17 @@
     const places = this.#choosePlaces(unit)
     if (places.length > 0) this.#place(unit, places)
     if (places.length < unit.waiting.length) {
-      this.#decideRest({ ...unit, waiting: unit.waiting.slice(places.length) })
+      // Room that is made for a start on trial may be anywhere: what is stopped there is gone by then.
+      this.#decideRest({ ...unit, waiting: unit.waiting.slice(places.length), isOnTrial: false })
     }
   }
 
   #choosePlaces(unit: RankedUnit): string[] {
     const places = choosePlaces(unit, this.#book)
+    // Without a quiet upstream a trial says less, but nobody is held up for it.
+    if (places.length === 0 && unit.isOnTrial) {
+      return this.#choosePlaces({ ...unit, isOnTrial: false })
+    }
     if (places.length > 0 || !unit.maySpread) return places
     return choosePlaces({ ...unit, step: { ...unit.step, prefersOneRack: false } }, this.#book)
   }
--- a/batch/scheduler/src/roomBook.ts
+++ b/batch/scheduler/src/roomBook.ts
@@ -117,8 +117,8 @@
   }
 
   /**
-   * Rooms in which the unit's tasks may run: those where they failed only if the others could never do, and those that are
-   * not quiet likewise, where they start on trial.
+   * Rooms in which the unit's tasks may run, those where they failed only if the others could never do. For a start on trial
+   * only quiet ones.
    */
   listAllowed(unit: StartUnit): BookedRoom[] {
     const { job, step, avoided, isOnTrial } = unit
@@ -128,7 +128,7 @@
         (step.requiredLabel === undefined || room.labels.includes(step.requiredLabel)),
     )
     const untried = preferWhere(unit, allowed, ({ upstreamId }) => !avoided.has(upstreamId))
-    return isOnTrial ? preferWhere(unit, untried, ({ isQuiet }) => isQuiet) : untried
+    return isOnTrial ? untried.filter(({ isQuiet }) => isQuiet) : untried
   }
 }
 
--- a/batch/sessions/src/blameCrash.ts
+++ b/batch/sessions/src/blameCrash.ts
@@ -2,34 +2,32 @@
 import { runKey } from '@nettlespur/batch.model'
 import type { CrashBlame, Placement } from '@nettlespur/batch.state'
 
-export interface BlameCrashOptions {
-  /** All that was placed there. */
-  placements: readonly Placement[]
-  isProven: (placement: Placement) => boolean
-  /** False while the order to start it is still on its way: the next life of the upstream may be the one to get it. */
-  mayHaveStarted: (placement: Placement) => boolean
-  isGang: (placement: Placement) => boolean
-  /** It is certain that the upstream crashed: one that is only silent may be cut off, with all that runs there well. */
-  isCertain: boolean
+/** What is known of a run when its upstream crashes. */
+export interface CrashedRun {
+  readonly placement: Placement
+  /** It had been seen at work for a while. */
+  readonly isProven: boolean
+  /**
+   * `no`: the order to start it is still on its way, and the next life of the upstream may be the one to get it.
+   * `unknown`: the order got no answer.
+   */
+  readonly hasStarted: 'no' | 'unknown' | 'yes'
 }
 
-/** By run key. */
-export function blameCrash(opts: BlameCrashOptions): Map<string, CrashBlame> {
-  const { placements, isProven, mayHaveStarted, isCertain } = opts
-  const started = placements.filter(mayHaveStarted)
-  const fresh = started.filter((placement) => !isProven(placement))
-  // Where all have been at work for a while, any of them may have done it.
-  const suspects = fresh.length > 0 ? fresh : started
-  const units = new Set(suspects.map((placement) => unitKey(placement, opts.isGang(placement))))
-  const blame: CrashBlame = isCertain && fresh.length > 0 && units.size === 1 ? 'sole' : 'shared'
-  const suspected = new Set(suspects.map(runKey))
-  return new Map(
-    placements.map(runKey).map((key) => [key, suspected.has(key) ? blame : ('none' as const)]),
-  )
-}
-
-/** Members of a gang start together and are given up together. */
-function unitKey(placement: Placement, isGang: boolean): string {
-  const { jobId, step, attempt } = placement
-  return isGang ? `${jobId}/${step}#${attempt}` : runKey(placement)
+/**
+ * By run key. `isCertain`: the upstream surely crashed; one that is only silent may be cut off, with all that runs there well.
+ */
+export function blameCrash(
+  runs: readonly CrashedRun[],
+  isCertain: boolean,
+): ReadonlyMap<string, CrashBlame> {
+  const started = runs.filter(({ hasStarted }) => hasStarted !== 'no')
+  const hasFresh = started.some(({ isProven }) => !isProven)
+  const judge = ({ isProven, hasStarted }: CrashedRun): CrashBlame => {
+    if (hasStarted === 'no') return 'none'
+    // Where all have been at work for a while, any of them may have done it.
+    if (isProven) return hasFresh ? 'none' : 'suspected'
+    return isCertain && hasStarted === 'yes' ? 'blamed' : 'suspected'
+  }
+  return new Map(runs.map((run) => [runKey(run.placement), judge(run)]))
 }
--- a/batch/sessions/src/lostRuns.ts
+++ b/batch/sessions/src/lostRuns.ts
@@ -1,8 +1,9 @@
 /** The ends of runs that no list of their upstream shows as ended: one line of the log each, with what is known of it. */
 import { runFields, runKey } from '@nettlespur/batch.model'
 import type { CrashBlame, Placement, RunEnd } from '@nettlespur/batch.state'
-import { blameCrash } from './blameCrash.js'
+import { blameCrash, type CrashedRun } from './blameCrash.js'
 import type { LossCause } from './lossCause.js'
+import type { RunPhase, RunTrack } from './runTrack.js'
 import type { RunTracks } from './runTracks.js'
 import type { UpstreamSessionOptions } from './sessionOptions.js'
 
@@ -14,6 +15,15 @@
   'not-started': false,
 }
 
+/** What an earlier leader placed has most likely started: it gives an order as soon as that is committed. */
+const startedIn: Readonly<Record<RunPhase, CrashedRun['hasStarted']>> = {
+  starting: 'no',
+  refused: 'no',
+  'in-doubt': 'unknown',
+  inherited: 'yes',
+  settled: 'yes',
+}
+
 export interface LostRunsOptions extends Pick<
   UpstreamSessionOptions,
   'target' | 'host' | 'clock' | 'logger'
@@ -50,16 +60,18 @@
 
   /** None where the upstream has not crashed. A run that never got there went down with nothing. */
   #blame(placements: readonly Placement[], cause: LossCause): ReadonlyMap<string, CrashBlame> {
-    const { host, target, tracks } = this.#opts
+    const { host, target } = this.#opts
     const upstream = host.findUpstream(target.upstreamId)
     if (!mayBeCrash[cause] || upstream?.isDraining === true) return new Map()
-    return blameCrash({
-      placements: placements.filter((placement) => tracks.find(placement)?.phase !== 'refused'),
-      isProven: (placement) => tracks.find(placement)?.isProven === true,
-      mayHaveStarted: (placement) => tracks.find(placement)?.phase !== 'starting',
-      isGang: ({ jobId, step }) => host.findJob(jobId)?.request.steps[step]?.isGang === true,
-      isCertain: cause === 'crashed',
-    })
+    const runs = placements
+      .map((placement) => this.#describe(placement))
+      .filter(({ phase }) => phase !== 'refused')
+    return blameCrash(runs, cause === 'crashed')
+  }
+
+  #describe(placement: Placement): CrashedRun & Pick<RunTrack, 'phase'> {
+    const { phase = 'starting', isProven = false } = this.#opts.tracks.find(placement) ?? {}
+    return { placement, phase, isProven, hasStarted: startedIn[phase] }
   }
 
   #log(placement: Placement, cause: LossCause, blame?: CrashBlame): void {
--- a/batch/state/src/endRun.ts
+++ b/batch/state/src/endRun.ts
@@ -1,10 +1,13 @@
 /** What the end of one run changes in its job. */
 import type { Placement, RunEnd } from './command.js'
-import { countCrash, type Crash } from './crashRecord.js'
+import { countCrash } from './crashRecord.js'
 import { findFailure } from './findFailure.js'
 import { listStepPlacements } from './placementIndex.js'
 import type { JobRecord, StepRecord, TaskRecord } from './records.js'
 
+/** Of an end that does not say who brought its upstream down. */
+const unknownBlame = 'suspected'
+
 /**
  * The placements that are over with it: of a gang that is done all members. None where the run is not the one that
  * is placed: its end was taken in before, or never counted.
@@ -19,6 +22,10 @@
   const over =
     isGang && end.outcome === 'done' ? listStepPlacements(job, end.step) : [toPlacement(end)]
   release(task)
+  if (end.outcome === 'crashed') {
+    const { attempt, blame = unknownBlame } = end
+    task.crashes = countCrash(task.crashes, { attempt, blame })
+  }
   if (isGang) endGangMember(step, task, end)
   else endTask(task, end)
   if (job.status === 'active') judge(job)
@@ -29,14 +36,12 @@
   return { jobId, step, index, attempt, upstreamId }
 }
 
-function endTask(task: TaskRecord, end: RunEnd): void {
-  const { outcome, checkpoint, upstreamId } = end
+function endTask(task: TaskRecord, { outcome, checkpoint, upstreamId }: RunEnd): void {
   if (outcome === 'done') task.phase = 'done'
   if (outcome === 'failed') {
     task.failures += 1
     task.failedOn.push(upstreamId)
   }
-  if (outcome === 'crashed') task.crashes = countCrash(task.crashes, toCrash(end))
   if (checkpoint !== undefined && checkpoint !== '') task.checkpoint = checkpoint
 }
 
@@ -54,7 +59,6 @@
     task.failedOn.push(upstreamId)
     countGangFailure(step, attempt)
   }
-  if (outcome === 'crashed') step.gangCrashes = countCrash(step.gangCrashes, toCrash(end))
   step.endedGangAttempt = Math.max(step.endedGangAttempt, attempt)
   if (checkpoint === undefined || checkpoint === '') return
   // Any member's checkpoint holds for the gang, and all members must resume from the same one.
@@ -72,11 +76,6 @@
   delete task.upstreamId
 }
 
-/** Who is to blame for a crash is not known of ends that do not say so. */
-function toCrash({ attempt, blame = 'shared' }: RunEnd): Crash {
-  return { attempt, blame }
-}
-
 function judge(job: JobRecord): void {
   const failure = findFailure(job)
   if (failure !== undefined) {
--- a/batch/state/src/records.ts
+++ b/batch/state/src/records.ts
@@ -21,7 +21,7 @@
   checkpoint: z.string(),
   /** Upstreams on which it has failed. */
   failedOn: z.array(z.string()),
-  /** Outside gangs. Absent before the first crash. */
+  /** Absent before the first crash. */
   crashes: crashRecordSchema.optional(),
 })
 export type TaskRecord = z.infer<typeof taskRecordSchema>
@@ -34,8 +34,6 @@
   failedGangAttempt: countSchema,
   /** The last attempt of the gang that is over: what still runs of it is to be stopped. */
   endedGangAttempt: countSchema,
-  /** Of the gang as a whole. Absent before the first crash. */
-  gangCrashes: crashRecordSchema.optional(),
 })
 export type StepRecord = z.infer<typeof stepRecordSchema>
 
@@ -51,7 +49,7 @@
     'crashes-upstreams',
   ]),
   step: countSchema,
-  /** The task; absent for a gang. */
+  /** The task; absent where a gang failed as a whole. */
   index: countSchema.optional(),
 })
 export type JobFailure = z.infer<typeof jobFailureSchema>
--- a/bench/policy/src/playedRuns.ts
+++ b/bench/policy/src/playedRuns.ts
@@ -124,13 +124,12 @@
 
   #endCrashed(upstreamId: string): RunEnd[] {
     const runs = this.#listOn(upstreamId)
-    const blames = blameCrash({
-      placements: runs.map(({ placement }) => placement),
-      isProven: (placement) => this.findTrack(placement)?.isProven === true,
-      mayHaveStarted: () => true,
-      isGang: (placement) => this.#stepOf(placement)?.isGang === true,
-      isCertain: true,
-    })
+    const blames = blameCrash(
+      runs.map(({ placement, track }) => {
+        return { placement, isProven: track.isProven, hasStarted: 'yes' as const }
+      }),
+      true,
+    )
     return runs.flatMap((run) =>
       this.#runs.has(runKey(run.placement)) ? this.#end(run, 'crashed', blames) : [],
     )
