--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -1,5 +1,5 @@
 /** A leader with four fake upstreams over faulty links, on a manual clock. Commits take a few milliseconds. */
-import type { JobRequest, RunRef } from '@nettlespur/batch.model'
+import type { JobRequest } from '@nettlespur/batch.model'
 import { BatchState, type Command, type CommandOutcome } from '@nettlespur/batch.state'
 import { ManualClock } from '@nettlespur/core.clock'
 import { NettlespurError } from '@nettlespur/core.errors'
@@ -9,7 +9,9 @@
 import { JobClock } from '../src/jobClock.js'
 import { FakeUpstream, FleetLedger } from '@nettlespur/batch.fakes'
 import { createFleetConfig } from './createFleetConfig.js'
+import { silentLogger } from './silentLogger.js'
 import { FaultyPort, type LinkFault } from './faultyPort.js'
+import type { FakeFleetOptions, FleetTrouble } from './fleetOptions.js'
 
 export const upstreamCount = 4
 const acceleratorsEach = 8
@@ -17,25 +19,6 @@
 const announceEveryMs = 1500
 /** Until the next life of an upstream that a run has brought down. */
 const reviveMs = 3000
-const silentLogger = { debug: noop, info: noop, warn: noop, error: noop }
-
-export type FleetTrouble =
-  | { kind: 'fault'; fault: LinkFault; calls: number }
-  | { kind: 'cut'; upstream: number; forMs: number }
-  | { kind: 'crash'; upstream: number }
-  | { kind: 'new-leader'; zombieMs: number }
-  | { kind: 'cancel'; job: number }
-
-export interface FakeFleetOptions {
-  clockRate: number
-  lateMs: number
-  failures: readonly number[]
-  linksMs: readonly number[]
-  /** Whether the run brings down the upstream that starts it. */
-  crashes?: (run: RunRef) => boolean
-  /** Upstreams refuse what does not fit; true if left out. */
-  guardsCapacity?: boolean
-}
 
 export class FakeFleet {
   readonly clock = new ManualClock()
@@ -268,7 +251,3 @@
 function addressOf(at: number): string {
   return `127.0.0.1:${9000 + at}`
 }
-
-function noop(): void {
-  // Lines are of no interest here.
-}
--- a/batch/service/test/goneUpstream.test.ts
+++ b/batch/service/test/goneUpstream.test.ts
@@ -26,6 +26,7 @@
 } from '@nettlespur/batch.state'
 import { ManualClock } from '@nettlespur/core.clock'
 import test from 'ava'
+import { silentLogger } from '../__utils__/index.js'
 
 const upstreamId = 'u1'
 const commitMs = 20
@@ -115,13 +116,12 @@
 function startSession() {
   const clock = new ManualClock()
   const host = new SlowHost(clock)
-  const silent = (): void => undefined
   const session = new UpstreamSession({
     target: { upstreamId, address: '127.0.0.1:9000' },
     port: new GonePort(clock),
     host,
     clock,
-    logger: { debug: silent, info: silent, warn: silent, error: silent },
+    logger: silentLogger,
     timings: { leaseMs: 9500, holdWaitMs: 2000 },
     takeoverMs: 0,
     signal: new AbortController().signal,
--- a/bench/policy/src/playedRuns.ts
+++ b/bench/policy/src/playedRuns.ts
@@ -1,14 +1,8 @@
 /** All runs of a day: they start, work at the pace of their upstreams, and end. */
 import { runKey } from '@nettlespur/batch.model'
 import { measureCores } from '@nettlespur/batch.scheduler'
+import { blameCrash, provenAfterMs, type RunTrack } from '@nettlespur/batch.sessions'
 import {
-  blameCrash,
-  createRunTrack,
-  provenAfterMs,
-  type RunTrack,
-} from '@nettlespur/batch.sessions'
-import {
-  isSuspectTask,
   type BatchState,
   type CrashBlame,
   type Placement,
@@ -17,16 +11,13 @@
 } from '@nettlespur/batch.state'
 import type { SeededRandom } from '@nettlespur/bench.placement'
 import type { CrowdedDay, DayJob } from './crowdedDay.js'
+import { createPlayedRun, orderMs } from './createPlayedRun.js'
 import { PlayedCrashes } from './playedCrashes.js'
 import { savedMsOf } from './savedMs.js'
-import { isFailing, isOver, measurePace, type PlayedRun } from './playedRun.js'
+import { isOver, measurePace, type PlayedRun } from './playedRun.js'
 
-/** From a placement to the task at work, and from a stop to its end: a commit, a call, an answer. */
-const orderMs = 40
 /** A task outside its rack takes this many times as long. */
 const remoteTimes = 3
-/** On an upstream that fails what it starts. */
-const failsAfterMs = 200
 const wholePercent = 100
 
 export interface PlayedRunsOptions {
@@ -155,7 +146,16 @@
     for (const group of steps.values()) {
       const times = this.#areSpread(group) ? remoteTimes : 1
       for (const placement of group) {
-        this.#runs.set(runKey(placement), this.#create(placement, times, nowMs))
+        this.#runs.set(
+          runKey(placement),
+          createPlayedRun({
+            ...this.#opts,
+            job: this.#byId.get(placement.jobId),
+            placement,
+            times,
+            nowMs,
+          }),
+        )
       }
     }
   }
@@ -216,40 +216,4 @@
     const racks = group.map(({ upstreamId }) => upstreams.get(upstreamId)?.description.rack)
     return new Set(racks).size > 1
   }
-
-  #create(placement: Placement, times: number, nowMs: number): PlayedRun {
-    const { day, random, state } = this.#opts
-    const { jobId, step, index, upstreamId } = placement
-    const job = this.#byId.get(jobId)
-    const checkpoint = state.jobs.get(jobId)?.steps[step]?.tasks[index]?.checkpoint ?? ''
-    const resumedAt = checkpoint === '' ? 0 : Math.min(1, Number(checkpoint))
-    const lengthMs = Math.max(1, (job?.runTimesMs[step] ?? 0) * times)
-    const doneMs = resumedAt * lengthMs
-    const isDoomed = isFailing(day.troubles, upstreamId, nowMs)
-    const fails = isDoomed || random.chance(job?.kind.failingShare ?? 0)
-    const failsAtMs = doneMs + (isDoomed ? failsAfterMs : random.next() * (lengthMs - doneMs))
-    const startsAtMs = nowMs + orderMs
-    const record = state.jobs.get(jobId)
-    const isOnTrial = record !== undefined && isSuspectTask(record, placement)
-    const track = createRunTrack({
-      placement,
-      phase: 'settled',
-      startedAtMs: startsAtMs,
-      isOnTrial,
-    })
-    track.progressPercent = Math.floor(wholePercent * resumedAt)
-    track.checkpoint = checkpoint
-    return {
-      placement,
-      resumedAt,
-      lengthMs,
-      startsAtMs,
-      doneMs,
-      outcome: fails ? 'failed' : 'done',
-      endsAtDoneMs: fails ? Math.min(lengthMs, failsAtMs) : lengthMs,
-      stopAtMs: undefined,
-      isCrashing: day.troubles.crashingJobs.has(jobId),
-      track,
-    }
-  }
 }
