--- a/batch/fakes/src/fleetLedger.ts
+++ b/batch/fakes/src/fleetLedger.ts
@@ -15,6 +15,8 @@
   acceleratorsEach: number
   /** How a run that is let work ends. */
   decideOutcome: (run: RunRef) => 'done' | 'failed'
+  /** Runs of a task that may fail before its job is given up. */
+  attemptsMax: number
   /** Whether the run brings down the upstream that starts it. */
   crashes?: (run: RunRef) => boolean
 }
@@ -34,12 +36,13 @@
   readonly endedDone = new Map<string, RunRef>()
   /** Upstreams that a task has brought down. */
   readonly crashesUnder = new Map<string, number>()
-  readonly #reasons = new GiveUpReasons()
+  readonly #reasons: GiveUpReasons
   readonly #startsAfterCrashes = new Map<string, number>()
 
   constructor(opts: FleetLedgerOptions) {
     this.#opts = opts
     this.acceleratorsEach = opts.acceleratorsEach
+    this.#reasons = new GiveUpReasons(opts.attemptsMax)
   }
 
   addJob(request: JobRequest): void {
--- a/batch/service/__utils__/createFleetConfig.ts
+++ b/batch/service/__utils__/createFleetConfig.ts
@@ -1,7 +1,7 @@
 /** The configuration of a fake fleet: one pool, one workspace, a queue for each priority. */
 import type { ClusterConfig } from '@nettlespur/batch.model'
 
-const attemptsMax = 3
+export const fleetAttemptsMax = 3
 
 export function createFleetConfig(): ClusterConfig {
   return {
@@ -15,7 +15,7 @@
       pathPrefix: `/queue${priority}/`,
       pool: 'pool',
       priority,
-      attemptsMax,
+      attemptsMax: fleetAttemptsMax,
       stretch: 2,
       targetLatencyMs: 1000,
       anonymous: true,
--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -8,7 +8,7 @@
 import { BatchLeader } from '../src/batchLeader.js'
 import { JobClock } from '../src/jobClock.js'
 import { FakeUpstream, FleetLedger } from '@nettlespur/batch.fakes'
-import { createFleetConfig } from './createFleetConfig.js'
+import { createFleetConfig, fleetAttemptsMax } from './createFleetConfig.js'
 import { silentLogger } from './silentLogger.js'
 import { FaultyPort, type LinkFault } from './faultyPort.js'
 import type { FakeFleetOptions, FleetTrouble } from './fleetOptions.js'
@@ -49,6 +49,7 @@
     this.ledger = new FleetLedger({
       clock,
       acceleratorsEach,
+      attemptsMax: fleetAttemptsMax,
       decideOutcome: () => {
         runs += 1
         return opts.failures.includes(runs % 10) && runs < 30 ? 'failed' : 'done'
