--- a/batch/service/test/batchLeader.test.ts
+++ b/batch/service/test/batchLeader.test.ts
@@ -1,21 +1,13 @@
 /** What the leader does in single situations, on a manual clock. */
 import { createJob } from '@nettlespur/batch.samples'
 import test from 'ava'
-import { FakeFleet, upstreamCount } from '../__utils__/index.js'
+import { FakeFleet, settledMs, startFleet, upstreamCount } from '../__utils__/index.js'
 
 /** An upstream ends a run at the latest this long after it is told to. */
 const stopMs = 400
-const settledMs = 2000
 /** The longest that an upstream runs on without being told to, with what its clock may lag. */
 const leaseMs = 9500 * 1.03
 
-async function startFleet(): Promise<FakeFleet> {
-  const fleet = new FakeFleet({ clockRate: 1, lateMs: 1000, failures: [], linksMs: [1] })
-  fleet.elect()
-  await fleet.clock.advance(settledMs)
-  return fleet
-}
-
 /** Takes a whole upstream for each task. */
 function createLarge(jobId: string, taskCount: number, expectedRunTimeMs = 10_000) {
   const needs = { cpuMillicores: 100, memoryMiB: 100, accelerators: 8 }
--- a/batch/service/test/foreignAnnouncements.test.ts
+++ b/batch/service/test/foreignAnnouncements.test.ts
@@ -2,18 +2,10 @@
 import type { Announcement } from '@nettlespur/batch.model'
 import { createJob } from '@nettlespur/batch.samples'
 import test from 'ava'
-import { FakeFleet, upstreamCount } from '../__utils__/index.js'
+import { settledMs, startFleet, upstreamCount, type FakeFleet } from '../__utils__/index.js'
 
-const settledMs = 2000
 const needs = { cpuMillicores: 100, memoryMiB: 100, accelerators: 8 }
 
-async function startFleet(): Promise<FakeFleet> {
-  const fleet = new FakeFleet({ clockRate: 1, lateMs: 1000, failures: [], linksMs: [1] })
-  fleet.elect()
-  await fleet.clock.advance(settledMs)
-  return fleet
-}
-
 /** What an upstream of the fleet says of itself, in the words of another writer. */
 function createAnnouncement(fleet: FakeFleet, fields: Partial<Announcement>): Announcement {
   const description = fleet.state.upstreams.get(fleet.upstreamIdOf(0))?.description
--- a/batch/service/test/refusedStarts.test.ts
+++ b/batch/service/test/refusedStarts.test.ts
@@ -1,19 +1,10 @@
 /** Starts that upstreams refuse: how often they are given again. */
 import { createJob } from '@nettlespur/batch.samples'
 import test from 'ava'
-import { FakeFleet, upstreamCount } from '../__utils__/index.js'
+import { startFleet, upstreamCount } from '../__utils__/index.js'
 
-const links = { clockRate: 1, lateMs: 1000, failures: [], linksMs: [1] }
-const settledMs = 2000
 const needs = { cpuMillicores: 100, memoryMiB: 100, accelerators: 4 }
 
-async function startFleet(): Promise<FakeFleet> {
-  const fleet = new FakeFleet(links)
-  fleet.elect()
-  await fleet.clock.advance(settledMs)
-  return fleet
-}
-
 test('an upstream whose room has shrunk unannounced is not asked again for what it refuses before it announces itself', async (t) => {
   const fleet = await startFleet()
   for (let at = 0; at < upstreamCount; at++) {
