refactor: one place that judges an upstream by an end, and no work in each round for pauses

Found on reading the change once more; behaviour is as it was.

- The leader and the policy bench each told UpstreamHealth of crashes in the same five lines beside noteEnd. noteEnd takes the address and does it.
- Pauses of refused starts were pruned in every round; they are pruned where they grow, before the count is read.
- noteRunning was given the time by a session whose tracks have the clock.
- The three in the bounds of crashes has a name; a type is not exported that nobody imports.

--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -164,7 +164,8 @@
     reportEnds({ ...this.#opts, ends, jobs: active, nowMs })
     for (const end of ends) {
       this.#preempted.delete(runKey(end))
-      this.#noteHealth(end, nowMs)
+      const address = this.findUpstream(end.upstreamId)?.description.address
+      this.#roster.health.noteEnd(end, address, nowMs)
       this.#retryPauses.noteEnd(end, nowMs)
     }
     return true
@@ -198,14 +199,6 @@
     return false
   }
 
-  #noteHealth(end: RunEnd, nowMs: number): void {
-    const { health } = this.#roster
-    health.noteEnd(end, nowMs)
-    const upstream = this.findUpstream(end.upstreamId)
-    if (end.outcome !== 'crashed' || upstream === undefined) return
-    health.noteCrash(upstream.description.address, nowMs)
-  }
-
   #isPreempted(placement: Placement): boolean {
     return this.#preempted.size > 0 && this.#preempted.has(runKey(placement))
   }
--- a/batch/service/src/retryPauses.ts
+++ b/batch/service/src/retryPauses.ts
@@ -28,6 +28,7 @@
       this.#byTask.delete(key)
       return
     }
+    this.#prune(nowMs)
     const count = (this.#byTask.get(key)?.count ?? 0) + 1
     const pauses = count - freeRetries
     const pauseMs = pauses <= 0 ? 0 : Math.min(longestPauseMs, firstPauseMs * 2 ** (pauses - 1))
@@ -40,7 +41,7 @@
   }
 
   /** Forgets tasks whose last fruitless start is long ago: they are at work, or their jobs have ended. */
-  prune(nowMs: number): void {
+  #prune(nowMs: number): void {
     for (const [key, { untilMs }] of this.#byTask) {
       if (nowMs - untilMs > keptMs) this.#byTask.delete(key)
     }
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -83,7 +83,6 @@
   #plan(nowMs: number): RoundDecision {
     const { getState, roster, jobClock, retryPauses } = this.#opts
     jobClock.update(getState(), nowMs)
-    retryPauses.prune(nowMs)
     const view = buildView({
       ...this.#createRunsOptions(nowMs),
       acceptedAtMs: jobClock.acceptedAtMs,
--- a/batch/service/src/upstreamHealth.ts
+++ b/batch/service/src/upstreamHealth.ts
@@ -22,10 +22,12 @@
   /** When a life last crashed at each address, the oldest first. */
   readonly #crashedAtMs = new Map<string, number>()
 
-  /** Ends that say nothing of the upstream are passed over. */
-  noteEnd({ upstreamId, jobId, outcome }: RunEnd, nowMs: number): void {
+  /** Ends that say nothing of the upstream are passed over. `address`: its own; undefined where it is forgotten. */
+  noteEnd(end: RunEnd, address: string | undefined, nowMs: number): void {
+    const { upstreamId, jobId, outcome } = end
     if (outcome === 'done') this.#records.delete(upstreamId)
     if (outcome === 'failed') this.#noteFailure(upstreamId, jobId, nowMs)
+    if (outcome === 'crashed' && address !== undefined) this.#noteCrash(address, nowMs)
   }
 
   isQuarantined(upstreamId: string, nowMs: number): boolean {
@@ -35,7 +37,11 @@
   }
 
   /** A life at that address crashed; the next one there may do so too. */
-  noteCrash(address: string, nowMs: number): void {
+  hasCrashedLately(address: string, nowMs: number): boolean {
+    return nowMs - (this.#crashedAtMs.get(address) ?? -Infinity) < crashedLatelyMs
+  }
+
+  #noteCrash(address: string, nowMs: number): void {
     for (const [oldAddress, crashedAtMs] of this.#crashedAtMs) {
       if (nowMs - crashedAtMs < crashedLatelyMs) break
       this.#crashedAtMs.delete(oldAddress)
@@ -44,10 +50,6 @@
     this.#crashedAtMs.set(address, nowMs)
   }
 
-  hasCrashedLately(address: string, nowMs: number): boolean {
-    return nowMs - (this.#crashedAtMs.get(address) ?? -Infinity) < crashedLatelyMs
-  }
-
   #noteFailure(upstreamId: string, jobId: string, nowMs: number): void {
     const record = this.#records.get(upstreamId) ?? { failedJobs: new Set(), lastFailureMs: nowMs }
     record.failedJobs.add(jobId)
--- a/batch/sessions/src/runTrack.ts
+++ b/batch/sessions/src/runTrack.ts
@@ -30,7 +30,7 @@
   readonly isOnTrial: boolean
 }
 
-export type NewRunTrack = Pick<RunTrack, 'placement' | 'phase' | 'startedAtMs' | 'isOnTrial'>
+type NewRunTrack = Pick<RunTrack, 'placement' | 'phase' | 'startedAtMs' | 'isOnTrial'>
 
 export function createRunTrack(run: NewRunTrack): RunTrack {
   return {
--- a/batch/sessions/src/runTracks.ts
+++ b/batch/sessions/src/runTracks.ts
@@ -76,8 +76,8 @@
   noteRunning(
     running: readonly RunningRun[],
     placements: ReadonlyMap<string, Placement>,
-    nowMs: number,
   ): RunRef[] {
+    const nowMs = this.#clock.monotonicMs()
     const strays: RunRef[] = []
     for (const { run, checkpoint, progressPercent } of running) {
       const track = this.find(run)
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -168,7 +168,7 @@
     }
     const placed = this.#placements()
     const reading = readLook({ ...answer, sentAtMs }, placed, this.#tracks.byKey)
-    for (const run of this.#tracks.noteRunning(answer.running, placed, this.#nowMs())) {
+    for (const run of this.#tracks.noteRunning(answer.running, placed)) {
       this.#log('run.stray', { jobId: run.jobId, attempt: run.attempt })
       void this.#giveStop(run)
     }
--- a/batch/state/src/crashRecord.ts
+++ b/batch/state/src/crashRecord.ts
@@ -35,9 +35,10 @@
 
 /** Agreed with the users: after two such crashes a task may be given up; one more for an upstream that crashes by itself. */
 const blamedMax = 3
-/** Agreed with the users: after three crashes a task that causes them is started less than three times more. */
-const startsAfterThirdMax = 2
-const crashesMax = 3 + startsAfterThirdMax
+/** Agreed with the users: after this many crashes a task that causes them is started fewer than as many times more. */
+const countedCrashes = 3
+const startsAfterThirdMax = countedCrashes - 1
+const crashesMax = countedCrashes + startsAfterThirdMax
 /** Once is bad luck with a neighbour. */
 const blamelessCrashesMax = 1
 
@@ -54,7 +55,7 @@
     crashes,
     suspected: before.suspected + Number(blame !== 'none'),
     blamed: before.blamed + Number(blame === 'blamed'),
-    ...(crashes === 3 ? { thirdAttempt: attempt } : {}),
+    ...(crashes === countedCrashes ? { thirdAttempt: attempt } : {}),
   }
 }
 
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -102,19 +102,13 @@
   #takeEnds(ends: RunEnd[]): void {
     this.#state.apply({ type: 'end-runs', ends })
     for (const end of ends) {
-      this.#noteHealth(end)
+      const address = this.#state.upstreams.get(end.upstreamId)?.description.address
+      this.#health.noteEnd(end, address, this.#nowMs)
       const isActive = this.#state.jobs.get(end.jobId)?.status === 'active'
       if (!isActive && !this.#endedAtMs.has(end.jobId)) this.#endedAtMs.set(end.jobId, this.#nowMs)
     }
   }
 
-  #noteHealth(end: RunEnd): void {
-    this.#health.noteEnd(end, this.#nowMs)
-    const upstream = this.#state.upstreams.get(end.upstreamId)
-    if (end.outcome !== 'crashed' || upstream === undefined) return
-    this.#health.noteCrash(upstream.description.address, this.#nowMs)
-  }
-
   #decide(): void {
     const begunAt = process.hrtime.bigint()
     const view = buildView({
