feat: say why a job waits though its pool has ample capacity

No decision changes.

A round now lists the units of jobs of which nothing runs while half of their pool, and twice their needs, are free. The leader logs job.starving for those that wait for a second or more, at most three a round and once a reason: the last preference that would have to give way (data rack, one rack, another's reservation, an upstream on which the task has failed), or fragmentation.

--- a/batch/scheduler/src/index.ts
+++ b/batch/scheduler/src/index.ts
@@ -1,5 +1,6 @@
 /** Decides which tasks start on which upstreams, and which runs are preempted. */
 export { planRound } from './planRound.js'
+export type { Preference } from './preference.js'
 export { addResources, measureCores, noResources } from './resources.js'
 export type {
   ActiveRun,
@@ -8,3 +9,5 @@
   SchedulerView,
   SchedulableUpstream,
 } from './schedulerView.js'
+export { StarvationTimes, unitKey, type UnitRef } from './starvationTimes.js'
+export type { StarvationReason, StarvingUnit } from './starvingUnit.js'
--- a/batch/scheduler/src/listScopes.ts
+++ b/batch/scheduler/src/listScopes.ts
@@ -12,7 +12,7 @@
  */
 export function listScopes(unit: StartUnit, allocations: RoundAllocations): UpstreamAllocation[][] {
   const eligible = preferDataRack(unit, allocations.listEligible(unit))
-  if (!unit.step.isGang || !unit.step.prefersOneRack) return [eligible]
+  if (!prefersOneRack(unit)) return [eligible]
   const fitting = [...groupByRack(eligible).values()].filter((upstreams) => {
     const whenEmpty = upstreams.reduce(
       (sum, upstream) => sum + countWhenEmpty(unit.step, upstream),
@@ -23,9 +23,16 @@
   return fitting.length > 0 ? fitting : [eligible]
 }
 
+function prefersOneRack({ step, relaxed }: StartUnit): boolean {
+  return step.isGang && step.prefersOneRack && !relaxed.has('one-rack')
+}
+
 /** Other racks are used only if the data rack has no eligible upstream: tasks take several times as long there. */
-function preferDataRack({ step }: StartUnit, eligible: UpstreamAllocation[]): UpstreamAllocation[] {
-  if (step.dataRack === undefined) return eligible
+function preferDataRack(
+  { step, relaxed }: StartUnit,
+  eligible: UpstreamAllocation[],
+): UpstreamAllocation[] {
+  if (step.dataRack === undefined || relaxed.has('data-rack')) return eligible
   const inDataRack = eligible.filter(({ view }) => view.rack === step.dataRack)
   return inDataRack.length > 0 ? inDataRack : eligible
 }
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -14,6 +14,7 @@
 import { RoundAllocations } from './roundAllocations.js'
 import type { ActiveRun, Preemption, RoundDecision, SchedulerView } from './schedulerView.js'
 import { createPlacements } from './startUnit.js'
+import { listStarvingUnits } from './starvingUnit.js'
 import { VictimIndex } from './victimIndex.js'
 
 /**
@@ -28,7 +29,7 @@
   const round = new Round(view, guaranteed, allocations)
   for (const unit of promoteOverdueGang(orderUnits(view, guaranteed), allocations))
     round.decide(unit)
-  return { placements: round.placements, preemptions: round.preemptions }
+  return round.finish()
 }
 
 class Round {
@@ -40,6 +41,8 @@
   readonly #guaranteed: ReadonlySet<string>
   /** Runs that may be preempted; computed on first use. */
   #victims: VictimIndex | undefined
+  /** Units of which the round starts nothing. */
+  readonly #leftWaiting: RankedUnit[] = []
   #urgentSearches = 0
 
   constructor(view: SchedulerView, guaranteed: ReadonlySet<string>, allocations: RoundAllocations) {
@@ -51,6 +54,7 @@
   decide(unit: RankedUnit): void {
     const upstreamIds = this.#chooseUpstreams(unit)
     if (upstreamIds.length > 0) this.#place(unit, upstreamIds)
+    else this.#leftWaiting.push(unit)
     if (upstreamIds.length < unit.waiting.length) {
       // Preemption for a trial start may free any upstream: the runs stopped there are gone before it starts.
       this.#handleUnplaced({
@@ -61,6 +65,13 @@
     }
   }
 
+  finish(): RoundDecision {
+    const { placements, preemptions } = this
+    const startedJobIds = new Set(placements.map(({ jobId }) => jobId))
+    const starving = listStarvingUnits(this.#leftWaiting, startedJobIds, this.#allocations)
+    return { placements, preemptions, starving }
+  }
+
   #chooseUpstreams(unit: RankedUnit): string[] {
     const upstreamIds = chooseUpstreams(unit, this.#allocations)
     // On other upstreams a trial is less conclusive, but the unit does not wait for a suitable one.
@@ -68,10 +79,7 @@
       return this.#chooseUpstreams({ ...unit, isOnTrial: false })
     }
     if (upstreamIds.length > 0 || !unit.canSpanRacks) return upstreamIds
-    return chooseUpstreams(
-      { ...unit, step: { ...unit.step, prefersOneRack: false } },
-      this.#allocations,
-    )
+    return chooseUpstreams({ ...unit, relaxed: new Set(['one-rack']) }, this.#allocations)
   }
 
   /** Preempts or reserves capacity for the tasks that did not fit. */
--- /dev/null
+++ b/batch/scheduler/src/relaxPreferences.ts
@@ -0,0 +1,27 @@
+/** Places a unit with as few preferences relaxed as possible. */
+import { chooseUpstreams } from './chooseUpstreams.js'
+import { preferences, type Preference } from './preference.js'
+import type { RoundAllocations } from './roundAllocations.js'
+import type { StartUnit } from './startUnit.js'
+
+export interface RelaxedChoice {
+  /** An upstream for each task that can start. */
+  readonly upstreamIds: readonly string[]
+  /** The last preference that had to be relaxed. */
+  readonly relaxed: Preference
+}
+
+/** Returns undefined if the unit cannot start even with all preferences relaxed. */
+export function chooseRelaxed(
+  unit: StartUnit,
+  allocations: RoundAllocations,
+): RelaxedChoice | undefined {
+  const relaxed = new Set(unit.relaxed)
+  for (const preference of preferences) {
+    if (relaxed.has(preference)) continue
+    relaxed.add(preference)
+    const upstreamIds = chooseUpstreams({ ...unit, relaxed, isOnTrial: false }, allocations)
+    if (upstreamIds.length > 0) return { upstreamIds, relaxed: preference }
+  }
+  return undefined
+}
--- a/batch/scheduler/src/roundAllocations.ts
+++ b/batch/scheduler/src/roundAllocations.ts
@@ -51,7 +51,7 @@
   }
 
   /** Returns how many tasks that end at `endMs` fit, without delaying gangs whose reservations begin before. */
-  countFitting(needs: Resources, endMs: number): number {
+  countUnreserved(needs: Resources, endMs: number): number {
     let count = countFitting(this.free, needs)
     for (const { fromMs, free } of this.reservations) {
       if (fromMs < endMs) count = Math.min(count, countFitting(free, needs))
@@ -113,7 +113,10 @@
 
   /** Returns how many of the unit's tasks the upstream can take now. */
   countTasks(unit: StartUnit, upstream: UpstreamAllocation): number {
-    const fitting = upstream.countFitting(unit.step.needs, this.estimateEndMs(unit.step))
+    const { step, relaxed } = unit
+    const fitting = relaxed.has('reservation')
+      ? countFitting(upstream.free, step.needs)
+      : upstream.countUnreserved(step.needs, this.estimateEndMs(step))
     return limitTasks(unit, upstream.upstreamId, fitting)
   }
 
@@ -122,13 +125,15 @@
    * if the others could not take the unit even when empty. A trial start gets only upstreams that are suitable for it.
    */
   listEligible(unit: StartUnit): UpstreamAllocation[] {
-    const { job, step, avoided, isOnTrial } = unit
+    const { job, step, avoided, isOnTrial, relaxed } = unit
     const eligible = this.upstreams.filter(
       ({ view }) =>
         view.pool === job.queue.pool &&
         (step.requiredLabel === undefined || view.labels.includes(step.requiredLabel)),
     )
-    const untried = preferIfSufficient(unit, eligible, ({ upstreamId }) => !avoided.has(upstreamId))
+    const untried = relaxed.has('untried-upstream')
+      ? eligible
+      : preferIfSufficient(unit, eligible, ({ upstreamId }) => !avoided.has(upstreamId))
     return isOnTrial ? untried.filter(({ isSuitableForTrial }) => isSuitableForTrial) : untried
   }
 }
--- a/batch/scheduler/src/schedulerView.ts
+++ b/batch/scheduler/src/schedulerView.ts
@@ -1,6 +1,7 @@
 /** Input and result of a scheduling round. A round does not modify its input. */
 import type { JobRecord, Placement } from '@nettlespur/batch.state'
 import type { Resources, TaskRef } from '@nettlespur/batch.model'
+import type { StarvingUnit } from './starvingUnit.js'
 
 /** An upstream that accepts new work, with its capacity at the start of the round. */
 export interface SchedulableUpstream {
@@ -64,4 +65,5 @@
 export interface RoundDecision {
   readonly placements: Placement[]
   readonly preemptions: Preemption[]
+  readonly starving: StarvingUnit[]
 }
--- a/batch/scheduler/src/startUnit.ts
+++ b/batch/scheduler/src/startUnit.ts
@@ -6,6 +6,7 @@
   type Placement,
   type StepRecord,
 } from '@nettlespur/batch.state'
+import { noRelaxedPreferences, type Preference } from './preference.js'
 import type { SchedulerView } from './schedulerView.js'
 import { limitTrials } from './limitTrials.js'
 
@@ -20,6 +21,8 @@
   readonly avoided: ReadonlySet<string>
   /** Suspected of crashing the upstreams that start it: for a while nothing else may start on the same upstream. */
   readonly isOnTrial: boolean
+  /** Preferences that no longer apply to the unit. */
+  readonly relaxed: ReadonlySet<Preference>
 }
 
 /** Returns the units of a job that may start now, which excludes steps whose dependencies are not done. */
@@ -58,7 +61,7 @@
 ): StartUnit {
   const { tasks } = unit.record
   const avoided = new Set(waiting.flatMap((index) => tasks[index]?.failedOn ?? []))
-  return { ...unit, waiting, avoided, isOnTrial }
+  return { ...unit, waiting, avoided, isOnTrial, relaxed: noRelaxedPreferences }
 }
 
 /** Assigns the waiting tasks, in order, to the given upstreams. */
--- /dev/null
+++ b/batch/scheduler/src/starvationTimes.ts
@@ -0,0 +1,29 @@
+/** How long each starving unit has been starving, across rounds. Kept in the leader's memory. */
+import type { StarvingUnit } from './starvingUnit.js'
+
+/** Names a unit. */
+export type UnitRef = Pick<StarvingUnit, 'jobId' | 'step'>
+
+export class StarvationTimes {
+  #sinceMs = new Map<string, number>()
+
+  /** Call it after each round, with all units that starve then. Returns how long those starved that no longer do. */
+  noteRound(starving: readonly UnitRef[], nowMs: number): number[] {
+    const before = this.#sinceMs
+    this.#sinceMs = new Map(
+      starving.map((unit) => [unitKey(unit), before.get(unitKey(unit)) ?? nowMs]),
+    )
+    return [...before].flatMap(([key, sinceMs]) =>
+      this.#sinceMs.has(key) ? [] : [nowMs - sinceMs],
+    )
+  }
+
+  /** Returns 0 if the unit did not starve in the last round. */
+  starvedMs(unit: UnitRef, nowMs: number): number {
+    return nowMs - (this.#sinceMs.get(unitKey(unit)) ?? nowMs)
+  }
+}
+
+export function unitKey({ jobId, step }: UnitRef): string {
+  return `${jobId}/${step}`
+}
--- a/batch/scheduler/test/planRound.test.ts
+++ b/batch/scheduler/test/planRound.test.ts
@@ -65,7 +65,7 @@
     decision.preemptions.map(({ run }) => run.jobId),
     ['borrower'],
   )
-  t.deepEqual(fleet.decide(), { placements: [], preemptions: [] })
+  t.deepEqual(fleet.decide(), { placements: [], preemptions: [], starving: [] })
   fleet.submit(createJob('later', {}))
   if (borrower !== undefined) fleet.end(borrower, 'stopped')
   t.deepEqual(
--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -11,6 +11,7 @@
 import { createFleetConfig, fleetAttemptsMax } from './createFleetConfig.js'
 import { silentLogger } from './silentLogger.js'
 import { FaultyPort, type LinkFault } from './faultyPort.js'
+import type { Logger } from '@nettlespur/core.logger'
 import type { FakeFleetOptions, FleetFault } from './fleetOptions.js'
 
 export const upstreamCount = 4
@@ -31,6 +32,7 @@
   readonly #notAnnouncing = new Set<string>()
   readonly port: FaultyPort
   readonly #clockRate: number
+  readonly #logger: Logger
   readonly #guardsCapacity: boolean
   #linkFaults: LinkFault[] = []
   #startedUpstreams = 0
@@ -43,6 +45,7 @@
   constructor(opts: FakeFleetOptions) {
     const { clock } = this
     this.#clockRate = opts.clockRate
+    this.#logger = opts.logger ?? silentLogger
     this.#guardsCapacity = opts.guardsCapacity ?? true
     let runs = 0
     let calls = 0
@@ -90,7 +93,7 @@
     this.#leader = new BatchLeader({
       term,
       clock: this.clock,
-      logger: silentLogger,
+      logger: this.#logger,
       metrics: new MetricsRegistry(),
       timings: {
         raft: { heartbeatMs: 150, electionTimeoutMs: 700, replaceVoterAfterMs: 2500 },
--- a/batch/service/__utils__/fleetOptions.ts
+++ b/batch/service/__utils__/fleetOptions.ts
@@ -1,5 +1,6 @@
 /** The options of a fake fleet, and the faults that tests inject into it. */
 import type { RunRef } from '@nettlespur/batch.model'
+import type { Logger } from '@nettlespur/core.logger'
 import type { LinkFault } from './faultyPort.js'
 
 export type FleetFault =
@@ -23,4 +24,6 @@
   crashes?: (run: RunRef) => boolean
   /** Whether upstreams refuse starts that do not fit; true by default. */
   guardsCapacity?: boolean
+  /** The leaders' logger; their lines are discarded by default. */
+  logger?: Logger
 }
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -3,7 +3,12 @@
  * tasks start where and which runs are preempted. Placements are committed before the start orders are sent.
  */
 import { runFields, runKey } from '@nettlespur/batch.model'
-import { planRound, type Preemption, type RoundDecision } from '@nettlespur/batch.scheduler'
+import {
+  planRound,
+  type Preemption,
+  type RoundDecision,
+  type StarvingUnit,
+} from '@nettlespur/batch.scheduler'
 import type { BatchState, Command, Placement } from '@nettlespur/batch.state'
 import { Wake, type Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
@@ -14,6 +19,7 @@
 import type { JobClock } from './jobClock.js'
 import { listEvacuees } from './listEvacuees.js'
 import type { RetryBackoff } from './retryBackoff.js'
+import { StarvationWatch } from './starvationWatch.js'
 import type { UpstreamRoster } from './upstreamRoster.js'
 
 /** Rounds are due without an event too: as time passes, quarantines end and jobs can no longer meet their objective. */
@@ -46,10 +52,12 @@
 export class SchedulingRounds {
   readonly #opts: SchedulingRoundsOptions
   readonly #housekeeper: Housekeeper
+  readonly #starvationWatch: StarvationWatch
   readonly #wake = new Wake()
 
   constructor(opts: SchedulingRoundsOptions) {
     this.#opts = opts
+    this.#starvationWatch = new StarvationWatch(opts)
     this.#housekeeper = new Housekeeper({ ...opts, keepEndedMs: opts.timings.keepEndedMs })
   }
 
@@ -72,7 +80,8 @@
     const { clock, metrics, signal } = this.#opts
     const nowMs = clock.monotonicMs()
     this.#evacuate(nowMs)
-    const { placements, preemptions } = this.#plan(nowMs)
+    const { placements, preemptions, starving } = this.#plan(nowMs)
+    this.#noteStarving(starving, nowMs)
     const tookMs = clock.monotonicMs() - nowMs
     metrics.recordMs('scheduling_round_ms', tookMs)
     this.#preempt(preemptions)
@@ -95,6 +104,14 @@
     return planRound(view)
   }
 
+  #noteStarving(starving: readonly StarvingUnit[], nowMs: number): void {
+    const { getState, roster } = this.#opts
+    const state = getState()
+    const usableUpstreams = roster.countUsable(state)
+    const knownUpstreams = state.upstreams.size
+    this.#starvationWatch.noteRound(starving, { nowMs, usableUpstreams, knownUpstreams })
+  }
+
   /** Stops runs that cannot end before their upstream leaves, so that they start again elsewhere. */
   #evacuate(nowMs: number): void {
     const { roster, preempt } = this.#opts
--- /dev/null
+++ b/batch/service/test/starvationWatch.test.ts
@@ -0,0 +1,56 @@
+/** What the log says of units that wait though their pool has ample capacity. */
+import type { StarvationReason, StarvingUnit } from '@nettlespur/batch.scheduler'
+import { createJob } from '@nettlespur/batch.samples'
+import test from 'ava'
+import { createRecorder, FakeFleet } from '../__utils__/index.js'
+import { StarvationWatch } from '../src/starvationWatch.js'
+
+const upstreams = { usableUpstreams: 3, knownUpstreams: 4 }
+
+function createStarving(jobId: string, reason: StarvationReason): StarvingUnit {
+  return { jobId, step: 0, freeShare: 0.75, explain: () => reason }
+}
+
+test('a unit that starves for a second is logged once, and again only when the reason changes', (t) => {
+  const { logger, metrics, findEvents } = createRecorder()
+  const watch = new StarvationWatch({ logger, metrics })
+  const reasons: StarvationReason[] = ['data-rack', 'data-rack', 'reservation', 'reservation']
+  reasons.forEach((reason, at) => {
+    watch.noteRound([createStarving('j', reason)], { nowMs: at * 900, ...upstreams })
+  })
+  t.deepEqual(
+    findEvents('job.starving').map(({ reason, starvedMs }) => [reason, starvedMs]),
+    [['reservation', 1800]],
+  )
+  t.like(findEvents('job.starving')[0], { freePercent: 75, usableUpstreams: 3 })
+  watch.noteRound([], { nowMs: 4000, ...upstreams })
+  watch.noteRound([createStarving('j', 'one-rack')], { nowMs: 5000, ...upstreams })
+  watch.noteRound([createStarving('j', 'one-rack')], { nowMs: 6000, ...upstreams })
+  t.is(findEvents('job.starving').length, 2)
+})
+
+test('a round explains no more than a few of many starving units', (t) => {
+  const { logger, metrics, findEvents } = createRecorder()
+  const watch = new StarvationWatch({ logger, metrics })
+  const starving = Array.from({ length: 100 }, (_, at) => createStarving(`j${at}`, 'one-rack'))
+  for (const nowMs of [0, 1000]) watch.noteRound(starving, { nowMs, ...upstreams })
+  t.is(findEvents('job.starving').length, 3)
+})
+
+test('the leader logs a gang that waits for other work to leave its upstreams', async (t) => {
+  const { logger, findEvents } = createRecorder()
+  const fleet = new FakeFleet({ clockRate: 1, lateMs: 1000, failures: [], linksMs: [1], logger })
+  fleet.elect()
+  await fleet.clock.advance(2000)
+  const needs = { cpuMillicores: 100, memoryMiB: 100, accelerators: 1 }
+  const apart = { taskCount: 4, tasksPerUpstreamMax: 1, needs, expectedRunTimeMs: 20_000 }
+  fleet.submit(createJob('apart', apart), 1)
+  await fleet.clock.advance(500)
+  fleet.submit(createJob('gang', { isGang: true, needs: { ...needs, accelerators: 8 } }), 1)
+  await fleet.clock.advance(3000)
+  const lines = findEvents('job.starving')
+  t.deepEqual(
+    lines.map(({ jobId, reason, usableUpstreams }) => [jobId, reason, usableUpstreams]),
+    [['gang', 'fragmentation', 4]],
+  )
+})
--- a/bench/policy/src/heldUpWatch.ts
+++ b/bench/policy/src/heldUpWatch.ts
@@ -1,4 +1,5 @@
 /** Watches which jobs are held up: they have nothing running though they may start and there is ample room. */
+import type { StarvationReason, StarvingUnit } from '@nettlespur/batch.scheduler'
 import type { BatchState, JobRecord, Placement } from '@nettlespur/batch.state'
 
 /** As the users judge it at the end of a day. */
@@ -12,27 +13,67 @@
   readonly running: ReadonlySet<string>
 }
 
+/** A time of `heldUpAfterMs` or more for which a job was held up. */
+export interface HeldUpSpell {
+  readonly jobId: string
+  readonly fromMs: number
+  readonly toMs: number
+  /** As the scheduler explains it at the end of `heldUpAfterMs`; undefined if it does not count the job as starving. */
+  readonly reason: StarvationReason | undefined
+}
+
 export class HeldUpWatch {
-  readonly #sinceMs = new Map<string, number>()
+  readonly #spells = new Map<string, HeldUpSpell>()
+  readonly #ended: HeldUpSpell[] = []
 
-  /** To be called after each round. */
-  look(state: BatchState, placements: Iterable<Placement>, nowMs: number): void {
+  /** To be called after each round, with the units that starve by its account. */
+  look(
+    state: BatchState,
+    placements: Iterable<Placement>,
+    nowMs: number,
+    starving: readonly StarvingUnit[],
+  ): void {
     const use = sumUse(state, placements)
     for (const [jobId, job] of state.unsettled) {
-      if (!hasRoom(job, use)) this.#sinceMs.delete(jobId)
-      else if (!this.#sinceMs.has(jobId)) this.#sinceMs.set(jobId, nowMs)
+      if (!hasRoom(job, use)) this.#end(jobId)
+      else this.#continue(jobId, nowMs, starving)
     }
-    for (const jobId of this.#sinceMs.keys()) {
-      if (!state.unsettled.has(jobId)) this.#sinceMs.delete(jobId)
+    for (const jobId of [...this.#spells.keys()]) {
+      if (!state.unsettled.has(jobId)) this.#end(jobId)
     }
   }
 
   /** Jobs that are held up now. */
-  count(nowMs: number): number {
-    return [...this.#sinceMs.values()].filter((sinceMs) => nowMs - sinceMs >= heldUpAfterMs).length
+  count(): number {
+    return [...this.#spells.values()].filter(isLong).length
+  }
+
+  /** All spells so far, in the order of their ends; those that go on are last. */
+  listSpells(): HeldUpSpell[] {
+    return [...this.#ended, ...[...this.#spells.values()].filter(isLong)]
+  }
+
+  #continue(jobId: string, nowMs: number, starving: readonly StarvingUnit[]): void {
+    const known = this.#spells.get(jobId)
+    const spell = { jobId, fromMs: nowMs, reason: undefined, ...known, toMs: nowMs }
+    const isNewlyLong = isLong(spell) && !(known !== undefined && isLong(known))
+    const reason = isNewlyLong
+      ? starving.find((unit) => unit.jobId === jobId)?.explain()
+      : spell.reason
+    this.#spells.set(jobId, { ...spell, reason })
+  }
+
+  #end(jobId: string): void {
+    const spell = this.#spells.get(jobId)
+    this.#spells.delete(jobId)
+    if (spell !== undefined && isLong(spell)) this.#ended.push(spell)
   }
 }
 
+function isLong({ fromMs, toMs }: HeldUpSpell): boolean {
+  return toMs - fromMs >= heldUpAfterMs
+}
+
 /** By accelerators, which every job of a crowded day needs. */
 function sumUse(state: BatchState, placements: Iterable<Placement>): Use {
   const running = new Set<string>()
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -1,12 +1,12 @@
 /** Plays a crowded day with the scheduler and the state of the product, in simulated time. */
-import { planRound } from '@nettlespur/batch.scheduler'
+import { planRound, type StarvingUnit } from '@nettlespur/batch.scheduler'
 import type { UpstreamDescription } from '@nettlespur/batch.model'
 import { buildSchedulerView, UpstreamHealth } from '@nettlespur/batch.service'
 import { BatchState, type RunEnd } from '@nettlespur/batch.state'
 import { SeededRandom } from '@nettlespur/bench.placement'
 import { finishMs, type CrowdedDay, type DayJob } from './crowdedDay.js'
 import { isWithin } from './dayTroubles.js'
-import { HeldUpWatch } from './heldUpWatch.js'
+import { HeldUpWatch, type HeldUpSpell } from './heldUpWatch.js'
 import { judgeDay, type DayVerdict, type JobOutcome } from './judgeDay.js'
 import { PlayedRuns } from './playedRuns.js'
 import { earn, sumEarnings, type KindEarnings } from './sumEarnings.js'
@@ -31,6 +31,8 @@
   readonly givenUpSound: number
   /** Jobs that are held up as the day ends. */
   readonly heldUp: number
+  /** Each time that a job was held up, at any time of the day. */
+  readonly heldUpSpells: readonly HeldUpSpell[]
   /** What building the view and deciding took, of each round. */
   readonly roundsMs: readonly number[]
 }
@@ -70,8 +72,8 @@
       while ((losses[0]?.atMs ?? Infinity) <= this.#nowMs) this.#lose(losses.shift()?.upstreamId)
       this.#cancelDue()
       this.#takeEnds(this.#runs.takeEnds(this.#nowMs))
-      this.#decide()
-      this.#heldUp.look(this.#state, this.#runs.listPlacements(), this.#nowMs)
+      const starving = this.#decide()
+      this.#heldUp.look(this.#state, this.#runs.listPlacements(), this.#nowMs, starving)
     }
     return this.#measure()
   }
@@ -109,7 +111,8 @@
     }
   }
 
-  #decide(): void {
+  /** Returns the units that starve by the scheduler's own account. */
+  #decide(): readonly StarvingUnit[] {
     const begunAt = process.hrtime.bigint()
     const view = buildSchedulerView({
       state: this.#state,
@@ -125,11 +128,12 @@
       isStopping: (placement) => this.#runs.isStopping(placement),
       findTrack: (placement) => this.#runs.findTrack(placement),
     })
-    const { placements, preemptions } = planRound(view)
+    const { placements, preemptions, starving } = planRound(view)
     this.#roundsMs.push(Number(process.hrtime.bigint() - begunAt) / 1e6)
     for (const { run } of preemptions) this.#runs.stop(run, this.#nowMs)
     this.#state.apply({ type: 'place-tasks', placements })
     this.#runs.start(placements, this.#nowMs)
+    return starving
   }
 
   #isQuiet({ upstreamId, address }: UpstreamDescription): boolean {
@@ -154,7 +158,8 @@
       stoppedRuns,
       crashes: this.#runs.crashes.count,
       givenUpSound: owed.filter((job) => this.#isGivenUp(job)).length,
-      heldUp: this.#heldUp.count(this.#nowMs),
+      heldUp: this.#heldUp.count(),
+      heldUpSpells: this.#heldUp.listSpells(),
       roundsMs: this.#roundsMs,
     }
   }
