test: reproduce accepted jobs that wait though half of the pool is idle (known red)

A task that names a data rack waits for it while the rest of the pool is idle.

Ruled out by a test that passes (refusedStarts): an idle upstream that refuses each start as unhealthy does not hold a gang up for seconds; the second attempt goes to others before its next announcement.

--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -6,6 +6,7 @@
 
 /** Expected time until each run ends. */
 const remainingRunMs = 1000
+const roundIntervalMs = 100
 
 export class Fleet {
   readonly state = new BatchState()
@@ -14,6 +15,9 @@
   readonly stopCosts = new Map<string, number>()
   /** Names of proven runs; see `SchedulerView.isProven`. */
   readonly proven = new Set<string>()
+  /** How long runs take, by job id; runs of other jobs end only when the test ends them. */
+  readonly runTimesMs = new Map<string, number>()
+  readonly #startedAtMs = new Map<string, number>()
   readonly #acceptedAtMs = new Map<string, number>()
   readonly #stopping = new Set<string>()
 
@@ -46,10 +50,29 @@
       guarantees: new Map([['w1', 16]]),
     })
     this.state.apply({ type: 'place-tasks', placements: decision.placements })
+    for (const run of decision.placements) this.#startedAtMs.set(nameRun(run), this.nowMs)
     for (const { run } of decision.preemptions) this.#stopping.add(nameRun(run))
     return decision
   }
 
+  /** Plans a round at each interval until `untilMs`, ends runs whose time is over, and returns the placements. */
+  playUntil(untilMs: number, onRound: () => void = () => undefined): Placement[] {
+    const placements: Placement[] = []
+    for (; this.nowMs <= untilMs; this.nowMs += roundIntervalMs) {
+      for (const { placement } of this.#runs()) this.#endIfOver(placement)
+      placements.push(...this.decide().placements)
+      onRound()
+    }
+    return placements
+  }
+
+  #endIfOver(run: Placement): void {
+    const startedAtMs = this.#startedAtMs.get(nameRun(run)) ?? Infinity
+    const isOver = this.nowMs - startedAtMs >= (this.runTimesMs.get(run.jobId) ?? Infinity)
+    if (this.#stopping.has(nameRun(run))) this.end(run, 'stopped')
+    else if (isOver) this.end(run, 'done')
+  }
+
   /** Marks all current runs as proven. */
   prove(): void {
     for (const { placement } of this.#runs()) this.proven.add(nameRun(placement))
--- a/batch/scheduler/__utils__/index.ts
+++ b/batch/scheduler/__utils__/index.ts
@@ -1,3 +1,4 @@
 /** Fixtures for tests of scheduling rounds. */
 export { createGang } from './createGang.js'
+export { DelayWatch, delayMaxMs } from './delayWatch.js'
 export { Fleet } from './fleet.js'
--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -30,6 +30,7 @@
   readonly #leavesAtMs = new Map<string, number>()
   readonly #cutUntilMs = new Map<string, number>()
   readonly #notAnnouncing = new Set<string>()
+  readonly #unhealthy = new Set<string>()
   readonly port: FaultyPort
   readonly #clockRate: number
   readonly #logger: Logger
@@ -167,6 +168,11 @@
     this.#notAnnouncing.add(addressOf(at))
   }
 
+  /** One upstream refuses every start as unhealthy, but announces itself and answers other calls as before. */
+  makeUnhealthy(at: number): void {
+    this.#unhealthy.add(addressOf(at))
+  }
+
   upstreamIdOf(at: number): string {
     return this.#upstreams.get(addressOf(at))?.upstreamId ?? ''
   }
@@ -188,7 +194,7 @@
 
   #nextLinkFault(address: string): LinkFault {
     if (this.#isCut(address)) return 'silent'
-    return this.#linkFaults.shift() ?? 'none'
+    return this.#linkFaults.shift() ?? (this.#unhealthy.has(address) ? 'unhealthy-starts' : 'none')
   }
 
   #isCut(address: string): boolean {
--- a/batch/service/__utils__/faultyPort.ts
+++ b/batch/service/__utils__/faultyPort.ts
@@ -17,7 +17,8 @@
  * What the link does with one call. `answer-lost`: the call is carried out, and its answer is lost. `late`: the call
  * is carried out with a delay, and not answered. `refused`: the call fails as unreachable. `silent`: the call is
  * neither carried out nor answered. `unread-rows` and `hidden-rows`: every second row in the answer to a hold cannot
- * be read and is left out. `invalid-starts`: a start is refused as invalid.
+ * be read and is left out. `invalid-starts`, `unhealthy-starts`: a start is refused as invalid, or by an upstream that is
+ * not healthy.
  */
 export type LinkFault =
   | 'none'
@@ -28,10 +29,20 @@
   | 'unread-rows'
   | 'hidden-rows'
   | 'invalid-starts'
+  | 'unhealthy-starts'
 
 /** Hidden rows change after this many hold calls to all upstreams; each gets about ten a second while rows are unread. */
 const holdsPerHiddenPhase = 150
 
+/** Faults with which the call is answered. */
+const answeredFaults: ReadonlySet<LinkFault> = new Set([
+  'none',
+  'unread-rows',
+  'hidden-rows',
+  'invalid-starts',
+  'unhealthy-starts',
+])
+
 export interface FaultyPortOptions {
   clock: Clock
   /** The upstream that answers at an address now. */
@@ -62,6 +73,9 @@
       if (fault === 'invalid-starts') {
         return Promise.resolve({ type: 'refused', reason: 'invalid', clockMs })
       }
+      if (fault === 'unhealthy-starts') {
+        return Promise.resolve({ type: 'refused', reason: 'unhealthy', clockMs })
+      }
       return Promise.resolve(upstream.start(order))
     })
   }
@@ -97,7 +111,7 @@
       if (upstream.upstreamId !== upstreamId) return { type: 'gone', clockMs: undefined }
       return run(upstream, fault)
     }
-    if (['none', 'unread-rows', 'hidden-rows', 'invalid-starts'].includes(fault)) {
+    if (answeredFaults.has(fault)) {
       const answer = await carryOut()
       await clock.sleep(nextLinkDelayMs())
       return answer
--- a/batch/service/test/refusedStarts.test.ts
+++ b/batch/service/test/refusedStarts.test.ts
@@ -26,3 +26,12 @@
   await fleet.clock.advance(10_000)
   t.is(fleet.state.jobs.get('j')?.status, 'completed')
 })
+
+test('a gang does not wait for an idle upstream that refuses every start while others have room', async (t) => {
+  const fleet = await startFleet()
+  fleet.makeUnhealthy(0)
+  const whole = { cpuMillicores: 100, memoryMiB: 100, accelerators: 8 }
+  fleet.submit(createJob('j', { isGang: true, taskCount: 2, needs: whole }), 1)
+  await fleet.clock.advance(3000)
+  t.is(fleet.state.jobs.get('j')?.status, 'completed', `${fleet.port.startCalls} starts`)
+})
