fix: an urgent job no longer preempts its own tasks

What callers see: a job of urgent single tasks, wider than the upstreams it may use, runs for ever without an end.

Cause: runs of jobs within their guarantee are no victims, but a job beyond it may be preempted by any urgent one, itself included: what has just started has cost nothing yet, so each round stops the job's first tasks for its last ones. Ruled out: gangs (their members wait all together, so none of theirs runs) and guaranteed jobs.

Change: a search for victims leaves out the groups of the job it searches for. The test in planRound fails before (two tasks preempted for the other two) and passes after.

--- a/batch/scheduler/src/chooseVictims.ts
+++ b/batch/scheduler/src/chooseVictims.ts
@@ -34,7 +34,8 @@
   costMaxCoreSeconds,
 }: ChooseVictimsOptions): VictimChoice | undefined {
   const scopes = trackScopes(unit, allocations, ({ freeAfterStops }) => freeAfterStops)
-  const choices = scopes.flatMap((scope) => chooseForScope(scope, victims) ?? [])
+  const others = victims.withoutJob(unit.job.request.jobId)
+  const choices = scopes.flatMap((scope) => chooseForScope(scope, others) ?? [])
   const [best] = choices.sort((left, right) => sumCost(left.victims) - sumCost(right.victims))
   return best !== undefined && sumCost(best.victims) <= costMaxCoreSeconds ? best : undefined
 }
--- a/batch/scheduler/src/victimIndex.ts
+++ b/batch/scheduler/src/victimIndex.ts
@@ -32,6 +32,12 @@
     return new VictimIndex(this.#groups.filter((group) => !removedGroups.has(group)))
   }
 
+  /** Returns the index for a search on behalf of the job: no job preempts its own runs. */
+  withoutJob(jobId: string): VictimIndex {
+    const own = this.#groups.filter(({ runs }) => runs[0]?.jobId === jobId)
+    return own.length === 0 ? this : this.without(own)
+  }
+
   #add(upstreamId: string, group: VictimGroup): void {
     const known = this.#byUpstream.get(upstreamId)
     if (known === undefined) this.#byUpstream.set(upstreamId, [group])
--- a/batch/scheduler/test/planRound.test.ts
+++ b/batch/scheduler/test/planRound.test.ts
@@ -99,6 +99,14 @@
   t.true(stopped.every(({ forJobId, isGuaranteed }) => forJobId === 'urgent' && !isGuaranteed))
 })
 
+test('an urgent job does not preempt its own tasks for those that still wait', (t) => {
+  const fleet = new Fleet('r1', 'r1')
+  const whole = { cpuMillicores: 1000, memoryMiB: 1000, accelerators: 8 }
+  fleet.submit(createJob('urgent', { taskCount: 4, needs: whole, expectedRunTimeMs: 2000 }), 0)
+  t.is(fleet.decide().placements.length, 2)
+  t.deepEqual(fleet.decide().preemptions, [])
+})
+
 test('one round preempts for at most three urgent jobs beyond the guarantee', (t) => {
   const fleet = new Fleet('r1', 'r1', 'r1', 'r1', 'r1', 'r1', 'r1')
   fleet.submit(createJob('small', { taskCount: 56 }))
