fix: urgent work preempts only work that ranks after it

What callers see: two urgent jobs beyond their guarantee stop each other's runs over and over, and the later one never starts.

Cause: the cost of a stop was the only bound on whom an urgent unit may preempt. A run that has just begun costs nothing, and the job that was stopped ranks before the one that stopped it, so it takes the capacity back in the next round.

Ruled out: guaranteed work (it ranks before all its victims), and work of lower priority or timeliness (it ranks after).

Change: a search for victims considers only groups whose job ranks after the unit. Both tests in planRound fail without it.

--- a/batch/scheduler/src/chooseVictims.ts
+++ b/batch/scheduler/src/chooseVictims.ts
@@ -9,7 +9,7 @@
 import type { RoundAllocations } from './roundAllocations.js'
 import { PreemptionSearch } from './preemptionSearch.js'
 import { dropUnneededVictims } from './dropUnneededVictims.js'
-import type { StartUnit } from './startUnit.js'
+import type { RankedUnit } from './orderUnits.js'
 import type { VictimIndex } from './victimIndex.js'
 
 export interface VictimChoice {
@@ -18,7 +18,7 @@
 }
 
 export interface ChooseVictimsOptions {
-  unit: StartUnit
+  unit: RankedUnit
   allocations: RoundAllocations
   /** Runs that may be preempted. */
   victims: VictimIndex
@@ -34,8 +34,8 @@
   costMaxCoreSeconds,
 }: ChooseVictimsOptions): VictimChoice | undefined {
   const scopes = trackScopes(unit, allocations, ({ freeAfterStops }) => freeAfterStops)
-  const others = victims.withoutJob(unit.job.request.jobId)
-  const choices = scopes.flatMap((scope) => chooseForScope(scope, others) ?? [])
+  const lowerRanked = victims.rankedAfter(unit)
+  const choices = scopes.flatMap((scope) => chooseForScope(scope, lowerRanked) ?? [])
   const [best] = choices.sort((left, right) => sumCost(left.victims) - sumCost(right.victims))
   return best !== undefined && sumCost(best.victims) <= costMaxCoreSeconds ? best : undefined
 }
--- a/batch/scheduler/src/listVictimGroups.ts
+++ b/batch/scheduler/src/listVictimGroups.ts
@@ -2,12 +2,15 @@
 import { runKey, type Resources } from '@nettlespur/batch.model'
 import type { JobRecord, Placement } from '@nettlespur/batch.state'
 import { urgentPriority } from './computeStopCostLimit.js'
+import type { JobRank } from './jobRank.js'
+import { computeTiming } from './jobTiming.js'
 import type { ActiveRun, SchedulerView } from './schedulerView.js'
 
 /** Runs that are preempted together: the running members of a gang attempt, or a single run. */
 export interface VictimGroup {
   readonly runs: Placement[]
   readonly needs: Resources
+  readonly rank: JobRank
   /** Work lost with the group; urgent work is weighted by `urgentCostFactor`. */
   costCoreSeconds: number
 }
@@ -20,7 +23,7 @@
 
 /** Returns the groups by cost per accelerator, the cheapest first. */
 export function listVictimGroups(
-  { runs, jobs }: SchedulerView,
+  { runs, jobs, acceptedAtMs, nowMs }: SchedulerView,
   guaranteed: ReadonlySet<string>,
 ): VictimGroup[] {
   const byId = new Map(jobs.map((job) => [job.request.jobId, job]))
@@ -28,20 +31,33 @@
   for (const run of runs) {
     const job = byId.get(run.placement.jobId)
     if (job === undefined || run.isStopping || guaranteed.has(run.placement.jobId)) continue
-    addToGroup(groups, run, job)
+    addToGroup(groups, run, job, () => {
+      const acceptedMs = acceptedAtMs.get(run.placement.jobId) ?? nowMs
+      return { job, isGuaranteed: false, ...computeTiming(job, acceptedMs, nowMs) }
+    })
   }
   return [...groups.values()].sort(
     (left, right) => costPerAccelerator(left) - costPerAccelerator(right),
   )
 }
 
-function addToGroup(groups: Map<string, VictimGroup>, run: ActiveRun, job: JobRecord): void {
+function addToGroup(
+  groups: Map<string, VictimGroup>,
+  run: ActiveRun,
+  job: JobRecord,
+  rank: () => JobRank,
+): void {
   const { placement, stopCostCoreSeconds } = run
   const step = job.request.steps[placement.step]
   if (step === undefined) return
   const key = groupKey(placement, step.isGang)
   const weight = job.queue.priority === urgentPriority ? urgentCostFactor : 1
-  const group = groups.get(key) ?? { runs: [], needs: step.needs, costCoreSeconds: 0 }
+  const group = groups.get(key) ?? {
+    runs: [],
+    needs: step.needs,
+    rank: rank(),
+    costCoreSeconds: 0,
+  }
   group.runs.push(placement)
   group.costCoreSeconds += stopCostCoreSeconds * weight
   groups.set(key, group)
--- a/batch/scheduler/src/orderUnits.ts
+++ b/batch/scheduler/src/orderUnits.ts
@@ -1,12 +1,10 @@
-/** Ranks units: guaranteed work first, then by timeliness, priority and latest start. */
-import { computeTiming, type Timeliness, type JobTiming } from './jobTiming.js'
+/** Ranks the units that may start now; see `compareJobRanks`. */
+import { compareJobRanks, type JobRank } from './jobRank.js'
+import { computeTiming, type JobTiming } from './jobTiming.js'
 import type { SchedulerView } from './schedulerView.js'
 import { listUnits, type StartUnit } from './startUnit.js'
 
-const timelinessRank: Readonly<Record<Timeliness, number>> = { 'on-time': 0, late: 1, none: 2 }
-
-export interface RankedUnit extends StartUnit, JobTiming {
-  readonly isGuaranteed: boolean
+export interface RankedUnit extends StartUnit, JobTiming, JobRank {
   /** Promoted before units of higher rank; see `promoteOverdueGang`. */
   readonly isOverdue: boolean
   /** The gang may span racks if no single rack can take it. */
@@ -29,12 +27,5 @@
       canSpanRacks: false,
     }))
   })
-  return ranked.sort(
-    (left, right) =>
-      Number(right.isGuaranteed) - Number(left.isGuaranteed) ||
-      timelinessRank[left.timeliness] - timelinessRank[right.timeliness] ||
-      left.job.queue.priority - right.job.queue.priority ||
-      left.latestStartMs - right.latestStartMs ||
-      left.job.number - right.job.number,
-  )
+  return ranked.sort(compareJobRanks)
 }
--- a/batch/scheduler/src/victimIndex.ts
+++ b/batch/scheduler/src/victimIndex.ts
@@ -2,6 +2,7 @@
  * Index of victim groups by the upstreams on which they run. It is built once and shared by all searches of a round,
  * so that each search visits only the upstreams of its scope.
  */
+import { compareJobRanks, type JobRank } from './jobRank.js'
 import type { VictimGroup } from './listVictimGroups.js'
 
 const none: readonly VictimGroup[] = []
@@ -32,10 +33,13 @@
     return new VictimIndex(this.#groups.filter((group) => !removedGroups.has(group)))
   }
 
-  /** Returns the index for a search on behalf of the job: no job preempts its own runs. */
-  withoutJob(jobId: string): VictimIndex {
-    const own = this.#groups.filter(({ runs }) => runs[0]?.jobId === jobId)
-    return own.length === 0 ? this : this.without(own)
+  /**
+   * Returns the groups that may be preempted for a unit of this rank. The others would come before it in the next round
+   * and take the same capacity again.
+   */
+  rankedAfter(rank: JobRank): VictimIndex {
+    const others = this.#groups.filter((group) => compareJobRanks(group.rank, rank) <= 0)
+    return others.length === 0 ? this : this.without(others)
   }
 
   #add(upstreamId: string, group: VictimGroup): void {
--- a/batch/scheduler/test/planRound.test.ts
+++ b/batch/scheduler/test/planRound.test.ts
@@ -107,6 +107,16 @@
   t.deepEqual(fleet.decide().preemptions, [])
 })
 
+test('urgent work preempts no urgent work that would come before it again', (t) => {
+  const fleet = new Fleet('r1', 'r1', 'r1')
+  // Beyond the guarantee, as the first two jobs use it up.
+  for (const jobId of ['g1', 'g2']) fleet.submit(createJob(jobId, createGang(1, 8)), 0)
+  fleet.submit(createJob('sooner', createGang(1, 8)), 0)
+  fleet.submit(createJob('later', { ...createGang(1, 8), expectedRunTimeMs: 2000 }), 0)
+  t.is(fleet.decide().placements.length, 3)
+  for (let round = 0; round < 5; round++) t.deepEqual(fleet.decide().preemptions, [])
+})
+
 test('one round preempts for at most three urgent jobs beyond the guarantee', (t) => {
   const fleet = new Fleet('r1', 'r1', 'r1', 'r1', 'r1', 'r1', 'r1')
   fleet.submit(createJob('small', { taskCount: 56 }))
