fix: preferences and reservations hold work back for 2 s at most while its pool has ample capacity

Cause, by class: a soft constraint without a bound. A data rack was a must as long as one upstream of it was usable, however full or small; one rack was a must for all gangs but the oldest overdue one, and for that one for twice its run time; the reservation of an overdue gang kept its upstreams from all others for as long as what it waits for lasts; an upstream on which a task has failed was avoided as long as another would do when empty. Which of them it was on the users' machines the record does not tell.

Change: a round names the units of jobs of which nothing runs although half of their pool and twice their needs are free. One that has starved for 2 s (callers take a job for delayed after 3 s) is placed with as few preferences relaxed as possible, in a fixed order.

--- a/batch/scheduler/__utils__/delayWatch.ts
+++ b/batch/scheduler/__utils__/delayWatch.ts
@@ -3,8 +3,7 @@
  * the job runs, less than half of the accelerators are in use, and the upstreams have room for the job twice over.
  */
 import { listPlacements, type JobRecord } from '@nettlespur/batch.state'
-import { addResources, noResources } from '../src/index.js'
-import { countFitting } from '../src/resources.js'
+import { addResources, countFitting, noResources } from '../src/index.js'
 import type { Fleet } from './fleet.js'
 
 /** What callers accept. */
--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -2,7 +2,13 @@
 import type { JobRequest } from '@nettlespur/batch.model'
 import { createConfig, createUpstream } from '@nettlespur/batch.samples'
 import { BatchState, type Placement } from '@nettlespur/batch.state'
-import { addResources, noResources, planRound, type ActiveRun } from '../src/index.js'
+import {
+  addResources,
+  noResources,
+  planRound,
+  StarvationTimes,
+  type ActiveRun,
+} from '../src/index.js'
 
 /** Expected time until each run ends. */
 const remainingRunMs = 1000
@@ -20,6 +26,7 @@
   readonly #startedAtMs = new Map<string, number>()
   readonly #acceptedAtMs = new Map<string, number>()
   readonly #stopping = new Set<string>()
+  readonly #starvation = new StarvationTimes()
 
   constructor(...racks: string[]) {
     this.state.apply({ type: 'apply-config', config: createConfig(1) })
@@ -46,11 +53,13 @@
       ),
       runs: this.#runs(),
       isPaused: () => false,
+      starvedMs: (unit) => this.#starvation.starvedMs(unit, this.nowMs),
       isProven: (run) => this.proven.has(nameRun(run)),
       guarantees: new Map([['w1', 16]]),
     })
     this.state.apply({ type: 'place-tasks', placements: decision.placements })
     for (const run of decision.placements) this.#startedAtMs.set(nameRun(run), this.nowMs)
+    this.#starvation.noteRound(decision.starving, this.nowMs)
     for (const { run } of decision.preemptions) this.#stopping.add(nameRun(run))
     return decision
   }
--- a/batch/scheduler/src/index.ts
+++ b/batch/scheduler/src/index.ts
@@ -1,7 +1,7 @@
 /** Decides which tasks start on which upstreams, and which runs are preempted. */
 export { planRound } from './planRound.js'
 export type { Preference } from './preference.js'
-export { addResources, measureCores, noResources } from './resources.js'
+export { addResources, countFitting, measureCores, noResources } from './resources.js'
 export type {
   ActiveRun,
   Preemption,
--- a/batch/scheduler/src/orderUnits.ts
+++ b/batch/scheduler/src/orderUnits.ts
@@ -7,8 +7,6 @@
 export interface RankedUnit extends StartUnit, JobTiming, JobRank {
   /** Promoted before units of higher rank; see `promoteOverdueGang`. */
   readonly isOverdue: boolean
-  /** The gang may span racks if no single rack can take it. */
-  readonly canSpanRacks: boolean
 }
 
 export function orderUnits(view: SchedulerView, guaranteed: ReadonlySet<string>): RankedUnit[] {
@@ -24,7 +22,6 @@
       ...timing,
       isGuaranteed,
       isOverdue: false,
-      canSpanRacks: false,
     }))
   })
   return ranked.sort(compareJobRanks)
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -10,6 +10,7 @@
 import { listVictimGroups, type VictimGroup } from './listVictimGroups.js'
 import { orderUnits, type RankedUnit } from './orderUnits.js'
 import { promoteOverdueGang } from './promoteOverdueGang.js'
+import { chooseRelaxed } from './relaxPreferences.js'
 import { reserveForGang } from './reserveForGang.js'
 import { RoundAllocations } from './roundAllocations.js'
 import type { ActiveRun, Preemption, RoundDecision, SchedulerView } from './schedulerView.js'
@@ -22,6 +23,11 @@
  * all runs, so without a limit a round under high load would take several times as long.
  */
 const urgentSearchesMax = 3
+/**
+ * For how long a unit starves for the sake of its preferences. Callers take a job for delayed after 3 s without a run
+ * although there is room; this leaves a second for rounds, commits and starts.
+ */
+const preferenceWaitMaxMs = 2000
 
 export function planRound(view: SchedulerView): RoundDecision {
   const guaranteed = listGuaranteedJobs(view.jobs, view.guarantees)
@@ -72,14 +78,22 @@
     return { placements, preemptions, starving }
   }
 
-  #chooseUpstreams(unit: RankedUnit): string[] {
+  #chooseUpstreams(unit: RankedUnit): readonly string[] {
     const upstreamIds = chooseUpstreams(unit, this.#allocations)
     // On other upstreams a trial is less conclusive, but the unit does not wait for a suitable one.
     if (upstreamIds.length === 0 && unit.isOnTrial) {
       return this.#chooseUpstreams({ ...unit, isOnTrial: false })
     }
-    if (upstreamIds.length > 0 || !unit.canSpanRacks) return upstreamIds
-    return chooseUpstreams({ ...unit, relaxed: new Set(['one-rack']) }, this.#allocations)
+    if (upstreamIds.length > 0) return upstreamIds
+    return this.#chooseRelaxed(unit)
+  }
+
+  /** Returns an empty list unless the unit starves for longer than its preferences are worth. */
+  #chooseRelaxed(unit: RankedUnit): readonly string[] {
+    const { job, stepNumber } = unit
+    const starvedMs = this.#view.starvedMs({ jobId: job.request.jobId, step: stepNumber })
+    if (starvedMs < preferenceWaitMaxMs) return []
+    return chooseRelaxed(unit, this.#allocations)?.upstreamIds ?? []
   }
 
   /** Preempts or reserves capacity for the tasks that did not fit. */
--- a/batch/scheduler/src/promoteOverdueGang.ts
+++ b/batch/scheduler/src/promoteOverdueGang.ts
@@ -10,13 +10,6 @@
 
 /** How long after its last useful start a gang keeps its low rank; after that it is promoted, so that it ends too. */
 const overdueGraceMs = 15_000
-/**
- * How many times as long a gang that prefers one rack runs across racks, by the platform's agreement. The gang waits
- * for a rack no longer than the time it would lose across racks, so it never loses more than twice what the better
- * choice would have cost. It spans racks only while half of its pool is free, where it delays no other work. Without
- * this rule it could wait forever although there is ample free capacity.
- */
-const crossRackSlowdown = 3
 
 /** Returns the same units, with the oldest overdue gang moved right behind the guaranteed ones. */
 export function promoteOverdueGang(
@@ -28,11 +21,10 @@
   const pools = new PoolCapacities(allocations.upstreams)
   const overdue = findOverdueGang(gangs, pools, allocations)
   if (overdue === undefined) return [...units]
-  const canSpanRacks = pools.isAmpleFor(overdue) && hasWaitedForRack(overdue)
   const others = units.filter((unit) => unit !== overdue)
   const guaranteed = others.filter(({ isGuaranteed }) => isGuaranteed)
   const rest = others.filter(({ isGuaranteed }) => !isGuaranteed)
-  return [...guaranteed, { ...overdue, isOverdue: true, canSpanRacks }, ...rest]
+  return [...guaranteed, { ...overdue, isOverdue: true }, ...rest]
 }
 
 /** A gang is overdue once its grace period has passed, or while its pool has ample free capacity. */
@@ -50,10 +42,6 @@
     )
 }
 
-function hasWaitedForRack({ step, waitedMs }: RankedUnit): boolean {
-  return step.prefersOneRack && waitedMs >= step.expectedRunTimeMs * (crossRackSlowdown - 1)
-}
-
 function isPastGrace({ lastUsefulStartMs }: RankedUnit, { nowMs }: RoundAllocations): boolean {
   return nowMs > lastUsefulStartMs + overdueGraceMs
 }
--- a/batch/scheduler/src/schedulerView.ts
+++ b/batch/scheduler/src/schedulerView.ts
@@ -1,6 +1,7 @@
 /** Input and result of a scheduling round. A round does not modify its input. */
 import type { JobRecord, Placement } from '@nettlespur/batch.state'
 import type { Resources, TaskRef } from '@nettlespur/batch.model'
+import type { UnitRef } from './starvationTimes.js'
 import type { StarvingUnit } from './starvingUnit.js'
 
 /** An upstream that accepts new work, with its capacity at the start of the round. */
@@ -45,6 +46,8 @@
   readonly isProven: (run: Placement) => boolean
   /** Whether the task is in backoff because its last runs ended as `lost` or `crashed`. */
   readonly isPaused: (task: TaskRef) => boolean
+  /** For how long the unit has been starving, round after round; 0 if it did not in the last one. */
+  readonly starvedMs: (unit: UnitRef) => number
   /** Guaranteed accelerators by workspace. */
   readonly guarantees: ReadonlyMap<string, number>
 }
--- a/batch/scheduler/test/starvation.test.ts
+++ b/batch/scheduler/test/starvation.test.ts
@@ -7,7 +7,67 @@
 import test from 'ava'
 import fc from 'fast-check'
 import assert from 'node:assert/strict'
-import { DelayWatch, Fleet } from '../__utils__/index.js'
+import { createGang, DelayWatch, delayMaxMs, Fleet } from '../__utils__/index.js'
+
+const small = { cpuMillicores: 1000, memoryMiB: 1000, accelerators: 1 }
+const whole = { ...small, accelerators: 8 }
+
+/** Plays until callers would take a job for delayed, and returns the upstreams on which the job was started. */
+function findStarts(fleet: Fleet, jobId: string): string[] {
+  const placements = fleet.playUntil(fleet.nowMs + delayMaxMs - 100)
+  return placements.filter((run) => run.jobId === jobId).map(({ upstreamId }) => upstreamId)
+}
+
+test('a task whose data rack is full for long starts in another rack', (t) => {
+  const fleet = new Fleet('r1', 'r2', 'r2')
+  fleet.submit(createJob('first', { needs: whole, dataRack: 'r1' }))
+  fleet.decide()
+  fleet.submit(createJob('second', { needs: small, dataRack: 'r1' }))
+  t.deepEqual(fleet.decide().placements, [])
+  t.is(findStarts(fleet, 'second').length, 1)
+})
+
+test('a gang for which its data rack is too small starts in other racks', (t) => {
+  const fleet = new Fleet('r1', 'r2', 'r2', 'r2')
+  fleet.submit(createJob('gang', createGang(2, 8, { dataRack: 'r1' })))
+  t.is(findStarts(fleet, 'gang').length, 2)
+})
+
+test('gangs for which no rack is free span racks, and not only the oldest of them', (t) => {
+  const inRacks = ['r1', 'r2', 'r3', 'r4', 'r5', 'r6']
+  const fleet = new Fleet(...inRacks.flatMap((rack) => [rack, rack, rack]))
+  for (const requiredLabel of inRacks) {
+    fleet.submit(createJob(`in-${requiredLabel}`, { needs: whole, requiredLabel }), 0)
+  }
+  fleet.decide()
+  const slowAcross = { prefersOneRack: true, expectedRunTimeMs: 60_000 }
+  fleet.submit(createJob('older', createGang(3, 8, slowAcross)))
+  fleet.submit(createJob('newer', createGang(3, 8, slowAcross)))
+  t.deepEqual(fleet.decide().placements, [])
+  const started = fleet.playUntil(delayMaxMs - 100).map(({ jobId }) => jobId)
+  t.deepEqual(new Set(started), new Set(['older', 'newer']))
+})
+
+test('work is not kept waiting for long by the reservation of an overdue gang while half of the pool is idle', (t) => {
+  const fleet = new Fleet('r1', 'r1', 'r1', 'r1')
+  fleet.submit(createJob('first', { needs: small }))
+  fleet.decide()
+  fleet.submit(createJob('overdue', createGang(4, 8)))
+  fleet.nowMs = 1_000_000
+  fleet.submit(createJob('short', { needs: small, expectedRunTimeMs: 5000 }))
+  t.deepEqual(fleet.decide().placements, [])
+  t.is(findStarts(fleet, 'short').length, 1)
+})
+
+test('a task that has failed on the only idle upstream starts there again if the others stay busy', (t) => {
+  const fleet = new Fleet('r1', 'r2')
+  fleet.submit(createJob('retried', { needs: small }))
+  const [run] = fleet.decide().placements
+  if (run !== undefined) fleet.end(run, 'failed')
+  fleet.submit(createJob('busy', { needs: whole, requiredLabel: 'r2' }), 0)
+  t.is(run?.upstreamId, 'u0')
+  t.deepEqual(findStarts(fleet, 'retried'), ['u0'])
+})
 
 const racks = ['r1', 'r2', 'r3', 'r4']
 const submission = fc.record({
--- a/batch/service/src/buildSchedulerView.ts
+++ b/batch/service/src/buildSchedulerView.ts
@@ -34,6 +34,8 @@
   isQuiet: (upstream: UpstreamRecord) => boolean
   /** Whether the task is in backoff after failed starts. */
   isPaused: (task: TaskRef) => boolean
+  /** See `SchedulerView`. */
+  starvedMs: SchedulerView['starvedMs']
 }
 
 export function buildSchedulerView(opts: BuildSchedulerViewOptions): SchedulerView {
@@ -47,6 +49,7 @@
     acceptedAtMs,
     upstreams: usable.map((upstream) => buildRoom(opts, upstream)),
     isPaused: opts.isPaused,
+    starvedMs: opts.starvedMs,
     isProven: (placement) => opts.findTrack(placement)?.isProven === true,
     // Computed on demand: only rounds in which something does not fit look at the runs.
     get runs() {
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -100,6 +100,7 @@
         roster.findSession(description.upstreamId)?.tracks.hasTrial === true,
       isQuiet: (upstream) => roster.isQuiet(upstream),
       isPaused: (task) => retryBackoff.isPaused(task, nowMs),
+      starvedMs: (unit) => this.#starvationWatch.times.starvedMs(unit, nowMs),
     })
     return planRound(view)
   }
--- a/bench/policy/src/index.ts
+++ b/bench/policy/src/index.ts
@@ -7,5 +7,6 @@
   type CrowdedDay,
 } from './crowdedDay.js'
 export { cscfba, fsww, growDeployment, thapa, type Deployment } from './deployment.js'
+export { createThinnedDay } from './thinnedDay.js'
 export { measurePolicy, type PolicyMeasureOptions } from './measurePolicy.js'
 export { playDay, type DayResult } from './playDay.js'
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -1,5 +1,5 @@
 /** Plays a crowded day with the scheduler and the state of the product, in simulated time. */
-import { planRound, type StarvingUnit } from '@nettlespur/batch.scheduler'
+import { planRound, StarvationTimes, type StarvingUnit } from '@nettlespur/batch.scheduler'
 import type { UpstreamDescription } from '@nettlespur/batch.model'
 import { buildSchedulerView, UpstreamHealth } from '@nettlespur/batch.service'
 import { BatchState, type RunEnd } from '@nettlespur/batch.state'
@@ -51,6 +51,7 @@
   readonly #endedAtMs = new Map<string, number>()
   readonly #roundsMs: number[] = []
   readonly #heldUp = new HeldUpWatch()
+  readonly #starvation = new StarvationTimes()
   #nowMs = 0
 
   constructor(day: CrowdedDay, seed: number) {
@@ -125,6 +126,7 @@
       hasTrial: ({ description }) => this.#runs.hasTrial(description.upstreamId),
       isQuiet: ({ description }) => this.#isQuiet(description),
       isPaused: () => false,
+      starvedMs: (unit) => this.#starvation.starvedMs(unit, this.#nowMs),
       isStopping: (placement) => this.#runs.isStopping(placement),
       findTrack: (placement) => this.#runs.findTrack(placement),
     })
@@ -133,6 +135,7 @@
     for (const { run } of preemptions) this.#runs.stop(run, this.#nowMs)
     this.#state.apply({ type: 'place-tasks', placements })
     this.#runs.start(placements, this.#nowMs)
+    this.#starvation.noteRound(starving, this.#nowMs)
     return starving
   }
 
