fix: the overdue gang no longer takes what urgent work has freed for itself

What callers see: an urgent job stops others over and over and never starts; those that it stops start again each time and get nowhere (a gang with 15 attempts in a second), and half of the pool stays idle.

The oldest overdue gang went before all but guaranteed work, also before urgent work that may preempt. It takes the capacity that the urgent unit has just freed, is preempted again in the next round as it has only begun, and so on. Ruled out: the order of ranks alone (the gang ranks after the urgent unit), and the capacity kept for those that wait for stops (it is kept after the gang has been placed).

Change: units that may preempt stay before the overdue gang, and none of them is promoted. Weighed against it: leaving out the gang to be promoted from the victims, which needs to know which gang that will be once others have stopped too.

--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -18,6 +18,8 @@
 export class Fleet {
   readonly state = new BatchState()
   nowMs = 0
+  /** Of the only workspace. */
+  guaranteedAccelerators = 16
   /** Work lost if a run of the job is stopped, in core-seconds by job id; 1 for other jobs. */
   readonly stopCosts = new Map<string, number>()
   /** Names of proven runs; see `SchedulerView.isProven`. */
@@ -58,7 +60,7 @@
       isPaused: () => false,
       starvedMs: (unit) => this.#starvation.starvedMs(unit, this.nowMs),
       isProven: (run) => this.proven.has(nameRun(run)),
-      guarantees: new Map([['w1', 16]]),
+      guarantees: new Map([['w1', this.guaranteedAccelerators]]),
     })
     this.state.apply({ type: 'place-tasks', placements: decision.placements })
     for (const run of decision.placements) this.#startedAtMs.set(nameRun(run), this.nowMs)
--- a/batch/scheduler/src/promoteOverdueGang.ts
+++ b/batch/scheduler/src/promoteOverdueGang.ts
@@ -1,7 +1,8 @@
 /**
  * The only exception to rank order. A gang that needs much of a rack would starve while higher-ranked small work
- * takes each piece that becomes free, so one gang at a time goes before all but guaranteed work.
+ * takes each piece that becomes free, so one gang at a time goes before all work that may not preempt others.
  */
+import { computeStopCostLimit } from './computeStopCostLimit.js'
 import { listScopes } from './listScopes.js'
 import type { RankedUnit } from './orderUnits.js'
 import { PoolCapacities } from './poolCapacities.js'
@@ -11,20 +12,20 @@
 /** How long after its last useful start a gang keeps its low rank; after that it is promoted, so that it ends too. */
 const overdueGraceMs = 15_000
 
-/** Returns the same units, with the oldest overdue gang moved right behind the guaranteed ones. */
+/** Returns the same units, with the oldest overdue gang moved right behind those that may preempt. */
 export function promoteOverdueGang(
   units: readonly RankedUnit[],
   allocations: RoundAllocations,
 ): RankedUnit[] {
-  const gangs = units.filter(({ step, isGuaranteed }) => step.isGang && !isGuaranteed)
+  const gangs = units.filter((unit) => unit.step.isGang && !mayPreempt(unit))
   if (gangs.length === 0) return [...units]
   const pools = new PoolCapacities(allocations.upstreams)
   const overdue = findOverdueGang(gangs, pools, allocations)
   if (overdue === undefined) return [...units]
   const others = units.filter((unit) => unit !== overdue)
-  const guaranteed = others.filter(({ isGuaranteed }) => isGuaranteed)
-  const rest = others.filter(({ isGuaranteed }) => !isGuaranteed)
-  return [...guaranteed, { ...overdue, isOverdue: true }, ...rest]
+  const first = others.filter(mayPreempt)
+  const rest = others.filter((unit) => !mayPreempt(unit))
+  return [...first, { ...overdue, isOverdue: true }, ...rest]
 }
 
 /** A gang is overdue once its grace period has passed, or while its pool has ample free capacity. */
@@ -42,6 +43,11 @@
     )
 }
 
+/** Units that may preempt stay before the gang: what they stop for themselves must not go to the gang. */
+function mayPreempt(unit: RankedUnit): boolean {
+  return computeStopCostLimit(unit) > 0
+}
+
 function isPastGrace({ lastUsefulStartMs }: RankedUnit, { nowMs }: RoundAllocations): boolean {
   return nowMs > lastUsefulStartMs + overdueGraceMs
 }
