fix: starvation is measured by what runs use, not by what is allocated to units that wait for stops

What callers see: a job waits for more than 3 s though half of the pool is idle, as its wait begins anew each time that another unit preempts.

Cause: capacity that a round allocates to a unit until the runs it preempted have stopped was counted as used. In such a round the pool did not look half free, so the unit no longer counted as starving, and its 2 s began again. Ruled out: reservations (they change nothing that is counted).

Change: each upstream of a round keeps what no run uses beside what is still to be allocated.

--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -120,7 +120,7 @@
   }
 
   #place(unit: RankedUnit, upstreamIds: readonly string[]): void {
-    this.#allocations.allocate(upstreamIds, unit.step)
+    this.#allocations.place(upstreamIds, unit.step)
     if (unit.isOnTrial) this.#allocations.blockStarts(upstreamIds)
     const placed = createPlacements(unit, upstreamIds)
     this.placements.push(...placed)
--- a/batch/scheduler/src/poolCapacities.ts
+++ b/batch/scheduler/src/poolCapacities.ts
@@ -17,11 +17,11 @@
 export class PoolCapacities {
   readonly #byPool = new Map<string, PoolCapacity>()
 
-  /** Sums up what is free at the time of the call. */
+  /** Sums up what no run uses at the time of the call. */
   constructor(upstreams: readonly UpstreamAllocation[]) {
-    for (const { view, free } of upstreams) {
+    for (const { view, idle } of upstreams) {
       const sums = this.#byPool.get(view.pool) ?? { free: noResources, capacity: noResources }
-      sums.free = addResources(sums.free, free)
+      sums.free = addResources(sums.free, idle)
       sums.capacity = addResources(sums.capacity, view.capacity)
       this.#byPool.set(view.pool, sums)
     }
--- a/batch/scheduler/src/roundAllocations.ts
+++ b/batch/scheduler/src/roundAllocations.ts
@@ -15,6 +15,8 @@
   readonly view: SchedulableUpstream
   free: Resources
   freeAfterStops: Resources
+  /** Capacity that no run uses; some of it may be allocated to units that wait for other runs to stop. */
+  idle: Resources
   readonly reservations: Reservation[] = []
   /** This round starts a run on the upstream. */
   #hasNewRun = false
@@ -23,6 +25,7 @@
     this.view = view
     this.free = view.free
     this.freeAfterStops = view.freeAfterStops
+    this.idle = view.free
   }
 
   get upstreamId(): string {
@@ -40,7 +43,13 @@
     this.freeAfterStops = noResources
   }
 
-  /** Allocates capacity for one task that ends at `endMs`. */
+  /** Allocates capacity for one task that starts now and ends at `endMs`. */
+  place(needs: Resources, endMs: number): void {
+    this.idle = addResources(this.idle, needs, -1)
+    this.allocate(needs, endMs)
+  }
+
+  /** Allocates capacity for one task that ends at `endMs`, and that may start only once other runs have stopped. */
   allocate(needs: Resources, endMs: number): void {
     this.#hasNewRun = true
     this.free = addResources(this.free, needs, -1)
@@ -80,7 +89,14 @@
     return this.nowMs + expectedRunTimeMs
   }
 
-  /** Allocates capacity for one task per entry; an upstream may occur several times. */
+  /** Allocates capacity for one task per entry that starts now; an upstream may occur several times. */
+  place(upstreamIds: readonly string[], step: StepSpec): void {
+    for (const upstreamId of upstreamIds) {
+      this.#byId.get(upstreamId)?.place(step.needs, this.estimateEndMs(step))
+    }
+  }
+
+  /** Like `place`, for tasks that may start only once other runs have stopped. */
   allocate(upstreamIds: readonly string[], step: StepSpec): void {
     for (const upstreamId of upstreamIds) {
       this.#byId.get(upstreamId)?.allocate(step.needs, this.estimateEndMs(step))
--- a/bench/policy/src/thinnedDay.ts
+++ b/bench/policy/src/thinnedDay.ts
@@ -1,4 +1,4 @@
-/** Troubled days on which jobs name the racks where their data is, and upstreams leave until some racks are nearly empty. */
+/** Troubled days on which jobs that are not urgent name the racks where their data is, and upstreams leave until some racks are nearly empty. */
 import type { StepSpec } from '@nettlespur/batch.model'
 import { SeededRandom } from '@nettlespur/bench.placement'
 import { createTroubledDay, type CrowdedDay, type DayJob, type Loss } from './crowdedDay.js'
@@ -12,7 +12,9 @@
   const random = new SeededRandom(~seed * 3)
   const racks = [...new Set(day.upstreams.map(({ rack }) => rack))]
   const drawRack = (): string => random.pick(racks.map((rack) => [rack, 1] as const))
-  const jobs = day.jobs.map((job) => (random.chance(dataRackShare) ? bind(job, drawRack()) : job))
+  const jobs = day.jobs.map((job) =>
+    job.kind.priority > 0 && random.chance(dataRackShare) ? bind(job, drawRack()) : job,
+  )
   const leaving = day.upstreams.flatMap(({ upstreamId }): Loss[] =>
     random.chance(leavingShare) ? [{ upstreamId, atMs: random.between(0, day.lengthMs) }] : [],
   )
