fix: guaranteed work leaves its preferred racks in time if its guarantee cannot be freed there

Cause, of the incident's class: a preference handled as a must where victims are looked for. Each rack that could take the gang when empty also ran something that may not be preempted, so no rack could be freed, and no other place was tried. Ruled out: guarantees that no longer fit (34 accelerators of this workspace, 13 upstreams left, others were preempted meanwhile), and the change of leader (3.3 s later).

Change: a guaranteed unit that has waited for 2 s is placed, or has others preempted, in any racks if the preferred ones do not do. 2 s leave 0.9 s for the stops (0.4 s) and the start.

--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -9,6 +9,7 @@
 import { listGuaranteedJobs } from './listGuaranteedJobs.js'
 import { listVictimGroups, type VictimGroup } from './listVictimGroups.js'
 import { orderUnits, type RankedUnit } from './orderUnits.js'
+import { placementPreferences } from './preference.js'
 import { promoteOverdueGang } from './promoteOverdueGang.js'
 import { chooseRelaxed } from './relaxPreferences.js'
 import { reserveForGang } from './reserveForGang.js'
@@ -29,6 +30,12 @@
  */
 const preferenceWaitMaxMs = 2000
 
+/**
+ * After this wait a guaranteed unit gets its capacity in any racks if it cannot be freed in those it prefers. Guaranteed
+ * work has to start 2,900 ms after its acceptance; this leaves time to stop the runs that borrow its capacity.
+ */
+const guaranteedPreferenceWaitMs = 2000
+
 export function planRound(view: SchedulerView): RoundDecision {
   const guaranteed = listGuaranteedJobs(view.jobs, view.guarantees)
   const allocations = new RoundAllocations(view.upstreams, view.nowMs)
@@ -38,6 +45,14 @@
   return round.finish()
 }
 
+function hasWaitedForGuarantee({ isGuaranteed, waitedMs }: RankedUnit): boolean {
+  return isGuaranteed && waitedMs >= guaranteedPreferenceWaitMs
+}
+
+function toAnyRack(unit: RankedUnit): RankedUnit {
+  return { ...unit, relaxed: new Set(placementPreferences) }
+}
+
 class Round {
   readonly placements: Placement[] = []
   readonly preemptions: Preemption[] = []
@@ -85,6 +100,10 @@
       return this.#chooseUpstreams({ ...unit, isOnTrial: false })
     }
     if (upstreamIds.length > 0) return upstreamIds
+    if (hasWaitedForGuarantee(unit)) {
+      const inAnyRack = chooseUpstreams(toAnyRack(unit), this.#allocations)
+      if (inAnyRack.length > 0) return inAnyRack
+    }
     return this.#chooseRelaxed(unit)
   }
 
@@ -136,12 +155,12 @@
     if (costMaxCoreSeconds === 0) return false
     if (!unit.isGuaranteed && ++this.#urgentSearches > urgentSearchesMax) return false
     const victims = (this.#victims ??= this.#indexVictims())
-    const choice = chooseVictims({
-      unit,
-      allocations: this.#allocations,
-      victims,
-      costMaxCoreSeconds,
-    })
+    const search = { allocations: this.#allocations, victims, costMaxCoreSeconds }
+    const choice =
+      chooseVictims({ ...search, unit }) ??
+      (hasWaitedForGuarantee(unit)
+        ? chooseVictims({ ...search, unit: toAnyRack(unit) })
+        : undefined)
     if (choice === undefined) return false
     if (choice.victims.length > 0) this.#victims = victims.without(choice.victims)
     for (const group of choice.victims) this.#preempt(group, unit)
--- a/batch/scheduler/src/preference.ts
+++ b/batch/scheduler/src/preference.ts
@@ -18,4 +18,7 @@
 ] as const
 export type Preference = (typeof preferences)[number]
 
+/** Those among them that say only how fast a unit runs where it is placed. */
+export const placementPreferences: readonly Preference[] = ['data-rack', 'one-rack']
+
 export const noRelaxedPreferences: ReadonlySet<Preference> = new Set()
