refactor: split the links off the fake fleet of batch/service

Cuts, faults and unhealthy upstreams, by address, are a class of their own now; the tests of the fleet pass unchanged (refused starts, gone upstreams, shrinking capacity, crashing tasks, the model of the leader).

--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -10,7 +10,8 @@
 import { FakeUpstream, FleetLedger } from '@nettlespur/batch.fakes'
 import { createFleetConfig, fleetAttemptsMax } from './createFleetConfig.js'
 import { silentLogger } from './silentLogger.js'
-import { FaultyPort, type LinkFault } from './faultyPort.js'
+import { FaultyPort } from './faultyPort.js'
+import { addressOf, FleetLinks } from './fleetLinks.js'
 import type { Logger } from '@nettlespur/core.logger'
 import type { FakeFleetOptions, FleetFault } from './fleetOptions.js'
 
@@ -28,14 +29,12 @@
   readonly #upstreams = new Map<string, FakeUpstream>()
   /** When each draining upstream leaves, by its id. */
   readonly #leavesAtMs = new Map<string, number>()
-  readonly #cutUntilMs = new Map<string, number>()
+  readonly #links = new FleetLinks(this.clock)
   readonly #notAnnouncing = new Set<string>()
-  readonly #unhealthy = new Set<string>()
   readonly port: FaultyPort
   readonly #clockRate: number
   readonly #logger: Logger
   readonly #guardsCapacity: boolean
-  #linkFaults: LinkFault[] = []
   #startedUpstreams = 0
   #term = 0
   /** Shared by all leaders, as they run on the same member here. */
@@ -63,7 +62,7 @@
     this.port = new FaultyPort({
       clock,
       findUpstream: (address) => this.#upstreams.get(address),
-      nextFault: (address) => this.#nextLinkFault(address),
+      nextFault: (address) => this.#links.takeFault(address),
       nextLinkDelayMs: () => opts.linksMs[calls++ % opts.linksMs.length] ?? 1,
       nextLatenessMs: () => opts.lateMs,
     })
@@ -113,10 +112,10 @@
   inject(fault: FleetFault): void {
     switch (fault.kind) {
       case 'fault':
-        for (let call = 0; call < fault.calls; call++) this.#linkFaults.push(fault.fault)
+        this.#links.addFaults(fault.fault, fault.calls)
         return
       case 'cut':
-        this.#cutUntilMs.set(addressOf(fault.upstream), this.clock.monotonicMs() + fault.forMs)
+        this.#links.cut(addressOf(fault.upstream), fault.forMs)
         return
       case 'crash':
         this.#upstreams.get(addressOf(fault.upstream))?.crash()
@@ -155,7 +154,7 @@
   crashForGood(at: number): void {
     const address = addressOf(at)
     this.#upstreams.get(address)?.crash()
-    this.#cutUntilMs.set(address, Infinity)
+    this.#links.cut(address, Infinity)
   }
 
   /** Changes the capacity of one upstream; its next announcement contains the new one. */
@@ -170,7 +169,7 @@
 
   /** One upstream refuses every start as unhealthy, but announces itself and answers other calls as before. */
   makeUnhealthy(at: number): void {
-    this.#unhealthy.add(addressOf(at))
+    this.#links.makeUnhealthy(addressOf(at))
   }
 
   upstreamIdOf(at: number): string {
@@ -182,8 +181,7 @@
   }
 
   healLinks(): void {
-    this.#linkFaults = []
-    this.#cutUntilMs.clear()
+    this.#links.heal()
   }
 
   async #propose(command: Command, term: number) {
@@ -192,15 +190,6 @@
     return Left(new NettlespurError('not-leader', 'another member leads'))
   }
 
-  #nextLinkFault(address: string): LinkFault {
-    if (this.#isCut(address)) return 'silent'
-    return this.#linkFaults.shift() ?? (this.#unhealthy.has(address) ? 'unhealthy-starts' : 'none')
-  }
-
-  #isCut(address: string): boolean {
-    return (this.#cutUntilMs.get(address) ?? 0) > this.clock.monotonicMs()
-  }
-
   #startUpstream(at: number): void {
     this.#startedUpstreams += 1
     const address = addressOf(at)
@@ -235,7 +224,7 @@
   }
 
   async #announce({ upstreamId, address, clockMs, accelerators }: FakeUpstream): Promise<void> {
-    if (this.#isCut(address) || this.#notAnnouncing.has(address)) return
+    if (this.#links.isCut(address) || this.#notAnnouncing.has(address)) return
     if (this.#upstreams.get(address)?.isUp !== true) return
     const leavesAtMs = this.#leavesAtMs.get(upstreamId)
     this.#sequence += 1
@@ -257,7 +246,3 @@
     await announcing?.catch(() => undefined)
   }
 }
-
-function addressOf(at: number): string {
-  return `127.0.0.1:${9000 + at}`
-}
