--- a/entry/service/src/accessControl.ts
+++ b/entry/service/src/accessControl.ts
@@ -1,6 +1,6 @@
 /**
- * Who may call what. Callers show a key of their workspace's contract; operators and upstreams one of
- * their key file. Without a right key nobody learns which workspaces exist.
+ * Decides who may call what. Callers present a key of their workspace's contract, operators and upstreams one of their key
+ * files. A caller without a valid key gets the same error whether or not the workspace exists.
  */
 import { identifierSchema } from '@nettlespur/api.schemas'
 import { NettlespurError } from '@nettlespur/core.errors'
@@ -14,8 +14,8 @@
 } from '@nettlespur/net.keys'
 import type { HttpRequest } from '@nettlespur/net.server'
 
-/** Each check compares this many hashes, so that its time does not tell how many keys there are. */
-const comparedHashes = 16
+/** Number of hashes that each check compares, so that its duration does not reveal how many keys there are. */
+const comparedHashCount = 16
 const workspaceHeader = 'nettlespur-workspace'
 
 export interface AccessControlOptions {
@@ -30,7 +30,7 @@
   readonly #keysRequired: boolean
   readonly #operatorHashes: readonly string[]
   readonly #upstreamHashes: readonly string[]
-  readonly #decoys = Array.from({ length: comparedHashes }, () => hashKey(createKey()))
+  readonly #decoys = Array.from({ length: comparedHashCount }, () => hashKey(createKey()))
 
   constructor(opts: AccessControlOptions) {
     this.#view = opts.view
@@ -39,22 +39,22 @@
     this.#upstreamHashes = opts.upstreamKeys.map((key) => hashKey(key))
   }
 
-  /** Throws `unauthorized` before anything of a request is read, where it shows no key at all. */
+  /** Throws `unauthorized` if the request has no key at all; call it before the body is read. */
   requireAnyKey(request: HttpRequest): void {
     if (this.#keysRequired && readKey(request) === undefined) throw createUnauthorizedError()
   }
 
-  /** Throws `contract-lease-expired`, `unauthorized`, or `unknown-workspace` where no keys are required. */
+  /** Throws `contract-lease-expired` or `unauthorized`, and `unknown-workspace` if no keys are required. */
   requireCaller(request: HttpRequest, workspace: string): void {
-    const lapsed = this.#view.lease.getRefusal()
-    if (lapsed !== undefined) throw lapsed
+    const leaseError = this.#view.lease.getRefusal()
+    if (leaseError !== undefined) throw leaseError
     const contract = this.#view.getContract(workspace)
     if (this.#keysRequired) this.#requireKey(request, contract?.keys.map((key) => key.sha256) ?? [])
     if (contract !== undefined) return
     throw new NettlespurError('unknown-workspace', `no contract for workspace ${workspace}`)
   }
 
-  /** The workspace named by the header, once its key has been checked. Throws also `invalid-field`. */
+  /** Returns the workspace that the header names, after checking the key. Throws also `invalid-field`. */
   requireNamedWorkspace(request: HttpRequest): string {
     this.requireAnyKey(request)
     const named = identifierSchema.safeParse(request.header(workspaceHeader))
@@ -66,18 +66,18 @@
     return named.data
   }
 
-  /** Throws `unauthorized`. */
+  /** Throws `unauthorized` unless the key is an operator's. */
   requireOperator(request: HttpRequest): void {
     if (this.#keysRequired) this.#requireKey(request, this.#operatorHashes)
   }
 
-  /** Throws `unauthorized`. */
+  /** Throws `unauthorized` unless the key is an upstream's. */
   requireUpstream(request: HttpRequest): void {
     if (this.#keysRequired) this.#requireKey(request, this.#upstreamHashes)
   }
 
   #requireKey(request: HttpRequest, hashes: readonly string[]): void {
-    const decoys = this.#decoys.slice(Math.min(hashes.length, comparedHashes))
+    const decoys = this.#decoys.slice(Math.min(hashes.length, comparedHashCount))
     if (!matchesAnyHash(readKey(request), [...hashes, ...decoys])) throw createUnauthorizedError()
   }
 }
--- a/entry/service/src/awaitJobAnswer.ts
+++ b/entry/service/src/awaitJobAnswer.ts
@@ -1,6 +1,6 @@
 /**
- * Waits for a job's end in looks short enough to follow a change of leader and to end with a planned stop.
- * A job that ended without an answer is the error the table has for it.
+ * Waits for a job's answer by long polls to control. Each poll is short, so that the wait survives a change of leader and
+ * ends with a planned stop. Errors: throws the one that belongs to the job's end if the job ended without an answer.
  */
 import { finalJobStates, type JobView } from '@nettlespur/api.schemas'
 import type { AnswerRequest, JobOutcome } from '@nettlespur/control.api'
@@ -8,9 +8,9 @@
 import { askControl } from './askControl.js'
 import type { EntryContext } from './entryContext.js'
 
-const longestLookMs = 1000
-/** Between two looks, should control answer before its wait is over. */
-const pauseMs = 50
+const pollWaitMaxMs = 1000
+/** Pause between two polls, in case control answers before its wait is over. */
+const pollPauseMs = 50
 
 export async function awaitJobAnswer(
   context: EntryContext,
@@ -21,14 +21,14 @@
   const endMs = clock.monotonicMs() + request.waitMs
   for (;;) {
     const remainingMs = Math.max(0, endMs - clock.monotonicMs())
-    const waitMs = Math.min(Math.ceil(remainingMs), longestLookMs)
+    const waitMs = Math.min(Math.ceil(remainingMs), pollWaitMaxMs)
     const outcome = await askControl({ clock, effect: 'read' }, () =>
       control.awaitAnswer({ ...request, waitMs }),
     )
     if (finalJobStates.has(outcome.job.state)) return requireAnswer(outcome)
-    const ended = clock.monotonicMs() >= endMs
-    if (ended || callerGone.aborted || context.drain.refusal() !== undefined) return outcome
-    await clock.sleep(pauseMs, callerGone)
+    const isOver = clock.monotonicMs() >= endMs
+    if (isOver || callerGone.aborted || context.drain.refusal() !== undefined) return outcome
+    await clock.sleep(pollPauseMs, callerGone)
   }
 }
 
--- a/entry/service/src/contractRoutes.ts
+++ b/entry/service/src/contractRoutes.ts
@@ -1,4 +1,4 @@
-/** Contracts: operators change them by compare-and-set and see where each is in force. */
+/** Routes with which operators change contracts by compare-and-set, and see at which entries each is in force. */
 import {
   contractSchema,
   idempotencyKeySchema,
@@ -38,7 +38,7 @@
 
 async function putContract(context: EntryContext, request: HttpRequest): Promise<HttpReply> {
   context.access.requireOperator(request)
-  const wait = readWait(request)
+  const shouldWait = readShouldWait(request)
   const change = await readChange(request)
   const record = await askControl({ clock: context.clock, effect: 'idempotent' }, () =>
     context.control.applyContract(change),
@@ -50,9 +50,9 @@
     changeIndex: record.changeIndex,
     changeId: change.changeId,
   })
-  if (!wait) return { status: 200, json: record }
-  const standing = await awaitInForce(context, record, request.callerGone)
-  return { status: 200, json: { ...record, ...standing } }
+  if (!shouldWait) return { status: 200, json: record }
+  const status = await awaitInForce(context, record, request.callerGone)
+  return { status: 200, json: { ...record, ...status } }
 }
 
 async function listContracts(context: EntryContext, request: HttpRequest): Promise<HttpReply> {
@@ -86,13 +86,14 @@
   return { changeId, expectedRevision, contract }
 }
 
-/** The revision of `If-Match`, bare or in quotes. */
+/** Returns the revision in `If-Match`, which may be quoted. */
 function readRevision(request: HttpRequest): number {
   const text = requireHeader(request, 'if-match', revisionHint)
   return readWholeNumber('header if-match', text.replace(/^"(.*)"$/, '$1')) ?? 0
 }
 
-function readWait(request: HttpRequest): boolean {
+/** Whether the caller waits until the change is in force. */
+function readShouldWait(request: HttpRequest): boolean {
   const wait = readQuery(request, 'wait')
   if (wait === undefined || wait === inForce) return wait === inForce
   throw new NettlespurError('invalid-field', `query wait: must be ${inForce} or absent`)
--- a/entry/service/src/drainState.ts
+++ b/entry/service/src/drainState.ts
@@ -1,6 +1,6 @@
 /**
- * How far a planned stop has come. First the balancer is told, while work is still taken; then new work is
- * refused while what is in progress ends.
+ * The phases of a planned stop. While `unready`, the entry reports itself as not ready to the balancer but still accepts
+ * work. While `refusing`, it refuses new work and finishes what is in progress.
  */
 import { NettlespurError } from '@nettlespur/core.errors'
 import { BehaviorSubject } from 'rxjs'
@@ -12,12 +12,12 @@
 export class DrainState {
   readonly phase = new BehaviorSubject<DrainPhase>('serving')
 
-  /** The error that `GET /readyz` answers; undefined while serving. */
+  /** Returns the error that `GET /readyz` answers with, or undefined while serving. */
   readinessFault(): NettlespurError | undefined {
     return this.phase.value === 'serving' ? undefined : createDrainingError()
   }
 
-  /** The error new work gets; undefined while it is taken. */
+  /** Returns the error for new work, or undefined while it is accepted. */
   refusal(): NettlespurError | undefined {
     return this.phase.value === 'refusing' ? createDrainingError() : undefined
   }
--- a/entry/service/src/entryContext.ts
+++ b/entry/service/src/entryContext.ts
@@ -1,4 +1,4 @@
-/** What the routes of one entry share. */
+/** Dependencies and settings that the routes of one entry share. */
 import type { ControlApi } from '@nettlespur/control.api'
 import type { Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
@@ -19,8 +19,8 @@
   readonly access: AccessControl
   readonly relay: AnnouncementRelay
   readonly drain: DrainState
-  /** Deadline of a short request that names none, in milliseconds. */
+  /** Deadline of short requests that set none. */
   readonly requestDeadlineMs: number
-  /** When upstreams are asked to announce themselves again, in milliseconds. */
+  /** How often upstreams are told to announce themselves. */
   readonly announceEveryMs: number
 }
--- a/entry/service/src/jobRoutes.ts
+++ b/entry/service/src/jobRoutes.ts
@@ -1,4 +1,4 @@
-/** Gang jobs: submit, look at, wait for the answer, explain and cancel. */
+/** Routes with which callers submit gang jobs, read their state, wait for their answers, and explain or cancel them. */
 import { finalJobStates, jobRequestSchema } from '@nettlespur/api.schemas'
 import { tryAsync, unwrap } from '@nettlespur/core.errors'
 import type { HttpReply, HttpRequest, Route } from '@nettlespur/net.server'
@@ -8,7 +8,7 @@
 import type { EntryContext } from './entryContext.js'
 import { readQuery, readWholeNumber } from './readParts.js'
 
-const longestWaitMs = 300_000
+const answerWaitMaxMs = 300_000
 
 export function createJobRoutes(context: EntryContext): Route[] {
   return [
@@ -65,7 +65,7 @@
 async function getAnswer(context: EntryContext, request: HttpRequest): Promise<HttpReply> {
   const reference = readReference(context, request)
   const askedMs = readWholeNumber('query waitMs', readQuery(request, 'waitMs')) ?? 0
-  const waitMs = Math.min(askedMs, longestWaitMs)
+  const waitMs = Math.min(askedMs, answerWaitMaxMs)
   const outcome = await awaitJobAnswer(context, { ...reference, waitMs }, request.callerGone)
   if (outcome.answer === undefined) return { status: 202, json: outcome.job }
   return { status: 200, json: outcome.answer }
--- a/entry/service/src/memberRoutes.ts
+++ b/entry/service/src/memberRoutes.ts
@@ -1,4 +1,4 @@
-/** The control instances: operators list, add and remove them. */
+/** Routes with which operators list, add and remove control instances. */
 import { identifierSchema } from '@nettlespur/api.schemas'
 import { newMemberSchema } from '@nettlespur/control.api'
 import { tryAsync, unwrap } from '@nettlespur/core.errors'
@@ -44,7 +44,7 @@
   return { status: 202, json: member }
 }
 
-/** Sent again after it took effect it would find no such member: an unknown outcome is told as such. */
+/** Not retried once it may have arrived: a second removal would report that the member does not exist. */
 async function removeMember(context: EntryContext, request: HttpRequest): Promise<HttpReply> {
   context.access.requireOperator(request)
   const memberId = readParam(request, 'memberId', identifierSchema)
--- a/entry/service/src/readParts.ts
+++ b/entry/service/src/readParts.ts
@@ -1,17 +1,17 @@
-/** Reads headers and query parameters of a request, naming each fault. */
+/** Reads path parts, headers and query parameters of a request; each error names the part that is invalid. */
 import { parseValue } from '@nettlespur/api.schemas'
 import { NettlespurError, toNettlespurError } from '@nettlespur/core.errors'
 import type { HttpRequest } from '@nettlespur/net.server'
 import type { z } from 'zod'
 
-const wholeNumber = /^\d{1,15}$/
+const integerPattern = /^\d{1,15}$/
 
-/** A part of the path checked by its schema. Throws `invalid-field`. */
+/** Returns a part of the path, validated by the schema. Throws `invalid-field`. */
 export function readParam<T>(request: HttpRequest, name: string, schema: z.ZodType<T>): T {
   return check(`path ${name}`, schema, request.param(name))
 }
 
-/** A header checked by its schema; undefined where it is absent. Throws `invalid-field`. */
+/** Returns a header, validated by the schema, or undefined if it is absent. Throws `invalid-field`. */
 export function readHeader<T>(
   request: HttpRequest,
   name: string,
@@ -21,21 +21,21 @@
   return text === undefined ? undefined : check(`header ${name}`, schema, text)
 }
 
-/** A header that must be there. Throws `invalid-field` with `hint`. */
+/** Returns a required header. Throws `invalid-field` with `hint` if it is absent. */
 export function requireHeader(request: HttpRequest, name: string, hint: string): string {
   const text = request.header(name)
   if (text !== undefined) return text
   throw new NettlespurError('invalid-field', `header ${name}: missing`, { hint })
 }
 
-/** A non-negative whole number; undefined where the text is. Throws `invalid-field`. */
+/** Parses a non-negative integer; returns undefined if `text` is undefined. Throws `invalid-field`. */
 export function readWholeNumber(what: string, text: string | undefined): number | undefined {
   if (text === undefined) return undefined
-  if (wholeNumber.test(text)) return Number(text)
+  if (integerPattern.test(text)) return Number(text)
   throw new NettlespurError('invalid-field', `${what}: must be a whole number, not ${quote(text)}`)
 }
 
-/** A query parameter; undefined where it is absent. */
+/** Returns a query parameter, or undefined if it is absent. */
 export function readQuery(request: HttpRequest, name: string): string | undefined {
   return request.query.get(name) ?? undefined
 }
--- a/entry/service/src/requestRoutes.ts
+++ b/entry/service/src/requestRoutes.ts
@@ -1,4 +1,4 @@
-/** Short requests: the upstream's answer comes back whole. */
+/** The route for short requests, which returns the upstream's complete answer. */
 import { idempotencyKeySchema, requestHeaders, taskHeaders } from '@nettlespur/api.schemas'
 import { NettlespurError, tryAsync, unwrap } from '@nettlespur/core.errors'
 import type { ShortAnswer } from '@nettlespur/entry.requests'
@@ -6,7 +6,7 @@
 import type { EntryContext } from './entryContext.js'
 import { readHeader, readWholeNumber } from './readParts.js'
 
-const longestDeadlineMs = 3_600_000
+const deadlineMaxMs = 3_600_000
 const upstreamHeader = 'nettlespur-upstream-id'
 
 export function createRequestRoutes(context: EntryContext): Route[] {
@@ -42,8 +42,8 @@
 function readDeadlineMs(request: HttpRequest): number | undefined {
   const name = requestHeaders.deadlineMs
   const deadlineMs = readWholeNumber(`header ${name}`, request.header(name))
-  if (deadlineMs === undefined || deadlineMs <= longestDeadlineMs) return deadlineMs
-  throw new NettlespurError('invalid-field', `header ${name}: must be at most ${longestDeadlineMs}`)
+  if (deadlineMs === undefined || deadlineMs <= deadlineMaxMs) return deadlineMs
+  throw new NettlespurError('invalid-field', `header ${name}: must be at most ${deadlineMaxMs}`)
 }
 
 function readRepeatable(request: HttpRequest): boolean {
--- a/entry/service/src/statusRoutes.ts
+++ b/entry/service/src/statusRoutes.ts
@@ -1,4 +1,4 @@
-/** Health for the balancer, figures, and the state of the cluster for operators. */
+/** Routes for health checks and metrics, and for operators to read the state of the cluster. */
 import { tryAsync } from '@nettlespur/core.errors'
 import type { HttpReply, HttpRequest, Route } from '@nettlespur/net.server'
 import { askControl } from './askControl.js'
@@ -51,8 +51,8 @@
 }
 
 function getReadiness(context: EntryContext): Promise<HttpReply> {
-  const fault = context.drain.readinessFault() ?? context.view.lease.getRefusal()
-  if (fault !== undefined) return Promise.reject(fault)
+  const error = context.drain.readinessFault() ?? context.view.lease.getRefusal()
+  if (error !== undefined) return Promise.reject(error)
   return Promise.resolve({ status: 200, json: { ready: true } })
 }
 
--- a/entry/service/src/upstreamRoutes.ts
+++ b/entry/service/src/upstreamRoutes.ts
@@ -1,4 +1,4 @@
-/** Upstreams announce themselves; operators list them. */
+/** Routes with which upstreams announce themselves and operators list them. */
 import { announcementSchema, identifierSchema } from '@nettlespur/api.schemas'
 import { tryAsync, unwrap } from '@nettlespur/core.errors'
 import type { HttpReply, HttpRequest, Route } from '@nettlespur/net.server'
--- a/entry/service/test/announcementRelay.test.ts
+++ b/entry/service/test/announcementRelay.test.ts
@@ -44,7 +44,7 @@
   return { taskId: 't1', fence: 1, state, cpuCoresUsed }
 }
 
-test('a change is passed on at once; what only repeats goes together once a second', async (t) => {
+test('a changed announcement is forwarded at once, and unchanged ones are batched once a second', async (t) => {
   const { clock, control, relay, stop } = await start()
   relay.receive('u1', createAnnouncement({ tasks: [createTask('running', 1)] }))
   relay.receive('u2', createAnnouncement())
@@ -66,7 +66,7 @@
   await stop()
 })
 
-test('what could not be passed on is tried again, but never after something newer', async (t) => {
+test('an announcement that could not be forwarded is retried, unless a newer one has arrived', async (t) => {
   const { clock, control, relay, stop } = await start()
   control.failure = 'unreachable'
   relay.receive('u1', createAnnouncement())
@@ -82,7 +82,7 @@
   await stop()
 })
 
-test('a stop passes on what still waits', async (t) => {
+test('a stop forwards the announcements that are still queued', async (t) => {
   const { clock, control, relay, stop } = await start()
   relay.receive('u1', createAnnouncement())
   await clock.advance(callMs)
--- a/entry/service/test/badInput.test.ts
+++ b/entry/service/test/badInput.test.ts
@@ -4,7 +4,7 @@
 import fc from 'fast-check'
 import { goodJob, readJson, startService, type SendOptions, type Service } from './startService.js'
 
-/** A call that is right until something is made wrong with it. */
+/** A valid call, of which each case changes one part. */
 interface Call {
   readonly method: string
   readonly path: string
@@ -78,7 +78,7 @@
   noKey: (call) => ({ sent: change(call, { key: undefined }), status: 401, kind: 'unauthorized' }),
 }
 
-test('bad input of each kind gets its own 4xx, did not run, and changes nothing', async (t) => {
+test('each kind of invalid input is answered with its own 4xx and `ran: no`, and changes nothing', async (t) => {
   const service = await startService(t)
   const calls = createCalls(service)
   const chosen = fc.record({
@@ -107,7 +107,7 @@
   }
 })
 
-test('an unknown workspace looks like a wrong key to whoever has no right one', async (t) => {
+test('a caller without a valid key cannot tell an unknown workspace from a wrong key', async (t) => {
   const { send, keys, control } = await startService(t)
   const job = (workspace: string, key: string) =>
     send('POST', '/v1/jobs', { key, body: JSON.stringify({ ...goodJob, workspace }) })
@@ -119,7 +119,7 @@
   t.is(control.changes, 0)
 })
 
-test('a key of one role opens nothing of another', async (t) => {
+test('a key of one role is rejected on the routes of the others', async (t) => {
   const { send, keys } = await startService(t)
   for (const path of ['/v1/contracts', '/v1/status', '/v1/report', '/v1/upstreams']) {
     t.is((await send('GET', path, { key: keys.caller })).status, 401, path)
@@ -131,7 +131,7 @@
   t.is(announced.status, 401)
 })
 
-test('headers of a short request are checked before it is routed', async (t) => {
+test('the headers of a short request are validated before it is routed', async (t) => {
   const { send, keys, router } = await startService(t)
   const good = { 'nettlespur-workspace': 'thapa' }
   const bad: Record<string, string>[] = [
--- a/entry/service/test/memberRoutes.test.ts
+++ b/entry/service/test/memberRoutes.test.ts
@@ -3,7 +3,7 @@
 
 const member = { memberId: 'c4', peerAddress: '127.0.0.1:7604', dataCentre: 'dc4' }
 
-test('an operator adds, lists and removes control instances; nobody else does', async (t) => {
+test('only operators may add, list and remove control instances', async (t) => {
   const { send, keys, control } = await startService(t)
   const body = JSON.stringify(member)
   const operator = { key: keys.operator }
--- a/entry/service/test/routes.test.ts
+++ b/entry/service/test/routes.test.ts
@@ -11,7 +11,7 @@
   return String(readJson(answer).jobId)
 }
 
-test('a job is accepted, looked at, waited for and answered whole', async (t) => {
+test('a job is accepted, its state is read, and a waiting caller gets its complete answer', async (t) => {
   const service = await startService(t)
   const { send, keys, control } = service
   const get = (path: string) => send('GET', path, { key: keys.caller, headers: workspace })
@@ -29,7 +29,7 @@
   t.deepEqual(readJson(await get(`/v1/jobs/${jobId}/answer`)), answer, 'it can be collected again')
 })
 
-test('a job that ended without an answer says honestly how', async (t) => {
+test('the error for a job that ended without an answer says how it ended', async (t) => {
   const service = await startService(t)
   const { send, keys, control } = service
   const startedAt = new Date(0).toISOString()
@@ -51,7 +51,7 @@
   }
 })
 
-test('a read that control did not answer claims nothing about the job', async (t) => {
+test('a read that control does not answer is reported as unreachable', async (t) => {
   const clock = new ManualClock()
   const service = await startService(t, clock)
   const jobId = await submit(service)
@@ -69,7 +69,7 @@
   t.like(readJson(answer), { kind: 'unreachable', ran: 'no' })
 })
 
-test('a contract change needs its revision and its id, and matches its path', async (t) => {
+test('a contract change requires a revision and a change id, and the workspace of its path', async (t) => {
   const { send, keys, control } = await startService(t)
   const put = (headers: Record<string, string>, path = 'thapa') =>
     send('PUT', `/v1/contracts/${path}`, {
@@ -92,7 +92,7 @@
   t.like(readJson(await put(whole)), { revision: 2 })
 })
 
-test('waiting for a change to be in force ends when every live entry has it', async (t) => {
+test('waiting for a change ends once every live entry enforces it', async (t) => {
   const { send, keys, control } = await startService(t)
   control.notYetInForceAt = ['entry-2']
   const waiting = send('PUT', '/v1/contracts/thapa?wait=in-force', {
@@ -108,7 +108,7 @@
   t.like(readJson(await waiting), { revision: 2, inForce: true, inForceAt: ['entry-1'] })
 })
 
-test('an expired contract lease refuses every caller and readiness, not operators', async (t) => {
+test('with an expired contract lease an entry refuses callers and is not ready, but serves operators', async (t) => {
   const { send, keys, view, control } = await startService(t)
   t.is((await send('GET', '/readyz')).status, 200)
   view.lease.end()
@@ -129,7 +129,7 @@
   t.is(control.changes, 0)
 })
 
-test('a short request reaches the router as sent, and its answer comes back whole', async (t) => {
+test('a short request reaches the router unchanged, and the caller gets the complete answer', async (t) => {
   const { send, keys, router } = await startService(t)
   const headers = {
     ...workspace,
@@ -148,7 +148,7 @@
   t.like(router.requests[0], { workspace: 'thapa', key: 'span-7', repeatable: true })
 })
 
-test('while new work is refused the balancer is told, and announcements are still taken', async (t) => {
+test('while new work is refused, the entry is not ready but accepts announcements', async (t) => {
   const { send, keys, drain } = await startService(t)
   const job = () => send('POST', '/v1/jobs', { key: keys.caller, body: JSON.stringify(goodJob) })
   drain.phase.next('unready')
--- a/entry/service/test/startService.ts
+++ b/entry/service/test/startService.ts
@@ -13,7 +13,7 @@
 import type { NettlespurError } from '@nettlespur/core.errors'
 import { AccessControl, AnnouncementRelay, createEntryRoutes, DrainState } from '../src/index.js'
 
-/** Answers each request with its own body. */
+/** A router that answers each request with the request's own body. */
 export class EchoRouter extends RequestRouter {
   readonly requests: ShortRequest[] = []
 
