--- a/batch/scheduler/src/starvingUnit.ts
+++ b/batch/scheduler/src/starvingUnit.ts
@@ -5,7 +5,7 @@
 import { hasPlacements } from '@nettlespur/batch.state'
 import { PoolCapacities } from './poolCapacities.js'
 import type { Preference } from './preference.js'
-import { chooseRelaxed } from './relaxPreferences.js'
+import { chooseRelaxed } from './chooseRelaxed.js'
 import type { RoundAllocations } from './roundAllocations.js'
 import type { StartUnit } from './startUnit.js'
 
