--- a/entry/fakes/src/fakeClaims.ts
+++ b/entry/fakes/src/fakeClaims.ts
@@ -1,4 +1,4 @@
-/** Claims as the real replicated state keeps them, without a log. Any workspace may claim. */
+/** Claims in the real replicated state, without a log. Every workspace gets a contract, so that any may claim. */
 import type { Claim, ClaimChange, ClaimKey } from '@nettlespur/api.schemas'
 import { isResolved, readClaim, StateHolder, type Command } from '@nettlespur/control.state'
 import type { Clock } from '@nettlespur/core.clock'
@@ -20,28 +20,28 @@
     return this.holder.state.getClaim(key)
   }
 
-  /** Each with its own result, as control gives it. */
+  /** Applies the changes, and returns a result for each, as control does. */
   changeAll(changes: readonly ClaimChange[]): Promise<RpcResult<Claim>[]> {
     const commit = (change: ClaimChange): Promise<RpcResult<Claim>> =>
       toRpcResult(tryAsync(() => Promise.resolve(this.change(change))))
     return Promise.all(changes.map(commit))
   }
 
-  /** Throws what the state refuses. */
+  /** Errors: throws those of the state. */
   change(change: ClaimChange): Claim {
-    this.#admit(change.workspace)
+    this.#ensureContract(change.workspace)
     return this.apply({ type: 'claim.change', at: this.#now(), change, lifetimeMs })
   }
 
   /** Resolves once the outcome of a claim is known, or after `waitMs`. */
   async awaitOutcome(key: ClaimKey, waitMs: number): Promise<void> {
-    const known = new AbortController()
-    const watching = this.holder.applied.subscribe(() => {
+    const resolved = new AbortController()
+    const subscription = this.holder.applied.subscribe(() => {
       const claim = this.get(key)
-      if (claim === undefined || isResolved(claim)) known.abort()
+      if (claim === undefined || isResolved(claim)) resolved.abort()
     })
-    if (waitMs > 0) await this.#clock.sleep(waitMs, known.signal)
-    watching.unsubscribe()
+    if (waitMs > 0) await this.#clock.sleep(waitMs, resolved.signal)
+    subscription.unsubscribe()
   }
 
   apply(command: Command): Claim {
@@ -53,7 +53,7 @@
       .unsafeCoerce()
   }
 
-  #admit(workspace: string): void {
+  #ensureContract(workspace: string): void {
     if (this.#workspaces.has(workspace)) return
     this.#workspaces.add(workspace)
     const contract = createContract({ workspace })
--- a/entry/fakes/src/fakeControl.ts
+++ b/entry/fakes/src/fakeControl.ts
@@ -1,6 +1,6 @@
 /**
- * Control in memory, for tests of entries. It keeps contracts by compare-and-set and jobs by key, counts
- * every change it takes, and can be made unreachable or move to a new epoch.
+ * An in-memory control for tests of entries. It applies contracts by compare-and-set, keeps jobs by id, counts the changes
+ * that it applies, and can be made to fail or to start a new epoch.
  */
 import type {
   Claim,
@@ -32,18 +32,19 @@
 import type { Clock } from '@nettlespur/core.clock'
 import { NettlespurError, tryAsync, type ErrorKind, type RpcResult } from '@nettlespur/core.errors'
 import type { EitherAsync } from 'purify-ts'
-import { BehaviorSubject } from 'rxjs'
+import { emptyReport } from './emptyReport.js'
 import { FakeClaims } from './fakeClaims.js'
 import { FakeJobs } from './fakeJobs.js'
+import { StateVersion } from './stateVersion.js'
 
-const fullLeaseMs = 4000
+const defaultContractLeaseMs = 4000
 
 export class FakeControl extends ControlApi {
-  contractLeaseMs = fullLeaseMs
+  contractLeaseMs = defaultContractLeaseMs
   epoch = 'first'
-  /** Set, every call fails with this kind. */
+  /** If set, every call fails with this kind of error. */
   failure: ErrorKind | undefined
-  /** Changes taken: contracts, jobs, cancellations and announcements. */
+  /** Number of changes applied: contracts, jobs, cancellations, announcements and members. */
   changes = 0
   readonly announced: Announcements[] = []
   readonly watched: WatchRequest[] = []
@@ -52,17 +53,18 @@
   readonly claims: FakeClaims
   entries: EntryIdentity[] = []
   members: MemberView[] = []
-  /** Entries that a contract view says do not enforce it yet. */
+  /** Ids of the entries that contract views list as not enforcing the contract yet. */
   notYetInForceAt: string[] = []
   readonly #clock: Clock
   readonly #jobs = new FakeJobs()
-  readonly #version = new BehaviorSubject(0)
+  readonly #version: StateVersion
   #changeIndex = 0
 
   constructor(clock: Clock) {
     super()
     this.#clock = clock
     this.claims = new FakeClaims(clock)
+    this.#version = new StateVersion(clock)
   }
 
   get jobs(): ReadonlyMap<string, JobOutcome> {
@@ -73,16 +75,16 @@
     const revision = (this.contracts.get(contract.workspace)?.revision ?? 0) + 1
     const record = { contract, revision, changeIndex: ++this.#changeIndex }
     this.contracts.set(contract.workspace, record)
-    this.#version.next(this.#version.value + 1)
+    this.#version.increment()
     return record
   }
 
   putUpstream(upstream: UpstreamView): void {
     this.upstreams.set(upstream.upstreamId, upstream)
-    this.#version.next(this.#version.value + 1)
+    this.#version.increment()
   }
 
-  /** Everything it holds, as an entry that knows nothing gets it. */
+  /** Returns the whole state, as an entry gets it that holds none yet. */
   createUpdate(): ClusterUpdate {
     return {
       epoch: this.epoch,
@@ -126,10 +128,10 @@
     })
   }
 
-  /** Ends or moves a job, for a test. */
+  /** Changes a job's state, on behalf of a test. */
   setJob(jobId: string, change: Partial<JobView>, answer?: JobAnswer): void {
     this.#jobs.change(jobId, change, answer)
-    this.#version.next(this.#version.value + 1)
+    this.#version.increment()
   }
 
   getJob(reference: JobReference): EitherAsync<NettlespurError, JobView> {
@@ -140,7 +142,8 @@
     return tryAsync(async () => {
       this.#requireReachable()
       const before = this.#jobs.find(request)
-      if (request.waitMs > 0 && before.answer === undefined) await this.#change(request.waitMs)
+      if (request.waitMs > 0 && before.answer === undefined)
+        await this.#version.awaitChange(request.waitMs)
       return this.#jobs.find(request)
     })
   }
@@ -189,9 +192,9 @@
     return tryAsync(async () => {
       this.#requireReachable()
       this.watched.push(request)
-      const current =
+      const isCurrent =
         request.epoch === this.epoch && request.upstreamVersion === this.#version.value
-      if (current && request.waitMs > 0) await this.#change(request.waitMs)
+      if (isCurrent && request.waitMs > 0) await this.#version.awaitChange(request.waitMs)
       this.#requireReachable()
       return this.createUpdate()
     })
@@ -231,12 +234,7 @@
   }
 
   getReport(): EitherAsync<NettlespurError, ClusterReport> {
-    const completion = { count: 0, meanMs: 0, p50Ms: 0, p99Ms: 0 }
-    return this.#answer(() => ({
-      cluster: { completion, freeAccelerators: 0, totalAccelerators: 0 },
-      workspaces: [],
-      fragmentation: [],
-    }))
+    return this.#answer(() => emptyReport)
   }
 
   #answer<T>(run: () => T): EitherAsync<NettlespurError, T> {
@@ -247,17 +245,7 @@
   }
 
   #requireReachable(): void {
-    if (this.failure !== undefined) throw new NettlespurError(this.failure, 'made to fail')
-  }
-
-  /** Resolves at the next change, or after `waitMs`. */
-  async #change(waitMs: number): Promise<void> {
-    const changed = new AbortController()
-    const before = this.#version.value
-    const watching = this.#version.subscribe((version) => {
-      if (version !== before) changed.abort()
-    })
-    await this.#clock.sleep(waitMs, changed.signal)
-    watching.unsubscribe()
+    if (this.failure !== undefined)
+      throw new NettlespurError(this.failure, 'the test made this call fail')
   }
 }
--- a/entry/fakes/src/fakeJobs.ts
+++ b/entry/fakes/src/fakeJobs.ts
@@ -1,4 +1,4 @@
-/** The jobs of a fake control: each is kept as a test or a caller left it. */
+/** The jobs of a fake control. They change only through calls and through the test: nothing runs them. */
 import type { JobAnswer, JobRequest, JobView } from '@nettlespur/api.schemas'
 import type { JobOutcome, JobReference } from '@nettlespur/control.api'
 import { NettlespurError } from '@nettlespur/core.errors'
--- a/entry/fakes/src/fakeUpstream.ts
+++ b/entry/fakes/src/fakeUpstream.ts
@@ -1,24 +1,21 @@
-/**
- * An upstream that runs short requests over HTTP as a test tells it to. It keeps what it received; the
- * test decides when and how each is answered.
- */
+/** A fake upstream that receives short requests over HTTP and records them; the test decides when and how each is answered. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { taskHeaders } from '@nettlespur/api.schemas'
 import { createHttpServer, type HttpServer } from '@nettlespur/net.server'
 import { BehaviorSubject, filter, firstValueFrom } from 'rxjs'
 
-/** One request that arrived, to be answered by the test. */
+/** A short request that arrived and that the test answers. */
 export interface ReceivedTask {
   readonly taskId: string
   readonly attempt: string
   readonly body: string
-  /** Answers whole, under the task's own id and attempt unless told otherwise. */
+  /** Sends a complete answer, with the task's own id and attempt unless `headers` replace them. */
   answer(body: string, headers?: Record<string, string>, status?: number): void
-  /** Answers whole but in chunks, without stating a length. */
+  /** Sends a complete answer in chunks, without a content length. */
   answerChunked(body: string): void
-  /** Refuses it as not run. */
+  /** Refuses the request with `ran: no`. */
   refuse(): void
-  /** Sends the head and a part of the body, then cuts the connection. */
+  /** Sends the head and a part of the body, then closes the connection. */
   truncate(): void
 }
 
@@ -30,26 +27,26 @@
     this.#server = server
   }
 
-  /** Answers each task by `answer`, if given; otherwise the test does. */
+  /** Starts the fake; if `answer` is given, it is called with each task. */
   static async start(answer?: (task: ReceivedTask) => void): Promise<FakeUpstream> {
-    const take: { into?: FakeUpstream } = {}
+    const started: { upstream?: FakeUpstream } = {}
     const server = await createHttpServer({
       address: '127.0.0.1:0',
       routes: [],
       fallback: (request, response) => {
         if (request.url?.endsWith('/run') !== true) {
-          answerQuestion(response)
+          answerUnknownRoute(response)
           return
         }
         void readTask(request, response).then((task) => {
-          const { received } = take.into ?? { received: undefined }
+          const { received } = started.upstream ?? { received: undefined }
           received?.next([...received.value, task])
           answer?.(task)
         })
       },
     })
-    take.into = new FakeUpstream(server)
-    return take.into
+    started.upstream = new FakeUpstream(server)
+    return started.upstream
   }
 
   get address(): string {
@@ -68,8 +65,8 @@
   }
 }
 
-/** It remembers nothing of its tasks that could be asked for. */
-function answerQuestion(response: ServerResponse): void {
+/** Answers all calls but runs as unknown: the fake keeps no state of its tasks that could be queried. */
+function answerUnknownRoute(response: ServerResponse): void {
   response.writeHead(404, { 'content-type': 'application/json' })
   response.end(JSON.stringify({ kind: 'unknown-route', message: 'no such call', ran: 'no' }))
 }
@@ -79,18 +76,18 @@
   for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk)
   const taskId = String(request.headers[taskHeaders.taskId])
   const attempt = String(request.headers[taskHeaders.attempt])
-  const own = { [taskHeaders.taskId]: taskId, [taskHeaders.attempt]: attempt }
+  const taskHeaderValues = { [taskHeaders.taskId]: taskId, [taskHeaders.attempt]: attempt }
   return {
     taskId,
     attempt,
     body: Buffer.concat(chunks).toString('utf8'),
     answer: (body, headers = {}, status = 200) => {
       const length = { 'content-length': String(Buffer.byteLength(body)) }
-      response.writeHead(status, { ...own, ...length, ...headers })
+      response.writeHead(status, { ...taskHeaderValues, ...length, ...headers })
       response.end(body)
     },
     answerChunked: (body) => {
-      response.writeHead(200, own)
+      response.writeHead(200, taskHeaderValues)
       response.write(body)
       response.end()
     },
@@ -99,7 +96,7 @@
       response.end(JSON.stringify({ kind: 'upstream-refused', message: 'full', ran: 'no' }))
     },
     truncate: () => {
-      response.writeHead(200, { ...own, 'content-length': '100' })
+      response.writeHead(200, { ...taskHeaderValues, 'content-length': '100' })
       response.write('part', () => response.destroy())
     },
   }
--- a/entry/fakes/src/index.ts
+++ b/entry/fakes/src/index.ts
@@ -1,4 +1,4 @@
-/** Small fakes at the entry's interfaces, for tests. */
+/** Fakes of the processes that an entry talks to, for tests. */
 export { FakeClaims } from './fakeClaims.js'
 export { FakeControl } from './fakeControl.js'
 export { FakeUpstream, type ReceivedTask } from './fakeUpstream.js'
--- a/entry/fakes/src/recordingLogger.ts
+++ b/entry/fakes/src/recordingLogger.ts
@@ -1,4 +1,4 @@
-/** A logger that keeps its events for a test to look at. */
+/** A logger that records its events for tests. */
 import type { LogEvent, Logger } from '@nettlespur/core.logger'
 
 export class RecordingLogger implements Logger {
--- a/entry/fakes/src/samples.ts
+++ b/entry/fakes/src/samples.ts
@@ -1,4 +1,4 @@
-/** Samples with the limits that tests of entries count on. */
+/** Sample contracts with limits high enough that tests of entries reach only those that they set themselves. */
 import { createContract as createSample } from '@nettlespur/api.samples'
 import type { Contract } from '@nettlespur/api.schemas'
 
