perf: count the usable upstreams only for a line of the log

The leader counted them in each round, though only job.starving says so: one more pass over all upstreams a round, on top of the one that builds the view. No decision changes; the tests of the watch check the same lines.

--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -3,12 +3,7 @@
  * tasks start where and which runs are preempted. Placements are committed before the start orders are sent.
  */
 import { runFields, runKey } from '@nettlespur/batch.model'
-import {
-  planRound,
-  type Preemption,
-  type RoundDecision,
-  type StarvingUnit,
-} from '@nettlespur/batch.scheduler'
+import { planRound, type Preemption, type RoundDecision } from '@nettlespur/batch.scheduler'
 import type { BatchState, Command, Placement } from '@nettlespur/batch.state'
 import { Wake, type Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
@@ -57,7 +52,13 @@
 
   constructor(opts: SchedulingRoundsOptions) {
     this.#opts = opts
-    this.#starvationWatch = new StarvationWatch(opts)
+    this.#starvationWatch = new StarvationWatch({
+      ...opts,
+      countUpstreams: () => ({
+        usableUpstreams: opts.roster.countUsable(opts.getState()),
+        knownUpstreams: opts.getState().upstreams.size,
+      }),
+    })
     this.#housekeeper = new Housekeeper({ ...opts, keepEndedMs: opts.timings.keepEndedMs })
   }
 
@@ -81,7 +82,7 @@
     const nowMs = clock.monotonicMs()
     this.#evacuate(nowMs)
     const { placements, preemptions, starving } = this.#plan(nowMs)
-    this.#noteStarving(starving, nowMs)
+    this.#starvationWatch.noteRound(starving, nowMs)
     const tookMs = clock.monotonicMs() - nowMs
     metrics.recordMs('scheduling_round_ms', tookMs)
     this.#preempt(preemptions)
@@ -105,14 +106,6 @@
     return planRound(view)
   }
 
-  #noteStarving(starving: readonly StarvingUnit[], nowMs: number): void {
-    const { getState, roster } = this.#opts
-    const state = getState()
-    const usableUpstreams = roster.countUsable(state)
-    const knownUpstreams = state.upstreams.size
-    this.#starvationWatch.noteRound(starving, { nowMs, usableUpstreams, knownUpstreams })
-  }
-
   /** Stops runs that cannot end before their upstream leaves, so that they start again elsewhere. */
   #evacuate(nowMs: number): void {
     const { roster, preempt } = this.#opts
--- a/batch/service/src/starvationWatch.ts
+++ b/batch/service/src/starvationWatch.ts
@@ -14,50 +14,55 @@
 const explainedPerRoundMax = 3
 const wholePercent = 100
 
-export interface StarvationContext {
-  readonly nowMs: number
-  /** Upstreams that may get new work, and those that the state holds. */
+export interface UpstreamCounts {
+  /** Upstreams that may get new work. */
   readonly usableUpstreams: number
+  /** Upstreams that the state holds. */
   readonly knownUpstreams: number
 }
 
+export interface StarvationWatchOptions {
+  logger: Logger
+  metrics: MetricsRegistry
+  /** Called only when a line is logged, as it goes over all upstreams. */
+  countUpstreams: () => UpstreamCounts
+}
+
 export class StarvationWatch {
   readonly times = new StarvationTimes()
-  readonly #logger: Logger
-  readonly #metrics: MetricsRegistry
+  readonly #opts: StarvationWatchOptions
   /** The reason logged last, by unit. */
   readonly #logged = new Map<string, StarvationReason>()
 
-  constructor({ logger, metrics }: { logger: Logger; metrics: MetricsRegistry }) {
-    this.#logger = logger
-    this.#metrics = metrics
+  constructor(opts: StarvationWatchOptions) {
+    this.#opts = opts
   }
 
   /** Call it after each round, with all units that starve then. */
-  noteRound(starving: readonly StarvingUnit[], context: StarvationContext): void {
-    const ended = this.times.noteRound(starving, context.nowMs)
-    for (const starvedMs of ended) this.#metrics.recordMs('unit_starved_ms', starvedMs)
+  noteRound(starving: readonly StarvingUnit[], nowMs: number): void {
+    const ended = this.times.noteRound(starving, nowMs)
+    for (const starvedMs of ended) this.#opts.metrics.recordMs('unit_starved_ms', starvedMs)
     const keys = new Set(starving.map(unitKey))
     for (const key of this.#logged.keys()) if (!keys.has(key)) this.#logged.delete(key)
     const isLong = (unit: StarvingUnit): boolean =>
-      this.times.starvedMs(unit, context.nowMs) >= loggedAfterMs
+      this.times.starvedMs(unit, nowMs) >= loggedAfterMs
     const longest = starving.filter(isLong).slice(0, explainedPerRoundMax)
-    for (const unit of longest) this.#logIfChanged(unit, context)
+    for (const unit of longest) this.#logIfChanged(unit, nowMs)
   }
 
-  #logIfChanged(unit: StarvingUnit, { nowMs, ...upstreams }: StarvationContext): void {
+  #logIfChanged(unit: StarvingUnit, nowMs: number): void {
     const reason = unit.explain()
     if (this.#logged.get(unitKey(unit)) === reason) return
     this.#logged.set(unitKey(unit), reason)
     const { jobId, step, freeShare } = unit
-    this.#logger.info({
+    this.#opts.logger.info({
       event: 'job.starving',
       jobId,
       step,
       reason,
       starvedMs: Math.round(this.times.starvedMs(unit, nowMs)),
       freePercent: Math.round(freeShare * wholePercent),
-      ...upstreams,
+      ...this.#opts.countUpstreams(),
     })
   }
 }
--- a/batch/service/test/starvationWatch.test.ts
+++ b/batch/service/test/starvationWatch.test.ts
@@ -5,7 +5,7 @@
 import { createRecorder, FakeFleet } from '../__utils__/index.js'
 import { StarvationWatch } from '../src/starvationWatch.js'
 
-const upstreams = { usableUpstreams: 3, knownUpstreams: 4 }
+const countUpstreams = () => ({ usableUpstreams: 3, knownUpstreams: 4 })
 
 function createStarving(jobId: string, reason: StarvationReason): StarvingUnit {
   return { jobId, step: 0, freeShare: 0.75, explain: () => reason }
@@ -13,27 +13,27 @@
 
 test('a unit that starves for a second is logged once, and again only when the reason changes', (t) => {
   const { logger, metrics, findEvents } = createRecorder()
-  const watch = new StarvationWatch({ logger, metrics })
+  const watch = new StarvationWatch({ logger, metrics, countUpstreams })
   const reasons: StarvationReason[] = ['data-rack', 'data-rack', 'reservation', 'reservation']
   reasons.forEach((reason, at) => {
-    watch.noteRound([createStarving('j', reason)], { nowMs: at * 900, ...upstreams })
+    watch.noteRound([createStarving('j', reason)], at * 900)
   })
   t.deepEqual(
     findEvents('job.starving').map(({ reason, starvedMs }) => [reason, starvedMs]),
     [['reservation', 1800]],
   )
   t.like(findEvents('job.starving')[0], { freePercent: 75, usableUpstreams: 3 })
-  watch.noteRound([], { nowMs: 4000, ...upstreams })
-  watch.noteRound([createStarving('j', 'one-rack')], { nowMs: 5000, ...upstreams })
-  watch.noteRound([createStarving('j', 'one-rack')], { nowMs: 6000, ...upstreams })
+  watch.noteRound([], 4000)
+  watch.noteRound([createStarving('j', 'one-rack')], 5000)
+  watch.noteRound([createStarving('j', 'one-rack')], 6000)
   t.is(findEvents('job.starving').length, 2)
 })
 
 test('a round explains no more than a few of many starving units', (t) => {
   const { logger, metrics, findEvents } = createRecorder()
-  const watch = new StarvationWatch({ logger, metrics })
+  const watch = new StarvationWatch({ logger, metrics, countUpstreams })
   const starving = Array.from({ length: 100 }, (_, at) => createStarving(`j${at}`, 'one-rack'))
-  for (const nowMs of [0, 1000]) watch.noteRound(starving, { nowMs, ...upstreams })
+  for (const nowMs of [0, 1000]) watch.noteRound(starving, nowMs)
   t.is(findEvents('job.starving').length, 3)
 })
 
