perf: one search tells whether relaxing preferences would help at all

A starving unit that no upstreams have room for cost five searches a round, and guaranteed work without preferred racks two where one does. Relaxing only adds upstreams, so a search with all preferences relaxed decides.

--- a/batch/scheduler/src/chooseRelaxed.ts
+++ b/batch/scheduler/src/chooseRelaxed.ts
@@ -4,6 +4,8 @@
 import type { RoundAllocations } from './roundAllocations.js'
 import type { StartUnit } from './startUnit.js'
 
+const allPreferences: ReadonlySet<Preference> = new Set(preferences)
+
 export interface RelaxedChoice {
   /** An upstream for each task that can start. */
   readonly upstreamIds: readonly string[]
@@ -16,11 +18,14 @@
   unit: StartUnit,
   allocations: RoundAllocations,
 ): RelaxedChoice | undefined {
+  const choose = (relaxed: ReadonlySet<Preference>): readonly string[] =>
+    chooseUpstreams({ ...unit, relaxed, isOnTrial: false }, allocations)
+  // Each relaxed preference only adds upstreams, so one search tells whether the others are worth while.
+  if (choose(allPreferences).length === 0) return undefined
   const relaxed = new Set(unit.relaxed)
   for (const preference of preferences) {
-    if (relaxed.has(preference)) continue
     relaxed.add(preference)
-    const upstreamIds = chooseUpstreams({ ...unit, relaxed, isOnTrial: false }, allocations)
+    const upstreamIds = choose(relaxed)
     if (upstreamIds.length > 0) return { upstreamIds, relaxed: preference }
   }
   return undefined
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -45,8 +45,10 @@
   return round.finish()
 }
 
-function hasWaitedForGuarantee({ isGuaranteed, waitedMs }: RankedUnit): boolean {
-  return isGuaranteed && waitedMs >= guaranteedPreferenceWaitMs
+/** Whether the unit may claim its guarantee in racks that it does not prefer. */
+function mayClaimAnyRack({ isGuaranteed, waitedMs, step }: RankedUnit): boolean {
+  const prefersRacks = step.prefersOneRack || step.dataRack !== undefined
+  return isGuaranteed && prefersRacks && waitedMs >= guaranteedPreferenceWaitMs
 }
 
 function toAnyRack(unit: RankedUnit): RankedUnit {
@@ -100,7 +102,7 @@
       return this.#chooseUpstreams({ ...unit, isOnTrial: false })
     }
     if (upstreamIds.length > 0) return upstreamIds
-    if (hasWaitedForGuarantee(unit)) {
+    if (mayClaimAnyRack(unit)) {
       const inAnyRack = chooseUpstreams(toAnyRack(unit), this.#allocations)
       if (inAnyRack.length > 0) return inAnyRack
     }
@@ -158,9 +160,7 @@
     const search = { allocations: this.#allocations, victims, costMaxCoreSeconds }
     const choice =
       chooseVictims({ ...search, unit }) ??
-      (hasWaitedForGuarantee(unit)
-        ? chooseVictims({ ...search, unit: toAnyRack(unit) })
-        : undefined)
+      (mayClaimAnyRack(unit) ? chooseVictims({ ...search, unit: toAnyRack(unit) }) : undefined)
     if (choice === undefined) return false
     if (choice.victims.length > 0) this.#victims = victims.without(choice.victims)
     for (const group of choice.victims) this.#preempt(group, unit)
