--- a/bench/placement/src/measureTraces.ts
+++ b/bench/placement/src/measureTraces.ts
@@ -7,7 +7,8 @@
 import { FirstFitPolicy } from './firstFitPolicy.js'
 import type { Row } from './row.js'
 import { createTrace, type Trace } from './trace.js'
-import { TraceRun, type FinishedJob, type TraceResult } from './traceRun.js'
+import type { FinishedJob, TraceResult } from './traceResult.js'
+import { TraceRun } from './traceRun.js'
 
 /** Gangs that fill an upstream or more. */
 const largeAccelerators = 8
--- a/bench/placement/src/traceRun.ts
+++ b/bench/placement/src/traceRun.ts
@@ -1,6 +1,6 @@
 /**
- * Runs a trace against one policy on a manual clock. Upstreams are as small as they can be: they hold gangs
- * until these have run their time, stop them after a while, and fail or vanish as the trace says.
+ * Runs a trace against one policy on a manual clock. Its upstreams hold gangs until their run time is over, stop them with a
+ * delay, and fail or leave as the trace says.
  */
 import { ManualClock } from '@nettlespur/core.clock'
 import {
@@ -9,57 +9,29 @@
   type PlacementPolicy,
   type PlacementView,
 } from '@nettlespur/placement.engine'
-import type { Block, RunningGang } from '@nettlespur/placement.topology'
+import type { Block } from '@nettlespur/placement.topology'
+import type { LiveJob } from './liveJob.js'
 import type { Trace, TraceJob } from './trace.js'
+import type { FinishedJob, TraceResult } from './traceResult.js'
 import { TraceSamples } from './traceSamples.js'
+import { TraceUpstreams } from './traceUpstreams.js'
 
 const checkpointMs = 10_000
 const stopMs = 2000
 const resumeMs = 15_000
 const failAfterMs = 20_000
 const retryAfterMs = 30_000
-const quarantineAfterFailures = 3
 const tickMs = 60_000
 /** Time after the window in which what still waits may end. */
 const drainMs = 86_400_000
 
-interface LiveJob {
-  readonly job: TraceJob
-  queuedAtMs: number
-  retryAtMs: number
-  attempts: number
-  /** Run time done and kept by a checkpoint. */
-  doneMs: number
-  gang?: RunningGang & { readonly endMs: number; readonly fails: boolean }
-  stopAtMs?: number
-  firstStartMs?: number
-}
-
-export interface FinishedJob {
-  readonly job: TraceJob
-  readonly completionMs: number
-  /** From submission to the first start. */
-  readonly firstWaitMs: number
-}
-
-export interface TraceResult {
-  readonly finished: readonly FinishedJob[]
-  /** Jobs that ended otherwise: cancelled, failed or lost. */
-  readonly endedOtherwise: number
-  /** Jobs that still waited at the end. */
-  readonly left: number
-  readonly preemptions: number
-  readonly rounds: number
-  readonly samples: TraceSamples
-}
-
 export class TraceRun {
   readonly #trace: Trace
   readonly #policy: PlacementPolicy
   readonly #clock = new ManualClock()
   readonly #correction: RunTimeCorrection | undefined
   readonly #live = new Map<string, LiveJob>()
-  readonly #failures = new Map<string, number>()
+  readonly #upstreams: TraceUpstreams
   readonly #finished: FinishedJob[] = []
   readonly #samples: TraceSamples
   #endedOtherwise = 0
@@ -70,6 +42,7 @@
   /** With `correction` the policy is given corrected run times, without it the declared ones. */
   constructor(trace: Trace, policy: PlacementPolicy, correction?: RunTimeCorrection) {
     this.#trace = trace
+    this.#upstreams = new TraceUpstreams(trace)
     this.#policy = policy
     this.#correction = correction
     this.#samples = new TraceSamples(trace)
@@ -123,7 +96,8 @@
       const { job, gang, stopAtMs } = live
       if (gang === undefined) {
         if (this.#isDue(job.cancelMs)) this.#end(live)
-      } else if (gang.blocks.some((block) => this.#isGone(block.upstreamId))) this.#lose(live)
+      } else if (gang.blocks.some((block) => this.#upstreams.isGone(block.upstreamId, this.#nowMs)))
+        this.#lose(live)
       else if (this.#isDue(gang.endMs)) this.#finish(live)
       else if (this.#isDue(stopAtMs)) this.#stopped(live)
       else if (this.#isDue(job.cancelMs) && stopAtMs === undefined) this.#stop(live, stopMs)
@@ -145,24 +119,10 @@
     return ms !== undefined && ms <= this.#nowMs
   }
 
-  #isGone(upstreamId: string): boolean {
-    return this.#isOut(upstreamId, 'gone')
-  }
-
-  #isOut(upstreamId: string, kind: 'gone' | 'failing'): boolean {
-    return this.#trace.outages.some(
-      (outage) =>
-        outage.upstreamId === upstreamId &&
-        outage.kind === kind &&
-        outage.fromMs <= this.#nowMs &&
-        this.#nowMs < outage.untilMs,
-    )
-  }
-
   #finish(live: LiveJob): void {
     const { job, gang } = live
     if (gang?.fails === true) {
-      this.#countFailures(gang.blocks)
+      this.#upstreams.countFailures(gang.blocks, this.#nowMs)
       this.#lose(live)
       return
     }
@@ -173,13 +133,6 @@
     this.#live.delete(job.jobId)
   }
 
-  #countFailures(blocks: readonly Block[]): void {
-    for (const { upstreamId } of blocks) {
-      if (!this.#isOut(upstreamId, 'failing')) continue
-      this.#failures.set(upstreamId, (this.#failures.get(upstreamId) ?? 0) + 1)
-    }
-  }
-
   /** What may be run again is; the rest has ended. */
   #lose(live: LiveJob): void {
     if (live.job.stoppability === 'never' || this.#isDue(live.job.cancelMs)) this.#end(live)
@@ -242,7 +195,7 @@
 
   #start(live: LiveJob, blocks: readonly Block[]): void {
     const { job } = live
-    const fails = blocks.some((block) => this.#isOut(block.upstreamId, 'failing'))
+    const fails = blocks.some((block) => this.#upstreams.isFailing(block.upstreamId, this.#nowMs))
     const overheadMs = live.attempts > 0 ? resumeMs : 0
     const leftMs = fails ? failAfterMs : job.runTimeMs - live.doneMs + overheadMs
     live.attempts += 1
@@ -269,14 +222,7 @@
     const live = [...this.#live.values()]
     return {
       nowMs,
-      upstreams: this.#trace.upstreams.map((upstream) => {
-        const { upstreamId } = upstream
-        if (this.#isGone(upstreamId)) return { ...upstream, state: 'gone' }
-        const isQuarantined =
-          (this.#failures.get(upstreamId) ?? 0) >= quarantineAfterFailures &&
-          this.#isOut(upstreamId, 'failing')
-        return isQuarantined ? { ...upstream, state: 'quarantined' } : upstream
-      }),
+      upstreams: this.#upstreams.createView(nowMs),
       upstreamsKnown: true,
       running: live.flatMap(({ gang, stopAtMs }) =>
         gang === undefined ? [] : [{ ...gang, isStopping: stopAtMs !== undefined }],
--- a/entry/fakes/src/fakeControl.ts
+++ b/entry/fakes/src/fakeControl.ts
@@ -1,6 +1,6 @@
 /**
- * An in-memory control for tests of entries. It applies contracts by compare-and-set, keeps jobs by id, counts the changes
- * that it applies, and can be made to fail or to start a new epoch.
+ * An in-memory control for tests of entries. It applies contracts by compare-and-set and counts all changes. A test can
+ * let its calls fail, or start a new epoch.
  */
 import type {
   Claim,
@@ -116,8 +116,8 @@
       if (workspace !== undefined && records.length === 0) {
         throw new NettlespurError('unknown-workspace', workspace)
       }
-      const { notYetInForceAt } = this
-      return records.map((record) => ({ ...record, inForceAt: ['entry-1'], notYetInForceAt }))
+      const standing = { inForceAt: ['entry-1'], notYetInForceAt: this.notYetInForceAt }
+      return records.map((record) => ({ ...record, ...standing }))
     })
   }
 
