fix: each starving job is logged in turn, however many starve

What operators saw: nothing yet; found by reading the change again. A round explains three starving units at most, and always the first three, so those that starve for long kept a fourth out of the log: the job that an incident asks for might not be named.

Change: units that are not logged yet come first. The new test (eight units, each logged once within three rounds) fails without it; the bound of three a round and its test stay.

--- a/batch/service/src/starvationWatch.ts
+++ b/batch/service/src/starvationWatch.ts
@@ -46,8 +46,14 @@
     for (const key of this.#logged.keys()) if (!keys.has(key)) this.#logged.delete(key)
     const isLong = (unit: StarvingUnit): boolean =>
       this.times.starvedMs(unit, nowMs) >= loggedAfterMs
-    const longest = starving.filter(isLong).slice(0, explainedPerRoundMax)
-    for (const unit of longest) this.#logIfChanged(unit, nowMs)
+    const candidates = this.#putUnloggedFirst(starving.filter(isLong))
+    for (const unit of candidates.slice(0, explainedPerRoundMax)) this.#logIfChanged(unit, nowMs)
+  }
+
+  /** Otherwise a few units that starve for long would keep the others out of the log. */
+  #putUnloggedFirst(units: readonly StarvingUnit[]): StarvingUnit[] {
+    const isLogged = (unit: StarvingUnit): number => Number(this.#logged.has(unitKey(unit)))
+    return [...units].sort((left, right) => isLogged(left) - isLogged(right))
   }
 
   #logIfChanged(unit: StarvingUnit, nowMs: number): void {
--- a/batch/service/test/starvationWatch.test.ts
+++ b/batch/service/test/starvationWatch.test.ts
@@ -37,6 +37,16 @@
   t.is(findEvents('job.starving').length, 3)
 })
 
+test('each of many starving units is logged in turn, however long the first of them starve', (t) => {
+  const { logger, metrics, findEvents } = createRecorder()
+  const watch = new StarvationWatch({ logger, metrics, countUpstreams })
+  const starving = Array.from({ length: 8 }, (_, at) => createStarving(`j${at}`, 'one-rack'))
+  for (const nowMs of [0, 1000, 1100, 1200]) watch.noteRound(starving, nowMs)
+  const logged = findEvents('job.starving').map(({ jobId }) => jobId)
+  t.deepEqual(new Set(logged), new Set(starving.map(({ jobId }) => jobId)))
+  t.is(logged.length, starving.length)
+})
+
 test('the leader logs a gang that waits for other work to leave its upstreams', async (t) => {
   const { logger, findEvents } = createRecorder()
   const fleet = new FakeFleet({ clockRate: 1, lateMs: 1000, failures: [], linksMs: [1], logger })
