refactor: one function ranks a job, and the delay watch asks once a job

Rank and timing of a job were computed in orderUnits and again for victims; rankJob serves both. The watch of the random fleets evaluated each job twice a round.

--- a/batch/scheduler/__utils__/delayWatch.ts
+++ b/batch/scheduler/__utils__/delayWatch.ts
@@ -19,9 +19,12 @@
   /** Call it after each round. */
   note(fleet: Fleet): void {
     for (const [jobId, job] of fleet.state.unsettled) {
-      if (!isDelayed(job, fleet)) this.#sinceMs.delete(jobId)
+      if (!isDelayed(job, fleet)) {
+        this.#sinceMs.delete(jobId)
+        continue
+      }
       const sinceMs = this.#sinceMs.get(jobId) ?? fleet.nowMs
-      if (isDelayed(job, fleet)) this.#sinceMs.set(jobId, sinceMs)
+      this.#sinceMs.set(jobId, sinceMs)
       if (fleet.nowMs - sinceMs >= delayMaxMs) this.delayed.add(jobId)
     }
   }
--- a/batch/scheduler/src/listVictimGroups.ts
+++ b/batch/scheduler/src/listVictimGroups.ts
@@ -2,8 +2,7 @@
 import { runKey, type Resources } from '@nettlespur/batch.model'
 import type { JobRecord, Placement } from '@nettlespur/batch.state'
 import { urgentPriority } from './computeStopCostLimit.js'
-import type { JobRank } from './jobRank.js'
-import { computeTiming } from './jobTiming.js'
+import { rankJob, type JobRank } from './jobRank.js'
 import type { ActiveRun, SchedulerView } from './schedulerView.js'
 
 /** Runs that are preempted together: the running members of a gang attempt, or a single run. */
@@ -23,18 +22,16 @@
 
 /** Returns the groups by cost per accelerator, the cheapest first. */
 export function listVictimGroups(
-  { runs, jobs, acceptedAtMs, nowMs }: SchedulerView,
+  view: SchedulerView,
   guaranteed: ReadonlySet<string>,
 ): VictimGroup[] {
+  const { runs, jobs } = view
   const byId = new Map(jobs.map((job) => [job.request.jobId, job]))
   const groups = new Map<string, VictimGroup>()
   for (const run of runs) {
     const job = byId.get(run.placement.jobId)
     if (job === undefined || run.isStopping || guaranteed.has(run.placement.jobId)) continue
-    addToGroup(groups, run, job, () => {
-      const acceptedMs = acceptedAtMs.get(run.placement.jobId) ?? nowMs
-      return { job, isGuaranteed: false, ...computeTiming(job, acceptedMs, nowMs) }
-    })
+    addToGroup(groups, run, job, () => rankJob(job, view, false))
   }
   return [...groups.values()].sort(
     (left, right) => costPerAccelerator(left) - costPerAccelerator(right),
--- a/batch/scheduler/src/poolCapacities.ts
+++ b/batch/scheduler/src/poolCapacities.ts
@@ -29,8 +29,7 @@
 
   /** Whether the unit waits although its pool has ample capacity: as a whole if it is a gang, else one of its tasks. */
   isAmpleFor(unit: StartUnit): boolean {
-    const share = this.freeShareFor(unit)
-    if (share < ampleFreeShare) return false
+    if (this.freeShareFor(unit) < ampleFreeShare) return false
     const { step, waiting } = unit
     const taskCount = step.isGang ? waiting.length : 1
     const needed = selectAmount(step.needs, step.needs) * taskCount * ampleNeedsFactor
