fix: every wait of the daemons' trials ends, with a message that says for what

Cause, reproduced by stopping control for 6 s before the request is sent: the entry refuses it after 6 ms (503, contract-lease-expired, nothing has run), so the line "request.routed" that the test waits for never comes, and the wait had no bound. Ruled out: a second routed line of the warm-up request, which keeps its task id over its attempts.

The test sends the request again while it is refused and has not run, as a caller does. Waits on a condition or a log line end after 120 s with an error that names what they waited for; before, only the runner's own limit ended them, which kills the file without a verdict.

--- a/bench/capacity/src/slopes/trial.ts
+++ b/bench/capacity/src/slopes/trial.ts
@@ -125,7 +125,7 @@
   }
 
   async #waitForStatus(matches: (status: TrialStatus) => boolean): Promise<void> {
-    await waitUntil(async () => {
+    await waitUntil('the status that a trial starts from', async () => {
       const call = {
         key: this.#cluster.operatorKey,
         method: 'GET',
--- a/bench/load/src/loadTrial.ts
+++ b/bench/load/src/loadTrial.ts
@@ -32,7 +32,7 @@
     const cluster = await TrialCluster.start({ controls: 1, entries: 1, upstreams: 2 })
     const trial = new LoadTrial(cluster, createKey())
     for (const workspace of workspaces) await trial.#putContract(workspace)
-    await waitUntil(async () => {
+    await waitUntil('the first answer', async () => {
       const target = trial.throughEntry(workspaces[0] ?? '', '{}')
       return (await target.send(0)) === 'answered' ? true : undefined
     })
--- a/daemons/trial/__utils__/agreementTrial.ts
+++ b/daemons/trial/__utils__/agreementTrial.ts
@@ -48,7 +48,7 @@
   cluster: TrialCluster,
   passes: (status: Status) => boolean = () => true,
 ): Promise<Status> {
-  return waitUntil(async () => {
+  return waitUntil('a status of this kind', async () => {
     const answer = await callOperator(cluster, 'GET', '/v1/status')
     const status = answer.json as Status
     return answer.status === 200 && passes(status) ? status : undefined
@@ -100,7 +100,7 @@
   expectedRevision: number,
 ): Promise<Accepted> {
   const change = { changeId: `change-${expectedRevision}`, expectedRevision }
-  const text = await waitUntil(async () => {
+  const text = await waitUntil(`${change.changeId} to be accepted`, async () => {
     const answer = await putContract(cluster, change)
     return answer.status === 200 ? answer.text : undefined
   })
--- a/daemons/trial/__utils__/daemonProcess.ts
+++ b/daemons/trial/__utils__/daemonProcess.ts
@@ -1,6 +1,6 @@
 /**
- * One daemon as a process of its own, whose log lines a test can wait for. Nothing here waits for a time:
- * only for a line, or for the process's end.
+ * One daemon as a process of its own, whose log lines a test can wait for. A wait ends with the line, with the end of the
+ * process, or with an error that names the line.
  */
 import { spawn, type ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
@@ -17,8 +17,12 @@
 /** The fields of one log line. */
 export type LogFields = Readonly<Record<string, string>>
 
+/** Longer than a process takes beside other load, and shorter than the test runner waits. */
+const waitMaxMs = 120_000
+
 interface Waiter {
   readonly matches: (fields: LogFields) => boolean
+  readonly timer: NodeJS.Timeout
   readonly resolve: (fields: LogFields) => void
   readonly reject: (cause: Error) => void
 }
@@ -66,7 +70,12 @@
     if (this.#hasEnded)
       return Promise.reject(new Error(`it ended without ${event}:\n${this.#tail()}`))
     return new Promise((resolve, reject) => {
-      this.#waiters.add({ matches: wanted, resolve, reject })
+      const timer = setTimeout(() => {
+        this.#waiters.delete(waiter)
+        reject(new Error(`waited ${waitMaxMs} ms for ${event}:\n${this.#tail()}`))
+      }, waitMaxMs)
+      const waiter: Waiter = { matches: wanted, timer, resolve, reject }
+      this.#waiters.add(waiter)
     })
   }
 
@@ -93,12 +102,16 @@
     for (const waiter of this.#waiters) {
       if (!waiter.matches(fields)) continue
       this.#waiters.delete(waiter)
+      clearTimeout(waiter.timer)
       waiter.resolve(fields)
     }
   }
 
   #failWaiters(cause: Error): void {
-    for (const waiter of this.#waiters) waiter.reject(cause)
+    for (const waiter of this.#waiters) {
+      clearTimeout(waiter.timer)
+      waiter.reject(cause)
+    }
     this.#waiters.clear()
   }
 
--- a/daemons/trial/__utils__/gangTrial.ts
+++ b/daemons/trial/__utils__/gangTrial.ts
@@ -107,7 +107,7 @@
       ...fields,
     }
     const body = JSON.stringify(job)
-    return waitUntil(async () => {
+    return waitUntil('the job to be accepted', async () => {
       const answer = await this.#call('POST', '/v1/jobs', job.workspace, body)
       if (answer.status === statusAccepted) return (answer.json as JobView).jobId
       const refusal = answer.json as ErrorBody
@@ -128,7 +128,7 @@
 
   /** The job as soon as `isReached` holds of it. */
   waitForJob(jobId: string, isReached: (job: JobView) => boolean, from?: string): Promise<JobView> {
-    return waitUntil(async () => {
+    return waitUntil(`job ${jobId} to get that far`, async () => {
       const job = await this.getJob(jobId, from)
       return isReached(job) ? job : undefined
     })
--- a/daemons/trial/test/agreement.test.ts
+++ b/daemons/trial/test/agreement.test.ts
@@ -69,7 +69,7 @@
     const accepted = await changeContract(cluster, 0)
     const startMs = clock.monotonicMs()
     await leader.process.kill()
-    const inForce = await waitUntil(async () => {
+    const inForce = await waitUntil('the change to be in force', async () => {
       const answer = await putContract(cluster, accepted, true)
       const { notYetInForceAt } = answer.json as { notYetInForceAt?: string[] }
       return answer.status === 200 && notYetInForceAt?.length === 0 ? answer : undefined
@@ -91,7 +91,7 @@
     if (lost === undefined || other === undefined) throw new Error('no followers')
     await lost.process.kill()
     await other.process.kill()
-    await waitUntil(async () =>
+    await waitUntil('the quorum to be lost', async () =>
       (await callOperator(cluster, 'GET', '/v1/status')).status === 200 ? undefined : true,
     )
     rmSync(lost.dataFolder, { recursive: true })
--- a/daemons/trial/test/claims.test.ts
+++ b/daemons/trial/test/claims.test.ts
@@ -58,6 +58,15 @@
   })
 }
 
+/** Sends the request again while the entry refuses it and nothing has run: an entry that lacks control for a moment does. */
+function sendUntilTaken(entry: TrialInstance, key: string, body: string): Promise<EntryAnswer> {
+  return waitUntil('the entry to take the request', async () => {
+    const answer = await send(entry, key, body)
+    const isRefused = (answer.json as { ran?: string } | undefined)?.ran === 'no'
+    return isRefused ? undefined : answer
+  })
+}
+
 /** Asks the stand-in itself, as no caller can. */
 async function askUpstream(
   { folder }: TrialCluster,
@@ -85,6 +94,12 @@
   return runs.slice(1).filter((run) => run.startedCount > 0)
 }
 
+function waitForOneRun(cluster: TrialCluster, upstream: TrialInstance): Promise<true> {
+  return waitUntil('one run to start', async () => {
+    return (await listRuns(cluster, upstream)).length === 1 ? true : undefined
+  })
+}
+
 /** A payload that the stand-in works on for `runTimeMs`. */
 function work(runTimeMs: number, answer: string): string {
   return JSON.stringify({ runTimeMs, answer })
@@ -97,7 +112,7 @@
 test('an entry killed while its request runs: another entry gives the whole answer of that one run', async (t) => {
   const { cluster, first, second, upstream } = await start(t)
   const cut = send(first, 'k1', work(1500, 'span 7 is clear')).catch(() => undefined)
-  await waitUntil(async () => ((await listRuns(cluster, upstream)).length === 1 ? true : undefined))
+  await waitForOneRun(cluster, upstream)
   await first.process.kill()
   await cut
   const again = await send(second, 'k1', work(1500, 'span 7 is clear'))
@@ -111,12 +126,12 @@
 test('control killed between claim and answer: the caller gets its answer, and a resend the same one', async (t) => {
   const { cluster, control, first, second, upstream } = await start(t)
   const answered = send(first, 'k2', work(1200, 'span 8 is clear'))
-  await waitUntil(async () => ((await listRuns(cluster, upstream)).length === 1 ? true : undefined))
+  await waitForOneRun(cluster, upstream)
   await control.process.kill()
   const answer = await answered
   t.is(answer.status, 200)
   await cluster.restart('control', control)
-  const again = await waitUntil(async () => {
+  const again = await waitUntil('the resend to be answered', async () => {
     const resent = await send(second, 'k2', work(1200, 'span 8 is clear'))
     return resent.status === 200 ? resent : undefined
   })
@@ -142,7 +157,7 @@
 test('an upstream that restarted and forgot cannot make "it ran" into "it did not"', async (t) => {
   const { cluster, first, second, upstream } = await start(t)
   const cut = send(first, 'k4', work(60_000, 'never'), 2000)
-  await waitUntil(async () => ((await listRuns(cluster, upstream)).length === 1 ? true : undefined))
+  await waitForOneRun(cluster, upstream)
   await upstream.process.kill()
   t.is(readKind(await cut), 'outcome-unknown')
   await cluster.restart('upstream', upstream)
@@ -155,10 +170,11 @@
   const { cluster, first, second, upstream } = await start(t)
   await askUpstream(cluster, upstream, '/v1/standin/faults', { stall: ['run'] })
   const warmUp = await first.process.waitFor('request.routed')
-  const cut = send(first, 'k5', 'span 10').catch(() => undefined)
+  const routed = first.process.waitFor('request.routed', ({ taskId }) => taskId !== warmUp.taskId)
+  const cut = sendUntilTaken(first, 'k5', 'span 10').catch(() => undefined)
   // Its claim is committed by then: before, the other entry's body could be the one that is claimed.
-  await first.process.waitFor('request.routed', ({ taskId }) => taskId !== warmUp.taskId)
-  await waitUntil(async () => {
+  await routed
+  await waitUntil('the conflict with the claim', async () => {
     const conflict = await send(second, 'k5', 'another body')
     return readKind(conflict) === 'idempotency-conflict' ? true : undefined
   })
@@ -176,7 +192,7 @@
 test('an entry frozen for longer than its lease gives its caller, once back, the answer others have', async (t) => {
   const { cluster, control, first, second, upstream } = await start(t)
   const frozen = send(first, 'k6', work(1500, 'span 11 is clear'))
-  await waitUntil(async () => ((await listRuns(cluster, upstream)).length === 1 ? true : undefined))
+  await waitForOneRun(cluster, upstream)
   first.process.signal('SIGSTOP')
   const resent = await send(second, 'k6', work(1500, 'span 11 is clear'))
   first.process.signal('SIGCONT')
--- a/daemons/trial/test/gangFailures.test.ts
+++ b/daemons/trial/test/gangFailures.test.ts
@@ -22,7 +22,7 @@
   await trial.setFaults(second, { loseAnswers: ['reserve'] })
   await trial.setFaults(first, { loseAnswers: ['reserve'] })
   const jobId = await trial.submit({ repeatable: false }, { runTimeMs: 100 })
-  const reserved = await waitUntil(async () => {
+  const reserved = await waitUntil('both tasks to be reserved', async () => {
     const runs = await listAllRuns(trial, jobId)
     return runs.length === 2 ? runs : undefined
   })
@@ -50,7 +50,7 @@
 test('a control instance killed while a gang runs takes it over again, and the gang runs once', async (t) => {
   const trial = await startTrial(t, { upstreams: 2 })
   const jobId = await trial.submit({ repeatable: false }, { runTimeMs: 3000 })
-  await waitUntil(async () => {
+  await waitUntil('both tasks to start', async () => {
     const runs = await listAllRuns(trial, jobId)
     return runs.filter((run) => run.startedCount === 1).length === 2 ? true : undefined
   })
@@ -78,7 +78,7 @@
   await Promise.all([dead, deadOnce].map((upstream) => upstream.process.kill()))
   const unknown = await trial.waitForJob(onceId, (job) => job.endedAt !== undefined)
   t.is(unknown.state, 'unknown')
-  const stopped = await waitUntil(async () => {
+  const stopped = await waitUntil('the other member to be stopped', async () => {
     const runs = await trial.listRuns(alive, jobId)
     return runs.find((run) => run.taskId === `${jobId}.1.1` && run.endState === 'stopped')
   })
--- a/daemons/trial/test/requestRolling.test.ts
+++ b/daemons/trial/test/requestRolling.test.ts
@@ -20,7 +20,7 @@
     balancer.stop()
   })
   const allReady = () => Promise.resolve(balancer.ready.length === 3 ? true : undefined)
-  await waitUntil(allReady)
+  await waitUntil('all entries to be ready', allReady)
   let stopping = false
   let answered = 0
   const lost: string[] = []
@@ -42,8 +42,10 @@
     t.is(await entry.process.stop(), 0)
     const before = answered
     await cluster.restart('entry', entry)
-    await waitUntil(allReady)
-    await waitUntil(() => Promise.resolve(answered > before + 20 ? true : undefined))
+    await waitUntil('all entries to be ready', allReady)
+    await waitUntil('20 more answers', () =>
+      Promise.resolve(answered > before + 20 ? true : undefined),
+    )
   }
   stopping = true
   await Promise.all(workers)
@@ -63,7 +65,7 @@
     return { sentMs, used: answers.map(({ headers }) => headers['nettlespur-upstream-id']) }
   }
   const seen = new Set<unknown>()
-  await waitUntil(async () => {
+  await waitUntil('both upstreams to be used', async () => {
     for (const upstreamId of (await send()).used) seen.add(upstreamId)
     return seen.size === 2 ? true : undefined
   })
@@ -71,7 +73,7 @@
   const leftMs = clock.monotonicMs()
   t.is((await callUpstream(cluster, cluster.upstreams[0], leave)).status, 200)
   const late: unknown[] = []
-  await waitUntil(async () => {
+  await waitUntil('60 answers after the departure', async () => {
     const { sentMs, used } = await send()
     if (sentMs - leftMs > 2000) late.push(...used)
     return late.length >= 60 ? true : undefined
@@ -99,7 +101,7 @@
     t.like(answer.json, { ran: 'no' })
   }
   t.is((await listRuns(cluster)).length, before)
-  await waitUntil(async () => {
+  await waitUntil('the new key to be served', async () => {
     const answer = await callEntry({ ...createOwn(), key: newKey })
     return answer.status === 200 ? true : undefined
   })
--- a/daemons/trial/test/requestTrial.ts
+++ b/daemons/trial/test/requestTrial.ts
@@ -28,13 +28,13 @@
   const contract = createTrialContract(workspace, key)
   await putContract(cluster, cluster.entries[0], contract, 0)
   const [first] = cluster.entries
-  await waitUntil(async () => {
+  await waitUntil('all upstreams to be known', async () => {
     const asked = { method: 'GET', path: '/v1/status', key: cluster.operatorKey }
     const { json } = await callEntry({ ...asked, address: first?.address ?? '' })
     const { upstreams } = json as { upstreams: unknown[] }
     return upstreams.length === opts.upstreams ? true : undefined
   })
-  await waitUntil(async () => {
+  await waitUntil('every entry to serve the contract', async () => {
     const answers = await Promise.all(
       cluster.entries.map(({ address }) => callEntry({ ...createCall('ready?'), address, key })),
     )
