refactor: the scheduler's files name each other one way only

Nine files of batch/scheduler stood in a circle of imports, because the types of the round's result lay beside the functions that compute them: the view named StarvingUnit and UnitRef, whose files need the allocations, which need the view. No statement changed; the tests of the package pass.

--- a/batch/scheduler/src/index.ts
+++ b/batch/scheduler/src/index.ts
@@ -10,5 +10,6 @@
   SchedulableUpstream,
   UpstreamAvailability,
 } from './schedulerView.js'
-export { StarvationTimes, unitKey, type UnitRef } from './starvationTimes.js'
+export { StarvationTimes } from './starvationTimes.js'
 export type { StarvationReason, StarvingUnit } from './starvingUnit.js'
+export { unitKey, type UnitRef } from './unitRef.js'
--- a/batch/scheduler/src/starvationTimes.ts
+++ b/batch/scheduler/src/starvationTimes.ts
@@ -1,8 +1,5 @@
 /** How long each starving unit has been starving, across rounds. Kept in the leader's memory. */
-import type { StarvingUnit } from './starvingUnit.js'
-
-/** Names a unit. */
-export type UnitRef = Pick<StarvingUnit, 'jobId' | 'step'>
+import { unitKey, type UnitRef } from './unitRef.js'
 
 export class StarvationTimes {
   #sinceMs = new Map<string, number>()
@@ -23,7 +20,3 @@
     return nowMs - (this.#sinceMs.get(unitKey(unit)) ?? nowMs)
   }
 }
-
-export function unitKey({ jobId, step }: UnitRef): string {
-  return `${jobId}/${step}`
-}
