feat: evacuation of a data centre in the replicated state and the scheduler

What operators asked for: that nothing more starts on the upstreams of a data centre until they take it back.

An order carries the revision that was current when it came; a copy of it that is delayed behind a later order is refused. An order to leave a data centre as it is counts as a change too: otherwise a late copy of an order that was never acknowledged could follow an acknowledged withdrawal (test). - Enforcement by the place in the log: a placement that commits after the order is not applied, nor are the other members of its gang; a start that is not sent yet is not sent, one without an answer is not sent again and is settled by a stop; rounds leave evacuated upstreams out, so guarantees, reclaiming, reservations, the overdue gang and "half of the pool is free" count their room as gone at once and as back at once. What runs there runs to its end. - Sight: a job that fits only there starves with the reason evacuated-data-centre; evacuation.received, leader.started and a gauge name what is in force. - Return: upstreams say how long they are cold; urgent work goes to warm ones where they have room, to cold ones rather than wait.

--- /dev/null
+++ b/batch/model/src/evacuation.ts
@@ -0,0 +1,24 @@
+/** Evacuation of a data centre: while it is in force, nothing starts on the upstreams there, and what runs goes on. */
+import { countSchema } from '@nettlespur/api.schemas'
+import { z } from 'zod'
+
+export const evacuationSchema = z.strictObject({
+  dataCentre: z.string(),
+  isInForce: z.boolean(),
+  /** How many orders for it were accepted, those to leave it as it is included. */
+  revision: countSchema,
+})
+export type Evacuation = z.infer<typeof evacuationSchema>
+
+export const evacuationChangeSchema = z.strictObject({
+  dataCentre: z.string(),
+  isInForce: z.boolean(),
+  /** The revision at the time of the request. A copy of it that comes late must not undo a later change. */
+  expectedRevision: countSchema,
+})
+export type EvacuationChange = z.infer<typeof evacuationChangeSchema>
+
+/** A data centre that no change was made for. */
+export function createUnchangedEvacuation(dataCentre: string): Evacuation {
+  return { dataCentre, isInForce: false, revision: 0 }
+}
--- a/batch/model/src/upstreamDescription.ts
+++ b/batch/model/src/upstreamDescription.ts
@@ -23,6 +23,8 @@
   isDraining: z.boolean(),
   /** Set while the upstream drains: it stays at least this long. */
   drainRemainingMs: z.number().nonnegative().optional(),
+  /** How much longer it is slow after its start; absent once it is warm. */
+  coldRemainingMs: z.number().nonnegative().optional(),
   /** Increases with each announcement, so that delayed ones can be detected. */
   sequence: z.number(),
   /** The upstream's monotonic clock at the announcement. */
--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -29,6 +29,8 @@
   readonly #startedAtMs = new Map<string, number>()
   /** Upstreams that are not usable, by id. */
   readonly availability = new Map<string, UpstreamAvailability>()
+  /** Ids of cold upstreams. */
+  readonly cold = new Set<string>()
   readonly #acceptedAtMs = new Map<string, number>()
   readonly #stopping = new Set<string>()
   readonly #starvation = new StarvationTimes()
@@ -61,9 +63,8 @@
       nowMs: this.nowMs,
       jobs: [...this.state.unsettled.values()],
       acceptedAtMs: this.#acceptedAtMs,
-      upstreams: [...this.state.upstreams.values()].map(({ description }) =>
-        this.#toSchedulable(description),
-      ),
+      upstreams: this.#listUpstreams(false),
+      evacuated: this.#listUpstreams(true),
       runs: this.#runs(),
       isPaused: () => false,
       starvedMs: (unit) => this.#starvation.starvedMs(unit, this.nowMs),
@@ -109,6 +110,13 @@
     this.state.apply({ type: 'end-runs', ends: [{ ...run, outcome, checkpoint: '' }] })
   }
 
+  #listUpstreams(areEvacuated: boolean) {
+    return [...this.state.upstreams.values()].flatMap(({ description }) => {
+      const isEvacuated = this.state.isEvacuated(description.upstreamId)
+      return isEvacuated === areEvacuated ? [this.#toSchedulable(description)] : []
+    })
+  }
+
   #toSchedulable(description: ReturnType<typeof createUpstream>) {
     let used = noResources
     let stopping = noResources
@@ -125,6 +133,7 @@
       availability: this.availability.get(description.upstreamId) ?? ('usable' as const),
       free,
       freeAfterStops: addResources(free, stopping),
+      isCold: this.cold.has(description.upstreamId),
       isSuitableForTrial,
     }
   }
--- a/batch/scheduler/src/chooseUpstreams.ts
+++ b/batch/scheduler/src/chooseUpstreams.ts
@@ -1,7 +1,9 @@
 /**
  * Chooses upstreams for the tasks of a unit: the tightest fit, which keeps whole upstreams and racks free for large
- * gangs, and a single rack for gangs that are slow across racks.
+ * gangs, and a single rack for gangs that are slow across racks. Urgent work runs on cold upstreams only if the warm ones
+ * cannot take it now.
  */
+import { urgentPriority } from './computeStopCostLimit.js'
 import { fillEmptiest, fillTightest, type UpstreamFit } from './fillTightest.js'
 import { listScopes } from './listScopes.js'
 import type { UpstreamAllocation, RoundAllocations } from './roundAllocations.js'
@@ -12,11 +14,23 @@
  * many as fit. Returns an empty list if nothing can start.
  */
 export function chooseUpstreams(unit: StartUnit, allocations: RoundAllocations): string[] {
+  if (unit.job.queue.priority === urgentPriority && allocations.hasCold) {
+    const warm = chooseAmong(unit, allocations, ({ view }) => !view.isCold)
+    if (warm.length === unit.waiting.length) return warm
+  }
+  return chooseAmong(unit, allocations, () => true)
+}
+
+function chooseAmong(
+  unit: StartUnit,
+  allocations: RoundAllocations,
+  isAllowed: (upstream: UpstreamAllocation) => boolean,
+): string[] {
   const wanted = unit.waiting.length
   const fill = unit.isOnTrial ? fillEmptiest : fillTightest
   if (!allocations.hasEnoughAccelerators(unit.step, unit.step.isGang ? wanted : 1)) return []
   const scopes = listScopes(unit, allocations).map((upstreams) =>
-    countScopeFit(unit, allocations, upstreams),
+    countScopeFit(unit, allocations, upstreams.filter(isAllowed)),
   )
   if (!unit.step.isGang) return scopes.flatMap(({ upstreams }) => fill(upstreams, wanted))
   const fitting = scopes.filter(({ total }) => total >= wanted)
--- a/batch/scheduler/src/listScopes.ts
+++ b/batch/scheduler/src/listScopes.ts
@@ -28,6 +28,11 @@
   return whenEmpty >= (step.isGang ? waiting.length : 1)
 }
 
+/** Whether the unit could start if nothing ran. */
+export function canFitWhenEmpty(unit: StartUnit, allocations: RoundAllocations): boolean {
+  return listScopes(unit, allocations).some((upstreams) => canHoldWhenEmpty(unit, upstreams))
+}
+
 function prefersOneRack({ step, relaxed }: StartUnit): boolean {
   return step.isGang && step.prefersOneRack && !relaxed.has('one-rack')
 }
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -91,7 +91,12 @@
   finish(): RoundDecision {
     const { placements, preemptions } = this
     const startedJobIds = new Set(placements.map(({ jobId }) => jobId))
-    const starving = listStarvingUnits(this.#leftWaiting, startedJobIds, this.#allocations)
+    const starving = listStarvingUnits({
+      leftWaiting: this.#leftWaiting,
+      startedJobIds,
+      allocations: this.#allocations,
+      listEvacuated: () => this.#view.evacuated,
+    })
     return { placements, preemptions, starving }
   }
 
--- a/batch/scheduler/src/promoteOverdueGang.ts
+++ b/batch/scheduler/src/promoteOverdueGang.ts
@@ -3,11 +3,10 @@
  * takes each piece that becomes free, so one gang at a time goes before all work that may not preempt others.
  */
 import { computeStopCostLimit } from './computeStopCostLimit.js'
-import { canHoldWhenEmpty, listScopes } from './listScopes.js'
+import { canFitWhenEmpty } from './listScopes.js'
 import type { RankedUnit } from './orderUnits.js'
 import { PoolCapacities } from './poolCapacities.js'
 import type { RoundAllocations } from './roundAllocations.js'
-import type { StartUnit } from './startUnit.js'
 
 /** How long after its last useful start a unit only gets what others leave; after that it is helped to end too. */
 const overdueGraceMs = 15_000
@@ -28,7 +27,10 @@
   return [...first, { ...overdue, isOverdue: true }, ...rest]
 }
 
-/** A gang is overdue once its grace period has passed, or while its pool has ample free capacity. */
+/**
+ * A gang is overdue once its grace period has passed, or while its pool has ample free capacity. One that would not fit
+ * even on empty upstreams must not be promoted: it would block the others.
+ */
 function findOverdueGang(
   gangs: readonly RankedUnit[],
   pools: PoolCapacities,
@@ -55,8 +57,3 @@
 ): boolean {
   return nowMs > lastUsefulStartMs + overdueGraceMs
 }
-
-/** A gang that would not fit even on empty upstreams must not be promoted: it would block the others. */
-function canFitWhenEmpty(unit: StartUnit, allocations: RoundAllocations): boolean {
-  return listScopes(unit, allocations).some((upstreams) => canHoldWhenEmpty(unit, upstreams))
-}
--- a/batch/scheduler/src/roundAllocations.ts
+++ b/batch/scheduler/src/roundAllocations.ts
@@ -72,11 +72,14 @@
 export class RoundAllocations {
   readonly nowMs: number
   readonly upstreams: readonly UpstreamAllocation[]
+  /** Whether some upstreams are cold. */
+  readonly hasCold: boolean
   readonly #byId: ReadonlyMap<string, UpstreamAllocation>
 
   constructor(upstreams: readonly SchedulableUpstream[], nowMs: number) {
     this.nowMs = nowMs
     this.upstreams = upstreams.map((upstream) => new UpstreamAllocation(upstream))
+    this.hasCold = upstreams.some(({ isCold }) => isCold)
     this.#byId = new Map(this.upstreams.map((upstream) => [upstream.upstreamId, upstream]))
   }
 
--- a/batch/scheduler/src/schedulerView.ts
+++ b/batch/scheduler/src/schedulerView.ts
@@ -24,6 +24,8 @@
   readonly free: Resources
   /** `free` plus the capacity that runs being stopped will release. */
   readonly freeAfterStops: Resources
+  /** It has started lately, and is slower than others for a while. */
+  readonly isCold: boolean
   /**
    * A crash could be attributed to a run that starts here: all other runs here are proven, and the upstream
    * has not crashed recently.
@@ -50,6 +52,8 @@
   /** Acceptance times by job id, on the clock of `nowMs`. */
   readonly acceptedAtMs: ReadonlyMap<string, number>
   readonly upstreams: readonly SchedulableUpstream[]
+  /** Those that may get no work, for the only reason that their data centres are evacuated. */
+  readonly evacuated: readonly SchedulableUpstream[]
   readonly runs: readonly ActiveRun[]
   /** Whether the run has been seen running for so long that its start no longer explains a crash of its upstream. */
   readonly isProven: (run: Placement) => boolean
--- a/batch/scheduler/src/starvingUnit.ts
+++ b/batch/scheduler/src/starvingUnit.ts
@@ -1,12 +1,17 @@
 /**
- * Starvation: a unit of a job of which nothing runs is left waiting although its pool has ample capacity. Preferences
- * are worth a short wait only, so a round reports which units starve, and the reason if asked.
+ * Starvation: a unit of a job of which nothing runs is left waiting although its pool has ample capacity, or because only
+ * evacuated upstreams could take it. Preferences are worth a short wait only, so a round reports which units starve, and
+ * the reason if asked.
  */
 import type { Preference } from './preference.js'
 import type { UnitRef } from './unitRef.js'
 
-/** The last preference to relax so that the unit could start, or `fragmentation`: no upstreams have room for it. */
-export type StarvationReason = Preference | 'fragmentation'
+/**
+ * - The last preference to relax so that the unit could start.
+ * - `fragmentation`: no upstreams have room for it.
+ * - `evacuated-data-centre`: it fits only with upstreams on which nothing may start.
+ */
+export type StarvationReason = Preference | 'fragmentation' | 'evacuated-data-centre'
 
 export interface StarvingUnit extends UnitRef {
   /** Free share of its pool after the round. */
--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -1,5 +1,5 @@
 /** A leader with four fake upstreams over faulty links, on a manual clock. Commits take a few milliseconds. */
-import type { JobRequest } from '@nettlespur/batch.model'
+import { runKey, type JobRequest, type RunRef } from '@nettlespur/batch.model'
 import { BatchState, type Command, type CommandOutcome } from '@nettlespur/batch.state'
 import { ManualClock } from '@nettlespur/core.clock'
 import { NettlespurError } from '@nettlespur/core.errors'
@@ -10,6 +10,7 @@
 import { FakeUpstream, FleetLedger } from '@nettlespur/batch.fakes'
 import { createFleetConfig, fleetAttemptsMax } from './createFleetConfig.js'
 import { silentLogger } from './silentLogger.js'
+import { EvacuationOperator } from './evacuationOperator.js'
 import { FaultyPort } from './faultyPort.js'
 import { FleetAnnouncer } from './fleetAnnouncer.js'
 import { addressOf, FleetLinks } from './fleetLinks.js'
@@ -38,6 +39,7 @@
   readonly #jobClock = new JobClock()
   #leader: BatchLeader | undefined
   readonly #announcer: FleetAnnouncer
+  readonly #operator: EvacuationOperator
 
   constructor(opts: FakeFleetOptions) {
     const { clock } = this
@@ -62,6 +64,9 @@
       nextLinkDelayMs: () => opts.linksMs[calls++ % opts.linksMs.length] ?? 1,
       nextLatenessMs: () => opts.lateMs,
       remembersCursor: opts.remembersCursor === true,
+      onStartSent: ({ upstreamId }, run) => {
+        this.#checkNotEvacuated(upstreamId, run)
+      },
       isPlaced: ({ jobId, step, index, attempt }) => {
         const task = this.state.jobs.get(jobId)?.steps[step]?.tasks[index]
         return task?.phase === 'placed' && task.attempt === attempt
@@ -76,6 +81,11 @@
       findLeader: () => this.#leader,
     })
     void this.#announcer.announceForever(announceEveryMs)
+    this.#operator = new EvacuationOperator({
+      clock,
+      find: (dataCentre) => this.state.evacuations.find(dataCentre),
+      propose: async (command) => (await this.#propose(command, this.#term)).toMaybe().extract(),
+    })
   }
 
   get leader(): BatchLeader | undefined {
@@ -138,6 +148,9 @@
         return
       case 'cancel':
         this.commit({ type: 'cancel-job', jobId: `job${fault.job}` })
+        return
+      case 'evacuate':
+        void this.#operator.evacuate(fault)
     }
   }
 
@@ -204,6 +217,11 @@
     return Left(new NettlespurError('not-leader', 'another member leads'))
   }
 
+  #checkNotEvacuated(upstreamId: string, run: RunRef): void {
+    if (this.state.isEvacuated(upstreamId))
+      this.ledger.violations.push(`${runKey(run)} was sent to ${upstreamId}, which is evacuated`)
+  }
+
   #crash(at: number, downMs: number): void {
     const upstream = this.#upstreams.get(addressOf(at))
     if (upstream?.isUp !== true) return
--- a/batch/service/__utils__/fakeMember.ts
+++ b/batch/service/__utils__/fakeMember.ts
@@ -1,5 +1,5 @@
 /** A fake control member on loopback, whose answers the test sets. */
-import type { JobState } from '@nettlespur/batch.model'
+import type { Evacuation, JobState } from '@nettlespur/batch.model'
 import { NettlespurError, tryAsync } from '@nettlespur/core.errors'
 import { createRpcServer } from '@nettlespur/rpc.peer'
 import type { EitherAsync } from 'purify-ts'
@@ -102,6 +102,8 @@
   override countPending = refuse<number>
   override applyConfig = refuse<null>
   override readConfig = refuse<string>
+  override listEvacuations = refuse<Evacuation[]>
+  override changeEvacuation = refuse<null>
   override leave = refuse<null>
   override join = refuse<null>
 }
--- a/batch/service/__utils__/faultyPort.ts
+++ b/batch/service/__utils__/faultyPort.ts
@@ -58,6 +58,8 @@
   nextLatenessMs: () => number
   /** Whether upstreams remember cursors. A late poll then reaches no later process, which could not undo its cursor. */
   remembersCursor: boolean
+  /** Called with each start that a leader sends. */
+  onStartSent: (to: UpstreamTarget, run: RunRef) => void
   /** Whether the run is placed now. */
   isPlaced: (run: RunRef) => boolean
 }
@@ -76,6 +78,7 @@
 
   override start(to: UpstreamTarget, order: StartOrder, timeoutMs: number): Promise<StartAnswer> {
     this.startCalls += 1
+    this.#opts.onStartSent(to, order.run)
     return this.#call(to, timeoutMs, (upstream, fault) => {
       const { clockMs } = upstream
       // No leader could keep such an order from a process that nobody has reached yet.
--- a/batch/service/__utils__/fleetAnnouncer.ts
+++ b/batch/service/__utils__/fleetAnnouncer.ts
@@ -3,7 +3,7 @@
 import { createProcessId, type Announcement } from '@nettlespur/batch.model'
 import type { Clock } from '@nettlespur/core.clock'
 import type { BatchLeader } from '../src/batchLeader.js'
-import type { FleetLinks } from './fleetLinks.js'
+import { dataCentreOf, type FleetLinks } from './fleetLinks.js'
 
 /** Above all that the upstreams of a test reach by themselves. */
 const foreignSequence = 1e6
@@ -89,7 +89,7 @@
       ...(bornMs === undefined ? {} : { announcedId }),
       pool: 'pool',
       address,
-      dataCentre: 'centre',
+      dataCentre: dataCentreOf(address),
       rack: 'rack',
       labels: [],
       capacity: { cpuMillicores: 100_000, memoryMiB: 100_000, accelerators },
--- a/batch/service/__utils__/fleetLinks.ts
+++ b/batch/service/__utils__/fleetLinks.ts
@@ -9,6 +9,12 @@
   return `127.0.0.1:${firstPort + at}`
 }
 
+/** Upstreams are in two data centres by turns. */
+export function dataCentreOf(address: string): string {
+  const port = Number(address.slice(address.lastIndexOf(':') + 1))
+  return `centre${port % 2}`
+}
+
 export class FleetLinks {
   readonly #clock: Clock
   readonly #cutUntilMs = new Map<string, number>()
--- a/batch/service/__utils__/fleetOptions.ts
+++ b/batch/service/__utils__/fleetOptions.ts
@@ -1,6 +1,7 @@
 /** The options of a fake fleet, and the faults that tests inject into it. */
 import type { RunRef } from '@nettlespur/batch.model'
 import type { Logger } from '@nettlespur/core.logger'
+import type { EvacuationOrderPlan } from './evacuationOperator.js'
 import type { LinkFault } from './faultyPort.js'
 
 export type FleetFault =
@@ -15,6 +16,7 @@
   /** The former leader goes on working for `zombieMs`. */
   | { kind: 'new-leader'; zombieMs: number }
   | { kind: 'cancel'; job: number }
+  | ({ kind: 'evacuate' } & EvacuationOrderPlan)
 
 export interface FakeFleetOptions {
   /** Rate of the upstreams' clocks relative to the leader's. */
--- a/batch/service/__utils__/slowHost.ts
+++ b/batch/service/__utils__/slowHost.ts
@@ -46,6 +46,10 @@
     return this.state.upstreams.get(this.#upstreamId)
   }
 
+  override isEvacuated(upstreamId: string): boolean {
+    return this.state.isEvacuated(upstreamId)
+  }
+
   override listPlacements(): ReadonlyMap<string, Placement> {
     return this.state.placements.getByUpstream(this.#upstreamId)
   }
--- a/batch/service/src/announcementTable.ts
+++ b/batch/service/src/announcementTable.ts
@@ -8,6 +8,8 @@
   readonly announcedId: string | undefined
   /** The upstream stays at least until then, on this member's clock. Undefined unless it is about to leave. */
   readonly leavesAtMs: number | undefined
+  /** When it is warm, on this member's clock. */
+  readonly warmAtMs: number
 }
 
 export interface LeavingUpstream {
@@ -24,11 +26,12 @@
   /** Returns false, and changes nothing, if a newer announcement of the upstream has arrived before. */
   record(announcement: Announcement, nowMs: number): boolean {
     const { upstreamId, announcedId, sequence, address, drainRemainingMs } = announcement
+    const warmAtMs = nowMs + (announcement.coldRemainingMs ?? 0)
     const known = this.#lastByUpstream.get(upstreamId)
     if (known !== undefined && sequence <= known.sequence) return false
     if (known === undefined) this.#newestByAddress.set(address, upstreamId)
     const leavesAtMs = drainRemainingMs === undefined ? undefined : nowMs + drainRemainingMs
-    const last = { sequence, heardAtMs: nowMs, address, announcedId, leavesAtMs }
+    const last = { sequence, heardAtMs: nowMs, address, announcedId, leavesAtMs, warmAtMs }
     this.#lastByUpstream.set(upstreamId, last)
     return true
   }
@@ -38,6 +41,11 @@
     return this.#lastByUpstream.get(upstreamId)?.heardAtMs ?? -Infinity
   }
 
+  /** Whether the upstream has announced that it is slow until later than `nowMs`. */
+  isCold(upstreamId: string, nowMs: number): boolean {
+    return (this.#lastByUpstream.get(upstreamId)?.warmAtMs ?? nowMs) > nowMs
+  }
+
   /** Upstreams that have announced until when they stay. */
   listLeaving(): LeavingUpstream[] {
     return [...this.#lastByUpstream].flatMap(([upstreamId, { leavesAtMs }]) =>
--- a/batch/service/src/batchApi.ts
+++ b/batch/service/src/batchApi.ts
@@ -7,6 +7,8 @@
   jobRequestSchema,
   type Announcement,
   type ClusterConfig,
+  type Evacuation,
+  type EvacuationChange,
   type JobState,
 } from '@nettlespur/batch.model'
 import type { Member } from '@nettlespur/consensus.raft'
@@ -53,6 +55,16 @@
   abstract applyConfig(config: ClusterConfig): EitherAsync<NettlespurError, null>
   /** The source text of the newest configuration, as it was sent. Errors: `no-config`. */
   abstract readConfig(): EitherAsync<NettlespurError, string>
+  /** Every data centre that the leader knows, with the state of its evacuation. */
+  abstract listEvacuations(wait?: CallerWait): EitherAsync<NettlespurError, Evacuation[]>
+  /**
+   * Resolves once the change is stored, or if what it asks for is in force already. Errors: `overtaken` if another change
+   * has been made since the expected revision.
+   */
+  abstract changeEvacuation(
+    change: EvacuationChange,
+    wait?: CallerWait,
+  ): EitherAsync<NettlespurError, null>
   abstract announce(announcement: Announcement): EitherAsync<NettlespurError, null>
   /** Removes an upstream that is shutting down now. */
   abstract leave(upstreamId: string): EitherAsync<NettlespurError, null>
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -2,7 +2,7 @@
  * The leader's work during one term: keeps sessions with the upstreams, runs the scheduling rounds, and commits each
  * placement before it orders the upstream to start it.
  */
-import { runKey, type Announcement } from '@nettlespur/batch.model'
+import { runKey, type Announcement, type EvacuationChange } from '@nettlespur/batch.model'
 import {
   SessionHost,
   type Replacement,
@@ -13,6 +13,7 @@
   listPlacements,
   type BatchState,
   type Command,
+  type CommandOutcome,
   type JobRecord,
   type Placement,
   type RunEnd,
@@ -96,7 +97,12 @@
   start(): void {
     const { upstreams, unsettled, placements } = this.#state
     const inheritedUpstreams = [...placements.upstreamIds].length
-    const held = { inheritedUpstreams, upstreams: upstreams.size, unsettledJobs: unsettled.size }
+    const held = {
+      inheritedUpstreams,
+      upstreams: upstreams.size,
+      unsettledJobs: unsettled.size,
+      evacuated: this.#state.evacuations.listInForce(),
+    }
     this.#opts.logger.info({ event: 'leader.started', term: this.#opts.term, ...held })
     void this.#scheduleAfterTakeover()
   }
@@ -136,6 +142,31 @@
     return this.#registrar.leave(id)
   }
 
+  /** Logs a change that was committed, and what it applies to. */
+  reportEvacuation(
+    { dataCentre, isInForce, expectedRevision }: EvacuationChange,
+    outcome: CommandOutcome,
+  ): void {
+    const { upstreams, placements } = this.#state
+    const concerned = [...upstreams.values()].filter(
+      ({ description, hasLeft }) => !hasLeft && description.dataCentre === dataCentre,
+    )
+    const runs = concerned.reduce(
+      (sum, { description }) => sum + placements.getByUpstream(description.upstreamId).size,
+      0,
+    )
+    this.#opts.logger.info({
+      event: 'evacuation.received',
+      dataCentre,
+      isInForce,
+      expectedRevision,
+      outcome,
+      upstreams: concerned.length,
+      runs,
+    })
+    this.#opts.metrics.count(`evacuation_orders_${outcome.replaceAll('-', '_')}_total`)
+  }
+
   override findJob(jobId: string): JobRecord | undefined {
     return this.#state.jobs.get(jobId)
   }
@@ -144,6 +175,10 @@
     return this.#state.upstreams.get(upstreamId)
   }
 
+  override isEvacuated(upstreamId: string): boolean {
+    return this.#state.isEvacuated(upstreamId)
+  }
+
   override listPlacements(upstreamId: string): ReadonlyMap<string, Placement> {
     return this.#roster.succession.listPlacements(this.#state.placements, upstreamId)
   }
--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -42,6 +42,8 @@
   transport: RaftTransport
   port: UpstreamPort
   timings: BatchTimings
+  /** The data centres that operators may evacuate, besides those of the upstreams. None by default. */
+  dataCentres?: readonly string[]
   /** Override the default limits of Raft. */
   limits?: Partial<RaftLimits>
   /** A number in [0, 1); Math.random by default. */
@@ -70,11 +72,13 @@
     this.calls = new LeaderApi({
       clock: opts.clock,
       raft,
+      dataCentres: opts.dataCentres ?? [],
       getState: () => this.#state,
       requireLeader: () => this.#requireLeader(),
       logger: opts.logger,
       metrics: opts.metrics,
     })
+    opts.metrics.gauge('evacuated_data_centres', () => this.#state.evacuations.listInForce().length)
     machine.applied.subscribe((command) => {
       this.#jobClock.noteApplied(command, this.#state, opts.clock.monotonicMs())
       this.#leader?.handleAppliedCommand(command)
--- a/batch/service/src/buildSchedulerView.ts
+++ b/batch/service/src/buildSchedulerView.ts
@@ -30,8 +30,10 @@
 
 export interface BuildSchedulerViewOptions extends ListRunsOptions {
   acceptedAtMs: ReadonlyMap<string, number>
-  /** Returns undefined for upstreams that drain or have left. */
+  /** Returns undefined for upstreams that drain, have left or are evacuated. */
   getAvailability: (upstream: UpstreamRecord) => UpstreamAvailability | undefined
+  /** Whether it has started lately and is slow for a while. */
+  isCold: (upstream: UpstreamRecord) => boolean
   /** Whether a run on trial has just started there. */
   hasTrial: (upstream: UpstreamRecord) => boolean
   /** See `UpstreamRoom`. */
@@ -45,6 +47,7 @@
 export function buildSchedulerView(opts: BuildSchedulerViewOptions): SchedulerView {
   const { state, nowMs, acceptedAtMs } = opts
   let runs: readonly ActiveRun[] | undefined
+  let evacuated: readonly SchedulableUpstream[] | undefined
   const upstreams = [...state.upstreams.values()].flatMap((upstream) => {
     const availability = opts.getAvailability(upstream)
     return availability === undefined ? [] : [buildCapacity(opts, upstream, availability)]
@@ -55,6 +58,10 @@
     jobs: [...state.unsettled.values()],
     acceptedAtMs,
     upstreams,
+    // Computed on demand: only rounds that leave units waiting look at them.
+    get evacuated() {
+      return (evacuated ??= listEvacuated(opts))
+    },
     isPaused: opts.isPaused,
     starvedMs: opts.starvedMs,
     isProven: (placement) => opts.findTrack(placement)?.isProven === true,
@@ -76,7 +83,8 @@
   availability: UpstreamAvailability,
 ): SchedulableUpstream {
   const { upstreamId, pool, rack, labels, capacity } = upstream.description
-  const known = { upstreamId, availability, pool, rack, labels, capacity }
+  const isCold = opts.isCold(upstream)
+  const known = { upstreamId, availability, pool, rack, labels, capacity, isCold }
   if (opts.hasTrial(upstream)) {
     return { ...known, free: noResources, freeAfterStops: noResources, isSuitableForTrial: false }
   }
@@ -99,6 +107,17 @@
   }
 }
 
+/** Upstreams that could get new work if their data centres were not evacuated. */
+function listEvacuated(opts: BuildSchedulerViewOptions): SchedulableUpstream[] {
+  const { upstreams, evacuations } = opts.state
+  if (evacuations.listInForce().length === 0) return []
+  return [...upstreams.values()].flatMap((upstream) => {
+    const { description, isDraining, hasLeft } = upstream
+    const isEvacuated = opts.state.isEvacuated(description.upstreamId)
+    return isDraining || hasLeft || !isEvacuated ? [] : [buildCapacity(opts, upstream, 'usable')]
+  })
+}
+
 /** Lists the runs on one upstream, with their expected ends and the cost of stopping them. */
 export function listRuns(opts: ListRunsOptions, upstreamId: string): ActiveRun[] {
   return [...opts.listPlacements(upstreamId).values()].map((placement) => {
--- a/batch/service/src/createBatchRouter.ts
+++ b/batch/service/src/createBatchRouter.ts
@@ -1,5 +1,9 @@
 /** The tRPC router through which other processes call a control member. */
-import { announcementSchema, clusterConfigSchema } from '@nettlespur/batch.model'
+import {
+  announcementSchema,
+  clusterConfigSchema,
+  evacuationChangeSchema,
+} from '@nettlespur/batch.model'
 import { memberSchema } from '@nettlespur/consensus.raft'
 import { toRpcResult } from '@nettlespur/core.errors'
 import { initTRPC } from '@trpc/server'
@@ -37,6 +41,10 @@
         .input(clusterConfigSchema)
         .mutation(({ input }) => toRpcResult(api.applyConfig(input))),
       readConfig: procedure.mutation(() => toRpcResult(api.readConfig())),
+      listEvacuations: procedure.mutation(() => toRpcResult(api.listEvacuations())),
+      changeEvacuation: procedure
+        .input(evacuationChangeSchema)
+        .mutation(({ input }) => toRpcResult(api.changeEvacuation(input))),
       announce: procedure
         .input(announcementSchema)
         .mutation(({ input }) => toRpcResult(api.announce(input))),
--- a/batch/service/src/index.ts
+++ b/batch/service/src/index.ts
@@ -11,6 +11,7 @@
 export { BatchNode, type BatchNodeOptions } from './batchNode.js'
 export type { BatchTimings } from './batchTimings.js'
 export { createBatchRouter, type BatchRouter } from './createBatchRouter.js'
+export { orderEvacuation, type EvacuationOrder } from './orderEvacuation.js'
 export { LeaderClient, type LeaderClientOptions } from './leaderClient.js'
 export {
   RecordFaultReporter,
--- a/batch/service/src/leaderApi.ts
+++ b/batch/service/src/leaderApi.ts
@@ -1,5 +1,11 @@
 /** The batch API as the leader serves it to entries, operators and upstreams. Reads are confirmed by a quorum. */
-import type { Announcement, ClusterConfig, JobState } from '@nettlespur/batch.model'
+import type {
+  Announcement,
+  ClusterConfig,
+  Evacuation,
+  EvacuationChange,
+  JobState,
+} from '@nettlespur/batch.model'
 import {
   describeJob,
   encodeCommand,
@@ -19,12 +25,16 @@
 import { describeStep } from './describeStep.js'
 import { createUnknownRouteError, authorizeCall, type AuthorizedCall } from './authorizeCall.js'
 
+/** How soon an overtaken change may be sent again: it is judged by the revision that is current then. */
+const overtakenRetryAfterMs = 100
 /** Short, since the first configuration arrives within seconds of the first start. */
 const configRetryAfterMs = 500
 
 export interface LeaderApiOptions {
   clock: Clock
   raft: RaftNode<CommandOutcome>
+  /** Data centres of the settings; those of the upstreams are known besides. */
+  dataCentres: readonly string[]
   getState: () => BatchState
   /** Throws `not-leader`. */
   requireLeader: () => BatchLeader
@@ -115,6 +125,26 @@
     })
   }
 
+  override listEvacuations(): EitherAsync<NettlespurError, Evacuation[]> {
+    return tryAsync(() => {
+      this.#opts.requireLeader()
+      return Promise.resolve(this.#listEvacuations())
+    })
+  }
+
+  override changeEvacuation(change: EvacuationChange): EitherAsync<NettlespurError, null> {
+    return tryAsync(async () => {
+      const leader = this.#opts.requireLeader()
+      const outcome = await this.#propose({ type: 'change-evacuation', change })
+      leader.reportEvacuation(change, outcome)
+      if (outcome !== 'stale-revision') return null
+      const { dataCentre } = change
+      throw new NettlespurError('overtaken', `${dataCentre} was changed by another order`, {
+        retryAfterMs: overtakenRetryAfterMs,
+      })
+    })
+  }
+
   override announce(announcement: Announcement): EitherAsync<NettlespurError, null> {
     return tryAsync(async () => {
       await this.#opts.requireLeader().announce(announcement)
@@ -165,6 +195,16 @@
     })
   }
 
+  #listEvacuations(): Evacuation[] {
+    const { evacuations, upstreams } = this.#state
+    const known = new Set([
+      ...this.#opts.dataCentres,
+      ...[...upstreams.values()].map(({ description }) => description.dataCentre),
+      ...evacuations.list().map(({ dataCentre }) => dataCentre),
+    ])
+    return [...known].map((dataCentre) => evacuations.find(dataCentre))
+  }
+
   /** Authorizes the call. A refusal may rest on stale state, so it is checked again after a confirmed read. */
   async #authorize(call: QueueCall, pathSuffix: string): Promise<AuthorizedCall> {
     const known = authorizeCall(this.#requireConfig(), call, pathSuffix)
--- a/batch/service/src/leaderClient.ts
+++ b/batch/service/src/leaderClient.ts
@@ -3,7 +3,13 @@
  * does not answer, and retries until the call's time is up. The error then tells whether the call has run: one that may
  * have run ends as `outcome-unknown`, any other with an error that says that it has not.
  */
-import type { Announcement, ClusterConfig, JobState } from '@nettlespur/batch.model'
+import type {
+  Announcement,
+  ClusterConfig,
+  Evacuation,
+  EvacuationChange,
+  JobState,
+} from '@nettlespur/batch.model'
 import type { Member } from '@nettlespur/consensus.raft'
 import type { NettlespurError } from '@nettlespur/core.errors'
 import { limitCall } from '@nettlespur/rpc.peer'
@@ -141,6 +147,35 @@
     })
   }
 
+  override listEvacuations(wait: CallerWait = {}): EitherAsync<NettlespurError, Evacuation[]> {
+    return this.#runner.run(
+      {
+        name: 'list-evacuations',
+        subject: '',
+        kind: 'read',
+        remote: (calls, limits) => calls.listEvacuations.mutate(undefined, limitCall(limits)),
+        local: (api) => api.listEvacuations(),
+      },
+      wait,
+    )
+  }
+
+  override changeEvacuation(
+    input: EvacuationChange,
+    wait: CallerWait = {},
+  ): EitherAsync<NettlespurError, null> {
+    return this.#runner.run(
+      {
+        name: 'change-evacuation',
+        subject: `${input.dataCentre} after revision ${input.expectedRevision}`,
+        kind: 'change',
+        remote: (calls) => calls.changeEvacuation.mutate(input),
+        local: (api) => api.changeEvacuation(input),
+      },
+      wait,
+    )
+  }
+
   override announce(input: Announcement): EitherAsync<NettlespurError, null> {
     return this.#runner.run({
       name: 'announce',
--- a/batch/service/src/listEvacuees.ts
+++ b/batch/service/src/listRunsCutShort.ts
@@ -9,7 +9,7 @@
 /** Twice the time to stop a run (1 to 2 ms for the order, 400 ms for the stop), and the 500 ms between rounds. */
 const checkpointStopMarginMs = 1500
 
-export function listEvacuees(
+export function listRunsCutShort(
   leaving: readonly LeavingUpstream[],
   opts: ListRunsOptions,
 ): Placement[] {
--- a/batch/service/src/recordFaultReporter.ts
+++ b/batch/service/src/recordFaultReporter.ts
@@ -20,6 +20,7 @@
   | 'stale-announcement'
   | 'leave'
   | 'config'
+  | 'evacuation'
   | 'unknown-pool'
 
 export interface RecordFault {
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -12,7 +12,7 @@
 import { buildSchedulerView, type ListRunsOptions } from './buildSchedulerView.js'
 import { Housekeeper } from './housekeeper.js'
 import type { JobClock } from './jobClock.js'
-import { listEvacuees } from './listEvacuees.js'
+import { listRunsCutShort } from './listRunsCutShort.js'
 import type { RetryBackoff } from './retryBackoff.js'
 import { StarvationWatch } from './starvationWatch.js'
 import type { UpstreamRoster } from './upstreamRoster.js'
@@ -23,7 +23,7 @@
 const shortRoundMs = 2
 
 /** Reasons for stopping a run, for the log. */
-const evacuatedReason = 'its upstream leaves before it can end'
+const cutShortReason = 'its upstream leaves before it can end'
 const guaranteedReason = 'its resources are guaranteed to another job'
 const urgentReason = 'a more valuable urgent job needs its resources'
 
@@ -56,9 +56,10 @@
     this.#opts = opts
     this.#starvationWatch = new StarvationWatch({
       ...opts,
-      countUpstreams: () => ({
+      describeFleet: () => ({
         usableUpstreams: opts.roster.countUsable(opts.getState()),
         knownUpstreams: opts.getState().upstreams.size,
+        evacuated: opts.getState().evacuations.listInForce(),
       }),
     })
     this.#housekeeper = new Housekeeper({ ...opts, keepEndedMs: opts.timings.keepEndedMs })
@@ -82,7 +83,7 @@
   async #runRound(): Promise<void> {
     const { clock, metrics, signal } = this.#opts
     const nowMs = clock.monotonicMs()
-    this.#evacuate(nowMs)
+    this.#moveRunsCutShort(nowMs)
     const { placements, preemptions, starving } = this.#plan(nowMs)
     this.#starvationWatch.noteRound(starving, nowMs)
     const tookMs = clock.monotonicMs() - nowMs
@@ -99,6 +100,7 @@
       ...this.#createRunsOptions(nowMs),
       acceptedAtMs: jobClock.acceptedAtMs,
       getAvailability: (upstream) => roster.getAvailability(upstream),
+      isCold: ({ description }) => roster.isCold(description.upstreamId),
       hasTrial: ({ description }) =>
         roster.findSession(description.upstreamId)?.tracks.hasTrial === true,
       isQuiet: (upstream) => roster.isQuiet(upstream),
@@ -109,10 +111,10 @@
   }
 
   /** Stops runs that cannot end before their upstream leaves, so that they start again elsewhere. */
-  #evacuate(nowMs: number): void {
+  #moveRunsCutShort(nowMs: number): void {
     const { roster, preempt } = this.#opts
-    const runs = listEvacuees(roster.listLeaving(), this.#createRunsOptions(nowMs))
-    for (const run of runs) this.#log('run.evacuated', run, { reason: evacuatedReason })
+    const runs = listRunsCutShort(roster.listLeaving(), this.#createRunsOptions(nowMs))
+    for (const run of runs) this.#log('run.evacuated', run, { reason: cutShortReason })
     preempt(runs)
   }
 
--- a/batch/service/src/starvationWatch.ts
+++ b/batch/service/src/starvationWatch.ts
@@ -14,18 +14,21 @@
 const explainedPerRoundMax = 3
 const wholePercent = 100
 
-export interface UpstreamCounts {
+/** The upstreams, for a log line. */
+export interface FleetDescription {
   /** Upstreams that may get new work. */
   readonly usableUpstreams: number
   /** Upstreams that the state holds. */
   readonly knownUpstreams: number
+  /** Data centres in which nothing may start. */
+  readonly evacuated: readonly string[]
 }
 
 export interface StarvationWatchOptions {
   logger: Logger
   metrics: MetricsRegistry
   /** Called only when a line is logged, as it goes over all upstreams. */
-  countUpstreams: () => UpstreamCounts
+  describeFleet: () => FleetDescription
 }
 
 export class StarvationWatch {
@@ -68,7 +71,7 @@
       reason,
       starvedMs: Math.round(this.times.starvedMs(unit, nowMs)),
       freePercent: Math.round(freeShare * wholePercent),
-      ...this.#opts.countUpstreams(),
+      ...this.#opts.describeFleet(),
     })
   }
 }
--- a/batch/service/src/upstreamRoster.ts
+++ b/batch/service/src/upstreamRoster.ts
@@ -145,6 +145,11 @@
       session.pollOnce()
   }
 
+  /** Whether the upstream has started lately and is slow for a while, as it has announced. */
+  isCold(upstreamId: string): boolean {
+    return this.#table.isCold(upstreamId, this.#opts.clock.monotonicMs())
+  }
+
   /** Upstreams that have announced until when they stay. */
   listLeaving(): LeavingUpstream[] {
     return this.#table.listLeaving()
@@ -181,14 +186,15 @@
     return this.getAvailability(upstream) === 'usable'
   }
 
-  /** Returns undefined if the upstream drains or has left, so that it will get no new work. */
+  /** Returns undefined if the upstream drains, has left or is evacuated, so that it will get no new work. */
   getAvailability({
     description: { upstreamId },
     isDraining,
     hasLeft,
   }: UpstreamRecord): UpstreamAvailability | undefined {
     if (isDraining || hasLeft || this.#table.isReplaced(upstreamId)) return undefined
-    if (this.succession.isReplaced(upstreamId)) return undefined
+    if (this.succession.isReplaced(upstreamId) || this.#opts.host.isEvacuated(upstreamId))
+      return undefined
     if (!this.#canStart(upstreamId)) return 'excluded'
     const nowMs = this.#opts.clock.monotonicMs()
     const unlistedAtMs = this.#sessions.find(upstreamId)?.tracks.unlistedAtMs ?? -Infinity
--- a/batch/service/test/leaderModel.test.ts
+++ b/batch/service/test/leaderModel.test.ts
@@ -106,7 +106,9 @@
   linksMs: fc.array(fc.integer({ min: 1, max: 90 }), { minLength: 1, maxLength: 7 }),
 }
 const schedule = fc.record(fields)
-type Schedule = typeof schedule extends fc.Arbitrary<infer T> ? T : never
+type Schedule = Omit<typeof schedule extends fc.Arbitrary<infer T> ? T : never, 'faults'> & {
+  faults: readonly { readonly atMs: number; readonly fault: FleetFault }[]
+}
 
 const restartSchedule = fc.record({
   ...fields,
@@ -142,6 +144,32 @@
   t.pass()
 })
 
+const evacuationSchedule = fc.record({
+  ...fields,
+  evacuations: fc.array(
+    fc.record({
+      atMs: fc.nat(faultPhaseMs),
+      fault: fc.record({
+        kind: fc.constant('evacuate' as const),
+        dataCentre: fc.constantFrom('centre0', 'centre1'),
+        forMs: fc.integer({ min: 100, max: 12_000 }),
+        copyDelaysMs: fc.array(fc.nat(15_000), { maxLength: 2 }),
+      }),
+    }),
+    { minLength: 1, maxLength: 6 },
+  ),
+})
+
+test('whatever is evacuated and taken back meanwhile, no start is sent to an evacuated data centre, and every job ends', async (t) => {
+  await fc.assert(
+    fc.asyncProperty(evacuationSchedule, ({ evacuations, faults, ...opts }) =>
+      checkSchedule({ ...opts, faults: [...faults, ...evacuations] }),
+    ),
+    { numRuns: 60, ...reporting },
+  )
+  t.pass()
+})
+
 const keptSchedules = {
   'late start orders of a former leader reach the next process of an upstream': [27, '9'],
   'a late start order reaches the next process of an upstream that had nothing placed': [39, '14'],
@@ -178,6 +206,7 @@
   fleet.leader?.stop()
   assert.deepEqual(fleet.ledger.violations, [])
   assert.deepEqual([...fleet.state.unsettled.keys()], [])
+  assert.deepEqual(fleet.state.evacuations.listInForce(), [])
   assert.deepEqual(listUnfinished(fleet), [])
   assert.ok(fleet.port.holdCalls < maxHoldCalls, `${fleet.port.holdCalls} hold calls`)
 }
--- a/batch/service/test/starvationWatch.test.ts
+++ b/batch/service/test/starvationWatch.test.ts
@@ -5,7 +5,7 @@
 import { createRecorder, FakeFleet } from '../__utils__/index.js'
 import { StarvationWatch } from '../src/starvationWatch.js'
 
-const countUpstreams = () => ({ usableUpstreams: 3, knownUpstreams: 4 })
+const describeFleet = () => ({ usableUpstreams: 3, knownUpstreams: 4, evacuated: [] })
 
 function createStarving(jobId: string, reason: StarvationReason): StarvingUnit {
   return { jobId, step: 0, freeShare: 0.75, explain: () => reason }
@@ -13,7 +13,7 @@
 
 test('a unit that starves for a second is logged once, and again only when the reason changes', (t) => {
   const { logger, metrics, findEvents } = createRecorder()
-  const watch = new StarvationWatch({ logger, metrics, countUpstreams })
+  const watch = new StarvationWatch({ logger, metrics, describeFleet })
   const reasons: StarvationReason[] = ['data-rack', 'data-rack', 'reservation', 'reservation']
   reasons.forEach((reason, at) => {
     watch.noteRound([createStarving('j', reason)], at * 900)
@@ -31,7 +31,7 @@
 
 test('a round explains no more than a few of many starving units', (t) => {
   const { logger, metrics, findEvents } = createRecorder()
-  const watch = new StarvationWatch({ logger, metrics, countUpstreams })
+  const watch = new StarvationWatch({ logger, metrics, describeFleet })
   const starving = Array.from({ length: 100 }, (_, at) => createStarving(`j${at}`, 'one-rack'))
   for (const nowMs of [0, 1000]) watch.noteRound(starving, nowMs)
   t.is(findEvents('job.starving').length, 3)
@@ -39,7 +39,7 @@
 
 test('each of many starving units is logged in turn, however long the first of them starve', (t) => {
   const { logger, metrics, findEvents } = createRecorder()
-  const watch = new StarvationWatch({ logger, metrics, countUpstreams })
+  const watch = new StarvationWatch({ logger, metrics, describeFleet })
   const starving = Array.from({ length: 8 }, (_, at) => createStarving(`j${at}`, 'one-rack'))
   for (const nowMs of [0, 1000, 1100, 1200]) watch.noteRound(starving, nowMs)
   const logged = findEvents('job.starving').map(({ jobId }) => jobId)
--- a/batch/sessions/src/runOrders.ts
+++ b/batch/sessions/src/runOrders.ts
@@ -22,8 +22,12 @@
   answers: CallAnswers
 }
 
-/** `in-doubt`: the order may have been executed or may yet be. `not-sent`: it certainly never reached the upstream. */
-export type StartResult = StartAnswer | { readonly type: 'in-doubt' | 'not-sent' }
+/**
+ * - `in-doubt`: the order may have been executed or may yet be.
+ * - `not-sent`: it certainly never reached the upstream.
+ * - `evacuated`: it was not sent, as the data centre of the upstream is evacuated.
+ */
+export type StartResult = StartAnswer | { readonly type: 'in-doubt' | 'not-sent' | 'evacuated' }
 
 export class RunOrders {
   readonly #opts: RunOrdersOptions
@@ -32,7 +36,7 @@
     this.#opts = opts
   }
 
-  /** Sends a start order, and sends it again if no answer comes. */
+  /** Sends a start order, and sends it again if no answer comes; but never to an upstream that is evacuated by then. */
   async start(placement: Placement): Promise<StartResult> {
     const result = await this.#tryToStart(placement)
     const reason = result.type === 'refused' ? result.reason : undefined
@@ -62,6 +66,8 @@
     const fence = this.#opts.fence.token
     let mayHaveArrived = false
     for (let tries = 1; tries <= startTriesMax; tries++) {
+      if (host.isEvacuated(placement.upstreamId))
+        return { type: mayHaveArrived ? 'in-doubt' : 'evacuated' }
       const leaseEndMs = lease.extend(clock.monotonicMs())
       const order = { run: placement, payload, checkpoint, leaseEndMs, fence }
       try {
--- a/batch/sessions/src/sessionHost.ts
+++ b/batch/sessions/src/sessionHost.ts
@@ -16,6 +16,8 @@
   abstract issueFence(): number
   abstract findJob(jobId: string): JobRecord | undefined
   abstract findUpstream(upstreamId: string): UpstreamRecord | undefined
+  /** Whether the data centre of the upstream is evacuated, so that nothing may start there. */
+  abstract isEvacuated(upstreamId: string): boolean
   /** The runs placed on the upstream, or on a process that it has replaced, by run key. */
   abstract listPlacements(upstreamId: string): ReadonlyMap<string, Placement>
   /** Whether the run must be stopped: its job or gang attempt has ended, or it is preempted. */
--- a/batch/state/src/batchState.ts
+++ b/batch/state/src/batchState.ts
@@ -2,12 +2,13 @@
  * The replicated state of all control members: the configuration, the jobs with the placement of each task, and
  * the upstreams. Applying a command is deterministic, so every member computes the same state.
  */
-import { clusterConfigSchema, type ClusterConfig } from '@nettlespur/batch.model'
+import { clusterConfigSchema, evacuationSchema, type ClusterConfig } from '@nettlespur/batch.model'
 import { isDeepStrictEqual } from 'node:util'
 import { z } from 'zod'
-import type { Command, CommandOf, CommandOutcome, RunEnd } from './command.js'
+import type { Command, CommandOf, CommandOutcome, Placement, RunEnd } from './command.js'
 import { createJobRecord } from './createJobRecord.js'
 import { endRun } from './endRun.js'
+import { EvacuationTable } from './evacuationTable.js'
 import { hasPlacements, PlacementIndex } from './placementIndex.js'
 import {
   jobRecordSchema,
@@ -22,6 +23,8 @@
   jobs: z.array(jobRecordSchema),
   upstreams: z.array(upstreamRecordSchema),
   acceptedJobs: z.int().nonnegative(),
+  /** Absent if no data centre was ever evacuated, so that earlier versions can read the snapshot. */
+  evacuations: z.array(evacuationSchema).optional(),
 })
 export type BatchSnapshot = z.infer<typeof batchSnapshotSchema>
 
@@ -44,12 +47,14 @@
   readonly unsettled = new Map<string, JobRecord>()
   readonly upstreams = new Map<string, UpstreamRecord>()
   readonly placements = new PlacementIndex()
+  evacuations = new EvacuationTable([])
   #acceptedJobs = 0
 
   static restore(snapshot: BatchSnapshot): BatchState {
     const state = new BatchState()
     state.config = snapshot.config
     state.#acceptedJobs = snapshot.acceptedJobs
+    state.evacuations = new EvacuationTable(snapshot.evacuations ?? [])
     for (const upstream of snapshot.upstreams) {
       state.upstreams.set(upstream.description.upstreamId, upstream)
     }
@@ -62,14 +67,22 @@
   }
 
   snapshot(): BatchSnapshot {
+    const evacuations = this.evacuations.list()
     return {
       config: this.config,
       jobs: [...this.jobs.values()],
       upstreams: [...this.upstreams.values()],
       acceptedJobs: this.#acceptedJobs,
+      ...(evacuations.length === 0 ? {} : { evacuations }),
     }
   }
 
+  /** Whether the data centre of the upstream is evacuated, so that nothing may start there. */
+  isEvacuated(upstreamId: string): boolean {
+    const dataCentre = this.upstreams.get(upstreamId)?.description.dataCentre
+    return dataCentre !== undefined && this.evacuations.find(dataCentre).isInForce
+  }
+
   apply(command: Command): CommandOutcome {
     switch (command.type) {
       case 'apply-config':
@@ -88,6 +101,8 @@
         return this.#changeUpstream(command.upstreamId, { isDraining: true })
       case 'remove-upstream':
         return this.#changeUpstream(command.upstreamId, { isDraining: true, hasLeft: true })
+      case 'change-evacuation':
+        return this.evacuations.change(command.change)
       case 'forget-jobs':
         for (const jobId of command.jobIds) this.#forgetJob(jobId)
         return 'done'
@@ -129,9 +144,17 @@
     return 'done'
   }
 
-  /** Applies each placement whose task is waiting and whose attempt is newer than the last; skips the others. */
+  /**
+   * Applies each placement whose task is waiting and whose attempt is newer than the last, but none that a round decided
+   * before the evacuation of its data centre took effect, nor the other members of its gang.
+   */
   #placeTasks({ placements }: CommandOf<'place-tasks'>): CommandOutcome {
+    const barred = new Set(
+      placements.filter(({ upstreamId }) => this.isEvacuated(upstreamId)).map(toUnitKey),
+    )
     for (const placement of placements) {
+      if (this.isEvacuated(placement.upstreamId)) continue
+      if (this.#isGang(placement) && barred.has(toUnitKey(placement))) continue
       const job = this.jobs.get(placement.jobId)
       const task = job?.steps[placement.step]?.tasks[placement.index]
       if (job?.status !== 'active' || task?.phase !== 'waiting') continue
@@ -182,6 +205,10 @@
     return 'done'
   }
 
+  #isGang({ jobId, step }: Placement): boolean {
+    return this.jobs.get(jobId)?.request.steps[step]?.isGang === true
+  }
+
   #forgetUpstream(upstreamId: string): void {
     if (this.placements.getByUpstream(upstreamId).size === 0) this.upstreams.delete(upstreamId)
   }
@@ -198,3 +225,7 @@
     else this.unsettled.delete(jobId)
   }
 }
+
+function toUnitKey({ jobId, step }: Placement): string {
+  return `${jobId}/${step}`
+}
--- a/batch/state/src/command.ts
+++ b/batch/state/src/command.ts
@@ -1,6 +1,7 @@
 /** The commands that change the batch state, as they are proposed to the Raft log, and their outcomes. */
 import {
   clusterConfigSchema,
+  evacuationChangeSchema,
   jobRequestSchema,
   runRefSchema,
   upstreamDescriptionSchema,
@@ -54,6 +55,7 @@
   }),
   z.strictObject({ type: z.literal('drain-upstream'), upstreamId: z.string() }),
   z.strictObject({ type: z.literal('remove-upstream'), upstreamId: z.string() }),
+  z.strictObject({ type: z.literal('change-evacuation'), change: evacuationChangeSchema }),
   z.strictObject({ type: z.literal('forget-jobs'), jobIds: z.array(z.string()) }),
   z.strictObject({ type: z.literal('forget-upstreams'), upstreamIds: z.array(z.string()) }),
 ])
@@ -69,5 +71,7 @@
   'unknown-job',
   /** A job with the same id but different content exists. */
   'conflict',
+  /** Another change was made after this one was requested. */
+  'stale-revision',
 ] as const
 export type CommandOutcome = (typeof commandOutcomes)[number]
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -125,6 +125,7 @@
       nowMs: this.#nowMs,
       acceptedAtMs: this.#acceptedAtMs,
       getAvailability: (upstream) => this.#getAvailability(upstream),
+      isCold: () => false,
       hasTrial: ({ description }) => this.#runs.hasTrial(description.upstreamId),
       isQuiet: ({ description }) => this.#isQuiet(description),
       isPaused: () => false,
--- a/core/errors/src/errorAnswers.ts
+++ b/core/errors/src/errorAnswers.ts
@@ -46,7 +46,10 @@
   'unknown-upstream': refused(404),
   'unknown-member': refused(404),
   'unknown-route': refused(404),
+  'unknown-data-centre': refused(404),
   'stale-revision': refused(412),
+  // Another change came between the arrival of this one and its commit: sent again, it is judged anew.
+  overtaken: answer(503, 'unknown', exitCodes.unknown, true),
   'change-id-conflict': refused(409),
   'idempotency-conflict': refused(409),
   'infeasible-contract': refused(422),
--- a/settings/schemas/src/batchSettings.ts
+++ b/settings/schemas/src/batchSettings.ts
@@ -33,6 +33,8 @@
   dataFolder: z.string().min(1),
   /** The whole system starts for the first time: the seeds found the group. */
   founds: z.boolean(),
+  /** The data centres that operators may evacuate; those of the upstreams are known besides. */
+  dataCentres: z.array(identifierSchema).default([]),
   /** How often upstreams announce themselves. */
   announceEveryMs: z.int().positive(),
   /** The longest lease that upstreams grant. */
