--- a/batch/service/__utils__/group/simulateGroup.ts
+++ b/batch/service/__utils__/group/simulateGroup.ts
@@ -23,8 +23,11 @@
 export async function simulateGroup(
   seed: number,
   kinds: readonly GroupFaultKind[] = groupFaultKinds,
+  /** Called before the first fault. */
+  onStarted: (group: ControlGroup) => void = () => undefined,
 ): Promise<GroupSimulation> {
   const group = await ControlGroup.bootstrap(seed)
+  onStarted(group)
   const faults = new GroupFaults(group)
   const { random, clock } = group
   const draw = (from: readonly GroupFaultKind[]): GroupFaultKind =>
