feat: the product's own operators evacuate a data centre, see it and take it back

nettlespur data-centre list | evacuate NAME | restore NAME, over GET /v1/data-centres and PUT and DELETE /v1/data-centres/NAME/evacuation at any entry. The table of evacuations and the order that changes it are one package, core/evacuations, for both replicated states.

Upstreams of an evacuated data centre are shown as `evacuated` and get neither gangs nor short requests; entries learn of it with their watch. A gang that was to be placed is refused by the state after the order, one that is placed and not started is not started and waits again, one that runs goes on. A gang that only the evacuated data centre can hold waits with a reason that names it, also in `job explain`, and is not refused as impossible.

Members and entries of an earlier build cannot read the new command and the new state of an upstream: all are to be replaced before the first order.

--- a/api/schemas/src/job.ts
+++ b/api/schemas/src/job.ts
@@ -59,6 +59,8 @@
   taskId: z.string(),
   upstreamId: identifierSchema,
   address: z.string(),
+  /** Absent if an earlier version placed the job. */
+  dataCentre: identifierSchema.optional(),
   acceleratorIndexes: z.array(countSchema),
 })
 export type PlacementMember = z.infer<typeof placementMemberSchema>
--- a/api/schemas/src/upstream.ts
+++ b/api/schemas/src/upstream.ts
@@ -31,7 +31,15 @@
 /** The answer to an announcement: when the next one is due. */
 export const announcementAnswerSchema = z.object({ nextAnnouncementMs: durationMsSchema })
 
-export const upstreamStateSchema = z.enum(['ready', 'leaving', 'suspect', 'gone', 'quarantined'])
+export const upstreamStateSchema = z.enum([
+  'ready',
+  'leaving',
+  'suspect',
+  'gone',
+  'quarantined',
+  /** It gets no new work as its data centre is evacuated; what runs there goes on. */
+  'evacuated',
+])
 export type UpstreamState = z.infer<typeof upstreamStateSchema>
 
 /** An upstream as the cluster sees it. */
--- a/batch/model/src/index.ts
+++ b/batch/model/src/index.ts
@@ -1,7 +1,6 @@
 /** The data model of batch work: cluster configuration, jobs with their steps and tasks, and upstreams. */
 export * from './clusterConfig.js'
 export * from './createProcessId.js'
-export * from './evacuation.js'
 export * from './findQueue.js'
 export * from './jobRequest.js'
 export * from './jobState.js'
--- a/batch/service/__utils__/evacuationOperator.ts
+++ b/batch/service/__utils__/evacuationOperator.ts
@@ -2,7 +2,7 @@
  * An operator of a fake fleet: repeats each order until it is acknowledged, and has copies of it arrive later. Copies are
  * tied to the revision that was current when they were sent, as those of a member that forwards the order.
  */
-import type { Evacuation, EvacuationChange } from '@nettlespur/batch.model'
+import type { Evacuation, EvacuationChange } from '@nettlespur/core.evacuations'
 import type { Command, CommandOutcome } from '@nettlespur/batch.state'
 import type { Clock } from '@nettlespur/core.clock'
 
--- a/batch/service/__utils__/fakeMember.ts
+++ b/batch/service/__utils__/fakeMember.ts
@@ -1,5 +1,6 @@
 /** A fake control member on loopback, whose answers the test sets. */
-import type { Evacuation, JobState } from '@nettlespur/batch.model'
+import type { JobState } from '@nettlespur/batch.model'
+import type { Evacuation } from '@nettlespur/core.evacuations'
 import { NettlespurError, tryAsync } from '@nettlespur/core.errors'
 import { createRpcServer } from '@nettlespur/rpc.peer'
 import type { EitherAsync } from 'purify-ts'
--- a/batch/service/__utils__/group/groupOperator.ts
+++ b/batch/service/__utils__/group/groupOperator.ts
@@ -4,7 +4,7 @@
  */
 import { createSeededRandom } from '@nettlespur/consensus.raft/fakes'
 import { unwrap } from '@nettlespur/core.errors'
-import { orderEvacuation, type EvacuationOrder } from '../../src/index.js'
+import { orderEvacuation, type EvacuationOrder } from '@nettlespur/core.evacuations'
 import type { ControlGroup } from './controlGroup.js'
 
 const dataCentres = ['north', 'south']
@@ -76,7 +76,14 @@
   async #send(order: EvacuationOrder): Promise<boolean> {
     const leader = this.#group.leader?.process
     if (leader?.node === undefined) return false
-    const outcome = await orderEvacuation(leader.node.calls, order).run()
+    const { calls } = leader.node
+    const outcome = await orderEvacuation(
+      {
+        list: () => calls.listEvacuations(),
+        change: (change) => calls.changeEvacuation(change),
+      },
+      order,
+    ).run()
     return outcome.isRight() && !leader.hasEnded && !leader.clock.isPaused
   }
 
--- a/batch/service/src/batchApi.ts
+++ b/batch/service/src/batchApi.ts
@@ -7,10 +7,9 @@
   jobRequestSchema,
   type Announcement,
   type ClusterConfig,
-  type Evacuation,
-  type EvacuationChange,
   type JobState,
 } from '@nettlespur/batch.model'
+import type { Evacuation, EvacuationChange } from '@nettlespur/core.evacuations'
 import type { Member } from '@nettlespur/consensus.raft'
 import type { NettlespurError } from '@nettlespur/core.errors'
 import type { EitherAsync } from 'purify-ts'
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -2,7 +2,8 @@
  * The leader's work during one term: keeps sessions with the upstreams, runs the scheduling rounds, and commits each
  * placement before it orders the upstream to start it.
  */
-import { runKey, type Announcement, type EvacuationChange } from '@nettlespur/batch.model'
+import { runKey, type Announcement } from '@nettlespur/batch.model'
+import type { EvacuationChange } from '@nettlespur/core.evacuations'
 import {
   SessionHost,
   type Replacement,
--- a/batch/service/src/createBatchRouter.ts
+++ b/batch/service/src/createBatchRouter.ts
@@ -1,9 +1,6 @@
 /** The tRPC router through which other processes call a control member. */
-import {
-  announcementSchema,
-  clusterConfigSchema,
-  evacuationChangeSchema,
-} from '@nettlespur/batch.model'
+import { announcementSchema, clusterConfigSchema } from '@nettlespur/batch.model'
+import { evacuationChangeSchema } from '@nettlespur/core.evacuations'
 import { memberSchema } from '@nettlespur/consensus.raft'
 import { toRpcResult } from '@nettlespur/core.errors'
 import { initTRPC } from '@trpc/server'
--- a/batch/service/src/index.ts
+++ b/batch/service/src/index.ts
@@ -11,7 +11,6 @@
 export { BatchNode, type BatchNodeOptions } from './batchNode.js'
 export type { BatchTimings } from './batchTimings.js'
 export { createBatchRouter, type BatchRouter } from './createBatchRouter.js'
-export { orderEvacuation, type EvacuationOrder } from './orderEvacuation.js'
 export { LeaderClient, type LeaderClientOptions } from './leaderClient.js'
 export {
   RecordFaultReporter,
--- a/batch/service/src/leaderApi.ts
+++ b/batch/service/src/leaderApi.ts
@@ -1,11 +1,6 @@
 /** The batch API as the leader serves it to entries, operators and upstreams. Reads are confirmed by a quorum. */
-import type {
-  Announcement,
-  ClusterConfig,
-  Evacuation,
-  EvacuationChange,
-  JobState,
-} from '@nettlespur/batch.model'
+import type { Announcement, ClusterConfig, JobState } from '@nettlespur/batch.model'
+import type { Evacuation, EvacuationChange } from '@nettlespur/core.evacuations'
 import {
   describeJob,
   encodeCommand,
--- a/batch/service/src/leaderClient.ts
+++ b/batch/service/src/leaderClient.ts
@@ -3,13 +3,8 @@
  * does not answer, and retries until the call's time is up. The error then tells whether the call has run: one that may
  * have run ends as `outcome-unknown`, any other with an error that says that it has not.
  */
-import type {
-  Announcement,
-  ClusterConfig,
-  Evacuation,
-  EvacuationChange,
-  JobState,
-} from '@nettlespur/batch.model'
+import type { Announcement, ClusterConfig, JobState } from '@nettlespur/batch.model'
+import type { Evacuation, EvacuationChange } from '@nettlespur/core.evacuations'
 import type { Member } from '@nettlespur/consensus.raft'
 import type { NettlespurError } from '@nettlespur/core.errors'
 import { limitCall } from '@nettlespur/rpc.peer'
--- a/batch/state/src/batchState.ts
+++ b/batch/state/src/batchState.ts
@@ -2,13 +2,13 @@
  * The replicated state of all control members: the configuration, the jobs with the placement of each task, and
  * the upstreams. Applying a command is deterministic, so every member computes the same state.
  */
-import { clusterConfigSchema, evacuationSchema, type ClusterConfig } from '@nettlespur/batch.model'
+import { clusterConfigSchema, type ClusterConfig } from '@nettlespur/batch.model'
+import { evacuationSchema, EvacuationTable } from '@nettlespur/core.evacuations'
 import { isDeepStrictEqual } from 'node:util'
 import { z } from 'zod'
 import type { Command, CommandOf, CommandOutcome, Placement, RunEnd } from './command.js'
 import { createJobRecord } from './createJobRecord.js'
 import { endRun } from './endRun.js'
-import { EvacuationTable } from './evacuationTable.js'
 import { hasPlacements, PlacementIndex } from './placementIndex.js'
 import {
   jobRecordSchema,
@@ -80,7 +80,7 @@
   /** Whether the data centre of the upstream is evacuated, so that nothing may start there. */
   isEvacuated(upstreamId: string): boolean {
     const dataCentre = this.upstreams.get(upstreamId)?.description.dataCentre
-    return dataCentre !== undefined && this.evacuations.find(dataCentre).isInForce
+    return dataCentre !== undefined && this.evacuations.isInForce(dataCentre)
   }
 
   apply(command: Command): CommandOutcome {
--- a/batch/state/src/command.ts
+++ b/batch/state/src/command.ts
@@ -1,11 +1,11 @@
 /** The commands that change the batch state, as they are proposed to the Raft log, and their outcomes. */
 import {
   clusterConfigSchema,
-  evacuationChangeSchema,
   jobRequestSchema,
   runRefSchema,
   upstreamDescriptionSchema,
 } from '@nettlespur/batch.model'
+import { evacuationChangeSchema } from '@nettlespur/core.evacuations'
 import { z } from 'zod'
 import { crashBlameSchema } from './crashRecord.js'
 
--- a/cli/nettlespur/src/mainCommand.ts
+++ b/cli/nettlespur/src/mainCommand.ts
@@ -3,6 +3,9 @@
 import { contractApplyCommand } from './commands/contractApply.js'
 import { contractGetCommand } from './commands/contractGet.js'
 import { contractListCommand } from './commands/contractList.js'
+import { dataCentreEvacuateCommand } from './commands/dataCentreEvacuate.js'
+import { dataCentreListCommand } from './commands/dataCentreList.js'
+import { dataCentreRestoreCommand } from './commands/dataCentreRestore.js'
 import { devCommand } from './commands/dev.js'
 import { jobAnswerCommand } from './commands/jobAnswer.js'
 import { jobCancelCommand } from './commands/jobCancel.js'
@@ -43,6 +46,17 @@
   examples: ['nettlespur job submit --workspace demo --accelerators 4'],
 })
 
+const dataCentreCommand = createCommandGroup({
+  name: 'data-centre',
+  description: 'Data centres, and their evacuation',
+  commands: {
+    list: dataCentreListCommand,
+    evacuate: dataCentreEvacuateCommand,
+    restore: dataCentreRestoreCommand,
+  },
+  examples: ['nettlespur data-centre evacuate dc-2'],
+})
+
 const memberCommand = createCommandGroup({
   name: 'member',
   description: 'Control instances that hold the replicated state',
@@ -69,6 +83,7 @@
       commands: { list: upstreamListCommand },
       examples: ['nettlespur upstream list'],
     }),
+    'data-centre': dataCentreCommand,
     status: statusCommand,
     report: reportCommand,
     member: memberCommand,
--- a/cli/nettlespur/test/reads.test.ts
+++ b/cli/nettlespur/test/reads.test.ts
@@ -18,6 +18,12 @@
       ['upstream', 'list'],
       ['UPSTREAM', 'up-1', 'ready'],
     ],
+    [
+      '/v1/data-centres',
+      { dataCentres: [{ dataCentre: 'dc-2', evacuated: true, revision: 3 }] },
+      ['data-centre', 'list'],
+      ['DATA CENTRE', 'dc-2', 'yes'],
+    ],
     ['/v1/members', { members: [member] }, ['member', 'list'], ['MEMBER', 'control-1', 'leader']],
     [
       '/v1/contracts',
--- a/cli/nettlespur/test/submissions.test.ts
+++ b/cli/nettlespur/test/submissions.test.ts
@@ -128,3 +128,19 @@
   })
   t.is(cluster.calls[1]?.url, '/v1/members/control-2')
 })
+
+test('a data centre is evacuated and taken back by its name', async (t) => {
+  const path = '/v1/data-centres/dc-2/evacuation'
+  const answer = { status: 200, json: { dataCentre: 'dc-2' } }
+  const cluster = await startCluster(t, { [`PUT ${path}`]: answer, [`DELETE ${path}`]: answer })
+  const run = (verb: string) => runCli('data-centre', verb, 'dc-2', '--endpoint', cluster.endpoint)
+  t.like(await run('evacuate'), {
+    exitCode: 0,
+    stdout: 'dc-2 is evacuated: nothing more starts there\n',
+  })
+  t.like(await run('restore'), { exitCode: 0, stdout: 'dc-2 takes new work\n' })
+  t.deepEqual(
+    cluster.calls.map(({ method }) => method),
+    ['PUT', 'DELETE'],
+  )
+})
--- a/control/api/src/controlApi.ts
+++ b/control/api/src/controlApi.ts
@@ -14,6 +14,7 @@
   JobView,
 } from '@nettlespur/api.schemas'
 import type { NettlespurError, RpcResult } from '@nettlespur/core.errors'
+import type { Evacuation, EvacuationChange } from '@nettlespur/core.evacuations'
 import type { EitherAsync } from 'purify-ts'
 import type { Announcements, ClusterUpdate, WatchRequest } from './clusterView.js'
 import type { ContractView } from './contractView.js'
@@ -41,6 +42,10 @@
   abstract applyContract(change: ContractChange): EitherAsync<NettlespurError, ContractRecord>
   /** Lists all contracts, or only that of `workspace`. Errors: `unknown-workspace`. */
   abstract listContracts(workspace?: string): EitherAsync<NettlespurError, ContractView[]>
+  /** Every data centre that the leader knows, with the state of its evacuation. */
+  abstract listEvacuations(): EitherAsync<NettlespurError, Evacuation[]>
+  /** Resolves once the change is stored, or if it is in force already. Errors: `overtaken`. */
+  abstract changeEvacuation(change: EvacuationChange): EitherAsync<NettlespurError, null>
   /** Idempotent by the request's job key. Errors: `impossible-shape`, `queue-full`, `idempotency-conflict`. */
   abstract submitJob(request: JobRequest): EitherAsync<NettlespurError, JobView>
   /** Errors: `unknown-job`. */
--- a/control/api/src/createControlRouter.ts
+++ b/control/api/src/createControlRouter.ts
@@ -7,6 +7,7 @@
   jobRequestSchema,
 } from '@nettlespur/api.schemas'
 import { toRpcResult } from '@nettlespur/core.errors'
+import { evacuationChangeSchema } from '@nettlespur/core.evacuations'
 import { initTRPC } from '@trpc/server'
 import { z } from 'zod'
 import { announcementsSchema, watchRequestSchema } from './clusterView.js'
@@ -28,6 +29,10 @@
     listContracts: procedure
       .input(listContractsSchema)
       .mutation(({ input }) => toRpcResult(api.listContracts(input.workspace))),
+    listEvacuations: procedure.mutation(() => toRpcResult(api.listEvacuations())),
+    changeEvacuation: procedure
+      .input(evacuationChangeSchema)
+      .mutation(({ input }) => toRpcResult(api.changeEvacuation(input))),
     submitJob: procedure
       .input(jobRequestSchema)
       .mutation(({ input }) => toRpcResult(api.submitJob(input))),
--- a/control/api/src/remoteControlApi.ts
+++ b/control/api/src/remoteControlApi.ts
@@ -14,6 +14,7 @@
 } from '@nettlespur/api.schemas'
 import type { Clock } from '@nettlespur/core.clock'
 import { NettlespurError, type RpcResult } from '@nettlespur/core.errors'
+import type { Evacuation, EvacuationChange } from '@nettlespur/core.evacuations'
 import { callPeer, createRpcClient, type RpcClient } from '@nettlespur/rpc.peer'
 import { EitherAsync, Left, type Either } from 'purify-ts'
 import type { Announcements, ClusterUpdate, WatchRequest } from './clusterView.js'
@@ -59,6 +60,14 @@
     return this.#call((call) => call.listContracts.mutate({ workspace }))
   }
 
+  listEvacuations(): EitherAsync<NettlespurError, Evacuation[]> {
+    return this.#call((call) => call.listEvacuations.mutate())
+  }
+
+  changeEvacuation(change: EvacuationChange): EitherAsync<NettlespurError, null> {
+    return this.#call((call) => call.changeEvacuation.mutate(change))
+  }
+
   submitJob(request: JobRequest): EitherAsync<NettlespurError, JobView> {
     return this.#call((call) => call.submitJob.mutate(request))
   }
--- a/control/service/src/controlNode.ts
+++ b/control/service/src/controlNode.ts
@@ -27,11 +27,13 @@
   type WatchRequest,
 } from '@nettlespur/control.api'
 import type { Leadership } from '@nettlespur/control.log'
+import type { Evacuation, EvacuationChange } from '@nettlespur/core.evacuations'
 import { NettlespurError, tryAsync, unwrap, type RpcResult } from '@nettlespur/core.errors'
 import type { EitherAsync } from 'purify-ts'
 import type { Subscription } from 'rxjs'
 import { ClaimCalls } from './claimCalls.js'
 import { ContractCalls } from './contractCalls.js'
+import { EvacuationCalls } from './evacuationCalls.js'
 import { createReport } from './createReport.js'
 import { createStatus } from './createStatus.js'
 import { JobCalls } from './jobCalls.js'
@@ -99,6 +101,18 @@
     })
   }
 
+  listEvacuations(): EitherAsync<NettlespurError, Evacuation[]> {
+    return this.#runAsLeader('listEvacuations', (session) =>
+      new EvacuationCalls(this.#opts, session).list(),
+    )
+  }
+
+  changeEvacuation(change: EvacuationChange): EitherAsync<NettlespurError, null> {
+    return this.#runAsLeader('changeEvacuation', (session) =>
+      new EvacuationCalls(this.#opts, session).change(change),
+    )
+  }
+
   submitJob(request: JobRequest): EitherAsync<NettlespurError, JobView> {
     return this.#runAsLeader('submitJob', (session) =>
       new JobCalls(this.#opts, session).submit(request),
--- a/control/service/src/createExplanation.ts
+++ b/control/service/src/createExplanation.ts
@@ -25,6 +25,7 @@
     `${asks}; queued since ${since}, attempt ${job.attempts + 1}`,
     ...describeHolders(opts),
     ...describeJobsAhead(opts),
+    ...describeEvacuations(opts),
     ...describeAvoidedUpstreams(opts),
   ]
 }
@@ -101,6 +102,16 @@
   return [`${ahead.length} jobs were submitted before it and wait too${names}`]
 }
 
+function describeEvacuations({ upstreams }: ExplainOptions): string[] {
+  const evacuated = upstreams.filter((view) => view.state === 'evacuated')
+  const dataCentres = [...new Set(evacuated.map((view) => view.dataCentre))]
+  return dataCentres.map((dataCentre) => {
+    const inside = evacuated.filter((view) => view.dataCentre === dataCentre)
+    const accelerators = inside.reduce((sum, view) => sum + view.accelerators, 0)
+    return `${dataCentre} is evacuated: its ${accelerators} accelerators on ${inside.length} upstreams get no new work`
+  })
+}
+
 function describeAvoidedUpstreams({ upstreams, job }: ExplainOptions): string[] {
   const quarantined = upstreams.filter((view) => view.state === 'quarantined')
   const ids = quarantined.map((view) => view.upstreamId)
--- a/control/service/src/leaderSession.ts
+++ b/control/service/src/leaderSession.ts
@@ -48,6 +48,7 @@
       suspectMs,
       goneMs,
       readHealth: (upstreamId) => holder.state.getUpstreamHealth(upstreamId),
+      isEvacuated: (dataCentre) => holder.state.isEvacuated(dataCentre),
       version,
     })
     const dropAfterMs = timings.contractLeaseMs + timings.clockDriftMarginMs
--- a/control/service/src/placementLoop.ts
+++ b/control/service/src/placementLoop.ts
@@ -139,10 +139,10 @@
   async #place(decision: PlaceDecision, views: readonly UpstreamView[]): Promise<void> {
     const { node, gangs } = this.#opts
     const { jobId, reason, blocks } = decision
-    const addresses = new Map(views.map((view) => [view.upstreamId, view.address]))
+    const viewsById = new Map(views.map((view) => [view.upstreamId, view]))
     const assignments = blocks.map(({ upstreamId, acceleratorIndexes }) => {
-      const address = addresses.get(upstreamId) ?? ''
-      return { upstreamId, address, acceleratorIndexes: [...acceleratorIndexes] }
+      const { address = '', dataCentre } = viewsById.get(upstreamId) ?? {}
+      return { upstreamId, address, dataCentre, acceleratorIndexes: [...acceleratorIndexes] }
     })
     const at = node.clock.now().toISOString()
     const outcome = await node.log
--- a/control/service/src/upstreamTable.ts
+++ b/control/service/src/upstreamTable.ts
@@ -10,6 +10,8 @@
 
 /** A gone upstream is removed after this multiple of `goneMs`. */
 const forgetFactor = 60
+/** States of upstreams that are heard and stay. */
+const heardStates: ReadonlySet<UpstreamState> = new Set(['ready', 'quarantined', 'evacuated'])
 const silentStates: ReadonlySet<UpstreamState> = new Set(['suspect', 'gone'])
 
 export interface UpstreamTableOptions {
@@ -19,6 +21,8 @@
   goneMs: number
   /** Reads the failure marks and the quarantine of an upstream from the replicated state. */
   readHealth: (upstreamId: string) => UpstreamHealth | undefined
+  /** Whether the replicated state has the data centre as evacuated. */
+  isEvacuated: (dataCentre: string) => boolean
   /** Incremented with each change that entries must learn of. */
   version: BehaviorSubject<number>
 }
@@ -74,7 +78,7 @@
     const former = this.#rows.get(upstreamId)
     const leavingMs = announcement.state === 'leaving' ? nowMs : former?.leavingMs
     const leaving = leavingMs !== undefined && nowMs - leavingMs < this.#opts.suspectMs
-    const state = leaving ? 'leaving' : this.#pickReadyOrQuarantined(upstreamId)
+    const state = leaving ? 'leaving' : this.#pickHeardState(upstreamId, announcement.dataCentre)
     const view = toView(upstreamId, announcement, state)
     this.#updateRow({ view, heardMs: nowMs, leavingMs })
   }
@@ -93,11 +97,15 @@
   #computeState({ view }: Row, silentMs: number): UpstreamState {
     const { suspectMs, goneMs } = this.#opts
     if (silentMs >= goneMs) return 'gone'
-    if (view.state !== 'ready' && view.state !== 'quarantined') return view.state
-    return silentMs >= suspectMs ? 'suspect' : this.#pickReadyOrQuarantined(view.upstreamId)
+    if (!heardStates.has(view.state)) return view.state
+    return silentMs >= suspectMs
+      ? 'suspect'
+      : this.#pickHeardState(view.upstreamId, view.dataCentre)
   }
 
-  #pickReadyOrQuarantined(upstreamId: string): UpstreamState {
+  /** The state of an upstream that is heard and does not leave. */
+  #pickHeardState(upstreamId: string, dataCentre: string): UpstreamState {
+    if (this.#opts.isEvacuated(dataCentre)) return 'evacuated'
     const quarantine = this.#opts.readHealth(upstreamId)?.quarantine
     return quarantine === undefined ? 'ready' : 'quarantined'
   }
--- a/control/state/src/command.ts
+++ b/control/state/src/command.ts
@@ -11,6 +11,7 @@
   identifierSchema,
   jobRequestSchema,
 } from '@nettlespur/api.schemas'
+import { evacuationChangeSchema } from '@nettlespur/core.evacuations'
 import { z } from 'zod'
 
 const at = z.iso.datetime()
@@ -33,6 +34,8 @@
 export const assignmentSchema = z.object({
   upstreamId: identifierSchema,
   address: z.string(),
+  /** Absent if an earlier version proposed the command. */
+  dataCentre: identifierSchema.optional(),
   acceleratorIndexes: z.array(countSchema).min(1),
 })
 export type Assignment = z.infer<typeof assignmentSchema>
@@ -158,6 +161,13 @@
   fence: fenceSchema,
 })
 
+/** Orders or withdraws the evacuation of a data centre. */
+export const changeEvacuationSchema = z.object({
+  type: z.literal('evacuation.change'),
+  at,
+  change: evacuationChangeSchema,
+})
+
 export const commandSchema = z.discriminatedUnion('type', [
   applyContractSchema,
   submitJobSchema,
@@ -172,6 +182,7 @@
   endJobSchema,
   changeClaimSchema,
   takeClaimSchema,
+  changeEvacuationSchema,
 ])
 export type Command = z.infer<typeof commandSchema>
 
--- a/control/state/src/commandResult.ts
+++ b/control/state/src/commandResult.ts
@@ -1,5 +1,6 @@
 /** The result of applying a command: the record concerned, or the reason for refusing the command. */
 import type { Claim, ContractRecord } from '@nettlespur/api.schemas'
+import type { Evacuation } from '@nettlespur/core.evacuations'
 import {
   NettlespurError,
   type ErrorKind,
@@ -24,13 +25,19 @@
   readonly claim: Claim
 }
 
+/** The evacuation after the command, whether or not the command changed it. */
+export interface EvacuationResult {
+  readonly type: 'evacuation'
+  readonly evacuation: Evacuation
+}
+
 /** The command was refused and had no effect. */
 export interface Refused {
   readonly type: 'refused'
   readonly error: NettlespurError
 }
 
-export type CommandResult = ContractResult | JobResult | ClaimResult | Refused
+export type CommandResult = ContractResult | JobResult | ClaimResult | EvacuationResult | Refused
 
 export function refuse(
   kind: ErrorKind,
@@ -58,6 +65,12 @@
   return Left(toError(result))
 }
 
+/** Returns the evacuation of a result. Errors: the error of the refusal. */
+export function readEvacuation(result: CommandResult): Either<NettlespurError, Evacuation> {
+  if (result.type === 'evacuation') return Right(result.evacuation)
+  return Left(toError(result))
+}
+
 function toError(result: CommandResult): NettlespurError {
   if (result.type === 'refused') return result.error
   return new NettlespurError('internal', `unexpected command result of type ${result.type}`)
--- a/control/state/src/controlState.ts
+++ b/control/state/src/controlState.ts
@@ -4,9 +4,11 @@
  * a random number or a file.
  */
 import type { Claim, ClaimKey, ContractRecord, JobAnswer } from '@nettlespur/api.schemas'
+import type { Evacuation } from '@nettlespur/core.evacuations'
 import { applyContract } from './applyContract.js'
 import { cancelJob } from './cancelJob.js'
 import { changeClaim } from './changeClaim.js'
+import { changeEvacuation } from './changeEvacuation.js'
 import type { Command } from './command.js'
 import type { CommandResult } from './commandResult.js'
 import { endJob } from './endJob.js'
@@ -109,6 +111,21 @@
     return this.#data.upstreamHealth.get(upstreamId)
   }
 
+  /** Whether nothing may start on the upstreams of the data centre. */
+  isEvacuated(dataCentre: string): boolean {
+    return this.#data.evacuations.isInForce(dataCentre)
+  }
+
+  /** Returns the evacuation of a data centre, whether or not it was ever ordered. */
+  getEvacuation(dataCentre: string): Evacuation {
+    return this.#data.evacuations.find(dataCentre)
+  }
+
+  /** Evacuations that were ever ordered. */
+  listEvacuations(): Evacuation[] {
+    return this.#data.evacuations.list()
+  }
+
   getClaim({ workspace, key }: ClaimKey): Claim | undefined {
     return this.#data.claims.get(workspace)?.get(key)
   }
@@ -151,5 +168,7 @@
       return changeClaim(data, index, command)
     case 'claim.take':
       return takeClaim(data, index, command)
+    case 'evacuation.change':
+      return changeEvacuation(data, command)
   }
 }
--- a/control/state/src/index.ts
+++ b/control/state/src/index.ts
@@ -10,6 +10,7 @@
 export {
   readClaim,
   readContract,
+  readEvacuation,
   readJob,
   type CommandResult,
   type Refused,
--- a/control/state/src/markStarted.ts
+++ b/control/state/src/markStarted.ts
@@ -2,6 +2,7 @@
 import type { CommandOf } from './command.js'
 import { refuse, type CommandResult } from './commandResult.js'
 import { changeJob, findPlacedJob, isRefused } from './jobChange.js'
+import { findEvacuated } from './placeJob.js'
 import type { StateData } from './stateData.js'
 
 export function markStarted(
@@ -17,6 +18,9 @@
       `${jobId} is being stopped before its start: ${job.reason}`,
     )
   }
+  const evacuated = findEvacuated(data, job.placement?.members ?? [])
+  if (evacuated !== undefined)
+    return refuse('no-upstream', `${evacuated} was evacuated before the start of ${jobId}`)
   return changeJob(data, job, {
     at,
     event: 'job.started',
--- a/control/state/src/placeJob.ts
+++ b/control/state/src/placeJob.ts
@@ -13,6 +13,9 @@
   const job = data.jobs.get(command.jobId)
   if (job === undefined) return refuse('unknown-job', `${command.jobId} is not among the live jobs`)
   if (job.state !== 'queued') return refuse('internal', `${job.jobId} is ${job.state}, not queued`)
+  const evacuated = findEvacuated(data, command.assignments)
+  if (evacuated !== undefined)
+    return refuse('no-upstream', `${job.jobId}: ${evacuated} has been evacuated meanwhile`)
   const fault = findAssignmentError(data, command.assignments, job.request.gang.accelerators)
   if (fault !== undefined) return refuse('internal', `${job.jobId}: ${fault}`)
   const attempt = job.attempts + 1
@@ -33,6 +36,15 @@
   })
 }
 
+/** Returns the data centre of an assignment that is evacuated, if there is one. */
+export function findEvacuated(
+  { evacuations }: StateData,
+  members: readonly Pick<Assignment, 'dataCentre'>[],
+): string | undefined {
+  const dataCentres = members.flatMap(({ dataCentre }) => dataCentre ?? [])
+  return dataCentres.find((dataCentre) => evacuations.isInForce(dataCentre))
+}
+
 function findAssignmentError(
   data: StateData,
   assignments: readonly Assignment[],
--- a/control/state/src/stateData.ts
+++ b/control/state/src/stateData.ts
@@ -1,5 +1,6 @@
 /** The mutable data that command handlers read and change. Maps keep insertion order, which is log order. */
 import type { ContractRecord, JobAnswer } from '@nettlespur/api.schemas'
+import { EvacuationTable } from '@nettlespur/core.evacuations'
 import { ClaimTable } from './claimTable.js'
 import type { JobRecord } from './jobRecord.js'
 import type { UpstreamHealth } from './upstreamHealth.js'
@@ -50,6 +51,7 @@
   readonly upstreamHealth: Map<string, UpstreamHealth>
   /** Claims by workspace. */
   readonly claims: Map<string, ClaimTable>
+  readonly evacuations: EvacuationTable
 }
 
 export function createStateData(): StateData {
@@ -63,6 +65,7 @@
     histories: new Map(),
     upstreamHealth: new Map(),
     claims: new Map(),
+    evacuations: new EvacuationTable([]),
   }
 }
 
--- a/control/state/src/stateSnapshot.ts
+++ b/control/state/src/stateSnapshot.ts
@@ -6,6 +6,7 @@
   jobAnswerSchema,
   type Claim,
 } from '@nettlespur/api.schemas'
+import { evacuationSchema, EvacuationTable } from '@nettlespur/core.evacuations'
 import { z } from 'zod'
 import { jobRecordSchema } from './jobRecord.js'
 import {
@@ -42,6 +43,7 @@
   histories: z.array(z.tuple([z.string(), historySchema])),
   upstreamHealth: z.array(z.tuple([z.string(), upstreamHealthSchema])).default([]),
   claims: z.array(claimSchema).default([]),
+  evacuations: z.array(evacuationSchema).default([]),
 })
 export type StateSnapshot = z.infer<typeof stateSnapshotSchema>
 
@@ -56,6 +58,7 @@
     histories: [...data.histories].map(([workspace, history]) => [workspace, toLists(history)]),
     upstreamHealth: [...data.upstreamHealth],
     claims: [...data.claims.values()].flatMap((claims) => claims.list()),
+    evacuations: data.evacuations.list(),
   }
 }
 
@@ -71,6 +74,7 @@
     histories: new Map(snapshot.histories.map(([name, lists]) => [name, toMaps(lists)])),
     upstreamHealth: new Map(snapshot.upstreamHealth),
     claims: groupClaims(snapshot.claims),
+    evacuations: new EvacuationTable(snapshot.evacuations),
   }
 }
 
--- a/entry/fakes/src/fakeControl.ts
+++ b/entry/fakes/src/fakeControl.ts
@@ -31,6 +31,11 @@
 } from '@nettlespur/control.api'
 import type { Clock } from '@nettlespur/core.clock'
 import { NettlespurError, tryAsync, type ErrorKind, type RpcResult } from '@nettlespur/core.errors'
+import {
+  EvacuationTable,
+  type Evacuation,
+  type EvacuationChange,
+} from '@nettlespur/core.evacuations'
 import type { EitherAsync } from 'purify-ts'
 import { emptyReport } from './emptyReport.js'
 import { FakeClaims } from './fakeClaims.js'
@@ -59,6 +64,7 @@
   readonly #jobs = new FakeJobs()
   readonly #version: StateVersion
   #changeIndex = 0
+  readonly evacuations = new EvacuationTable([])
 
   constructor(clock: Clock) {
     super()
@@ -121,6 +127,20 @@
     })
   }
 
+  listEvacuations(): EitherAsync<NettlespurError, Evacuation[]> {
+    return this.#answer(() => {
+      const known = [...this.upstreams.values()].map(({ dataCentre }) => dataCentre)
+      return [...new Set(known)].map((dataCentre) => this.evacuations.find(dataCentre))
+    })
+  }
+
+  changeEvacuation(change: EvacuationChange): EitherAsync<NettlespurError, null> {
+    return this.#answer(() => {
+      this.evacuations.change(change)
+      return null
+    })
+  }
+
   submitJob(request: JobRequest): EitherAsync<NettlespurError, JobView> {
     return this.#answer(() => {
       this.changes += 1
--- a/entry/service/src/createEntryRoutes.ts
+++ b/entry/service/src/createEntryRoutes.ts
@@ -1,6 +1,7 @@
 /** All routes of the HTTP API. */
 import type { Route } from '@nettlespur/net.server'
 import { createContractRoutes } from './contractRoutes.js'
+import { createDataCentreRoutes } from './dataCentreRoutes.js'
 import type { EntryContext } from './entryContext.js'
 import { createJobRoutes } from './jobRoutes.js'
 import { createMemberRoutes } from './memberRoutes.js'
@@ -14,6 +15,7 @@
     ...createRequestRoutes(context),
     ...createContractRoutes(context),
     ...createUpstreamRoutes(context),
+    ...createDataCentreRoutes(context),
     ...createMemberRoutes(context),
     ...createStatusRoutes(context),
   ]
--- a/placement/engine/src/jobAdmission.ts
+++ b/placement/engine/src/jobAdmission.ts
@@ -16,6 +16,9 @@
 export class JobAdmission {
   readonly #round: PlacementRound
   #emptyMap: ClusterMap | undefined
+  #emptyMapWithoutEvacuated: ClusterMap | undefined
+  /** Evacuated data centres. */
+  readonly #evacuated: readonly string[]
   /** Keys of workspace and shape that have no unused reservation. */
   readonly #shapesWithoutUnused = new Set<string>()
   readonly #failedSearches = new Set<string>()
@@ -25,6 +28,7 @@
 
   constructor(round: PlacementRound) {
     this.#round = round
+    this.#evacuated = listEvacuated(round)
     this.#largestUpstreamSize = round.map.largestUpstreamSize
     this.#guaranteedCounts = countGuaranteed(round)
   }
@@ -99,6 +103,11 @@
       this.#round.decide({ kind: 'wait', jobId, reason })
       return
     }
+    if (!this.#isFeasibleWithoutEvacuated(job)) {
+      const reason = `no room for ${asked} without the evacuated data centres: ${this.#evacuated.join(', ')}`
+      this.#round.decide({ kind: 'wait', jobId, reason })
+      return
+    }
     const formingNote =
       forming === undefined ? '' : `; ${describeBlocks(forming)} is set apart for it`
     const reason = `no room for ${asked}${formingNote}`
@@ -116,6 +125,15 @@
     return isFeasible
   }
 
+  #isFeasibleWithoutEvacuated(job: WaitingJob): boolean {
+    if (this.#evacuated.length === 0) return true
+    const { upstreams } = this.#round.view
+    this.#emptyMapWithoutEvacuated ??= createEmptyMap(
+      upstreams.filter(({ state }) => state !== 'evacuated'),
+    )
+    return canFitOnEmpty(this.#emptyMapWithoutEvacuated, job)
+  }
+
   #findRefusal(job: WaitingJob): string | undefined {
     const { view, contracts } = this.#round
     const limits = contracts.get(job.workspace)?.limits
@@ -139,6 +157,11 @@
   }
 }
 
+function listEvacuated({ view }: PlacementRound): string[] {
+  const evacuated = view.upstreams.filter(({ state }) => state === 'evacuated')
+  return [...new Set(evacuated.map(({ dataCentre }) => dataCentre))]
+}
+
 function countGuaranteed({ view }: PlacementRound): ReadonlyMap<string, number> {
   return new Map(
     view.contracts.map(({ workspace, guarantees }) => {
