fix: no false alarm of missing accelerators while a leader has not heard its upstreams

What operators saw: a normal first start printed level=error event=plan.infeasible before its first upstream had announced itself, and plan.feasible a second later. Cause: the plan was reported from the first round of a leader on. It is now reported once upstreams have had the time to announce themselves, the same condition under which jobs are refused as impossible. The test fails without it.

--- a/control/service/src/placementLoop.ts
+++ b/control/service/src/placementLoop.ts
@@ -162,9 +162,12 @@
     })
   }
 
-  /** Logs an error when guaranteed shapes lack accelerators, and an info line when none lacks any more. */
+  /**
+   * Logs an error when guaranteed shapes lack accelerators, and an info line when none lacks any more. Says nothing while
+   * upstreams may not have had the time to announce themselves.
+   */
   #logMissingShapes(missing: string): void {
-    if (missing === this.#missingShapes) return
+    if (missing === this.#missingShapes || !this.#opts.knowsUpstreams()) return
     this.#missingShapes = missing
     const { logger } = this.#opts.node
     if (missing === '') logger.info({ event: 'plan.feasible' })
--- a/control/service/test/placementLoop.test.ts
+++ b/control/service/test/placementLoop.test.ts
@@ -12,6 +12,7 @@
   runUntil,
   startNode,
   submit,
+  timings,
   type TestNode,
 } from './startNode.js'
 
@@ -113,3 +114,15 @@
   const waits = node.lines.filter((line) => line.includes('event=placement.waits'))
   t.true(waits.length < 60)
 })
+
+test('missing accelerators are an error in the log only once upstreams have had the time to announce themselves', async (t) => {
+  const node = await startNode(t)
+  const hasAlarm = (): boolean => node.lines.some((line) => line.includes('plan.infeasible'))
+  const change = createContractChange('one', 0)
+  const guarantees = [{ ...gang, count: 1 }]
+  await unwrap(node.node.applyContract({ ...change, contract: { ...change.contract, guarantees } }))
+  await node.clock.advance(timings.upstreamSuspectMs - 500)
+  t.false(hasAlarm())
+  await node.clock.advance(2000)
+  t.true(hasAlarm())
+})
