bench: the mix of the shifted work, evacuations and notices, and a bound by every resource

- The bound is the least over accelerators, processors and memory, without the room of evacuated data centres for jobs that came later.

--- a/batch/service/src/index.ts
+++ b/batch/service/src/index.ts
@@ -7,7 +7,13 @@
   type SubmitCall,
 } from './batchApi.js'
 export type { CallerWait } from './callerWait.js'
-export { buildSchedulerView, type BuildSchedulerViewOptions } from './buildSchedulerView.js'
+export type { LeavingUpstream } from './announcementTable.js'
+export {
+  buildSchedulerView,
+  type BuildSchedulerViewOptions,
+  type ListRunsOptions,
+} from './buildSchedulerView.js'
+export { listRunsCutShort } from './listRunsCutShort.js'
 export { BatchNode, type BatchNodeOptions } from './batchNode.js'
 export type { BatchTimings } from './batchTimings.js'
 export { createBatchRouter, type BatchRouter } from './createBatchRouter.js'
--- a/bench/policy/src/boundEarnings.ts
+++ b/bench/policy/src/boundEarnings.ts
@@ -1,69 +1,109 @@
 /**
- * What any scheduler could earn at most on a crowded day, also one that knows all arrivals, run times and losses
- * beforehand. Relaxed, so that the bound is easy to show right: no gangs, racks, processors or memory; work is divisible
- * and as parallel as one likes; no run fails; time comes in slots of a second. A job is then an amount of
- * accelerator-seconds that may be done between its arrival and its limit.
+ * What any scheduler could earn at most on a day, also one that knows all arrivals, run times, losses and evacuations
+ * beforehand. Relaxed, so that the bound is easy to show right: no gangs and racks; work is divisible and as parallel as
+ * one likes; no run fails, and every upstream works at its usual pace; time comes in slots of a second. For one resource a
+ * job is then an amount of it that may be used between the job's arrival and its limit. Each resource gives a bound, and
+ * the least of them holds.
  *
  * A job earns its late worth by what is done within the late limit, and the rest of its worth by what is done in time.
  * Both sums are made as large as possible, each on all the room: together they are no less than the best of one plan.
- * For one of them it is best to admit jobs by their worth for each accelerator-second, as much of each as fits beside
+ * For one of them it is best to admit jobs by their worth for each unit of the resource, as much of each as fits beside
  * those before it.
  */
+import type { Resources } from '@nettlespur/batch.model'
 import { finishMs, type CrowdedDay, type DayJob } from './crowdedDay.js'
-import { acceleratorsPerUpstream } from './deployment.js'
+import { isWithin } from './dayTroubles.js'
 import { lateLimitTimes, measureObjectiveMs } from './sumEarnings.js'
 import { WorkSlots, type Work } from './workSlots.js'
 
 const slotMs = 1000
+const resources: readonly (keyof Resources)[] = ['accelerators', 'cpuMillicores', 'memoryMiB']
 
 interface Offer extends Work {
   readonly worth: number
 }
 
-/** As a share of what all jobs could earn. */
+/** As a share of what the jobs that are neither cancelled nor crash their upstreams could earn. */
 export function boundEarnings(day: CrowdedDay): number {
-  const owed = day.jobs.reduce((sum, { value }) => sum + value, 0)
-  const late = day.jobs.map((job) => toOffer(job, lateLimitTimes, lateWorthOf(job)))
-  const inTime = day.jobs.map((job) => toOffer(job, 1, job.value - lateWorthOf(job)))
-  return (admitBest(day, late) + admitBest(day, inTime)) / owed
+  const { cancelAfterMs, crashingJobs } = day.troubles
+  const jobs = day.jobs.filter(
+    ({ request: { jobId } }) => !cancelAfterMs.has(jobId) && !crashingJobs.has(jobId),
+  )
+  const owed = jobs.reduce((sum, { value }) => sum + value, 0)
+  const bounds = resources.map((resource) => {
+    const room = new RoomSlots(day, resource)
+    const late = jobs.map((job) => room.toOffer(job, lateLimitTimes, lateWorthOf(job)))
+    const inTime = jobs.map((job) => room.toOffer(job, 1, job.value - lateWorthOf(job)))
+    return (room.admitBest(late) + room.admitBest(inTime)) / owed
+  })
+  return Math.min(...bounds)
 }
 
 function lateWorthOf({ kind, value }: DayJob): number {
   return (value * kind.lateWorth) / kind.worth
 }
 
-function toOffer(job: DayJob, limitTimes: number, worth: number): Offer {
-  const { arriveMs, request, runTimesMs } = job
-  const limitMs = arriveMs + measureObjectiveMs(job) * limitTimes
-  const amount = request.steps.reduce((sum, { taskCount, needs }, at) => {
-    return sum + taskCount * needs.accelerators * ((runTimesMs[at] ?? 0) / slotMs)
-  }, 0)
-  // A slot that is begun counts whole, at both ends.
-  return {
-    fromSlot: Math.floor(arriveMs / slotMs),
-    toSlot: Math.ceil(limitMs / slotMs),
-    amount,
-    worth,
+/**
+ * The room of one resource in each slot, followed by the room of evacuated data centres in each slot, which only jobs that
+ * came before the evacuation may use.
+ */
+class RoomSlots {
+  readonly #day: CrowdedDay
+  readonly #resource: keyof Resources
+  readonly #slotCount: number
+
+  constructor(day: CrowdedDay, resource: keyof Resources) {
+    this.#day = day
+    this.#resource = resource
+    this.#slotCount = Math.ceil((day.lengthMs + finishMs) / slotMs)
   }
-}
 
-function admitBest(day: CrowdedDay, offers: readonly Offer[]): number {
-  const slots = new WorkSlots(listRoom(day))
-  const denseFirst = [...offers].sort(
-    (left, right) => right.worth / right.amount - left.worth / left.amount,
-  )
-  return denseFirst.reduce((sum, offer) => {
-    return sum + (offer.worth * slots.admit(offer)) / offer.amount
-  }, 0)
-}
+  toOffer(job: DayJob, limitTimes: number, worth: number): Offer {
+    const { arriveMs, request, runTimesMs } = job
+    const limitMs = arriveMs + measureObjectiveMs(job) * limitTimes
+    const amount = request.steps.reduce((sum, { taskCount, needs }, at) => {
+      return sum + taskCount * needs[this.#resource] * ((runTimesMs[at] ?? 0) / slotMs)
+    }, 0)
+    // A slot that is begun counts whole, at both ends.
+    const fromSlot = Math.floor(arriveMs / slotMs)
+    const toSlot = Math.min(this.#slotCount, Math.ceil(limitMs / slotMs))
+    const mayRunInEvacuated = this.#day.evacuations.some(({ fromMs }) => arriveMs < fromMs)
+    return {
+      fromSlot,
+      toSlot,
+      ...(mayRunInEvacuated ? { otherFromSlot: this.#slotCount + fromSlot } : {}),
+      amount,
+      worth,
+    }
+  }
 
-/** Accelerators in each slot; an upstream that is lost within a slot still counts in it. */
-function listRoom({ upstreams, losses, lengthMs }: CrowdedDay): number[] {
-  const slotCount = Math.ceil((lengthMs + finishMs) / slotMs)
-  return Array.from({ length: slotCount }, (_, slot) => {
-    const lost = new Set(
-      losses.filter(({ atMs }) => atMs <= slot * slotMs).map((loss) => loss.upstreamId),
+  admitBest(offers: readonly Offer[]): number {
+    const slots = new WorkSlots([...this.#listRoom(false), ...this.#listRoom(true)])
+    const denseFirst = [...offers].sort(
+      (left, right) => right.worth / right.amount - left.worth / left.amount,
     )
-    return (upstreams.length - lost.size) * acceleratorsPerUpstream
-  })
+    return denseFirst.reduce((sum, offer) => {
+      return sum + (offer.worth * slots.admit(offer)) / offer.amount
+    }, 0)
+  }
+
+  /** An upstream that is lost or evacuated within a slot still counts in it. */
+  #listRoom(isEvacuated: boolean): number[] {
+    const { upstreams, losses, evacuations, troubles } = this.#day
+    return Array.from({ length: this.#slotCount }, (_, slot) => {
+      const atMs = slot * slotMs
+      const lost = new Set(
+        losses.filter((loss) => loss.atMs <= atMs).map((loss) => loss.upstreamId),
+      )
+      const evacuated = new Set(
+        evacuations.filter((span) => isWithin(span, atMs)).map(({ dataCentre }) => dataCentre),
+      )
+      return upstreams
+        .filter(({ upstreamId }) => !lost.has(upstreamId))
+        .filter(({ dataCentre }) => evacuated.has(dataCentre) === isEvacuated)
+        .reduce((sum, { upstreamId, capacity }) => {
+          return sum + capacity[this.#resource] * (troubles.paces.get(upstreamId) ?? 1)
+        }, 0)
+    })
+  }
 }
--- a/bench/policy/src/crowdedDay.ts
+++ b/bench/policy/src/crowdedDay.ts
@@ -2,11 +2,19 @@
 import type {
   ClusterConfig,
   JobRequest,
+  Resources,
   StepSpec,
   UpstreamDescription,
 } from '@nettlespur/batch.model'
+import { countFitting } from '@nettlespur/batch.scheduler'
 import { SeededRandom } from '@nettlespur/bench.placement'
-import { drawCrashingJobs, drawTroubles, noTroubles, type DayTroubles } from './dayTroubles.js'
+import {
+  drawCrashingJobs,
+  drawTroubles,
+  noTroubles,
+  type DayTroubles,
+  type Span,
+} from './dayTroubles.js'
 import type { Goal } from './goal.js'
 import { acceleratorsPerUpstream, type Deployment, type JobKind } from './deployment.js'
 
@@ -25,6 +33,13 @@
 export interface Loss {
   readonly upstreamId: string
   readonly atMs: number
+  /** How long before it says so, and gets no new work; not at all by default. */
+  readonly noticeMs?: number
+}
+
+/** A data centre in which nothing may start for a time. */
+export interface DayEvacuation extends Span {
+  readonly dataCentre: string
 }
 
 export interface CrowdedDay {
@@ -33,6 +48,7 @@
   /** In order of arrival. */
   readonly jobs: readonly DayJob[]
   readonly losses: readonly Loss[]
+  readonly evacuations: readonly DayEvacuation[]
   readonly troubles: DayTroubles
   readonly lengthMs: number
   readonly goal: Goal
@@ -76,6 +92,7 @@
     upstreams,
     jobs: byArrival,
     losses,
+    evacuations: [],
     troubles: noTroubles,
     lengthMs,
     goal: deployment.goal,
@@ -90,7 +107,9 @@
     jobIds: day.jobs.map(({ request }) => request.jobId),
     lengthMs,
   })
-  return { ...day, troubles }
+  return deployment.isPaceUniform === true
+    ? { ...day, troubles: { ...troubles, paces: noTroubles.paces } }
+    : { ...day, troubles }
 }
 
 /** A troubled day on which some jobs bring down each upstream that starts one of their tasks. */
@@ -130,13 +149,17 @@
   const taskCount = Math.min(kind.tasks.max, Math.max(1, drawn))
   const accelerators = random.pick(kind.accelerators.map((count) => [count, 1] as const))
   const declared = drawAround(random, runTimeMs, kind.declaredSpread)
+  const { cpuMillicores, memoryMiB } = kind
+  const needs = { cpuMillicores, memoryMiB, accelerators }
   const step: StepSpec = {
     taskCount,
-    needs: { cpuMillicores: kind.cpuMillicores, memoryMiB: kind.memoryMiB, accelerators },
+    needs,
     expectedRunTimeMs: Math.round(declared),
     dependsOn: [],
     isGang: kind.isGang,
-    prefersOneRack: random.chance(kind.oneRackShare),
+    prefersOneRack:
+      random.chance(kind.oneRackShare) &&
+      (deployment.isOneRackPossible !== true || canRackHold(deployment, taskCount, needs)),
     checkpoints: random.chance(kind.checkpointShare),
   }
   const hasSecond = random.chance(kind.secondStepShare)
@@ -152,6 +175,15 @@
   }
 }
 
+function canRackHold(
+  { cpuMillicores, memoryMiB, upstreamsPerRack }: Deployment,
+  taskCount: number,
+  needs: Resources,
+): boolean {
+  const capacity = { cpuMillicores, memoryMiB, accelerators: acceleratorsPerUpstream }
+  return countFitting(capacity, needs) * upstreamsPerRack >= taskCount
+}
+
 function meanWork(kind: JobKind): number {
   const accelerators = kind.accelerators.reduce((sum, count) => sum + count, 0)
   const perTask = (kind.runTime.meanMs * accelerators) / kind.accelerators.length
@@ -167,13 +199,26 @@
   return `workspace-${at}`
 }
 
+export function nameDataCentre(at: number): string {
+  return `centre-${at}`
+}
+
 function createUpstreams(deployment: Deployment): UpstreamDescription[] {
-  const { upstreamCount, upstreamsPerRack, cpuMillicores, memoryMiB } = deployment
+  const {
+    upstreamCount,
+    upstreamsPerRack,
+    cpuMillicores,
+    memoryMiB,
+    dataCentreCount = 1,
+  } = deployment
+  const rackCount = Math.ceil(upstreamCount / upstreamsPerRack)
   return Array.from({ length: upstreamCount }, (_, at) => ({
     upstreamId: `upstream-${at}`,
     pool: 'pool',
     address: `127.0.0.1:${9000 + at}`,
-    dataCentre: 'centre',
+    dataCentre: nameDataCentre(
+      Math.floor((Math.floor(at / upstreamsPerRack) * dataCentreCount) / rackCount),
+    ),
     rack: `rack-${Math.floor(at / upstreamsPerRack)}`,
     labels: [],
     capacity: { cpuMillicores, memoryMiB, accelerators: acceleratorsPerUpstream },
--- a/bench/policy/src/deployment.ts
+++ b/bench/policy/src/deployment.ts
@@ -35,6 +35,12 @@
   readonly cpuMillicores: number
   readonly memoryMiB: number
   readonly workspaceCount: number
+  /** Whether all upstreams are equally fast; their paces differ by default. */
+  readonly isPaceUniform?: boolean
+  /** Whether only gangs that an empty rack can hold want one; any gang by default. */
+  readonly isOneRackPossible?: boolean
+  /** Data centres among which the racks are divided; one by default. */
+  readonly dataCentreCount?: number
   readonly kinds: readonly JobKind[]
   readonly goal: Goal
 }
@@ -186,6 +192,39 @@
   ],
 }
 
+/** More urgent work and less of the rest, in gangs of 13 and small jobs of 39, on upstreams with half of the memory. */
+export const shifted: Deployment = {
+  name: 'shifted',
+  goal: { ...crewsGoal, wastePrice: 0.0012 },
+  upstreamCount: 245,
+  upstreamsPerRack: 8,
+  cpuMillicores: 32_000,
+  memoryMiB: 65_536,
+  workspaceCount: 10,
+  dataCentreCount: 3,
+  isPaceUniform: true,
+  isOneRackPossible: true,
+  kinds: [
+    {
+      ...sweep,
+      jobsPerSecond: 0.882,
+      tasks: { mean: 13, max: 78 },
+      memoryMiB: 26_000,
+      failingShare: 0.02,
+    },
+    { ...urgent, jobsPerSecond: 6.49, tasks: { mean: 5.4, max: 32 }, memoryMiB: 7600 },
+    {
+      ...background,
+      jobsPerSecond: 1.08,
+      tasks: { mean: 39, max: 230 },
+      memoryMiB: 5700,
+      failingShare: 0.05,
+      checkpointShare: 0.45,
+      declaredSpread: 0.5,
+    },
+  ],
+}
+
 /** The same crowd on more upstreams. */
 export function growDeployment(deployment: Deployment, upstreamCount: number): Deployment {
   const times = upstreamCount / deployment.upstreamCount
--- a/bench/policy/src/index.ts
+++ b/bench/policy/src/index.ts
@@ -6,7 +6,8 @@
   createTroubledDay,
   type CrowdedDay,
 } from './crowdedDay.js'
-export { cscfba, fsww, growDeployment, thapa, type Deployment } from './deployment.js'
+export { createEvacuatedDay } from './evacuatedDay.js'
+export { cscfba, fsww, growDeployment, shifted, thapa, type Deployment } from './deployment.js'
 export { createThinnedDay } from './thinnedDay.js'
 export { measurePolicy, type PolicyMeasureOptions } from './measurePolicy.js'
 export { playDay, type DayResult } from './playDay.js'
--- a/bench/policy/src/measurePolicy.ts
+++ b/bench/policy/src/measurePolicy.ts
@@ -2,7 +2,8 @@
 import type { Row } from '@nettlespur/bench.placement'
 import { boundEarnings } from './boundEarnings.js'
 import { createCrashingDay, createCrowdedDay, createTroubledDay } from './crowdedDay.js'
-import { cscfba, fsww, growDeployment, thapa, type Deployment } from './deployment.js'
+import { cscfba, fsww, growDeployment, shifted, thapa, type Deployment } from './deployment.js'
+import { createEvacuatedDay } from './evacuatedDay.js'
 import type { DayParts } from './judgeDay.js'
 import { playDay, type DayResult } from './playDay.js'
 
@@ -14,6 +15,8 @@
 }
 
 const defaultDays = 40
+/** A day of 245 upstreams takes as long as several of 33. */
+const shiftedDaysShare = 5
 const defaultGrownUpstreams = [30, 245, 690]
 
 export async function measurePolicy(opts: PolicyMeasureOptions = {}): Promise<Row[]> {
@@ -22,8 +25,9 @@
   const earned = deployments.flatMap((deployment) => measureEarnings(deployment, days))
   const troubled = deployments.flatMap((deployment) => measureTroubledDays(deployment, days))
   const crashing = deployments.flatMap((deployment) => measureCrashingDays(deployment, days))
+  const evacuated = measureEvacuatedDays(shifted, Math.ceil(days / shiftedDaysShare))
   const costs = grownUpstreams.flatMap((count) => measureCost(growDeployment(cscfba, count)))
-  return Promise.resolve([...earned, ...troubled, ...crashing, ...costs])
+  return Promise.resolve([...earned, ...troubled, ...crashing, ...evacuated, ...costs])
 }
 
 function measureEarnings(deployment: Deployment, days: number): Row[] {
@@ -97,6 +101,23 @@
   ]
 }
 
+/** Days on which a data centre is evacuated, as a share of what is possible. */
+function measureEvacuatedDays(deployment: Deployment, days: number): Row[] {
+  const results = Array.from({ length: days }, (_, at) => {
+    const day = createEvacuatedDay(deployment, at + 1)
+    return { ...playDay(day, at + 1), bound: boundEarnings(day) }
+  })
+  const prefix = `policy.${deployment.name}.evacuated`
+  const worth = meanOf(results.map((result) => result.worth))
+  const bound = meanOf(results.map((result) => result.bound))
+  const totals = results.map(({ verdict }) => verdict.total)
+  return [
+    { name: `${prefix}.total`, value: meanOf(totals), unit: 'ratio' },
+    { name: `${prefix}.worth`, value: worth, unit: 'ratio' },
+    { name: `${prefix}.of_bound`, value: worth / bound, unit: 'ratio' },
+  ]
+}
+
 function measureCost(deployment: Deployment): Row[] {
   const { roundsMs } = playDay(createCrowdedDay(deployment, 1), 1)
   const sorted = [...roundsMs].sort((left, right) => left - right)
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -6,7 +6,13 @@
   type UpstreamAvailability,
 } from '@nettlespur/batch.scheduler'
 import type { UpstreamDescription } from '@nettlespur/batch.model'
-import { buildSchedulerView, UpstreamHealth } from '@nettlespur/batch.service'
+import {
+  buildSchedulerView,
+  listRunsCutShort,
+  UpstreamHealth,
+  type LeavingUpstream,
+  type ListRunsOptions,
+} from '@nettlespur/batch.service'
 import { BatchState, type RunEnd, type UpstreamRecord } from '@nettlespur/batch.state'
 import { SeededRandom } from '@nettlespur/bench.placement'
 import { finishMs, type CrowdedDay, type DayJob } from './crowdedDay.js'
@@ -57,6 +63,7 @@
   readonly #roundsMs: number[] = []
   readonly #heldUp = new HeldUpWatch()
   readonly #starvation = new StarvationTimes()
+  #leaving: readonly LeavingUpstream[] = []
   #nowMs = 0
 
   constructor(day: CrowdedDay, seed: number) {
@@ -75,7 +82,9 @@
       this.#runs.advance(this.#nowMs, stepMs)
       if (this.#day.troubles.leaderless.some((span) => isWithin(span, this.#nowMs))) continue
       while ((arrivals[0]?.arriveMs ?? Infinity) <= this.#nowMs) this.#submit(arrivals.shift())
+      this.#giveNotices()
       while ((losses[0]?.atMs ?? Infinity) <= this.#nowMs) this.#lose(losses.shift()?.upstreamId)
+      this.#changeEvacuations()
       this.#cancelDue()
       this.#takeEnds(this.#runs.takeEnds(this.#nowMs))
       const starving = this.#decide()
@@ -91,6 +100,25 @@
     this.#state.apply({ type: 'submit-job', request, workspace, queueName: kind.name })
   }
 
+  /** Upstreams that say that they leave drain until they are lost. */
+  #giveNotices(): void {
+    const noticed = this.#day.losses.filter(({ atMs, noticeMs = 0 }) => {
+      return noticeMs > 0 && atMs > this.#nowMs && atMs - noticeMs <= this.#nowMs
+    })
+    this.#leaving = noticed.map(({ upstreamId, atMs }) => ({ upstreamId, leavesAtMs: atMs }))
+    for (const { upstreamId } of noticed) this.#state.apply({ type: 'drain-upstream', upstreamId })
+  }
+
+  #changeEvacuations(): void {
+    for (const { dataCentre, ...span } of this.#day.evacuations) {
+      const isInForce = isWithin(span, this.#nowMs)
+      const known = this.#state.evacuations.find(dataCentre)
+      if (known.isInForce === isInForce) continue
+      const change = { dataCentre, isInForce, expectedRevision: known.revision }
+      this.#state.apply({ type: 'change-evacuation', change })
+    }
+  }
+
   #cancelDue(): void {
     for (const [jobId, afterMs] of this.#day.troubles.cancelAfterMs) {
       const acceptedAtMs = this.#acceptedAtMs.get(jobId) ?? Infinity
@@ -120,9 +148,16 @@
   /** Returns the units that starve by the scheduler's own account. */
   #decide(): readonly StarvingUnit[] {
     const begunAt = process.hrtime.bigint()
-    const view = buildSchedulerView({
+    const runs: ListRunsOptions = {
       state: this.#state,
       nowMs: this.#nowMs,
+      listPlacements: (upstreamId) => this.#state.placements.getByUpstream(upstreamId),
+      isStopping: (placement) => this.#runs.isStopping(placement),
+      findTrack: (placement) => this.#runs.findTrack(placement),
+    }
+    for (const run of listRunsCutShort(this.#leaving, runs)) this.#runs.stop(run, this.#nowMs)
+    const view = buildSchedulerView({
+      ...runs,
       acceptedAtMs: this.#acceptedAtMs,
       getAvailability: (upstream) => this.#getAvailability(upstream),
       isCold: () => false,
@@ -130,9 +165,6 @@
       isQuiet: ({ description }) => this.#isQuiet(description),
       isPaused: () => false,
       starvedMs: (unit) => this.#starvation.starvedMs(unit, this.#nowMs),
-      listPlacements: (upstreamId) => this.#state.placements.getByUpstream(upstreamId),
-      isStopping: (placement) => this.#runs.isStopping(placement),
-      findTrack: (placement) => this.#runs.findTrack(placement),
     })
     const { placements, preemptions, starving } = planRound(view)
     this.#roundsMs.push(Number(process.hrtime.bigint() - begunAt) / 1e6)
@@ -145,7 +177,8 @@
 
   #getAvailability(upstream: UpstreamRecord): UpstreamAvailability | undefined {
     const { upstreamId } = upstream.description
-    if (upstream.hasLeft) return undefined
+    if (upstream.hasLeft || upstream.isDraining || this.#state.isEvacuated(upstreamId))
+      return undefined
     if (this.#runs.crashes.isDown(upstreamId)) return 'excluded'
     return this.#health.isQuarantined(upstreamId, this.#nowMs) ? 'suspect' : 'usable'
   }
--- a/bench/policy/src/workSlots.ts
+++ b/bench/policy/src/workSlots.ts
@@ -8,6 +8,8 @@
   readonly fromSlot: number
   /** The first slot in which it may not be done. */
   readonly toSlot: number
+  /** The first of a second span of slots, as long as the first one; no second span by default. */
+  readonly otherFromSlot?: number
   readonly amount: number
 }
 
@@ -63,13 +65,18 @@
   }
 
   #listSlots(work: Admitted, seen: Set<number>, before: Step | undefined): Step[] {
+    const { fromSlot, otherFromSlot } = work
     const steps: Step[] = []
     const endSlot = Math.min(work.toSlot, this.#free.length)
-    for (let slot = work.fromSlot; slot < endSlot; slot++) {
-      if (seen.has(slot)) continue
+    const add = (slot: number): void => {
+      if (seen.has(slot)) return
       seen.add(slot)
       steps.push({ slot, work, before })
     }
+    for (let slot = fromSlot; slot < endSlot; slot++) {
+      add(slot)
+      if (otherFromSlot !== undefined) add(otherFromSlot + slot - fromSlot)
+    }
     return steps
   }
 
--- a/bench/policy/test/boundEarnings.test.ts
+++ b/bench/policy/test/boundEarnings.test.ts
@@ -1,7 +1,14 @@
 /** The bound on what a day can earn. */
 import test from 'ava'
 import fc from 'fast-check'
-import { boundEarnings, createCrowdedDay, growDeployment, playDay, thapa } from '../src/index.js'
+import {
+  boundEarnings,
+  createCrowdedDay,
+  createEvacuatedDay,
+  growDeployment,
+  playDay,
+  thapa,
+} from '../src/index.js'
 import { WorkSlots, type Work } from '../src/workSlots.js'
 
 const small = growDeployment(thapa, 8)
@@ -15,6 +22,24 @@
   }
 })
 
+test('no day on which a data centre is evacuated earns more than its bound, and the evacuation lowers it', (t) => {
+  const crowd = { ...growDeployment(thapa, 24), dataCentreCount: 3 }
+  for (const seed of [1, 2, 3, 4]) {
+    const day = createEvacuatedDay(crowd, seed)
+    const bound = boundEarnings(day)
+    t.true(playDay(day, seed).worth <= bound, `seed ${seed}`)
+    t.true(bound <= boundEarnings({ ...day, evacuations: [] }) + 1e-6, `seed ${seed}`)
+  }
+})
+
+test('the least of all resources bounds what can be earned', (t) => {
+  const day = createCrowdedDay(small, 1)
+  const upstreams = day.upstreams.map((upstream) => {
+    return { ...upstream, capacity: { ...upstream.capacity, memoryMiB: 8000 } }
+  })
+  t.true(boundEarnings({ ...day, upstreams }) < boundEarnings(day))
+})
+
 test('with room for all of them everything can be earned', (t) => {
   const day = createCrowdedDay(small, 1)
   const upstreams = Array.from({ length: 500 }, () => day.upstreams[0] ?? t.fail())
