--- a/core/errors/src/nettlespurError.ts
+++ b/core/errors/src/nettlespurError.ts
@@ -39,6 +39,11 @@
 /** Keeps a NettlespurError as it is and turns anything else into kind `internal`. */
 export function toNettlespurError(thrown: unknown): NettlespurError {
   if (thrown instanceof NettlespurError) return thrown
-  const message = thrown instanceof Error ? thrown.message : String(thrown)
-  return new NettlespurError('internal', message, { cause: thrown })
+  return new NettlespurError('internal', readMessage(thrown), { cause: thrown })
+}
+
+/** Events of failed connections are no instances of Error, but carry a message too. */
+function readMessage(thrown: unknown): string {
+  const hasMessage = typeof thrown === 'object' && thrown !== null && 'message' in thrown
+  return hasMessage && typeof thrown.message === 'string' ? thrown.message : String(thrown)
 }
