--- a/batch/model/src/index.ts
+++ b/batch/model/src/index.ts
@@ -2,6 +2,7 @@
 export * from './clusterConfig.js'
 export * from './createProcessId.js'
 export * from './findQueue.js'
+export * from './getAnnouncedId.js'
 export * from './jobRequest.js'
 export * from './jobState.js'
 export * from './listConfigFaults.js'
--- a/batch/service/src/sessionTable.ts
+++ b/batch/service/src/sessionTable.ts
@@ -1,4 +1,5 @@
 /** One leader's sessions with upstreams, by upstream id and by address. */
+import { getAnnouncedId } from '@nettlespur/batch.model'
 import type { UpstreamSession, UpstreamTarget } from '@nettlespur/batch.sessions'
 
 export class SessionTable {
@@ -39,9 +40,5 @@
 }
 
 function isRival(one: UpstreamTarget, other: UpstreamTarget): boolean {
-  return one.upstreamId !== other.upstreamId && announcedIdOf(one) === announcedIdOf(other)
-}
-
-function announcedIdOf({ announcedId, upstreamId }: UpstreamTarget): string {
-  return announcedId ?? upstreamId
+  return one.upstreamId !== other.upstreamId && getAnnouncedId(one) === getAnnouncedId(other)
 }
--- a/batch/service/src/upstreamRoster.ts
+++ b/batch/service/src/upstreamRoster.ts
@@ -1,5 +1,5 @@
 /** The upstreams as one leader knows them: their announcements and sessions, and whether they can take new work. */
-import type { Announcement } from '@nettlespur/batch.model'
+import { getAnnouncedId, type Announcement } from '@nettlespur/batch.model'
 import type { UpstreamAvailability } from '@nettlespur/batch.scheduler'
 import {
   UpstreamSession,
@@ -108,7 +108,7 @@
   /** Passes the runs of a replaced process on to the session with the process that answers in its place. */
   replace({ target, successorId, tracks }: Replacement): void {
     const { upstreamId, address } = target
-    const announcedId = target.announcedId ?? upstreamId
+    const announcedId = getAnnouncedId(target)
     this.#sessions.remove(upstreamId)
     this.#table.forget(upstreamId)
     const successor =
