--- a/batch/service/src/leaderFinder.ts
+++ b/batch/service/src/leaderFinder.ts
@@ -2,8 +2,7 @@
  * Finds the leader, and keeps one connection to each member. One search runs at a time, with random pauses between
  * searches, and all waiting calls share its result.
  */
-import { setDeadline, waitFor, type Clock, type Timer } from '@nettlespur/core.clock'
-import type { Logger } from '@nettlespur/core.logger'
+import { setDeadline, waitFor, type Timer } from '@nettlespur/core.clock'
 import type { RpcClient } from '@nettlespur/rpc.peer'
 import { setMaxListeners } from 'node:events'
 import { BehaviorSubject } from 'rxjs'
@@ -13,6 +12,7 @@
 import { drawSearchPauseMs } from './drawSearchPauseMs.js'
 import { LeaderOutage } from './leaderOutage.js'
 import { LeaderSearch } from './leaderSearch.js'
+import type { LeaderFinderOptions } from './leaderFinderOptions.js'
 import { MemberClients } from './memberClients.js'
 import { RefutedClaims } from './refutedClaims.js'
 
@@ -22,20 +22,6 @@
  */
 const stragglerWaitMs = 50
 
-export interface LeaderFinderOptions {
-  clock: Clock
-  logger: Logger
-  peerKey: string
-  /** Addresses of members that every search asks. */
-  seeds: readonly string[]
-  /** Timeout of one call to one member. */
-  callTimeoutMs: number
-  /** A number in [0, 1); Math.random by default. */
-  random?: (() => number) | undefined
-  /** Passed on to the RPC clients of the members. */
-  compresses?: boolean | undefined
-}
-
 export class LeaderFinder {
   /** The current time without a known leader. */
   readonly outage: LeaderOutage
--- a/batch/service/src/memberClients.ts
+++ b/batch/service/src/memberClients.ts
@@ -5,7 +5,7 @@
 import { limitCall, RpcClients } from '@nettlespur/rpc.peer'
 import type { LeaderView } from './batchApi.js'
 import type { BatchRouter } from './createBatchRouter.js'
-import type { LeaderFinderOptions } from './leaderFinder.js'
+import type { LeaderFinderOptions } from './leaderFinderOptions.js'
 
 /** A member answers from memory; over links of 1 ms this leaves time to resend a lost packet. */
 const locateTimeoutMs = 300
--- a/batch/service/src/operationRunner.ts
+++ b/batch/service/src/operationRunner.ts
@@ -7,7 +7,7 @@
 import { CallTrace } from './callTrace.js'
 import type { CallerWait } from './callerWait.js'
 import { LeaderCaller, type LeaderCallerOptions } from './leaderCaller.js'
-import type { LeaderFinderOptions } from './leaderFinder.js'
+import type { LeaderFinderOptions } from './leaderFinderOptions.js'
 import type { Operation } from './operation.js'
 import { answerMarginMs, runHedgedRead } from './runHedgedRead.js'
 
--- a/rpc/peer/src/createRpcClient.ts
+++ b/rpc/peer/src/createRpcClient.ts
@@ -3,23 +3,11 @@
  * demand. If it receives no message between the start of a call and its deadline, it is terminated, and the next
  * call opens a new one. An unreachable peer or an incomplete answer is reported as an error of the error table.
  */
-import type { Clock } from '@nettlespur/core.clock'
 import { createTRPCClient, TRPCClientError, type TRPCClient, type TRPCLink } from '@trpc/client'
 import type { AnyTRPCRouter } from '@trpc/server'
 import { observable } from '@trpc/server/observable'
 import { PeerCalls } from './peerCalls.js'
-
-export interface RpcClientOptions {
-  clock: Clock
-  /** `IP:PORT` of the peer. */
-  address: string
-  peerKey: string
-  /** Deadline of each call, in milliseconds. */
-  timeoutMs: number
-  ca?: Buffer | undefined
-  /** Uncompressed, a call takes a third less CPU time, but idle traffic is 30 times the bytes. Default: true. */
-  compresses?: boolean | undefined
-}
+import type { RpcClientOptions } from './rpcClientOptions.js'
 
 export interface RpcClient<R extends AnyTRPCRouter> {
   readonly call: TRPCClient<R>
--- a/rpc/peer/src/peerCalls.ts
+++ b/rpc/peer/src/peerCalls.ts
@@ -16,8 +16,8 @@
 import { observableToPromise } from '@trpc/server/observable'
 import { CallCancellation } from './callCancellation.js'
 import { readCallLimits, type CallLimits } from './callLimits.js'
-import type { RpcClientOptions } from './createRpcClient.js'
 import { PeerConnection } from './peerConnection.js'
+import type { RpcClientOptions } from './rpcClientOptions.js'
 
 export type PeerResult = OperationResultEnvelope<unknown, TRPCClientError<AnyTRPCRouter>>
 
--- a/rpc/peer/src/rpcClients.ts
+++ b/rpc/peer/src/rpcClients.ts
@@ -1,6 +1,7 @@
 /** Holds one RPC client per peer address, created on first use; all are closed together. */
 import type { AnyTRPCRouter } from '@trpc/server'
-import { createRpcClient, type RpcClient, type RpcClientOptions } from './createRpcClient.js'
+import { createRpcClient, type RpcClient } from './createRpcClient.js'
+import type { RpcClientOptions } from './rpcClientOptions.js'
 
 /** Options shared by all clients. */
 export type RpcClientsOptions = Omit<RpcClientOptions, 'address'>
