--- a/batch/service/src/leaderFinder.ts
+++ b/batch/service/src/leaderFinder.ts
@@ -119,8 +119,8 @@
 
   /**
    * Drops the presumed leader if it has not answered since `sinceMs`. Until it answers itself, other members that name it
-   * are ignored: followers go on naming a suspended leader for 700 ms, and a client that believed them would learn of the
-   * next leader 0.2 to 0.5 s after its election.
+   * are ignored: followers go on naming a suspended leader for an election timeout, and a client that believed them would
+   * learn late of the next one.
    */
   suspectLeader(address: string, sinceMs: number): void {
     const answeredAtMs = this.#answeredAtMs.get(address) ?? -Infinity
