refactor: the key of a step stands once, beside those of tasks and runs

batch/state wrote unitKey of batch/scheduler again as toUnitKey, as state may not import the scheduler. Its place is batch/model, where taskKey and runKey build on it; the scheduler's file goes. Placements barred by an evacuation were told by two checks, of which the first repeated what the set already held for gangs; now there is one, by kind of step. No behaviour changes: for a gang its unit is in the set whenever one of its members is evacuated, that one included.

--- a/batch/model/src/taskName.ts
+++ b/batch/model/src/taskName.ts
@@ -1,4 +1,4 @@
-/** Identifiers of a task of a job, and of one run of the task. */
+/** Identifiers of a step of a job, of a task of the step, and of one run of the task. */
 import { countSchema } from '@nettlespur/api.schemas'
 import { z } from 'zod'
 
@@ -9,12 +9,19 @@
 })
 export type TaskRef = z.infer<typeof taskRefSchema>
 
+/** A unit of scheduling: a step of a job. */
+export type UnitRef = Pick<TaskRef, 'jobId' | 'step'>
+
 /** Attempts of a task are numbered from 1; members of a gang share the attempt number. */
 export const runRefSchema = taskRefSchema.extend({ attempt: countSchema })
 export type RunRef = z.infer<typeof runRefSchema>
 
-export function taskKey({ jobId, step, index }: TaskRef): string {
-  return `${jobId}/${step}/${index}`
+export function unitKey({ jobId, step }: UnitRef): string {
+  return `${jobId}/${step}`
+}
+
+export function taskKey(task: TaskRef): string {
+  return `${unitKey(task)}/${task.index}`
 }
 
 export function runKey(run: RunRef): string {
--- a/batch/scheduler/src/index.ts
+++ b/batch/scheduler/src/index.ts
@@ -12,4 +12,3 @@
 } from './schedulerView.js'
 export { StarvationTimes } from './starvationTimes.js'
 export type { StarvationReason, StarvingUnit } from './starvingUnit.js'
-export { unitKey, type UnitRef } from './unitRef.js'
--- a/batch/scheduler/src/schedulerView.ts
+++ b/batch/scheduler/src/schedulerView.ts
@@ -1,8 +1,7 @@
 /** Input and result of a scheduling round. A round does not modify its input. */
 import type { JobRecord, Placement } from '@nettlespur/batch.state'
-import type { Resources, TaskRef } from '@nettlespur/batch.model'
+import type { Resources, TaskRef, UnitRef } from '@nettlespur/batch.model'
 import type { StarvingUnit } from './starvingUnit.js'
-import type { UnitRef } from './unitRef.js'
 
 /**
  * - `usable`: may get new work.
--- a/batch/scheduler/src/starvationTimes.ts
+++ b/batch/scheduler/src/starvationTimes.ts
@@ -1,5 +1,5 @@
 /** How long each starving unit has been starving, across rounds. Kept in the leader's memory. */
-import { unitKey, type UnitRef } from './unitRef.js'
+import { unitKey, type UnitRef } from '@nettlespur/batch.model'
 
 export class StarvationTimes {
   #sinceMs = new Map<string, number>()
--- a/batch/scheduler/src/starvingUnit.ts
+++ b/batch/scheduler/src/starvingUnit.ts
@@ -3,8 +3,8 @@
  * evacuated upstreams could take it. Preferences are worth a short wait only, so a round reports which units starve, and
  * the reason if asked.
  */
+import type { UnitRef } from '@nettlespur/batch.model'
 import type { Preference } from './preference.js'
-import type { UnitRef } from './unitRef.js'
 
 /**
  * - The last preference to relax so that the unit could start.
--- a/batch/service/src/starvationWatch.ts
+++ b/batch/service/src/starvationWatch.ts
@@ -1,7 +1,7 @@
 /** Logs the reason of units that starve for long: at first, and when it changes. */
+import { unitKey } from '@nettlespur/batch.model'
 import {
   StarvationTimes,
-  unitKey,
   type StarvationReason,
   type StarvingUnit,
 } from '@nettlespur/batch.scheduler'
--- a/batch/state/src/batchState.ts
+++ b/batch/state/src/batchState.ts
@@ -2,7 +2,7 @@
  * The replicated state of all control members: the configuration, the jobs with the placement of each task, and
  * the upstreams. Applying a command is deterministic, so every member computes the same state.
  */
-import { clusterConfigSchema, type ClusterConfig } from '@nettlespur/batch.model'
+import { clusterConfigSchema, unitKey, type ClusterConfig } from '@nettlespur/batch.model'
 import { evacuationSchema, EvacuationTable } from '@nettlespur/core.evacuations'
 import { isDeepStrictEqual } from 'node:util'
 import { z } from 'zod'
@@ -149,12 +149,13 @@
    * before the evacuation of its data centre took effect, nor the other members of its gang.
    */
   #placeTasks({ placements }: CommandOf<'place-tasks'>): CommandOutcome {
-    const barred = new Set(
-      placements.filter(({ upstreamId }) => this.isEvacuated(upstreamId)).map(toUnitKey),
-    )
+    const evacuated = placements.filter(({ upstreamId }) => this.isEvacuated(upstreamId))
+    const barredUnits = new Set(evacuated.map(unitKey))
     for (const placement of placements) {
-      if (this.isEvacuated(placement.upstreamId)) continue
-      if (this.#isGang(placement) && barred.has(toUnitKey(placement))) continue
+      const isBarred = this.#isGang(placement)
+        ? barredUnits.has(unitKey(placement))
+        : this.isEvacuated(placement.upstreamId)
+      if (isBarred) continue
       const job = this.jobs.get(placement.jobId)
       const task = job?.steps[placement.step]?.tasks[placement.index]
       if (job?.status !== 'active' || task?.phase !== 'waiting') continue
@@ -225,7 +226,3 @@
     else this.unsettled.delete(jobId)
   }
 }
-
-function toUnitKey({ jobId, step }: Placement): string {
-  return `${jobId}/${step}`
-}
