refactor: the table of evacuations lists the known data centres for all who ask

The leader of batch, the control instance and the fake control of the entries each joined the data centres they know with those of earlier orders, and looked each up. EvacuationTable.listWith does it. Two exports that nobody used outside go, and whether an evacuation is in force, asked for every upstream in every round, no longer builds a record to answer. The control instance's list stays sorted by name, the batch leader's in the order of the settings.

--- a/batch/service/src/leaderApi.ts
+++ b/batch/service/src/leaderApi.ts
@@ -123,7 +123,9 @@
   override listEvacuations(): EitherAsync<NettlespurError, Evacuation[]> {
     return tryAsync(() => {
       this.#opts.requireLeader()
-      return Promise.resolve(this.#listEvacuations())
+      const { evacuations, upstreams } = this.#state
+      const ofUpstreams = [...upstreams.values()].map(({ description }) => description.dataCentre)
+      return Promise.resolve(evacuations.listWith([...this.#opts.dataCentres, ...ofUpstreams]))
     })
   }
 
@@ -190,16 +192,6 @@
     })
   }
 
-  #listEvacuations(): Evacuation[] {
-    const { evacuations, upstreams } = this.#state
-    const known = new Set([
-      ...this.#opts.dataCentres,
-      ...[...upstreams.values()].map(({ description }) => description.dataCentre),
-      ...evacuations.list().map(({ dataCentre }) => dataCentre),
-    ])
-    return [...known].map((dataCentre) => evacuations.find(dataCentre))
-  }
-
   /** Authorizes the call. A refusal may rest on stale state, so it is checked again after a confirmed read. */
   async #authorize(call: QueueCall, pathSuffix: string): Promise<AuthorizedCall> {
     const known = authorizeCall(this.#requireConfig(), call, pathSuffix)
--- a/control/service/src/evacuationCalls.ts
+++ b/control/service/src/evacuationCalls.ts
@@ -15,15 +15,13 @@
     this.#session = session
   }
 
-  /** Lists the data centres of all upstreams, members and orders. */
+  /** Lists the data centres of all upstreams, members and orders by name. */
   list(): Promise<Evacuation[]> {
     const { holder, log } = this.#opts
-    const known = new Set([
-      ...log.describe().members.map(({ dataCentre }) => dataCentre),
-      ...this.#session.upstreams.list().map(({ dataCentre }) => dataCentre),
-      ...holder.state.listEvacuations().map(({ dataCentre }) => dataCentre),
-    ])
-    return Promise.resolve([...known].sort().map((name) => holder.state.getEvacuation(name)))
+    const places = [...log.describe().members, ...this.#session.upstreams.list()]
+    const evacuations = holder.state.listEvacuations(places.map(({ dataCentre }) => dataCentre))
+    const byName = evacuations.sort((one, other) => (one.dataCentre < other.dataCentre ? -1 : 1))
+    return Promise.resolve(byName)
   }
 
   async change(change: EvacuationChange): Promise<null> {
--- a/control/state/src/controlState.ts
+++ b/control/state/src/controlState.ts
@@ -116,14 +116,9 @@
     return this.#data.evacuations.isInForce(dataCentre)
   }
 
-  /** Returns the evacuation of a data centre, whether or not it was ever ordered. */
-  getEvacuation(dataCentre: string): Evacuation {
-    return this.#data.evacuations.find(dataCentre)
-  }
-
-  /** Evacuations that were ever ordered. */
-  listEvacuations(): Evacuation[] {
-    return this.#data.evacuations.list()
+  /** Lists the evacuation of each of these data centres, and then of all others that an order was ever given for. */
+  listEvacuations(dataCentres: Iterable<string>): Evacuation[] {
+    return this.#data.evacuations.listWith(dataCentres)
   }
 
   getClaim({ workspace, key }: ClaimKey): Claim | undefined {
--- a/core/evacuations/src/evacuation.ts
+++ b/core/evacuations/src/evacuation.ts
@@ -18,8 +18,3 @@
   expectedRevision: revisionSchema,
 })
 export type EvacuationChange = z.infer<typeof evacuationChangeSchema>
-
-/** A data centre that no change was made for. */
-export function createUnchangedEvacuation(dataCentre: string): Evacuation {
-  return { dataCentre, isInForce: false, revision: 0 }
-}
--- a/core/evacuations/src/evacuationTable.ts
+++ b/core/evacuations/src/evacuationTable.ts
@@ -1,14 +1,11 @@
 /** The evacuations in the replicated state, one for each data centre that a change was ever made for. */
-import { createUnchangedEvacuation, type Evacuation, type EvacuationChange } from './evacuation.js'
+import type { Evacuation, EvacuationChange } from './evacuation.js'
 
-export const evacuationOutcomes = [
-  'done',
-  /** The order asks for what is in force already. */
-  'unchanged',
-  /** Refused: another order was accepted after this one was made. */
-  'stale-revision',
-] as const
-export type EvacuationOutcome = (typeof evacuationOutcomes)[number]
+/**
+ * - `unchanged`: the order asks for what is in force already.
+ * - `stale-revision`: refused, as another order was accepted after this one was made.
+ */
+export type EvacuationOutcome = 'done' | 'unchanged' | 'stale-revision'
 
 export class EvacuationTable {
   readonly #byDataCentre: Map<string, Evacuation>
@@ -21,8 +18,14 @@
     return [...this.#byDataCentre.values()]
   }
 
+  /** Lists the evacuation of each of these data centres, and then of all others that a change was ever made for. */
+  listWith(dataCentres: Iterable<string>): Evacuation[] {
+    const known = new Set([...dataCentres, ...this.#byDataCentre.keys()])
+    return [...known].map((dataCentre) => this.find(dataCentre))
+  }
+
   isInForce(dataCentre: string): boolean {
-    return this.find(dataCentre).isInForce
+    return this.#byDataCentre.get(dataCentre)?.isInForce === true
   }
 
   /** Data centres in which nothing may start. */
@@ -31,7 +34,7 @@
   }
 
   find(dataCentre: string): Evacuation {
-    return this.#byDataCentre.get(dataCentre) ?? createUnchangedEvacuation(dataCentre)
+    return this.#byDataCentre.get(dataCentre) ?? { dataCentre, isInForce: false, revision: 0 }
   }
 
   /**
--- a/entry/fakes/src/fakeControl.ts
+++ b/entry/fakes/src/fakeControl.ts
@@ -128,10 +128,9 @@
   }
 
   listEvacuations(): EitherAsync<NettlespurError, Evacuation[]> {
-    return this.#answer(() => {
-      const known = [...this.upstreams.values()].map(({ dataCentre }) => dataCentre)
-      return [...new Set(known)].map((dataCentre) => this.evacuations.find(dataCentre))
-    })
+    return this.#answer(() =>
+      this.evacuations.listWith([...this.upstreams.values()].map(({ dataCentre }) => dataCentre)),
+    )
   }
 
   changeEvacuation(change: EvacuationChange): EitherAsync<NettlespurError, null> {
