refactor: whether a gang fits on empty upstreams is asked one way, with or without the evacuated

The check without evacuated data centres was a copy of the one beside it that had left out its cache: during an evacuation each waiting job searched an empty map again in each round, however many asked for the same. Both are a Feasibility now, one of all upstreams and one of those not evacuated; while nothing is evacuated it is the same object, so nothing is checked twice. The reason that a waiting job is given names the same data centres as before.

--- a/placement/engine/src/jobAdmission.ts
+++ b/placement/engine/src/jobAdmission.ts
@@ -3,10 +3,10 @@
  * failed searches by shape, since free capacity only decreases during a round.
  */
 import { describeBlocks, describeGang } from './describe.js'
-import { createEmptyMap, canFitOnEmpty } from './placementPolicy.js'
+import { buildDemandKey, Feasibility } from './feasibility.js'
 import type { PlacementRound } from './placementRound.js'
 import type { WaitingJob } from './placementView.js'
-import type { Block, ClusterMap } from '@nettlespur/placement.topology'
+import type { Block } from '@nettlespur/placement.topology'
 
 /** A job that no set of known upstreams can hold is refused after waiting this long. */
 const refuseInfeasibleAfterMs = 600_000
@@ -15,20 +15,21 @@
 
 export class JobAdmission {
   readonly #round: PlacementRound
-  #emptyMap: ClusterMap | undefined
-  #emptyMapWithoutEvacuated: ClusterMap | undefined
-  /** Evacuated data centres. */
-  readonly #evacuated: readonly string[]
+  readonly #onAllUpstreams: Feasibility
+  readonly #withoutEvacuated: Feasibility
   /** Keys of workspace and shape that have no unused reservation. */
   readonly #shapesWithoutUnused = new Set<string>()
   readonly #failedSearches = new Set<string>()
-  readonly #feasibleByDemand = new Map<string, boolean>()
   readonly #largestUpstreamSize: number
   readonly #guaranteedCounts: ReadonlyMap<string, number>
 
   constructor(round: PlacementRound) {
     this.#round = round
-    this.#evacuated = listEvacuated(round)
+    const { upstreams } = round.view
+    this.#onAllUpstreams = new Feasibility(upstreams)
+    const others = upstreams.filter(({ state }) => state !== 'evacuated')
+    this.#withoutEvacuated =
+      others.length === upstreams.length ? this.#onAllUpstreams : new Feasibility(others)
     this.#largestUpstreamSize = round.map.largestUpstreamSize
     this.#guaranteedCounts = countGuaranteed(round)
   }
@@ -103,8 +104,9 @@
       this.#round.decide({ kind: 'wait', jobId, reason })
       return
     }
-    if (!this.#isFeasibleWithoutEvacuated(job)) {
-      const reason = `no room for ${asked} without the evacuated data centres: ${this.#evacuated.join(', ')}`
+    if (!this.#withoutEvacuated.isFeasible(job)) {
+      const evacuated = listEvacuated(this.#round).join(', ')
+      const reason = `no room for ${asked} without the evacuated data centres: ${evacuated}`
       this.#round.decide({ kind: 'wait', jobId, reason })
       return
     }
@@ -116,22 +118,7 @@
 
   /** Whether the job would fit if all known upstreams were ready and no other gang ran. */
   isFeasible(job: WaitingJob): boolean {
-    const name = buildDemandKey(job)
-    const known = this.#feasibleByDemand.get(name)
-    if (known !== undefined) return known
-    this.#emptyMap ??= createEmptyMap(this.#round.view.upstreams)
-    const isFeasible = canFitOnEmpty(this.#emptyMap, job)
-    this.#feasibleByDemand.set(name, isFeasible)
-    return isFeasible
-  }
-
-  #isFeasibleWithoutEvacuated(job: WaitingJob): boolean {
-    if (this.#evacuated.length === 0) return true
-    const { upstreams } = this.#round.view
-    this.#emptyMapWithoutEvacuated ??= createEmptyMap(
-      upstreams.filter(({ state }) => state !== 'evacuated'),
-    )
-    return canFitOnEmpty(this.#emptyMapWithoutEvacuated, job)
+    return this.#onAllUpstreams.isFeasible(job)
   }
 
   #findRefusal(job: WaitingJob): string | undefined {
@@ -157,6 +144,7 @@
   }
 }
 
+/** Lists the evacuated data centres. */
 function listEvacuated({ view }: PlacementRound): string[] {
   const evacuated = view.upstreams.filter(({ state }) => state === 'evacuated')
   return [...new Set(evacuated.map(({ dataCentre }) => dataCentre))]
@@ -174,7 +162,3 @@
 function buildSearchKey(job: WaitingJob): string {
   return `${job.workspace} ${job.stoppability} ${buildDemandKey(job)}`
 }
-
-function buildDemandKey({ gang, cpuCores, memoryBytes }: WaitingJob): string {
-  return `${gang.accelerators} ${gang.adjacency} ${cpuCores} ${memoryBytes}`
-}
