refactor: orders for an evacuation are reported beside the other reports, not by the leader

LeaderApi asked the leader to log what it could log itself: it has the logger, the figures and the state. The line and the count are the same.

--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -3,7 +3,6 @@
  * placement before it orders the upstream to start it.
  */
 import { runKey, type Announcement } from '@nettlespur/batch.model'
-import type { EvacuationChange } from '@nettlespur/core.evacuations'
 import {
   SessionHost,
   type Replacement,
@@ -14,7 +13,6 @@
   listPlacements,
   type BatchState,
   type Command,
-  type CommandOutcome,
   type JobRecord,
   type Placement,
   type RunEnd,
@@ -96,15 +94,15 @@
 
   /** Takes over the runs that earlier leaders placed, then starts the scheduling rounds. */
   start(): void {
-    const { upstreams, unsettled, placements } = this.#state
-    const inheritedUpstreams = [...placements.upstreamIds].length
-    const held = {
-      inheritedUpstreams,
+    const { upstreams, unsettled, placements, evacuations } = this.#state
+    this.#opts.logger.info({
+      event: 'leader.started',
+      term: this.#opts.term,
+      inheritedUpstreams: [...placements.upstreamIds].length,
       upstreams: upstreams.size,
       unsettledJobs: unsettled.size,
-      evacuated: this.#state.evacuations.listInForce(),
-    }
-    this.#opts.logger.info({ event: 'leader.started', term: this.#opts.term, ...held })
+      evacuated: evacuations.listInForce(),
+    })
     void this.#scheduleAfterTakeover()
   }
 
@@ -143,31 +141,6 @@
     return this.#registrar.leave(id)
   }
 
-  /** Logs a change that was committed, and what it applies to. */
-  reportEvacuation(
-    { dataCentre, isInForce, expectedRevision }: EvacuationChange,
-    outcome: CommandOutcome,
-  ): void {
-    const { upstreams, placements } = this.#state
-    const concerned = [...upstreams.values()].filter(
-      ({ description, hasLeft }) => !hasLeft && description.dataCentre === dataCentre,
-    )
-    const runs = concerned.reduce(
-      (sum, { description }) => sum + placements.getByUpstream(description.upstreamId).size,
-      0,
-    )
-    this.#opts.logger.info({
-      event: 'evacuation.received',
-      dataCentre,
-      isInForce,
-      expectedRevision,
-      outcome,
-      upstreams: concerned.length,
-      runs,
-    })
-    this.#opts.metrics.count(`evacuation_orders_${outcome.replaceAll('-', '_')}_total`)
-  }
-
   override findJob(jobId: string): JobRecord | undefined {
     return this.#state.jobs.get(jobId)
   }
--- a/batch/service/src/leaderApi.ts
+++ b/batch/service/src/leaderApi.ts
@@ -18,6 +18,7 @@
 import { BatchApi, type JobCall, type QueueCall, type SubmitCall } from './batchApi.js'
 import type { BatchLeader } from './batchLeader.js'
 import { describeStep } from './describeStep.js'
+import { reportEvacuation } from './reportEvacuation.js'
 import { createUnknownRouteError, authorizeCall, type AuthorizedCall } from './authorizeCall.js'
 
 /** How soon an overtaken change may be sent again: it is judged by the revision that is current then. */
@@ -131,9 +132,9 @@
 
   override changeEvacuation(change: EvacuationChange): EitherAsync<NettlespurError, null> {
     return tryAsync(async () => {
-      const leader = this.#opts.requireLeader()
+      this.#opts.requireLeader()
       const outcome = await this.#propose({ type: 'change-evacuation', change })
-      leader.reportEvacuation(change, outcome)
+      reportEvacuation({ ...this.#opts, state: this.#state, change, outcome })
       if (outcome !== 'stale-revision') return null
       const { dataCentre } = change
       throw new NettlespurError('overtaken', `${dataCentre} was changed by another order`, {
