--- a/batch/service/__utils__/faultyPort.ts
+++ b/batch/service/__utils__/faultyPort.ts
@@ -12,7 +12,7 @@
 import type { Clock } from '@nettlespur/core.clock'
 import { NettlespurError } from '@nettlespur/core.errors'
 import type { FakeUpstream } from '@nettlespur/batch.fakes'
-import type { RunRef } from '@nettlespur/batch.model'
+import { getAnnouncedId, type RunRef } from '@nettlespur/batch.model'
 
 /**
  * What the link does with one call. `answer-lost`: the call is carried out, and its answer is lost. `late`: the call
@@ -125,10 +125,11 @@
   }
 
   async #call<T>(
-    { upstreamId, announcedId = upstreamId, address }: UpstreamTarget,
+    to: UpstreamTarget,
     timeoutMs: number,
     run: (upstream: FakeUpstream, fault: LinkFault) => Promise<T>,
   ): Promise<T | { type: 'gone'; clockMs: undefined }> {
+    const { address } = to
     const { clock, findUpstream, nextFault, nextLinkDelayMs, nextLatenessMs } = this.#opts
     const fault = nextFault(address)
     await clock.sleep(nextLinkDelayMs())
@@ -136,7 +137,7 @@
     const carryOut = async (): Promise<T | { type: 'gone'; clockMs: undefined }> => {
       const upstream = findUpstream(address)
       if (upstream?.isUp !== true) throw new NettlespurError('unreachable', 'nobody listens')
-      if (upstream.upstreamId !== announcedId) return { type: 'gone', clockMs: undefined }
+      if (upstream.upstreamId !== getAnnouncedId(to)) return { type: 'gone', clockMs: undefined }
       return run(upstream, fault)
     }
     if (answeredFaults.has(fault)) {
--- a/batch/service/src/announcementTable.ts
+++ b/batch/service/src/announcementTable.ts
@@ -1,11 +1,11 @@
 /** The last announcement of each upstream, held in the leader's memory; a new leader learns it from the next ones. */
-import type { Announcement } from '@nettlespur/batch.model'
+import { getAnnouncedId, type Announcement } from '@nettlespur/batch.model'
 
 interface LastAnnouncement {
   readonly sequence: number
   readonly heardAtMs: number
   readonly address: string
-  readonly announcedId: string | undefined
+  readonly announcedId: string
   /** The upstream stays at least until then, on this member's clock. Undefined unless it is about to leave. */
   readonly leavesAtMs: number | undefined
   /** When it is warm, on this member's clock. */
@@ -25,12 +25,13 @@
 
   /** Returns false, and changes nothing, if a newer announcement of the upstream has arrived before. */
   record(announcement: Announcement, nowMs: number): boolean {
-    const { upstreamId, announcedId, sequence, address, drainRemainingMs } = announcement
+    const { upstreamId, sequence, address, drainRemainingMs } = announcement
     const warmAtMs = nowMs + (announcement.coldRemainingMs ?? 0)
     const known = this.#lastByUpstream.get(upstreamId)
     if (known !== undefined && sequence <= known.sequence) return false
     if (known === undefined) this.#newestByAddress.set(address, upstreamId)
     const leavesAtMs = drainRemainingMs === undefined ? undefined : nowMs + drainRemainingMs
+    const announcedId = getAnnouncedId(announcement)
     const last = { sequence, heardAtMs: nowMs, address, announcedId, leavesAtMs, warmAtMs }
     this.#lastByUpstream.set(upstreamId, last)
     return true
@@ -65,7 +66,7 @@
     const newest = this.#newestByAddress.get(last.address)
     if (newest === undefined || newest === upstreamId) return false
     const { announcedId = newest } = this.#lastByUpstream.get(newest) ?? {}
-    return announcedId !== (last.announcedId ?? upstreamId)
+    return announcedId !== last.announcedId
   }
 
   forget(upstreamId: string): void {
