--- a/batch/service/__utils__/index.ts
+++ b/batch/service/__utils__/index.ts
@@ -6,6 +6,7 @@
 export { createRecorder, type Recorder } from './recorder.js'
 export { MemberGroup, type MemberGroupTimings } from './memberGroup.js'
 export { MemberLink } from './memberLink.js'
+export { openSession } from './openSession.js'
 export { silentLogger } from './silentLogger.js'
 export { SlowHost } from './slowHost.js'
 export { settledMs, startFleet } from './startFleet.js'
--- a/batch/service/__utils__/slowHost.ts
+++ b/batch/service/__utils__/slowHost.ts
@@ -14,17 +14,17 @@
 /** Applies commits to a real state after `commitMs`. */
 export class SlowHost extends SessionHost {
   static readonly commitMs = 20
+  readonly upstreamId: string
   readonly state = new BatchState()
   readonly gone: string[] = []
   /** How many of the next commits fail. */
   failingCommits = 0
   readonly #clock: ManualClock
-  readonly #upstreamId: string
 
   constructor(clock: ManualClock, upstreamId: string, step: Partial<StepSpec> = {}) {
     super()
     this.#clock = clock
-    this.#upstreamId = upstreamId
+    this.upstreamId = upstreamId
     this.state.apply({ type: 'apply-config', config: createConfig(1) })
     this.state.apply({ type: 'note-upstream', description: createUpstream(upstreamId) })
     const request = createJob('j', { taskCount: 2, ...step })
@@ -33,7 +33,7 @@
 
   /** Places the task `index` of the job `j` on the upstream. */
   place(index: number, attempt = 1): Placement {
-    const placement = { jobId: 'j', step: 0, index, attempt, upstreamId: this.#upstreamId }
+    const placement = { jobId: 'j', step: 0, index, attempt, upstreamId: this.upstreamId }
     this.state.apply({ type: 'place-tasks', placements: [placement] })
     return placement
   }
@@ -43,7 +43,7 @@
   }
 
   override findUpstream(): UpstreamRecord | undefined {
-    return this.state.upstreams.get(this.#upstreamId)
+    return this.state.upstreams.get(this.upstreamId)
   }
 
   override isEvacuated(upstreamId: string): boolean {
@@ -51,7 +51,7 @@
   }
 
   override listPlacements(): ReadonlyMap<string, Placement> {
-    return this.state.placements.getByUpstream(this.#upstreamId)
+    return this.state.placements.getByUpstream(this.upstreamId)
   }
 
   override shouldStop(): boolean {
--- a/batch/service/test/endedTrial.test.ts
+++ b/batch/service/test/endedTrial.test.ts
@@ -1,8 +1,8 @@
 /** A trial start keeps other work from its upstream, and must not do so once the run is no longer placed there. */
-import { UpstreamPort, UpstreamSession, type HoldAnswer } from '@nettlespur/batch.sessions'
+import { UpstreamPort, type HoldAnswer } from '@nettlespur/batch.sessions'
 import { ManualClock } from '@nettlespur/core.clock'
 import test from 'ava'
-import { silentLogger, SlowHost } from '../__utils__/index.js'
+import { openSession, SlowHost } from '../__utils__/index.js'
 
 const upstreamId = 'u1'
 const clockMs = 1000
@@ -39,16 +39,7 @@
     type: 'end-runs',
     ends: [{ ...crashed, outcome: 'crashed', blame: 'suspected' }],
   })
-  const session = new UpstreamSession({
-    target: { upstreamId, address: '127.0.0.1:9000' },
-    port: new UnlistedPort(clock),
-    host,
-    clock,
-    logger: silentLogger,
-    timings: { leaseMs: 9500, holdWaitMs: 2000 },
-    takeoverMs: undefined,
-    signal: new AbortController().signal,
-  })
+  const session = openSession({ clock, host, port: new UnlistedPort(clock) })
   const member = host.place(0, 2)
   const other = { ...member, index: 1, upstreamId: 'u2' }
   host.state.apply({ type: 'place-tasks', placements: [other] })
--- a/batch/service/test/evacuatedStart.test.ts
+++ b/batch/service/test/evacuatedStart.test.ts
@@ -1,9 +1,9 @@
 /** Start orders of placements that were committed just before their upstream was evacuated. */
-import { UpstreamPort, UpstreamSession, type HoldAnswer } from '@nettlespur/batch.sessions'
+import { UpstreamPort, type HoldAnswer } from '@nettlespur/batch.sessions'
 import { NettlespurError } from '@nettlespur/core.errors'
 import { ManualClock } from '@nettlespur/core.clock'
 import test from 'ava'
-import { silentLogger, SlowHost } from '../__utils__/index.js'
+import { openSession, SlowHost } from '../__utils__/index.js'
 
 const upstreamId = 'u1'
 const clockMs = 1000
@@ -41,16 +41,7 @@
   const clock = new ManualClock()
   const host = new SlowHost(clock, upstreamId)
   const port = new MutePort(clock)
-  const session = new UpstreamSession({
-    target: { upstreamId, address: '127.0.0.1:9000' },
-    port,
-    host,
-    clock,
-    logger: silentLogger,
-    timings: { leaseMs: 9500, holdWaitMs: 2000 },
-    takeoverMs: undefined,
-    signal: new AbortController().signal,
-  })
+  const session = openSession({ clock, host, port })
   const evacuate = (): void => {
     const change = { dataCentre: 'centre', isInForce: true, expectedRevision: 0 }
     host.state.apply({ type: 'change-evacuation', change })
--- a/batch/service/test/goneUpstream.test.ts
+++ b/batch/service/test/goneUpstream.test.ts
@@ -7,14 +7,13 @@
 import { runKey } from '@nettlespur/batch.model'
 import {
   UpstreamPort,
-  UpstreamSession,
   type HoldAnswer,
   type StartAnswer,
   type StopAnswer,
 } from '@nettlespur/batch.sessions'
 import { ManualClock } from '@nettlespur/core.clock'
 import test from 'ava'
-import { silentLogger, SlowHost } from '../__utils__/index.js'
+import { openSession, SlowHost } from '../__utils__/index.js'
 
 const upstreamId = 'u1'
 const startMs = 5
@@ -46,15 +45,11 @@
 function startSession() {
   const clock = new ManualClock()
   const host = new SlowHost(clock, upstreamId)
-  const session = new UpstreamSession({
-    target: { upstreamId, address: '127.0.0.1:9000' },
-    port: new RestartedUpstreamPort(clock),
-    host,
+  const session = openSession({
     clock,
-    logger: silentLogger,
-    timings: { leaseMs: 9500, holdWaitMs: 2000 },
+    host,
+    port: new RestartedUpstreamPort(clock),
     takeoverMs: 0,
-    signal: new AbortController().signal,
   })
   return { clock, host, session }
 }
