--- a/control/service/src/controlNode.ts
+++ b/control/service/src/controlNode.ts
@@ -33,16 +33,15 @@
 import type { Subscription } from 'rxjs'
 import { ClaimCalls } from './claimCalls.js'
 import { ContractCalls } from './contractCalls.js'
-import { EvacuationCalls } from './evacuationCalls.js'
 import { createReport } from './createReport.js'
 import { createStatus } from './createStatus.js'
+import { EvacuationCalls } from './evacuationCalls.js'
 import { JobCalls } from './jobCalls.js'
 import { LeaderSession } from './leaderSession.js'
 import type { ControlNodeOptions } from './nodeOptions.js'
+import { createNotLeaderError } from './notLeaderError.js'
 import { watchCluster } from './watchCluster.js'
 
-const electionRetryAfterMs = 250
-
 export class ControlNode extends ControlApi {
   readonly #opts: ControlNodeOptions
   readonly #contracts: ContractCalls
@@ -209,20 +208,8 @@
   ): EitherAsync<NettlespurError, T> {
     return tryAsync(() => {
       this.#opts.metrics.count(`control_calls_total{call="${call}"}`)
-      if (this.#session === undefined) return Promise.reject(this.#createNotLeaderError())
-      return run(this.#session)
-    })
-  }
-
-  #createNotLeaderError(): NettlespurError {
-    const leader = this.#leadership?.leaderAddress
-    const known = leader !== undefined && this.#leadership?.isLeader === false
-    const hint = known
-      ? `ask ${leader}`
-      : 'ask another control instance; an election may be under way'
-    return new NettlespurError('not-leader', `${this.#opts.instanceId} does not lead`, {
-      hint,
-      retryAfterMs: electionRetryAfterMs,
+      if (this.#session !== undefined) return run(this.#session)
+      return Promise.reject(createNotLeaderError(this.#opts.instanceId, this.#leadership))
     })
   }
 
