fix(sessions): a run counted as lost that turns out to be done completes its task

An upstream was cut off from 14.9 to 20.9 s; its run ended done at 19.55 s; its lease was over at 21.0 s by the leader's count, so the task was placed again at 21.07 s (attempt 2). Once the upstream answered, it listed the end of attempt 1. The leader ignored it as the end of a run that is not placed, acknowledged it, and started attempts 4 and 5 at 27.0 and 29.4 s after further stops: a task that was done ran again.

Ruled out: a lease that is renewed while the upstream is silent (unanswered polls renew nothing), an order carried out late (all starts were answered).

Now a reported end 'done' of an earlier attempt of an open task is committed as a late end: it completes the task, or the gang, takes the later run off its upstream and has it stopped. An upstream of which runs were given up is polled once as it announces itself again, so that such ends are read at once and not only when something is placed there.

Tests: both fail without the change (the job stays active and starts again); callers get the first result and no second run.

--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -27,6 +27,7 @@
 import type { JobClock } from './jobClock.js'
 import { listAffectedJobs } from './listAffectedJobs.js'
 import type { Propose } from './proposer.js'
+import { listSupersededRuns } from './listSupersededRuns.js'
 import { listActiveJobs, reportEnds } from './reportEnds.js'
 import { RetryBackoff } from './retryBackoff.js'
 import { SchedulingRounds } from './schedulingRounds.js'
@@ -181,6 +182,7 @@
 
   override async commitEnds(ends: readonly RunEnd[]): Promise<boolean> {
     const active = listActiveJobs(this.#state, ends)
+    const superseded = listSupersededRuns(this.#state, ends)
     if (!(await this.#tryPropose({ type: 'end-runs', ends: [...ends] }))) return false
     const nowMs = this.#opts.clock.monotonicMs()
     reportEnds({ ...this.#opts, ends, jobs: active, nowMs })
@@ -190,6 +192,7 @@
       this.#roster.health.noteEnd(end, address, nowMs)
       this.#retryBackoff.noteEnd(end, nowMs)
     }
+    for (const run of superseded) void this.#roster.findSession(run.upstreamId)?.stops.stop(run)
     this.#removeSettledProcesses()
     return true
   }
@@ -223,7 +226,7 @@
 
   /** Has the sessions stop those of the runs for which `shouldStop` holds. */
   #requestStops(runs: readonly Placement[]): void {
-    for (const run of runs) this.#roster.findSession(run.upstreamId)?.stopIfNeeded(run)
+    for (const run of runs) this.#roster.findSession(run.upstreamId)?.stops.stopIfNeeded(run)
   }
 
   /** Errors: rejects as proposals do. */
--- a/batch/service/src/upstreamRoster.ts
+++ b/batch/service/src/upstreamRoster.ts
@@ -141,6 +141,7 @@
     const session = this.openSession(upstreamId)
     if (session === undefined) return
     session.lease.clock.noteReading(clockMs, this.#opts.clock.monotonicMs())
+    session.readLateEnds()
     if (!session.answers.hasListed && this.#sessions.listRivals(session.target).length > 0)
       session.pollOnce()
   }
--- /dev/null
+++ b/batch/service/test/lateEnds.test.ts
@@ -0,0 +1,51 @@
+/**
+ * Guards against running a task again whose work is done. An upstream is cut off while it works; its run finishes, the
+ * lease expires unseen, and the leader starts the task elsewhere. Once the upstream answers again it lists the end.
+ */
+import { createJob } from '@nettlespur/batch.samples'
+import test from 'ava'
+import { settledMs, startFleet, type FakeFleet } from '../__utils__/index.js'
+
+/** Longer than the lease of 9.5 s, on the slowest clock allowed. */
+const cutMs = 12_000
+const needs = { cpuMillicores: 100, memoryMiB: 100, accelerators: 8 }
+
+/** Cuts off the upstreams on which the job has started, one after the other, until all its starts were cut off. */
+function cutRunning(fleet: FakeFleet, jobId: string, forMs: number): void {
+  const ids = fleet.state.jobs.get(jobId)?.steps[0]?.tasks.map(({ upstreamId }) => upstreamId) ?? []
+  for (const at of [0, 1, 2, 3]) {
+    if (ids.includes(fleet.upstreamIdOf(at))) fleet.inject({ kind: 'cut', upstream: at, forMs })
+  }
+}
+
+for (const taskCount of [1, 2]) {
+  const unit = taskCount === 1 ? 'task' : 'gang'
+  test(`a ${unit} that finished on an upstream counted as lost is not started a third time`, async (t) => {
+    const fleet = await startFleet()
+    const step = { taskCount, needs, isGang: taskCount > 1, expectedRunTimeMs: 8000 }
+    fleet.submit(createJob('job', step), 1)
+    await fleet.clock.advance(500)
+    cutRunning(fleet, 'job', cutMs)
+    await fleet.clock.advance(cutMs)
+    // The second run is under way; what it does is lost with its upstream, so that the task would start once more.
+    t.is(fleet.ledger.starts.length, 2 * taskCount)
+    await fleet.clock.advance(settledMs)
+    t.is(fleet.state.jobs.get('job')?.status, 'completed')
+    t.is(fleet.state.unsettled.size, 0)
+    await fleet.clock.advance(cutMs)
+    t.is(fleet.ledger.starts.length, 2 * taskCount)
+    t.deepEqual(fleet.ledger.violations, [])
+  })
+}
+
+test('the run that a late end makes superfluous is stopped, and its room is used again', async (t) => {
+  const fleet = await startFleet()
+  fleet.submit(createJob('job', { needs, expectedRunTimeMs: 8000 }), 1)
+  await fleet.clock.advance(500)
+  cutRunning(fleet, 'job', cutMs)
+  await fleet.clock.advance(cutMs + settledMs)
+  t.is(fleet.state.jobs.get('job')?.status, 'completed')
+  fleet.submit(createJob('next', { taskCount: 4, needs, expectedRunTimeMs: 500 }), 1)
+  await fleet.clock.advance(settledMs)
+  t.is(fleet.state.jobs.get('next')?.status, 'completed')
+})
--- a/batch/sessions/src/pollLists.ts
+++ b/batch/sessions/src/pollLists.ts
@@ -8,14 +8,17 @@
 import type { Logger } from '@nettlespur/core.logger'
 import { EndCursor } from './endCursor.js'
 import { interpretPoll, type PollResult } from './interpretPoll.js'
+import { listLateEnds } from './listLateEnds.js'
 import type { LostRuns } from './lostRuns.js'
 import type { RunStops } from './runStops.js'
 import type { RunTracks } from './runTracks.js'
+import type { SessionHost } from './sessionHost.js'
 import { retryPauseMs, unreadPauseMs } from './sessionOptions.js'
 import type { UpstreamTarget } from './upstreamPort.js'
 
 export interface PollListsOptions {
   target: UpstreamTarget
+  host: Pick<SessionHost, 'findJob'>
   tracks: RunTracks
   lostRuns: LostRuns
   stops: RunStops
@@ -55,7 +58,8 @@
     const { lostRuns, commitEnds } = this.#opts
     const absentEnds = reading.absent.map((track) => lostRuns.toAbsentEnd(track, evidence))
     const crashedEnds = lostRuns.listCrashedEnds(reading.crashed)
-    if (!(await commitEnds([...reading.ends, ...absentEnds, ...crashedEnds]))) {
+    const lateEnds = this.#listLateEnds(poll, placed)
+    if (!(await commitEnds([...reading.ends, ...lateEnds, ...absentEnds, ...crashedEnds]))) {
       await clock.sleep(retryPauseMs, signal)
     } else if (reading.mayAcknowledge) {
       this.cursor.advance()
@@ -64,6 +68,18 @@
     if (poll.unreadRows > 0) await clock.sleep(unreadPauseMs, signal)
   }
 
+  #listLateEnds(
+    { finished }: ListedPoll,
+    placements: ReadonlyMap<string, Placement>,
+  ): readonly RunEnd[] {
+    const { host, target } = this.#opts
+    const { upstreamId } = target
+    const findJob = (jobId: string) => host.findJob(jobId)
+    const ends = listLateEnds({ upstreamId, finished, placements, findJob })
+    for (const end of ends) this.#log('run.done-late', runFields(end))
+    return ends
+  }
+
   #log(event: string, fields: Readonly<Record<string, string | number>>): void {
     const { logger, target } = this.#opts
     logger.info({ event, upstreamId: target.upstreamId, ...fields })
--- a/batch/sessions/src/upstreamEnding.ts
+++ b/batch/sessions/src/upstreamEnding.ts
@@ -22,6 +22,8 @@
 export class UpstreamEnding {
   /** Whether all runs have ended and the host has been told, so that the session is over. */
   isOver = false
+  /** Whether runs were given up of which the upstream may still report that they were done. */
+  mayHaveLateEnds = false
   readonly #opts: UpstreamEndingOptions
   #ending: Promise<void> | undefined
 
@@ -44,6 +46,7 @@
     const { upstreamId } = target
     const runs = host.listPlacements(upstreamId).size
     logger.info({ event: 'upstream.lease-over', upstreamId, cause, runs })
+    this.mayHaveLateEnds ||= runs > 0
     void commitLost(cause)
   }
 
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -81,6 +81,10 @@
     return this.#opts.target
   }
 
+  get stops(): Pick<RunStops, 'stop' | 'stopIfNeeded'> {
+    return this.#stops
+  }
+
   get tracks(): ReadonlyRunTracks {
     return this.#tracks
   }
@@ -92,6 +96,11 @@
     this.#startPolling()
   }
 
+  /** Reads the ends of runs that were given up. To be called as the upstream is heard of again. */
+  readLateEnds(): void {
+    if (this.#ending.mayHaveLateEnds) this.pollOnce()
+  }
+
   /** Polls at least once even if nothing is placed there, to learn whether the upstream answers and read its clock. */
   pollOnce(): void {
     this.#isPollRequested = true
@@ -104,11 +113,6 @@
     this.#startPolling()
   }
 
-  /** Stops the run if the host says so. To be called whenever that may have changed. */
-  stopIfNeeded(placement: Placement): void {
-    this.#stops.stopIfNeeded(placement)
-  }
-
   /** Whether it was opened before `timeMs`. If so, a process that answers a poll sent then is a later one. */
   isOlderThan(timeMs: number): boolean {
     return this.#openedAtMs < timeMs
@@ -209,6 +213,7 @@
       this.#fence.renew()
       return this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
     }
+    this.#ending.mayHaveLateEnds = false
     this.#noteListed()
     if (this.#opts.host.noteAnswered(this.#opts.target, sentAtMs))
       await this.#lists.apply({ ...answer, sentAtMs, cursor })
--- a/batch/state/src/command.ts
+++ b/batch/state/src/command.ts
@@ -33,6 +33,11 @@
   checkpoint: z.string().optional(),
   /** Only set with outcome `crashed`, and absent there if an earlier version proposed the end. */
   blame: crashBlameSchema.optional(),
+  /**
+   * Set if the run was counted as lost before its upstream reported that it is done. Absent otherwise, so that earlier
+   * versions can read the end; they reject a late one instead of ignoring it, as their states would differ.
+   */
+  isLate: z.literal(true).optional(),
 })
 export type RunEnd = z.infer<typeof runEndSchema>
 
--- a/batch/state/src/endRun.ts
+++ b/batch/state/src/endRun.ts
@@ -2,6 +2,7 @@
 import type { Placement, RunEnd } from './command.js'
 import { countCrash } from './crashRecord.js'
 import { findFailure } from './findFailure.js'
+import { isLateDone, listPlacedInUnit, listUnitTasks } from './lateEnd.js'
 import { listStepPlacements } from './placementIndex.js'
 import type { JobRecord, StepRecord, TaskRecord } from './records.js'
 
@@ -11,12 +12,13 @@
 /**
  * Updates the job record and returns the placements that the end removes: all members if a gang is done, else the one
  * run. Returns none, and changes nothing, if the run is not currently placed: its end was applied before, or the task
- * is placed under another attempt or on another upstream.
+ * is placed under another attempt or on another upstream. Late ends are the exception: see `applyLateEnd`.
  */
 export function endRun(job: JobRecord, end: RunEnd): Placement[] {
   const step = job.steps[end.step]
   const task = step?.tasks[end.index]
   if (step === undefined || task === undefined) return []
+  if (end.isLate === true) return applyLateEnd(job, end)
   if (task.phase !== 'placed' || task.attempt !== end.attempt) return []
   if (task.upstreamId !== end.upstreamId) return []
   const isGang = job.request.steps[end.step]?.isGang === true
@@ -33,6 +35,18 @@
   return endedPlacements
 }
 
+/** Completes the task, or the gang, and returns the placements of the later attempt that it makes superfluous. */
+function applyLateEnd(job: JobRecord, end: RunEnd): Placement[] {
+  if (!isLateDone(job, end)) return []
+  const superseded = listPlacedInUnit(job, end)
+  for (const task of listUnitTasks(job, end)) {
+    releaseTask(task)
+    task.phase = 'done'
+  }
+  updateJobStatus(job)
+  return superseded
+}
+
 function toPlacement({ jobId, step, index, attempt, upstreamId }: RunEnd): Placement {
   return { jobId, step, index, attempt, upstreamId }
 }
