feat(sessions): runs on an upstream at whose address nothing listens end at once, not with their lease

A connection that breaks or times out proves nothing, as before. Where a start order may still reach a next process under the same id, the lease is waited for as before.

--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -64,6 +64,7 @@
       nextLinkDelayMs: () => opts.linksMs[calls++ % opts.linksMs.length] ?? 1,
       nextLatenessMs: () => opts.lateMs,
       remembersCursor: opts.remembersCursor === true,
+      reportsRefusals: opts.reportsRefusals === true,
       onStartSent: ({ upstreamId }, run) => {
         this.#checkNotEvacuated(upstreamId, run)
       },
--- a/batch/service/__utils__/fleetOptions.ts
+++ b/batch/service/__utils__/fleetOptions.ts
@@ -40,6 +40,8 @@
   statesBirth?: boolean
   /** See `FakeUpstream`. */
   remembersCursor?: boolean
+  /** Whether polls tell that nothing listens at an address; false by default. */
+  reportsRefusals?: boolean
   /** The leaders' logger; their lines are discarded by default. */
   logger?: Logger
 }
--- a/batch/service/test/leaderModel.test.ts
+++ b/batch/service/test/leaderModel.test.ts
@@ -129,14 +129,21 @@
   t.pass()
 })
 
-const restartProperty = fc.asyncProperty(restartSchedule, ({ restarts, clockStepsMs, ...opts }) => {
+type RestartSchedule = typeof restartSchedule extends fc.Arbitrary<infer T> ? T : never
+
+function checkRestarts(
+  { restarts, clockStepsMs, ...opts }: RestartSchedule,
+  port: Pick<FakeFleetOptions, 'reportsRefusals'> = {},
+): Promise<void> {
   const bornMs = (processNumber: number): number => {
     const stepMs = clockStepsMs[processNumber % clockStepsMs.length] ?? 0
     // The thousands are the clock's, so that no two processes are born at once.
     return 1_790_000_000_000 + 1000 * stepMs + processNumber
   }
-  return checkSchedule({ ...opts, faults: [...opts.faults, ...restarts] }, { bornMs })
-})
+  return checkSchedule({ ...opts, faults: [...opts.faults, ...restarts] }, { bornMs, ...port })
+}
+
+const restartProperty = fc.asyncProperty(restartSchedule, (opts) => checkRestarts(opts))
 const reporting = { includeErrorInReport: true, endOnFailure: true }
 
 test('with upstreams that restart under the id that they had, no task runs twice, too early or after its end, and every job ends', async (t) => {
@@ -144,6 +151,14 @@
   t.pass()
 })
 
+test('where nothing listens at an address until its upstream restarts, no task runs twice and every job ends', async (t) => {
+  const property = fc.asyncProperty(restartSchedule, (opts) =>
+    checkRestarts(opts, { reportsRefusals: true }),
+  )
+  await fc.assert(property, { numRuns: 60, ...reporting })
+  t.pass()
+})
+
 const evacuationSchedule = fc.record({
   ...fields,
   evacuations: fc.array(
@@ -185,7 +200,7 @@
 
 async function checkSchedule(
   { jobs, faults, ...opts }: Schedule,
-  restarts: Pick<FakeFleetOptions, 'bornMs'> = {},
+  restarts: Pick<FakeFleetOptions, 'bornMs' | 'reportsRefusals'> = {},
 ): Promise<void> {
   const fleet = new FakeFleet({ ...opts, ...restarts })
   fleet.elect()
--- a/batch/sessions/src/pollCalls.ts
+++ b/batch/sessions/src/pollCalls.ts
@@ -29,7 +29,7 @@
 
 /** An answer, and what the poll was like. */
 export interface AnsweredPoll {
-  readonly answer: HoldAnswer
+  readonly answer: Exclude<HoldAnswer, { type: 'not-listening' }>
   /** On the leader's clock. */
   readonly sentAtMs: number
   readonly cursor: number
@@ -44,7 +44,7 @@
 
   /** Resolves to undefined if no answer came. */
   async poll(cursor: number): Promise<AnsweredPoll | undefined> {
-    const { port, target, fence, lease, answers, tracks, clock, logger, timings } = this.#opts
+    const { port, target, fence, lease, answers, tracks, clock, timings } = this.#opts
     const sentAtMs = clock.monotonicMs()
     tracks.keepOnly(this.#opts.listPlacements())
     const { holdWaitMs } = timings
@@ -53,16 +53,25 @@
     const order = { ...terms, fence: fence.token, cursor }
     try {
       const answer = await port.hold(target, order, order.waitMs + holdTimeoutMarginMs)
+      if (answer.type === 'not-listening') {
+        answers.noteRefused(clock.monotonicMs())
+        this.#logSilent('nothing listens at its address')
+        return undefined
+      }
       answers.noteAnswered(clock.monotonicMs())
       lease.clock.noteAnswer(answer.clockMs, clock.monotonicMs())
       return { answer, sentAtMs, cursor }
     } catch (thrown) {
       answers.noteUnanswered(clock.monotonicMs())
-      const reason = toNettlespurError(thrown).message
-      const { unanswered } = answers
-      const { upstreamId } = target
-      logger.info({ event: 'upstream.silent', upstreamId, unanswered, reason })
+      this.#logSilent(toNettlespurError(thrown).message)
       return undefined
     }
   }
+
+  #logSilent(reason: string): void {
+    const { logger, target, answers } = this.#opts
+    const { upstreamId } = target
+    const { unanswered } = answers
+    logger.info({ event: 'upstream.silent', upstreamId, unanswered, reason })
+  }
 }
--- a/batch/sessions/src/upstreamEnding.ts
+++ b/batch/sessions/src/upstreamEnding.ts
@@ -41,11 +41,21 @@
 
   /** Ends all runs placed there if the lease has expired. The session continues, as the upstream may answer again. */
   giveUpAfterLease(lease: LeaseTracker, cause: LossCause): void {
-    const { clock, signal, host, logger, target, commitLost } = this.#opts
-    if (this.isOver || signal.aborted || !lease.hasExpired(clock.monotonicMs())) return
+    if (!lease.hasExpired(this.#opts.clock.monotonicMs())) return
+    this.#giveUp('upstream.lease-over', cause)
+  }
+
+  /** Ends all runs placed there, as nothing listens at its address: they ended with the process, whatever their lease. */
+  giveUpRefused(): void {
+    this.#giveUp('upstream.not-listening', 'crashed')
+  }
+
+  #giveUp(event: string, cause: LossCause): void {
+    const { signal, host, logger, target, commitLost } = this.#opts
+    if (this.isOver || signal.aborted) return
     const { upstreamId } = target
     const runs = host.listPlacements(upstreamId).size
-    logger.info({ event: 'upstream.lease-over', upstreamId, cause, runs })
+    logger.info({ event, upstreamId, cause, runs })
     this.mayHaveLateEnds ||= runs > 0
     void commitLost(cause)
   }
--- a/batch/sessions/src/upstreamPort.ts
+++ b/batch/sessions/src/upstreamPort.ts
@@ -95,6 +95,8 @@
     | { readonly type: 'fence' }
     /** `successorId`: the process that executed the order instead; absent if none did. */
     | { readonly type: 'gone'; readonly successorId?: string }
+    /** Nothing listens at the address, so that the process has ended. */
+    | { readonly type: 'not-listening' }
   )
 
 /** Errors: all calls reject with `unreachable` if nothing was sent, and otherwise with `outcome-unknown`. */
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -15,7 +15,7 @@
 import { RunStarts } from './runStarts.js'
 import { RunStops } from './runStops.js'
 import { SessionFence } from './sessionFence.js'
-import { retryPauseMs, type UpstreamSessionOptions } from './sessionOptions.js'
+import { refusedPollsMin, retryPauseMs, type UpstreamSessionOptions } from './sessionOptions.js'
 import { UpstreamEnding } from './upstreamEnding.js'
 import type { StopAnswer, UpstreamTarget } from './upstreamPort.js'
 
@@ -180,7 +180,7 @@
   async #pollWhileNeeded(): Promise<void> {
     while (this.#shouldPoll()) {
       const isAnswered = await this.#poll()
-      if (!isAnswered) this.#giveUpAfterLease('lease-over')
+      if (!isAnswered) this.#giveUpIfLost()
       else if (this.#tracks.hasLongUnlisted(this.#nowMs())) this.#giveUpAfterLease('unlisted')
       if (isAnswered) continue
       await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
@@ -190,6 +190,12 @@
     }
   }
 
+  /** Called after a poll without an answer. */
+  #giveUpIfLost(): void {
+    if (this.answers.refusedPolls < refusedPollsMin) this.#giveUpAfterLease('lease-over')
+    else if (!this.#mayStartArrive()) this.#ending.giveUpRefused()
+  }
+
   /** Not while an order may still arrive: a later process, which has none of these leases, would execute it. */
   #giveUpAfterLease(cause: LossCause): void {
     if (!this.#mayStartArrive()) this.#ending.giveUpAfterLease(this.lease, cause)
--- a/settings/schemas/src/batchSettings.ts
+++ b/settings/schemas/src/batchSettings.ts
@@ -39,6 +39,11 @@
   announceEveryMs: z.int().positive(),
   /** The longest lease that upstreams grant. */
   leaseMsMax: z.int().positive(),
+  /**
+   * What a refused connection to the address of an upstream means: `gone`, its process has ended, as it listens for as long
+   * as it lives; `unknown`, nothing, as something in between may refuse connections in its place.
+   */
+  refusedConnections: z.enum(['gone', 'unknown']).default('unknown'),
   /** How long an ended job is still shown. */
   keepEndedMs: z.int().positive(),
 })
