--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -1,6 +1,7 @@
 /** A small fleet for tests: plans rounds against the real `BatchState`. */
 import type { JobRequest } from '@nettlespur/batch.model'
 import { createConfig, createUpstream } from '@nettlespur/batch.samples'
+import { unknownSpeed, type SpeedDistribution } from '@nettlespur/batch.speeds'
 import { BatchState, type Placement } from '@nettlespur/batch.state'
 import {
   addResources,
@@ -31,6 +32,10 @@
   readonly availability = new Map<string, UpstreamAvailability>()
   /** Ids of cold upstreams. */
   readonly cold = new Set<string>()
+  /** Speeds by upstream id; unknown for the others. */
+  readonly speeds = new Map<string, SpeedDistribution>()
+  /** Ids of unstable upstreams. */
+  readonly unstable = new Set<string>()
   readonly #acceptedAtMs = new Map<string, number>()
   readonly #stopping = new Set<string>()
   readonly #starvation = new StarvationTimes()
@@ -134,6 +139,8 @@
       free,
       freeAfterStops: addResources(free, stopping),
       isCold: this.cold.has(description.upstreamId),
+      speed: this.speeds.get(description.upstreamId) ?? unknownSpeed,
+      isUnstable: this.unstable.has(description.upstreamId),
       isSuitableForTrial,
     }
   }
--- a/batch/scheduler/src/schedulerView.ts
+++ b/batch/scheduler/src/schedulerView.ts
@@ -1,6 +1,7 @@
 /** Input and result of a scheduling round. A round does not modify its input. */
 import type { JobRecord, Placement } from '@nettlespur/batch.state'
 import type { Resources, TaskRef, UnitRef } from '@nettlespur/batch.model'
+import type { SpeedDistribution } from '@nettlespur/batch.speeds'
 import type { StarvingUnit } from './starvingUnit.js'
 
 /**
@@ -25,6 +26,10 @@
   readonly freeAfterStops: Resources
   /** It has started lately, and is slower than others for a while. */
   readonly isCold: boolean
+  /** How fast it works, as far as that is known. */
+  readonly speed: SpeedDistribution
+  /** It has crashed, was lost or failed work lately, so that a gang with a member there may break. */
+  readonly isUnstable: boolean
   /**
    * A crash could be attributed to a run that starts here: all other runs here are proven, and the upstream
    * has not crashed recently.
--- a/batch/service/src/buildSchedulerView.ts
+++ b/batch/service/src/buildSchedulerView.ts
@@ -10,6 +10,7 @@
   type UpstreamAvailability,
 } from '@nettlespur/batch.scheduler'
 import type { RunTrack } from '@nettlespur/batch.sessions'
+import type { SpeedDistribution } from '@nettlespur/batch.speeds'
 import type { BatchState, Placement, UpstreamRecord } from '@nettlespur/batch.state'
 
 /** Work lost by stopping a run with checkpoints: the time until the task works again, since a stop saves a checkpoint. */
@@ -34,6 +35,10 @@
   getAvailability: (upstream: UpstreamRecord) => UpstreamAvailability | undefined
   /** Whether it has started lately and is slow for a while. */
   isCold: (upstream: UpstreamRecord) => boolean
+  /** How fast it works, as far as that is known. */
+  getSpeed: (upstreamId: string) => SpeedDistribution
+  /** Whether it has crashed, was lost or failed work lately. */
+  isUnstable: (upstream: UpstreamRecord) => boolean
   /** Whether a run on trial has just started there. */
   hasTrial: (upstream: UpstreamRecord) => boolean
   /** See `UpstreamRoom`. */
@@ -83,8 +88,17 @@
   availability: UpstreamAvailability,
 ): SchedulableUpstream {
   const { upstreamId, pool, rack, labels, capacity } = upstream.description
-  const isCold = opts.isCold(upstream)
-  const known = { upstreamId, availability, pool, rack, labels, capacity, isCold }
+  const known = {
+    upstreamId,
+    availability,
+    pool,
+    rack,
+    labels,
+    capacity,
+    isCold: opts.isCold(upstream),
+    speed: opts.getSpeed(upstreamId),
+    isUnstable: opts.isUnstable(upstream),
+  }
   if (opts.hasTrial(upstream)) {
     return { ...known, free: noResources, freeAfterStops: noResources, isSuitableForTrial: false }
   }
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -4,6 +4,7 @@
  */
 import { runFields, runKey } from '@nettlespur/batch.model'
 import { planRound, type Preemption, type RoundDecision } from '@nettlespur/batch.scheduler'
+import { unknownSpeed } from '@nettlespur/batch.speeds'
 import type { BatchState, Command, Placement } from '@nettlespur/batch.state'
 import { Wake, type Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
@@ -101,6 +102,8 @@
       acceptedAtMs: jobClock.acceptedAtMs,
       getAvailability: (upstream) => roster.getAvailability(upstream),
       isCold: ({ description }) => roster.isCold(description.upstreamId),
+      getSpeed: () => unknownSpeed,
+      isUnstable: () => false,
       hasTrial: ({ description }) =>
         roster.findSession(description.upstreamId)?.tracks.hasTrial === true,
       isQuiet: (upstream) => roster.isQuiet(upstream),
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -13,6 +13,7 @@
   type LeavingUpstream,
   type ListRunsOptions,
 } from '@nettlespur/batch.service'
+import { unknownSpeed } from '@nettlespur/batch.speeds'
 import { BatchState, type RunEnd, type UpstreamRecord } from '@nettlespur/batch.state'
 import { SeededRandom } from '@nettlespur/bench.placement'
 import { finishMs, type CrowdedDay, type DayJob } from './crowdedDay.js'
@@ -161,6 +162,8 @@
       acceptedAtMs: this.#acceptedAtMs,
       getAvailability: (upstream) => this.#getAvailability(upstream),
       isCold: () => false,
+      getSpeed: () => unknownSpeed,
+      isUnstable: () => false,
       hasTrial: ({ description }) => this.#runs.hasTrial(description.upstreamId),
       isQuiet: ({ description }) => this.#isQuiet(description),
       isPaused: () => false,
