--- /dev/null
+++ b/batch/speeds/__utils__/index.ts
@@ -0,0 +1,2 @@
+/** Helpers of the tests of this package. */
+export { SimulatedFleet, type SimulatedLoad } from './simulatedFleet.js'
--- a/batch/speeds/src/computeGangLikelihoods.ts
+++ b/batch/speeds/src/computeGangLikelihoods.ts
@@ -2,7 +2,7 @@
  * A gang works at the speed of its slowest member. Its pace is therefore evidence on the slowest: it says little of a
  * member while others may have been the slowest, and much once these are known to be faster.
  */
-import type { GridWeights } from './speedGrid.js'
+import { sumFromEnd, type GridWeights } from './speedGrid.js'
 
 /**
  * Returns for each member the likelihood of the gang's pace at each speed of that member, averaged over what is known of
@@ -23,15 +23,6 @@
   })
 }
 
-/** Returns the probability of at least each speed. */
-function sumFromEnd(probabilities: GridWeights): number[] {
-  const sums = [...probabilities]
-  for (let index = sums.length - 2; index >= 0; index -= 1) {
-    sums[index] = (sums[index] ?? 0) + (sums[index + 1] ?? 0)
-  }
-  return sums
-}
-
 /** Returns for each row the product of all rows before it. */
 function multiplyUp(rows: readonly GridWeights[], width: number): number[][] {
   let product = Array.from({ length: width }, () => 1)
--- a/batch/speeds/src/queueErrors.ts
+++ b/batch/speeds/src/queueErrors.ts
@@ -16,12 +16,13 @@
   mean = 0
   scatter = initialScatter
 
-  /** `logRatio` is the log pace less the log of the speed. */
-  note(logRatio: number): void {
+  /** `logRatio` is the log pace less the log of the speed, which is known up to `logVariance`. */
+  note(logRatio: number, logVariance: number): void {
     const limit = deviationsMax * this.scatter
     const deviation = Math.min(Math.max(logRatio - this.mean, -limit), limit)
     this.mean = Math.min(Math.max(this.mean + smoothing * deviation, -meanMax), meanMax)
-    const variance = this.scatter ** 2 + smoothing * (deviation ** 2 - this.scatter ** 2)
-    this.scatter = Math.min(Math.max(Math.sqrt(variance), scatterMin), scatterMax)
+    const variance =
+      this.scatter ** 2 + smoothing * (deviation ** 2 - logVariance - this.scatter ** 2)
+    this.scatter = Math.min(Math.max(Math.sqrt(Math.max(variance, 0)), scatterMin), scatterMax)
   }
 }
--- a/batch/speeds/src/speedGrid.ts
+++ b/batch/speeds/src/speedGrid.ts
@@ -24,6 +24,15 @@
   return weights.map((weight) => weight / sum)
 }
 
+/** Returns the probability of at least each speed. */
+export function sumFromEnd(probabilities: GridWeights): number[] {
+  const sums = [...probabilities]
+  for (let index = sums.length - 2; index >= 0; index -= 1) {
+    sums[index] = (sums[index] ?? 0) + (sums[index + 1] ?? 0)
+  }
+  return sums
+}
+
 export interface LogMoments {
   /** Of the natural logarithm of the speed. */
   readonly mean: number
--- a/batch/speeds/src/stepPaces.ts
+++ b/batch/speeds/src/stepPaces.ts
@@ -18,6 +18,11 @@
   readonly #timesUsed = new Map<string, number>()
   tasks = 0
 
+  /** Number of paces held. */
+  get size(): number {
+    return this.#byUpstream.size + this.waiting.length
+  }
+
   note({ upstreamId, logPace }: TaskPace): void {
     this.tasks += 1
     this.#byUpstream.delete(upstreamId)
--- a/batch/speeds/src/upstreamSpeeds.ts
+++ b/batch/speeds/src/upstreamSpeeds.ts
@@ -4,6 +4,7 @@
  * far off the declared run times of their queue are.
  */
 import { computeGangLikelihoods } from './computeGangLikelihoods.js'
+import { computeSlowest } from './computeSlowest.js'
 import { computePaceLikelihood } from './paceLikelihood.js'
 import { estimateDeclarationError, taskScatter } from './estimateDeclarationError.js'
 import type { GridDistribution } from './gridDistribution.js'
@@ -12,6 +13,7 @@
 import { SpeedBelief } from './speedBelief.js'
 import type { SpeedDistribution } from './speedDistribution.js'
 import type { SpeedEstimate } from './speedEstimate.js'
+import { measureLogMoments } from './speedGrid.js'
 import { StepPaces, type TaskPace } from './stepPaces.js'
 import { unknownSpeed } from './unknownSpeed.js'
 
@@ -36,6 +38,13 @@
     return this.#beliefs.size
   }
 
+  /** Number of paces held of all steps. */
+  get heldPaces(): number {
+    return [...this.#steps.values()]
+      .flatMap((ofJob) => [...ofJob.values()])
+      .reduce((sum, { size }) => sum + size, 0)
+  }
+
   get(upstreamId: string, nowMs: number): SpeedDistribution {
     return this.#beliefs.get(upstreamId)?.distribution(nowMs) ?? unknownSpeed
   }
@@ -101,7 +110,7 @@
       return { upstreamId, logPace, error: estimateDeclarationError(others, errors) }
     })
     for (const { upstreamId, logPace, error } of compared) {
-      this.#noteError(errors, logPace, [upstreamId], atMs)
+      this.#noteError(errors, logPace, [this.#distribution(upstreamId, atMs)])
       const scatter = Math.sqrt(taskScatter ** 2 + error.variance)
       const likelihood = computePaceLikelihood(logPace - error.log, scatter)
       this.#findBelief(upstreamId, atMs).add(likelihood, paces.countUse(upstreamId), atMs)
@@ -114,9 +123,12 @@
     const errors = this.#findQueue(queue)
     const weight = this.#findStep(observation).countUse(gangKey)
     const likelihood = computePaceLikelihood(logPace - errors.mean, errors.scatter)
-    const members = upstreamIds.map((id) => this.#distribution(id, atMs).probabilities)
-    const likelihoods = computeGangLikelihoods(members, likelihood)
-    this.#noteError(errors, logPace, upstreamIds, atMs)
+    const members = upstreamIds.map((id) => this.#distribution(id, atMs))
+    const likelihoods = computeGangLikelihoods(
+      members.map(({ probabilities }) => probabilities),
+      likelihood,
+    )
+    this.#noteError(errors, logPace, members)
     for (const [index, upstreamId] of upstreamIds.entries()) {
       const ofMember = likelihoods[index]
       if (ofMember !== undefined) this.#findBelief(upstreamId, atMs).add(ofMember, weight, atMs)
@@ -124,19 +136,11 @@
   }
 
   /** Learns from runs on known upstreams only: elsewhere the pace says as much about the upstream. */
-  #noteError(
-    errors: QueueErrors,
-    logPace: number,
-    upstreamIds: readonly string[],
-    atMs: number,
-  ): void {
-    let slowest = Infinity
-    for (const upstreamId of upstreamIds) {
-      const { isKnown, logMean } = this.#distribution(upstreamId, atMs)
-      if (!isKnown) return
-      slowest = Math.min(slowest, logMean)
-    }
-    errors.note(logPace - slowest)
+  #noteError(errors: QueueErrors, logPace: number, members: readonly GridDistribution[]): void {
+    if (members.some(({ isKnown }) => !isKnown)) return
+    const slowest = computeSlowest(members.map(({ probabilities }) => probabilities))
+    const { mean, variance } = measureLogMoments(slowest)
+    errors.note(logPace - mean, variance)
   }
 
   #distribution(upstreamId: string, atMs: number): GridDistribution {
