feat: the leader learns the speeds of upstreams and commits them

Readings come from the polls: one observation for each run or gang attempt, once 20 points of progress were gained over 300 ms, or at its end. Runs that something else slows down are left out. Changed estimates are committed with the new command note-speeds, at most 64 in two seconds, and a new leader starts from them. With upstreamSpeeds left out nothing is measured or proposed.

--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -9,6 +9,7 @@
   type UpstreamPort,
   type UpstreamTarget,
 } from '@nettlespur/batch.sessions'
+import { unknownSpeed } from '@nettlespur/batch.speeds'
 import {
   listPlacements,
   type BatchState,
@@ -24,18 +25,20 @@
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import { setMaxListeners } from 'node:events'
 import type { BatchTimings } from './batchTimings.js'
+import { FenceIssuer } from './fenceIssuer.js'
 import type { JobClock } from './jobClock.js'
 import { listAffectedJobs } from './listAffectedJobs.js'
-import type { Propose } from './proposer.js'
+import { logTakeover } from './logTakeover.js'
+import { createTryPropose, type Propose, type TryPropose } from './proposer.js'
 import { listActiveJobs, reportEnds } from './reportEnds.js'
 import { RetryBackoff } from './retryBackoff.js'
 import { SchedulingRounds } from './schedulingRounds.js'
+import { createSpeedLearner, noteSpeeds } from './learnSpeeds.js'
+import type { SpeedLearner } from './speedLearner.js'
+import type { UpstreamSpeedsMode } from './upstreamSpeedsMode.js'
 import { UpstreamRegistrar } from './upstreamRegistrar.js'
 import { UpstreamRoster } from './upstreamRoster.js'
 
-/** A leader issues fewer fencing tokens than this, so that those of the next term are higher. */
-const fencesPerTerm = 2 ** 24
-
 export interface BatchLeaderOptions {
   term: number
   clock: Clock
@@ -47,33 +50,49 @@
   jobClock: JobClock
   getState: () => BatchState
   propose: Propose
+  /** Whether the speeds of upstreams are learned; `ignore` by default. */
+  upstreamSpeeds?: UpstreamSpeedsMode | undefined
 }
 
 export class BatchLeader extends SessionHost {
   readonly #opts: BatchLeaderOptions
+  readonly #tryPropose: TryPropose
   readonly #stopController = new AbortController()
+  readonly #speedLearner: SpeedLearner | undefined
   readonly #roster: UpstreamRoster
   readonly #preempted = new Set<string>()
   readonly #rounds: SchedulingRounds
   readonly #registrar: UpstreamRegistrar
   readonly #retryBackoff = new RetryBackoff()
-  #issuedFences = 0
+  readonly #fences: FenceIssuer
 
   constructor(opts: BatchLeaderOptions) {
     super()
     this.#opts = opts
+    this.#tryPropose = createTryPropose(opts)
+    this.#fences = new FenceIssuer(opts.term)
     const { signal } = this.#stopController
-    this.#roster = new UpstreamRoster({ ...opts, host: this, signal })
+    this.#speedLearner = createSpeedLearner({
+      ...opts,
+      isCold: (upstreamId) => this.#roster.isCold(upstreamId),
+    })
+    this.#roster = new UpstreamRoster({
+      ...opts,
+      host: this,
+      paceWatch: this.#speedLearner,
+      signal,
+    })
     this.#rounds = new SchedulingRounds({
       ...opts,
       roster: this.#roster,
+      getSpeed: (upstreamId, nowMs) => this.#speedLearner?.get(upstreamId, nowMs) ?? unknownSpeed,
       retryBackoff: this.#retryBackoff,
       shouldStop: (placement) => this.shouldStop(placement),
       listPlacements: (upstreamId) => this.listPlacements(upstreamId),
       preempt: (runs) => {
         this.#preempt(runs)
       },
-      tryPropose: (command) => this.#tryPropose(command),
+      tryPropose: this.#tryPropose,
       signal,
     })
     this.#registrar = new UpstreamRegistrar({
@@ -94,16 +113,11 @@
 
   /** Takes over the runs that earlier leaders placed, then starts the scheduling rounds. */
   start(): void {
-    const { upstreams, unsettled, placements, evacuations } = this.#state
-    this.#opts.logger.info({
-      event: 'leader.started',
-      term: this.#opts.term,
-      inheritedUpstreams: [...placements.upstreamIds].length,
-      upstreams: upstreams.size,
-      unsettledJobs: unsettled.size,
-      evacuated: evacuations.listInForce(),
-    })
+    logTakeover({ ...this.#opts, state: this.#state })
     void this.#scheduleAfterTakeover()
+    const { signal } = this.#stopController
+    const learner = this.#speedLearner
+    void noteSpeeds({ ...this.#opts, learner, tryPropose: this.#tryPropose, signal })
   }
 
   async #scheduleAfterTakeover(): Promise<void> {
@@ -127,8 +141,9 @@
       const job = this.findJob(jobId)
       if (job !== undefined) this.#requestStops(listPlacements(job))
     }
-    // A round's own placements only take up resources, so they need no further round.
-    if (command.type !== 'place-tasks') this.#rounds.requestRound()
+    // A round's own placements only take up resources, and rounds know the speeds before they are committed.
+    const { type } = command
+    if (type !== 'place-tasks' && type !== 'note-speeds') this.#rounds.requestRound()
   }
 
   /** Resolves once the changes that the announcement brings are committed. Errors: rejects as proposals do. */
@@ -158,8 +173,7 @@
   }
 
   override issueFence(): number {
-    this.#issuedFences = Math.min(this.#issuedFences + 1, fencesPerTerm - 1)
-    return this.#opts.term * fencesPerTerm + this.#issuedFences
+    return this.#fences.issue()
   }
 
   override noteAnswered(target: UpstreamTarget, sentAtMs: number): boolean {
@@ -231,16 +245,6 @@
     await unwrap(this.#opts.propose(command))
   }
 
-  /** Resolves to false, and logs a warning, if the command was not committed or its outcome is unknown. */
-  async #tryPropose(command: Command): Promise<boolean> {
-    const outcome = await this.#opts.propose(command).run()
-    outcome.ifLeft(({ kind, message: reason }) => {
-      const { type } = command
-      this.#opts.logger.warn({ event: 'proposal.failed', type, kind, reason })
-    })
-    return outcome.isRight()
-  }
-
   /** Marks the runs as preempted and has their sessions stop them; the end of a gang member then stops its whole gang. */
   #preempt(runs: readonly Placement[]): void {
     for (const run of runs) this.#preempted.add(runKey(run))
--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -26,6 +26,7 @@
 import { BatchLeader } from './batchLeader.js'
 import { JobClock } from './jobClock.js'
 import type { BatchTimings } from './batchTimings.js'
+import type { UpstreamSpeedsMode } from './upstreamSpeedsMode.js'
 
 /** Delay before a refused caller retries, and before a new leader repeats a failed read barrier. */
 const retryAfterMs = 500
@@ -44,6 +45,8 @@
   timings: BatchTimings
   /** The data centres that operators may evacuate, besides those of the upstreams. None by default. */
   dataCentres?: readonly string[]
+  /** Whether it learns the speeds of upstreams while it leads; `ignore` by default. */
+  upstreamSpeeds?: UpstreamSpeedsMode | undefined
   /** Override the default limits of Raft. */
   limits?: Partial<RaftLimits>
   /** A number in [0, 1); Math.random by default. */
@@ -157,7 +160,7 @@
       await this.#opts.clock.sleep(retryAfterMs)
       return this.#startLeading(term)
     }
-    const { clock, logger, metrics, port, timings } = this.#opts
+    const { clock, logger, metrics, port, timings, upstreamSpeeds } = this.#opts
     this.#stopLeading()
     this.#leader = new BatchLeader({
       term,
@@ -166,6 +169,7 @@
       metrics,
       timings,
       port,
+      upstreamSpeeds,
       jobClock: this.#jobClock,
       getState: () => this.#state,
       propose: (command) => this.raft.propose(encodeCommand(command)),
--- a/batch/service/src/index.ts
+++ b/batch/service/src/index.ts
@@ -24,4 +24,5 @@
   type RecordFaultKind,
   type RecordFaultReporterOptions,
 } from './recordFaultReporter.js'
+export type { UpstreamSpeedsMode } from './upstreamSpeedsMode.js'
 export { UpstreamHealth } from './upstreamHealth.js'
--- a/batch/service/src/recordFaultReporter.ts
+++ b/batch/service/src/recordFaultReporter.ts
@@ -22,6 +22,8 @@
   | 'config'
   | 'evacuation'
   | 'unknown-pool'
+  /** Progress or a declared run time from which no pace follows. */
+  | 'pace'
 
 export interface RecordFault {
   readonly kind: RecordFaultKind
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -4,7 +4,7 @@
  */
 import { runFields, runKey } from '@nettlespur/batch.model'
 import { planRound, type Preemption, type RoundDecision } from '@nettlespur/batch.scheduler'
-import { unknownSpeed } from '@nettlespur/batch.speeds'
+import type { SpeedDistribution } from '@nettlespur/batch.speeds'
 import type { BatchState, Command, Placement } from '@nettlespur/batch.state'
 import { Wake, type Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
@@ -36,6 +36,8 @@
   roster: UpstreamRoster
   jobClock: JobClock
   retryBackoff: RetryBackoff
+  /** How fast the upstream works, as far as that is known. */
+  getSpeed: (upstreamId: string, nowMs: number) => SpeedDistribution
   getState: () => BatchState
   shouldStop: (placement: Placement) => boolean
   /** See `SessionHost`. */
@@ -95,14 +97,14 @@
   }
 
   #plan(nowMs: number): RoundDecision {
-    const { getState, roster, jobClock, retryBackoff } = this.#opts
+    const { getState, getSpeed, roster, jobClock, retryBackoff } = this.#opts
     jobClock.update(getState(), nowMs)
     const view = buildSchedulerView({
       ...this.#createRunsOptions(nowMs),
       acceptedAtMs: jobClock.acceptedAtMs,
       getAvailability: (upstream) => roster.getAvailability(upstream),
       isCold: ({ description }) => roster.isCold(description.upstreamId),
-      getSpeed: () => unknownSpeed,
+      getSpeed: (upstreamId) => getSpeed(upstreamId, nowMs),
       isUnstable: () => false,
       hasTrial: ({ description }) =>
         roster.findSession(description.upstreamId)?.tracks.hasTrial === true,
--- a/batch/service/src/upstreamRoster.ts
+++ b/batch/service/src/upstreamRoster.ts
@@ -2,6 +2,7 @@
 import { getAnnouncedId, type Announcement } from '@nettlespur/batch.model'
 import type { UpstreamAvailability } from '@nettlespur/batch.scheduler'
 import {
+  type PaceWatch,
   UpstreamSession,
   type Replacement,
   type SessionHost,
@@ -32,6 +33,8 @@
   logger: Logger
   port: UpstreamPort
   timings: BatchTimings
+  /** See `UpstreamSessionOptions`. */
+  paceWatch?: PaceWatch | undefined
   /** Ends the sessions. */
   signal: AbortSignal
 }
--- a/batch/sessions/src/index.ts
+++ b/batch/sessions/src/index.ts
@@ -2,6 +2,8 @@
 export { blameCrash } from './blameCrash.js'
 export { ClockEstimate } from './clockEstimate.js'
 export { LeaseTracker } from './leaseTracker.js'
+export type { RunPace } from './paceMeter.js'
+export { PaceWatch } from './paceWatch.js'
 export { createRunTrack, type RunTrack } from './runTrack.js'
 export { SessionHost, type Replacement } from './sessionHost.js'
 export { provenAfterMs } from './sessionOptions.js'
--- /dev/null
+++ b/batch/sessions/src/runPaces.ts
@@ -0,0 +1,41 @@
+/** Reads the pace of the runs that a session follows, and passes it on. */
+import type { RunEnd } from '@nettlespur/batch.state'
+import { PaceMeter } from './paceMeter.js'
+import type { PaceWatch } from './paceWatch.js'
+import type { RunTrack } from './runTrack.js'
+
+export class RunPaces {
+  readonly #watch: PaceWatch | undefined
+
+  constructor(watch: PaceWatch | undefined) {
+    this.#watch = watch
+  }
+
+  /** `begunAtMs` is undefined if the run does not begin now, or not at 0 %. Returns undefined if nobody watches. */
+  createMeter(begunAtMs: number | undefined): PaceMeter | undefined {
+    return this.#watch === undefined ? undefined : new PaceMeter(begunAtMs)
+  }
+
+  /** Call it with each reported progress of a run whose pace is not measured yet. */
+  noteProgress({ pace: meter, placement, progressPercent, isStopping }: RunTrack, nowMs: number) {
+    if (meter === undefined || this.#watch === undefined) return
+    if (isStopping || (!meter.hasReading && !this.#watch.isWanted(placement))) {
+      meter.isOver = true
+      return
+    }
+    const pace = meter.read(progressPercent, nowMs)
+    if (pace === 'invalid') this.#watch.noteInvalidProgress(placement, progressPercent)
+    else if (pace !== undefined) this.#watch.notePace(placement, pace)
+  }
+
+  /** Call it before the end is committed; ends other than `done` say nothing about the pace. */
+  noteEnd({ outcome }: RunEnd, track: RunTrack | undefined, nowMs: number): void {
+    const meter = track?.pace
+    if (track === undefined || meter === undefined || meter.isOver) return
+    const { placement } = track
+    const isWanted =
+      outcome === 'done' && (meter.hasReading || this.#watch?.isWanted(placement) === true)
+    const pace = meter.end(nowMs)
+    if (isWanted && pace !== undefined) this.#watch?.notePace(placement, pace)
+  }
+}
--- a/batch/sessions/src/runTrack.ts
+++ b/batch/sessions/src/runTrack.ts
@@ -1,5 +1,6 @@
 /** What the leader knows about one placed run. */
 import type { Placement } from '@nettlespur/batch.state'
+import type { PaceMeter } from './paceMeter.js'
 
 /**
  * - `starting`: the start order is in flight.
@@ -34,9 +35,11 @@
   isProven: boolean
   /** Whether it is suspected of crashing upstreams: until it is proven, nothing else starts there. */
   readonly isOnTrial: boolean
+  /** Measures how fast it makes progress; undefined if nobody wants to know. */
+  pace?: PaceMeter | undefined
 }
 
-type NewRunTrack = Pick<RunTrack, 'placement' | 'phase' | 'startedAtMs' | 'isOnTrial'>
+type NewRunTrack = Pick<RunTrack, 'placement' | 'phase' | 'startedAtMs' | 'isOnTrial' | 'pace'>
 
 export function createRunTrack(run: NewRunTrack): RunTrack {
   return {
--- a/batch/sessions/src/runTracks.ts
+++ b/batch/sessions/src/runTracks.ts
@@ -1,7 +1,8 @@
 /** The placed runs that a session follows. */
 import { runKey, type RunRef } from '@nettlespur/batch.model'
-import { isSuspectTask, type Placement } from '@nettlespur/batch.state'
+import { isSuspectTask, type JobRecord, type Placement, type RunEnd } from '@nettlespur/batch.state'
 import type { Clock } from '@nettlespur/core.clock'
+import { RunPaces } from './runPaces.js'
 import { createRunTrack, type RunPhase, type RunTrack } from './runTrack.js'
 import type { SessionHost } from './sessionHost.js'
 import { provenAfterMs, unlistedMsMax, type UpstreamSessionOptions } from './sessionOptions.js'
@@ -19,10 +20,16 @@
   readonly #byKey = new Map<string, RunTrack>()
   readonly #host: SessionHost
   readonly #clock: Clock
+  readonly #paces: RunPaces
 
-  constructor({ host, clock }: Pick<UpstreamSessionOptions, 'host' | 'clock'>) {
+  constructor({
+    host,
+    clock,
+    paceWatch,
+  }: Pick<UpstreamSessionOptions, 'host' | 'clock' | 'paceWatch'>) {
     this.#host = host
     this.#clock = clock
+    this.#paces = new RunPaces(paceWatch)
   }
 
   get byKey(): ReadonlyMap<string, RunTrack> {
@@ -56,7 +63,9 @@
     const job = this.#host.findJob(placement.jobId)
     const isOnTrial = job !== undefined && isSuspectTask(job, placement)
     const startedAtMs = this.#clock.monotonicMs()
-    const track = createRunTrack({ placement, phase, isOnTrial, startedAtMs })
+    const beginsNow = phase === 'starting' && !hasCheckpoint(job, placement)
+    const pace = this.#paces.createMeter(beginsNow ? startedAtMs : undefined)
+    const track = createRunTrack({ placement, phase, isOnTrial, startedAtMs, pace })
     this.#byKey.set(runKey(placement), track)
     return track
   }
@@ -69,6 +78,7 @@
       track.settledAtMs = this.#clock.monotonicMs()
       track.unlistedSinceMs = undefined
       track.isStopping = false
+      track.pace = undefined
       this.#byKey.set(runKey(track.placement), track)
     }
   }
@@ -103,10 +113,17 @@
       track.unlistedSinceMs = undefined
       track.progressPercent = progressPercent
       track.checkpoint = checkpoint
+      if (track.pace?.isOver === false) this.#paces.noteProgress(track, nowMs)
     }
     return strays
   }
 
+  /** Call it before the ends are committed. */
+  noteEnds(ends: readonly RunEnd[]): void {
+    const nowMs = this.#clock.monotonicMs()
+    for (const end of ends) this.#paces.noteEnd(end, this.find(end), nowMs)
+  }
+
   /** Records runs that are missing from an answer with unparsable rows, and returns those newly missing. */
   noteUnlisted(unlisted: readonly RunTrack[], nowMs: number): RunRef[] {
     if (unlisted.length > 0) this.unlistedAtMs = nowMs
@@ -122,3 +139,8 @@
     )
   }
 }
+
+/** Whether the run resumes from a checkpoint. */
+function hasCheckpoint(job: JobRecord | undefined, { step, index }: RunRef): boolean {
+  return (job?.steps[step]?.tasks[index]?.checkpoint ?? '') !== ''
+}
--- a/batch/sessions/src/sessionOptions.ts
+++ b/batch/sessions/src/sessionOptions.ts
@@ -1,6 +1,7 @@
 /** Dependencies and timings of the session with an upstream. */
 import type { Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
+import type { PaceWatch } from './paceWatch.js'
 import type { SessionHost } from './sessionHost.js'
 import type { UpstreamPort, UpstreamTarget } from './upstreamPort.js'
 
@@ -21,6 +22,8 @@
   /** When this leader took over, on its own clock; undefined if earlier leaders left no placed runs there. */
   takeoverMs: number | undefined
   signal: AbortSignal
+  /** Told how fast the runs make progress; nothing is measured without it. */
+  paceWatch?: PaceWatch | undefined
 }
 
 /**
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -228,6 +228,7 @@
 
   async #commitEnds(ends: readonly RunEnd[]): Promise<boolean> {
     if (ends.length === 0) return true
+    this.#tracks.noteEnds(ends)
     if (!(await this.#opts.host.commitEnds(ends))) return false
     for (const end of ends) this.#tracks.remove(end)
     return true
--- a/batch/speeds/src/stepPaces.ts
+++ b/batch/speeds/src/stepPaces.ts
@@ -18,9 +18,9 @@
   readonly #timesUsed = new Map<string, number>()
   tasks = 0
 
-  /** Number of paces held. */
+  /** Number of paces and counts held. */
   get size(): number {
-    return this.#byUpstream.size + this.waiting.length
+    return this.#byUpstream.size + this.#timesUsed.size + this.waiting.length
   }
 
   note({ upstreamId, logPace }: TaskPace): void {
@@ -28,10 +28,8 @@
     this.#byUpstream.delete(upstreamId)
     this.#byUpstream.set(upstreamId, logPace)
     const [oldest] = this.#byUpstream.keys()
-    if (oldest !== undefined && this.#byUpstream.size > upstreamsMax) {
+    if (oldest !== undefined && this.#byUpstream.size > upstreamsMax)
       this.#byUpstream.delete(oldest)
-      this.#timesUsed.delete(oldest)
-    }
   }
 
   listOthers(upstreamId: string): TaskPace[] {
@@ -46,7 +44,10 @@
    */
   countUse(key: string): number {
     const uses = (this.#timesUsed.get(key) ?? 0) + 1
+    this.#timesUsed.delete(key)
     this.#timesUsed.set(key, uses)
+    const [oldest] = this.#timesUsed.keys()
+    if (oldest !== undefined && this.#timesUsed.size > upstreamsMax) this.#timesUsed.delete(oldest)
     return 1 / uses
   }
 }
--- a/batch/speeds/src/upstreamSpeeds.ts
+++ b/batch/speeds/src/upstreamSpeeds.ts
@@ -9,6 +9,7 @@
 import { estimateDeclarationError, taskScatter } from './estimateDeclarationError.js'
 import type { GridDistribution } from './gridDistribution.js'
 import type { PaceObservation } from './paceObservation.js'
+import { priorLogSpread } from './prior.js'
 import { QueueErrors } from './queueErrors.js'
 import { SpeedBelief } from './speedBelief.js'
 import type { SpeedDistribution } from './speedDistribution.js'
@@ -22,6 +23,13 @@
 /** Counts the uses of a gang's step as a whole, in `StepPaces`. */
 const gangKey = ''
 
+/** What is still in use. */
+export interface Kept {
+  hasJob: (jobId: string) => boolean
+  hasUpstream: (upstreamId: string) => boolean
+  hasQueue: (name: string) => boolean
+}
+
 export class UpstreamSpeeds {
   readonly #beliefs = new Map<string, SpeedBelief>()
   readonly #queues = new Map<string, QueueErrors>()
@@ -38,7 +46,7 @@
     return this.#beliefs.size
   }
 
-  /** Number of paces held of all steps. */
+  /** Number of paces and counts held of all steps. */
   get heldPaces(): number {
     return [...this.#steps.values()]
       .flatMap((ofJob) => [...ofJob.values()])
@@ -49,10 +57,9 @@
     return this.#beliefs.get(upstreamId)?.distribution(nowMs) ?? unknownSpeed
   }
 
-  /** Returns undefined if nothing is held of the upstream. */
-  getEstimate(upstreamId: string, nowMs: number): SpeedEstimate | undefined {
+  getEstimate(upstreamId: string, nowMs: number): SpeedEstimate {
     const distribution = this.#beliefs.get(upstreamId)?.distribution(nowMs)
-    if (distribution === undefined) return undefined
+    if (distribution === undefined) return { mean: unknownSpeed.mean, logSpread: priorLogSpread }
     return { mean: distribution.mean, logSpread: Math.sqrt(distribution.logVariance) }
   }
 
@@ -75,18 +82,13 @@
     return true
   }
 
-  /** Drops what is held of the steps of a job. */
-  forgetJob(jobId: string): void {
-    this.#steps.delete(jobId)
-  }
-
-  forgetUpstream(upstreamId: string): void {
-    this.#beliefs.delete(upstreamId)
-  }
-
-  /** Drops the queues that are not in `names`. */
-  keepQueues(names: ReadonlySet<string>): void {
-    for (const name of this.#queues.keys()) if (!names.has(name)) this.#queues.delete(name)
+  /** Drops what is held of other jobs, upstreams and queues, and of upstreams whose evidence has lost its weight. */
+  keepOnly({ hasJob, hasUpstream, hasQueue }: Kept, nowMs: number): void {
+    for (const jobId of this.#steps.keys()) if (!hasJob(jobId)) this.#steps.delete(jobId)
+    for (const name of this.#queues.keys()) if (!hasQueue(name)) this.#queues.delete(name)
+    for (const [upstreamId, belief] of this.#beliefs) {
+      if (!hasUpstream(upstreamId) || !belief.hasEvidence(nowMs)) this.#beliefs.delete(upstreamId)
+    }
   }
 
   /** Paces wait until those of `comparedTasksMin` tasks of the step are known. */
--- a/batch/speeds/test/upstreamSpeeds.test.ts
+++ b/batch/speeds/test/upstreamSpeeds.test.ts
@@ -180,7 +180,7 @@
   }
   t.is(speeds.jobCount, 1)
   t.true(speeds.heldPaces <= 32)
-  speeds.forgetJob('j')
+  speeds.keepOnly({ hasJob: () => false, hasUpstream: () => true, hasQueue: () => true }, 0)
   t.is(speeds.jobCount, 0)
   t.is(speeds.heldPaces, 0)
 })
@@ -191,7 +191,7 @@
     speeds,
     Array.from({ length: 20 }, () => 0.5),
   )
-  speeds.forgetUpstream('u')
+  speeds.keepOnly({ hasJob: () => true, hasUpstream: () => false, hasQueue: () => true }, 0)
   t.is(speeds.upstreamCount, 0)
   t.is(speeds.get('u', 0).mean, 1)
 })
@@ -208,7 +208,6 @@
         Array.from({ length: runs }, () => usualPace),
       )
       const estimate = speeds.getEstimate('u', 0)
-      if (estimate === undefined) return false
       const restored = new UpstreamSpeeds()
       restored.setEstimate('u', estimate, 5)
       const [before, after] = [speeds.get('u', 0), restored.get('u', 5)]
--- a/batch/state/src/batchState.ts
+++ b/batch/state/src/batchState.ts
@@ -10,6 +10,7 @@
 import { createJobRecord } from './createJobRecord.js'
 import { endRun } from './endRun.js'
 import { hasPlacements, PlacementIndex } from './placementIndex.js'
+import { upstreamSpeedSchema, type UpstreamSpeed } from './upstreamSpeed.js'
 import {
   jobRecordSchema,
   upstreamRecordSchema,
@@ -25,6 +26,8 @@
   acceptedJobs: z.int().nonnegative(),
   /** Absent if no data centre was ever evacuated, so that earlier versions can read the snapshot. */
   evacuations: z.array(evacuationSchema).optional(),
+  /** Absent if no speed was ever noted, so that earlier versions can read the snapshot. */
+  speeds: z.array(upstreamSpeedSchema).optional(),
 })
 export type BatchSnapshot = z.infer<typeof batchSnapshotSchema>
 
@@ -46,6 +49,8 @@
   /** Jobs that are active or still have placed runs, by job id. */
   readonly unsettled = new Map<string, JobRecord>()
   readonly upstreams = new Map<string, UpstreamRecord>()
+  /** Learned speeds by upstream id, of upstreams that the state holds. */
+  readonly speeds = new Map<string, UpstreamSpeed>()
   readonly placements = new PlacementIndex()
   evacuations = new EvacuationTable([])
   #acceptedJobs = 0
@@ -58,6 +63,7 @@
     for (const upstream of snapshot.upstreams) {
       state.upstreams.set(upstream.description.upstreamId, upstream)
     }
+    for (const speed of snapshot.speeds ?? []) state.speeds.set(speed.upstreamId, speed)
     for (const job of snapshot.jobs) {
       state.jobs.set(job.request.jobId, job)
       state.placements.addJob(job)
@@ -74,6 +80,7 @@
       upstreams: [...this.upstreams.values()],
       acceptedJobs: this.#acceptedJobs,
       ...(evacuations.length === 0 ? {} : { evacuations }),
+      ...(this.speeds.size === 0 ? {} : { speeds: [...this.speeds.values()] }),
     }
   }
 
@@ -103,6 +110,8 @@
         return this.#changeUpstream(command.upstreamId, { isDraining: true, hasLeft: true })
       case 'change-evacuation':
         return this.evacuations.change(command.change)
+      case 'note-speeds':
+        return this.#noteSpeeds(command.speeds)
       case 'forget-jobs':
         for (const jobId of command.jobIds) this.#forgetJob(jobId)
         return 'done'
@@ -206,12 +215,21 @@
     return 'done'
   }
 
+  /** Leaves out upstreams that were forgotten meanwhile. */
+  #noteSpeeds(speeds: readonly UpstreamSpeed[]): CommandOutcome {
+    const known = speeds.filter(({ upstreamId }) => this.upstreams.has(upstreamId))
+    for (const speed of known) this.speeds.set(speed.upstreamId, speed)
+    return known.length === 0 ? 'unchanged' : 'done'
+  }
+
   #isGang({ jobId, step }: Placement): boolean {
     return this.jobs.get(jobId)?.request.steps[step]?.isGang === true
   }
 
   #forgetUpstream(upstreamId: string): void {
-    if (this.placements.getByUpstream(upstreamId).size === 0) this.upstreams.delete(upstreamId)
+    if (this.placements.getByUpstream(upstreamId).size > 0) return
+    this.upstreams.delete(upstreamId)
+    this.speeds.delete(upstreamId)
   }
 
   #forgetJob(jobId: string): void {
--- a/batch/state/src/command.ts
+++ b/batch/state/src/command.ts
@@ -8,6 +8,7 @@
 import { evacuationChangeSchema } from '@nettlespur/core.evacuations'
 import { z } from 'zod'
 import { crashBlameSchema } from './crashRecord.js'
+import { upstreamSpeedSchema } from './upstreamSpeed.js'
 
 /** How a run ended. */
 export const runOutcomeSchema = z.enum([
@@ -56,6 +57,7 @@
   z.strictObject({ type: z.literal('drain-upstream'), upstreamId: z.string() }),
   z.strictObject({ type: z.literal('remove-upstream'), upstreamId: z.string() }),
   z.strictObject({ type: z.literal('change-evacuation'), change: evacuationChangeSchema }),
+  z.strictObject({ type: z.literal('note-speeds'), speeds: z.array(upstreamSpeedSchema) }),
   z.strictObject({ type: z.literal('forget-jobs'), jobIds: z.array(z.string()) }),
   z.strictObject({ type: z.literal('forget-upstreams'), upstreamIds: z.array(z.string()) }),
 ])
--- a/batch/state/src/index.ts
+++ b/batch/state/src/index.ts
@@ -1,4 +1,5 @@
 /** The replicated state of batch jobs, and the commands that change it. */
+export type { UpstreamSpeed } from './upstreamSpeed.js'
 export { BatchMachine, encodeCommand } from './batchMachine.js'
 export {
   batchSnapshotSchema,
--- a/settings/schemas/src/batchSettings.ts
+++ b/settings/schemas/src/batchSettings.ts
@@ -41,5 +41,10 @@
   leaseMsMax: z.int().positive(),
   /** How long an ended job is still shown. */
   keepEndedMs: z.int().positive(),
+  /**
+   * Whether the leader learns how fast each upstream works, from the progress of what runs there, and places work by it;
+   * `ignore` if left out. Earlier builds cannot read what it commits with `learn`.
+   */
+  upstreamSpeeds: z.enum(['learn', 'ignore']).optional(),
 })
 export type BatchControlSettings = z.infer<typeof batchControlSettingsSchema>
