--- a/batch/fakes/src/fakeUpstream.ts
+++ b/batch/fakes/src/fakeUpstream.ts
@@ -3,13 +3,7 @@
  * capacity, attempts, and ends that stay listed until they are acknowledged. Its clock and its numbers of ends begin
  * with it. Violations are recorded in the ledger.
  */
-import {
-  createProcessId,
-  runKey,
-  taskKey,
-  type Resources,
-  type RunRef,
-} from '@nettlespur/batch.model'
+import { createProcessId, runKey, taskKey, type RunRef } from '@nettlespur/batch.model'
 import type {
   FinishedOutcome,
   HoldAnswer,
@@ -22,6 +16,7 @@
 import type { Clock, Timer } from '@nettlespur/core.clock'
 import { NettlespurError } from '@nettlespur/core.errors'
 import { EndList } from './endList.js'
+import type { HeldRun } from './heldRun.js'
 import type { FleetLedger } from './fleetLedger.js'
 
 const stopDurationMs = 300
@@ -30,13 +25,6 @@
 /** Delay from the start of a crashing run to the crash. */
 const crashAfterMs = 10
 
-interface HeldRun {
-  readonly run: RunRef
-  readonly needs: Resources
-  readonly startedAtMs: number
-  isStopping: boolean
-}
-
 export interface FakeUpstreamOptions {
   upstreamId: string
   /** When its process started, by its wall clock; absent if it does not say. */
@@ -53,6 +41,8 @@
   ledger: FleetLedger
   /** Whether it refuses runs that exceed its capacity (the default); otherwise it starts them. */
   guardsCapacity?: boolean
+  /** How fast it works, 1 by default. If set, it reports the progress of its runs; otherwise always 0. */
+  speed?: number
   /** Called when a run crashes the upstream; the callback has to call `crash`. */
   onCrashingRun?: () => void
 }
@@ -60,6 +50,7 @@
 export class FakeUpstream {
   readonly upstreamId: string
   readonly address: string
+  readonly speed: number | undefined
   isUp = true
   /** Whether it says when it was born; otherwise it is like an upstream of which each process has another id. */
   statesBirth = true
@@ -89,6 +80,7 @@
     })
     this.upstreamId = opts.upstreamId
     this.address = opts.address
+    this.speed = opts.speed
     opts.ledger.addUpstream(this)
   }
 
@@ -177,7 +169,7 @@
       running: [...this.#held.values()].map(({ run }) => ({
         run,
         checkpoint: '',
-        progressPercent: 0,
+        progressPercent: this.#opts.ledger.readProgress(run, this),
       })),
       finished: this.#ends.list(),
       unreadRows: 0,
--- a/batch/fakes/src/fleetLedger.ts
+++ b/batch/fakes/src/fleetLedger.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '@nettlespur/core.clock'
 import { GiveUpReasons } from './giveUpReasons.js'
 import type { FakeUpstream } from './fakeUpstream.js'
+import { RunProgress } from './runProgress.js'
 
 const gangWaitMs = 3000
 /** A task that has caused this many crashes may be started at most `crashesMax - 1` more times. */
@@ -38,10 +39,12 @@
   readonly crashesCaused = new Map<string, number>()
   readonly #reasons: GiveUpReasons
   readonly #startsAfterCrashes = new Map<string, number>()
+  readonly #progress: RunProgress
 
   constructor(opts: FleetLedgerOptions) {
     this.#opts = opts
     this.acceleratorsEach = opts.acceleratorsEach
+    this.#progress = new RunProgress(opts.clock)
     this.#reasons = new GiveUpReasons(opts.attemptsMax)
   }
 
@@ -86,12 +89,18 @@
   noteEnd(run: RunRef, outcome: FinishedOutcome): void {
     const key = taskKey(run)
     this.#running.delete(key)
+    this.#progress.end(run)
     if (outcome === 'failed') this.#reasons.noteFailure(run, this.#stepOf(run)?.isGang === true)
     if (outcome === 'done') this.lastDoneRuns.set(key, run)
     if (this.#stepOf(run)?.isGang !== true || outcome === 'done') return
     for (const member of this.#membersOf(run)) this.#endEverywhere(member, 'broken')
   }
 
+  /** Returns the progress of a run in percent: 0 before its gang is complete, or if the upstream reports none. */
+  readProgress(run: RunRef, { speed }: FakeUpstream): number {
+    return speed === undefined ? 0 : this.#progress.read(run)
+  }
+
   shouldCrash(run: RunRef): boolean {
     return this.#opts.crashes?.(run) ?? false
   }
@@ -132,7 +141,9 @@
 
   #scheduleEnd(run: RunRef, upstream: FakeUpstream): void {
     const outcome = this.#opts.decideOutcome(run)
-    this.#opts.clock.setTimer(this.#stepOf(run)?.expectedRunTimeMs ?? 0, () => {
+    const runTimeMs = (this.#stepOf(run)?.expectedRunTimeMs ?? 0) / (upstream.speed ?? 1)
+    this.#progress.begin([run], runTimeMs)
+    this.#opts.clock.setTimer(runTimeMs, () => {
       upstream.end(run, outcome)
     })
   }
@@ -142,7 +153,10 @@
     const size = this.#stepOf(run)?.taskCount ?? 0
     if (members.length === size) {
       const outcome = this.#opts.decideOutcome(run)
-      this.#opts.clock.setTimer(this.#stepOf(run)?.expectedRunTimeMs ?? 0, () => {
+      const slowest = Math.min(...members.map((member) => this.#speedOf(member)))
+      const runTimeMs = (this.#stepOf(run)?.expectedRunTimeMs ?? 0) / slowest
+      this.#progress.begin(members, runTimeMs)
+      this.#opts.clock.setTimer(runTimeMs, () => {
         if (outcome === 'failed') this.#endEverywhere(run, outcome)
         else for (const member of members) this.#endEverywhere(member, outcome)
       })
@@ -166,6 +180,10 @@
     }
   }
 
+  #speedOf(run: RunRef): number {
+    return this.#upstreams.find((upstream) => upstream.holds(run))?.speed ?? 1
+  }
+
   #stepOf({ jobId, step }: RunRef) {
     return this.#jobs.get(jobId)?.steps[step]
   }
--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -111,7 +111,8 @@
       term,
       clock: this.clock,
       logger: this.#logger,
-      metrics: new MetricsRegistry(),
+      metrics: this.#opts.metrics ?? new MetricsRegistry(),
+      upstreamSpeeds: this.#opts.upstreamSpeeds,
       timings: {
         raft: { heartbeatMs: 150, electionTimeoutMs: 700, replaceVoterAfterMs: 2500 },
         session: { leaseMs: 9500, holdWaitMs: 2000 },
@@ -213,6 +214,8 @@
 
   async #propose(command: Command, term: number) {
     await this.clock.sleep(commitMs)
+    if (this.#opts.failsProposal?.(command) === true)
+      return Left(new NettlespurError('no-quorum', 'no majority answers'))
     if (term === this.#term) return Right(this.commit(command))
     return Left(new NettlespurError('not-leader', 'another member leads'))
   }
@@ -241,9 +244,11 @@
     const { clock, ledger } = this
     const { clockRate, guardsCapacity = true, remembersCursor = false } = this.#opts
     const bornMs = this.#opts.bornMs?.(this.#startedUpstreams)
+    const speed = this.#opts.speeds?.[at]
     const upstream = new FakeUpstream({
       upstreamId: bornMs === undefined ? `life${this.#startedUpstreams}` : `upstream${at}`,
       ...(bornMs === undefined ? {} : { bornMs }),
+      ...(speed === undefined ? {} : { speed }),
       address,
       clock,
       clockRate,
--- a/batch/service/__utils__/fleetOptions.ts
+++ b/batch/service/__utils__/fleetOptions.ts
@@ -1,6 +1,9 @@
 /** The options of a fake fleet, and the faults that tests inject into it. */
 import type { RunRef } from '@nettlespur/batch.model'
 import type { Logger } from '@nettlespur/core.logger'
+import type { Command } from '@nettlespur/batch.state'
+import type { MetricsRegistry } from '@nettlespur/core.metrics'
+import type { UpstreamSpeedsMode } from '../src/index.js'
 import type { EvacuationOrderPlan } from './evacuationOperator.js'
 import type { LinkFault } from './faultyPort.js'
 
@@ -40,6 +43,14 @@
   statesBirth?: boolean
   /** See `FakeUpstream`. */
   remembersCursor?: boolean
+  /** How fast the upstreams work, by their numbers; they report progress only if it is set. */
+  speeds?: readonly number[]
+  /** Whether the leaders learn the speeds; not by default. */
+  upstreamSpeeds?: UpstreamSpeedsMode
+  /** Whether a proposal of the leader fails; none does by default. */
+  failsProposal?: (command: Command) => boolean
+  /** The leaders' metrics; discarded by default. */
+  metrics?: MetricsRegistry
   /** The leaders' logger; their lines are discarded by default. */
   logger?: Logger
 }
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -76,12 +76,8 @@
       ...opts,
       isCold: (upstreamId) => this.#roster.isCold(upstreamId),
     })
-    this.#roster = new UpstreamRoster({
-      ...opts,
-      host: this,
-      paceWatch: this.#speedLearner,
-      signal,
-    })
+    const paceWatch = this.#speedLearner
+    this.#roster = new UpstreamRoster({ ...opts, host: this, paceWatch, signal })
     this.#rounds = new SchedulingRounds({
       ...opts,
       roster: this.#roster,
--- a/batch/service/test/leaderModel.test.ts
+++ b/batch/service/test/leaderModel.test.ts
@@ -170,6 +170,22 @@
   t.pass()
 })
 
+/** Every third proposal of estimates fails. */
+function createLearning(): Partial<FakeFleetOptions> {
+  let notes = 0
+  const failsProposal: FakeFleetOptions['failsProposal'] = ({ type }) =>
+    type === 'note-speeds' && ++notes % 3 === 0
+  return { speeds: [0.5, 1, 1, 1.6], upstreamSpeeds: 'learn', failsProposal }
+}
+
+test('while speeds are learned, no task runs twice, too early or after its end, and every job ends', async (t) => {
+  await fc.assert(
+    fc.asyncProperty(schedule, (opts) => checkSchedule(opts, createLearning())),
+    { numRuns: 60, ...reporting },
+  )
+  t.pass()
+})
+
 const keptSchedules = {
   'late start orders of a former leader reach the next process of an upstream': [27, '9'],
   'a late start order reaches the next process of an upstream that had nothing placed': [39, '14'],
@@ -185,9 +201,9 @@
 
 async function checkSchedule(
   { jobs, faults, ...opts }: Schedule,
-  restarts: Pick<FakeFleetOptions, 'bornMs'> = {},
+  more: Partial<FakeFleetOptions> = {},
 ): Promise<void> {
-  const fleet = new FakeFleet({ ...opts, ...restarts })
+  const fleet = new FakeFleet({ ...opts, ...more })
   fleet.elect()
   jobs.forEach(({ atMs, steps, priority }, at) => {
     const request: JobRequest = { jobId: `job${at}`, payload: '', steps }
