--- a/batch/speeds/src/gridDistribution.ts
+++ b/batch/speeds/src/gridDistribution.ts
@@ -1,6 +1,13 @@
 /** A speed distribution given by the probabilities of the speeds of the grid. */
 import { priorLogSpread } from './prior.js'
-import { cellWidth, lowestEdge, measureLogMoments, speeds, type GridWeights } from './speedGrid.js'
+import {
+  cellWidth,
+  lowestEdge,
+  measureLogMoments,
+  speeds,
+  sumFromEnd,
+  type GridWeights,
+} from './speedGrid.js'
 import type { SpeedDistribution } from './speedDistribution.js'
 
 /** An upstream is known once its distribution is at most this fraction as wide as the prior. */
@@ -11,11 +18,14 @@
   readonly isKnown: boolean
   readonly logMean: number
   readonly logVariance: number
-  readonly #probabilities: GridWeights
+  readonly probabilities: GridWeights
+  /** The probability of at least each speed of the grid. */
+  readonly #sums: GridWeights
 
   /** `probabilities` sum to 1. */
   constructor(probabilities: GridWeights) {
-    this.#probabilities = probabilities
+    this.probabilities = probabilities
+    this.#sums = sumFromEnd(probabilities)
     const moments = measureLogMoments(probabilities)
     this.logMean = moments.mean
     this.logVariance = moments.variance
@@ -27,14 +37,11 @@
   atLeast(speed: number): number {
     if (!(speed > 0)) return 1
     const position = (Math.log(speed) - lowestEdge) / cellWidth
-    let probability = 0
-    for (const [index, share] of this.#probabilities.entries()) {
-      probability += share * Math.min(Math.max(index + 1 - position, 0), 1)
-    }
-    return Math.min(probability, 1)
-  }
-
-  get probabilities(): GridWeights {
-    return this.#probabilities
+    if (position <= 0) return 1
+    const cell = Math.floor(position)
+    const fromCell = this.#sums[cell]
+    if (fromCell === undefined) return 0
+    const above = this.#sums[cell + 1] ?? 0
+    return Math.min(above + (fromCell - above) * (cell + 1 - position), 1)
   }
 }
--- a/batch/state/test/foreignRecords.test.ts
+++ b/batch/state/test/foreignRecords.test.ts
@@ -19,6 +19,7 @@
   { type: 'cancel-job', jobId: 'j' },
   { type: 'forget-jobs', jobIds: ['other'] },
   { type: 'forget-upstreams', upstreamIds: ['other'] },
+  { type: 'note-speeds', speeds: [{ upstreamId: 'u1', mean: 0.6, logSpread: 0.2 }] },
 ]
 
 function createMachine(): BatchMachine {
