fix: the time before the first progress is no part of a run's pace

A gang that waits for its last member reports 0 % meanwhile, and would make all its upstreams look slow.

--- a/batch/sessions/src/paceMeter.ts
+++ b/batch/sessions/src/paceMeter.ts
@@ -20,14 +20,14 @@
 export class PaceMeter {
   /** Whether nothing more is to be measured. */
   isOver = false
-  /** When the run began; undefined if that is not known, or if it resumed from a checkpoint. */
-  readonly #begunAtMs: number | undefined
+  /** The beginning of the run; undefined if that is not known, or if it resumed from a checkpoint. */
+  readonly #begin: Reading | undefined
   /** A run that was resumed or inherited does not begin at 0 %, so that only progress since this reading counts. */
   #base: Reading | undefined
   #lastPercent = 0
 
   constructor(begunAtMs?: number) {
-    this.#begunAtMs = begunAtMs
+    this.#begin = begunAtMs === undefined ? undefined : { percent: 0, atMs: begunAtMs }
   }
 
   /** Whether progress was read before. */
@@ -45,23 +45,27 @@
       return 'invalid'
     }
     this.#lastPercent = percent
-    this.#base ??= { percent, atMs }
+    // While a gang waits for its last member, or a task starts up, nothing is done yet.
+    if (this.#base === undefined || percent === 0) this.#base = { percent, atMs }
     return this.#measure(this.#base, { percent, atMs })
   }
 
   /**
-   * Returns the pace of a run that has ended well, and measures nothing more. Returns undefined if the run was too short,
-   * or if neither its beginning nor any progress is known.
+   * Returns the pace of a run that has ended well, and measures nothing more: from its first reading on or, if too little
+   * is left from there or no progress was ever reported, as a whole. Returns undefined if the run was too short, or if
+   * neither its beginning nor any progress is known.
    */
   end(atMs: number): RunPace | undefined {
-    const base = this.#begunAtMs === undefined ? this.#base : { percent: 0, atMs: this.#begunAtMs }
-    const isMeasured = base !== undefined && (this.#begunAtMs !== undefined || base.percent > 0)
-    const pace = isMeasured ? this.#measure(base, { percent: wholePercent, atMs }) : undefined
+    const end = { percent: wholePercent, atMs }
+    const isReported = this.#lastPercent > 0
+    const fromReading = isReported ? this.#measure(this.#base, end) : undefined
+    const pace = fromReading ?? this.#measure(this.#begin, end)
     this.isOver = true
     return pace
   }
 
-  #measure(base: Reading, { percent, atMs }: Reading): RunPace | undefined {
+  #measure(base: Reading | undefined, { percent, atMs }: Reading): RunPace | undefined {
+    if (base === undefined) return undefined
     const elapsedMs = atMs - base.atMs
     if (percent - base.percent < gainedPercentMin || elapsedMs < elapsedMsMin) return undefined
     this.isOver = true
--- a/batch/sessions/test/paceMeter.test.ts
+++ b/batch/sessions/test/paceMeter.test.ts
@@ -32,6 +32,20 @@
   t.deepEqual(new PaceMeter(1000).end(3000), { progress: 1, elapsedMs: 2000 })
 })
 
+// A gang that waits seconds for its last member would seem slow, and all its upstreams with it.
+test('the time before the first progress does not count', (t) => {
+  const meter = new PaceMeter(0)
+  meter.read(0, 100)
+  meter.read(0, 2000)
+  t.deepEqual(meter.read(30, 3000), { progress: 0.3, elapsedMs: 1000 })
+})
+
+test('a run that ends soon after its first reading is measured as a whole', (t) => {
+  const meter = new PaceMeter(0)
+  meter.read(90, 1800)
+  t.deepEqual(meter.end(2000), { progress: 1, elapsedMs: 2000 })
+})
+
 test('an inherited run is measured at its end from its first reading on, and not without one', (t) => {
   const meter = new PaceMeter()
   meter.read(40, 1000)
