feat: units prefer upstreams that are fast enough and stable

Cause: a gang is as slow as its slowest member, and placement ignored how fast upstreams are and whether they had just crashed.

Change: groups of upstreams are tried in order. Urgent units get upstreams on which they end on time, and are held back for up to 1 s if only others have room. Work with slack leaves fast upstreams to them. Gangs and urgent units get unstable upstreams last. Without known slow and without unstable upstreams the path is the former one.

--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -10,6 +10,7 @@
   type ActiveRun,
   type UpstreamAvailability,
 } from '../src/index.js'
+import { unknownSpeed, type SpeedDistribution } from '../src/speedDistribution.js'
 
 /** Expected time until each run ends. */
 const remainingRunMs = 1000
@@ -31,6 +32,10 @@
   readonly availability = new Map<string, UpstreamAvailability>()
   /** Ids of cold upstreams. */
   readonly cold = new Set<string>()
+  /** Speeds of upstreams that are known, by id. */
+  readonly speeds = new Map<string, SpeedDistribution>()
+  /** Ids of unstable upstreams. */
+  readonly unstable = new Set<string>()
   readonly #acceptedAtMs = new Map<string, number>()
   readonly #stopping = new Set<string>()
   readonly #starvation = new StarvationTimes()
@@ -61,6 +66,7 @@
   decide() {
     const decision = planRound({
       nowMs: this.nowMs,
+      queues: this.state.config?.queues ?? [],
       jobs: [...this.state.unsettled.values()],
       acceptedAtMs: this.#acceptedAtMs,
       upstreams: this.#listUpstreams(false),
@@ -135,6 +141,8 @@
       freeAfterStops: addResources(free, stopping),
       isCold: this.cold.has(description.upstreamId),
       isSuitableForTrial,
+      speed: this.speeds.get(description.upstreamId) ?? unknownSpeed,
+      isUnstable: this.unstable.has(description.upstreamId),
     }
   }
 
--- a/batch/scheduler/src/chooseUpstreams.ts
+++ b/batch/scheduler/src/chooseUpstreams.ts
@@ -1,10 +1,12 @@
 /**
  * Chooses upstreams for the tasks of a unit: the tightest fit, which keeps whole upstreams and racks free for large
- * gangs, and a single rack for gangs that are slow across racks. Urgent work runs on cold upstreams only if the warm ones
+ * gangs, and a single rack for gangs that are slow across racks. Groups of upstreams that the unit prefers are tried in
+ * order (see `listGroups`). Urgent work runs on cold upstreams only if the warm ones
  * cannot take it now.
  */
 import { urgentPriority } from './computeStopCostLimit.js'
-import { fillEmptiest, fillTightest, type UpstreamFit } from './fillTightest.js'
+import { fillGangGroups, fillGroups, sumFits, type ScopeFit } from './fillGroups.js'
+import { fillEmptiest, fillTightest } from './fillTightest.js'
 import { listScopes } from './listScopes.js'
 import type { UpstreamAllocation, RoundAllocations } from './roundAllocations.js'
 import type { StartUnit } from './startUnit.js'
@@ -32,26 +34,29 @@
   const scopes = listScopes(unit, allocations).map((upstreams) =>
     countScopeFit(unit, allocations, upstreams.filter(isAllowed)),
   )
+  const { groups } = unit
+  if (groups !== undefined && !unit.isOnTrial) {
+    return unit.step.isGang
+      ? fillGangGroups(scopes, groups, wanted)
+      : scopes.flatMap((scope) => fillGroups(scope, groups, wanted))
+  }
   if (!unit.step.isGang) return scopes.flatMap(({ upstreams }) => fill(upstreams, wanted))
   const fitting = scopes.filter(({ total }) => total >= wanted)
   const [tightest] = fitting.sort((left, right) => left.total - right.total)
   return tightest === undefined ? [] : fill(tightest.upstreams, wanted)
 }
 
-interface ScopeFit {
-  readonly upstreams: readonly UpstreamFit[]
-  readonly total: number
-}
-
 function countScopeFit(
   unit: StartUnit,
   allocations: RoundAllocations,
   upstreams: readonly UpstreamAllocation[],
 ): ScopeFit {
-  const counted = upstreams.map((upstream) => ({
-    upstreamId: upstream.upstreamId,
-    free: upstream.free,
-    count: allocations.countTasks(unit, upstream),
-  }))
-  return { upstreams: counted, total: counted.reduce((sum, { count }) => sum + count, 0) }
+  return sumFits(
+    upstreams.map((allocation) => ({
+      upstreamId: allocation.upstreamId,
+      allocation,
+      free: allocation.free,
+      count: allocations.countTasks(unit, allocation),
+    })),
+  )
 }
--- a/batch/scheduler/src/computeStopCostLimit.ts
+++ b/batch/scheduler/src/computeStopCostLimit.ts
@@ -6,6 +6,7 @@
  */
 import type { RankedUnit } from './orderUnits.js'
 import { measureCores } from './resources.js'
+import type { StartUnit } from './startUnit.js'
 
 /** Priority of queues whose callers wait for the answer. */
 export const urgentPriority = 0
@@ -21,6 +22,11 @@
 }: RankedUnit): number {
   if (isGuaranteed) return Infinity
   if (job.queue.priority !== urgentPriority || timeliness !== 'on-time') return 0
+  return measureWaitingWork({ step, waiting })
+}
+
+/** Returns the work of the unit's waiting tasks in core-seconds. */
+export function measureWaitingWork({ step, waiting }: Pick<StartUnit, 'step' | 'waiting'>): number {
   return (
     (waiting.length * measureCores(step.needs) * step.expectedRunTimeMs) / millisecondsPerSecond
   )
--- a/batch/scheduler/src/index.ts
+++ b/batch/scheduler/src/index.ts
@@ -10,5 +10,7 @@
   SchedulableUpstream,
   UpstreamAvailability,
 } from './schedulerView.js'
+export { unknownSpeed } from './speedDistribution.js'
+export type { SpeedChoice, SpeedDecisions } from './speedDecisions.js'
 export { StarvationTimes } from './starvationTimes.js'
 export type { StarvationReason, StarvingUnit } from './starvingUnit.js'
--- a/batch/scheduler/src/jobTiming.ts
+++ b/batch/scheduler/src/jobTiming.ts
@@ -3,7 +3,7 @@
 import type { JobRecord } from '@nettlespur/batch.state'
 
 /** A job that ends later than this many times its objective has no value. */
-const lateLimitFactor = 3
+export const lateLimitFactor = 3
 
 export type Timeliness = 'on-time' | 'late' | 'none'
 
@@ -17,11 +17,23 @@
   return Math.max(0, ...endsMs)
 }
 
+/** The expected time of the longest chain of dependent steps that are not done. */
+export function measureOpenPathMs(job: JobRecord): number {
+  const { steps } = job.request
+  const [only] = steps
+  if (steps.length === 1 && only !== undefined) return only.expectedRunTimeMs
+  return measureCriticalPathMs(
+    steps.map((step, at) => (isOpen(job, at) ? step : { ...step, expectedRunTimeMs: 0 })),
+  )
+}
+
+function isOpen({ steps }: JobRecord, at: number): boolean {
+  return steps[at]?.tasks.some(({ phase }) => phase !== 'done') === true
+}
+
 /** The expected run time of the longest step that is not done. */
 export function measureRemainingMs(job: JobRecord): number {
-  const open = job.request.steps.filter((_, at) =>
-    job.steps[at]?.tasks.some(({ phase }) => phase !== 'done'),
-  )
+  const open = job.request.steps.filter((_, at) => isOpen(job, at))
   return open.reduce((longest, step) => Math.max(longest, step.expectedRunTimeMs), 0)
 }
 
--- a/batch/scheduler/src/listScopes.ts
+++ b/batch/scheduler/src/listScopes.ts
@@ -6,11 +6,24 @@
 } from './roundAllocations.js'
 import type { StartUnit } from './startUnit.js'
 
+/** Returns the scopes of `listUnrestrictedScopes`, reduced to the upstreams that the unit takes for now. */
+export function listScopes(unit: StartUnit, allocations: RoundAllocations): UpstreamAllocation[][] {
+  const scopes = listUnrestrictedScopes(unit, allocations)
+  const { isAllowed } = unit
+  if (isAllowed === undefined) return scopes
+  return scopes
+    .map((upstreams) => upstreams.filter(isAllowed))
+    .filter((upstreams) => canHoldWhenEmpty(unit, upstreams))
+}
+
 /**
  * Returns, for a gang that is slow across racks, one scope for each rack that could take it when empty, or all racks
  * as one scope if none could. Other units get one scope of all upstreams that they may use.
  */
-export function listScopes(unit: StartUnit, allocations: RoundAllocations): UpstreamAllocation[][] {
+function listUnrestrictedScopes(
+  unit: StartUnit,
+  allocations: RoundAllocations,
+): UpstreamAllocation[][] {
   const eligible = preferDataRack(unit, allocations.listEligible(unit))
   if (!prefersOneRack(unit)) return [eligible]
   const fitting = [...groupByRack(eligible).values()].filter((upstreams) =>
--- a/batch/scheduler/src/listStarvingUnits.ts
+++ b/batch/scheduler/src/listStarvingUnits.ts
@@ -34,6 +34,7 @@
     if (!needsEvacuated && !pools.isAmpleFor(unit)) return []
     const explain = (): StarvationReason => {
       if (needsEvacuated) return 'evacuated-data-centre'
+      if (unit.isAllowed !== undefined) return 'speed'
       return chooseRelaxed(unit, allocations)?.relaxed ?? 'fragmentation'
     }
     return [{ jobId, step: stepNumber, freeShare: pools.freeShareFor(unit), explain }]
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -5,8 +5,9 @@
 import type { Placement } from '@nettlespur/batch.state'
 import { chooseUpstreams } from './chooseUpstreams.js'
 import { chooseVictims } from './chooseVictims.js'
-import { computeStopCostLimit } from './computeStopCostLimit.js'
+import { computeStopCostLimit, measureWaitingWork } from './computeStopCostLimit.js'
 import { listGuaranteedJobs } from './listGuaranteedJobs.js'
+import { canFitWhenEmpty } from './listScopes.js'
 import { listStarvingUnits } from './listStarvingUnits.js'
 import { listVictimGroups, type VictimGroup } from './listVictimGroups.js'
 import { orderUnits, type RankedUnit } from './orderUnits.js'
@@ -16,6 +17,7 @@
 import { reserveForGang } from './reserveForGang.js'
 import { RoundAllocations } from './roundAllocations.js'
 import type { ActiveRun, Preemption, RoundDecision, SchedulerView } from './schedulerView.js'
+import { SpeedPlacement } from './speedPlacement.js'
 import { createPlacements } from './startUnit.js'
 import { VictimIndex } from './victimIndex.js'
 
@@ -67,14 +69,20 @@
   /** Units of which the round starts nothing. */
   readonly #leftWaiting: RankedUnit[] = []
   #urgentSearches = 0
+  #speedSearches = 0
+  readonly #speedPlacement: SpeedPlacement
 
   constructor(view: SchedulerView, guaranteed: ReadonlySet<string>, allocations: RoundAllocations) {
     this.#view = view
     this.#guaranteed = guaranteed
     this.#allocations = allocations
+    this.#speedPlacement = new SpeedPlacement(view, allocations)
   }
 
-  decide(unit: RankedUnit): void {
+  decide(ranked: RankedUnit): void {
+    const fastOnly = this.#speedPlacement.restrictToFast(ranked)
+    if (fastOnly !== undefined && this.#decideFastOnly(fastOnly, ranked)) return
+    const unit = this.#speedPlacement.addGroups(ranked)
     const upstreamIds = this.#chooseUpstreams(unit)
     if (upstreamIds.length > 0) this.#place(unit, upstreamIds)
     else this.#leftWaiting.push(unit)
@@ -88,6 +96,36 @@
     }
   }
 
+  /**
+   * Places the unit only on upstreams that are not too slow for it. Otherwise it may preempt there, or it is held back.
+   * Returns false if it cannot fit there even when they are empty.
+   */
+  #decideFastOnly(unit: RankedUnit, unrestricted: RankedUnit): boolean {
+    const upstreamIds = chooseUpstreams(unit, this.#allocations)
+    if (upstreamIds.length === 0 && !canFitWhenEmpty(unit, this.#allocations)) return false
+    if (upstreamIds.length > 0) this.#place(unit, upstreamIds)
+    else this.#leftWaiting.push(unit)
+    if (upstreamIds.length === unit.waiting.length) return true
+    const rest = { ...unit, waiting: unit.waiting.slice(upstreamIds.length) }
+    const hasRoomElsewhere = chooseUpstreams(
+      { ...unrestricted, waiting: rest.waiting },
+      this.#allocations,
+    )
+    this.#speedPlacement.noteHeld(rest)
+    this.#preemptForSpeed(rest, hasRoomElsewhere.length > 0)
+    return true
+  }
+
+  /**
+   * The guarantee is for capacity and not for its speed, so while slow upstreams have room, guaranteed work may preempt on
+   * others only what any urgent work may.
+   */
+  #preemptForSpeed(unit: RankedUnit, hasRoomElsewhere: boolean): void {
+    if (!unit.isGuaranteed || !hasRoomElsewhere) this.#preemptFor(unit)
+    else if (++this.#speedSearches <= urgentSearchesMax)
+      this.#preemptFor(unit, measureWaitingWork(unit))
+  }
+
   finish(): RoundDecision {
     const { placements, preemptions } = this
     const startedJobIds = new Set(placements.map(({ jobId }) => jobId))
@@ -97,7 +135,8 @@
       allocations: this.#allocations,
       listEvacuated: () => this.#view.evacuated,
     })
-    return { placements, preemptions, starving }
+    const speed = this.#speedPlacement.finish()
+    return { placements, preemptions, starving, ...(speed !== undefined && { speed }) }
   }
 
   #chooseUpstreams(unit: RankedUnit): readonly string[] {
@@ -138,30 +177,26 @@
     reserveForGang({ unit, allocations: this.#allocations, runs })
   }
 
-  #toActiveRun({ step }: RankedUnit, placement: Placement): ActiveRun {
-    return {
-      placement,
-      needs: step.needs,
-      expectedEndMs: this.#allocations.estimateEndMs(step),
-      stopCostCoreSeconds: 0,
-      isStopping: false,
-    }
-  }
-
   #place(unit: RankedUnit, upstreamIds: readonly string[]): void {
     this.#allocations.place(upstreamIds, unit.step)
     if (unit.isOnTrial) this.#allocations.blockStarts(upstreamIds)
     const placed = createPlacements(unit, upstreamIds)
     this.placements.push(...placed)
-    this.#started.push(...placed.map((placement) => this.#toActiveRun(unit, placement)))
+    const estimateEndMs = this.#allocations.estimateEnds(upstreamIds, unit.step)
+    const { needs } = unit.step
+    for (const placement of placed) {
+      const expectedEndMs = estimateEndMs(placement.upstreamId)
+      const run = { placement, needs, expectedEndMs, stopCostCoreSeconds: 0, isStopping: false }
+      this.#started.push(run)
+    }
+    this.#speedPlacement.notePlaced(unit, upstreamIds)
   }
 
   /**
    * Allocates capacity that stopping runs will release, and preempts more runs if that is too little. Returns false
    * if the unit may preempt nothing or the permitted preemptions do not free enough.
    */
-  #preemptFor(unit: RankedUnit): boolean {
-    const costMaxCoreSeconds = computeStopCostLimit(unit)
+  #preemptFor(unit: RankedUnit, costMaxCoreSeconds = computeStopCostLimit(unit)): boolean {
     if (costMaxCoreSeconds === 0) return false
     if (!unit.isGuaranteed && ++this.#urgentSearches > urgentSearchesMax) return false
     const victims = (this.#victims ??= this.#indexVictims())
--- a/batch/scheduler/src/roundAllocations.ts
+++ b/batch/scheduler/src/roundAllocations.ts
@@ -18,6 +18,8 @@
   /** Capacity that no run uses; some of it may be allocated to units that wait for other runs to stop. */
   idle: Resources
   readonly reservations: Reservation[] = []
+  /** How fast runs are expected to be here. */
+  expectedSpeed = 1
   /** This round starts a run on the upstream. */
   #hasNewRun = false
 
@@ -87,22 +89,43 @@
     return this.#byId.get(upstreamId)
   }
 
-  /** Returns the expected end of a task of the step that starts now. */
-  estimateEndMs({ expectedRunTimeMs }: StepSpec): number {
-    return this.nowMs + expectedRunTimeMs
+  /** Expects runs on the upstreams of the pool to be as fast as what is known of their speeds says. */
+  expectSpeeds(pool: string): void {
+    for (const upstream of this.upstreams) {
+      const { speed } = upstream.view
+      if (upstream.view.pool === pool && speed.isKnown) upstream.expectedSpeed = speed.mean
+    }
+  }
+
+  /** Returns the expected end of a task of the step that starts now on an upstream of that speed. */
+  estimateEndMs({ expectedRunTimeMs }: StepSpec, expectedSpeed = 1): number {
+    return this.nowMs + expectedRunTimeMs / expectedSpeed
+  }
+
+  /**
+   * Returns a function from the id of an upstream to the expected end of a task that starts there now. The slowest
+   * member decides how fast a gang is.
+   */
+  estimateEnds(upstreamIds: readonly string[], step: StepSpec): (upstreamId: string) => number {
+    const speedOf = (id: string): number => this.#byId.get(id)?.expectedSpeed ?? 1
+    if (!step.isGang) return (upstreamId) => this.estimateEndMs(step, speedOf(upstreamId))
+    const endMs = this.estimateEndMs(step, Math.min(...upstreamIds.map(speedOf)))
+    return () => endMs
   }
 
   /** Allocates capacity for one task per entry that starts now; an upstream may occur several times. */
   place(upstreamIds: readonly string[], step: StepSpec): void {
+    const estimateEndMs = this.estimateEnds(upstreamIds, step)
     for (const upstreamId of upstreamIds) {
-      this.#byId.get(upstreamId)?.place(step.needs, this.estimateEndMs(step))
+      this.#byId.get(upstreamId)?.place(step.needs, estimateEndMs(upstreamId))
     }
   }
 
   /** Like `place`, for tasks that may start only once other runs have stopped. */
   allocate(upstreamIds: readonly string[], step: StepSpec): void {
+    const estimateEndMs = this.estimateEnds(upstreamIds, step)
     for (const upstreamId of upstreamIds) {
-      this.#byId.get(upstreamId)?.allocate(step.needs, this.estimateEndMs(step))
+      this.#byId.get(upstreamId)?.allocate(step.needs, estimateEndMs(upstreamId))
     }
   }
 
@@ -135,7 +158,7 @@
     const { step, relaxed } = unit
     const fitting = relaxed.has('reservation')
       ? countFitting(upstream.free, step.needs)
-      : upstream.countUnreserved(step.needs, this.estimateEndMs(step))
+      : upstream.countUnreserved(step.needs, this.estimateEndMs(step, upstream.expectedSpeed))
     return limitTasks(unit, upstream.upstreamId, fitting)
   }
 
--- a/batch/scheduler/src/schedulerView.ts
+++ b/batch/scheduler/src/schedulerView.ts
@@ -1,7 +1,9 @@
 /** Input and result of a scheduling round. A round does not modify its input. */
 import type { JobRecord, Placement } from '@nettlespur/batch.state'
-import type { Resources, TaskRef, UnitRef } from '@nettlespur/batch.model'
+import type { QueueConfig, Resources, TaskRef, UnitRef } from '@nettlespur/batch.model'
+import type { SpeedDistribution } from './speedDistribution.js'
 import type { StarvingUnit } from './starvingUnit.js'
+import type { SpeedDecisions } from './speedDecisions.js'
 
 /**
  * - `usable`: may get new work.
@@ -25,6 +27,10 @@
   readonly freeAfterStops: Resources
   /** It has started lately, and is slower than others for a while. */
   readonly isCold: boolean
+  /** How fast it works, as far as that is known. */
+  readonly speed: SpeedDistribution
+  /** It has lately crashed, been lost, come back or failed runs, and is likely to fail again. */
+  readonly isUnstable: boolean
   /**
    * A crash could be attributed to a run that starts here: all other runs here are proven, and the upstream
    * has not crashed recently.
@@ -46,6 +52,8 @@
 
 export interface SchedulerView {
   readonly nowMs: number
+  /** Queues of the configuration. */
+  readonly queues: readonly QueueConfig[]
   /** In order of acceptance. */
   readonly jobs: readonly JobRecord[]
   /** Acceptance times by job id, on the clock of `nowMs`. */
@@ -81,4 +89,6 @@
   readonly placements: Placement[]
   readonly preemptions: Preemption[]
   readonly starving: StarvingUnit[]
+  /** Absent if no pool calls for placement by speed. */
+  readonly speed?: SpeedDecisions
 }
--- /dev/null
+++ b/batch/scheduler/src/speedPlacement.ts
@@ -0,0 +1,101 @@
+/**
+ * Applies the preferences for fast and stable upstreams to the units of a round. An urgent unit for which only upstreams
+ * that are too slow have room is held back for a short time, as long as it would be on time on others.
+ */
+import type { UnitRef } from '@nettlespur/batch.model'
+import { listFastGroups, listGroups, isUrgent } from './listGroups.js'
+import { computeNeededSpeed, type NeededSpeed } from './neededSpeed.js'
+import type { RankedUnit } from './orderUnits.js'
+import { PoolSpeeds } from './poolSpeeds.js'
+import type { RoundAllocations } from './roundAllocations.js'
+import type { SchedulerView } from './schedulerView.js'
+import type { SpeedChoice, SpeedDecisions } from './speedDecisions.js'
+import type { StartUnit } from './startUnit.js'
+
+/**
+ * For how long after its acceptance an urgent job is held back for the sake of speed. Guaranteed work has to start
+ * 2,900 ms after its acceptance; this leaves time to stop the runs that borrow its capacity.
+ */
+const holdMaxMs = 1000
+
+export class SpeedPlacement {
+  readonly #view: SchedulerView
+  readonly #allocations: RoundAllocations
+  readonly #pools = new Map<string, PoolSpeeds>()
+  readonly #choices: SpeedChoice[] = []
+  readonly #held: UnitRef[] = []
+
+  constructor(view: SchedulerView, allocations: RoundAllocations) {
+    this.#view = view
+    this.#allocations = allocations
+  }
+
+  /** Returns the unit with its preferred groups of upstreams. */
+  addGroups(unit: RankedUnit): RankedUnit {
+    const pool = this.#getPool(unit)
+    if (!pool.isGraded && !pool.hasUnstable) return unit
+    const groups = listGroups({ unit, pool, needed: computeNeededSpeed(unit, pool.fastestSpeed) })
+    return groups === undefined ? unit : { ...unit, groups }
+  }
+
+  /**
+   * Returns the unit restricted to upstreams that are not too slow for it, or undefined if it need not be: it takes any
+   * upstreams, or none is too slow.
+   */
+  restrictToFast(unit: RankedUnit): RankedUnit | undefined {
+    const pool = this.#getPool(unit)
+    if (!pool.isGraded || !isUrgent(unit) || unit.isOnTrial) return undefined
+    if (unit.waitedMs >= holdMaxMs) return undefined
+    const needed = computeNeededSpeed(unit, pool.fastestSpeed)
+    if (!needed.isForOnTimeEnd || !this.#hasTooSlow(unit, pool, needed)) return undefined
+    return {
+      ...unit,
+      groups: listFastGroups({ unit, pool, needed }),
+      isAllowed: ({ view }) => !pool.isTooSlow(view, needed.speed),
+    }
+  }
+
+  noteHeld({ job, stepNumber }: StartUnit): void {
+    this.#held.push({ jobId: job.request.jobId, step: stepNumber })
+  }
+
+  notePlaced(unit: RankedUnit, upstreamIds: readonly string[]): void {
+    const pool = this.#getPool(unit)
+    if (!pool.isGraded) return
+    const needed = computeNeededSpeed(unit, pool.fastestSpeed)
+    const chosen = upstreamIds.flatMap((id) => this.#allocations.find(id)?.view ?? [])
+    this.#choices.push({
+      jobId: unit.job.request.jobId,
+      step: unit.stepNumber,
+      neededSpeed: needed.speed,
+      lowestSpeed: Math.min(...chosen.map(({ speed }) => speed.mean)),
+      isTooSlow: chosen.some((view) => pool.isTooSlow(view, needed.speed)),
+    })
+  }
+
+  /** Returns undefined if no pool of the units calls for placement by speed. */
+  finish(): SpeedDecisions | undefined {
+    if (![...this.#pools.values()].some(({ isGraded }) => isGraded)) return undefined
+    return { choices: this.#choices, held: this.#held }
+  }
+
+  #hasTooSlow({ job }: StartUnit, pool: PoolSpeeds, { speed }: NeededSpeed): boolean {
+    return this.#view.upstreams.some(
+      (upstream) => upstream.pool === job.queue.pool && pool.isTooSlow(upstream, speed),
+    )
+  }
+
+  #getPool({ job: { queue } }: StartUnit): PoolSpeeds {
+    const known = this.#pools.get(queue.pool)
+    if (known !== undefined) return known
+    const { upstreams, queues } = this.#view
+    const stretches = queues.filter(({ pool }) => pool === queue.pool)
+    const pool = new PoolSpeeds(
+      upstreams.filter((upstream) => upstream.pool === queue.pool),
+      stretches.map(({ stretch }) => stretch),
+    )
+    this.#pools.set(queue.pool, pool)
+    if (pool.isGraded) this.#allocations.expectSpeeds(queue.pool)
+    return pool
+  }
+}
--- a/batch/scheduler/src/startUnit.ts
+++ b/batch/scheduler/src/startUnit.ts
@@ -9,6 +9,7 @@
 import { noRelaxedPreferences, type Preference } from './preference.js'
 import type { SchedulerView } from './schedulerView.js'
 import { limitTrials } from './limitTrials.js'
+import type { UpstreamGroup } from './upstreamGroup.js'
 
 export interface StartUnit {
   readonly job: JobRecord
@@ -23,6 +24,10 @@
   readonly isOnTrial: boolean
   /** Preferences that no longer apply to the unit. */
   readonly relaxed: ReadonlySet<Preference>
+  /** Groups of upstreams in the order in which they are tried; absent if the unit prefers no upstreams to others. */
+  readonly groups?: readonly UpstreamGroup[]
+  /** The only upstreams that the unit takes for now; absent if it takes any. */
+  readonly isAllowed?: UpstreamGroup
 }
 
 /** Returns the units of a job that may start now, which excludes steps whose dependencies are not done. */
--- a/batch/scheduler/src/starvingUnit.ts
+++ b/batch/scheduler/src/starvingUnit.ts
@@ -8,10 +8,11 @@
 
 /**
  * - The last preference to relax so that the unit could start.
+ * - `speed`: only upstreams that are too slow for it have room, and it would be on time on others.
  * - `fragmentation`: no upstreams have room for it.
  * - `evacuated-data-centre`: it fits only with upstreams on which nothing may start.
  */
-export type StarvationReason = Preference | 'fragmentation' | 'evacuated-data-centre'
+export type StarvationReason = Preference | 'speed' | 'fragmentation' | 'evacuated-data-centre'
 
 export interface StarvingUnit extends UnitRef {
   /** Free share of its pool after the round. */
--- a/batch/service/src/buildSchedulerView.ts
+++ b/batch/service/src/buildSchedulerView.ts
@@ -4,6 +4,7 @@
   addResources,
   measureCores,
   noResources,
+  unknownSpeed,
   type ActiveRun,
   type SchedulerView,
   type SchedulableUpstream,
@@ -34,6 +35,8 @@
   getAvailability: (upstream: UpstreamRecord) => UpstreamAvailability | undefined
   /** Whether it has started lately and is slow for a while. */
   isCold: (upstream: UpstreamRecord) => boolean
+  /** Whether it has lately crashed, been lost, come back or failed runs. */
+  isUnstable: (upstream: UpstreamRecord) => boolean
   /** Whether a run on trial has just started there. */
   hasTrial: (upstream: UpstreamRecord) => boolean
   /** See `UpstreamRoom`. */
@@ -55,6 +58,7 @@
   const workspaces = state.config?.workspaces ?? []
   return {
     nowMs,
+    queues: state.config?.queues ?? [],
     jobs: [...state.unsettled.values()],
     acceptedAtMs,
     upstreams,
@@ -84,7 +88,19 @@
 ): SchedulableUpstream {
   const { upstreamId, pool, rack, labels, capacity } = upstream.description
   const isCold = opts.isCold(upstream)
-  const known = { upstreamId, availability, pool, rack, labels, capacity, isCold }
+  const isUnstable = opts.isUnstable(upstream)
+  const speed = unknownSpeed
+  const known = {
+    upstreamId,
+    availability,
+    pool,
+    rack,
+    labels,
+    capacity,
+    isCold,
+    isUnstable,
+    speed,
+  }
   if (opts.hasTrial(upstream)) {
     return { ...known, free: noResources, freeAfterStops: noResources, isSuitableForTrial: false }
   }
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -14,6 +14,7 @@
 import type { JobClock } from './jobClock.js'
 import { listRunsCutShort } from './listRunsCutShort.js'
 import type { RetryBackoff } from './retryBackoff.js'
+import { SpeedLog } from './speedLog.js'
 import { StarvationWatch } from './starvationWatch.js'
 import type { UpstreamRoster } from './upstreamRoster.js'
 
@@ -50,10 +51,12 @@
   readonly #opts: SchedulingRoundsOptions
   readonly #housekeeper: Housekeeper
   readonly #starvationWatch: StarvationWatch
+  readonly #speedLog: SpeedLog
   readonly #wake = new Wake()
 
   constructor(opts: SchedulingRoundsOptions) {
     this.#opts = opts
+    this.#speedLog = new SpeedLog(opts.metrics)
     this.#starvationWatch = new StarvationWatch({
       ...opts,
       describeFleet: () => ({
@@ -84,8 +87,9 @@
     const { clock, metrics, signal } = this.#opts
     const nowMs = clock.monotonicMs()
     this.#moveRunsCutShort(nowMs)
-    const { placements, preemptions, starving } = this.#plan(nowMs)
+    const { placements, preemptions, starving, speed } = this.#plan(nowMs)
     this.#starvationWatch.noteRound(starving, nowMs)
+    this.#speedLog.noteRound(speed, nowMs)
     const tookMs = clock.monotonicMs() - nowMs
     metrics.recordMs('scheduling_round_ms', tookMs)
     this.#preempt(preemptions)
@@ -101,6 +105,7 @@
       acceptedAtMs: jobClock.acceptedAtMs,
       getAvailability: (upstream) => roster.getAvailability(upstream),
       isCold: ({ description }) => roster.isCold(description.upstreamId),
+      isUnstable: (upstream) => roster.isUnstable(upstream),
       hasTrial: ({ description }) =>
         roster.findSession(description.upstreamId)?.tracks.hasTrial === true,
       isQuiet: (upstream) => roster.isQuiet(upstream),
@@ -155,7 +160,7 @@
     const { jobId, upstreamId } = placement
     if (!getState().placements.getByUpstream(upstreamId).has(runKey(placement))) return
     const waitedMs = Math.round(jobClock.waitedMs(jobId, clock.monotonicMs()))
-    this.#log('placement.decided', placement, { waitedMs })
+    this.#log('placement.decided', placement, { waitedMs, ...this.#speedLog.describe(placement) })
     roster.openSession(upstreamId)?.start(placement)
   }
 
--- a/batch/service/src/upstreamHealth.ts
+++ b/batch/service/src/upstreamHealth.ts
@@ -1,8 +1,10 @@
 /**
  * Quarantines upstreams on which runs fail. A job that cannot succeed fails everywhere, so failures are counted by
- * distinct jobs, and one success clears them.
+ * distinct jobs, and one success clears them. For a while after a quarantine, a crash or a loss, an upstream also counts
+ * as unstable: fleets on which upstreams go down and up by turns would lose a whole gang with each member there.
  */
-import type { RunEnd } from '@nettlespur/batch.state'
+import type { RunEnd, UpstreamRecord } from '@nettlespur/batch.state'
+import { RecentTimes } from './recentTimes.js'
 
 /** Distinct jobs that must fail in a row before an upstream is quarantined. A single one is often the job's own fault. */
 const failedJobsMin = 2
@@ -11,6 +13,8 @@
 
 /** How long after a crash an address counts as likely to crash again. */
 const crashedLatelyMs = 20_000
+/** Longer than upstreams that go down and up by turns stay up. Longer than the quarantine, so that single runs come first. */
+const unstableMs = 10_000
 
 interface FailureRecord {
   failedJobs: Set<string>
@@ -19,8 +23,10 @@
 
 export class UpstreamHealth {
   readonly #records = new Map<string, FailureRecord>()
-  /** When an upstream last crashed at each address, the oldest first. */
-  readonly #crashedAtMs = new Map<string, number>()
+  /** Crashes by address. */
+  readonly #crashes = new RecentTimes(crashedLatelyMs)
+  /** Losses, crashes and returns by address. */
+  readonly #disturbances = new RecentTimes(unstableMs)
 
   /**
    * Records the end of a run; outcomes that tell nothing about the upstream are ignored. `address` is that of the
@@ -30,27 +36,35 @@
     const { upstreamId, jobId, outcome } = end
     if (outcome === 'done') this.#records.delete(upstreamId)
     if (outcome === 'failed') this.#noteFailure(upstreamId, jobId, nowMs)
-    if (outcome === 'crashed' && address !== undefined) this.#noteCrash(address, nowMs)
+    if (outcome !== 'crashed' || address === undefined) return
+    this.#crashes.note(address, nowMs)
+    this.noteDisturbance(address, nowMs)
+  }
+
+  /** Records that the upstream at that address has crashed, was lost, or has come back after that. */
+  noteDisturbance(address: string, nowMs: number): void {
+    this.#disturbances.note(address, nowMs)
   }
 
   isQuarantined(upstreamId: string, nowMs: number): boolean {
-    const record = this.#records.get(upstreamId)
-    if (record === undefined || record.failedJobs.size < failedJobsMin) return false
-    return nowMs - record.lastFailureMs < quarantineMs
+    return this.#hasFailedWithin(upstreamId, nowMs, quarantineMs)
+  }
+
+  /** Whether runs are likely to fail there again. */
+  isUnstable({ upstreamId, address }: UpstreamRecord['description'], nowMs: number): boolean {
+    if (this.#disturbances.has(address, nowMs)) return true
+    return this.#hasFailedWithin(upstreamId, nowMs, unstableMs)
   }
 
   /** Whether an upstream at that address crashed recently; its successor there may do so too. */
   hasCrashedLately(address: string, nowMs: number): boolean {
-    return nowMs - (this.#crashedAtMs.get(address) ?? -Infinity) < crashedLatelyMs
+    return this.#crashes.has(address, nowMs)
   }
 
-  #noteCrash(address: string, nowMs: number): void {
-    for (const [oldAddress, crashedAtMs] of this.#crashedAtMs) {
-      if (nowMs - crashedAtMs < crashedLatelyMs) break
-      this.#crashedAtMs.delete(oldAddress)
-    }
-    this.#crashedAtMs.delete(address)
-    this.#crashedAtMs.set(address, nowMs)
+  #hasFailedWithin(upstreamId: string, nowMs: number, withinMs: number): boolean {
+    const record = this.#records.get(upstreamId)
+    if (record === undefined || record.failedJobs.size < failedJobsMin) return false
+    return nowMs - record.lastFailureMs < withinMs
   }
 
   #noteFailure(upstreamId: string, jobId: string, nowMs: number): void {
--- a/batch/service/src/upstreamRegistrar.ts
+++ b/batch/service/src/upstreamRegistrar.ts
@@ -1,5 +1,5 @@
 /** Takes the announcements of upstreams, and commits what the replicated state has to know of them. */
-import { toDescription, type Announcement } from '@nettlespur/batch.model'
+import { toDescription, type Announcement, type UpstreamDescription } from '@nettlespur/batch.model'
 import { isStaleAnnouncement, type BatchState, type Command } from '@nettlespur/batch.state'
 import type { Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
@@ -50,6 +50,7 @@
         sequence: announcement.sequence,
       })
     }
+    if (known === undefined) this.#noteReturn(description)
     this.#opts.roster.recordClock(announcement)
     if (isDraining && known?.isDraining !== true) {
       this.#opts.logger.info({ event: 'upstream.draining', upstreamId, drainRemainingMs })
@@ -90,6 +91,19 @@
     return false
   }
 
+  /** Records that a new process has come at the address of one that had not announced a planned stop. */
+  #noteReturn({ upstreamId, address }: UpstreamDescription): void {
+    const isReturn = [...this.#state.upstreams.values()].some(
+      ({ description, isDraining, hasLeft }) =>
+        description.upstreamId !== upstreamId &&
+        description.address === address &&
+        !isDraining &&
+        !hasLeft,
+    )
+    const { roster, clock } = this.#opts
+    if (isReturn) roster.health.noteDisturbance(address, clock.monotonicMs())
+  }
+
   /** `committedSequence` is that of the stored description; undefined if a later announcement was only heard. */
   #reportStale({ upstreamId, sequence }: Announcement, committedSequence?: number): void {
     const known = committedSequence ?? 'the last one heard'
--- a/batch/service/src/upstreamRoster.ts
+++ b/batch/service/src/upstreamRoster.ts
@@ -109,6 +109,7 @@
   replace({ target, successorId, tracks }: Replacement): void {
     const { upstreamId, address } = target
     const announcedId = getAnnouncedId(target)
+    this.#noteDisturbance(upstreamId)
     this.#sessions.remove(upstreamId)
     this.#table.forget(upstreamId)
     const successor =
@@ -156,11 +157,24 @@
   }
 
   forget(upstreamId: string): void {
+    if (!this.succession.isReplaced(upstreamId)) this.#noteDisturbance(upstreamId)
     this.#sessions.remove(upstreamId)
     this.#table.forget(upstreamId)
     this.succession.forget(upstreamId)
   }
 
+  /** Whether runs are likely to fail there, as it has lately crashed, been lost, come back or failed runs. */
+  isUnstable({ description }: UpstreamRecord): boolean {
+    return this.health.isUnstable(description, this.#opts.clock.monotonicMs())
+  }
+
+  /** Call it if the process of the upstream is gone, or another one has come at its address: not after a planned stop. */
+  #noteDisturbance(upstreamId: string): void {
+    const upstream = this.#opts.host.findUpstream(upstreamId)
+    if (upstream === undefined || upstream.isDraining || upstream.hasLeft) return
+    this.health.noteDisturbance(upstream.description.address, this.#opts.clock.monotonicMs())
+  }
+
   countUsable({ upstreams }: BatchState): number {
     return [...upstreams.values()].filter((upstream) => this.isUsable(upstream)).length
   }
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -161,6 +161,7 @@
       acceptedAtMs: this.#acceptedAtMs,
       getAvailability: (upstream) => this.#getAvailability(upstream),
       isCold: () => false,
+      isUnstable: ({ description }) => this.#health.isUnstable(description, this.#nowMs),
       hasTrial: ({ description }) => this.#runs.hasTrial(description.upstreamId),
       isQuiet: ({ description }) => this.#isQuiet(description),
       isPaused: () => false,
