--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -1,6 +1,7 @@
 /** A small fleet for tests: plans rounds against the real `BatchState`. */
 import type { JobRequest } from '@nettlespur/batch.model'
 import { createConfig, createUpstream } from '@nettlespur/batch.samples'
+import { unknownSpeed, type SpeedDistribution } from '@nettlespur/batch.speeds'
 import { BatchState, type Placement } from '@nettlespur/batch.state'
 import {
   addResources,
@@ -10,7 +11,6 @@
   type ActiveRun,
   type UpstreamAvailability,
 } from '../src/index.js'
-import { unknownSpeed, type SpeedDistribution } from '../src/speedDistribution.js'
 
 /** Expected time until each run ends. */
 const remainingRunMs = 1000
@@ -32,7 +32,7 @@
   readonly availability = new Map<string, UpstreamAvailability>()
   /** Ids of cold upstreams. */
   readonly cold = new Set<string>()
-  /** Speeds of upstreams that are known, by id. */
+  /** Speeds by upstream id; unknown for the others. */
   readonly speeds = new Map<string, SpeedDistribution>()
   /** Ids of unstable upstreams. */
   readonly unstable = new Set<string>()
@@ -140,9 +140,9 @@
       free,
       freeAfterStops: addResources(free, stopping),
       isCold: this.cold.has(description.upstreamId),
-      isSuitableForTrial,
       speed: this.speeds.get(description.upstreamId) ?? unknownSpeed,
       isUnstable: this.unstable.has(description.upstreamId),
+      isSuitableForTrial,
     }
   }
 
--- a/batch/scheduler/src/schedulerView.ts
+++ b/batch/scheduler/src/schedulerView.ts
@@ -1,7 +1,7 @@
 /** Input and result of a scheduling round. A round does not modify its input. */
 import type { JobRecord, Placement } from '@nettlespur/batch.state'
 import type { QueueConfig, Resources, TaskRef, UnitRef } from '@nettlespur/batch.model'
-import type { SpeedDistribution } from './speedDistribution.js'
+import type { SpeedDistribution } from '@nettlespur/batch.speeds'
 import type { StarvingUnit } from './starvingUnit.js'
 import type { SpeedDecisions } from './speedDecisions.js'
 
--- a/batch/scheduler/src/speedRange.ts
+++ b/batch/scheduler/src/speedRange.ts
@@ -2,7 +2,7 @@
  * Reduces a speed distribution to two bounds, so that many units can be compared with it in a round without evaluating
  * the distribution for each of them.
  */
-import type { SpeedDistribution } from './speedDistribution.js'
+import type { SpeedDistribution } from '@nettlespur/batch.speeds'
 
 /** An upstream is fast enough if it has the needed speed with at least this probability. */
 export const surelyFastProbability = 0.7
