--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -2,7 +2,7 @@
 import type { JobRequest } from '@nettlespur/batch.model'
 import { createConfig, createUpstream } from '@nettlespur/batch.samples'
 import { unknownSpeed, type SpeedDistribution } from '@nettlespur/batch.speeds'
-import { BatchState, type Placement } from '@nettlespur/batch.state'
+import { BatchState, listPlacements, type Placement } from '@nettlespur/batch.state'
 import {
   addResources,
   noResources,
@@ -34,6 +34,8 @@
   readonly cold = new Set<string>()
   /** Speeds by upstream id; unknown for the others. */
   readonly speeds = new Map<string, SpeedDistribution>()
+  /** How fast upstreams really are, by id; 1 for the others. */
+  readonly paces = new Map<string, number>()
   /** Ids of unstable upstreams. */
   readonly unstable = new Set<string>()
   readonly #acceptedAtMs = new Map<string, number>()
@@ -56,6 +58,16 @@
     this.state.apply({ type: 'note-upstream', description })
   }
 
+  /** Changes the objective of the queue with that priority. */
+  setObjective(priority: number, stretch: number, targetLatencyMs: number): void {
+    const config = this.state.config ?? createConfig(1)
+    const queues = config.queues.map((queue) =>
+      queue.priority === priority ? { ...queue, stretch, targetLatencyMs } : queue,
+    )
+    const version = config.version + 1
+    this.state.apply({ type: 'apply-config', config: { ...config, version, queues } })
+  }
+
   submit(request: JobRequest, priority = 1): void {
     const queueName = `queue${priority}`
     this.state.apply({ type: 'submit-job', request, workspace: 'w1', queueName })
@@ -97,11 +109,20 @@
 
   #endIfOver(run: Placement): void {
     const startedAtMs = this.#startedAtMs.get(nameRun(run)) ?? Infinity
-    const isOver = this.nowMs - startedAtMs >= (this.runTimesMs.get(run.jobId) ?? Infinity)
+    const runTimeMs = (this.runTimesMs.get(run.jobId) ?? Infinity) / this.#paceOf(run)
+    const isOver = this.nowMs - startedAtMs >= runTimeMs
     if (this.#stopping.has(nameRun(run))) this.end(run, 'stopped')
     else if (isOver) this.end(run, 'done')
   }
 
+  /** A gang is as slow as its slowest member. */
+  #paceOf(run: Placement): number {
+    const job = this.state.jobs.get(run.jobId)
+    const isGang = job?.request.steps[run.step]?.isGang === true
+    const members = isGang ? listPlacements(job).filter(({ step }) => step === run.step) : [run]
+    return Math.min(...members.map(({ upstreamId }) => this.paces.get(upstreamId) ?? 1))
+  }
+
   /** Marks all current runs as proven. */
   prove(): void {
     for (const { placement } of this.#runs()) this.proven.add(nameRun(placement))
--- a/batch/service/src/buildSchedulerView.ts
+++ b/batch/service/src/buildSchedulerView.ts
@@ -154,11 +154,7 @@
 }
 
 /** Extrapolates from the progress once that is meaningful; until then uses the expected run time. */
-function estimateEndMs(
-  nowMs: number,
-  runTimeMs: number,
-  track: RunTrack | undefined,
-): number {
+function estimateEndMs(nowMs: number, runTimeMs: number, track: RunTrack | undefined): number {
   if (track === undefined) return nowMs + runTimeMs
   const { startedAtMs, progressPercent } = track
   if (progressPercent < minProgressPercent) return Math.max(nowMs, startedAtMs + runTimeMs)
