--- a/batch/scheduler/src/listGroups.ts
+++ b/batch/scheduler/src/listGroups.ts
@@ -6,7 +6,7 @@
  */
 import { urgentPriority } from './computeStopCostLimit.js'
 import type { NeededSpeed } from './neededSpeed.js'
-import type { PoolSpeeds } from './poolSpeeds.js'
+import { isFastEnough, isTooSlow, type PoolSpeeds } from './poolSpeeds.js'
 import type { StartUnit } from './startUnit.js'
 import { allUpstreams, stableUpstreams, toStable, type UpstreamGroup } from './upstreamGroup.js'
 
@@ -32,23 +32,23 @@
 
 /** Returns the groups of upstreams that are not too slow for an urgent unit, in the order in which they are tried. */
 export function listFastGroups({ pool, needed: { speed } }: ListGroupsOptions): UpstreamGroup[] {
-  const isFast: UpstreamGroup = ({ view }) => pool.isFastEnough(view, speed)
-  const isNotSlow: UpstreamGroup = ({ view }) => !pool.isTooSlow(view, speed)
+  const isFast: UpstreamGroup = (upstream) => isFastEnough(upstream, speed)
+  const isNotSlow: UpstreamGroup = (upstream) => !isTooSlow(upstream, speed)
   return pool.hasUnstable ? [...toStable([isFast, isNotSlow]), isNotSlow] : [isFast, isNotSlow]
 }
 
 function listUrgentGroups(opts: ListGroupsOptions): UpstreamGroup[] {
   const { pool, needed } = opts
-  const isSlow: UpstreamGroup = ({ view }) => pool.isTooSlow(view, needed.speed)
+  const isSlow: UpstreamGroup = (upstream) => isTooSlow(upstream, needed.speed)
   const slow = pool.hasUnstable ? [...toStable([isSlow]), isSlow] : [isSlow]
   return [...listFastGroups(opts), ...slow, allUpstreams]
 }
 
 function listSlackGroups({ unit, pool, needed: { speed } }: ListGroupsOptions): UpstreamGroup[] {
-  const isSlowEnough: UpstreamGroup = ({ view }) =>
-    pool.isSlow(view) && pool.isFastEnough(view, speed)
+  const isSlowEnough: UpstreamGroup = (upstream) =>
+    pool.isSlow(upstream) && isFastEnough(upstream, speed)
   const isUnknown: UpstreamGroup = ({ view }) => !view.speed.isKnown
-  const isNotSlow: UpstreamGroup = ({ view }) => !pool.isSlow(view)
+  const isNotSlow: UpstreamGroup = (upstream) => !pool.isSlow(upstream)
   if (unit.step.isGang) return [isSlowEnough, isUnknown, isNotSlow, allUpstreams]
   // Runs of single tasks are how the speeds of upstreams become known.
   return [isUnknown, isSlowEnough, allUpstreams]
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -107,12 +107,8 @@
     else this.#leftWaiting.push(unit)
     if (upstreamIds.length === unit.waiting.length) return true
     const rest = { ...unit, waiting: unit.waiting.slice(upstreamIds.length) }
-    const hasRoomElsewhere = chooseUpstreams(
-      { ...unrestricted, waiting: rest.waiting },
-      this.#allocations,
-    )
     this.#speedPlacement.noteHeld(rest)
-    this.#preemptForSpeed(rest, hasRoomElsewhere.length > 0)
+    this.#preemptForSpeed(rest, { ...unrestricted, waiting: rest.waiting })
     return true
   }
 
@@ -120,8 +116,10 @@
    * The guarantee is for capacity and not for its speed, so while slow upstreams have room, guaranteed work may preempt on
    * others only what any urgent work may.
    */
-  #preemptForSpeed(unit: RankedUnit, hasRoomElsewhere: boolean): void {
-    if (!unit.isGuaranteed || !hasRoomElsewhere) this.#preemptFor(unit)
+  #preemptForSpeed(unit: RankedUnit, unrestricted: RankedUnit): void {
+    const hasRoomElsewhere = (): boolean =>
+      chooseUpstreams(unrestricted, this.#allocations).length > 0
+    if (!unit.isGuaranteed || !hasRoomElsewhere()) this.#preemptFor(unit)
     else if (++this.#speedSearches <= urgentSearchesMax)
       this.#preemptFor(unit, measureWaitingWork(unit))
   }
--- a/batch/scheduler/src/poolSpeeds.ts
+++ b/batch/scheduler/src/poolSpeeds.ts
@@ -2,8 +2,9 @@
  * What a round has to know of the speeds and the stability of one pool. Placement by speed answers fleets on which a known
  * part of the upstreams is so slow that urgent work is late there however early it starts. On all others it is off.
  */
+import type { UpstreamAllocation } from './roundAllocations.js'
 import type { SchedulableUpstream } from './schedulerView.js'
-import { getSpeedRange, possiblyFastProbability } from './speedRange.js'
+import { possiblyFastProbability } from './speedRange.js'
 
 /** Below this share of slow upstreams, urgent work meets them too seldom to direct all other work there. */
 const slowShareMin = 0.1
@@ -16,36 +17,46 @@
   readonly urgentSpeed: number
   /** The fastest speed on which a unit may count. Upstreams that are not known count with their mean. */
   readonly fastestSpeed: number
+  /** The highest speed for which no upstream is too slow. */
+  readonly slowestSpeed: number
 
   /** `stretches` are those of the queues of the pool. */
-  constructor(upstreams: readonly SchedulableUpstream[], stretches: readonly number[]) {
-    this.hasUnstable = upstreams.some(({ isUnstable }) => isUnstable)
-    this.urgentSpeed = findUrgentSpeed(upstreams, stretches)
-    const slow = upstreams.filter((upstream) => this.#isKnownSlow(upstream))
-    this.isGraded = slow.length > 0 && slow.length >= upstreams.length * slowShareMin
-    this.fastestSpeed = this.isGraded
-      ? upstreams.reduce((fastest, upstream) => Math.max(fastest, reliableSpeed(upstream)), 0)
-      : Infinity
+  constructor(upstreams: readonly UpstreamAllocation[], stretches: readonly number[]) {
+    const views = upstreams.map(({ view }) => view)
+    this.hasUnstable = views.some(({ isUnstable }) => isUnstable)
+    this.urgentSpeed = findUrgentSpeed(views, stretches)
+    const slowCount = views.filter((view) => isKnownSlow(view, this.urgentSpeed)).length
+    this.isGraded = slowCount > 0 && slowCount >= views.length * slowShareMin
+    this.fastestSpeed = Infinity
+    this.slowestSpeed = 0
+    if (!this.isGraded) return
+    for (const upstream of upstreams) upstream.applySpeed()
+    this.fastestSpeed = Math.max(
+      ...upstreams.map(({ view, speedRange }) => speedRange?.surely ?? view.speed.mean),
+    )
+    this.slowestSpeed = Math.min(
+      ...upstreams.map(({ speedRange }) => speedRange?.possibly ?? Infinity),
+    )
   }
 
-  /** Whether the upstream is fast enough for a unit that needs the speed; false if its speed is not known. */
-  isFastEnough({ speed }: SchedulableUpstream, neededSpeed: number): boolean {
-    return speed.isKnown && neededSpeed <= getSpeedRange(speed).surely
+  /** Whether the upstream is too slow for the most urgent queue. */
+  isSlow(upstream: UpstreamAllocation): boolean {
+    return isTooSlow(upstream, this.urgentSpeed)
   }
+}
 
-  /** Whether the upstream is too slow for a unit that needs the speed; false if its speed is not known. */
-  isTooSlow({ speed }: SchedulableUpstream, neededSpeed: number): boolean {
-    return speed.isKnown && neededSpeed > getSpeedRange(speed).possibly
-  }
+/** Whether the upstream is fast enough for a unit that needs the speed; false if its speed is not known. */
+export function isFastEnough({ speedRange }: UpstreamAllocation, neededSpeed: number): boolean {
+  return speedRange !== undefined && neededSpeed <= speedRange.surely
+}
 
-  /** Whether the upstream is too slow for the most urgent queue. */
-  isSlow(upstream: SchedulableUpstream): boolean {
-    return this.isTooSlow(upstream, this.urgentSpeed)
-  }
+/** Whether the upstream is too slow for a unit that needs the speed; false if its speed is not known. */
+export function isTooSlow({ speedRange }: UpstreamAllocation, neededSpeed: number): boolean {
+  return speedRange !== undefined && neededSpeed > speedRange.possibly
+}
 
-  #isKnownSlow({ speed }: SchedulableUpstream): boolean {
-    return speed.isKnown && speed.atLeast(this.urgentSpeed) < possiblyFastProbability
-  }
+function isKnownSlow({ speed }: SchedulableUpstream, urgentSpeed: number): boolean {
+  return speed.isKnown && speed.atLeast(urgentSpeed) < possiblyFastProbability
 }
 
 /** Queues whose objective no upstream could meet are left out. Returns 0 if no queue is left. */
@@ -53,11 +64,7 @@
   upstreams: readonly SchedulableUpstream[],
   stretches: readonly number[],
 ): number {
-  const fastestMean = upstreams.reduce((fastest, { speed }) => Math.max(fastest, speed.mean), 0)
+  const fastestMean = Math.max(0, ...upstreams.map(({ speed }) => speed.mean))
   const speeds = stretches.map((stretch) => 1 / stretch)
   return Math.max(0, ...speeds.filter((speed) => speed <= fastestMean))
 }
-
-function reliableSpeed({ speed }: SchedulableUpstream): number {
-  return speed.isKnown ? getSpeedRange(speed).surely : speed.mean
-}
--- a/batch/scheduler/src/roundAllocations.ts
+++ b/batch/scheduler/src/roundAllocations.ts
@@ -2,6 +2,7 @@
 import type { Resources, StepSpec } from '@nettlespur/batch.model'
 import { addResources, countFitting, noResources } from './resources.js'
 import type { SchedulableUpstream } from './schedulerView.js'
+import { getSpeedRange, type SpeedRange } from './speedRange.js'
 import type { StartUnit } from './startUnit.js'
 
 /** Capacity that stays free on an upstream once a gang with a reservation starts there at `fromMs`. */
@@ -20,6 +21,8 @@
   readonly reservations: Reservation[] = []
   /** How fast runs are expected to be here. */
   expectedSpeed = 1
+  /** Set only in pools that call for placement by speed, for upstreams whose speed is known. */
+  speedRange: SpeedRange | undefined
   /** This round starts a run on the upstream. */
   #hasNewRun = false
 
@@ -39,6 +42,14 @@
     return !this.#hasNewRun && this.view.isSuitableForTrial
   }
 
+  /** Takes what is known of the upstream's speed into account from now on. */
+  applySpeed(): void {
+    const { speed } = this.view
+    if (!speed.isKnown) return
+    this.expectedSpeed = speed.mean
+    this.speedRange = getSpeedRange(speed)
+  }
+
   /** Prevents further starts on the upstream in this round. */
   blockStarts(): void {
     this.free = noResources
@@ -89,14 +100,6 @@
     return this.#byId.get(upstreamId)
   }
 
-  /** Expects runs on the upstreams of the pool to be as fast as what is known of their speeds says. */
-  expectSpeeds(pool: string): void {
-    for (const upstream of this.upstreams) {
-      const { speed } = upstream.view
-      if (upstream.view.pool === pool && speed.isKnown) upstream.expectedSpeed = speed.mean
-    }
-  }
-
   /** Returns the expected end of a task of the step that starts now on an upstream of that speed. */
   estimateEndMs({ expectedRunTimeMs }: StepSpec, expectedSpeed = 1): number {
     return this.nowMs + expectedRunTimeMs / expectedSpeed
--- a/batch/scheduler/src/speedPlacement.ts
+++ b/batch/scheduler/src/speedPlacement.ts
@@ -4,9 +4,9 @@
  */
 import type { UnitRef } from '@nettlespur/batch.model'
 import { listFastGroups, listGroups, isUrgent } from './listGroups.js'
-import { computeNeededSpeed, type NeededSpeed } from './neededSpeed.js'
+import { computeNeededSpeed } from './neededSpeed.js'
 import type { RankedUnit } from './orderUnits.js'
-import { PoolSpeeds } from './poolSpeeds.js'
+import { isTooSlow, PoolSpeeds } from './poolSpeeds.js'
 import type { RoundAllocations } from './roundAllocations.js'
 import type { SchedulerView } from './schedulerView.js'
 import type { SpeedChoice, SpeedDecisions } from './speedDecisions.js'
@@ -47,11 +47,11 @@
     if (!pool.isGraded || !isUrgent(unit) || unit.isOnTrial) return undefined
     if (unit.waitedMs >= holdMaxMs) return undefined
     const needed = computeNeededSpeed(unit, pool.fastestSpeed)
-    if (!needed.isForOnTimeEnd || !this.#hasTooSlow(unit, pool, needed)) return undefined
+    if (!needed.isForOnTimeEnd || needed.speed <= pool.slowestSpeed) return undefined
     return {
       ...unit,
       groups: listFastGroups({ unit, pool, needed }),
-      isAllowed: ({ view }) => !pool.isTooSlow(view, needed.speed),
+      isAllowed: (upstream) => !isTooSlow(upstream, needed.speed),
     }
   }
 
@@ -63,13 +63,13 @@
     const pool = this.#getPool(unit)
     if (!pool.isGraded) return
     const needed = computeNeededSpeed(unit, pool.fastestSpeed)
-    const chosen = upstreamIds.flatMap((id) => this.#allocations.find(id)?.view ?? [])
+    const chosen = upstreamIds.flatMap((id) => this.#allocations.find(id) ?? [])
     this.#choices.push({
       jobId: unit.job.request.jobId,
       step: unit.stepNumber,
       neededSpeed: needed.speed,
-      lowestSpeed: Math.min(...chosen.map(({ speed }) => speed.mean)),
-      isTooSlow: chosen.some((view) => pool.isTooSlow(view, needed.speed)),
+      lowestSpeed: Math.min(...chosen.map(({ view }) => view.speed.mean)),
+      isTooSlow: chosen.some((upstream) => isTooSlow(upstream, needed.speed)),
     })
   }
 
@@ -79,23 +79,15 @@
     return { choices: this.#choices, held: this.#held }
   }
 
-  #hasTooSlow({ job }: StartUnit, pool: PoolSpeeds, { speed }: NeededSpeed): boolean {
-    return this.#view.upstreams.some(
-      (upstream) => upstream.pool === job.queue.pool && pool.isTooSlow(upstream, speed),
-    )
-  }
-
   #getPool({ job: { queue } }: StartUnit): PoolSpeeds {
     const known = this.#pools.get(queue.pool)
     if (known !== undefined) return known
-    const { upstreams, queues } = this.#view
-    const stretches = queues.filter(({ pool }) => pool === queue.pool)
+    const queues = this.#view.queues.filter(({ pool }) => pool === queue.pool)
     const pool = new PoolSpeeds(
-      upstreams.filter((upstream) => upstream.pool === queue.pool),
-      stretches.map(({ stretch }) => stretch),
+      this.#allocations.upstreams.filter(({ view }) => view.pool === queue.pool),
+      queues.map(({ stretch }) => stretch),
     )
     this.#pools.set(queue.pool, pool)
-    if (pool.isGraded) this.#allocations.expectSpeeds(queue.pool)
     return pool
   }
 }
