--- a/batch/service/src/upstreamHealth.ts
+++ b/batch/service/src/upstreamHealth.ts
@@ -3,7 +3,8 @@
  * distinct jobs, and one success clears them. For a while after a quarantine, a crash or a loss, an upstream also counts
  * as unstable: fleets on which upstreams go down and up by turns would lose a whole gang with each member there.
  */
-import type { RunEnd, UpstreamRecord } from '@nettlespur/batch.state'
+import type { UpstreamDescription } from '@nettlespur/batch.model'
+import type { RunEnd } from '@nettlespur/batch.state'
 import { RecentTimes } from './recentTimes.js'
 
 /** Distinct jobs that must fail in a row before an upstream is quarantined. A single one is often the job's own fault. */
@@ -51,7 +52,10 @@
   }
 
   /** Whether runs are likely to fail there again. */
-  isUnstable({ upstreamId, address }: UpstreamRecord['description'], nowMs: number): boolean {
+  isUnstable(
+    { upstreamId, address }: Pick<UpstreamDescription, 'upstreamId' | 'address'>,
+    nowMs: number,
+  ): boolean {
     if (this.#disturbances.has(address, nowMs)) return true
     return this.#hasFailedWithin(upstreamId, nowMs, unstableMs)
   }
