--- a/batch/scheduler/src/index.ts
+++ b/batch/scheduler/src/index.ts
@@ -10,6 +10,6 @@
   SchedulableUpstream,
   UpstreamAvailability,
 } from './schedulerView.js'
-export type { SpeedChoice, SpeedDecisions } from './speedDecisions.js'
+export type { GradedPool, SpeedChoice, SpeedDecisions } from './speedDecisions.js'
 export { StarvationTimes } from './starvationTimes.js'
 export type { StarvationReason, StarvingUnit } from './starvingUnit.js'
--- a/batch/scheduler/src/poolSpeeds.ts
+++ b/batch/scheduler/src/poolSpeeds.ts
@@ -12,6 +12,9 @@
 export class PoolSpeeds {
   /** Whether the pool calls for placement by speed. */
   readonly isGraded: boolean
+  /** Number of upstreams that are known to be too slow for the most urgent queue. */
+  readonly slowCount: number
+  readonly count: number
   readonly hasUnstable: boolean
   /** The speed below which jobs of the most urgent queue are late even if they start at once. */
   readonly urgentSpeed: number
@@ -25,8 +28,9 @@
     const views = upstreams.map(({ view }) => view)
     this.hasUnstable = views.some(({ isUnstable }) => isUnstable)
     this.urgentSpeed = findUrgentSpeed(views, stretches)
-    const slowCount = views.filter((view) => isKnownSlow(view, this.urgentSpeed)).length
-    this.isGraded = slowCount > 0 && slowCount >= views.length * slowShareMin
+    this.count = views.length
+    this.slowCount = views.filter((view) => isKnownSlow(view, this.urgentSpeed)).length
+    this.isGraded = this.slowCount > 0 && this.slowCount >= this.count * slowShareMin
     this.fastestSpeed = Infinity
     this.slowestSpeed = 0
     if (!this.isGraded) return
--- a/batch/scheduler/src/speedDecisions.ts
+++ b/batch/scheduler/src/speedDecisions.ts
@@ -11,7 +11,18 @@
   readonly isTooSlow: boolean
 }
 
+/** A pool that calls for placement by speed, and why. */
+export interface GradedPool {
+  readonly pool: string
+  /** The speed below which jobs of its most urgent queue are late even if they start at once. */
+  readonly urgentSpeed: number
+  /** Number of its upstreams that are known to be slower than that. */
+  readonly slowUpstreams: number
+  readonly upstreams: number
+}
+
 export interface SpeedDecisions {
+  readonly pools: readonly GradedPool[]
   /** Units placed in pools that call for placement by speed. */
   readonly choices: readonly SpeedChoice[]
   /** Units that are left waiting because only upstreams that are too slow for them have room. */
--- a/batch/scheduler/src/speedPlacement.ts
+++ b/batch/scheduler/src/speedPlacement.ts
@@ -75,8 +75,12 @@
 
   /** Returns undefined if no pool of the units calls for placement by speed. */
   finish(): SpeedDecisions | undefined {
-    if (![...this.#pools.values()].some(({ isGraded }) => isGraded)) return undefined
-    return { choices: this.#choices, held: this.#held }
+    const pools = [...this.#pools].flatMap(([pool, speeds]) => {
+      const { isGraded, urgentSpeed, slowCount, count } = speeds
+      return isGraded ? [{ pool, urgentSpeed, slowUpstreams: slowCount, upstreams: count }] : []
+    })
+    if (pools.length === 0) return undefined
+    return { pools, choices: this.#choices, held: this.#held }
   }
 
   #getPool({ job: { queue } }: StartUnit): PoolSpeeds {
--- a/batch/scheduler/test/placementBySpeed.test.ts
+++ b/batch/scheduler/test/placementBySpeed.test.ts
@@ -196,7 +196,10 @@
 test('a round says which speeds were needed and chosen, and which units are held back', (t) => {
   const load = occupyFast()
   load.submitUrgent('urgent', 1, 8)
-  t.deepEqual(load.fleet.decide().speed, { choices: [], held: [{ jobId: 'urgent', step: 0 }] })
+  const { pools, choices, held } = load.fleet.decide().speed ?? {}
+  t.deepEqual(choices, [])
+  t.deepEqual(held, [{ jobId: 'urgent', step: 0 }])
+  t.deepEqual(pools, [{ pool: 'pool', urgentSpeed: 1 / 1.5, slowUpstreams: 1, upstreams: 3 }])
   load.fleet.nowMs += 1000
   const [choice] = load.fleet.decide().speed?.choices ?? []
   t.is(choice?.lowestSpeed, 0.6)
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -57,7 +57,7 @@
 
   constructor(opts: SchedulingRoundsOptions) {
     this.#opts = opts
-    this.#speedLog = new SpeedLog(opts.metrics)
+    this.#speedLog = new SpeedLog(opts)
     this.#starvationWatch = new StarvationWatch({
       ...opts,
       describeFleet: () => ({
--- a/batch/service/src/upstreamHealth.ts
+++ b/batch/service/src/upstreamHealth.ts
@@ -17,6 +17,14 @@
 /** Longer than upstreams that go down and up by turns stay up. Longer than the quarantine, so that single runs come first. */
 const unstableMs = 10_000
 
+/** Identifies an upstream, and the place at which the next process of it will be found. */
+export type UpstreamPlace = Pick<UpstreamDescription, 'upstreamId' | 'address'>
+
+/** An upstream that has become unstable, and why. */
+export interface InstabilityNotice extends UpstreamPlace {
+  readonly cause: 'crashed' | 'replaced' | 'failed-runs'
+}
+
 interface FailureRecord {
   failedJobs: Set<string>
   lastFailureMs: number
@@ -28,6 +36,12 @@
   readonly #crashes = new RecentTimes(crashedLatelyMs)
   /** Losses, crashes and returns by address. */
   readonly #disturbances = new RecentTimes(unstableMs)
+  readonly #onUnstable: (notice: InstabilityNotice) => void
+
+  /** `onUnstable` is called for each upstream that becomes unstable, and not again as long as it stays so. */
+  constructor(onUnstable: (notice: InstabilityNotice) => void = () => undefined) {
+    this.#onUnstable = onUnstable
+  }
 
   /**
    * Records the end of a run; outcomes that tell nothing about the upstream are ignored. `address` is that of the
@@ -36,15 +50,18 @@
   noteEnd(end: RunEnd, address: string | undefined, nowMs: number): void {
     const { upstreamId, jobId, outcome } = end
     if (outcome === 'done') this.#records.delete(upstreamId)
-    if (outcome === 'failed') this.#noteFailure(upstreamId, jobId, nowMs)
+    if (outcome === 'failed')
+      this.#observe({ upstreamId, address: address ?? '', cause: 'failed-runs' }, nowMs, () => {
+        this.#noteFailure(upstreamId, jobId, nowMs)
+      })
     if (outcome !== 'crashed' || address === undefined) return
     this.#crashes.note(address, nowMs)
-    this.noteDisturbance(address, nowMs)
+    this.#noteDisturbance({ upstreamId, address, cause: 'crashed' }, nowMs)
   }
 
-  /** Records that the upstream at that address has crashed, was lost, or has come back after that. */
-  noteDisturbance(address: string, nowMs: number): void {
-    this.#disturbances.note(address, nowMs)
+  /** Records that the upstream's process is gone without a planned stop, or that another one has come at its address. */
+  noteReplaced({ upstreamId, address }: UpstreamPlace, nowMs: number): void {
+    this.#noteDisturbance({ upstreamId, address, cause: 'replaced' }, nowMs)
   }
 
   isQuarantined(upstreamId: string, nowMs: number): boolean {
@@ -52,10 +69,7 @@
   }
 
   /** Whether runs are likely to fail there again. */
-  isUnstable(
-    { upstreamId, address }: Pick<UpstreamDescription, 'upstreamId' | 'address'>,
-    nowMs: number,
-  ): boolean {
+  isUnstable({ upstreamId, address }: UpstreamPlace, nowMs: number): boolean {
     if (this.#disturbances.has(address, nowMs)) return true
     return this.#hasFailedWithin(upstreamId, nowMs, unstableMs)
   }
@@ -71,6 +85,18 @@
     return nowMs - record.lastFailureMs < withinMs
   }
 
+  #noteDisturbance(notice: InstabilityNotice, nowMs: number): void {
+    this.#observe(notice, nowMs, () => {
+      this.#disturbances.note(notice.address, nowMs)
+    })
+  }
+
+  #observe(notice: InstabilityNotice, nowMs: number, record: () => void): void {
+    const wasUnstable = this.isUnstable(notice, nowMs)
+    record()
+    if (!wasUnstable && this.isUnstable(notice, nowMs)) this.#onUnstable(notice)
+  }
+
   #noteFailure(upstreamId: string, jobId: string, nowMs: number): void {
     const record = this.#records.get(upstreamId) ?? { failedJobs: new Set(), lastFailureMs: nowMs }
     record.failedJobs.add(jobId)
--- a/batch/service/src/upstreamRegistrar.ts
+++ b/batch/service/src/upstreamRegistrar.ts
@@ -92,7 +92,8 @@
   }
 
   /** Records that a new process has come at the address of one that had not announced a planned stop. */
-  #noteReturn({ upstreamId, address }: UpstreamDescription): void {
+  #noteReturn(returned: UpstreamDescription): void {
+    const { upstreamId, address } = returned
     const isReturn = [...this.#state.upstreams.values()].some(
       ({ description, isDraining, hasLeft }) =>
         description.upstreamId !== upstreamId &&
@@ -101,7 +102,7 @@
         !hasLeft,
     )
     const { roster, clock } = this.#opts
-    if (isReturn) roster.health.noteDisturbance(address, clock.monotonicMs())
+    if (isReturn) roster.health.noteReplaced(returned, clock.monotonicMs())
   }
 
   /** `committedSequence` is that of the stored description; undefined if a later announcement was only heard. */
--- a/batch/service/src/upstreamRoster.ts
+++ b/batch/service/src/upstreamRoster.ts
@@ -11,6 +11,7 @@
 import type { BatchState, UpstreamRecord } from '@nettlespur/batch.state'
 import type { Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
+import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import type { BatchTimings } from './batchTimings.js'
 import { UpstreamHealth } from './upstreamHealth.js'
 import { AnnouncementTable, type LeavingUpstream } from './announcementTable.js'
@@ -30,6 +31,7 @@
   host: SessionHost
   clock: Clock
   logger: Logger
+  metrics: MetricsRegistry
   port: UpstreamPort
   timings: BatchTimings
   /** Ends the sessions. */
@@ -37,7 +39,7 @@
 }
 
 export class UpstreamRoster {
-  readonly health = new UpstreamHealth()
+  readonly health: UpstreamHealth
   readonly #opts: UpstreamRosterOptions
   readonly #takeoverAtMs: number
   readonly #sessions = new SessionTable()
@@ -46,6 +48,10 @@
 
   constructor(opts: UpstreamRosterOptions) {
     this.#opts = opts
+    this.health = new UpstreamHealth((notice) => {
+      opts.logger.info({ event: 'upstream.unstable', ...notice })
+      opts.metrics.count('upstreams_unstable_total')
+    })
     this.#takeoverAtMs = opts.clock.monotonicMs()
   }
 
@@ -109,7 +115,7 @@
   replace({ target, successorId, tracks }: Replacement): void {
     const { upstreamId, address } = target
     const announcedId = getAnnouncedId(target)
-    this.#noteDisturbance(upstreamId)
+    this.#noteLoss(upstreamId)
     this.#sessions.remove(upstreamId)
     this.#table.forget(upstreamId)
     const successor =
@@ -157,7 +163,7 @@
   }
 
   forget(upstreamId: string): void {
-    if (!this.succession.isReplaced(upstreamId)) this.#noteDisturbance(upstreamId)
+    if (!this.succession.isReplaced(upstreamId)) this.#noteLoss(upstreamId)
     this.#sessions.remove(upstreamId)
     this.#table.forget(upstreamId)
     this.succession.forget(upstreamId)
@@ -169,10 +175,10 @@
   }
 
   /** Call it if the process of the upstream is gone, or another one has come at its address: not after a planned stop. */
-  #noteDisturbance(upstreamId: string): void {
+  #noteLoss(upstreamId: string): void {
     const upstream = this.#opts.host.findUpstream(upstreamId)
     if (upstream === undefined || upstream.isDraining || upstream.hasLeft) return
-    this.health.noteDisturbance(upstream.description.address, this.#opts.clock.monotonicMs())
+    this.health.noteReplaced(upstream.description, this.#opts.clock.monotonicMs())
   }
 
   countUsable({ upstreams }: BatchState): number {
--- a/batch/service/test/speedLog.test.ts
+++ b/batch/service/test/speedLog.test.ts
@@ -9,30 +9,45 @@
 
 const unit = { jobId: 'j', step: 0 }
 const run = { ...unit, index: 0, attempt: 1, upstreamId: 'u0' }
+const pool = { pool: 'pool', urgentSpeed: 2 / 3, slowUpstreams: 1, upstreams: 3 }
+const pools = [pool]
 const choice = { ...unit, neededSpeed: 0.6666, lowestSpeed: 1.2345, isTooSlow: false }
 
 test('a placement says the speed that was needed, the lowest one chosen, and for how long it was held back', (t) => {
-  const log = new SpeedLog(createRecorder().metrics)
-  log.noteRound({ choices: [], held: [unit] }, 1000)
+  const log = new SpeedLog(createRecorder())
+  log.noteRound({ pools, choices: [], held: [unit] }, 1000)
   t.deepEqual(log.describe(run), {})
-  log.noteRound({ choices: [], held: [unit] }, 1200)
-  log.noteRound({ choices: [choice], held: [] }, 1500)
+  log.noteRound({ pools, choices: [], held: [unit] }, 1200)
+  log.noteRound({ pools, choices: [choice], held: [] }, 1500)
   t.deepEqual(log.describe(run), { neededSpeed: 0.67, lowestSpeed: 1.23, heldForSpeedMs: 500 })
   log.noteRound(undefined, 1600)
   t.deepEqual(log.describe(run), {})
 })
 
 test('units are counted by whether their upstreams are too slow for them, and holds are measured', (t) => {
-  const { metrics } = createRecorder()
-  const log = new SpeedLog(metrics)
-  log.noteRound({ choices: [choice, { ...choice, step: 1, isTooSlow: true }], held: [unit] }, 0)
-  log.noteRound({ choices: [], held: [] }, 300)
-  const text = metrics.render()
+  const recorder = createRecorder()
+  const log = new SpeedLog(recorder)
+  log.noteRound(
+    { pools, choices: [choice, { ...choice, step: 1, isTooSlow: true }], held: [unit] },
+    0,
+  )
+  log.noteRound({ pools, choices: [], held: [] }, 300)
+  const text = recorder.metrics.render()
   t.regex(text, /units_placed_by_speed_total\S* 1/)
   t.regex(text, /units_placed_too_slow_total\S* 1/)
   t.regex(text, /unit_held_for_speed_ms/)
 })
 
+test('the log says once a minute which pools are placed by speed, and why', (t) => {
+  const recorder = createRecorder()
+  const log = new SpeedLog(recorder)
+  for (let nowMs = 0; nowMs < 120_000; nowMs += 100) {
+    log.noteRound(nowMs % 200 === 0 ? { pools, choices: [], held: [] } : undefined, nowMs)
+  }
+  const line = { event: 'pool.by-speed', ...pool, urgentSpeed: 0.67 }
+  t.deepEqual(recorder.findEvents('pool.by-speed'), [line, line])
+})
+
 test('a run without progress is expected to end by the known speed of its upstream, and by its declaration otherwise', (t) => {
   const state = new BatchState()
   state.apply({ type: 'apply-config', config: createConfig(1) })
--- a/batch/service/test/unstableUpstreams.test.ts
+++ b/batch/service/test/unstableUpstreams.test.ts
@@ -6,7 +6,7 @@
 import test from 'ava'
 import { settledMs, startFleet, type FakeFleet } from '../__utils__/index.js'
 import { RecentTimes } from '../src/recentTimes.js'
-import { UpstreamHealth } from '../src/upstreamHealth.js'
+import { UpstreamHealth, type InstabilityNotice } from '../src/upstreamHealth.js'
 
 const needs = { cpuMillicores: 100, memoryMiB: 100, accelerators: 4 }
 const unstableMs = 10_000
@@ -75,9 +75,12 @@
   t.false(health.isUnstable(upstream, 200 + unstableMs))
 })
 
-test('a disturbance does not count as a crash for trial starts', (t) => {
-  const health = new UpstreamHealth()
-  health.noteDisturbance(upstream.address, 0)
+test('a replaced process is told once, and does not count as a crash for trial starts', (t) => {
+  const notices: InstabilityNotice[] = []
+  const health = new UpstreamHealth((notice) => notices.push(notice))
+  health.noteReplaced(upstream, 0)
+  health.noteReplaced(upstream, 0)
+  t.deepEqual(notices, [{ ...upstream, cause: 'replaced' }])
   t.true(health.isUnstable(upstream, 1))
   t.false(health.hasCrashedLately(upstream.address, 1))
 })
