--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -4,7 +4,7 @@
  */
 import { runFields, runKey } from '@nettlespur/batch.model'
 import { planRound, type Preemption, type RoundDecision } from '@nettlespur/batch.scheduler'
-import { unknownSpeed } from '@nettlespur/batch.speeds'
+import type { SpeedDistribution } from '@nettlespur/batch.speeds'
 import type { BatchState, Command, Placement } from '@nettlespur/batch.state'
 import { Wake, type Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
@@ -37,6 +37,8 @@
   roster: UpstreamRoster
   jobClock: JobClock
   retryBackoff: RetryBackoff
+  /** How fast the upstream works, as far as that is known. */
+  getSpeed: (upstreamId: string, nowMs: number) => SpeedDistribution
   getState: () => BatchState
   shouldStop: (placement: Placement) => boolean
   /** See `SessionHost`. */
@@ -106,8 +108,7 @@
       acceptedAtMs: jobClock.acceptedAtMs,
       getAvailability: (upstream) => roster.getAvailability(upstream),
       isCold: ({ description }) => roster.isCold(description.upstreamId),
-      getSpeed: () => unknownSpeed,
-      isUnstable: (upstream) => roster.isUnstable(upstream),
+      isUnstable: ({ description }) => roster.health.isUnstable(description, nowMs),
       hasTrial: ({ description }) =>
         roster.findSession(description.upstreamId)?.tracks.hasTrial === true,
       isQuiet: (upstream) => roster.isQuiet(upstream),
@@ -137,12 +138,13 @@
   }
 
   #createRunsOptions(nowMs: number): ListRunsOptions {
-    const { getState, roster, shouldStop, listPlacements } = this.#opts
+    const { getState, getSpeed, roster, shouldStop, listPlacements } = this.#opts
     return {
       state: getState(),
       listPlacements,
       nowMs,
       isStopping: shouldStop,
+      getSpeed: (upstreamId) => getSpeed(upstreamId, nowMs),
       findTrack: (placement) => roster.findSession(placement.upstreamId)?.tracks.find(placement),
     }
   }
--- a/batch/service/src/upstreamHealth.ts
+++ b/batch/service/src/upstreamHealth.ts
@@ -4,7 +4,7 @@
  * as unstable: fleets on which upstreams go down and up by turns would lose a whole gang with each member there.
  */
 import type { UpstreamDescription } from '@nettlespur/batch.model'
-import type { RunEnd } from '@nettlespur/batch.state'
+import type { RunEnd, UpstreamRecord } from '@nettlespur/batch.state'
 import { RecentTimes } from './recentTimes.js'
 
 /** Distinct jobs that must fail in a row before an upstream is quarantined. A single one is often the job's own fault. */
@@ -59,8 +59,10 @@
     this.#noteDisturbance({ upstreamId, address, cause: 'crashed' }, nowMs)
   }
 
-  /** Records that the upstream's process is gone without a planned stop, or that another one has come at its address. */
-  noteReplaced({ upstreamId, address }: UpstreamPlace, nowMs: number): void {
+  /** Records that the upstream's process is gone, or that another one has come at its address. A planned stop is none. */
+  noteLoss({ description, isDraining, hasLeft }: UpstreamRecord, nowMs: number): void {
+    if (isDraining || hasLeft) return
+    const { upstreamId, address } = description
     this.#noteDisturbance({ upstreamId, address, cause: 'replaced' }, nowMs)
   }
 
--- a/batch/service/src/upstreamRoster.ts
+++ b/batch/service/src/upstreamRoster.ts
@@ -2,6 +2,7 @@
 import { getAnnouncedId, type Announcement } from '@nettlespur/batch.model'
 import type { UpstreamAvailability } from '@nettlespur/batch.scheduler'
 import {
+  type PaceWatch,
   UpstreamSession,
   type Replacement,
   type SessionHost,
@@ -34,6 +35,8 @@
   metrics: MetricsRegistry
   port: UpstreamPort
   timings: BatchTimings
+  /** See `UpstreamSessionOptions`. */
+  paceWatch?: PaceWatch | undefined
   /** Ends the sessions. */
   signal: AbortSignal
 }
@@ -169,16 +172,9 @@
     this.succession.forget(upstreamId)
   }
 
-  /** Whether runs are likely to fail there, as it has lately crashed, been lost, come back or failed runs. */
-  isUnstable({ description }: UpstreamRecord): boolean {
-    return this.health.isUnstable(description, this.#opts.clock.monotonicMs())
-  }
-
-  /** Call it if the process of the upstream is gone, or another one has come at its address: not after a planned stop. */
   #noteLoss(upstreamId: string): void {
     const upstream = this.#opts.host.findUpstream(upstreamId)
-    if (upstream === undefined || upstream.isDraining || upstream.hasLeft) return
-    this.health.noteReplaced(upstream.description, this.#opts.clock.monotonicMs())
+    if (upstream !== undefined) this.health.noteLoss(upstream, this.#opts.clock.monotonicMs())
   }
 
   countUsable({ upstreams }: BatchState): number {
--- a/batch/service/test/speedLog.test.ts
+++ b/batch/service/test/speedLog.test.ts
@@ -1,6 +1,6 @@
 /** Guards against log lines and counters of placement by speed that do not say why a unit was placed where it is. */
 import { createJob, createConfig, createUpstream } from '@nettlespur/batch.samples'
-import { certainSpeed } from '@nettlespur/batch.speeds'
+import { certainSpeed, unknownSpeed } from '@nettlespur/batch.speeds'
 import { BatchState } from '@nettlespur/batch.state'
 import test from 'ava'
 import { createRecorder } from '../__utils__/index.js'
@@ -65,7 +65,7 @@
   const endMs = (speed: number, isKnown: boolean) =>
     listRuns({ ...opts, getSpeed: () => ({ ...certainSpeed(speed), isKnown }) }, 'u0')[0]
       ?.expectedEndMs
-  t.is(listRuns(opts, 'u0')[0]?.expectedEndMs, 4000)
+  t.is(listRuns({ ...opts, getSpeed: () => unknownSpeed }, 'u0')[0]?.expectedEndMs, 4000)
   t.is(endMs(0.5, true), 7000)
   t.is(endMs(0.5, false), 4000)
 })
--- a/batch/service/test/unstableUpstreams.test.ts
+++ b/batch/service/test/unstableUpstreams.test.ts
@@ -2,7 +2,7 @@
  * Guards against gangs that break because a member was placed on an upstream that had just crashed, and against unstable
  * upstreams that make work wait.
  */
-import { createJob } from '@nettlespur/batch.samples'
+import { createJob, createUpstream } from '@nettlespur/batch.samples'
 import test from 'ava'
 import { settledMs, startFleet, type FakeFleet } from '../__utils__/index.js'
 import { RecentTimes } from '../src/recentTimes.js'
@@ -10,7 +10,9 @@
 
 const needs = { cpuMillicores: 100, memoryMiB: 100, accelerators: 4 }
 const unstableMs = 10_000
-const upstream = { upstreamId: 'u1', address: '127.0.0.1:9000' }
+const description = createUpstream('u1')
+const { upstreamId, address } = description
+const record = { description, isDraining: false, hasLeft: false }
 
 /** Submits a gang, and returns the upstreams on which it was placed. */
 async function placeGang(fleet: FakeFleet, jobId: string, taskCount: number) {
@@ -64,25 +66,27 @@
   const health = new UpstreamHealth()
   const fail = (jobId: string, nowMs: number) => {
     const run = { jobId, step: 0, index: 0, attempt: 1, upstreamId: 'u1' }
-    health.noteEnd({ ...run, outcome: 'failed' }, upstream.address, nowMs)
+    health.noteEnd({ ...run, outcome: 'failed' }, address, nowMs)
   }
   fail('j1', 0)
   fail('j1', 100)
-  t.false(health.isUnstable(upstream, 100))
+  t.false(health.isUnstable(description, 100))
   fail('j2', 200)
-  t.true(health.isUnstable(upstream, 200 + unstableMs - 1))
+  t.true(health.isUnstable(description, 200 + unstableMs - 1))
   t.false(health.isQuarantined('u1', 200 + unstableMs - 1))
-  t.false(health.isUnstable(upstream, 200 + unstableMs))
+  t.false(health.isUnstable(description, 200 + unstableMs))
 })
 
 test('a replaced process is told once, and does not count as a crash for trial starts', (t) => {
   const notices: InstabilityNotice[] = []
   const health = new UpstreamHealth((notice) => notices.push(notice))
-  health.noteReplaced(upstream, 0)
-  health.noteReplaced(upstream, 0)
-  t.deepEqual(notices, [{ ...upstream, cause: 'replaced' }])
-  t.true(health.isUnstable(upstream, 1))
-  t.false(health.hasCrashedLately(upstream.address, 1))
+  health.noteLoss({ ...record, isDraining: true }, 0)
+  t.false(health.isUnstable(description, 0))
+  health.noteLoss(record, 0)
+  health.noteLoss(record, 0)
+  t.deepEqual(notices, [{ upstreamId, address, cause: 'replaced' }])
+  t.true(health.isUnstable(description, 1))
+  t.false(health.hasCrashedLately(address, 1))
 })
 
 test('what is kept of recent times is bounded by the keys of the retention time', (t) => {
