feat: needed speeds leave a margin for what declarations and learned speeds are off by

Cause: a gang ends with its slowest task, while run times are declared for one, and the scale of learned speeds may be off by a tenth. Without a margin an upstream just below the needed speed counts as unknown.

--- a/batch/scheduler/src/neededSpeed.ts
+++ b/batch/scheduler/src/neededSpeed.ts
@@ -5,6 +5,12 @@
 /** Time from the decision to the start: the commit of the placement, the order and its answer. */
 const startMs = 100
 
+/**
+ * Run times are declared for one task, the slowest task of a gang takes longer, and the scale of the learned speeds may be
+ * off by a tenth.
+ */
+export const runTimeMargin = 1.15
+
 export interface NeededSpeed {
   /** 0 if any speed will do. */
   readonly speed: number
@@ -17,7 +23,7 @@
   { job, waitedMs }: Pick<JobRank, 'job' | 'waitedMs'>,
   fastestSpeed: number,
 ): NeededSpeed {
-  const runMs = measureOpenPathMs(job)
+  const runMs = measureOpenPathMs(job) * runTimeMargin
   const objectiveMs = measureObjectiveMs(job)
   const speedToEndWithin = (limitMs: number): number => {
     const leftMs = limitMs - waitedMs - startMs
--- a/batch/scheduler/src/poolSpeeds.ts
+++ b/batch/scheduler/src/poolSpeeds.ts
@@ -2,6 +2,7 @@
  * What a round has to know of the speeds and the stability of one pool. Placement by speed answers fleets on which a known
  * part of the upstreams is so slow that urgent work is late there however early it starts. On all others it is off.
  */
+import { runTimeMargin } from './neededSpeed.js'
 import type { UpstreamAllocation } from './roundAllocations.js'
 import type { SchedulableUpstream } from './schedulerView.js'
 import { possiblyFastProbability } from './speedRange.js'
@@ -69,6 +70,6 @@
   stretches: readonly number[],
 ): number {
   const fastestMean = Math.max(0, ...upstreams.map(({ speed }) => speed.mean))
-  const speeds = stretches.map((stretch) => 1 / stretch)
+  const speeds = stretches.map((stretch) => runTimeMargin / stretch)
   return Math.max(0, ...speeds.filter((speed) => speed <= fastestMean))
 }
