--- /dev/null
+++ b/batch/scheduler/src/poolSpeeds.ts
@@ -0,0 +1,75 @@
+/**
+ * What a round has to know of the speeds and the stability of one pool. Placement by speed answers fleets on which a known
+ * part of the upstreams is so slow that urgent work is late there however early it starts. On all others it is off.
+ */
+import { runTimeMargin } from './neededSpeed.js'
+import type { UpstreamAllocation } from './roundAllocations.js'
+import type { SchedulableUpstream } from './schedulerView.js'
+import { possiblyFastProbability } from './speedRange.js'
+
+/** Below this share of slow upstreams, urgent work meets them too seldom to direct all other work there. */
+const slowShareMin = 0.1
+
+export class PoolSpeeds {
+  /** Whether the pool calls for placement by speed. */
+  readonly isGraded: boolean
+  /** Number of upstreams that are known to be too slow for the most urgent queue. */
+  readonly slowCount: number
+  readonly count: number
+  readonly hasUnstable: boolean
+  /** The speed below which jobs of the most urgent queue are late even if they start at once. */
+  readonly urgentSpeed: number
+  /** The fastest speed on which a unit may count. Upstreams that are not known count with their mean. */
+  readonly fastestSpeed: number
+  /** The highest speed for which no upstream is too slow. */
+  readonly slowestSpeed: number
+
+  /** `stretches` are those of the queues of the pool. */
+  constructor(upstreams: readonly UpstreamAllocation[], stretches: readonly number[]) {
+    const views = upstreams.map(({ view }) => view)
+    this.hasUnstable = views.some(({ isUnstable }) => isUnstable)
+    this.urgentSpeed = findUrgentSpeed(views, stretches)
+    this.count = views.length
+    this.slowCount = views.filter((view) => isKnownSlow(view, this.urgentSpeed)).length
+    this.isGraded = this.slowCount > 0 && this.slowCount >= this.count * slowShareMin
+    this.fastestSpeed = Infinity
+    this.slowestSpeed = 0
+    if (!this.isGraded) return
+    for (const upstream of upstreams) upstream.applySpeed()
+    this.fastestSpeed = Math.max(
+      ...upstreams.map(({ view, speedRange }) => speedRange?.surely ?? view.speed.mean),
+    )
+    this.slowestSpeed = Math.min(
+      ...upstreams.map(({ speedRange }) => speedRange?.possibly ?? Infinity),
+    )
+  }
+
+  /** Whether the upstream is too slow for the most urgent queue. */
+  isSlow(upstream: UpstreamAllocation): boolean {
+    return isTooSlow(upstream, this.urgentSpeed)
+  }
+}
+
+/** Whether the upstream is fast enough for a unit that needs the speed; false if its speed is not known. */
+export function isFastEnough({ speedRange }: UpstreamAllocation, neededSpeed: number): boolean {
+  return speedRange !== undefined && neededSpeed <= speedRange.surely
+}
+
+/** Whether the upstream is too slow for a unit that needs the speed; false if its speed is not known. */
+export function isTooSlow({ speedRange }: UpstreamAllocation, neededSpeed: number): boolean {
+  return speedRange !== undefined && neededSpeed > speedRange.possibly
+}
+
+function isKnownSlow({ speed }: SchedulableUpstream, urgentSpeed: number): boolean {
+  return speed.isKnown && speed.atLeast(urgentSpeed) < possiblyFastProbability
+}
+
+/** Queues whose objective no upstream could meet are left out. Returns 0 if no queue is left. */
+function findUrgentSpeed(
+  upstreams: readonly SchedulableUpstream[],
+  stretches: readonly number[],
+): number {
+  const fastestMean = Math.max(0, ...upstreams.map(({ speed }) => speed.mean))
+  const speeds = stretches.map((stretch) => runTimeMargin / stretch)
+  return Math.max(0, ...speeds.filter((speed) => speed <= fastestMean))
+}
--- a/batch/service/src/buildSchedulerView.ts
+++ b/batch/service/src/buildSchedulerView.ts
@@ -27,6 +27,8 @@
   /** See `SessionHost`. */
   listPlacements: (upstreamId: string) => ReadonlyMap<string, Placement>
   findTrack: (placement: Placement) => RunTrack | undefined
+  /** How fast an upstream works, as far as that is known. */
+  getSpeed: (upstreamId: string) => SpeedDistribution
 }
 
 export interface BuildSchedulerViewOptions extends ListRunsOptions {
@@ -35,9 +37,7 @@
   getAvailability: (upstream: UpstreamRecord) => UpstreamAvailability | undefined
   /** Whether it has started lately and is slow for a while. */
   isCold: (upstream: UpstreamRecord) => boolean
-  /** How fast it works, as far as that is known. */
-  getSpeed: (upstreamId: string) => SpeedDistribution
-  /** Whether it has crashed, was lost or failed work lately. */
+  /** Whether it has lately crashed, been lost, come back or failed runs. */
   isUnstable: (upstream: UpstreamRecord) => boolean
   /** Whether a run on trial has just started there. */
   hasTrial: (upstream: UpstreamRecord) => boolean
@@ -60,6 +60,7 @@
   const workspaces = state.config?.workspaces ?? []
   return {
     nowMs,
+    queues: state.config?.queues ?? [],
     jobs: [...state.unsettled.values()],
     acceptedAtMs,
     upstreams,
@@ -134,30 +135,27 @@
 
 /** Lists the runs on one upstream, with their expected ends and the cost of stopping them. */
 export function listRuns(opts: ListRunsOptions, upstreamId: string): ActiveRun[] {
+  const speed = opts.getSpeed(upstreamId)
+  const expectedSpeed = speed.isKnown ? speed.mean : 1
   return [...opts.listPlacements(upstreamId).values()].map((placement) => {
     const step = findStep(opts.state, placement)
+    const runTimeMs = (step?.expectedRunTimeMs ?? 0) / expectedSpeed
     const track = opts.findTrack(placement)
     return {
       placement,
       needs: step?.needs ?? noResources,
-      expectedEndMs: estimateEndMs(opts.nowMs, step, track),
+      expectedEndMs: estimateEndMs(opts.nowMs, runTimeMs, track),
       isStopping: opts.isStopping(placement),
       stopCostCoreSeconds: measureStopCost(opts.nowMs, step, track),
     }
   })
 }
 
-/** Extrapolates from the progress once that is meaningful; until then uses the declared run time. */
-function estimateEndMs(
-  nowMs: number,
-  step: StepSpec | undefined,
-  track: RunTrack | undefined,
-): number {
-  const declaredMs = step?.expectedRunTimeMs ?? 0
-  if (track === undefined) return nowMs + declaredMs
+/** Extrapolates from the progress once that is meaningful; until then uses the expected run time. */
+function estimateEndMs(nowMs: number, runTimeMs: number, track: RunTrack | undefined): number {
+  if (track === undefined) return nowMs + runTimeMs
   const { startedAtMs, progressPercent } = track
-  const declaredEndMs = Math.max(nowMs, startedAtMs + declaredMs)
-  if (progressPercent < minProgressPercent) return declaredEndMs
+  if (progressPercent < minProgressPercent) return Math.max(nowMs, startedAtMs + runTimeMs)
   const elapsedMs = nowMs - startedAtMs
   return nowMs + (elapsedMs * (wholePercent - progressPercent)) / progressPercent
 }
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -15,6 +15,7 @@
 import type { JobClock } from './jobClock.js'
 import { listRunsCutShort } from './listRunsCutShort.js'
 import type { RetryBackoff } from './retryBackoff.js'
+import { SpeedLog } from './speedLog.js'
 import { StarvationWatch } from './starvationWatch.js'
 import type { UpstreamRoster } from './upstreamRoster.js'
 
@@ -53,10 +54,12 @@
   readonly #opts: SchedulingRoundsOptions
   readonly #housekeeper: Housekeeper
   readonly #starvationWatch: StarvationWatch
+  readonly #speedLog: SpeedLog
   readonly #wake = new Wake()
 
   constructor(opts: SchedulingRoundsOptions) {
     this.#opts = opts
+    this.#speedLog = new SpeedLog(opts)
     this.#starvationWatch = new StarvationWatch({
       ...opts,
       describeFleet: () => ({
@@ -87,8 +90,9 @@
     const { clock, metrics, signal } = this.#opts
     const nowMs = clock.monotonicMs()
     this.#moveRunsCutShort(nowMs)
-    const { placements, preemptions, starving } = this.#plan(nowMs)
+    const { placements, preemptions, starving, speed } = this.#plan(nowMs)
     this.#starvationWatch.noteRound(starving, nowMs)
+    this.#speedLog.noteRound(speed, nowMs)
     const tookMs = clock.monotonicMs() - nowMs
     metrics.recordMs('scheduling_round_ms', tookMs)
     this.#preempt(preemptions)
@@ -97,15 +101,14 @@
   }
 
   #plan(nowMs: number): RoundDecision {
-    const { getState, getSpeed, roster, jobClock, retryBackoff } = this.#opts
+    const { getState, roster, jobClock, retryBackoff } = this.#opts
     jobClock.update(getState(), nowMs)
     const view = buildSchedulerView({
       ...this.#createRunsOptions(nowMs),
       acceptedAtMs: jobClock.acceptedAtMs,
       getAvailability: (upstream) => roster.getAvailability(upstream),
       isCold: ({ description }) => roster.isCold(description.upstreamId),
-      getSpeed: (upstreamId) => getSpeed(upstreamId, nowMs),
-      isUnstable: () => false,
+      isUnstable: ({ description }) => roster.health.isUnstable(description, nowMs),
       hasTrial: ({ description }) =>
         roster.findSession(description.upstreamId)?.tracks.hasTrial === true,
       isQuiet: (upstream) => roster.isQuiet(upstream),
@@ -135,12 +138,13 @@
   }
 
   #createRunsOptions(nowMs: number): ListRunsOptions {
-    const { getState, roster, shouldStop, listPlacements } = this.#opts
+    const { getState, getSpeed, roster, shouldStop, listPlacements } = this.#opts
     return {
       state: getState(),
       listPlacements,
       nowMs,
       isStopping: shouldStop,
+      getSpeed: (upstreamId) => getSpeed(upstreamId, nowMs),
       findTrack: (placement) => roster.findSession(placement.upstreamId)?.tracks.find(placement),
     }
   }
@@ -160,7 +164,7 @@
     const { jobId, upstreamId } = placement
     if (!getState().placements.getByUpstream(upstreamId).has(runKey(placement))) return
     const waitedMs = Math.round(jobClock.waitedMs(jobId, clock.monotonicMs()))
-    this.#log('placement.decided', placement, { waitedMs })
+    this.#log('placement.decided', placement, { waitedMs, ...this.#speedLog.describe(placement) })
     roster.openSession(upstreamId)?.start(placement)
   }
 
--- a/batch/service/src/upstreamRoster.ts
+++ b/batch/service/src/upstreamRoster.ts
@@ -12,6 +12,7 @@
 import type { BatchState, UpstreamRecord } from '@nettlespur/batch.state'
 import type { Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
+import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import type { BatchTimings } from './batchTimings.js'
 import { UpstreamHealth } from './upstreamHealth.js'
 import { AnnouncementTable, type LeavingUpstream } from './announcementTable.js'
@@ -31,6 +32,7 @@
   host: SessionHost
   clock: Clock
   logger: Logger
+  metrics: MetricsRegistry
   port: UpstreamPort
   timings: BatchTimings
   /** See `UpstreamSessionOptions`. */
@@ -40,7 +42,7 @@
 }
 
 export class UpstreamRoster {
-  readonly health = new UpstreamHealth()
+  readonly health: UpstreamHealth
   readonly #opts: UpstreamRosterOptions
   readonly #takeoverAtMs: number
   readonly #sessions = new SessionTable()
@@ -49,6 +51,10 @@
 
   constructor(opts: UpstreamRosterOptions) {
     this.#opts = opts
+    this.health = new UpstreamHealth((notice) => {
+      opts.logger.info({ event: 'upstream.unstable', ...notice })
+      opts.metrics.count('upstreams_unstable_total')
+    })
     this.#takeoverAtMs = opts.clock.monotonicMs()
   }
 
@@ -112,6 +118,7 @@
   replace({ target, successorId, tracks }: Replacement): void {
     const { upstreamId, address } = target
     const announcedId = getAnnouncedId(target)
+    this.#noteLoss(upstreamId)
     this.#sessions.remove(upstreamId)
     this.#table.forget(upstreamId)
     const successor =
@@ -160,11 +167,17 @@
   }
 
   forget(upstreamId: string): void {
+    if (!this.succession.isReplaced(upstreamId)) this.#noteLoss(upstreamId)
     this.#sessions.remove(upstreamId)
     this.#table.forget(upstreamId)
     this.succession.forget(upstreamId)
   }
 
+  #noteLoss(upstreamId: string): void {
+    const upstream = this.#opts.host.findUpstream(upstreamId)
+    if (upstream !== undefined) this.health.noteLoss(upstream, this.#opts.clock.monotonicMs())
+  }
+
   countUsable({ upstreams }: BatchState): number {
     return [...upstreams.values()].filter((upstream) => this.isUsable(upstream)).length
   }
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -154,6 +154,7 @@
       nowMs: this.#nowMs,
       listPlacements: (upstreamId) => this.#state.placements.getByUpstream(upstreamId),
       isStopping: (placement) => this.#runs.isStopping(placement),
+      getSpeed: () => unknownSpeed,
       findTrack: (placement) => this.#runs.findTrack(placement),
     }
     for (const run of listRunsCutShort(this.#leaving, runs)) this.#runs.stop(run, this.#nowMs)
@@ -162,8 +163,7 @@
       acceptedAtMs: this.#acceptedAtMs,
       getAvailability: (upstream) => this.#getAvailability(upstream),
       isCold: () => false,
-      getSpeed: () => unknownSpeed,
-      isUnstable: () => false,
+      isUnstable: ({ description }) => this.#health.isUnstable(description, this.#nowMs),
       hasTrial: ({ description }) => this.#runs.hasTrial(description.upstreamId),
       isQuiet: ({ description }) => this.#isQuiet(description),
       isPaused: () => false,
