--- a/batch/service/src/listPacedUpstreams.ts
+++ b/batch/service/src/listPacedUpstreams.ts
@@ -10,7 +10,7 @@
 /**
  * Returns the upstream of a task, or those of all members of a gang. Returns none if the run is slowed down by something
  * else: by an upstream that has just started, by data in another rack, or by a gang that wants one rack and is spread
- * over several.
+ * over several. Returns none either if the caller has not declared a run time to compare with.
  */
 export function listPacedUpstreams(
   { state, isCold }: ListPacedUpstreamsOptions,
@@ -18,7 +18,7 @@
 ): string[] {
   const job = state.jobs.get(run.jobId)
   const step = job?.request.steps[run.step]
-  if (job === undefined || step === undefined) return []
+  if (job === undefined || step === undefined || step.expectedRunTimeMs === 0) return []
   const upstreamIds = step.isGang ? listMembers(job, run) : [run.upstreamId]
   if (upstreamIds.some(isCold)) return []
   const racks = new Set(upstreamIds.map((id) => state.upstreams.get(id)?.description.rack))
--- a/batch/service/src/recordFaultReporter.ts
+++ b/batch/service/src/recordFaultReporter.ts
@@ -22,7 +22,7 @@
   | 'config'
   | 'evacuation'
   | 'unknown-pool'
-  /** Progress or a declared run time from which no pace follows. */
+  /** Progress that cannot be, so that no pace follows from it. */
   | 'pace'
 
 export interface RecordFault {
--- a/batch/service/src/speedLearner.ts
+++ b/batch/service/src/speedLearner.ts
@@ -62,16 +62,14 @@
       pace: (expectedRunTimeMs * progress) / elapsedMs,
       atMs: clock.monotonicMs(),
     })
-    if (!isTaken) {
-      this.#reject(run, `no pace follows from a declared run time of ${expectedRunTimeMs} ms`)
-      return
-    }
+    if (!isTaken) return
     if (isGang) this.#observedGangs.add(run)
     metrics.count('speed_observations_total')
   }
 
   override noteInvalidProgress(run: Placement, progressPercent: number): void {
-    this.#reject(run, `progress ran backwards or beyond 100, to ${progressPercent}`)
+    const reason = `progress ran backwards or beyond 100, to ${progressPercent}`
+    this.#opts.faults.report({ kind: 'pace', sender: run.upstreamId, reason })
   }
 
   /** Drops what is held of ended jobs, forgotten upstreams and former queues. */
@@ -87,8 +85,4 @@
     this.speeds.keepOnly(kept, clock.monotonicMs())
     this.#observedGangs.keepOnly((jobId) => unsettled.has(jobId))
   }
-
-  #reject({ upstreamId }: Placement, reason: string): void {
-    this.#opts.faults.report({ kind: 'pace', sender: upstreamId, reason })
-  }
 }
