feat: placement by speed begins early, and single tasks explore unknown upstreams

Change: while little is known, a fifth of the known upstreams (at least three) opens the gate. Single tasks with slack are spread over unknown upstreams.

--- a/batch/scheduler/src/chooseUpstreams.ts
+++ b/batch/scheduler/src/chooseUpstreams.ts
@@ -34,11 +34,11 @@
   const scopes = listScopes(unit, allocations).map((upstreams) =>
     countScopeFit(unit, allocations, upstreams.filter(isAllowed)),
   )
-  const { groups } = unit
+  const { groups, isSpread = false } = unit
   if (groups !== undefined && !unit.isOnTrial) {
     return unit.step.isGang
       ? fillGangGroups(scopes, groups, wanted)
-      : scopes.flatMap((scope) => fillGroups(scope, groups, wanted))
+      : scopes.flatMap((scope) => fillGroups({ scope, groups, isSpread, wanted }))
   }
   if (!unit.step.isGang) return scopes.flatMap(({ upstreams }) => fill(upstreams, wanted))
   const fitting = scopes.filter(({ total }) => total >= wanted)
--- a/batch/scheduler/src/fillGroups.ts
+++ b/batch/scheduler/src/fillGroups.ts
@@ -14,19 +14,27 @@
   readonly total: number
 }
 
+export interface FillGroupsOptions {
+  scope: ScopeFit
+  groups: readonly UpstreamGroup[]
+  /** Whether each upstream of the first group gets only one task at first. */
+  isSpread: boolean
+  wanted: number
+}
+
 /** Returns an upstream for each task that fits: those of the first group, then those of the second, and so on. */
-export function fillGroups(
-  { upstreams }: ScopeFit,
-  groups: readonly UpstreamGroup[],
-  wanted: number,
-): string[] {
-  let left = upstreams.filter(({ count }) => count > 0)
+export function fillGroups({ scope, groups, isSpread, wanted }: FillGroupsOptions): string[] {
+  let left = scope.upstreams.filter(({ count }) => count > 0)
   const upstreamIds: string[] = []
-  for (const isMember of groups) {
+  for (const [at, isMember] of groups.entries()) {
     if (upstreamIds.length >= wanted || left.length === 0) break
+    const isSpreadHere = isSpread && at === 0
     const members = left.filter(({ allocation }) => isMember(allocation))
-    upstreamIds.push(...fillTightest(members, wanted - upstreamIds.length))
-    left = left.filter(({ allocation }) => !isMember(allocation))
+    const offered = isSpreadHere ? members.map((fit) => ({ ...fit, count: 1 })) : members
+    upstreamIds.push(...fillTightest(offered, wanted - upstreamIds.length))
+    left = isSpreadHere
+      ? left.map((fit) => (isMember(fit.allocation) ? { ...fit, count: fit.count - 1 } : fit))
+      : left.filter(({ allocation }) => !isMember(allocation))
   }
   return upstreamIds
 }
--- a/batch/scheduler/src/listGroups.ts
+++ b/batch/scheduler/src/listGroups.ts
@@ -50,6 +50,13 @@
   const isUnknown: UpstreamGroup = ({ view }) => !view.speed.isKnown
   const isNotSlow: UpstreamGroup = (upstream) => !pool.isSlow(upstream)
   if (unit.step.isGang) return [isSlowEnough, isUnknown, isNotSlow, allUpstreams]
-  // Runs of single tasks are how the speeds of upstreams become known.
-  return [isUnknown, isSlowEnough, allUpstreams]
+  return [isUnknown, isSlowEnough, isUnknown, allUpstreams]
+}
+
+/**
+ * Whether single tasks are spread over the upstreams of the first group, one on each. Their runs are how speeds become
+ * known, and those of one step are compared with each other.
+ */
+export function isExploring(unit: StartUnit, pool: PoolSpeeds): boolean {
+  return pool.isGraded && !unit.step.isGang && !isUrgent(unit)
 }
--- a/batch/scheduler/src/poolSpeeds.ts
+++ b/batch/scheduler/src/poolSpeeds.ts
@@ -9,6 +9,12 @@
 
 /** Below this share of slow upstreams, urgent work meets them too seldom to direct all other work there. */
 const slowShareMin = 0.1
+/**
+ * While most upstreams are not known, this share of the known ones has to be slow: more than are taken for slow by mistake.
+ * Work that is spread over the others then shows how fast they are.
+ */
+const slowShareOfKnownMin = 0.2
+const slowCountMin = 3
 
 export class PoolSpeeds {
   /** Whether the pool calls for placement by speed. */
@@ -30,8 +36,12 @@
     this.hasUnstable = views.some(({ isUnstable }) => isUnstable)
     this.urgentSpeed = findUrgentSpeed(views, stretches)
     this.count = views.length
-    this.slowCount = views.filter((view) => isKnownSlow(view, this.urgentSpeed)).length
-    this.isGraded = this.slowCount > 0 && this.slowCount >= this.count * slowShareMin
+    const known = views.filter(({ speed }) => speed.isKnown)
+    this.slowCount = known.filter((view) => isSlow(view, this.urgentSpeed)).length
+    const isShareOfKnown =
+      this.slowCount >= slowCountMin && this.slowCount >= known.length * slowShareOfKnownMin
+    this.isGraded =
+      this.slowCount > 0 && (isShareOfKnown || this.slowCount >= this.count * slowShareMin)
     this.fastestSpeed = Infinity
     this.slowestSpeed = 0
     if (!this.isGraded) return
@@ -60,8 +70,8 @@
   return speedRange !== undefined && neededSpeed > speedRange.possibly
 }
 
-function isKnownSlow({ speed }: SchedulableUpstream, urgentSpeed: number): boolean {
-  return speed.isKnown && speed.atLeast(urgentSpeed) < possiblyFastProbability
+function isSlow({ speed }: SchedulableUpstream, urgentSpeed: number): boolean {
+  return speed.atLeast(urgentSpeed) < possiblyFastProbability
 }
 
 /** Queues whose objective no upstream could meet are left out. Returns 0 if no queue is left. */
--- a/batch/scheduler/src/speedPlacement.ts
+++ b/batch/scheduler/src/speedPlacement.ts
@@ -3,7 +3,7 @@
  * that are too slow have room is held back for a short time, as long as it would be on time on others.
  */
 import type { UnitRef } from '@nettlespur/batch.model'
-import { listFastGroups, listGroups, isUrgent } from './listGroups.js'
+import { isExploring, isUrgent, listFastGroups, listGroups } from './listGroups.js'
 import { computeNeededSpeed } from './neededSpeed.js'
 import type { RankedUnit } from './orderUnits.js'
 import { isTooSlow, PoolSpeeds } from './poolSpeeds.js'
@@ -35,7 +35,7 @@
     const pool = this.#getPool(unit)
     if (!pool.isGraded && !pool.hasUnstable) return unit
     const groups = listGroups({ unit, pool, needed: computeNeededSpeed(unit, pool.fastestSpeed) })
-    return groups === undefined ? unit : { ...unit, groups }
+    return groups === undefined ? unit : { ...unit, groups, isSpread: isExploring(unit, pool) }
   }
 
   /**
--- a/batch/scheduler/src/startUnit.ts
+++ b/batch/scheduler/src/startUnit.ts
@@ -26,6 +26,8 @@
   readonly relaxed: ReadonlySet<Preference>
   /** Groups of upstreams in the order in which they are tried; absent if the unit prefers no upstreams to others. */
   readonly groups?: readonly UpstreamGroup[]
+  /** Whether its tasks are spread over the upstreams of the first group; only if they may start independently. */
+  readonly isSpread?: boolean
   /** The only upstreams that the unit takes for now; absent if it takes any. */
   readonly isAllowed?: UpstreamGroup
 }
--- a/batch/scheduler/test/placementBySpeed.test.ts
+++ b/batch/scheduler/test/placementBySpeed.test.ts
@@ -3,6 +3,7 @@
  * rules that prevent this holding up other work or changing decisions where speeds do not matter.
  */
 import { certainSpeed, type SpeedDistribution } from '@nettlespur/batch.speeds'
+import { createJob } from '@nettlespur/batch.samples'
 import test from 'ava'
 import { createGang, createGradedFleet, Fleet, SpeedLoad } from '../__utils__/index.js'
 
@@ -86,13 +87,31 @@
   t.is(load.speedsOf('tasks').length, 48)
 })
 
-test('single tasks with slack run first where the speed is not known', (t) => {
+test('single tasks with slack run first where the speed is not known, one on each upstream, and then on slow ones', (t) => {
   const fleet = createGradedFleet(4)
-  fleet.speeds.delete('u4')
+  for (const id of ['u4', 'u5']) fleet.speeds.delete(id)
   const load = new SpeedLoad(fleet)
   load.submit('tasks', { taskCount: 6, needs: small, expectedRunTimeMs: 9000 }, 1)
   load.play(0)
-  t.deepEqual(new Set(load.placements.map(({ upstreamId }) => upstreamId)), new Set(['u4']))
+  const on = load.placements.map(({ upstreamId }) => upstreamId)
+  t.deepEqual(on.slice(0, 2).sort(), ['u4', 'u5'])
+  t.deepEqual(load.speedsOf('tasks').slice(2), [0.6, 0.6, 0.6, 0.6])
+})
+
+test('a pool of which little is known is placed by speed if a fifth of the known upstreams are slow', (t) => {
+  const isPlacedBySpeed = (slowCount: number, knownCount: number): boolean => {
+    const fleet = createGradedFleet(20, false)
+    for (let at = 0; at < knownCount; at++) {
+      fleet.speeds.set(`u${at}`, certainSpeed(at < slowCount ? 0.6 : 1))
+    }
+    fleet.submit(createJob('urgent', createGang(1, 8)), 0)
+    return fleet.decide().speed !== undefined
+  }
+  t.true(isPlacedBySpeed(3, 15))
+  t.false(isPlacedBySpeed(3, 16))
+  t.false(isPlacedBySpeed(2, 2))
+  t.true(isPlacedBySpeed(6, 60))
+  t.false(isPlacedBySpeed(5, 60))
 })
 
 test('upstreams of unknown speed count as slow neither for the pool nor for a unit', (t) => {
