--- a/batch/speeds/__utils__/simulatedFleet.ts
+++ b/batch/speeds/__utils__/simulatedFleet.ts
@@ -6,7 +6,7 @@
 
 export interface SimulatedLoad {
   readonly seed: number
-  /** Each upstream draws one of them. */
+  /** Taken in turn by the upstreams. */
   readonly speeds: readonly number[]
   readonly upstreams: number
   readonly durationMs: number
@@ -37,7 +37,11 @@
   constructor(load: SimulatedLoad) {
     this.#load = load
     this.#seed = load.seed
-    this.trueSpeeds = Array.from({ length: load.upstreams }, () => this.#pick(load.speeds))
+    const { speeds, upstreams } = load
+    this.trueSpeeds = Array.from(
+      { length: upstreams },
+      (_, index) => speeds[index % speeds.length] ?? 1,
+    )
   }
 
   play(): this {
