feat: idle connections to upstreams can be bounded, and unused ones are looked for less often

Cause: each new connection pool beyond 256 looked at every pool, so with thousands of upstreams a call to one whose pool had been removed cost a pass over all. The next pass now waits until the number of pools has doubled; below 256 nothing changes. There is no bound unless one is given.

--- a/upstream/client/src/connectionPool.ts
+++ b/upstream/client/src/connectionPool.ts
@@ -5,6 +5,7 @@
 import http from 'node:http'
 import https from 'node:https'
 import type { Duplex } from 'node:stream'
+import type { IdleConnections } from './idleConnections.js'
 
 export interface ConnectionPoolOptions {
   /** Maximum number of connections open at a time. */
@@ -12,6 +13,8 @@
   /** An idle connection is closed after this time, so that calls only reuse connections that worked recently. */
   idleMsMax: number
   tls: boolean
+  /** Bounds the idle connections of all pools that share it. */
+  idleConnections?: IdleConnections | undefined
 }
 
 /** Node calls this method before it keeps a connection for reuse; the type definitions of Node's Agent omit it. */
@@ -32,6 +35,7 @@
     }
     this.agent = opts.tls ? new https.Agent(agentOpts) : new http.Agent(agentOpts)
     this.#preventReuseOnceRetired(this.agent as unknown as KeepAliveAgent)
+    opts.idleConnections?.watch(this.agent)
   }
 
   /** True if no connection is open and no call waits for one. */
--- a/upstream/client/src/connectionPools.ts
+++ b/upstream/client/src/connectionPools.ts
@@ -1,6 +1,7 @@
 /**
  * Holds one connection pool per upstream address, created on first use. Unused pools are removed when a pool is to be
- * created and `poolCountBeforePruning` exist.
+ * created and at least `poolCountBeforePruning` exist, and twice as many as were left the last time: a removal looks at
+ * every pool, and for each new pool that would take longer than the calls.
  */
 import { ConnectionPool, type ConnectionPoolOptions } from './connectionPool.js'
 
@@ -9,6 +10,7 @@
 export class ConnectionPools {
   readonly #opts: ConnectionPoolOptions
   readonly #byAddress = new Map<string, ConnectionPool>()
+  #pruneAtCount = poolCountBeforePruning
 
   constructor(opts: ConnectionPoolOptions) {
     this.#opts = opts
@@ -17,7 +19,7 @@
   get(address: string): ConnectionPool {
     const known = this.#byAddress.get(address)
     if (known !== undefined) return known
-    if (this.#byAddress.size >= poolCountBeforePruning) this.#removeUnused()
+    if (this.#byAddress.size >= this.#pruneAtCount) this.#removeUnused()
     const pool = new ConnectionPool(this.#opts)
     this.#byAddress.set(address, pool)
     return pool
@@ -38,5 +40,6 @@
     for (const [address, pool] of this.#byAddress) {
       if (pool.isUnused) this.#byAddress.delete(address)
     }
+    this.#pruneAtCount = Math.max(poolCountBeforePruning, 2 * this.#byAddress.size)
   }
 }
