feat: control members that do not lead carry the leader's calls to upstreams

The leader's port assigns each upstream to a member by rendezvous hashing and sends its calls there in batches; outcomes come back in batches that the leader asks for. Orders carry a latest time on both of the relay's clocks, so that a relay that was frozen sends none late. Relays are used from a number of upstreams on (relayFromUpstreams), never if it is left out.

--- /dev/null
+++ b/batch/relays/src/relayMember.ts
@@ -0,0 +1,200 @@
+/** The leader's view of one other member: whether it serves upstreams, the calls made through it, and its clocks. */
+import type { UpstreamTarget } from '@nettlespur/batch.sessions'
+import type { Clock } from '@nettlespur/core.clock'
+import { toNettlespurError } from '@nettlespur/core.errors'
+import type { Logger } from '@nettlespur/core.logger'
+import type { MetricsRegistry } from '@nettlespur/core.metrics'
+import { splitBatches } from './splitBatches.js'
+import { PendingCall } from './pendingCall.js'
+import { RelayClock } from './relayClock.js'
+import type { RelayLink } from './relayLink.js'
+import type {
+  CallOutcome,
+  LeaderHeader,
+  RelayAnswers,
+  RelayedOrder,
+  RelayReceipt,
+} from './relayMessages.js'
+
+/** An order waits this long for others that it can be sent with. */
+const batchMs = 10
+/** How long a relay without outcomes delays its answer: a third of the silence that takes it out. */
+const answerWaitMs = 200
+/** Pause before the next request for answers after one that failed. */
+const retryPauseMs = 200
+/** Without a message for this long a relay is silent: three answers are missing. */
+const silentMsMax = 700
+/**
+ * Checks without a message before a relay is silent. A leader that stood still itself makes one check before it has read
+ * the messages that came meanwhile.
+ */
+const silentChecksMin = 3
+
+export interface RelayMemberOptions {
+  address: string
+  clock: Clock
+  logger: Logger
+  metrics: MetricsRegistry
+  link: RelayLink
+  nextCallId: () => number
+  /** The header of a message to a relay. */
+  createHeader: (relayId: string) => LeaderHeader
+}
+
+export class RelayMember {
+  readonly #opts: RelayMemberOptions
+  readonly #clock = new RelayClock()
+  readonly #calls = new Map<number, PendingCall>()
+  #queue: PendingCall[] = []
+  /** Empty until the member has answered. */
+  #relayId = ''
+  #isServing = false
+  #heardAtMs = -Infinity
+  #checksSinceHeard = 0
+
+  constructor(opts: RelayMemberOptions) {
+    this.#opts = opts
+  }
+
+  get address(): string {
+    return this.#opts.address
+  }
+
+  /** Whether upstreams may be assigned to it: it answers. */
+  get isServing(): boolean {
+    return this.#isServing
+  }
+
+  get pendingCalls(): number {
+    return this.#calls.size
+  }
+
+  /** Errors: rejects with `unreachable` if nothing was sent to the upstream, otherwise with `outcome-unknown`. */
+  call(to: UpstreamTarget, order: RelayedOrder, timeoutMs: number): Promise<CallOutcome> {
+    const { clock, nextCallId } = this.#opts
+    const callId = nextCallId()
+    const onSettled = (): void => {
+      this.#calls.delete(callId)
+    }
+    const call = new PendingCall({ callId, to, order, timeoutMs, clock, onSettled })
+    this.#calls.set(callId, call)
+    if (this.#queue.length === 0) {
+      clock.setTimer(batchMs, () => {
+        this.#sendQueue()
+      })
+    }
+    this.#queue.push(call)
+    return call.outcome
+  }
+
+  /** Takes answers until `signal` is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const isAnswered = await this.#takeAnswers()
+      if (!isAnswered) await this.#opts.clock.sleep(retryPauseMs, signal)
+    }
+  }
+
+  /** To be called regularly. */
+  checkSilence(): void {
+    if (!this.#isServing) return
+    this.#checksSinceHeard += 1
+    const silentMs = this.#opts.clock.monotonicMs() - this.#heardAtMs
+    if (silentMs >= silentMsMax && this.#checksSinceHeard >= silentChecksMin)
+      this.takeOut(`silent for ${Math.round(silentMs)} ms`)
+  }
+
+  /** Gives up all calls. The member serves again once it answers. */
+  takeOut(reason: string): void {
+    const pendingCalls = this.#calls.size
+    if (this.#isServing) {
+      const { address } = this
+      this.#opts.logger.warn({ event: 'relay.taken-out', address, reason, pendingCalls })
+    }
+    this.#isServing = false
+    this.#giveUpCalls(`the relay ${this.address} was taken out: ${reason}`)
+  }
+
+  /** Rejects the calls that have not been sent to the relay. The others end with their own timeouts. */
+  dropQueue(): void {
+    for (const call of this.#queue.splice(0)) call.giveUp('this member leads no more')
+  }
+
+  async #takeAnswers(): Promise<boolean> {
+    const { link, createHeader } = this.#opts
+    const request = { ...createHeader(this.#relayId), waitMs: answerWaitMs }
+    try {
+      const answers = await link.takeAnswers(this.address, request)
+      for (const { callId, outcome } of answers.outcomes) this.#calls.get(callId)?.settle(outcome)
+      this.#noteMessage(answers)
+      return answers.acceptsTerm
+    } catch (thrown) {
+      this.#noteFailure(thrown)
+      return false
+    }
+  }
+
+  #sendQueue(): void {
+    const waiting = this.#queue.splice(0).filter(({ callId }) => this.#calls.has(callId))
+    for (const calls of splitBatches(waiting)) void this.#sendOrders(calls)
+  }
+
+  async #sendOrders(calls: readonly PendingCall[]): Promise<void> {
+    const { link, clock, metrics, createHeader } = this.#opts
+    const relayId = this.#relayId
+    const nowMs = clock.monotonicMs()
+    const relayedCalls = calls.map(({ callId, to, order, leftMs: timeoutMs }) => {
+      const { upstreamId, announcedId, address } = to
+      const sendBy = this.#clock.estimateMs(nowMs, timeoutMs)
+      return { callId, to: { upstreamId, announcedId, address }, order, timeoutMs, sendBy }
+    })
+    for (const call of calls) call.mayHaveBeenSent = true
+    metrics.count('relayed_calls_total', calls.length)
+    try {
+      const batch = { ...createHeader(relayId), calls: relayedCalls }
+      const receipt = await link.sendOrders(this.address, batch)
+      this.#handleRefusals(receipt, relayId)
+      this.#noteMessage(receipt)
+    } catch (thrown) {
+      const { kind, message } = toNettlespurError(thrown)
+      if (kind === 'unreachable') for (const { callId } of calls) this.#refuse(callId, message)
+      this.#noteFailure(thrown)
+    }
+  }
+
+  /** Only the process that the batch was meant for knows that it has not executed a call. */
+  #handleRefusals({ relayId, refusedCallIds }: RelayReceipt, meantId: string): void {
+    if (relayId !== meantId) return
+    for (const callId of refusedCallIds) this.#refuse(callId, 'the relay refused the order')
+  }
+
+  #refuse(callId: number, reason: string): void {
+    this.#calls.get(callId)?.refuse(`${this.address}: ${reason}`)
+  }
+
+  #noteMessage({ relayId, clock, acceptsTerm }: Omit<RelayAnswers, 'outcomes'>): void {
+    const nowMs = this.#opts.clock.monotonicMs()
+    if (this.#relayId !== '' && this.#relayId !== relayId) this.takeOut('its process has changed')
+    this.#relayId = relayId
+    this.#clock.note(clock, nowMs)
+    this.#heardAtMs = nowMs
+    this.#checksSinceHeard = 0
+    if (!acceptsTerm) this.takeOut('it knows a later term')
+    if (this.#isServing || !acceptsTerm) return
+    this.#isServing = true
+    this.#opts.logger.info({ event: 'relay.taken-in', address: this.address })
+  }
+
+  /** Nobody listens at the member's address: its upstreams move at once. */
+  #noteFailure(thrown: unknown): void {
+    const { kind, message } = toNettlespurError(thrown)
+    if (kind === 'unreachable') this.takeOut(message)
+  }
+
+  #giveUpCalls(reason: string): void {
+    const { metrics } = this.#opts
+    this.#queue = []
+    if (this.#calls.size > 0) metrics.count('relay_calls_given_up_total', this.#calls.size)
+    for (const call of [...this.#calls.values()]) call.giveUp(reason)
+  }
+}
--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -10,6 +10,7 @@
 import { FakeUpstream, FleetLedger } from '@nettlespur/batch.fakes'
 import { createFleetConfig, fleetAttemptsMax } from './createFleetConfig.js'
 import { silentLogger } from './silentLogger.js'
+import { FleetRelays } from './fleetRelays.js'
 import { EvacuationOperator } from './evacuationOperator.js'
 import { FaultyPort } from './faultyPort.js'
 import { FleetAnnouncer } from './fleetAnnouncer.js'
@@ -39,6 +40,7 @@
   readonly #jobClock = new JobClock()
   #leader: BatchLeader | undefined
   readonly #announcer: FleetAnnouncer
+  readonly relays: FleetRelays
   readonly #operator: EvacuationOperator
 
   constructor(opts: FakeFleetOptions) {
@@ -72,6 +74,13 @@
         return task?.phase === 'placed' && task.attempt === attempt
       },
     })
+    this.relays = new FleetRelays({
+      clock,
+      logger: this.#logger,
+      port: this.port,
+      relayFromUpstreams: opts.relayFromUpstreams,
+      state: this.state,
+    })
     this.commit({ type: 'apply-config', config: createFleetConfig() })
     for (let at = 0; at < upstreamCount; at++) this.#startUpstream(at)
     this.#announcer = new FleetAnnouncer({
@@ -101,9 +110,11 @@
 
   elect(zombieMs = 0): void {
     const former = this.#leader
+    const closeFormerPort = this.relays.detachPort()
     if (former !== undefined)
       this.clock.setTimer(zombieMs, () => {
         former.stop()
+        closeFormerPort()
       })
     this.#term += 1
     const term = this.#term
@@ -118,7 +129,7 @@
         announceEveryMs,
         keepEndedMs: 1_000_000,
       },
-      port: this.port,
+      port: this.relays.openPort(term),
       jobClock: this.#jobClock,
       getState: () => this.state,
       propose: (command) => EitherAsync.fromPromise(() => this.#propose(command, term)),
@@ -149,6 +160,9 @@
       case 'cancel':
         this.commit({ type: 'cancel-job', jobId: `job${fault.job}` })
         return
+      case 'relay':
+        this.relays.inject(fault)
+        return
       case 'evacuate':
         void this.#operator.evacuate(fault)
     }
@@ -209,6 +223,7 @@
 
   healLinks(): void {
     this.#links.heal()
+    this.relays.mendAll()
   }
 
   async #propose(command: Command, term: number) {
--- a/batch/service/__utils__/fleetOptions.ts
+++ b/batch/service/__utils__/fleetOptions.ts
@@ -2,6 +2,7 @@
 import type { RunRef } from '@nettlespur/batch.model'
 import type { Logger } from '@nettlespur/core.logger'
 import type { EvacuationOrderPlan } from './evacuationOperator.js'
+import type { RelayFault } from './simulatedRelayLink.js'
 import type { LinkFault } from './faultyPort.js'
 
 export type FleetFault =
@@ -16,6 +17,8 @@
   /** The former leader goes on working for `zombieMs`. */
   | { kind: 'new-leader'; zombieMs: number }
   | { kind: 'cancel'; job: number }
+  /** One of the relays, if there are any, fails for `forMs`. */
+  | { kind: 'relay'; relay: number; fault: RelayFault; forMs: number }
   | ({ kind: 'evacuate' } & EvacuationOrderPlan)
 
 export interface FakeFleetOptions {
@@ -40,6 +43,8 @@
   statesBirth?: boolean
   /** See `FakeUpstream`. */
   remembersCursor?: boolean
+  /** Number of upstreams from which the leaders use relays; never by default. */
+  relayFromUpstreams?: number
   /** The leaders' logger; their lines are discarded by default. */
   logger?: Logger
 }
--- a/batch/service/__utils__/index.ts
+++ b/batch/service/__utils__/index.ts
@@ -1,6 +1,8 @@
 /** Test utilities: fake upstreams behind faulty links for the leader's work, and fake members for its clients. */
 export { FakeFleet, upstreamCount } from './fakeFleet.js'
 export type { FakeFleetOptions, FleetFault } from './fleetOptions.js'
+export { relayAddresses } from './fleetRelays.js'
+export type { RelayFault } from './simulatedRelayLink.js'
 export { FaultyPort, type LinkFault } from './faultyPort.js'
 export { createLocalApi, peerKey, startFakeMember, type FakeMember } from './fakeMember.js'
 export { createRecorder, type Recorder } from './recorder.js'
--- a/batch/service/src/batchApi.ts
+++ b/batch/service/src/batchApi.ts
@@ -11,7 +11,12 @@
 } from '@nettlespur/batch.model'
 import type { Evacuation, EvacuationChange } from '@nettlespur/core.evacuations'
 import type { Member } from '@nettlespur/consensus.raft'
-import type { NettlespurError } from '@nettlespur/core.errors'
+import {
+  toRpcResult,
+  tryAsync,
+  type NettlespurError,
+  type RpcResult,
+} from '@nettlespur/core.errors'
 import type { EitherAsync } from 'purify-ts'
 import { z } from 'zod'
 import type { CallerWait } from './callerWait.js'
@@ -39,6 +44,9 @@
 })
 export type LeaderView = z.infer<typeof leaderViewSchema>
 
+/** Announcements in one call, at most. */
+export const announcementsMax = 512
+
 export const upstreamIdSchema = z.object({ upstreamId: z.string() })
 
 export abstract class BatchApi {
@@ -65,6 +73,15 @@
     wait?: CallerWait,
   ): EitherAsync<NettlespurError, null>
   abstract announce(announcement: Announcement): EitherAsync<NettlespurError, null>
+  /** Announcements that a relay passes on together; resolves with the outcome of each. */
+  announceMany(
+    announcements: readonly Announcement[],
+  ): EitherAsync<NettlespurError, RpcResult<null>[]> {
+    return tryAsync(() =>
+      Promise.all(announcements.map((announcement) => toRpcResult(this.announce(announcement)))),
+    )
+  }
+
   /** Removes an upstream that is shutting down now. */
   abstract leave(upstreamId: string): EitherAsync<NettlespurError, null>
   /** Adds a member to control; no effect if it is one already. */
--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -2,6 +2,13 @@
  * One control member for batch scheduling: its Raft node, the replicated state and, while it leads, the leader's work. A
  * member that does not lead refuses the leader's calls with the leader's address.
  */
+import type {
+  AnswerRequest,
+  OrderBatch,
+  RelayAnswers,
+  RelayReceipt,
+  RelayService,
+} from '@nettlespur/batch.relays'
 import type { UpstreamPort } from '@nettlespur/batch.sessions'
 import {
   BatchMachine,
@@ -41,6 +48,8 @@
   store: LogStore
   transport: RaftTransport
   port: UpstreamPort
+  /** Set if relays may be used; its own port is `port`. */
+  relays?: RelayService
   timings: BatchTimings
   /** The data centres that operators may evacuate, besides those of the upstreams. None by default. */
   dataCentres?: readonly string[]
@@ -126,9 +135,18 @@
     return { leaderAddress, term, memberAddresses: members.map(({ peerAddress }) => peerAddress) }
   }
 
+  /** Executes calls of a leader that uses relays. Errors: throws `unknown-route` if this member has none. */
+  handleOrders(batch: OrderBatch): RelayReceipt {
+    return this.#requireRelays().relay.handleOrders(batch, this.raft.describe().term)
+  }
+
+  /** Hands the leader the outcomes of its calls. Errors: as `handleOrders`. */
+  takeAnswers(request: AnswerRequest): Promise<RelayAnswers> {
+    return this.#requireRelays().relay.takeAnswers(request, this.raft.describe().term)
+  }
+
   async stop(): Promise<void> {
-    this.#leader?.stop()
-    this.#leader = undefined
+    this.#stopLeading()
     await this.raft.stop()
     await this.#opts.store.close()
   }
@@ -145,6 +163,7 @@
   #stopLeading(): void {
     this.#leader?.stop()
     this.#leader = undefined
+    this.#opts.relays?.closeLeaderPort()
   }
 
   /** Starts the leader's work once all that was committed in earlier terms is applied. */
@@ -157,7 +176,7 @@
       await this.#opts.clock.sleep(retryAfterMs)
       return this.#startLeading(term)
     }
-    const { clock, logger, metrics, port, timings } = this.#opts
+    const { clock, logger, metrics, timings } = this.#opts
     this.#stopLeading()
     this.#leader = new BatchLeader({
       term,
@@ -165,7 +184,7 @@
       logger,
       metrics,
       timings,
-      port,
+      port: this.#openLeaderPort(term),
       jobClock: this.#jobClock,
       getState: () => this.#state,
       propose: (command) => this.raft.propose(encodeCommand(command)),
@@ -173,6 +192,22 @@
     this.#leader.start()
   }
 
+  #openLeaderPort(term: number): UpstreamPort {
+    const { relays, port } = this.#opts
+    if (relays === undefined) return port
+    return relays.openLeaderPort({
+      term,
+      countUpstreams: () =>
+        [...this.#state.upstreams.values()].filter(({ hasLeft }) => !hasLeft).length,
+      listMemberAddresses: () => this.raft.describe().members.map(({ peerAddress }) => peerAddress),
+    })
+  }
+
+  #requireRelays(): RelayService {
+    if (this.#opts.relays !== undefined) return this.#opts.relays
+    throw new NettlespurError('unknown-route', 'this member carries no calls of a leader')
+  }
+
   /** Errors: throws `not-leader`, with the leader's address as the hint if it is known. */
   #requireLeader(): BatchLeader {
     if (this.#leader !== undefined) return this.#leader
--- a/batch/service/src/index.ts
+++ b/batch/service/src/index.ts
@@ -16,8 +16,9 @@
 export { listRunsCutShort } from './listRunsCutShort.js'
 export { BatchNode, type BatchNodeOptions } from './batchNode.js'
 export type { BatchTimings } from './batchTimings.js'
-export { createBatchRouter, type BatchRouter } from './createBatchRouter.js'
+export { createBatchRouter, type BatchRouter, type RelayReceiver } from './createBatchRouter.js'
 export { LeaderClient, type LeaderClientOptions } from './leaderClient.js'
+export { RpcRelayLink, type RpcRelayLinkOptions } from './rpcRelayLink.js'
 export {
   RecordFaultReporter,
   type RecordFault,
--- a/batch/service/src/leaderApi.ts
+++ b/batch/service/src/leaderApi.ts
@@ -11,7 +11,7 @@
 } from '@nettlespur/batch.state'
 import type { Member, RaftNode } from '@nettlespur/consensus.raft'
 import type { Clock } from '@nettlespur/core.clock'
-import { NettlespurError, tryAsync, unwrap } from '@nettlespur/core.errors'
+import { NettlespurError, tryAsync, unwrap, type RpcResult } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import type { EitherAsync } from 'purify-ts'
@@ -150,6 +150,15 @@
     })
   }
 
+  override announceMany(
+    announcements: readonly Announcement[],
+  ): EitherAsync<NettlespurError, RpcResult<null>[]> {
+    return tryAsync(() => {
+      this.#opts.requireLeader()
+      return unwrap(super.announceMany(announcements))
+    })
+  }
+
   override leave(upstreamId: string): EitherAsync<NettlespurError, null> {
     return tryAsync(async () => {
       await this.#opts.requireLeader().leave(upstreamId)
--- a/batch/service/src/leaderClient.ts
+++ b/batch/service/src/leaderClient.ts
@@ -6,9 +6,10 @@
 import type { Announcement, ClusterConfig, JobState } from '@nettlespur/batch.model'
 import type { Evacuation, EvacuationChange } from '@nettlespur/core.evacuations'
 import type { Member } from '@nettlespur/consensus.raft'
-import type { NettlespurError } from '@nettlespur/core.errors'
+import type { NettlespurError, RpcResult } from '@nettlespur/core.errors'
 import { limitCall } from '@nettlespur/rpc.peer'
 import type { EitherAsync } from 'purify-ts'
+import { AnnouncementBatches } from './announcementBatches.js'
 import { BatchApi, type JobCall, type QueueCall, type SubmitCall } from './batchApi.js'
 import { CallLog } from './callLog.js'
 import type { CallerWait } from './callerWait.js'
@@ -23,13 +24,18 @@
  */
 const announcePatienceMs = 200
 
-export type LeaderClientOptions = Omit<OperationRunnerOptions, 'finder' | 'log'>
+export interface LeaderClientOptions extends Omit<OperationRunnerOptions, 'finder' | 'log'> {
+  /** Whether announcements are passed on in batches now; never by default. */
+  batchesAnnouncements?: () => boolean
+}
 
 export class LeaderClient extends BatchApi {
   readonly #finder: LeaderFinder
   readonly #log: CallLog
   readonly #watch: LeaderWatch
   readonly #runner: OperationRunner
+  readonly #batches: AnnouncementBatches
+  readonly #batchesAnnouncements: () => boolean
 
   constructor(opts: LeaderClientOptions) {
     super()
@@ -37,6 +43,11 @@
     this.#log = new CallLog(opts)
     this.#watch = new LeaderWatch(opts, this.#finder)
     this.#runner = new OperationRunner({ ...opts, finder: this.#finder, log: this.#log })
+    this.#batchesAnnouncements = opts.batchesAnnouncements ?? (() => false)
+    this.#batches = new AnnouncementBatches({
+      ...opts,
+      send: (announcements) => this.announceMany(announcements),
+    })
   }
 
   /** The peer address of the presumed leader; undefined if none is known. */
@@ -172,6 +183,7 @@
   }
 
   override announce(input: Announcement): EitherAsync<NettlespurError, null> {
+    if (this.#batchesAnnouncements()) return this.#batches.announce(input)
     return this.#runner.run({
       name: 'announce',
       subject: input.upstreamId,
@@ -182,6 +194,19 @@
     })
   }
 
+  override announceMany(
+    announcements: readonly Announcement[],
+  ): EitherAsync<NettlespurError, RpcResult<null>[]> {
+    return this.#runner.run({
+      name: 'announce-many',
+      subject: `${announcements.length} upstreams`,
+      kind: 'repeated',
+      patienceMs: announcePatienceMs,
+      remote: (calls) => calls.announceMany.mutate([...announcements]),
+      local: (api) => api.announceMany(announcements),
+    })
+  }
+
   override leave(upstreamId: string): EitherAsync<NettlespurError, null> {
     return this.#runner.run({
       name: 'leave',
--- a/settings/schemas/src/batchSettings.ts
+++ b/settings/schemas/src/batchSettings.ts
@@ -39,6 +39,11 @@
   announceEveryMs: z.int().positive(),
   /** The longest lease that upstreams grant. */
   leaseMsMax: z.int().positive(),
+  /**
+   * From this number of upstreams on, members that do not lead carry the leader's calls to upstreams and take their
+   * announcements. Never if left out.
+   */
+  relayFromUpstreams: z.int().positive().optional(),
   /** How long an ended job is still shown. */
   keepEndedMs: z.int().positive(),
 })
