--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -168,23 +168,25 @@
 
   /** Starts the leader's work once all that was committed in earlier terms is applied. */
   async #startLeading(term: number): Promise<void> {
+    if (!this.#leadsIn(term)) return
+    // Opened before the barrier, so that the relays have answered when the upstreams are asked.
+    const port = this.#openLeaderPort(term)
     const ready = await this.raft.readBarrier().run()
-    const { role, term: nowTerm } = this.raft.describe()
-    if (role !== 'leader' || nowTerm !== term) return
+    if (!this.#leadsIn(term)) return
     if (ready.isLeft()) {
       this.#opts.logger.warn({ event: 'leader.not-ready', term, reason: String(ready.extract()) })
       await this.#opts.clock.sleep(retryAfterMs)
       return this.#startLeading(term)
     }
     const { clock, logger, metrics, timings } = this.#opts
-    this.#stopLeading()
+    this.#leader?.stop()
     this.#leader = new BatchLeader({
       term,
       clock,
       logger,
       metrics,
       timings,
-      port: this.#openLeaderPort(term),
+      port,
       jobClock: this.#jobClock,
       getState: () => this.#state,
       propose: (command) => this.raft.propose(encodeCommand(command)),
@@ -192,6 +194,11 @@
     this.#leader.start()
   }
 
+  #leadsIn(term: number): boolean {
+    const { role, term: nowTerm } = this.raft.describe()
+    return role === 'leader' && nowTerm === term
+  }
+
   #openLeaderPort(term: number): UpstreamPort {
     const { relays, port } = this.#opts
     if (relays === undefined) return port
