--- a/batch/relays/src/relayMembers.ts
+++ b/batch/relays/src/relayMembers.ts
@@ -35,6 +35,8 @@
 export class RelayMembers {
   readonly #opts: RelayMembersOptions
   readonly #watched = new Map<string, WatchedMember>()
+  /** Addresses of the members that may serve: those watched besides only have calls in progress. */
+  #wanted: ReadonlySet<string> = new Set()
   #isRelaying = false
   #callCount = 0
 
@@ -56,8 +58,10 @@
   /** Peer addresses of the members that serve upstreams, this one included; empty while no relays are used. */
   get servingAddresses(): readonly string[] {
     if (!this.#isRelaying) return []
-    const others = [...this.#watched.values()].filter(({ member }) => member.isServing)
-    return [this.#opts.ownAddress, ...others.map(({ member }) => member.address)]
+    const others = [...this.#wanted].filter(
+      (address) => this.#watched.get(address)?.member.isServing === true,
+    )
+    return [this.#opts.ownAddress, ...others]
   }
 
   /** Returns the relay that the upstream is assigned to; undefined if this member calls it itself. */
@@ -80,6 +84,7 @@
     const { leadership, ownAddress } = this.#opts
     const wanted = new Set(this.#isRelaying ? leadership.listMemberAddresses() : [])
     wanted.delete(ownAddress)
+    this.#wanted = wanted
     for (const address of wanted) if (!this.#watched.has(address)) this.#watch(address)
     for (const [address, { member, leaving }] of this.#watched) {
       member.checkSilence()
--- a/batch/service/__utils__/relayedPort.ts
+++ b/batch/service/__utils__/relayedPort.ts
@@ -54,6 +54,8 @@
   term?: number
   relayFromUpstreams?: number
   countUpstreams?: () => number
+  /** Both relays by default. */
+  listRelays?: () => readonly string[]
 }
 
 /** The port of a leader, with the relays taken in already if they are used. */
@@ -75,7 +77,7 @@
       leadership: {
         term,
         countUpstreams: opts.countUpstreams ?? (() => 10),
-        listMemberAddresses: () => [leaderAddress, ...relayAddresses],
+        listMemberAddresses: () => [leaderAddress, ...(opts.listRelays?.() ?? relayAddresses)],
       },
     })
   const port = open(opts.term ?? 1)
--- a/batch/service/test/relayFailures.test.ts
+++ b/batch/service/test/relayFailures.test.ts
@@ -196,6 +196,22 @@
   t.is(call.settledAtMs, begunAtMs + timeoutMs)
 })
 
+test('a member that leaves the group gets no more calls, and those in progress still have their outcomes', async (t) => {
+  let relays: readonly string[] = relayAddresses
+  const { clock, port, link } = await startRelayedPort({ listRelays: () => relays })
+  const to = findUpstreamOf(relay)
+  const poll = watchCall(clock, port.hold(to, pollOrder, pollTimeoutMs))
+  await clock.advance(100)
+  relays = [otherRelay]
+  await clock.advance(300)
+  t.false(port.servingAddresses.includes(relay))
+  link.orderedAddresses.length = 0
+  const start = watchCall(clock, port.start(to, createStart(), timeoutMs))
+  await clock.advance(2000)
+  t.deepEqual([poll.result, start.result], ['held', 'started'])
+  t.false(link.orderedAddresses.includes(relay))
+})
+
 test('a port whose leadership has ended sends nothing more to relays, and reports queued orders as never sent', async (t) => {
   const { clock, port, link, upstreams } = await startRelayedPort()
   const to = findUpstreamOf(relay)
