--- a/batch/service/src/processSuccession.ts
+++ b/batch/service/src/processSuccession.ts
@@ -9,6 +9,8 @@
 export class ProcessSuccession {
   /** The successor of each replaced process, by upstream id. A successor has none itself. */
   readonly #successors = new Map<string, string>()
+  /** The values of `#successors`, since most upstreams have replaced no process. */
+  #successorIds: ReadonlySet<string> = new Set()
 
   /** Replaced processes that have not been forgotten, by upstream id. */
   get replacedIds(): Iterable<string> {
@@ -21,10 +23,11 @@
       if (knownId === upstreamId) this.#successors.set(formerId, successorId)
     }
     this.#successors.set(upstreamId, successorId)
+    this.#successorIds = new Set(this.#successors.values())
   }
 
   forget(upstreamId: string): void {
-    this.#successors.delete(upstreamId)
+    if (this.#successors.delete(upstreamId)) this.#successorIds = new Set(this.#successors.values())
   }
 
   isReplaced(upstreamId: string): boolean {
@@ -40,10 +43,10 @@
   listPlacements(index: PlacementIndex, upstreamId: string): ReadonlyMap<string, Placement> {
     if (this.#successors.size === 0) return index.getByUpstream(upstreamId)
     if (this.isReplaced(upstreamId)) return noPlacements
+    if (!this.#successorIds.has(upstreamId)) return index.getByUpstream(upstreamId)
     const formerIds = [...this.#successors].flatMap(([formerId, successorId]) =>
       successorId === upstreamId ? [formerId] : [],
     )
-    if (formerIds.length === 0) return index.getByUpstream(upstreamId)
     return new Map([upstreamId, ...formerIds].flatMap((id) => [...index.getByUpstream(id)]))
   }
 }
