--- a/batch/service/__utils__/fleetOptions.ts
+++ b/batch/service/__utils__/fleetOptions.ts
@@ -5,6 +5,7 @@
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import type { UpstreamSpeedsMode } from '../src/index.js'
 import type { EvacuationOrderPlan } from './evacuationOperator.js'
+import type { RelayFault } from './simulatedRelayLink.js'
 import type { LinkFault } from './faultyPort.js'
 
 export type FleetFault =
@@ -19,6 +20,8 @@
   /** The former leader goes on working for `zombieMs`. */
   | { kind: 'new-leader'; zombieMs: number }
   | { kind: 'cancel'; job: number }
+  /** One of the relays, if there are any, fails for `forMs`. */
+  | { kind: 'relay'; relay: number; fault: RelayFault; forMs: number }
   | ({ kind: 'evacuate' } & EvacuationOrderPlan)
 
 export interface FakeFleetOptions {
@@ -53,6 +56,8 @@
   failsProposal?: (command: Command) => boolean
   /** The leaders' metrics; discarded by default. */
   metrics?: MetricsRegistry
+  /** Number of upstreams from which the leaders use relays; never by default. */
+  relayFromUpstreams?: number
   /** The leaders' logger; their lines are discarded by default. */
   logger?: Logger
 }
--- a/settings/schemas/src/batchSettings.ts
+++ b/settings/schemas/src/batchSettings.ts
@@ -39,17 +39,13 @@
   announceEveryMs: z.int().positive(),
   /** The longest lease that upstreams grant. */
   leaseMsMax: z.int().positive(),
-  /**
-   * What a refused connection to the address of an upstream means: `gone`, its process has ended, as it listens for as long
-   * as it lives; `unknown`, nothing, as something in between may refuse connections in its place.
-   */
-  refusedConnections: z.enum(['gone', 'unknown']).default('unknown'),
+  /** What it means that an upstream refuses a connection: its process is `gone`, or (if left out) nothing. */
+  refusedConnections: z.enum(['gone', 'unknown']).optional(),
+  /** From this number of upstreams on, other members carry the leader's calls and take announcements; else never. */
+  relayFromUpstreams: z.int().positive().optional(),
   /** How long an ended job is still shown. */
   keepEndedMs: z.int().positive(),
-  /**
-   * Whether the leader learns how fast each upstream works, from the progress of what runs there, and places work by it;
-   * `ignore` if left out. Earlier builds cannot read what it commits with `learn`.
-   */
+  /** Whether the leader learns how fast upstreams work, and places by it. Earlier builds cannot read what it commits. */
   upstreamSpeeds: z.enum(['learn', 'ignore']).optional(),
 })
 export type BatchControlSettings = z.infer<typeof batchControlSettingsSchema>
