--- a/batch/scheduler/src/speedDecisions.ts
+++ b/batch/scheduler/src/speedDecisions.ts
@@ -25,6 +25,6 @@
   readonly pools: readonly GradedPool[]
   /** Units placed in pools that call for placement by speed. */
   readonly choices: readonly SpeedChoice[]
-  /** Units that are left waiting because only upstreams that are too slow for them have room. */
+  /** Units that are left waiting, and for now take only upstreams that are not too slow for them. */
   readonly held: readonly UnitRef[]
 }
