feat(scheduler): partial evidence of speeds counts in pools that are placed by speed

Change: once a pool is placed by speed, the two bounds of each upstream come from its distribution as it stands, which includes how uncertain it is.

--- a/batch/scheduler/src/poolSpeeds.ts
+++ b/batch/scheduler/src/poolSpeeds.ts
@@ -60,12 +60,12 @@
   }
 }
 
-/** Whether the upstream is fast enough for a unit that needs the speed; false if its speed is not known. */
+/** Whether the upstream is fast enough for a unit that needs the speed; false if the pool is not placed by speed. */
 export function isFastEnough({ speedRange }: UpstreamAllocation, neededSpeed: number): boolean {
   return speedRange !== undefined && neededSpeed <= speedRange.surely
 }
 
-/** Whether the upstream is too slow for a unit that needs the speed; false if its speed is not known. */
+/** Whether the upstream is too slow for a unit that needs the speed; false if the pool is not placed by speed. */
 export function isTooSlow({ speedRange }: UpstreamAllocation, neededSpeed: number): boolean {
   return speedRange !== undefined && neededSpeed > speedRange.possibly
 }
--- a/batch/scheduler/src/roundAllocations.ts
+++ b/batch/scheduler/src/roundAllocations.ts
@@ -45,7 +45,6 @@
   /** Takes what is known of the upstream's speed into account from now on. */
   applySpeed(): void {
     const { speed } = this.view
-    if (!speed.isKnown) return
     this.expectedSpeed = speed.mean
     this.speedRange = getSpeedRange(speed)
   }
