feat: the policy bench plays rosters and builds

Cause: the bench has no deployment with upstreams of very different speed, waves of demand, stops that take long or workspaces of different size. The worst data centre is not weighed.

--- a/bench/policy/src/boundEarnings.ts
+++ b/bench/policy/src/boundEarnings.ts
@@ -11,7 +11,7 @@
  * those before it.
  */
 import type { Resources } from '@nettlespur/batch.model'
-import { finishMs, type CrowdedDay, type DayJob } from './crowdedDay.js'
+import type { CrowdedDay, DayJob } from './crowdedDay.js'
 import { isWithin } from './dayTroubles.js'
 import { lateLimitTimes, measureObjectiveMs } from './sumEarnings.js'
 import { WorkSlots, type Work } from './workSlots.js'
@@ -56,7 +56,7 @@
   constructor(day: CrowdedDay, resource: keyof Resources) {
     this.#day = day
     this.#resource = resource
-    this.#slotCount = Math.ceil((day.lengthMs + finishMs) / slotMs)
+    this.#slotCount = Math.ceil((day.lengthMs + day.finishMs) / slotMs)
     this.#room = [...this.#listRoom(false), ...this.#listRoom(true)]
   }
 
--- a/bench/policy/src/createPlayedRun.ts
+++ b/bench/policy/src/createPlayedRun.ts
@@ -2,11 +2,9 @@
 import { createRunTrack } from '@nettlespur/batch.sessions'
 import { isSuspectTask, type BatchState, type Placement } from '@nettlespur/batch.state'
 import type { SeededRandom } from '@nettlespur/bench.placement'
-import type { CrowdedDay, DayJob } from './crowdedDay.js'
+import { orderMs, type CrowdedDay, type DayJob } from './crowdedDay.js'
 import { isFailing, type PlayedRun } from './playedRun.js'
 
-/** From a placement to the task at work, and from a stop to its end: a commit, a call, an answer. */
-export const orderMs = 40
 /** On an upstream that fails what it starts. */
 const failsAfterMs = 200
 const wholePercent = 100
@@ -27,12 +25,13 @@
   const { jobId, step, index, upstreamId } = placement
   const checkpoint = state.jobs.get(jobId)?.steps[step]?.tasks[index]?.checkpoint ?? ''
   const resumedAt = checkpoint === '' ? 0 : Math.min(1, Number(checkpoint))
-  const lengthMs = Math.max(1, (job?.runTimesMs[step] ?? 0) * times)
+  const taskTimes = job?.taskTimes?.[step]?.[index] ?? 1
+  const lengthMs = Math.max(1, (job?.runTimesMs[step] ?? 0) * taskTimes * times)
   const doneMs = resumedAt * lengthMs
   const isDoomed = isFailing(day.troubles, upstreamId, nowMs)
-  const fails = isDoomed || random.chance(job?.kind.failingShare ?? 0)
+  const fails = isDoomed || random.chance(measureFailingShare(job, step))
   const failsAtMs = doneMs + (isDoomed ? failsAfterMs : random.next() * (lengthMs - doneMs))
-  const startsAtMs = nowMs + orderMs
+  const startsAtMs = nowMs + orderMs + (checkpoint === '' ? 0 : day.restoreMs)
   const record = state.jobs.get(jobId)
   const isOnTrial = record !== undefined && isSuspectTask(record, placement)
   const track = createRunTrack({
@@ -56,3 +55,12 @@
     track,
   }
 }
+
+/** The chance that one run fails by its own fault. */
+function measureFailingShare(job: DayJob | undefined, step: number): number {
+  if (job === undefined) return 0
+  const { failingShare, failsAsGang } = job.kind
+  const { isGang, taskCount } = job.request.steps[step] ?? { isGang: false, taskCount: 1 }
+  if (!isGang || failsAsGang !== true) return failingShare
+  return 1 - (1 - failingShare) ** (1 / taskCount)
+}
--- a/bench/policy/src/crowdedDay.ts
+++ b/bench/policy/src/crowdedDay.ts
@@ -1,30 +1,31 @@
 /** A crowded day of one deployment from a seed; it is the same for every policy. */
-import type {
-  ClusterConfig,
-  JobRequest,
-  Resources,
-  StepSpec,
-  UpstreamDescription,
-} from '@nettlespur/batch.model'
-import { countFitting } from '@nettlespur/batch.scheduler'
+import type { ClusterConfig, JobRequest, UpstreamDescription } from '@nettlespur/batch.model'
 import { SeededRandom } from '@nettlespur/bench.placement'
+import { createDayJob } from './createDayJob.js'
 import {
   drawCrashingJobs,
+  drawFlaps,
+  drawPaces,
   drawTroubles,
   noTroubles,
   type DayTroubles,
   type Span,
 } from './dayTroubles.js'
 import type { Goal } from './goal.js'
-import { acceleratorsPerUpstream, type Deployment, type JobKind } from './deployment.js'
+import { DemandCurve } from './demandCurve.js'
+import { acceleratorsPerUpstream, type Deployment } from './deployment.js'
+import type { JobKind } from './jobKind.js'
+import { listWorkspaces } from './workspaces.js'
 
 export interface DayJob {
   readonly kind: JobKind
   readonly workspace: string
   readonly arriveMs: number
   readonly request: JobRequest
-  /** What a task of each step takes in the right place. */
+  /** What the tasks of each step take in the right place; where they differ, the longest. */
   readonly runTimesMs: readonly number[]
+  /** What each task of each step takes as a share of `runTimesMs`; all the same by default. */
+  readonly taskTimes?: readonly (readonly number[])[]
   /** What it earns in time. */
   readonly value: number
 }
@@ -51,36 +52,40 @@
   readonly evacuations: readonly DayEvacuation[]
   readonly troubles: DayTroubles
   readonly lengthMs: number
+  /** After the last arrival jobs have this long to end. */
+  readonly finishMs: number
+  /** Ends once all jobs have ended. */
+  readonly endsEarly: boolean
+  /** From the order to stop a run to its end. */
+  readonly stopMs: number
+  readonly checkpointMs: number
+  /** What resuming from a checkpoint takes. */
+  readonly restoreMs: number
   readonly goal: Goal
 }
 
 /** About the length of an hour's peak as its users replay it. */
 const lengthMs = 34_000
-/** After the last arrival jobs have this long to end. */
-export const finishMs = 14_000
+const usualFinishMs = 14_000
+/** From a placement to the task at work, and from a stop to its end: a commit, a call, an answer. */
+export const orderMs = 40
+const usualCheckpointMs = 2000
 const burstMs = 5000
 const burstTimes = 2
 const lossesPerDay = 2
 /** The guarantees of all workspaces together, as a share of all accelerators. */
 const guaranteedShare = 0.62
-const taskCountSpread = 0.8
-/** A job's worth: a part for each job, the rest by its work, at most this many times the mean. */
-const flatValue = 0.3
-const workValue = 0.7
-const valueTimesMax = 4
+/** Before their ends at short notice upstreams say so. */
+const leavingNoticeMs = 5500
 
-/** `burstKind` comes more often for some seconds; the rest of the day is the same without it. */
 export function createCrowdedDay(deployment: Deployment, seed: number): CrowdedDay {
   const random = new SeededRandom(seed)
-  const burstKind = random.pick(deployment.kinds.map((kind) => [kind, 1] as const))
-  const burstAtMs = random.between(burstMs, lengthMs - 2 * burstMs)
-  const jobs = deployment.kinds.flatMap((kind) => {
-    const inBurst = (atMs: number): boolean =>
-      kind === burstKind && atMs >= burstAtMs && atMs < burstAtMs + burstMs
-    return listArrivals(random, kind, inBurst).map((arriveMs, at) =>
+  const listArrivals = drawArrivals(random, deployment)
+  const jobs = deployment.kinds.flatMap((kind) =>
+    listArrivals(kind).map((arriveMs, at) =>
       createDayJob(random, { deployment, kind, arriveMs, jobId: `${kind.name}-${at}` }),
-    )
-  })
+    ),
+  )
   const upstreams = createUpstreams(deployment)
   const losses = Array.from({ length: lossesPerDay }, () => ({
     upstreamId: random.pick(upstreams.map(({ upstreamId }) => [upstreamId, 1] as const)),
@@ -93,22 +98,61 @@
     jobs: byArrival,
     losses,
     evacuations: [],
-    troubles: noTroubles,
+    troubles: { ...noTroubles, paces: drawOwnPaces(deployment, upstreams, seed) },
     lengthMs,
+    finishMs: deployment.finishMs ?? usualFinishMs,
+    endsEarly: deployment.finishMs !== undefined,
+    stopMs: deployment.stopMs ?? orderMs,
+    checkpointMs: deployment.checkpointMs ?? usualCheckpointMs,
+    restoreMs: deployment.restoreMs ?? 0,
     goal: deployment.goal,
   }
 }
 
+/** Empty unless the deployment says how fast its upstreams are. */
+function drawOwnPaces(
+  { paces }: Deployment,
+  upstreams: readonly UpstreamDescription[],
+  seed: number,
+): ReadonlyMap<string, number> {
+  if (paces === undefined) return noTroubles.paces
+  const upstreamIds = upstreams.map(({ upstreamId }) => upstreamId)
+  return drawPaces(new SeededRandom(~seed * 7), upstreamIds, paces)
+}
+
 /** The same crowd, and upstreams that fail, hang or turn slow, seconds without a leader, and cancelled jobs. */
 export function createTroubledDay(deployment: Deployment, seed: number): CrowdedDay {
   const day = createCrowdedDay(deployment, seed)
-  const troubles = drawTroubles(new SeededRandom(~seed), {
+  const drawing = {
     upstreamIds: day.upstreams.map(({ upstreamId }) => upstreamId),
     jobIds: day.jobs.map(({ request }) => request.jobId),
     lengthMs,
-  })
-  const { paces } = deployment.isPaceUniform === true ? noTroubles : troubles
-  return { ...day, troubles: { ...troubles, paces } }
+    shares: deployment.upstreamTroubles,
+  }
+  const troubles = drawTroubles(new SeededRandom(~seed), drawing)
+  const { paces } = hasOwnPaces(deployment) ? day.troubles : troubles
+  const troubled = { ...day, troubles: { ...troubles, paces } }
+  if (drawing.shares === undefined) return troubled
+  const random = new SeededRandom(~seed * 11)
+  const flaps = drawFlaps(random, drawing)
+  const leaving = drawLeaving(random, drawing.upstreamIds, drawing.shares.leaving)
+  return {
+    ...troubled,
+    troubles: { ...troubled.troubles, flaps },
+    losses: [...day.losses, ...leaving],
+  }
+}
+
+function hasOwnPaces({ isPaceUniform, paces }: Deployment): boolean {
+  return isPaceUniform === true || paces !== undefined
+}
+
+/** They leave at the same moment, having said so. */
+function drawLeaving(random: SeededRandom, upstreamIds: readonly string[], share: number): Loss[] {
+  const atMs = random.between(leavingNoticeMs, lengthMs)
+  return upstreamIds
+    .filter(() => random.chance(share))
+    .map((upstreamId) => ({ upstreamId, atMs, noticeMs: leavingNoticeMs }))
 }
 
 /** A troubled day on which some jobs bring down each upstream that starts one of their tasks. */
@@ -119,7 +163,25 @@
   return { ...day, troubles: { ...day.troubles, crashingJobs } }
 }
 
-function listArrivals(
+/** Returns the arrivals of a kind. */
+type ListArrivals = (kind: JobKind) => number[]
+
+/** By default one kind, which is drawn, comes more often for some seconds; the rest of the day is the same without it. */
+function drawArrivals(random: SeededRandom, { kinds, demand }: Deployment): ListArrivals {
+  if (demand !== undefined) {
+    const curve = new DemandCurve(random, { ...demand, lengthMs })
+    return (kind) => curve.listArrivals(random, kind, lengthMs)
+  }
+  const burstKind = random.pick(kinds.map((kind) => [kind, 1] as const))
+  const burstAtMs = random.between(burstMs, lengthMs - 2 * burstMs)
+  return (kind) => {
+    const inBurst = (atMs: number): boolean =>
+      kind === burstKind && atMs >= burstAtMs && atMs < burstAtMs + burstMs
+    return listEvenArrivals(random, kind, inBurst)
+  }
+}
+
+function listEvenArrivals(
   random: SeededRandom,
   { jobsPerSecond }: JobKind,
   inBurst: (atMs: number) => boolean,
@@ -133,71 +195,6 @@
   return arrivals
 }
 
-interface DayJobOptions {
-  deployment: Deployment
-  kind: JobKind
-  arriveMs: number
-  jobId: string
-}
-
-function createDayJob(random: SeededRandom, opts: DayJobOptions): DayJob {
-  const { deployment, kind, arriveMs, jobId } = opts
-  const { runTime } = kind
-  const runTimeMs = Math.min(runTime.maxMs, drawAround(random, runTime.meanMs, runTime.spread))
-  const drawn = Math.round(drawAround(random, kind.tasks.mean, taskCountSpread))
-  const taskCount = Math.min(kind.tasks.max, Math.max(1, drawn))
-  const accelerators = random.pick(kind.accelerators.map((count) => [count, 1] as const))
-  const declared = drawAround(random, runTimeMs, kind.declaredSpread)
-  const { cpuMillicores, memoryMiB } = kind
-  const needs = { cpuMillicores, memoryMiB, accelerators }
-  const step: StepSpec = {
-    taskCount,
-    needs,
-    expectedRunTimeMs: Math.round(declared),
-    dependsOn: [],
-    isGang: kind.isGang,
-    prefersOneRack:
-      random.chance(kind.oneRackShare) &&
-      (deployment.isOneRackPossible !== true || canRackHold(deployment, taskCount, needs)),
-    checkpoints: random.chance(kind.checkpointShare),
-  }
-  const hasSecond = random.chance(kind.secondStepShare)
-  const steps = hasSecond ? [step, { ...step, dependsOn: [0] }] : [step]
-  const work = steps.length * taskCount * runTimeMs * accelerators
-  return {
-    kind,
-    arriveMs,
-    runTimesMs: steps.map(() => runTimeMs),
-    workspace: nameWorkspace(Math.floor(random.next() * deployment.workspaceCount)),
-    request: { jobId, payload: '', steps },
-    value: kind.worth * Math.min(valueTimesMax, flatValue + (workValue * work) / meanWork(kind)),
-  }
-}
-
-function canRackHold(
-  { cpuMillicores, memoryMiB, upstreamsPerRack }: Deployment,
-  taskCount: number,
-  needs: Resources,
-): boolean {
-  const capacity = { cpuMillicores, memoryMiB, accelerators: acceleratorsPerUpstream }
-  return countFitting(capacity, needs) * upstreamsPerRack >= taskCount
-}
-
-function meanWork(kind: JobKind): number {
-  const accelerators = kind.accelerators.reduce((sum, count) => sum + count, 0)
-  const perTask = (kind.runTime.meanMs * accelerators) / kind.accelerators.length
-  return (1 + kind.secondStepShare) * kind.tasks.mean * perTask
-}
-
-/** Log-normal around this mean. */
-function drawAround(random: SeededRandom, mean: number, spread: number): number {
-  return random.logNormal(mean * Math.exp(-(spread ** 2) / 2), spread)
-}
-
-function nameWorkspace(at: number): string {
-  return `workspace-${at}`
-}
-
 export function nameDataCentre(at: number): string {
   return `centre-${at}`
 }
@@ -224,16 +221,17 @@
   }))
 }
 
-function createConfig({ kinds, workspaceCount, upstreamCount }: Deployment): ClusterConfig {
+function createConfig(deployment: Deployment): ClusterConfig {
+  const { kinds, upstreamCount } = deployment
   const guaranteed = guaranteedShare * upstreamCount * acceleratorsPerUpstream
   return {
     version: 1,
     source: '',
     pools: [{ name: 'pool', connectionsMax: 64, guardsCapacity: true }],
-    workspaces: Array.from({ length: workspaceCount }, (_, at) => ({
-      name: nameWorkspace(at),
+    workspaces: listWorkspaces(deployment).map(([name, share]) => ({
+      name,
       keys: [],
-      guaranteedAccelerators: Math.floor(guaranteed / workspaceCount),
+      guaranteedAccelerators: Math.floor(guaranteed * share),
     })),
     queues: kinds.map(({ name, priority, stretch, targetLatencyMs }) => ({
       name,
--- a/bench/policy/src/dayTroubles.ts
+++ b/bench/policy/src/dayTroubles.ts
@@ -14,10 +14,27 @@
   readonly upstreamIds: ReadonlySet<string>
 }
 
+/** Shares of the upstreams that a trouble of each kind strikes on a troubled day. */
+export interface UpstreamTroubleShares extends Readonly<Record<UpstreamTroubleKind, number>> {
+  /** Down and up by turns; a new process comes up each time. */
+  readonly flapping: number
+  /** Lost after short notice. */
+  readonly leaving: number
+}
+
+/** From `atMs` to `upAtMs` a process is dead; then a new one comes up at its address. */
+export interface Flap {
+  readonly upstreamId: string
+  readonly atMs: number
+  readonly upAtMs: number
+}
+
 export interface DayTroubles {
   /** How fast each upstream works, against the usual. */
   readonly paces: ReadonlyMap<string, number>
   readonly upstreams: readonly UpstreamTrouble[]
+  /** In order of time. */
+  readonly flaps: readonly Flap[]
   /** Nobody leads: nothing is decided, and no end is taken in. */
   readonly leaderless: readonly Span[]
   /** After how long jobs are cancelled, by their ids. */
@@ -30,15 +47,20 @@
   upstreamIds: readonly string[]
   jobIds: readonly string[]
   lengthMs: number
+  /** The usual shares by default; nothing flaps or leaves then. */
+  shares?: UpstreamTroubleShares | undefined
 }
 
 const paces = [0.8, 1, 1.25]
 const troubleChance = 0.5
 const troubleMs = 6000
-const upstreamShares: Readonly<Record<UpstreamTroubleKind, number>> = {
+const flapTurnMs = 1000
+const usualShares: UpstreamTroubleShares = {
   failing: 0.085,
   hanging: 0.1,
   slow: 0.17,
+  flapping: 0,
+  leaving: 0,
 }
 const kinds: readonly UpstreamTroubleKind[] = ['failing', 'hanging', 'slow']
 const leaderlessMs = { least: 1500, most: 4000 }
@@ -47,14 +69,12 @@
 const cancelMs = { least: 500, most: 8000 }
 
 export function drawTroubles(random: SeededRandom, opts: DrawTroublesOptions): DayTroubles {
-  const { upstreamIds, jobIds, lengthMs } = opts
-  const pick = <T>(choices: readonly T[]): T =>
-    random.pick(choices.map((choice) => [choice, 1] as const))
-  const paceOf = new Map(upstreamIds.map((upstreamId) => [upstreamId, pick(paces)]))
+  const { upstreamIds, jobIds, lengthMs, shares = usualShares } = opts
+  const paceOf = drawPaces(random, upstreamIds, paces)
   const upstreams = kinds.flatMap((kind): UpstreamTrouble[] => {
     if (!random.chance(troubleChance)) return []
     const fromMs = random.between(0, lengthMs)
-    const ids = upstreamIds.filter(() => random.chance(upstreamShares[kind]))
+    const ids = upstreamIds.filter(() => random.chance(shares[kind]))
     return [{ kind, upstreamIds: new Set(ids), fromMs, toMs: fromMs + troubleMs }]
   })
   const fromMs = random.between(0, lengthMs)
@@ -66,12 +86,36 @@
   return {
     paces: paceOf,
     upstreams,
+    flaps: [],
     leaderless: random.chance(troubleChance) ? [{ fromMs, toMs }] : [],
     cancelAfterMs,
     crashingJobs: new Set(),
   }
 }
 
+/** One of `choices` for each upstream. */
+export function drawPaces(
+  random: SeededRandom,
+  upstreamIds: readonly string[],
+  choices: readonly number[],
+): Map<string, number> {
+  const weighted = choices.map((choice) => [choice, 1] as const)
+  return new Map(upstreamIds.map((upstreamId) => [upstreamId, random.pick(weighted)]))
+}
+
+/** Some upstreams flap from a random moment on, all at the same time. */
+export function drawFlaps(
+  random: SeededRandom,
+  { upstreamIds, lengthMs, shares = usualShares }: DrawTroublesOptions,
+): Flap[] {
+  const fromMs = random.between(0, lengthMs - troubleMs)
+  const ids = upstreamIds.filter(() => random.chance(shares.flapping))
+  const turns = troubleMs / (2 * flapTurnMs)
+  return Array.from({ length: turns }, (_, turn) => fromMs + 2 * turn * flapTurnMs).flatMap(
+    (atMs) => ids.map((upstreamId) => ({ upstreamId, atMs, upAtMs: atMs + flapTurnMs })),
+  )
+}
+
 /** Jobs whose tasks crash their upstreams. */
 export function drawCrashingJobs(
   random: SeededRandom,
@@ -84,6 +128,7 @@
 export const noTroubles: DayTroubles = {
   paces: new Map(),
   upstreams: [],
+  flaps: [],
   leaderless: [],
   cancelAfterMs: new Map(),
   crashingJobs: new Set(),
--- a/bench/policy/src/deployment.ts
+++ b/bench/policy/src/deployment.ts
@@ -1,32 +1,11 @@
-/** Deployments as their users describe them: upstreams, kinds of job, how often they come, and what counts. */
+/**
+ * Deployments as their users describe them: upstreams, kinds of job, how often they come, and what counts. Those under
+ * hard load are in `hardDeployments.ts`.
+ */
+import type { UpstreamTroubleShares } from './dayTroubles.js'
+import type { Burst, Waves } from './demandCurve.js'
 import { crewsGoal, depotsGoal, officesGoal, type Goal } from './goal.js'
-
-/** One kind of job. Spreads are standard deviations of the logarithm. */
-export interface JobKind {
-  readonly name: string
-  readonly priority: number
-  readonly jobsPerSecond: number
-  /** What a job of mean size earns in time, and when it is late. */
-  readonly worth: number
-  readonly lateWorth: number
-  readonly stretch: number
-  readonly targetLatencyMs: number
-  readonly runTime: { readonly meanMs: number; readonly spread: number; readonly maxMs: number }
-  readonly tasks: { readonly mean: number; readonly max: number }
-  readonly cpuMillicores: number
-  readonly memoryMiB: number
-  /** One is drawn for each job. */
-  readonly accelerators: readonly number[]
-  readonly isGang: boolean
-  /** Shares of jobs that want one rack, that save checkpoints, and that have a second step. */
-  readonly oneRackShare: number
-  readonly checkpointShare: number
-  readonly secondStepShare: number
-  /** Share of runs that fail by their own fault. */
-  readonly failingShare: number
-  /** Declared run times are off by about this share. */
-  readonly declaredSpread: number
-}
+import type { JobKind } from './jobKind.js'
 
 export interface Deployment {
   readonly name: string
@@ -41,6 +20,23 @@
   readonly isOneRackPossible?: boolean
   /** Data centres among which the racks are divided; one by default. */
   readonly dataCentreCount?: number
+  /** One is drawn for each upstream, for all days; by default upstreams differ on troubled days only. */
+  readonly paces?: readonly number[]
+  /** From the order to stop a run to its end; as long as any order by default. */
+  readonly stopMs?: number
+  /** The time within which guaranteed work must start; not known to the scheduler by default. */
+  readonly guaranteedStartMs?: number
+  /** Interval of regular checkpoints, and the time to resume from one. */
+  readonly checkpointMs?: number
+  readonly restoreMs?: number
+  /** Workspaces send jobs and are guaranteed accelerators by `rank ** -workspaceSkew`; all are equal by default. */
+  readonly workspaceSkew?: number
+  /** Demand in waves with these bursts; by default it is even, with one burst of a kind that is drawn. */
+  readonly demand?: { readonly waves: Waves; readonly bursts: readonly Burst[] }
+  /** Troubles of upstreams that replace the usual ones on troubled days. */
+  readonly upstreamTroubles?: UpstreamTroubleShares
+  /** How long jobs may take after the last arrival; the day ends earlier if all have ended. */
+  readonly finishMs?: number
   readonly kinds: readonly JobKind[]
   readonly goal: Goal
 }
--- a/bench/policy/src/goal.ts
+++ b/bench/policy/src/goal.ts
@@ -43,3 +43,22 @@
   servedInNines: 0.35,
   wastePrice: 0.0011,
 }
+
+/** Rosters and builds: the weight of the worst data centre is left out, as jobs of the bench do not belong to one. */
+export const rostersGoal: Goal = {
+  wholeDay: 0.4,
+  worstWindows: 0.1,
+  worstKind: 0.3,
+  worstWorkspace: 0.2,
+  servedInNines: 0,
+  wastePrice: 0.00043,
+}
+
+export const buildsGoal: Goal = {
+  wholeDay: 0.75,
+  worstWindows: 0.15,
+  worstKind: 0.1,
+  worstWorkspace: 0.2,
+  servedInNines: 0,
+  wastePrice: 0.00076,
+}
--- a/bench/policy/src/index.ts
+++ b/bench/policy/src/index.ts
@@ -8,6 +8,7 @@
 } from './crowdedDay.js'
 export { createEvacuatedDay } from './evacuatedDay.js'
 export { cscfba, fsww, growDeployment, shifted, thapa, type Deployment } from './deployment.js'
+export { builds, rosters } from './hardDeployments.js'
 export { createThinnedDay } from './thinnedDay.js'
 export { measurePolicy, type PolicyMeasureOptions } from './measurePolicy.js'
 export { playDay, type DayResult } from './playDay.js'
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -15,10 +15,11 @@
 } from '@nettlespur/batch.service'
 import { BatchState, type RunEnd, type UpstreamRecord } from '@nettlespur/batch.state'
 import { SeededRandom } from '@nettlespur/bench.placement'
-import { finishMs, type CrowdedDay, type DayJob } from './crowdedDay.js'
+import type { CrowdedDay, DayJob } from './crowdedDay.js'
 import { isWithin } from './dayTroubles.js'
 import { HeldUpWatch, type HeldUpSpell } from './heldUpWatch.js'
 import { judgeDay, type DayVerdict, type JobOutcome } from './judgeDay.js'
+import { PlayedProcesses } from './playedProcesses.js'
 import { PlayedRuns } from './playedRuns.js'
 import { earn, sumEarnings, type KindEarnings } from './sumEarnings.js'
 
@@ -57,6 +58,7 @@
   readonly #day: CrowdedDay
   readonly #state = new BatchState()
   readonly #runs: PlayedRuns
+  readonly #processes: PlayedProcesses
   readonly #health = new UpstreamHealth()
   readonly #acceptedAtMs = new Map<string, number>()
   readonly #endedAtMs = new Map<string, number>()
@@ -69,6 +71,8 @@
   constructor(day: CrowdedDay, seed: number) {
     this.#day = day
     this.#runs = new PlayedRuns({ day, random: new SeededRandom(seed), state: this.#state })
+    const { crashes } = this.#runs
+    this.#processes = new PlayedProcesses({ day, crashes, state: this.#state })
     this.#state.apply({ type: 'apply-config', config: day.config })
     for (const description of day.upstreams) {
       this.#state.apply({ type: 'note-upstream', description })
@@ -78,7 +82,9 @@
   play(): DayResult {
     const arrivals = [...this.#day.jobs]
     const losses = [...this.#day.losses].sort((left, right) => left.atMs - right.atMs)
-    for (; this.#nowMs < this.#day.lengthMs + finishMs; this.#nowMs += stepMs) {
+    const { lengthMs, finishMs } = this.#day
+    for (; this.#nowMs < lengthMs + finishMs; this.#nowMs += stepMs) {
+      this.#processes.advance(this.#nowMs)
       this.#runs.advance(this.#nowMs, stepMs)
       if (this.#day.troubles.leaderless.some((span) => isWithin(span, this.#nowMs))) continue
       while ((arrivals[0]?.arriveMs ?? Infinity) <= this.#nowMs) this.#submit(arrivals.shift())
@@ -86,9 +92,11 @@
       while ((losses[0]?.atMs ?? Infinity) <= this.#nowMs) this.#lose(losses.shift()?.upstreamId)
       this.#changeEvacuations()
       this.#cancelDue()
+      this.#processes.replaceRevived(this.#nowMs)
       this.#takeEnds(this.#runs.takeEnds(this.#nowMs))
       const starving = this.#decide()
       this.#heldUp.look(this.#state, this.#runs.listPlacements(), this.#nowMs, starving)
+      if (this.#day.endsEarly && arrivals.length === 0 && this.#state.unsettled.size === 0) break
     }
     return this.#measure()
   }
@@ -105,8 +113,11 @@
     const noticed = this.#day.losses.filter(({ atMs, noticeMs = 0 }) => {
       return noticeMs > 0 && atMs > this.#nowMs && atMs - noticeMs <= this.#nowMs
     })
-    this.#leaving = noticed.map(({ upstreamId, atMs }) => ({ upstreamId, leavesAtMs: atMs }))
-    for (const { upstreamId } of noticed) this.#state.apply({ type: 'drain-upstream', upstreamId })
+    this.#leaving = noticed.map(({ upstreamId, atMs }) => {
+      return { upstreamId: this.#processes.getProcessId(upstreamId), leavesAtMs: atMs }
+    })
+    for (const { upstreamId } of this.#leaving)
+      this.#state.apply({ type: 'drain-upstream', upstreamId })
   }
 
   #changeEvacuations(): void {
@@ -129,8 +140,9 @@
     }
   }
 
-  #lose(upstreamId: string | undefined): void {
-    if (upstreamId === undefined) return
+  #lose(machineId: string | undefined): void {
+    if (machineId === undefined) return
+    const upstreamId = this.#processes.getProcessId(machineId)
     this.#state.apply({ type: 'remove-upstream', upstreamId })
     this.#takeEnds(this.#runs.lose(upstreamId))
   }
--- a/bench/policy/src/playedCrashes.ts
+++ b/bench/policy/src/playedCrashes.ts
@@ -1,4 +1,4 @@
-/** Upstreams that runs have brought down, until their next lives answer: only then is it known what went down there. */
+/** Upstreams that are down, by runs or by themselves, until their next lives answer: only then is it known what went down there. */
 
 /** From the start of a run that crashes its upstream until the crash. */
 const crashAfterMs = 10
@@ -13,8 +13,9 @@
 
 export class PlayedCrashes {
   readonly #revivesAtMs = new Map<string, number>()
-  /** Upstreams that crashed, over the whole day. */
+  /** Upstreams that runs brought down, over the whole day. */
   count = 0
+  hasHappened = false
 
   isDown(upstreamId: string): boolean {
     return this.#revivesAtMs.has(upstreamId)
@@ -23,10 +24,24 @@
   /** To be called for each run as time goes by. */
   look({ upstreamId, startsAtMs, isCrashing }: StartedRun, nowMs: number): void {
     if (!isCrashing || this.isDown(upstreamId) || nowMs < startsAtMs + crashAfterMs) return
-    this.#revivesAtMs.set(upstreamId, nowMs + reviveMs)
+    this.bringDown(upstreamId, nowMs + reviveMs)
     this.count += 1
   }
 
+  bringDown(upstreamId: string, revivesAtMs: number): void {
+    this.#revivesAtMs.set(upstreamId, revivesAtMs)
+    this.hasHappened = true
+  }
+
+  /** To be called for an upstream that is lost for good. */
+  forget(upstreamId: string): void {
+    this.#revivesAtMs.delete(upstreamId)
+  }
+
+  hasRevived(upstreamId: string, nowMs: number): boolean {
+    return (this.#revivesAtMs.get(upstreamId) ?? Infinity) <= nowMs
+  }
+
   /** Upstreams whose next lives answer by now; each is named once. */
   takeRevived(nowMs: number): string[] {
     const revived = [...this.#revivesAtMs].flatMap(([upstreamId, atMs]) =>
--- /dev/null
+++ b/bench/policy/src/playedProcesses.ts
@@ -0,0 +1,65 @@
+/**
+ * Which process runs on each upstream machine: the first one has the machine's id, each one after it a new id at the same
+ * address. A machine gets its next process where it flaps.
+ */
+import type { BatchState } from '@nettlespur/batch.state'
+import type { CrowdedDay } from './crowdedDay.js'
+import type { Flap } from './dayTroubles.js'
+import type { PlayedCrashes } from './playedCrashes.js'
+
+const lifeMark = '~'
+
+export interface PlayedProcessesOptions {
+  day: CrowdedDay
+  crashes: PlayedCrashes
+  state: BatchState
+}
+
+export class PlayedProcesses {
+  readonly #opts: PlayedProcessesOptions
+  readonly #lives = new Map<string, number>()
+  readonly #flaps: Flap[]
+  readonly #flapping: ReadonlySet<string>
+
+  constructor(opts: PlayedProcessesOptions) {
+    this.#opts = opts
+    this.#flaps = [...opts.day.troubles.flaps]
+    this.#flapping = new Set(this.#flaps.map(({ upstreamId }) => upstreamId))
+  }
+
+  getProcessId(machineId: string): string {
+    const life = this.#lives.get(machineId) ?? 0
+    return life === 0 ? machineId : `${machineId}${lifeMark}${life}`
+  }
+
+  /** Brings down what flaps. */
+  advance(nowMs: number): void {
+    for (;;) {
+      const [flap] = this.#flaps
+      if (flap === undefined || flap.atMs > nowMs) return
+      this.#flaps.shift()
+      const upstreamId = this.getProcessId(flap.upstreamId)
+      if (this.#opts.state.upstreams.get(upstreamId)?.hasLeft === true) continue
+      this.#opts.crashes.bringDown(upstreamId, flap.upAtMs)
+    }
+  }
+
+  /** The leader learns of the processes that came up in place of those that went down. */
+  replaceRevived(nowMs: number): void {
+    const { day, crashes, state } = this.#opts
+    for (const machine of day.upstreams) {
+      const machineId = machine.upstreamId
+      const upstreamId = this.getProcessId(machineId)
+      if (!this.#flapping.has(machineId) || !crashes.hasRevived(upstreamId, nowMs)) continue
+      state.apply({ type: 'remove-upstream', upstreamId })
+      this.#lives.set(machineId, (this.#lives.get(machineId) ?? 0) + 1)
+      const description = { ...machine, upstreamId: this.getProcessId(machineId) }
+      state.apply({ type: 'note-upstream', description })
+    }
+  }
+}
+
+/** Returns the machine on which a process runs. */
+export function toMachineId(processId: string): string {
+  return processId.split(lifeMark)[0] ?? processId
+}
--- a/bench/policy/src/playedRun.ts
+++ b/bench/policy/src/playedRun.ts
@@ -2,6 +2,7 @@
 import type { RunTrack } from '@nettlespur/batch.sessions'
 import type { Placement, RunOutcome } from '@nettlespur/batch.state'
 import { isWithin, type DayTroubles } from './dayTroubles.js'
+import { toMachineId } from './playedProcesses.js'
 
 const slowTimes = 6.5
 
@@ -30,9 +31,10 @@
   upstreamId: string,
   nowMs: number,
 ): number {
-  let pace = paces.get(upstreamId) ?? 1
+  const machineId = toMachineId(upstreamId)
+  let pace = paces.get(machineId) ?? 1
   for (const trouble of upstreams) {
-    if (!isWithin(trouble, nowMs) || !trouble.upstreamIds.has(upstreamId)) continue
+    if (!isWithin(trouble, nowMs) || !trouble.upstreamIds.has(machineId)) continue
     if (trouble.kind === 'hanging') pace = 0
     if (trouble.kind === 'slow') pace /= slowTimes
   }
@@ -42,7 +44,7 @@
 export function isFailing({ upstreams }: DayTroubles, upstreamId: string, nowMs: number): boolean {
   return upstreams.some((trouble) => {
     if (trouble.kind !== 'failing' || !isWithin(trouble, nowMs)) return false
-    return trouble.upstreamIds.has(upstreamId)
+    return trouble.upstreamIds.has(toMachineId(upstreamId))
   })
 }
 
--- a/bench/policy/src/playedRuns.ts
+++ b/bench/policy/src/playedRuns.ts
@@ -11,7 +11,7 @@
 } from '@nettlespur/batch.state'
 import type { SeededRandom } from '@nettlespur/bench.placement'
 import type { CrowdedDay, DayJob } from './crowdedDay.js'
-import { createPlayedRun, orderMs } from './createPlayedRun.js'
+import { createPlayedRun } from './createPlayedRun.js'
 import { PlayedCrashes } from './playedCrashes.js'
 import { savedMsOf } from './savedMs.js'
 import { isOver, measurePace, type PlayedRun } from './playedRun.js'
@@ -52,7 +52,7 @@
   }
 
   hasTrial(upstreamId: string): boolean {
-    if (this.crashes.count === 0) return false
+    if (!this.crashes.hasHappened) return false
     return this.#listUnproven(upstreamId).some(({ track }) => track.isOnTrial)
   }
 
@@ -101,6 +101,7 @@
 
   /** The ends of all that runs on an upstream that is lost. */
   lose(upstreamId: string): RunEnd[] {
+    this.crashes.forget(upstreamId)
     return this.#listOn(upstreamId).flatMap((run) =>
       this.#runs.has(runKey(run.placement)) ? this.#end(run, 'lost') : [],
     )
@@ -128,7 +129,7 @@
 
   stop(placement: Placement, nowMs: number): void {
     const run = this.#runs.get(runKey(placement))
-    if (run !== undefined) run.stopAtMs ??= nowMs + orderMs
+    if (run !== undefined) run.stopAtMs ??= nowMs + this.#opts.day.stopMs
   }
 
   stopJob(jobId: string, nowMs: number): void {
@@ -196,8 +197,9 @@
   #toEnd(run: PlayedRun, outcome: RunOutcome): RunEnd {
     const { placement, resumedAt, lengthMs, doneMs } = run
     const step = this.#stepOf(placement)
+    const { checkpointMs } = this.#opts.day
     const ranMs = Math.max(0, doneMs - resumedAt * lengthMs)
-    const savedMs = step?.checkpoints === true ? savedMsOf(ranMs, outcome) : 0
+    const savedMs = step?.checkpoints === true ? savedMsOf({ ranMs, outcome, checkpointMs }) : 0
     if (outcome === 'stopped') this.stoppedRuns += 1
     if (outcome !== 'done' && step !== undefined) {
       this.wastedCoreSeconds += ((ranMs - savedMs) * measureCores(step.needs)) / 1000
--- a/bench/policy/src/savedMs.ts
+++ b/bench/policy/src/savedMs.ts
@@ -1,10 +1,15 @@
 /** How much of a run's work its end saves. */
 import type { RunOutcome } from '@nettlespur/batch.state'
 
-const checkpointMs = 2000
+export interface SavedWorkOptions {
+  ranMs: number
+  outcome: RunOutcome
+  /** Interval of regular checkpoints. */
+  checkpointMs: number
+}
 
 /** A stop saves all; what ends otherwise keeps its last regular checkpoint. */
-export function savedMsOf(ranMs: number, outcome: RunOutcome): number {
+export function savedMsOf({ ranMs, outcome, checkpointMs }: SavedWorkOptions): number {
   if (outcome === 'stopped' || outcome === 'broken') return ranMs
   return Math.floor(ranMs / checkpointMs) * checkpointMs
 }
