--- a/batch/speeds/src/upstreamSpeeds.ts
+++ b/batch/speeds/src/upstreamSpeeds.ts
@@ -4,14 +4,17 @@
  * far off the declared run times of their queue are.
  */
 import { computeGangLikelihoods } from './computeGangLikelihoods.js'
+import { computeSlowest } from './computeSlowest.js'
 import { computePaceLikelihood } from './paceLikelihood.js'
 import { estimateDeclarationError, taskScatter } from './estimateDeclarationError.js'
 import type { GridDistribution } from './gridDistribution.js'
 import type { PaceObservation } from './paceObservation.js'
+import { priorLogSpread } from './prior.js'
 import { QueueErrors } from './queueErrors.js'
 import { SpeedBelief } from './speedBelief.js'
 import type { SpeedDistribution } from './speedDistribution.js'
 import type { SpeedEstimate } from './speedEstimate.js'
+import { measureLogMoments } from './speedGrid.js'
 import { StepPaces, type TaskPace } from './stepPaces.js'
 import { unknownSpeed } from './unknownSpeed.js'
 
@@ -20,6 +23,13 @@
 /** Counts the uses of a gang's step as a whole, in `StepPaces`. */
 const gangKey = ''
 
+/** What is still in use. */
+export interface Kept {
+  hasJob: (jobId: string) => boolean
+  hasUpstream: (upstreamId: string) => boolean
+  hasQueue: (name: string) => boolean
+}
+
 export class UpstreamSpeeds {
   readonly #beliefs = new Map<string, SpeedBelief>()
   readonly #queues = new Map<string, QueueErrors>()
@@ -36,14 +46,20 @@
     return this.#beliefs.size
   }
 
+  /** Number of paces and counts held of all steps. */
+  get heldPaces(): number {
+    return [...this.#steps.values()]
+      .flatMap((ofJob) => [...ofJob.values()])
+      .reduce((sum, { size }) => sum + size, 0)
+  }
+
   get(upstreamId: string, nowMs: number): SpeedDistribution {
     return this.#beliefs.get(upstreamId)?.distribution(nowMs) ?? unknownSpeed
   }
 
-  /** Returns undefined if nothing is held of the upstream. */
-  getEstimate(upstreamId: string, nowMs: number): SpeedEstimate | undefined {
+  getEstimate(upstreamId: string, nowMs: number): SpeedEstimate {
     const distribution = this.#beliefs.get(upstreamId)?.distribution(nowMs)
-    if (distribution === undefined) return undefined
+    if (distribution === undefined) return { mean: unknownSpeed.mean, logSpread: priorLogSpread }
     return { mean: distribution.mean, logSpread: Math.sqrt(distribution.logVariance) }
   }
 
@@ -66,18 +82,13 @@
     return true
   }
 
-  /** Drops what is held of the steps of a job. */
-  forgetJob(jobId: string): void {
-    this.#steps.delete(jobId)
-  }
-
-  forgetUpstream(upstreamId: string): void {
-    this.#beliefs.delete(upstreamId)
-  }
-
-  /** Drops the queues that are not in `names`. */
-  keepQueues(names: ReadonlySet<string>): void {
-    for (const name of this.#queues.keys()) if (!names.has(name)) this.#queues.delete(name)
+  /** Drops what is held of other jobs, upstreams and queues, and of upstreams whose evidence has lost its weight. */
+  keepOnly({ hasJob, hasUpstream, hasQueue }: Kept, nowMs: number): void {
+    for (const jobId of this.#steps.keys()) if (!hasJob(jobId)) this.#steps.delete(jobId)
+    for (const name of this.#queues.keys()) if (!hasQueue(name)) this.#queues.delete(name)
+    for (const [upstreamId, belief] of this.#beliefs) {
+      if (!hasUpstream(upstreamId) || !belief.hasEvidence(nowMs)) this.#beliefs.delete(upstreamId)
+    }
   }
 
   /** Paces wait until those of `comparedTasksMin` tasks of the step are known. */
@@ -101,7 +112,7 @@
       return { upstreamId, logPace, error: estimateDeclarationError(others, errors) }
     })
     for (const { upstreamId, logPace, error } of compared) {
-      this.#noteError(errors, logPace, [upstreamId], atMs)
+      this.#noteError(errors, logPace, [this.#distribution(upstreamId, atMs)])
       const scatter = Math.sqrt(taskScatter ** 2 + error.variance)
       const likelihood = computePaceLikelihood(logPace - error.log, scatter)
       this.#findBelief(upstreamId, atMs).add(likelihood, paces.countUse(upstreamId), atMs)
@@ -114,9 +125,12 @@
     const errors = this.#findQueue(queue)
     const weight = this.#findStep(observation).countUse(gangKey)
     const likelihood = computePaceLikelihood(logPace - errors.mean, errors.scatter)
-    const members = upstreamIds.map((id) => this.#distribution(id, atMs).probabilities)
-    const likelihoods = computeGangLikelihoods(members, likelihood)
-    this.#noteError(errors, logPace, upstreamIds, atMs)
+    const members = upstreamIds.map((id) => this.#distribution(id, atMs))
+    const likelihoods = computeGangLikelihoods(
+      members.map(({ probabilities }) => probabilities),
+      likelihood,
+    )
+    this.#noteError(errors, logPace, members)
     for (const [index, upstreamId] of upstreamIds.entries()) {
       const ofMember = likelihoods[index]
       if (ofMember !== undefined) this.#findBelief(upstreamId, atMs).add(ofMember, weight, atMs)
@@ -124,19 +138,11 @@
   }
 
   /** Learns from runs on known upstreams only: elsewhere the pace says as much about the upstream. */
-  #noteError(
-    errors: QueueErrors,
-    logPace: number,
-    upstreamIds: readonly string[],
-    atMs: number,
-  ): void {
-    let slowest = Infinity
-    for (const upstreamId of upstreamIds) {
-      const { isKnown, logMean } = this.#distribution(upstreamId, atMs)
-      if (!isKnown) return
-      slowest = Math.min(slowest, logMean)
-    }
-    errors.note(logPace - slowest)
+  #noteError(errors: QueueErrors, logPace: number, members: readonly GridDistribution[]): void {
+    if (members.some(({ isKnown }) => !isKnown)) return
+    const slowest = computeSlowest(members.map(({ probabilities }) => probabilities))
+    const { mean, variance } = measureLogMoments(slowest)
+    errors.note(logPace - mean, variance)
   }
 
   #distribution(upstreamId: string, atMs: number): GridDistribution {
