--- a/batch/service/src/index.ts
+++ b/batch/service/src/index.ts
@@ -24,5 +24,6 @@
   type RecordFaultKind,
   type RecordFaultReporterOptions,
 } from './recordFaultReporter.js'
+export { SpeedLearner, type SpeedLearnerOptions } from './speedLearner.js'
 export type { UpstreamSpeedsMode } from './upstreamSpeedsMode.js'
 export { UpstreamHealth } from './upstreamHealth.js'
--- a/bench/policy/src/createPlayedRun.ts
+++ b/bench/policy/src/createPlayedRun.ts
@@ -4,6 +4,7 @@
 import type { SeededRandom } from '@nettlespur/bench.placement'
 import { orderMs, type CrowdedDay, type DayJob } from './crowdedDay.js'
 import { isFailing, type PlayedRun } from './playedRun.js'
+import type { PlayedSpeeds } from './playedSpeeds.js'
 
 /** On an upstream that fails what it starts. */
 const failsAfterMs = 200
@@ -18,6 +19,7 @@
   /** How many times as long as in the right place it takes. */
   times: number
   nowMs: number
+  speeds: PlayedSpeeds
 }
 
 export function createPlayedRun(opts: CreatePlayedRunOptions): PlayedRun {
@@ -39,6 +41,7 @@
     phase: 'settled',
     startedAtMs: startsAtMs,
     isOnTrial,
+    pace: opts.speeds.createMeter(checkpoint !== ''),
   })
   track.progressPercent = Math.floor(wholePercent * resumedAt)
   track.checkpoint = checkpoint
--- a/bench/policy/src/deployment.ts
+++ b/bench/policy/src/deployment.ts
@@ -223,10 +223,15 @@
 
 /** The same crowd on more upstreams. */
 export function growDeployment(deployment: Deployment, upstreamCount: number): Deployment {
-  const times = upstreamCount / deployment.upstreamCount
+  const grown = scaleDemand(deployment, upstreamCount / deployment.upstreamCount)
+  return { ...grown, name: `${deployment.name}-${upstreamCount}`, upstreamCount }
+}
+
+/** Jobs that come so many times as often. */
+export function scaleDemand(deployment: Deployment, times: number): Deployment {
   const kinds = deployment.kinds.map((kind) => ({
     ...kind,
     jobsPerSecond: kind.jobsPerSecond * times,
   }))
-  return { ...deployment, name: `${deployment.name}-${upstreamCount}`, upstreamCount, kinds }
+  return { ...deployment, kinds }
 }
--- a/bench/policy/src/index.ts
+++ b/bench/policy/src/index.ts
@@ -11,4 +11,6 @@
 export { builds, rosters } from './hardDeployments.js'
 export { createThinnedDay } from './thinnedDay.js'
 export { measurePolicy, type PolicyMeasureOptions } from './measurePolicy.js'
-export { playDay, type DayResult } from './playDay.js'
+export type { DayResult } from './measureDay.js'
+export { playDay } from './playDay.js'
+export { allParts, defaultParts, type PolicyParts } from './policyParts.js'
--- a/bench/policy/src/measurePolicy.ts
+++ b/bench/policy/src/measurePolicy.ts
@@ -5,7 +5,8 @@
 import { cscfba, fsww, growDeployment, shifted, thapa, type Deployment } from './deployment.js'
 import { createEvacuatedDay } from './evacuatedDay.js'
 import type { DayParts } from './judgeDay.js'
-import { playDay, type DayResult } from './playDay.js'
+import type { DayResult } from './measureDay.js'
+import { playDay } from './playDay.js'
 
 export interface PolicyMeasureOptions {
   /** Days of each deployment. */
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -10,55 +10,35 @@
   buildSchedulerView,
   listRunsCutShort,
   UpstreamHealth,
+  type BuildSchedulerViewOptions,
   type LeavingUpstream,
   type ListRunsOptions,
 } from '@nettlespur/batch.service'
-import { unknownSpeed } from '@nettlespur/batch.speeds'
 import { BatchState, type RunEnd, type UpstreamRecord } from '@nettlespur/batch.state'
 import { SeededRandom } from '@nettlespur/bench.placement'
 import type { CrowdedDay, DayJob } from './crowdedDay.js'
 import { isWithin } from './dayTroubles.js'
-import { HeldUpWatch, type HeldUpSpell } from './heldUpWatch.js'
-import { judgeDay, type DayVerdict, type JobOutcome } from './judgeDay.js'
+import { HeldUpWatch } from './heldUpWatch.js'
+import { measureDay, type DayResult } from './measureDay.js'
 import { PlayedProcesses } from './playedProcesses.js'
 import { PlayedRuns } from './playedRuns.js'
-import { earn, sumEarnings, type KindEarnings } from './sumEarnings.js'
+import { PlayedSpeeds } from './playedSpeeds.js'
+import { defaultParts, leaveOutParts, type PolicyParts } from './policyParts.js'
 
 /** Between two looks at what has changed. */
 const stepMs = 50
 
-export interface DayResult {
-  /** By kind of job. */
-  readonly kinds: ReadonlyMap<string, KindEarnings>
-  /** Earned by all jobs, as a share of what they could. */
-  readonly worth: number
-  /** What the day is worth by the deployment's goal. */
-  readonly verdict: DayVerdict
-  /** Run time that no checkpoint saved, in core-seconds. */
-  readonly wastedCoreSeconds: number
-  /** Runs that were stopped for others. */
-  readonly stoppedRuns: number
-  /** Upstreams that runs brought down. */
-  readonly crashes: number
-  /** Jobs given up for crashes that others caused. */
-  readonly givenUpSound: number
-  /** Jobs that are held up as the day ends. */
-  readonly heldUp: number
-  /** Each time that a job was held up, at any time of the day. */
-  readonly heldUpSpells: readonly HeldUpSpell[]
-  /** What building the view and deciding took, of each round. */
-  readonly roundsMs: readonly number[]
-}
-
-export function playDay(day: CrowdedDay, seed: number): DayResult {
-  const player = new DayPlayer(day, seed)
+export function playDay(day: CrowdedDay, seed: number, parts = defaultParts): DayResult {
+  const player = new DayPlayer(day, seed, parts)
   return player.play()
 }
 
 class DayPlayer {
   readonly #day: CrowdedDay
   readonly #state = new BatchState()
+  readonly #parts: PolicyParts
   readonly #runs: PlayedRuns
+  readonly #speeds: PlayedSpeeds
   readonly #processes: PlayedProcesses
   readonly #health = new UpstreamHealth()
   readonly #acceptedAtMs = new Map<string, number>()
@@ -67,13 +47,18 @@
   readonly #heldUp = new HeldUpWatch()
   readonly #starvation = new StarvationTimes()
   #leaving: readonly LeavingUpstream[] = []
+  #hasLeader = true
   #nowMs = 0
 
-  constructor(day: CrowdedDay, seed: number) {
+  constructor(day: CrowdedDay, seed: number, parts: PolicyParts) {
     this.#day = day
-    this.#runs = new PlayedRuns({ day, random: new SeededRandom(seed), state: this.#state })
+    this.#parts = parts
+    const state = this.#state
+    const speeds = new PlayedSpeeds({ state, isLearning: parts.speeds })
+    this.#speeds = speeds
+    this.#runs = new PlayedRuns({ day, random: new SeededRandom(seed), state, speeds })
     const { crashes } = this.#runs
-    this.#processes = new PlayedProcesses({ day, crashes, state: this.#state })
+    this.#processes = new PlayedProcesses({ day, crashes, state, health: this.#health })
     this.#state.apply({ type: 'apply-config', config: day.config })
     for (const description of day.upstreams) {
       this.#state.apply({ type: 'note-upstream', description })
@@ -87,7 +72,9 @@
     for (; this.#nowMs < lengthMs + finishMs; this.#nowMs += stepMs) {
       this.#processes.advance(this.#nowMs)
       this.#runs.advance(this.#nowMs, stepMs)
-      if (this.#day.troubles.leaderless.some((span) => isWithin(span, this.#nowMs))) continue
+      if (this.#isLeaderless()) continue
+      this.#speeds.advance(this.#nowMs)
+      this.#speeds.read(this.#runs.listTracks())
       while ((arrivals[0]?.arriveMs ?? Infinity) <= this.#nowMs) this.#submit(arrivals.shift())
       this.#giveNotices()
       while ((losses[0]?.atMs ?? Infinity) <= this.#nowMs) this.#lose(losses.shift()?.upstreamId)
@@ -102,6 +89,14 @@
     return this.#measure()
   }
 
+  /** Those who lead after such a time are new. */
+  #isLeaderless(): boolean {
+    const isLeaderless = this.#day.troubles.leaderless.some((span) => isWithin(span, this.#nowMs))
+    if (this.#hasLeader && isLeaderless) this.#speeds.changeLeader(this.#runs.listTracks())
+    this.#hasLeader = !isLeaderless
+    return isLeaderless
+  }
+
   #submit(job: DayJob | undefined): void {
     if (job === undefined) return
     const { request, workspace, kind } = job
@@ -144,6 +139,9 @@
   #lose(machineId: string | undefined): void {
     if (machineId === undefined) return
     const upstreamId = this.#processes.getProcessId(machineId)
+    const { description, isDraining } = this.#state.upstreams.get(upstreamId) ?? {}
+    if (description !== undefined && isDraining === false)
+      this.#health.noteDisturbance(description.address, this.#nowMs)
     this.#state.apply({ type: 'remove-upstream', upstreamId })
     this.#takeEnds(this.#runs.lose(upstreamId))
   }
@@ -169,18 +167,19 @@
       findTrack: (placement) => this.#runs.findTrack(placement),
     }
     for (const run of listRunsCutShort(this.#leaving, runs)) this.#runs.stop(run, this.#nowMs)
-    const view = buildSchedulerView({
+    const input: BuildSchedulerViewOptions = {
       ...runs,
       acceptedAtMs: this.#acceptedAtMs,
       getAvailability: (upstream) => this.#getAvailability(upstream),
       isCold: () => false,
-      getSpeed: () => unknownSpeed,
+      getSpeed: (upstreamId) => this.#speeds.get(upstreamId),
       isUnstable: ({ description }) => this.#health.isUnstable(description, this.#nowMs),
       hasTrial: ({ description }) => this.#runs.hasTrial(description.upstreamId),
       isQuiet: ({ description }) => this.#isQuiet(description),
       isPaused: () => false,
       starvedMs: (unit) => this.#starvation.starvedMs(unit, this.#nowMs),
-    })
+    }
+    const view = buildSchedulerView(leaveOutParts(input, this.#parts))
     const { placements, preemptions, starving } = planRound(view)
     this.#roundsMs.push(Number(process.hrtime.bigint() - begunAt) / 1e6)
     for (const { run } of preemptions) this.#runs.stop(run, this.#nowMs)
@@ -204,37 +203,13 @@
   }
 
   #measure(): DayResult {
-    const { jobs, troubles, goal } = this.#day
-    const { cancelAfterMs, crashingJobs } = troubles
-    const owed = jobs.filter(
-      ({ request: { jobId } }) => !cancelAfterMs.has(jobId) && !crashingJobs.has(jobId),
-    )
-    const outcomes = owed.map((job) => this.#judge(job))
-    const { wastedCoreSeconds, stoppedRuns } = this.#runs
-    const verdict = judgeDay({ outcomes, goal, wastedCoreSeconds })
-    return {
-      kinds: sumEarnings(outcomes),
-      worth: verdict.wholeDay,
-      verdict,
-      wastedCoreSeconds,
-      stoppedRuns,
-      crashes: this.#runs.crashes.count,
-      givenUpSound: owed.filter((job) => this.#isGivenUp(job)).length,
-      heldUp: this.#heldUp.count(),
-      heldUpSpells: this.#heldUp.listSpells(),
+    return measureDay({
+      day: this.#day,
+      state: this.#state,
+      runs: this.#runs,
+      heldUp: this.#heldUp,
+      endedAtMs: this.#endedAtMs,
       roundsMs: this.#roundsMs,
-    }
-  }
-
-  #isGivenUp({ request }: DayJob): boolean {
-    return this.#state.jobs.get(request.jobId)?.failure?.reason === 'crashes-upstreams'
-  }
-
-  #judge(job: DayJob): JobOutcome {
-    const { jobId } = job.request
-    const tookMs = (this.#endedAtMs.get(jobId) ?? Infinity) - job.arriveMs
-    const isCompleted = this.#state.jobs.get(jobId)?.status === 'completed'
-    const earned = earn(job, { isCompleted, tookMs })
-    return { job, earned, isServed: earned > 0 }
+    })
   }
 }
--- a/bench/policy/src/playedProcesses.ts
+++ b/bench/policy/src/playedProcesses.ts
@@ -2,6 +2,7 @@
  * Which process runs on each upstream machine: the first one has the machine's id, each one after it a new id at the same
  * address. A machine gets its next process where it flaps.
  */
+import type { UpstreamHealth } from '@nettlespur/batch.service'
 import type { BatchState } from '@nettlespur/batch.state'
 import type { CrowdedDay } from './crowdedDay.js'
 import type { Flap } from './dayTroubles.js'
@@ -13,6 +14,7 @@
   day: CrowdedDay
   crashes: PlayedCrashes
   state: BatchState
+  health: UpstreamHealth
 }
 
 export class PlayedProcesses {
@@ -46,11 +48,12 @@
 
   /** The leader learns of the processes that came up in place of those that went down. */
   replaceRevived(nowMs: number): void {
-    const { day, crashes, state } = this.#opts
+    const { day, crashes, state, health } = this.#opts
     for (const machine of day.upstreams) {
       const machineId = machine.upstreamId
       const upstreamId = this.getProcessId(machineId)
       if (!this.#flapping.has(machineId) || !crashes.hasRevived(upstreamId, nowMs)) continue
+      health.noteDisturbance(machine.address, nowMs)
       state.apply({ type: 'remove-upstream', upstreamId })
       this.#lives.set(machineId, (this.#lives.get(machineId) ?? 0) + 1)
       const description = { ...machine, upstreamId: this.getProcessId(machineId) }
--- a/bench/policy/src/playedRuns.ts
+++ b/bench/policy/src/playedRuns.ts
@@ -15,6 +15,7 @@
 import { PlayedCrashes } from './playedCrashes.js'
 import { savedMsOf } from './savedMs.js'
 import { isOver, measurePace, type PlayedRun } from './playedRun.js'
+import type { PlayedSpeeds } from './playedSpeeds.js'
 
 /** A task outside its data rack, or of a gang that is spread over racks, takes this many times as long. */
 const remoteTimes = 3
@@ -24,6 +25,7 @@
   day: CrowdedDay
   random: SeededRandom
   state: BatchState
+  speeds: PlayedSpeeds
 }
 
 export class PlayedRuns {
@@ -43,6 +45,13 @@
     return [...this.#runs.values()].map(({ placement }) => placement)
   }
 
+  /** Of the runs on upstreams that answer. */
+  listTracks(): RunTrack[] {
+    return [...this.#runs.values()].flatMap(({ track }) =>
+      this.crashes.isDown(track.placement.upstreamId) ? [] : [track],
+    )
+  }
+
   isStopping(placement: Placement): boolean {
     return this.#runs.get(runKey(placement))?.stopAtMs !== undefined
   }
@@ -129,7 +138,9 @@
 
   stop(placement: Placement, nowMs: number): void {
     const run = this.#runs.get(runKey(placement))
-    if (run !== undefined) run.stopAtMs ??= nowMs + this.#opts.day.stopMs
+    if (run === undefined) return
+    run.stopAtMs ??= nowMs + this.#opts.day.stopMs
+    run.track.isStopping = true
   }
 
   stopJob(jobId: string, nowMs: number): void {
@@ -185,6 +196,7 @@
     )
     const ended = isGang ? members : [run]
     const others = outcome === 'done' ? 'done' : 'broken'
+    if (outcome === 'done') this.#opts.speeds.noteEnd({ ...run.placement, outcome }, run.track)
     const ends = ended.map((member) => {
       const blame = blames?.get(runKey(member.placement))
       if (blame !== undefined) return { ...this.#toEnd(member, 'crashed'), blame }
--- /dev/null
+++ b/bench/policy/src/policyParts.ts
@@ -0,0 +1,37 @@
+/** Parts of the scheduler's policy that a day can be played without. */
+import type { BuildSchedulerViewOptions } from '@nettlespur/batch.service'
+import { unknownSpeed } from '@nettlespur/batch.speeds'
+
+export interface PolicyParts {
+  /** The leader learns how fast upstreams are, and work is placed by it. */
+  readonly speeds: boolean
+  /** Gangs and urgent work avoid upstreams that have lately crashed, been lost or failed runs. */
+  readonly stability: boolean
+  /** Work that starves gives up its preferences. */
+  readonly relaxation: boolean
+}
+
+export type PolicyPart = keyof PolicyParts
+
+export const allParts: PolicyParts = { speeds: true, stability: true, relaxation: true }
+
+/** As with the settings of a control instance left out. */
+export const defaultParts: PolicyParts = { ...allParts, speeds: false }
+
+/** Returns undefined if no part has this name. */
+export function findPart(name: string): PolicyPart | undefined {
+  return Object.keys(allParts).find((part): part is PolicyPart => part === name)
+}
+
+/** Leaves the input of a round without what the missing parts would see. */
+export function leaveOutParts(
+  opts: BuildSchedulerViewOptions,
+  { speeds, stability, relaxation }: PolicyParts,
+): BuildSchedulerViewOptions {
+  return {
+    ...opts,
+    ...(speeds ? {} : { getSpeed: () => unknownSpeed }),
+    ...(stability ? {} : { isUnstable: () => false }),
+    ...(relaxation ? {} : { starvedMs: () => 0 }),
+  }
+}
