--- a/bench/policy/src/comparePolicies.ts
+++ b/bench/policy/src/comparePolicies.ts
@@ -16,7 +16,7 @@
 const deployments = [rosters, builds, thapa, cscfba, fsww, shifted]
 const usageExitCode = 2
 const usage = [
-  'usage: comparePolicies [--mix NAME]... [--days FIRST-LAST] [--without PART]... [--kind KIND]... [--load TIMES]',
+  'usage: comparePolicies [--mix NAME]... [--days FIRST-LAST] [--without PART]... [--kind KIND]... [--load TIMES] [--known-speeds]',
   `mixes: ${deployments.map(({ name }) => name).join(' ')}`,
   `parts: ${Object.keys(allParts).join(' ')}`,
   `kinds: ${dayKinds.join(' ')}`,
@@ -54,6 +54,7 @@
   const values = parse(argv)
   if (values === undefined) return undefined
   const { mix = ['rosters'], days = '1-24', load = '1', kind = [...dayKinds] } = values
+  const areSpeedsKnown = values['known-speeds'] === true
   const mixes = mix.map((name) => deployments.find((deployment) => deployment.name === name))
   const without = (values.without ?? []).map(findPart)
   const chosen = kind.map((name) => dayKinds.find((dayKind) => dayKind === name))
@@ -66,7 +67,9 @@
   if (parts === undefined || kinds === undefined || known === undefined) return undefined
   return known.flatMap((deployment) => {
     const scaled = scaleDemand(deployment, times)
-    return kinds.map((dayKind) => ({ deployment: scaled, dayKind, seeds, without: parts }))
+    return kinds.map((dayKind) => {
+      return { deployment: scaled, dayKind, seeds, without: parts, areSpeedsKnown }
+    })
   })
 }
 
@@ -79,7 +82,14 @@
 function parse(argv: readonly string[]) {
   const many = { type: 'string', multiple: true } as const
   const one = { type: 'string' } as const
-  const options = { mix: many, days: one, without: many, kind: many, load: one }
+  const options = {
+    mix: many,
+    days: one,
+    without: many,
+    kind: many,
+    load: one,
+    'known-speeds': { type: 'boolean' } as const,
+  }
   try {
     return parseArgs({ args: [...argv], options, strict: true }).values
   } catch {
--- a/bench/policy/src/compareVariants.ts
+++ b/bench/policy/src/compareVariants.ts
@@ -15,6 +15,8 @@
   seeds: readonly number[]
   /** Parts that one of the variants lacks. */
   without: readonly PolicyPart[]
+  /** Whether both variants know the speeds of upstreams from the beginning. */
+  areSpeedsKnown: boolean
 }
 
 export interface ComparedFigure extends PairedDifference {
@@ -47,10 +49,11 @@
 
 export function compareVariants(opts: CompareVariantsOptions): ComparedFigure[] {
   const { deployment, dayKind, seeds } = opts
-  const lacking = leaveOut(opts.without)
+  const whole = { ...allParts, knownSpeeds: opts.areSpeedsKnown }
+  const lacking = { ...whole, ...toSwitchedOff(opts.without) }
   const pairs = seeds.map((seed) => {
     const day = creators[dayKind](deployment, seed)
-    return { with: playDay(day, seed, allParts), without: playDay(day, seed, lacking) }
+    return { with: playDay(day, seed, whole), without: playDay(day, seed, lacking) }
   })
   return Object.entries(figures).map(([name, read]) => {
     const withParts = pairs.map((pair) => read(pair.with))
@@ -59,8 +62,8 @@
   })
 }
 
-function leaveOut(parts: readonly PolicyPart[]): PolicyParts {
-  return { ...allParts, ...Object.fromEntries(parts.map((part) => [part, false])) }
+function toSwitchedOff(parts: readonly PolicyPart[]): Partial<PolicyParts> {
+  return Object.fromEntries(parts.map((part) => [part, false]))
 }
 
 /** 1 on a day without such jobs. */
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -54,7 +54,7 @@
     this.#day = day
     this.#parts = parts
     const state = this.#state
-    const speeds = new PlayedSpeeds({ state, isLearning: parts.speeds })
+    const speeds = new PlayedSpeeds({ state, parts, paces: day.troubles.paces })
     this.#speeds = speeds
     this.#runs = new PlayedRuns({ day, random: new SeededRandom(seed), state, speeds })
     const { crashes } = this.#runs
--- a/bench/policy/src/playedSpeeds.ts
+++ b/bench/policy/src/playedSpeeds.ts
@@ -1,11 +1,13 @@
 /** Feeds readings of progress and ends of the played runs to the leader's own learner of speeds. */
 import { SpeedLearner, RecordFaultReporter } from '@nettlespur/batch.service'
 import { RunPaces, type RunTrack } from '@nettlespur/batch.sessions'
-import { unknownSpeed, type SpeedDistribution } from '@nettlespur/batch.speeds'
+import { certainSpeed, unknownSpeed, type SpeedDistribution } from '@nettlespur/batch.speeds'
 import type { BatchState, RunEnd } from '@nettlespur/batch.state'
 import type { Logger } from '@nettlespur/core.logger'
 import { MetricsRegistry } from '@nettlespur/core.metrics'
 import { PlayedClock } from './playedClock.js'
+import { toMachineId } from './playedProcesses.js'
+import type { PolicyParts } from './policyParts.js'
 
 /** How long an upstream that has nothing to tell delays its answer to a poll. */
 const readEveryMs = 2000
@@ -15,12 +17,15 @@
 
 export interface PlayedSpeedsOptions {
   state: BatchState
-  isLearning: boolean
+  parts: PolicyParts
+  /** See `DayTroubles`. */
+  paces: ReadonlyMap<string, number>
 }
 
 export class PlayedSpeeds {
   readonly #opts: PlayedSpeedsOptions
   readonly #clock = new PlayedClock()
+  readonly #known: ReadonlyMap<string, SpeedDistribution>
   #learner: SpeedLearner | undefined
   #paces: RunPaces
   #committedAtMs = 0
@@ -29,6 +34,9 @@
 
   constructor(opts: PlayedSpeedsOptions) {
     this.#opts = opts
+    this.#known = new Map(
+      [...opts.paces].map(([machineId, pace]) => [machineId, certainSpeed(pace)]),
+    )
     this.#learner = this.#createLearner()
     this.#paces = new RunPaces(this.#learner)
   }
@@ -39,6 +47,8 @@
   }
 
   get(upstreamId: string): SpeedDistribution {
+    if (this.#opts.parts.knownSpeeds)
+      return this.#known.get(toMachineId(upstreamId)) ?? unknownSpeed
     return this.#learner?.get(upstreamId, this.#clock.nowMs) ?? unknownSpeed
   }
 
@@ -78,8 +88,8 @@
   }
 
   #createLearner(): SpeedLearner | undefined {
-    const { state, isLearning } = this.#opts
-    if (!isLearning) return undefined
+    const { state, parts } = this.#opts
+    if (!parts.speeds || parts.knownSpeeds) return undefined
     const metrics = new MetricsRegistry()
     const given = { clock: this.#clock, metrics, logger: silentLogger }
     const faults = new RecordFaultReporter(given)
--- a/bench/policy/src/policyParts.ts
+++ b/bench/policy/src/policyParts.ts
@@ -5,6 +5,8 @@
 export interface PolicyParts {
   /** The leader learns how fast upstreams are, and work is placed by it. */
   readonly speeds: boolean
+  /** Instead of learning it the leader knows how fast upstreams are: what better learning could gain at most. */
+  readonly knownSpeeds: boolean
   /** Gangs and urgent work avoid upstreams that have lately crashed, been lost or failed runs. */
   readonly stability: boolean
   /** Work that starves gives up its preferences. */
@@ -13,7 +15,12 @@
 
 export type PolicyPart = keyof PolicyParts
 
-export const allParts: PolicyParts = { speeds: true, stability: true, relaxation: true }
+export const allParts: PolicyParts = {
+  speeds: true,
+  knownSpeeds: false,
+  stability: true,
+  relaxation: true,
+}
 
 /** As with the settings of a control instance left out. */
 export const defaultParts: PolicyParts = { ...allParts, speeds: false }
