--- a/batch/scheduler/src/poolSpeeds.ts
+++ b/batch/scheduler/src/poolSpeeds.ts
@@ -2,16 +2,26 @@
  * What a round has to know of the speeds and the stability of one pool. Placement by speed answers fleets on which a known
  * part of the upstreams is so slow that urgent work is late there however early it starts. On all others it is off.
  */
+import { runTimeMargin } from './neededSpeed.js'
 import type { UpstreamAllocation } from './roundAllocations.js'
 import type { SchedulableUpstream } from './schedulerView.js'
 import { possiblyFastProbability } from './speedRange.js'
 
 /** Below this share of slow upstreams, urgent work meets them too seldom to direct all other work there. */
 const slowShareMin = 0.1
+/**
+ * While most upstreams are not known, this share of the known ones has to be slow: more than are taken for slow by mistake.
+ * Work that is spread over the others then shows how fast they are.
+ */
+const slowShareOfKnownMin = 0.2
+const slowCountMin = 3
 
 export class PoolSpeeds {
   /** Whether the pool calls for placement by speed. */
   readonly isGraded: boolean
+  /** Number of upstreams that are known to be too slow for the most urgent queue. */
+  readonly slowCount: number
+  readonly count: number
   readonly hasUnstable: boolean
   /** The speed below which jobs of the most urgent queue are late even if they start at once. */
   readonly urgentSpeed: number
@@ -25,8 +35,13 @@
     const views = upstreams.map(({ view }) => view)
     this.hasUnstable = views.some(({ isUnstable }) => isUnstable)
     this.urgentSpeed = findUrgentSpeed(views, stretches)
-    const slowCount = views.filter((view) => isKnownSlow(view, this.urgentSpeed)).length
-    this.isGraded = slowCount > 0 && slowCount >= views.length * slowShareMin
+    this.count = views.length
+    const known = views.filter(({ speed }) => speed.isKnown)
+    this.slowCount = known.filter((view) => isSlow(view, this.urgentSpeed)).length
+    const isShareOfKnown =
+      this.slowCount >= slowCountMin && this.slowCount >= known.length * slowShareOfKnownMin
+    this.isGraded =
+      this.slowCount > 0 && (isShareOfKnown || this.slowCount >= this.count * slowShareMin)
     this.fastestSpeed = Infinity
     this.slowestSpeed = 0
     if (!this.isGraded) return
@@ -55,8 +70,8 @@
   return speedRange !== undefined && neededSpeed > speedRange.possibly
 }
 
-function isKnownSlow({ speed }: SchedulableUpstream, urgentSpeed: number): boolean {
-  return speed.isKnown && speed.atLeast(urgentSpeed) < possiblyFastProbability
+function isSlow({ speed }: SchedulableUpstream, urgentSpeed: number): boolean {
+  return speed.atLeast(urgentSpeed) < possiblyFastProbability
 }
 
 /** Queues whose objective no upstream could meet are left out. Returns 0 if no queue is left. */
@@ -65,6 +80,6 @@
   stretches: readonly number[],
 ): number {
   const fastestMean = Math.max(0, ...upstreams.map(({ speed }) => speed.mean))
-  const speeds = stretches.map((stretch) => 1 / stretch)
+  const speeds = stretches.map((stretch) => runTimeMargin / stretch)
   return Math.max(0, ...speeds.filter((speed) => speed <= fastestMean))
 }
--- a/batch/scheduler/src/speedPlacement.ts
+++ b/batch/scheduler/src/speedPlacement.ts
@@ -3,7 +3,7 @@
  * that are too slow have room is held back for a short time, as long as it would be on time on others.
  */
 import type { UnitRef } from '@nettlespur/batch.model'
-import { listFastGroups, listGroups, isUrgent } from './listGroups.js'
+import { isExploring, isUrgent, listFastGroups, listGroups } from './listGroups.js'
 import { computeNeededSpeed } from './neededSpeed.js'
 import type { RankedUnit } from './orderUnits.js'
 import { isTooSlow, PoolSpeeds } from './poolSpeeds.js'
@@ -35,7 +35,7 @@
     const pool = this.#getPool(unit)
     if (!pool.isGraded && !pool.hasUnstable) return unit
     const groups = listGroups({ unit, pool, needed: computeNeededSpeed(unit, pool.fastestSpeed) })
-    return groups === undefined ? unit : { ...unit, groups }
+    return groups === undefined ? unit : { ...unit, groups, isSpread: isExploring(unit, pool) }
   }
 
   /**
@@ -75,8 +75,12 @@
 
   /** Returns undefined if no pool of the units calls for placement by speed. */
   finish(): SpeedDecisions | undefined {
-    if (![...this.#pools.values()].some(({ isGraded }) => isGraded)) return undefined
-    return { choices: this.#choices, held: this.#held }
+    const pools = [...this.#pools].flatMap(([pool, speeds]) => {
+      const { isGraded, urgentSpeed, slowCount, count } = speeds
+      return isGraded ? [{ pool, urgentSpeed, slowUpstreams: slowCount, upstreams: count }] : []
+    })
+    if (pools.length === 0) return undefined
+    return { pools, choices: this.#choices, held: this.#held }
   }
 
   #getPool({ job: { queue } }: StartUnit): PoolSpeeds {
--- a/batch/service/src/buildSchedulerView.ts
+++ b/batch/service/src/buildSchedulerView.ts
@@ -27,8 +27,8 @@
   /** See `SessionHost`. */
   listPlacements: (upstreamId: string) => ReadonlyMap<string, Placement>
   findTrack: (placement: Placement) => RunTrack | undefined
-  /** How fast an upstream works, as far as that is known; if absent, all count as equally fast. */
-  getSpeed?: (upstreamId: string) => SpeedDistribution
+  /** How fast an upstream works, as far as that is known. */
+  getSpeed: (upstreamId: string) => SpeedDistribution
 }
 
 export interface BuildSchedulerViewOptions extends ListRunsOptions {
@@ -37,8 +37,6 @@
   getAvailability: (upstream: UpstreamRecord) => UpstreamAvailability | undefined
   /** Whether it has started lately and is slow for a while. */
   isCold: (upstream: UpstreamRecord) => boolean
-  /** How fast it works, as far as that is known. */
-  getSpeed: (upstreamId: string) => SpeedDistribution
   /** Whether it has lately crashed, been lost, come back or failed runs. */
   isUnstable: (upstream: UpstreamRecord) => boolean
   /** Whether a run on trial has just started there. */
@@ -137,8 +135,8 @@
 
 /** Lists the runs on one upstream, with their expected ends and the cost of stopping them. */
 export function listRuns(opts: ListRunsOptions, upstreamId: string): ActiveRun[] {
-  const speed = opts.getSpeed?.(upstreamId)
-  const expectedSpeed = speed?.isKnown === true ? speed.mean : 1
+  const speed = opts.getSpeed(upstreamId)
+  const expectedSpeed = speed.isKnown ? speed.mean : 1
   return [...opts.listPlacements(upstreamId).values()].map((placement) => {
     const step = findStep(opts.state, placement)
     const runTimeMs = (step?.expectedRunTimeMs ?? 0) / expectedSpeed
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -59,7 +59,7 @@
 
   constructor(opts: SchedulingRoundsOptions) {
     this.#opts = opts
-    this.#speedLog = new SpeedLog(opts.metrics)
+    this.#speedLog = new SpeedLog(opts)
     this.#starvationWatch = new StarvationWatch({
       ...opts,
       describeFleet: () => ({
@@ -101,15 +101,14 @@
   }
 
   #plan(nowMs: number): RoundDecision {
-    const { getState, getSpeed, roster, jobClock, retryBackoff } = this.#opts
+    const { getState, roster, jobClock, retryBackoff } = this.#opts
     jobClock.update(getState(), nowMs)
     const view = buildSchedulerView({
       ...this.#createRunsOptions(nowMs),
       acceptedAtMs: jobClock.acceptedAtMs,
       getAvailability: (upstream) => roster.getAvailability(upstream),
       isCold: ({ description }) => roster.isCold(description.upstreamId),
-      getSpeed: (upstreamId) => getSpeed(upstreamId, nowMs),
-      isUnstable: (upstream) => roster.isUnstable(upstream),
+      isUnstable: ({ description }) => roster.health.isUnstable(description, nowMs),
       hasTrial: ({ description }) =>
         roster.findSession(description.upstreamId)?.tracks.hasTrial === true,
       isQuiet: (upstream) => roster.isQuiet(upstream),
@@ -139,12 +138,13 @@
   }
 
   #createRunsOptions(nowMs: number): ListRunsOptions {
-    const { getState, roster, shouldStop, listPlacements } = this.#opts
+    const { getState, getSpeed, roster, shouldStop, listPlacements } = this.#opts
     return {
       state: getState(),
       listPlacements,
       nowMs,
       isStopping: shouldStop,
+      getSpeed: (upstreamId) => getSpeed(upstreamId, nowMs),
       findTrack: (placement) => roster.findSession(placement.upstreamId)?.tracks.find(placement),
     }
   }
--- a/batch/service/test/unstableUpstreams.test.ts
+++ b/batch/service/test/unstableUpstreams.test.ts
@@ -2,15 +2,17 @@
  * Guards against gangs that break because a member was placed on an upstream that had just crashed, and against unstable
  * upstreams that make work wait.
  */
-import { createJob } from '@nettlespur/batch.samples'
+import { createJob, createUpstream } from '@nettlespur/batch.samples'
 import test from 'ava'
 import { settledMs, startFleet, type FakeFleet } from '../__utils__/index.js'
 import { RecentTimes } from '../src/recentTimes.js'
-import { UpstreamHealth } from '../src/upstreamHealth.js'
+import { UpstreamHealth, type InstabilityNotice } from '../src/upstreamHealth.js'
 
 const needs = { cpuMillicores: 100, memoryMiB: 100, accelerators: 4 }
 const unstableMs = 10_000
-const upstream = { upstreamId: 'u1', address: '127.0.0.1:9000' }
+const description = createUpstream('u1')
+const { upstreamId, address } = description
+const record = { description, isDraining: false, hasLeft: false }
 
 /** Submits a gang, and returns the upstreams on which it was placed. */
 async function placeGang(fleet: FakeFleet, jobId: string, taskCount: number) {
@@ -38,10 +40,12 @@
     // The tightest fit, which a gang would take first.
     fleet.resize(0, 4)
     fleet.commit({ type: 'cancel-job', jobId: 'probe' })
-    await fleet.clock.advance(settledMs)
+    await fleet.clock.advance(3 * settledMs)
     const restarted = fleet.upstreamIdOf(0)
-    t.false((await placeGang(fleet, 'early', 3)).includes(restarted))
     t.is(new Set(await placeGang(fleet, 'wide', 7)).size, 4)
+    const early = await placeGang(fleet, 'early', 3)
+    t.is(early.length, 3)
+    t.false(early.includes(restarted))
     await fleet.clock.advance(unstableMs)
     t.true((await placeGang(fleet, 'later', 3)).includes(restarted))
   })
@@ -62,22 +66,27 @@
   const health = new UpstreamHealth()
   const fail = (jobId: string, nowMs: number) => {
     const run = { jobId, step: 0, index: 0, attempt: 1, upstreamId: 'u1' }
-    health.noteEnd({ ...run, outcome: 'failed' }, upstream.address, nowMs)
+    health.noteEnd({ ...run, outcome: 'failed' }, address, nowMs)
   }
   fail('j1', 0)
   fail('j1', 100)
-  t.false(health.isUnstable(upstream, 100))
+  t.false(health.isUnstable(description, 100))
   fail('j2', 200)
-  t.true(health.isUnstable(upstream, 200 + unstableMs - 1))
+  t.true(health.isUnstable(description, 200 + unstableMs - 1))
   t.false(health.isQuarantined('u1', 200 + unstableMs - 1))
-  t.false(health.isUnstable(upstream, 200 + unstableMs))
+  t.false(health.isUnstable(description, 200 + unstableMs))
 })
 
-test('a disturbance does not count as a crash for trial starts', (t) => {
-  const health = new UpstreamHealth()
-  health.noteDisturbance(upstream.address, 0)
-  t.true(health.isUnstable(upstream, 1))
-  t.false(health.hasCrashedLately(upstream.address, 1))
+test('a replaced process is told once, and does not count as a crash for trial starts', (t) => {
+  const notices: InstabilityNotice[] = []
+  const health = new UpstreamHealth((notice) => notices.push(notice))
+  health.noteLoss({ ...record, isDraining: true }, 0)
+  t.false(health.isUnstable(description, 0))
+  health.noteLoss(record, 0)
+  health.noteLoss(record, 0)
+  t.deepEqual(notices, [{ upstreamId, address, cause: 'replaced' }])
+  t.true(health.isUnstable(description, 1))
+  t.false(health.hasCrashedLately(address, 1))
 })
 
 test('what is kept of recent times is bounded by the keys of the retention time', (t) => {
--- a/bench/policy/src/playedProcesses.ts
+++ b/bench/policy/src/playedProcesses.ts
@@ -53,7 +53,8 @@
       const machineId = machine.upstreamId
       const upstreamId = this.getProcessId(machineId)
       if (!this.#flapping.has(machineId) || !crashes.hasRevived(upstreamId, nowMs)) continue
-      health.noteDisturbance(machine.address, nowMs)
+      const lost = state.upstreams.get(upstreamId)
+      if (lost !== undefined) health.noteLoss(lost, nowMs)
       state.apply({ type: 'remove-upstream', upstreamId })
       this.#lives.set(machineId, (this.#lives.get(machineId) ?? 0) + 1)
       const description = { ...machine, upstreamId: this.getProcessId(machineId) }
--- a/bench/policy/src/policyParts.ts
+++ b/bench/policy/src/policyParts.ts
@@ -1,6 +1,5 @@
 /** Parts of the scheduler's policy that a day can be played without. */
 import type { BuildSchedulerViewOptions } from '@nettlespur/batch.service'
-import { unknownSpeed } from '@nettlespur/batch.speeds'
 
 export interface PolicyParts {
   /** The leader learns how fast upstreams are, and work is placed by it. */
@@ -30,14 +29,13 @@
   return Object.keys(allParts).find((part): part is PolicyPart => part === name)
 }
 
-/** Leaves the input of a round without what the missing parts would see. */
+/** Leaves the input of a round without what the missing parts would see; for `speeds` see `PlayedSpeeds`. */
 export function leaveOutParts(
   opts: BuildSchedulerViewOptions,
-  { speeds, stability, relaxation }: PolicyParts,
+  { stability, relaxation }: PolicyParts,
 ): BuildSchedulerViewOptions {
   return {
     ...opts,
-    ...(speeds ? {} : { getSpeed: () => unknownSpeed }),
     ...(stability ? {} : { isUnstable: () => false }),
     ...(relaxation ? {} : { starvedMs: () => 0 }),
   }
