--- a/batch/service/src/index.ts
+++ b/batch/service/src/index.ts
@@ -25,5 +25,6 @@
   type RecordFaultKind,
   type RecordFaultReporterOptions,
 } from './recordFaultReporter.js'
+export { SpeedLearner, type SpeedLearnerOptions } from './speedLearner.js'
 export type { UpstreamSpeedsMode } from './upstreamSpeedsMode.js'
 export { UpstreamHealth } from './upstreamHealth.js'
--- a/bench/policy/src/playedRuns.ts
+++ b/bench/policy/src/playedRuns.ts
@@ -11,10 +11,11 @@
 } from '@nettlespur/batch.state'
 import type { SeededRandom } from '@nettlespur/bench.placement'
 import type { CrowdedDay, DayJob } from './crowdedDay.js'
-import { createPlayedRun, orderMs } from './createPlayedRun.js'
+import { createPlayedRun } from './createPlayedRun.js'
 import { PlayedCrashes } from './playedCrashes.js'
 import { savedMsOf } from './savedMs.js'
 import { isOver, measurePace, type PlayedRun } from './playedRun.js'
+import type { PlayedSpeeds } from './playedSpeeds.js'
 
 /** A task outside its data rack, or of a gang that is spread over racks, takes this many times as long. */
 const remoteTimes = 3
@@ -24,6 +25,7 @@
   day: CrowdedDay
   random: SeededRandom
   state: BatchState
+  speeds: PlayedSpeeds
 }
 
 export class PlayedRuns {
@@ -43,6 +45,13 @@
     return [...this.#runs.values()].map(({ placement }) => placement)
   }
 
+  /** Of the runs on upstreams that answer. */
+  listTracks(): RunTrack[] {
+    return [...this.#runs.values()].flatMap(({ track }) =>
+      this.crashes.isDown(track.placement.upstreamId) ? [] : [track],
+    )
+  }
+
   isStopping(placement: Placement): boolean {
     return this.#runs.get(runKey(placement))?.stopAtMs !== undefined
   }
@@ -52,7 +61,7 @@
   }
 
   hasTrial(upstreamId: string): boolean {
-    if (this.crashes.count === 0) return false
+    if (!this.crashes.hasHappened) return false
     return this.#listUnproven(upstreamId).some(({ track }) => track.isOnTrial)
   }
 
@@ -101,6 +110,7 @@
 
   /** The ends of all that runs on an upstream that is lost. */
   lose(upstreamId: string): RunEnd[] {
+    this.crashes.forget(upstreamId)
     return this.#listOn(upstreamId).flatMap((run) =>
       this.#runs.has(runKey(run.placement)) ? this.#end(run, 'lost') : [],
     )
@@ -128,7 +138,9 @@
 
   stop(placement: Placement, nowMs: number): void {
     const run = this.#runs.get(runKey(placement))
-    if (run !== undefined) run.stopAtMs ??= nowMs + orderMs
+    if (run === undefined) return
+    run.stopAtMs ??= nowMs + this.#opts.day.stopMs
+    run.track.isStopping = true
   }
 
   stopJob(jobId: string, nowMs: number): void {
@@ -184,6 +196,7 @@
     )
     const ended = isGang ? members : [run]
     const others = outcome === 'done' ? 'done' : 'broken'
+    if (outcome === 'done') this.#opts.speeds.noteEnd({ ...run.placement, outcome }, run.track)
     const ends = ended.map((member) => {
       const blame = blames?.get(runKey(member.placement))
       if (blame !== undefined) return { ...this.#toEnd(member, 'crashed'), blame }
@@ -196,8 +209,9 @@
   #toEnd(run: PlayedRun, outcome: RunOutcome): RunEnd {
     const { placement, resumedAt, lengthMs, doneMs } = run
     const step = this.#stepOf(placement)
+    const { checkpointMs } = this.#opts.day
     const ranMs = Math.max(0, doneMs - resumedAt * lengthMs)
-    const savedMs = step?.checkpoints === true ? savedMsOf(ranMs, outcome) : 0
+    const savedMs = step?.checkpoints === true ? savedMsOf({ ranMs, outcome, checkpointMs }) : 0
     if (outcome === 'stopped') this.stoppedRuns += 1
     if (outcome !== 'done' && step !== undefined) {
       this.wastedCoreSeconds += ((ranMs - savedMs) * measureCores(step.needs)) / 1000
