fix(scheduler): the gate for placement by speed stays closed where upstreams are equally fast

Cause: an upstream counted for the gate below a probability of 0.3, and expected ends of runs in progress used learned speeds whether or not the pool was placed by speed.

--- a/batch/scheduler/src/poolSpeeds.ts
+++ b/batch/scheduler/src/poolSpeeds.ts
@@ -5,7 +5,6 @@
 import { runTimeMargin } from './neededSpeed.js'
 import type { UpstreamAllocation } from './roundAllocations.js'
 import type { SchedulableUpstream } from './schedulerView.js'
-import { possiblyFastProbability } from './speedRange.js'
 
 /** Below this share of slow upstreams, urgent work meets them too seldom to direct all other work there. */
 const slowShareMin = 0.1
@@ -15,6 +14,11 @@
  */
 const slowShareOfKnownMin = 0.2
 const slowCountMin = 3
+/**
+ * The probability of the needed speed below which an upstream counts for the gate. Where all are equally fast, some are taken
+ * for slow by mistake; a lower bound than the one for choosing upstreams keeps the gate closed there.
+ */
+const gateProbability = 0.1
 
 export class PoolSpeeds {
   /** Whether the pool calls for placement by speed. */
@@ -71,7 +75,7 @@
 }
 
 function isSlow({ speed }: SchedulableUpstream, urgentSpeed: number): boolean {
-  return speed.atLeast(urgentSpeed) < possiblyFastProbability
+  return speed.atLeast(urgentSpeed) < gateProbability
 }
 
 /** Queues whose objective no upstream could meet are left out. Returns 0 if no queue is left. */
--- a/batch/service/src/buildSchedulerView.ts
+++ b/batch/service/src/buildSchedulerView.ts
@@ -27,11 +27,11 @@
   /** See `SessionHost`. */
   listPlacements: (upstreamId: string) => ReadonlyMap<string, Placement>
   findTrack: (placement: Placement) => RunTrack | undefined
-  /** How fast an upstream works, as far as that is known. */
-  getSpeed: (upstreamId: string) => SpeedDistribution
 }
 
 export interface BuildSchedulerViewOptions extends ListRunsOptions {
+  /** How fast an upstream works, as far as that is known. */
+  getSpeed: (upstreamId: string) => SpeedDistribution
   acceptedAtMs: ReadonlyMap<string, number>
   /** Returns undefined for upstreams that drain, have left or are evacuated. */
   getAvailability: (upstream: UpstreamRecord) => UpstreamAvailability | undefined
@@ -135,16 +135,13 @@
 
 /** Lists the runs on one upstream, with their expected ends and the cost of stopping them. */
 export function listRuns(opts: ListRunsOptions, upstreamId: string): ActiveRun[] {
-  const speed = opts.getSpeed(upstreamId)
-  const expectedSpeed = speed.isKnown ? speed.mean : 1
   return [...opts.listPlacements(upstreamId).values()].map((placement) => {
     const step = findStep(opts.state, placement)
-    const runTimeMs = (step?.expectedRunTimeMs ?? 0) / expectedSpeed
     const track = opts.findTrack(placement)
     return {
       placement,
       needs: step?.needs ?? noResources,
-      expectedEndMs: estimateEndMs(opts.nowMs, runTimeMs, track),
+      expectedEndMs: estimateEndMs(opts.nowMs, step?.expectedRunTimeMs ?? 0, track),
       isStopping: opts.isStopping(placement),
       stopCostCoreSeconds: measureStopCost(opts.nowMs, step, track),
     }
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -101,10 +101,11 @@
   }
 
   #plan(nowMs: number): RoundDecision {
-    const { getState, roster, jobClock, retryBackoff } = this.#opts
+    const { getState, getSpeed, roster, jobClock, retryBackoff } = this.#opts
     jobClock.update(getState(), nowMs)
     const view = buildSchedulerView({
       ...this.#createRunsOptions(nowMs),
+      getSpeed: (upstreamId) => getSpeed(upstreamId, nowMs),
       acceptedAtMs: jobClock.acceptedAtMs,
       getAvailability: (upstream) => roster.getAvailability(upstream),
       isCold: ({ description }) => roster.isCold(description.upstreamId),
@@ -138,13 +139,12 @@
   }
 
   #createRunsOptions(nowMs: number): ListRunsOptions {
-    const { getState, getSpeed, roster, shouldStop, listPlacements } = this.#opts
+    const { getState, roster, shouldStop, listPlacements } = this.#opts
     return {
       state: getState(),
       listPlacements,
       nowMs,
       isStopping: shouldStop,
-      getSpeed: (upstreamId) => getSpeed(upstreamId, nowMs),
       findTrack: (placement) => roster.findSession(placement.upstreamId)?.tracks.find(placement),
     }
   }
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -163,12 +163,12 @@
       nowMs: this.#nowMs,
       listPlacements: (upstreamId) => this.#state.placements.getByUpstream(upstreamId),
       isStopping: (placement) => this.#runs.isStopping(placement),
-      getSpeed: (upstreamId) => this.#speeds.get(upstreamId),
       findTrack: (placement) => this.#runs.findTrack(placement),
     }
     for (const run of listRunsCutShort(this.#leaving, runs)) this.#runs.stop(run, this.#nowMs)
     const input: BuildSchedulerViewOptions = {
       ...runs,
+      getSpeed: (upstreamId) => this.#speeds.get(upstreamId),
       acceptedAtMs: this.#acceptedAtMs,
       getAvailability: (upstream) => this.#getAvailability(upstream),
       isCold: () => false,
