fix(sessions): an end that is read after an unanswered call is not a pace

The end of a run was timed when it was read.

Readings of progress are not affected, as the progress is as new as the answer. An end is now left out if a call to the upstream went unanswered since the run was last seen in progress.

--- a/batch/sessions/src/paceMeter.ts
+++ b/batch/sessions/src/paceMeter.ts
@@ -25,9 +25,11 @@
   /** A run that was resumed or inherited does not begin at 0 %, so that only progress since this reading counts. */
   #base: Reading | undefined
   #lastPercent = 0
+  #seenAtMs: number
 
   constructor(begunAtMs?: number) {
     this.#begin = begunAtMs === undefined ? undefined : { percent: 0, atMs: begunAtMs }
+    this.#seenAtMs = begunAtMs ?? -Infinity
   }
 
   /** Whether progress was read before. */
@@ -35,6 +37,11 @@
     return this.#base !== undefined
   }
 
+  /** When the run was last seen in progress: at its last reading or, without one, at its beginning if that is known. */
+  get seenAtMs(): number {
+    return this.#seenAtMs
+  }
+
   /**
    * Returns the pace once enough progress was made, and undefined before. Returns `invalid`, and measures nothing more,
    * if the progress runs backwards or beyond the whole run.
@@ -45,6 +52,7 @@
       return 'invalid'
     }
     this.#lastPercent = percent
+    this.#seenAtMs = atMs
     // While a gang waits for its last member, or a task starts up, nothing is done yet.
     if (this.#base === undefined || percent === 0) this.#base = { percent, atMs }
     return this.#measure(this.#base, { percent, atMs })
--- a/batch/sessions/src/runPaces.ts
+++ b/batch/sessions/src/runPaces.ts
@@ -4,6 +4,15 @@
 import type { PaceWatch } from './paceWatch.js'
 import type { RunTrack } from './runTrack.js'
 
+export interface NotedEnd {
+  end: RunEnd
+  /** Undefined if the session does not follow the run. */
+  track: RunTrack | undefined
+  nowMs: number
+  /** When a call to the upstream last went unanswered. */
+  unansweredAtMs: number
+}
+
 export class RunPaces {
   readonly #watch: PaceWatch | undefined
 
@@ -28,10 +37,17 @@
     else if (pace !== undefined) this.#watch.notePace(placement, pace)
   }
 
-  /** Call it before the end is committed; ends other than `done` say nothing about the pace. */
-  noteEnd({ outcome }: RunEnd, track: RunTrack | undefined, nowMs: number): void {
+  /**
+   * Call it before the end is committed. Ends other than `done` say nothing about the pace. Nor does an end after a call
+   * without an answer: it was read late, so that an upstream that was cut off for seconds would seem slow.
+   */
+  noteEnd({ end: { outcome }, track, nowMs, unansweredAtMs }: NotedEnd): void {
     const meter = track?.pace
     if (track === undefined || meter === undefined || meter.isOver) return
+    if (unansweredAtMs > meter.seenAtMs) {
+      meter.isOver = true
+      return
+    }
     const { placement } = track
     const isWanted =
       outcome === 'done' && (meter.hasReading || this.#watch?.isWanted(placement) === true)
--- a/batch/sessions/src/runTracks.ts
+++ b/batch/sessions/src/runTracks.ts
@@ -118,10 +118,11 @@
     return strays
   }
 
-  /** Call it before the ends are committed. */
-  noteEnds(ends: readonly RunEnd[]): void {
+  /** Call it before the ends are committed. `unansweredAtMs` is when a call to the upstream last went unanswered. */
+  noteEnds(ends: readonly RunEnd[], unansweredAtMs: number): void {
     const nowMs = this.#clock.monotonicMs()
-    for (const end of ends) this.#paces.noteEnd(end, this.find(end), nowMs)
+    for (const end of ends)
+      this.#paces.noteEnd({ end, track: this.find(end), nowMs, unansweredAtMs })
   }
 
   /** Records runs that are missing from an answer with unparsable rows, and returns those newly missing. */
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -239,7 +239,7 @@
 
   async #commitEnds(ends: readonly RunEnd[]): Promise<boolean> {
     if (ends.length === 0) return true
-    this.#tracks.noteEnds(ends)
+    this.#tracks.noteEnds(ends, this.answers.unansweredAtMs)
     if (!(await this.#opts.host.commitEnds(ends))) return false
     for (const end of ends) this.#tracks.remove(end)
     return true
