fix(speeds): a distribution does not outlive the evidence it was computed from

Bringing the evidence up to date moved the time by which the age of the computed distribution is told, and kept the distribution. An upstream that was checked more often than once a second would have kept its speed for ever. Leaders check every two seconds and read in between, so that none was served a distribution of more than about two seconds; the new test fails without the fix.

--- a/batch/speeds/src/speedBelief.ts
+++ b/batch/speeds/src/speedBelief.ts
@@ -77,6 +77,7 @@
     const elapsedMs = nowMs - this.#atMs
     if (elapsedMs <= 0) return
     this.#atMs = nowMs
+    this.#distribution = undefined
     const kept = 0.5 ** (elapsedMs / halfLifeMs)
     this.#evidence = this.#evidence.map((value) => value * kept)
     if (Math.min(...this.#evidence) > -evidenceMin) this.#evidence = []
--- a/batch/speeds/test/upstreamSpeeds.test.ts
+++ b/batch/speeds/test/upstreamSpeeds.test.ts
@@ -196,6 +196,19 @@
   t.is(speeds.get('u', 0).mean, 1)
 })
 
+// The check brings the evidence up to date; a distribution computed before must not outlive it.
+test('an upstream that runs nothing becomes unknown, however often it is checked whether to drop it', (t) => {
+  const speeds = new UpstreamSpeeds()
+  observePaces(
+    speeds,
+    Array.from({ length: 20 }, () => 0.5),
+  )
+  t.true(speeds.get('u', 0).isKnown)
+  const kept = { hasJob: () => true, hasUpstream: () => true, hasQueue: () => true }
+  for (let atMs = 900; atMs <= 180_000; atMs += 900) speeds.keepOnly(kept, atMs)
+  t.false(speeds.get('u', 180_000).isKnown)
+})
+
 // A new leader must take the same decisions as the one before.
 test('an estimate that is replicated and restored gives about the same distribution', (t) => {
   const pace = fc.double({ min: 0.5, max: 2.5, noNaN: true })
