--- a/batch/speeds/test/upstreamSpeeds.test.ts
+++ b/batch/speeds/test/upstreamSpeeds.test.ts
@@ -69,18 +69,20 @@
   t.pass()
 })
 
-test('with gangs and tasks, a quarter of the slow upstreams or more is found too slow for three quarters of the usual speed, and hardly any other for two thirds', (t) => {
+// A pool is placed by speed once a tenth of its upstreams are known to be too slow, so that fewer would change nothing.
+// How many are found in one fleet varies with the scale of all speeds; over several fleets it is nearly all of them.
+test('with gangs and tasks, most slow upstreams are found too slow for three quarters of the usual speed, a tenth of the fleet at least, and hardly any other for two thirds', (t) => {
+  const foundShares: number[] = []
   check((seed) => {
     const bothLoad = { ...load, gangsPerSecond: 4, stepsPerSecond: 1, durationMs: 90_000 }
     const fleet = new SimulatedFleet({ ...bothLoad, seed }).play()
     const slow = fleet.list(0.6)
     const others = [...fleet.list(1), ...fleet.list(1.6)]
-    return (
-      slow.filter((one) => one.atLeast(0.75) < 0.3).length >= slow.length / 4 &&
-      countTooSlow(others) <= 1
-    )
+    const found = slow.filter((one) => one.atLeast(0.75) < 0.3).length
+    foundShares.push(found / slow.length)
+    return found >= load.upstreams / 10 && countTooSlow(others) <= 1
   })
-  t.pass()
+  t.true(foundShares.filter((share) => share >= 0.5).length >= foundShares.length - 1)
 })
 
 // Placement by speed must not start where upstreams do not differ.
