--- a/batch/scheduler/src/chooseUpstreams.ts
+++ b/batch/scheduler/src/chooseUpstreams.ts
@@ -1,8 +1,7 @@
 /**
  * Chooses upstreams for the tasks of a unit: the tightest fit, which keeps whole upstreams and racks free for large
  * gangs, and a single rack for gangs that are slow across racks. Groups of upstreams that the unit prefers are tried in
- * order (see `listGroups`). Urgent work runs on cold upstreams only if the warm ones
- * cannot take it now.
+ * order (see `listGroups`). Urgent work runs on cold upstreams only if the warm ones cannot take it now.
  */
 import { urgentPriority } from './computeStopCostLimit.js'
 import { fillGangGroups, fillGroups, sumFits, type ScopeFit } from './fillGroups.js'
--- a/batch/scheduler/src/poolSpeeds.ts
+++ b/batch/scheduler/src/poolSpeeds.ts
@@ -25,7 +25,7 @@
   readonly hasUnstable: boolean
   /** The speed below which jobs of the most urgent queue are late even if they start at once. */
   readonly urgentSpeed: number
-  /** The fastest speed on which a unit may count. Upstreams that are not known count with their mean. */
+  /** The fastest speed on which a unit may count: the highest one for which an upstream is fast enough. */
   readonly fastestSpeed: number
   /** The highest speed for which no upstream is too slow. */
   readonly slowestSpeed: number
@@ -46,9 +46,7 @@
     this.slowestSpeed = 0
     if (!this.isGraded) return
     for (const upstream of upstreams) upstream.applySpeed()
-    this.fastestSpeed = Math.max(
-      ...upstreams.map(({ view, speedRange }) => speedRange?.surely ?? view.speed.mean),
-    )
+    this.fastestSpeed = Math.max(...upstreams.map(({ speedRange }) => speedRange?.surely ?? 0))
     this.slowestSpeed = Math.min(
       ...upstreams.map(({ speedRange }) => speedRange?.possibly ?? Infinity),
     )
--- a/batch/scheduler/src/roundAllocations.ts
+++ b/batch/scheduler/src/roundAllocations.ts
@@ -21,7 +21,7 @@
   readonly reservations: Reservation[] = []
   /** How fast runs are expected to be here. */
   expectedSpeed = 1
-  /** Set only in pools that call for placement by speed, for upstreams whose speed is known. */
+  /** Set only in pools that call for placement by speed. */
   speedRange: SpeedRange | undefined
   /** This round starts a run on the upstream. */
   #hasNewRun = false
