test(scheduler): when guaranteed work preempts on slow upstreams

With nothing to preempt on fast upstreams and no room elsewhere, guaranteed urgent work is held for 1 s before it preempts on slow ones; without known speeds it did so at once.

--- a/batch/scheduler/src/speedDecisions.ts
+++ b/batch/scheduler/src/speedDecisions.ts
@@ -7,7 +7,7 @@
   readonly neededSpeed: number
   /** The lowest mean speed of the upstreams. */
   readonly lowestSpeed: number
-  /** Whether at least one of the upstreams is known to be too slow for the unit. */
+  /** Whether at least one of the upstreams is too slow for the unit; see `isTooSlow`. */
   readonly isTooSlow: boolean
 }
 
--- a/batch/scheduler/test/placementBySpeed.test.ts
+++ b/batch/scheduler/test/placementBySpeed.test.ts
@@ -212,6 +212,24 @@
   t.is(load.speedsOf('urgent').length, 1)
 })
 
+test('guaranteed work preempts on slow upstreams after 1 s if nothing may be preempted on fast ones', (t) => {
+  const load = new SpeedLoad(createGradedFleet(1))
+  load.fleet.guaranteedAccelerators = 24
+  load.fleet.availability.set('u0', 'excluded')
+  load.submit('older', { taskCount: 2, needs: whole, expectedRunTimeMs: 60_000 }, 0)
+  load.play(0)
+  load.fleet.availability.delete('u0')
+  load.submit('borrower', { taskCount: 1, needs: whole, expectedRunTimeMs: 60_000 }, 1)
+  load.play(0)
+  load.submitUrgent('urgent', 1, 8, 4000)
+  load.fleet.nowMs += 900
+  t.deepEqual(load.fleet.decide().preemptions, [])
+  load.fleet.nowMs += 100
+  const [preemption] = load.fleet.decide().preemptions
+  t.is(preemption?.run.upstreamId, 'u0')
+  t.is(preemption?.run.jobId, 'borrower')
+})
+
 test('a round says which speeds were needed and chosen, and which units are held back', (t) => {
   const load = occupyFast()
   load.submitUrgent('urgent', 1, 8)
