fix(state): a late end settles a job none of whose runs is placed

A late end for a waiting task removed no placement, so the state counted it as unchanged and kept a completed job among the unsettled ones. Ruled out: ends that are not late always remove a placement.

--- a/batch/state/src/batchState.ts
+++ b/batch/state/src/batchState.ts
@@ -188,7 +188,7 @@
       const job = this.jobs.get(end.jobId)
       if (job === undefined) continue
       const endedPlacements = endRun(job, end)
-      if (endedPlacements.length === 0) continue
+      if (endedPlacements === undefined) continue
       outcome = 'done'
       for (const placement of endedPlacements) this.placements.remove(placement)
       this.#updateUnsettled(job)
--- a/batch/state/src/endRun.ts
+++ b/batch/state/src/endRun.ts
@@ -11,16 +11,16 @@
 
 /**
  * Updates the job record and returns the placements that the end removes: all members if a gang is done, else the one
- * run. Returns none, and changes nothing, if the run is not currently placed: its end was applied before, or the task
- * is placed under another attempt or on another upstream. Late ends are the exception: see `applyLateEnd`.
+ * run. Returns undefined, and changes nothing, if the run is not currently placed: its end was applied before, or the
+ * task is placed under another attempt or on another upstream. Late ends are the exception: see `applyLateEnd`.
  */
-export function endRun(job: JobRecord, end: RunEnd): Placement[] {
+export function endRun(job: JobRecord, end: RunEnd): Placement[] | undefined {
   const step = job.steps[end.step]
   const task = step?.tasks[end.index]
-  if (step === undefined || task === undefined) return []
+  if (step === undefined || task === undefined) return undefined
   if (end.isLate === true) return applyLateEnd(job, end)
-  if (task.phase !== 'placed' || task.attempt !== end.attempt) return []
-  if (task.upstreamId !== end.upstreamId) return []
+  if (task.phase !== 'placed' || task.attempt !== end.attempt) return undefined
+  if (task.upstreamId !== end.upstreamId) return undefined
   const isGang = job.request.steps[end.step]?.isGang === true
   const endedPlacements =
     isGang && end.outcome === 'done' ? listStepPlacements(job, end.step) : [toPlacement(end)]
@@ -35,9 +35,12 @@
   return endedPlacements
 }
 
-/** Completes the task, or the gang, and returns the placements of the later attempt that it makes superfluous. */
-function applyLateEnd(job: JobRecord, end: RunEnd): Placement[] {
-  if (!isLateDone(job, end)) return []
+/**
+ * Completes the task, or the gang, and returns the placements of the later attempt that it makes superfluous: none if the
+ * task waits. Returns undefined, and changes nothing, if the end is not a late one.
+ */
+function applyLateEnd(job: JobRecord, end: RunEnd): Placement[] | undefined {
+  if (!isLateDone(job, end)) return undefined
   const superseded = listPlacedInUnit(job, end)
   for (const task of listUnitTasks(job, end)) {
     releaseTask(task)
--- a/batch/state/test/lateEnds.test.ts
+++ b/batch/state/test/lateEnds.test.ts
@@ -58,3 +58,17 @@
   t.false('isLate' in commandSchema.parse({ type: 'end-runs', ends: [end] }))
   t.false(commandSchema.safeParse({ type: 'end-runs', ends: [{ ...end, isLate: false }] }).success)
 })
+
+test('a job that a late end completes while none of its runs is placed is settled, as in a restored state', (t) => {
+  const state = createStateWithLostRun()
+  for (const index of [0, 1]) {
+    const ends = [{ ...second, index, outcome: 'lost' as const }]
+    state.apply({ type: 'end-runs', ends })
+    t.is(endLate(state, { ...first, index }), 'done')
+  }
+  t.is(state.jobs.get('j')?.status, 'completed')
+  const restored = BatchState.restore(structuredClone(state.snapshot()))
+  t.deepEqual([...state.unsettled.keys()], [...restored.unsettled.keys()])
+  state.apply({ type: 'forget-jobs', jobIds: ['j'] })
+  t.is(state.jobs.size, 0)
+})
