fix(sessions): only polls in a row that are refused end runs before their lease is over

The count of refused polls was reset only by an answered poll. A poll without an answer kept it, and so did an answered start. Once two polls had been refused, the first poll that merely timed out ended all runs there as crashed, although their lease went on: the tasks would have run twice where the upstream was only cut off.

--- a/batch/service/test/refusedConnections.test.ts
+++ b/batch/service/test/refusedConnections.test.ts
@@ -3,8 +3,18 @@
  * on it counts as running until its lease of 9.5 s is over, although nothing listens at the address any more.
  */
 import { createJob } from '@nettlespur/batch.samples'
+import { UpstreamPort, type HoldAnswer } from '@nettlespur/batch.sessions'
+import { ManualClock } from '@nettlespur/core.clock'
+import { NettlespurError } from '@nettlespur/core.errors'
 import test from 'ava'
-import { settledMs, startFleet, upstreamCount, type FakeFleet } from '../__utils__/index.js'
+import {
+  openSession,
+  settledMs,
+  SlowHost,
+  startFleet,
+  upstreamCount,
+  type FakeFleet,
+} from '../__utils__/index.js'
 
 const needs = { cpuMillicores: 100, memoryMiB: 100, accelerators: 8 }
 const gang = { taskCount: 2, needs, isGang: true, expectedRunTimeMs: 4000 }
@@ -50,3 +60,54 @@
   t.is(fleet.state.jobs.get('job')?.status, 'completed')
   t.is(fleet.ledger.starts.length, 1)
 })
+
+/** Starts and stops what it is told. Polls are answered as `polls` says, in this order, and then not at all. */
+class ScriptedPort extends UpstreamPort {
+  readonly #clock: ManualClock
+  readonly #polls: ('refused' | 'silent')[]
+
+  constructor(clock: ManualClock, polls: ('refused' | 'silent')[]) {
+    super()
+    this.#clock = clock
+    this.#polls = polls
+  }
+
+  override start() {
+    return Promise.resolve({ type: 'started', clockMs: this.#clock.monotonicMs() } as const)
+  }
+
+  override stop() {
+    return Promise.resolve({ type: 'stopping', clockMs: this.#clock.monotonicMs() } as const)
+  }
+
+  override async hold(): Promise<HoldAnswer> {
+    await this.#clock.sleep(100)
+    if (this.#polls.shift() === 'refused') return { type: 'not-listening', clockMs: undefined }
+    throw new NettlespurError('outcome-unknown', 'no answer')
+  }
+}
+
+/** Longer than the polls of these tests take, and well within the lease. */
+const polledMs = 2500
+
+test('a refused connection and later polls without an answer do not end runs before their lease is over', async (t) => {
+  const clock = new ManualClock()
+  const host = new SlowHost(clock, 'u1')
+  const port = new ScriptedPort(clock, ['refused', 'silent', 'refused', 'silent'])
+  openSession({ clock, host, port }).start(host.place(0))
+  await clock.advance(polledMs)
+  t.is(host.listPlacements().size, 1)
+})
+
+test('refused connections before a start was answered do not count against the run', async (t) => {
+  const clock = new ManualClock()
+  const host = new SlowHost(clock, 'u1')
+  const port = new ScriptedPort(clock, ['refused', 'refused', 'refused'])
+  const session = openSession({ clock, host, port })
+  session.start(host.place(0))
+  await clock.advance(polledMs)
+  t.is(host.listPlacements().size, 0)
+  session.start(host.place(0, 2))
+  await clock.advance(polledMs)
+  t.is(host.listPlacements().size, 1)
+})
--- a/batch/sessions/src/callAnswers.ts
+++ b/batch/sessions/src/callAnswers.ts
@@ -40,12 +40,23 @@
     this.#settleFirstCall()
   }
 
+  /** Records an answer to a start order: the process listens. */
+  noteStartAnswered(): void {
+    this.refusedPolls = 0
+  }
+
   /** Records a poll that found nothing listening. */
-  noteRefused(nowMs: number): void {
+  noteRefusedPoll(nowMs: number): void {
     this.refusedPolls += 1
     this.noteUnanswered(nowMs)
   }
 
+  /** Records a poll that got no answer although something may listen. */
+  noteUnansweredPoll(nowMs: number): void {
+    this.refusedPolls = 0
+    this.noteUnanswered(nowMs)
+  }
+
   noteUnanswered(nowMs: number): void {
     this.unanswered += 1
     this.unansweredAtMs = nowMs
--- a/batch/sessions/src/pollCalls.ts
+++ b/batch/sessions/src/pollCalls.ts
@@ -54,7 +54,7 @@
     try {
       const answer = await port.hold(target, order, order.waitMs + holdTimeoutMarginMs)
       if (answer.type === 'not-listening') {
-        answers.noteRefused(clock.monotonicMs())
+        answers.noteRefusedPoll(clock.monotonicMs())
         this.#logSilent('nothing listens at its address')
         return undefined
       }
@@ -62,7 +62,7 @@
       lease.clock.noteAnswer(answer.clockMs, clock.monotonicMs())
       return { answer, sentAtMs, cursor }
     } catch (thrown) {
-      answers.noteUnanswered(clock.monotonicMs())
+      answers.noteUnansweredPoll(clock.monotonicMs())
       this.#logSilent(toNettlespurError(thrown).message)
       return undefined
     }
