fix: runs superseded by a late end are stopped until the stop is answered

The leader listed the superseded runs before it proposed the late end, and sent one stop order to each. A run placed while the end was being committed was not in the list; if the proposal was applied although its outcome was unknown, or the stop was lost, nobody stopped the run, as the upstream is no longer polled once nothing is placed there. It went on until its lease was over, for a task reported as done. They are now found as the command is applied, from the runs that the sessions still follow, and the stop is repeated until it is answered or no order can start the run any more. run.done-late is logged once the end is committed, and a late end carries only the fields of a run, as the command's schema rejects others.

--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -28,7 +28,6 @@
 import { FenceIssuer } from './fenceIssuer.js'
 import type { JobClock } from './jobClock.js'
 import { listAffectedJobs } from './listAffectedJobs.js'
-import { listSupersededRuns } from './listSupersededRuns.js'
 import { logTakeover } from './logTakeover.js'
 import { createTryPropose, type Propose, type TryPropose } from './proposer.js'
 import { listActiveJobs, reportEnds } from './reportEnds.js'
@@ -37,6 +36,7 @@
 import { createSpeedLearner, noteSpeeds } from './learnSpeeds.js'
 import type { SpeedLearner } from './speedLearner.js'
 import type { UpstreamSpeedsMode } from './upstreamSpeedsMode.js'
+import { stopSupersededRuns } from './stopSupersededRuns.js'
 import { UpstreamRegistrar } from './upstreamRegistrar.js'
 import { UpstreamRoster } from './upstreamRoster.js'
 
@@ -134,6 +134,9 @@
 
   /** Call it after each applied command. */
   handleAppliedCommand(command: Command): void {
+    const { sessions } = this.#roster
+    const superseded = stopSupersededRuns({ command, state: this.#state, sessions })
+    for (const run of superseded) this.#preempted.delete(runKey(run))
     for (const jobId of listAffectedJobs(command)) {
       const job = this.findJob(jobId)
       if (job !== undefined) this.#requestStops(listPlacements(job))
@@ -192,7 +195,6 @@
 
   override async commitEnds(ends: readonly RunEnd[]): Promise<boolean> {
     const active = listActiveJobs(this.#state, ends)
-    const superseded = listSupersededRuns(this.#state, ends)
     if (!(await this.#tryPropose({ type: 'end-runs', ends: [...ends] }))) return false
     const nowMs = this.#opts.clock.monotonicMs()
     reportEnds({ ...this.#opts, ends, jobs: active, nowMs })
@@ -202,7 +204,6 @@
       this.#roster.health.noteEnd(end, address, nowMs)
       this.#retryBackoff.noteEnd(end, nowMs)
     }
-    for (const run of superseded) void this.#roster.findSession(run.upstreamId)?.stops.stop(run)
     this.#removeSettledProcesses()
     return true
   }
--- a/batch/service/test/lateEnds.test.ts
+++ b/batch/service/test/lateEnds.test.ts
@@ -3,8 +3,15 @@
  * lease expires unseen, and the leader starts the task elsewhere. Once the upstream answers again it lists the end.
  */
 import { createJob } from '@nettlespur/batch.samples'
+import type { Command } from '@nettlespur/batch.state'
 import test from 'ava'
-import { settledMs, startFleet, type FakeFleet } from '../__utils__/index.js'
+import {
+  createRecorder,
+  settledMs,
+  startFleet,
+  type FakeFleet,
+  type Recorder,
+} from '../__utils__/index.js'
 
 /** Longer than the lease of 9.5 s, on the slowest clock allowed. */
 const cutMs = 12_000
@@ -49,3 +56,44 @@
   await fleet.clock.advance(settledMs)
   t.is(fleet.state.jobs.get('next')?.status, 'completed')
 })
+
+/** Whether an upstream has accepted to stop the second run of the job. */
+function hasStoppedSecondRun({ findEvents }: Recorder): boolean {
+  return findEvents('run.stop').some(
+    ({ jobId, attempt, answer }) => jobId === 'job' && attempt === 2 && answer === 'stopping',
+  )
+}
+
+test('a superfluous run is stopped even if the first stop order is lost', async (t) => {
+  const recorder = createRecorder()
+  const fleet = await startFleet({ logger: recorder.logger })
+  fleet.submit(createJob('job', { needs, expectedRunTimeMs: 8000 }), 1)
+  await fleet.clock.advance(500)
+  cutRunning(fleet, 'job', cutMs + 1000)
+  await fleet.clock.advance(cutMs)
+  cutRunning(fleet, 'job', 2 * settledMs)
+  await fleet.clock.advance(1000 + settledMs)
+  t.is(fleet.state.jobs.get('job')?.status, 'completed')
+  t.false(hasStoppedSecondRun(recorder))
+  await fleet.clock.advance(settledMs)
+  t.true(hasStoppedSecondRun(recorder))
+})
+
+test('a superfluous run is stopped even if the leader does not learn that the late end was committed', async (t) => {
+  const recorder = createRecorder()
+  const isLateEnd = (command: Command): boolean =>
+    command.type === 'end-runs' && command.ends.some(({ isLate }) => isLate === true)
+  const fleet: FakeFleet = await startFleet({
+    logger: recorder.logger,
+    failsProposal: (command) => {
+      if (isLateEnd(command)) fleet.commit(command)
+      return isLateEnd(command)
+    },
+  })
+  fleet.submit(createJob('job', { needs, expectedRunTimeMs: 8000 }), 1)
+  await fleet.clock.advance(500)
+  cutRunning(fleet, 'job', cutMs)
+  await fleet.clock.advance(cutMs + settledMs)
+  t.is(fleet.state.jobs.get('job')?.status, 'completed')
+  t.true(hasStoppedSecondRun(recorder))
+})
--- a/batch/sessions/src/listLateEnds.ts
+++ b/batch/sessions/src/listLateEnds.ts
@@ -2,7 +2,7 @@
  * Lists the reported ends of runs that were counted as lost although they finished: their upstream was silent until the
  * lease had expired, and answers again. Without them a task would run again whose work is done.
  */
-import { runKey, type RunRef } from '@nettlespur/batch.model'
+import { runFields, runKey, type RunRef } from '@nettlespur/batch.model'
 import { isLateDone, type JobRecord, type Placement, type RunEnd } from '@nettlespur/batch.state'
 import type { FinishedRun } from './upstreamPort.js'
 
@@ -22,5 +22,5 @@
   }
   return finished
     .filter(({ run, outcome }) => outcome === 'done' && isLate(run))
-    .map(({ run }) => ({ ...run, upstreamId, outcome: 'done', isLate: true }))
+    .map(({ run }) => ({ ...runFields(run), upstreamId, outcome: 'done', isLate: true }))
 }
--- a/batch/sessions/src/pollLists.ts
+++ b/batch/sessions/src/pollLists.ts
@@ -61,8 +61,9 @@
     const lateEnds = this.#listLateEnds(poll, placed)
     if (!(await commitEnds([...reading.ends, ...lateEnds, ...absentEnds, ...crashedEnds]))) {
       await clock.sleep(retryPauseMs, signal)
-    } else if (reading.mayAcknowledge) {
-      this.cursor.advance()
+    } else {
+      for (const end of lateEnds) this.#log('run.done-late', runFields(end))
+      if (reading.mayAcknowledge) this.cursor.advance()
     }
     stops.stopAllIfNeeded()
     if (poll.unreadRows > 0) await clock.sleep(unreadPauseMs, signal)
@@ -75,9 +76,7 @@
     const { host, target } = this.#opts
     const { upstreamId } = target
     const findJob = (jobId: string) => host.findJob(jobId)
-    const ends = listLateEnds({ upstreamId, finished, placements, findJob })
-    for (const end of ends) this.#log('run.done-late', runFields(end))
-    return ends
+    return listLateEnds({ upstreamId, finished, placements, findJob })
   }
 
   #log(event: string, fields: Readonly<Record<string, string | number>>): void {
--- a/batch/sessions/src/runStops.ts
+++ b/batch/sessions/src/runStops.ts
@@ -2,6 +2,7 @@
 import { runKey, type RunRef } from '@nettlespur/batch.model'
 import type { Placement } from '@nettlespur/batch.state'
 import type { Clock } from '@nettlespur/core.clock'
+import type { LeaseTracker } from './leaseTracker.js'
 import type { RunOrders } from './runOrders.js'
 import type { RunTrack } from './runTrack.js'
 import type { RunTracks } from './runTracks.js'
@@ -13,6 +14,7 @@
   host: SessionHost
   orders: RunOrders
   tracks: RunTracks
+  lease: LeaseTracker
   clock: Clock
   signal: AbortSignal
   /** The runs placed on the upstream, by run key. */
@@ -58,6 +60,18 @@
     }
   }
 
+  /**
+   * Stops a run that is no longer placed. Retries until a stop is answered, or no order can start it any more: its start
+   * may be under way, and nothing else may poll the upstream.
+   */
+  async stopRemoved(run: RunRef): Promise<void> {
+    const { clock, signal, isOver, lease } = this.#opts
+    while (!isOver() && !lease.hasExpired(clock.monotonicMs())) {
+      if (await this.stop(run)) return
+      await clock.sleep(retryPauseMs, signal)
+    }
+  }
+
   /** Sends one stop order. Resolves to true if the upstream accepted it. */
   async stop(run: RunRef): Promise<boolean> {
     const answer = await this.#opts.orders.stop(run)
--- a/batch/sessions/src/runTracks.ts
+++ b/batch/sessions/src/runTracks.ts
@@ -11,7 +11,7 @@
 /** The part that code outside the session may read. */
 export type ReadonlyRunTracks = Pick<
   RunTracks,
-  'find' | 'hasTrial' | 'hasUnproven' | 'unlistedAtMs'
+  'byKey' | 'find' | 'hasTrial' | 'hasUnproven' | 'unlistedAtMs'
 >
 
 export class RunTracks {
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -81,7 +81,7 @@
     return this.#opts.target
   }
 
-  get stops(): Pick<RunStops, 'stop' | 'stopIfNeeded'> {
+  get stops(): Pick<RunStops, 'stopRemoved' | 'stopIfNeeded'> {
     return this.#stops
   }
 
--- a/batch/state/src/lateEnd.ts
+++ b/batch/state/src/lateEnd.ts
@@ -21,6 +21,12 @@
   return isGang(job, step) ? placed : placed.filter((run) => run.index === index)
 }
 
+/** Whether the run is one of the task, or of its whole gang. */
+export function isInUnit(job: JobRecord, { step, index }: RunRef, run: RunRef): boolean {
+  if (run.jobId !== job.request.jobId || run.step !== step) return false
+  return run.index === index || isGang(job, step)
+}
+
 /** Lists the task of the run, or all tasks of its gang. */
 export function listUnitTasks(
   { request, steps }: JobRecord,
