refactor: the poll loop of a session and the leader's stop requests are files of their own

PollLoop decides when an upstream is polled and given up; StopRequests decides which runs must stop. No change of behaviour; the tests are unchanged.

--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -2,7 +2,7 @@
  * The leader's work during one term: keeps sessions with the upstreams, runs the scheduling rounds, and commits each
  * placement before it orders the upstream to start it.
  */
-import { runKey, type Announcement } from '@nettlespur/batch.model'
+import type { Announcement } from '@nettlespur/batch.model'
 import {
   SessionHost,
   type Replacement,
@@ -11,7 +11,6 @@
 } from '@nettlespur/batch.sessions'
 import { unknownSpeed } from '@nettlespur/batch.speeds'
 import {
-  listPlacements,
   type BatchState,
   type Command,
   type JobRecord,
@@ -27,7 +26,6 @@
 import type { BatchTimings } from './batchTimings.js'
 import { FenceIssuer } from './fenceIssuer.js'
 import type { JobClock } from './jobClock.js'
-import { listAffectedJobs } from './listAffectedJobs.js'
 import { logTakeover } from './logTakeover.js'
 import { createTryPropose, type Propose, type TryPropose } from './proposer.js'
 import { listActiveJobs, reportEnds } from './reportEnds.js'
@@ -36,7 +34,7 @@
 import { createSpeedLearner, noteSpeeds } from './learnSpeeds.js'
 import type { SpeedLearner } from './speedLearner.js'
 import type { UpstreamSpeedsMode } from './upstreamSpeedsMode.js'
-import { stopSupersededRuns } from './stopSupersededRuns.js'
+import { StopRequests } from './stopRequests.js'
 import { UpstreamRegistrar } from './upstreamRegistrar.js'
 import { UpstreamRoster } from './upstreamRoster.js'
 
@@ -61,7 +59,7 @@
   readonly #stopController = new AbortController()
   readonly #speedLearner: SpeedLearner | undefined
   readonly #roster: UpstreamRoster
-  readonly #preempted = new Set<string>()
+  readonly #stops: StopRequests
   readonly #rounds: SchedulingRounds
   readonly #registrar: UpstreamRegistrar
   readonly #retryBackoff = new RetryBackoff()
@@ -79,6 +77,7 @@
     })
     const paceWatch = this.#speedLearner
     this.#roster = new UpstreamRoster({ ...opts, host: this, paceWatch, signal })
+    this.#stops = new StopRequests({ ...opts, roster: this.#roster })
     this.#rounds = new SchedulingRounds({
       ...opts,
       roster: this.#roster,
@@ -87,7 +86,7 @@
       shouldStop: (placement) => this.shouldStop(placement),
       listPlacements: (upstreamId) => this.listPlacements(upstreamId),
       preempt: (runs) => {
-        this.#preempt(runs)
+        this.#stops.preempt(runs)
       },
       tryPropose: this.#tryPropose,
       signal,
@@ -134,13 +133,7 @@
 
   /** Call it after each applied command. */
   handleAppliedCommand(command: Command): void {
-    const { sessions } = this.#roster
-    const superseded = stopSupersededRuns({ command, state: this.#state, sessions })
-    for (const run of superseded) this.#preempted.delete(runKey(run))
-    for (const jobId of listAffectedJobs(command)) {
-      const job = this.findJob(jobId)
-      if (job !== undefined) this.#requestStops(listPlacements(job))
-    }
+    this.#stops.noteApplied(command)
     // A round's own placements only take up resources, and rounds know the speeds before they are committed.
     const { type } = command
     if (type !== 'place-tasks' && type !== 'note-speeds') this.#rounds.requestRound()
@@ -187,10 +180,7 @@
   }
 
   override shouldStop(placement: Placement): boolean {
-    const job = this.findJob(placement.jobId)
-    if (job?.status !== 'active' || this.#isPreempted(placement)) return true
-    const step = job.steps[placement.step]
-    return step !== undefined && placement.attempt <= step.endedGangAttempt
+    return this.#stops.shouldStop(placement)
   }
 
   override async commitEnds(ends: readonly RunEnd[]): Promise<boolean> {
@@ -199,7 +189,7 @@
     const nowMs = this.#opts.clock.monotonicMs()
     reportEnds({ ...this.#opts, ends, jobs: active, nowMs })
     for (const end of ends) {
-      this.#preempted.delete(runKey(end))
+      this.#stops.forget(end)
       const address = this.findUpstream(end.upstreamId)?.description.address
       this.#roster.health.noteEnd(end, address, nowMs)
       this.#retryBackoff.noteEnd(end, nowMs)
@@ -208,13 +198,8 @@
     return true
   }
 
-  override abandonGang({ jobId, step, attempt }: Placement): void {
-    const job = this.findJob(jobId)
-    if (job?.request.steps[step]?.isGang !== true) return
-    const members = listPlacements(job).filter(
-      (run) => run.step === step && run.attempt === attempt,
-    )
-    this.#preempt(members)
+  override abandonGang(placement: Placement): void {
+    this.#stops.abandonGang(placement)
   }
 
   override noteGone(upstreamId: string): void {
@@ -231,23 +216,8 @@
     }
   }
 
-  #isPreempted(placement: Placement): boolean {
-    return this.#preempted.size > 0 && this.#preempted.has(runKey(placement))
-  }
-
-  /** Has the sessions stop those of the runs for which `shouldStop` holds. */
-  #requestStops(runs: readonly Placement[]): void {
-    for (const run of runs) this.#roster.findSession(run.upstreamId)?.stops.stopIfNeeded(run)
-  }
-
   /** Errors: rejects as proposals do. */
   async #propose(command: Command): Promise<void> {
     await unwrap(this.#opts.propose(command))
   }
-
-  /** Marks the runs as preempted and has their sessions stop them; the end of a gang member then stops its whole gang. */
-  #preempt(runs: readonly Placement[]): void {
-    for (const run of runs) this.#preempted.add(runKey(run))
-    this.#requestStops(runs)
-  }
 }
--- /dev/null
+++ b/batch/sessions/src/pollLoop.ts
@@ -0,0 +1,111 @@
+/**
+ * Polls one upstream for as long as runs are placed there, or may yet start there, and gives them up if it stays silent
+ * or nothing listens at its address.
+ */
+import type { Placement } from '@nettlespur/batch.state'
+import type { Clock } from '@nettlespur/core.clock'
+import type { CallAnswers } from './callAnswers.js'
+import type { LeaseTracker } from './leaseTracker.js'
+import type { LossCause } from './lossCause.js'
+import type { AnsweredPoll, PollCalls } from './pollCalls.js'
+import type { PollLists } from './pollLists.js'
+import type { RunTracks } from './runTracks.js'
+import type { SessionHost } from './sessionHost.js'
+import { refusedPollsMin, retryPauseMs } from './sessionOptions.js'
+import type { UpstreamEnding } from './upstreamEnding.js'
+import type { UpstreamTarget } from './upstreamPort.js'
+
+export interface PollLoopOptions {
+  target: UpstreamTarget
+  host: Pick<SessionHost, 'findUpstream'>
+  lease: LeaseTracker
+  answers: CallAnswers
+  tracks: RunTracks
+  calls: PollCalls
+  lists: PollLists
+  ending: UpstreamEnding
+  clock: Clock
+  signal: AbortSignal
+  /** The runs placed on the upstream, by run key. */
+  listPlacements: () => ReadonlyMap<string, Placement>
+  /** Whether runs may be there, or may yet start there. */
+  isWatched: () => boolean
+  /** Whether a later process may execute a start order of this session. */
+  mayStartArrive: () => boolean
+  /** Whether the session has ended. */
+  isOver: () => boolean
+  /** Resolves once the answer has taken effect on the session. */
+  handleAnswer: (answered: AnsweredPoll) => Promise<void>
+}
+
+export class PollLoop {
+  readonly #opts: PollLoopOptions
+  #isPolling = false
+  #isPollRequested = false
+
+  constructor(opts: PollLoopOptions) {
+    this.#opts = opts
+  }
+
+  /** Polls until it is no longer needed. */
+  start(): void {
+    if (this.#isPolling) return
+    this.#isPolling = true
+    void this.#pollWhileNeeded().finally(() => {
+      const { tracks, listPlacements } = this.#opts
+      this.#isPolling = false
+      // Nothing else drops a run that is no longer placed, and one on trial would block the upstream for good.
+      tracks.keepOnly(listPlacements())
+      if (this.#shouldPoll()) this.start()
+    })
+  }
+
+  /** Polls at least once even if nothing is placed there. */
+  pollOnce(): void {
+    this.#isPollRequested = true
+    this.start()
+  }
+
+  #shouldPoll(): boolean {
+    const { lists, isOver, isWatched } = this.#opts
+    if (isOver()) return false
+    return this.#isPollRequested || lists.cursor.hasUnacknowledged || isWatched()
+  }
+
+  async #pollWhileNeeded(): Promise<void> {
+    const { target, host, tracks, ending, clock, signal } = this.#opts
+    while (this.#shouldPoll()) {
+      const isAnswered = await this.#poll()
+      if (!isAnswered) this.#giveUpIfLost()
+      else if (tracks.hasLongUnlisted(clock.monotonicMs())) this.#giveUpAfterLease('unlisted')
+      if (isAnswered) continue
+      await clock.sleep(retryPauseMs, signal)
+      // Its shutdown may have been announced as the connection broke; another poll could wait in vain for seconds.
+      if (host.findUpstream(target.upstreamId)?.hasLeft === true) await ending.end('left')
+    }
+  }
+
+  /** Called after a poll without an answer. */
+  #giveUpIfLost(): void {
+    const { answers, ending, mayStartArrive } = this.#opts
+    if (answers.refusedPolls < refusedPollsMin) this.#giveUpAfterLease('lease-over')
+    else if (!mayStartArrive()) ending.giveUpRefused()
+  }
+
+  /** Not while an order may still arrive: a later process, which has none of these leases, would execute it. */
+  #giveUpAfterLease(cause: LossCause): void {
+    const { lease, ending, mayStartArrive } = this.#opts
+    if (!mayStartArrive()) ending.giveUpAfterLease(lease, cause)
+  }
+
+  /** Resolves to false if no answer came. */
+  async #poll(): Promise<boolean> {
+    const { lists, calls, clock, handleAnswer } = this.#opts
+    this.#isPollRequested = false
+    const answered = await calls.poll(lists.cursor.committed)
+    if (answered !== undefined) await handleAnswer(answered)
+    // Yields to other work of this process, in case the upstream always answers at once.
+    await clock.sleep(0)
+    return answered !== undefined
+  }
+}
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -9,13 +9,14 @@
 import { LostRuns } from './lostRuns.js'
 import { PollCalls, type AnsweredPoll } from './pollCalls.js'
 import { PollLists } from './pollLists.js'
+import { PollLoop } from './pollLoop.js'
 import type { RunTrack } from './runTrack.js'
 import { RunTracks, type ReadonlyRunTracks } from './runTracks.js'
 import { RunOrders } from './runOrders.js'
 import { RunStarts } from './runStarts.js'
 import { RunStops } from './runStops.js'
 import { SessionFence } from './sessionFence.js'
-import { refusedPollsMin, retryPauseMs, type UpstreamSessionOptions } from './sessionOptions.js'
+import { retryPauseMs, type UpstreamSessionOptions } from './sessionOptions.js'
 import { UpstreamEnding } from './upstreamEnding.js'
 import type { StopAnswer, UpstreamTarget } from './upstreamPort.js'
 
@@ -28,12 +29,10 @@
   readonly #fence: SessionFence
   readonly #starts: RunStarts
   readonly #stops: RunStops
-  readonly #calls: PollCalls
   readonly #lists: PollLists
   readonly #ending: UpstreamEnding
+  readonly #polling: PollLoop
   readonly #openedAtMs: number
-  #isPolling = false
-  #isPollRequested = false
   /** The process to which the runs were passed on, which ends this session. */
   #successorId: string | undefined
 
@@ -64,7 +63,6 @@
       isOver: () => this.#isOver(),
       handleAnswer: (answer) => this.#handleStopAnswer(answer),
     })
-    this.#calls = new PollCalls({ ...shared, isWatched: () => this.#isWatched() })
     this.#lists = new PollLists({ ...shared, stops: this.#stops })
     this.#starts = new RunStarts({
       ...shared,
@@ -75,6 +73,17 @@
     })
     const commitLost = (cause: LossCause) => this.#commitLostEnds(cause)
     this.#ending = new UpstreamEnding({ ...opts, commitLost })
+    const isWatched = (): boolean => this.#isWatched()
+    this.#polling = new PollLoop({
+      ...shared,
+      calls: new PollCalls({ ...shared, isWatched }),
+      lists: this.#lists,
+      ending: this.#ending,
+      isWatched,
+      mayStartArrive: () => this.#mayStartArrive(),
+      isOver: () => this.#isOver(),
+      handleAnswer: (answered) => this.#handleAnswer(answered),
+    })
   }
 
   get target(): UpstreamTarget {
@@ -93,7 +102,7 @@
   resume(): void {
     this.answers.startUnansweredAtMs = this.#nowMs()
     for (const placement of this.#placements().values()) this.#tracks.follow(placement, 'inherited')
-    this.#startPolling()
+    this.#polling.start()
   }
 
   /** Reads the ends of runs that were given up. To be called as the upstream is heard of again. */
@@ -103,14 +112,13 @@
 
   /** Polls at least once even if nothing is placed there, to learn whether the upstream answers and read its clock. */
   pollOnce(): void {
-    this.#isPollRequested = true
-    this.#startPolling()
+    this.#polling.pollOnce()
   }
 
   /** Sends the start order of a run whose placement is committed. */
   start(placement: Placement): void {
     void this.#starts.start(placement)
-    this.#startPolling()
+    this.#polling.start()
   }
 
   /** Whether it was opened before `timeMs`. If so, a process that answers a poll sent then is a later one. */
@@ -146,26 +154,10 @@
     return this.#opts.clock.monotonicMs()
   }
 
-  #startPolling(): void {
-    if (this.#isPolling) return
-    this.#isPolling = true
-    void this.#pollWhileNeeded().finally(() => {
-      this.#isPolling = false
-      // Nothing else drops a run that is no longer placed, and one on trial would block the upstream for good.
-      this.#tracks.keepOnly(this.#placements())
-      if (this.#shouldPoll()) this.#startPolling()
-    })
-  }
-
   #isOver(): boolean {
     return this.#ending.isOver || this.#successorId !== undefined || this.#opts.signal.aborted
   }
 
-  #shouldPoll(): boolean {
-    if (this.#isOver()) return false
-    return this.#isPollRequested || this.#lists.cursor.hasUnacknowledged || this.#isWatched()
-  }
-
   /** Whether runs may be there, or may yet start there. */
   #isWatched(): boolean {
     return this.#placements().size > 0 || this.#mayStartArrive()
@@ -177,41 +169,7 @@
     return this.answers.mayStartArrive(this.#nowMs())
   }
 
-  async #pollWhileNeeded(): Promise<void> {
-    while (this.#shouldPoll()) {
-      const isAnswered = await this.#poll()
-      if (!isAnswered) this.#giveUpIfLost()
-      else if (this.#tracks.hasLongUnlisted(this.#nowMs())) this.#giveUpAfterLease('unlisted')
-      if (isAnswered) continue
-      await this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
-      // Its shutdown may have been announced as the connection broke; another poll could wait in vain for seconds.
-      const { host, target } = this.#opts
-      if (host.findUpstream(target.upstreamId)?.hasLeft === true) await this.#ending.end('left')
-    }
-  }
-
-  /** Called after a poll without an answer. */
-  #giveUpIfLost(): void {
-    if (this.answers.refusedPolls < refusedPollsMin) this.#giveUpAfterLease('lease-over')
-    else if (!this.#mayStartArrive()) this.#ending.giveUpRefused()
-  }
-
-  /** Not while an order may still arrive: a later process, which has none of these leases, would execute it. */
-  #giveUpAfterLease(cause: LossCause): void {
-    if (!this.#mayStartArrive()) this.#ending.giveUpAfterLease(this.lease, cause)
-  }
-
-  /** Resolves to false if no answer came. */
-  async #poll(): Promise<boolean> {
-    this.#isPollRequested = false
-    const answered = await this.#calls.poll(this.#lists.cursor.committed)
-    if (answered !== undefined) await this.#processAnswer(answered)
-    // Yields to other work of this process, in case the upstream always answers at once.
-    await this.#opts.clock.sleep(0)
-    return answered !== undefined
-  }
-
-  async #processAnswer({ answer, sentAtMs, cursor }: AnsweredPoll): Promise<void> {
+  async #handleAnswer({ answer, sentAtMs, cursor }: AnsweredPoll): Promise<void> {
     if (this.#isOver()) return
     if (answer.type === 'gone') return this.#handleGone(answer.successorId)
     if (answer.type === 'fence') {
