--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -7,7 +7,7 @@
 import { EitherAsync, Left, Right } from 'purify-ts'
 import { BatchLeader } from '../src/batchLeader.js'
 import { JobClock } from '../src/jobClock.js'
-import { FakeUpstream, FleetLedger } from '@nettlespur/batch.fakes'
+import { FleetLedger } from '@nettlespur/batch.fakes'
 import { createFleetConfig, fleetAttemptsMax } from './createFleetConfig.js'
 import { silentLogger } from './silentLogger.js'
 import { FleetRelays } from './fleetRelays.js'
@@ -15,6 +15,7 @@
 import { FaultyPort } from './faultyPort.js'
 import { FleetAnnouncer } from './fleetAnnouncer.js'
 import { addressOf, FleetLinks } from './fleetLinks.js'
+import { FleetUpstreams } from './fleetUpstreams.js'
 import type { Logger } from '@nettlespur/core.logger'
 import type { FakeFleetOptions, FleetFault } from './fleetOptions.js'
 
@@ -22,19 +23,16 @@
 const acceleratorsEach = 8
 const commitMs = 8
 const announceEveryMs = 1500
-/** From the crash of an upstream by a run until its next process answers at the same address. */
-const restartDelayMs = 3000
 
 export class FakeFleet {
   readonly clock = new ManualClock()
   readonly state = new BatchState()
   readonly ledger: FleetLedger
-  readonly #upstreams = new Map<string, FakeUpstream>()
+  readonly #upstreams: FleetUpstreams
   readonly #links = new FleetLinks(this.clock)
   readonly port: FaultyPort
   readonly #logger: Logger
   readonly #opts: FakeFleetOptions
-  #startedUpstreams = 0
   #term = 0
   /** Shared by all leaders, as they run on the same member here. */
   readonly #jobClock = new JobClock()
@@ -59,9 +57,10 @@
       },
       ...(opts.crashes === undefined ? {} : { crashes: opts.crashes }),
     })
+    this.#upstreams = new FleetUpstreams({ ...opts, clock, ledger: this.ledger })
     this.port = new FaultyPort({
       clock,
-      findUpstream: (address) => this.#upstreams.get(address),
+      findUpstream: (address) => this.#upstreams.byAddress.get(address),
       nextFault: (address) => this.#links.takeFault(address),
       nextLinkDelayMs: () => opts.linksMs[calls++ % opts.linksMs.length] ?? 1,
       nextLatenessMs: () => opts.lateMs,
@@ -83,11 +82,11 @@
       state: this.state,
     })
     this.commit({ type: 'apply-config', config: createFleetConfig() })
-    for (let at = 0; at < upstreamCount; at++) this.#startUpstream(at)
+    for (let at = 0; at < upstreamCount; at++) this.#upstreams.start(at)
     this.#announcer = new FleetAnnouncer({
       clock,
       links: this.#links,
-      upstreams: this.#upstreams,
+      upstreams: this.#upstreams.byAddress,
       findLeader: () => this.#leader,
     })
     void this.#announcer.announceForever(announceEveryMs)
@@ -148,7 +147,7 @@
         this.#links.cut(addressOf(fault.upstream), fault.forMs)
         return
       case 'crash':
-        this.#crash(fault.upstream, fault.downMs ?? 0)
+        this.#upstreams.crash(fault.upstream, fault.downMs ?? 0)
         return
       case 'late-announcement':
         this.#announcer.announceLate(addressOf(fault.upstream), fault.delayMs)
@@ -190,14 +189,13 @@
 
   /** One upstream crashes without notice, and nothing answers at its address any more. */
   crashForGood(at: number): void {
-    const address = addressOf(at)
-    this.#upstreams.get(address)?.crash()
-    this.#links.cut(address, Infinity)
+    this.#upstreams.find(at)?.crash()
+    this.#links.cut(addressOf(at), Infinity)
   }
 
   /** Changes the capacity of one upstream; its next announcement contains the new one. */
   resize(at: number, accelerators: number): void {
-    this.#upstreams.get(addressOf(at))?.resize(accelerators)
+    this.#upstreams.find(at)?.resize(accelerators)
   }
 
   /** One upstream no longer announces itself, but answers calls as before. */
@@ -212,11 +210,11 @@
 
   /** From now on all upstreams say when they were born. */
   stateBirths(): void {
-    for (const upstream of this.#upstreams.values()) upstream.statesBirth = true
+    for (const upstream of this.#upstreams.byAddress.values()) upstream.statesBirth = true
   }
 
   upstreamIdOf(at: number): string {
-    return this.#upstreams.get(addressOf(at))?.processId ?? ''
+    return this.#upstreams.find(at)?.processId ?? ''
   }
 
   listUpstreamIds(): string[] {
@@ -240,42 +238,4 @@
     if (this.state.isEvacuated(upstreamId))
       this.ledger.violations.push(`${runKey(run)} was sent to ${upstreamId}, which is evacuated`)
   }
-
-  #crash(at: number, downMs: number): void {
-    const upstream = this.#upstreams.get(addressOf(at))
-    if (upstream?.isUp !== true) return
-    upstream.crash()
-    if (downMs === 0) {
-      this.#startUpstream(at)
-      return
-    }
-    this.clock.setTimer(downMs, () => {
-      this.#startUpstream(at)
-    })
-  }
-
-  #startUpstream(at: number): void {
-    this.#startedUpstreams += 1
-    const address = addressOf(at)
-    const { clock, ledger } = this
-    const { clockRate, guardsCapacity = true, remembersCursor = false } = this.#opts
-    const bornMs = this.#opts.bornMs?.(this.#startedUpstreams)
-    const speed = this.#opts.speeds?.[at]
-    const upstream = new FakeUpstream({
-      upstreamId: bornMs === undefined ? `life${this.#startedUpstreams}` : `upstream${at}`,
-      ...(bornMs === undefined ? {} : { bornMs }),
-      ...(speed === undefined ? {} : { speed }),
-      address,
-      clock,
-      clockRate,
-      ledger,
-      guardsCapacity,
-      remembersCursor,
-      onCrashingRun: () => {
-        this.#crash(at, restartDelayMs)
-      },
-    })
-    upstream.statesBirth = this.#opts.statesBirth ?? true
-    this.#upstreams.set(address, upstream)
-  }
 }
