fix(sessions): a start order is not repeated for a run that is no longer placed

A start without an answer was sent again after 500 ms even if a late end, or another member of the gang, had completed the task meanwhile: the task could start after its end was reported as done. The new test failed before.

--- a/batch/sessions/src/runOrders.ts
+++ b/batch/sessions/src/runOrders.ts
@@ -1,5 +1,5 @@
 /** Sends start and stop orders to one upstream, and returns what is known about each order afterwards. */
-import { runFields, type RunRef } from '@nettlespur/batch.model'
+import { runFields, runKey, type RunRef } from '@nettlespur/batch.model'
 import type { Placement } from '@nettlespur/batch.state'
 import type { Clock } from '@nettlespur/core.clock'
 import { toNettlespurError } from '@nettlespur/core.errors'
@@ -36,7 +36,10 @@
     this.#opts = opts
   }
 
-  /** Sends a start order, and sends it again if no answer comes; but never to an upstream that is evacuated by then. */
+  /**
+   * Sends a start order, and sends it again if no answer comes; but never to an upstream that is evacuated by then, nor
+   * for a run that is no longer placed, as its task may be done.
+   */
   async start(placement: Placement): Promise<StartResult> {
     const result = await this.#tryToStart(placement)
     const reason = result.type === 'refused' ? result.reason : undefined
@@ -68,6 +71,7 @@
     for (let tries = 1; tries <= startTriesMax; tries++) {
       if (host.isEvacuated(placement.upstreamId))
         return { type: mayHaveArrived ? 'in-doubt' : 'evacuated' }
+      if (tries > 1 && !this.#isPlaced(placement)) break
       const leaseEndMs = lease.extend(clock.monotonicMs())
       const order = { run: placement, payload, checkpoint, leaseEndMs, fence }
       try {
@@ -85,6 +89,11 @@
     return { type: mayHaveArrived ? 'in-doubt' : 'not-sent' }
   }
 
+  #isPlaced(placement: Placement): boolean {
+    const { host, target } = this.#opts
+    return host.listPlacements(target.upstreamId).has(runKey(placement))
+  }
+
   #log(
     event: string,
     run: RunRef,
