--- a/bench/policy/src/playedSpeeds.ts
+++ b/bench/policy/src/playedSpeeds.ts
@@ -77,7 +77,7 @@
 
   /** To be called before the end is committed. The answer that tells it also tells how far other runs there are. */
   noteEnd(end: RunEnd, track: RunTrack): void {
-    this.#paces.noteEnd(end, track, this.#clock.nowMs)
+    this.#paces.noteEnd({ end, track, nowMs: this.#clock.nowMs, unansweredAtMs: -Infinity })
     this.#readAtMs.delete(end.upstreamId)
   }
 
