feat: guaranteed work starts within a bound that the settings say

Cause: the order of guaranteed units knows their timeliness and not the bound on their start. A unit that can no longer be on time ranks behind newer ones, which take what was stopped for it; and the time for which it insists on its rack is fixed, whatever stops take. Change: settings guaranteedStartMsMax and stopMsMax of a control instance, rendered from the platform's bounds. Without both settings each decision is as before.

--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -7,6 +7,7 @@
   addResources,
   noResources,
   planRound,
+  type ClaimBounds,
   StarvationTimes,
   type ActiveRun,
   type UpstreamAvailability,
@@ -27,6 +28,13 @@
   readonly proven = new Set<string>()
   /** How long runs take, by job id; runs of other jobs end only when the test ends them. */
   readonly runTimesMs = new Map<string, number>()
+  /** When runs are expected to end, by job id; runs of other jobs `remainingRunMs` after each round. */
+  readonly expectedEndsMs = new Map<string, number>()
+  claimBounds: ClaimBounds | undefined
+  /** What the stop of a run takes; without it, the run is gone by the next round. */
+  getStopMs: () => number = () => 0
+  /** Time between rounds. */
+  getRoundIntervalMs: () => number = () => roundIntervalMs
   readonly #startedAtMs = new Map<string, number>()
   /** Upstreams that are not usable, by id. */
   readonly availability = new Map<string, UpstreamAvailability>()
@@ -39,7 +47,8 @@
   /** Ids of unstable upstreams. */
   readonly unstable = new Set<string>()
   readonly #acceptedAtMs = new Map<string, number>()
-  readonly #stopping = new Set<string>()
+  /** When the stops of runs are over, by the names of the runs. */
+  readonly #stopping = new Map<string, number>()
   readonly #starvation = new StarvationTimes()
 
   constructor(...racks: string[]) {
@@ -88,18 +97,21 @@
       starvedMs: (unit) => this.#starvation.starvedMs(unit, this.nowMs),
       isProven: (run) => this.proven.has(nameRun(run)),
       guarantees: new Map([['w1', this.guaranteedAccelerators]]),
+      claimBounds: this.claimBounds,
     })
     this.state.apply({ type: 'place-tasks', placements: decision.placements })
     for (const run of decision.placements) this.#startedAtMs.set(nameRun(run), this.nowMs)
     this.#starvation.noteRound(decision.starving, this.nowMs)
-    for (const { run } of decision.preemptions) this.#stopping.add(nameRun(run))
+    for (const { run } of decision.preemptions) {
+      this.#stopping.set(nameRun(run), this.nowMs + this.getStopMs())
+    }
     return decision
   }
 
   /** Plans a round at each interval until `untilMs`, ends runs whose time is over, and returns the placements. */
   playUntil(untilMs: number, onRound: () => void = () => undefined): Placement[] {
     const placements: Placement[] = []
-    for (; this.nowMs <= untilMs; this.nowMs += roundIntervalMs) {
+    for (; this.nowMs <= untilMs; this.nowMs += this.getRoundIntervalMs()) {
       for (const { placement } of this.#runs()) this.#endIfOver(placement)
       placements.push(...this.decide().placements)
       onRound()
@@ -111,7 +123,8 @@
     const startedAtMs = this.#startedAtMs.get(nameRun(run)) ?? Infinity
     const runTimeMs = (this.runTimesMs.get(run.jobId) ?? Infinity) / this.#paceOf(run)
     const isOver = this.nowMs - startedAtMs >= runTimeMs
-    if (this.#stopping.has(nameRun(run))) this.end(run, 'stopped')
+    const stoppedAtMs = this.#stopping.get(nameRun(run)) ?? Infinity
+    if (stoppedAtMs <= this.nowMs) this.end(run, 'stopped')
     else if (isOver) this.end(run, 'done')
   }
 
@@ -173,7 +186,7 @@
         placement,
         needs:
           this.state.jobs.get(placement.jobId)?.request.steps[placement.step]?.needs ?? noResources,
-        expectedEndMs: this.nowMs + remainingRunMs,
+        expectedEndMs: this.expectedEndsMs.get(placement.jobId) ?? this.nowMs + remainingRunMs,
         stopCostCoreSeconds: this.stopCosts.get(placement.jobId) ?? 1,
         isStopping: this.#stopping.has(nameRun(placement)),
       })),
--- a/batch/scheduler/src/index.ts
+++ b/batch/scheduler/src/index.ts
@@ -1,4 +1,5 @@
 /** Decides which tasks start on which upstreams, and which runs are preempted. */
+export type { ClaimBounds } from './claimBounds.js'
 export { planRound } from './planRound.js'
 export type { Preference } from './preference.js'
 export { addResources, countFitting, measureCores, noResources } from './resources.js'
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -5,6 +5,7 @@
 import type { Placement } from '@nettlespur/batch.state'
 import { chooseUpstreams } from './chooseUpstreams.js'
 import { chooseVictims } from './chooseVictims.js'
+import { measureClaimWaitMsMax, type ClaimBounds } from './claimBounds.js'
 import { computeStopCostLimit, measureWaitingWork } from './computeStopCostLimit.js'
 import { listGuaranteedJobs } from './listGuaranteedJobs.js'
 import { canFitWhenEmpty } from './listScopes.js'
@@ -48,9 +49,13 @@
 }
 
 /** Whether the unit may claim its guarantee in racks that it does not prefer. */
-function mayClaimAnyRack({ isGuaranteed, waitedMs, step }: RankedUnit): boolean {
+function mayClaimAnyRack(
+  { isGuaranteed, waitedMs, step }: RankedUnit,
+  bounds: ClaimBounds | undefined,
+): boolean {
   const prefersRacks = step.prefersOneRack || step.dataRack !== undefined
-  return isGuaranteed && prefersRacks && waitedMs >= guaranteedPreferenceWaitMs
+  const waitMsMax = bounds === undefined ? Infinity : measureClaimWaitMsMax(bounds)
+  return isGuaranteed && prefersRacks && waitedMs >= Math.min(guaranteedPreferenceWaitMs, waitMsMax)
 }
 
 function toAnyRack(unit: RankedUnit): RankedUnit {
@@ -144,7 +149,7 @@
       return this.#chooseUpstreams({ ...unit, isOnTrial: false })
     }
     if (upstreamIds.length > 0) return upstreamIds
-    if (mayClaimAnyRack(unit)) {
+    if (mayClaimAnyRack(unit, this.#view.claimBounds)) {
       const inAnyRack = chooseUpstreams(toAnyRack(unit), this.#allocations)
       if (inAnyRack.length > 0) return inAnyRack
     }
@@ -201,7 +206,9 @@
     const search = { allocations: this.#allocations, victims, costMaxCoreSeconds }
     const choice =
       chooseVictims({ ...search, unit }) ??
-      (mayClaimAnyRack(unit) ? chooseVictims({ ...search, unit: toAnyRack(unit) }) : undefined)
+      (mayClaimAnyRack(unit, this.#view.claimBounds)
+        ? chooseVictims({ ...search, unit: toAnyRack(unit) })
+        : undefined)
     if (choice === undefined) return false
     if (choice.victims.length > 0) this.#victims = victims.without(choice.victims)
     for (const group of choice.victims) this.#preempt(group, unit)
--- a/batch/scheduler/src/schedulerView.ts
+++ b/batch/scheduler/src/schedulerView.ts
@@ -2,6 +2,7 @@
 import type { JobRecord, Placement } from '@nettlespur/batch.state'
 import type { QueueConfig, Resources, TaskRef, UnitRef } from '@nettlespur/batch.model'
 import type { SpeedDistribution } from '@nettlespur/batch.speeds'
+import type { ClaimBounds } from './claimBounds.js'
 import type { StarvingUnit } from './starvingUnit.js'
 import type { SpeedDecisions } from './speedDecisions.js'
 
@@ -70,6 +71,8 @@
   readonly starvedMs: (unit: UnitRef) => number
   /** Guaranteed accelerators by workspace. */
   readonly guarantees: ReadonlyMap<string, number>
+  /** Absent where none are set: guaranteed units are then ordered by timeliness, without regard to their bound. */
+  readonly claimBounds?: ClaimBounds | undefined
 }
 
 /** A run to stop so that another job can use its capacity. */
--- a/batch/service/src/batchTimings.ts
+++ b/batch/service/src/batchTimings.ts
@@ -1,4 +1,5 @@
 /** Timings of batch scheduling on the control members. */
+import type { ClaimBounds } from '@nettlespur/batch.scheduler'
 import type { SessionTimings } from '@nettlespur/batch.sessions'
 import type { RaftTimings } from '@nettlespur/consensus.raft'
 
@@ -9,4 +10,6 @@
   readonly announceEveryMs: number
   /** How long a job stays readable after it has ended. */
   readonly keepEndedMs: number
+  /** See `SchedulerView`; absent where none are set. */
+  readonly claimBounds?: ClaimBounds | undefined
 }
--- a/batch/service/src/buildSchedulerView.ts
+++ b/batch/service/src/buildSchedulerView.ts
@@ -5,6 +5,7 @@
   measureCores,
   noResources,
   type ActiveRun,
+  type ClaimBounds,
   type SchedulerView,
   type SchedulableUpstream,
   type UpstreamAvailability,
@@ -49,6 +50,8 @@
   isPaused: (task: TaskRef) => boolean
   /** See `SchedulerView`. */
   starvedMs: SchedulerView['starvedMs']
+  /** See `SchedulerView`. */
+  claimBounds?: ClaimBounds | undefined
 }
 
 export function buildSchedulerView(opts: BuildSchedulerViewOptions): SchedulerView {
@@ -82,6 +85,7 @@
     guarantees: new Map(
       workspaces.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]),
     ),
+    claimBounds: opts.claimBounds,
   }
 }
 
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -101,7 +101,7 @@
   }
 
   #plan(nowMs: number): RoundDecision {
-    const { getState, getSpeed, roster, jobClock, retryBackoff } = this.#opts
+    const { getState, getSpeed, roster, jobClock, retryBackoff, timings } = this.#opts
     jobClock.update(getState(), nowMs)
     const view = buildSchedulerView({
       ...this.#createRunsOptions(nowMs),
@@ -115,6 +115,7 @@
       isQuiet: (upstream) => roster.isQuiet(upstream),
       isPaused: (task) => retryBackoff.isPaused(task, nowMs),
       starvedMs: (unit) => this.#starvationWatch.times.starvedMs(unit, nowMs),
+      claimBounds: timings.claimBounds,
     })
     return planRound(view)
   }
--- a/bench/policy/src/crowdedDay.ts
+++ b/bench/policy/src/crowdedDay.ts
@@ -1,5 +1,6 @@
 /** A crowded day of one deployment from a seed; it is the same for every policy. */
 import type { ClusterConfig, JobRequest, UpstreamDescription } from '@nettlespur/batch.model'
+import type { ClaimBounds } from '@nettlespur/batch.scheduler'
 import { SeededRandom } from '@nettlespur/bench.placement'
 import { createDayJob } from './createDayJob.js'
 import {
@@ -58,6 +59,8 @@
   readonly endsEarly: boolean
   /** From the order to stop a run to its end. */
   readonly stopMs: number
+  /** What the platform says of the start of guaranteed work and of stops. */
+  readonly claimBounds: ClaimBounds
   readonly checkpointMs: number
   /** What resuming from a checkpoint takes. */
   readonly restoreMs: number
@@ -66,6 +69,8 @@
 
 /** About the length of an hour's peak as its users replay it. */
 const lengthMs = 34_000
+/** The time within which all deployments want guaranteed work to start. */
+const usualGuaranteedStartMs = 2900
 const usualFinishMs = 14_000
 /** From a placement to the task at work, and from a stop to its end: a commit, a call, an answer. */
 export const orderMs = 40
@@ -103,6 +108,10 @@
     finishMs: deployment.finishMs ?? usualFinishMs,
     endsEarly: deployment.finishMs !== undefined,
     stopMs: deployment.stopMs ?? orderMs,
+    claimBounds: {
+      guaranteedStartMsMax: deployment.guaranteedStartMs ?? usualGuaranteedStartMs,
+      stopMsMax: deployment.stopMs ?? orderMs,
+    },
     checkpointMs: deployment.checkpointMs ?? usualCheckpointMs,
     restoreMs: deployment.restoreMs ?? 0,
     goal: deployment.goal,
--- a/bench/policy/src/deployment.ts
+++ b/bench/policy/src/deployment.ts
@@ -24,7 +24,7 @@
   readonly paces?: readonly number[]
   /** From the order to stop a run to its end; as long as any order by default. */
   readonly stopMs?: number
-  /** The time within which guaranteed work must start; not known to the scheduler by default. */
+  /** The time within which guaranteed work must start; 2,900 ms by default. */
   readonly guaranteedStartMs?: number
   /** Interval of regular checkpoints, and the time to resume from one. */
   readonly checkpointMs?: number
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -178,6 +178,7 @@
       isQuiet: ({ description }) => this.#isQuiet(description),
       isPaused: () => false,
       starvedMs: (unit) => this.#starvation.starvedMs(unit, this.#nowMs),
+      claimBounds: this.#day.claimBounds,
     }
     const view = buildSchedulerView(leaveOutParts(input, this.#parts))
     const { placements, preemptions, starving } = planRound(view)
--- a/bench/policy/src/policyParts.ts
+++ b/bench/policy/src/policyParts.ts
@@ -9,6 +9,8 @@
   readonly knownSpeeds: boolean
   /** Gangs and urgent work avoid upstreams that have lately crashed, been lost or failed runs. */
   readonly stability: boolean
+  /** Guaranteed units that have to get their capacity at once go first. */
+  readonly claims: boolean
   /** Work that starves gives up its preferences. */
   readonly relaxation: boolean
 }
@@ -19,11 +21,16 @@
   speeds: true,
   knownSpeeds: false,
   stability: true,
+  claims: true,
   relaxation: true,
 }
 
 /** As with the settings of a control instance left out. */
-export const defaultParts: PolicyParts = { ...allParts, speeds: false }
+export const defaultParts: PolicyParts = {
+  ...allParts,
+  speeds: false,
+  claims: false,
+}
 
 /** Returns undefined if no part has this name. */
 export function findPart(name: string): PolicyPart | undefined {
@@ -33,12 +40,13 @@
 /** Leaves the input of a round without what the missing parts would see. */
 export function leaveOutParts(
   opts: BuildSchedulerViewOptions,
-  { speeds, stability, relaxation }: PolicyParts,
+  { speeds, stability, claims, relaxation }: PolicyParts,
 ): BuildSchedulerViewOptions {
   return {
     ...opts,
     ...(speeds ? {} : { getSpeed: () => unknownSpeed }),
     ...(stability ? {} : { isUnstable: () => false }),
+    ...(claims ? {} : { claimBounds: undefined }),
     ...(relaxation ? {} : { starvedMs: () => 0 }),
   }
 }
--- a/settings/schemas/src/batchSettings.ts
+++ b/settings/schemas/src/batchSettings.ts
@@ -41,6 +41,13 @@
   leaseMsMax: z.int().positive(),
   /** How long an ended job is still shown. */
   keepEndedMs: z.int().positive(),
+  /**
+   * Guaranteed work has to start this long after its acceptance at the latest. It is used together with `stopMsMax`; both or
+   * none are set.
+   */
+  guaranteedStartMsMax: z.number().positive().optional(),
+  /** The longest time that an upstream takes to stop a run. */
+  stopMsMax: z.number().nonnegative().optional(),
   /**
    * Whether the leader learns how fast each upstream works, from the progress of what runs there, and places work by it;
    * `ignore` if left out. Earlier builds cannot read what it commits with `learn`.
