feat: work with slack leaves room for the urgent work that is expected

Cause: urgent work has little slack and stops take 400 to 900 ms. What it claims meanwhile is late or costs work of others. Change: the scheduler learns what urgent jobs claim within the longest stop (the 0.9 quantile of the last 32 windows, in tasks of the usual size), and starts other work only if that much stays free. Work of which nothing runs is held back for 2 s at most. Without the settings, or where stops take no time, nothing is kept free. Log line headroom.kept, gauge headroom_accelerators, counter units_held_back_total.

--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -6,6 +6,7 @@
 import {
   addResources,
   noResources,
+  HeadroomWatch,
   planRound,
   type ClaimBounds,
   StarvationTimes,
@@ -31,6 +32,8 @@
   /** When runs are expected to end, by job id; runs of other jobs `remainingRunMs` after each round. */
   readonly expectedEndsMs = new Map<string, number>()
   claimBounds: ClaimBounds | undefined
+  /** Set it to keep capacity free for urgent work. */
+  headroom: HeadroomWatch | undefined
   /** What the stop of a run takes; without it, the run is gone by the next round. */
   getStopMs: () => number = () => 0
   /** Time between rounds. */
@@ -85,6 +88,7 @@
 
   /** Plans one round and applies its placements to the state. */
   decide() {
+    this.headroom?.noteJobs(this.state.unsettled, this.nowMs)
     const decision = planRound({
       nowMs: this.nowMs,
       queues: this.state.config?.queues ?? [],
@@ -98,10 +102,12 @@
       isProven: (run) => this.proven.has(nameRun(run)),
       guarantees: new Map([['w1', this.guaranteedAccelerators]]),
       claimBounds: this.claimBounds,
+      headroom: this.headroom?.view(this.nowMs),
     })
     this.state.apply({ type: 'place-tasks', placements: decision.placements })
     for (const run of decision.placements) this.#startedAtMs.set(nameRun(run), this.nowMs)
     this.#starvation.noteRound(decision.starving, this.nowMs)
+    this.headroom?.noteRound(decision, this.nowMs)
     for (const { run } of decision.preemptions) {
       this.#stopping.set(nameRun(run), this.nowMs + this.getStopMs())
     }
--- a/batch/scheduler/src/index.ts
+++ b/batch/scheduler/src/index.ts
@@ -1,5 +1,8 @@
 /** Decides which tasks start on which upstreams, and which runs are preempted. */
 export type { ClaimBounds } from './claimBounds.js'
+export { HeadroomWatch } from './headroomWatch.js'
+export type { ExpectedClaims } from './urgentDemand.js'
+export type { HeadroomView } from './headroom.js'
 export { planRound } from './planRound.js'
 export type { Preference } from './preference.js'
 export { addResources, countFitting, measureCores, noResources } from './resources.js'
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -7,6 +7,7 @@
 import { chooseVictims } from './chooseVictims.js'
 import { measureClaimWaitMsMax, type ClaimBounds } from './claimBounds.js'
 import { computeStopCostLimit, measureWaitingWork } from './computeStopCostLimit.js'
+import { Headroom } from './headroom.js'
 import { listGuaranteedJobs } from './listGuaranteedJobs.js'
 import { canFitWhenEmpty } from './listScopes.js'
 import { listStarvingUnits } from './listStarvingUnits.js'
@@ -76,11 +77,13 @@
   #urgentSearches = 0
   #speedSearches = 0
   readonly #speedPlacement: SpeedPlacement
+  readonly #headroom: Headroom
 
   constructor(view: SchedulerView, guaranteed: ReadonlySet<string>, allocations: RoundAllocations) {
     this.#view = view
     this.#guaranteed = guaranteed
     this.#allocations = allocations
+    this.#headroom = new Headroom(view.headroom, allocations)
     this.#speedPlacement = new SpeedPlacement(view, allocations)
   }
 
@@ -88,7 +91,7 @@
     const fastOnly = this.#speedPlacement.restrictToFast(ranked)
     if (fastOnly !== undefined && this.#decideFastOnly(fastOnly, ranked)) return
     const unit = this.#speedPlacement.addGroups(ranked)
-    const upstreamIds = this.#chooseUpstreams(unit)
+    const upstreamIds = this.#headroom.admit(unit, this.#chooseUpstreams(unit))
     if (upstreamIds.length > 0) this.#place(unit, upstreamIds)
     else this.#leftWaiting.push(unit)
     if (upstreamIds.length < unit.waiting.length) {
@@ -139,7 +142,9 @@
       listEvacuated: () => this.#view.evacuated,
     })
     const speed = this.#speedPlacement.finish()
-    return { placements, preemptions, starving, ...(speed !== undefined && { speed }) }
+    const decision = { placements, preemptions, starving, ...(speed !== undefined && { speed }) }
+    if (this.#view.headroom === undefined) return decision
+    return { ...decision, heldBack: this.#headroom.heldBack }
   }
 
   #chooseUpstreams(unit: RankedUnit): readonly string[] {
--- a/batch/scheduler/src/schedulerView.ts
+++ b/batch/scheduler/src/schedulerView.ts
@@ -3,6 +3,7 @@
 import type { QueueConfig, Resources, TaskRef, UnitRef } from '@nettlespur/batch.model'
 import type { SpeedDistribution } from '@nettlespur/batch.speeds'
 import type { ClaimBounds } from './claimBounds.js'
+import type { HeadroomView } from './headroom.js'
 import type { StarvingUnit } from './starvingUnit.js'
 import type { SpeedDecisions } from './speedDecisions.js'
 
@@ -73,6 +74,8 @@
   readonly guarantees: ReadonlyMap<string, number>
   /** Absent where none are set: guaranteed units are then ordered by timeliness, without regard to their bound. */
   readonly claimBounds?: ClaimBounds | undefined
+  /** Absent where nothing is kept free for urgent work. */
+  readonly headroom?: HeadroomView | undefined
 }
 
 /** A run to stop so that another job can use its capacity. */
@@ -92,6 +95,8 @@
   readonly placements: Placement[]
   readonly preemptions: Preemption[]
   readonly starving: StarvingUnit[]
+  /** Units held back so that urgent work finds capacity; absent where nothing is kept free. */
+  readonly heldBack?: readonly UnitRef[]
   /** Absent if no pool calls for placement by speed. */
   readonly speed?: SpeedDecisions
 }
--- a/batch/service/src/buildSchedulerView.ts
+++ b/batch/service/src/buildSchedulerView.ts
@@ -6,6 +6,7 @@
   noResources,
   type ActiveRun,
   type ClaimBounds,
+  type HeadroomView,
   type SchedulerView,
   type SchedulableUpstream,
   type UpstreamAvailability,
@@ -52,6 +53,8 @@
   starvedMs: SchedulerView['starvedMs']
   /** See `SchedulerView`. */
   claimBounds?: ClaimBounds | undefined
+  /** See `SchedulerView`. */
+  headroom?: HeadroomView | undefined
 }
 
 export function buildSchedulerView(opts: BuildSchedulerViewOptions): SchedulerView {
@@ -86,6 +89,7 @@
       workspaces.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]),
     ),
     claimBounds: opts.claimBounds,
+    headroom: opts.headroom,
   }
 }
 
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -3,7 +3,12 @@
  * tasks start where and which runs are preempted. Placements are committed before the start orders are sent.
  */
 import { runFields, runKey } from '@nettlespur/batch.model'
-import { planRound, type Preemption, type RoundDecision } from '@nettlespur/batch.scheduler'
+import {
+  HeadroomWatch,
+  planRound,
+  type Preemption,
+  type RoundDecision,
+} from '@nettlespur/batch.scheduler'
 import type { SpeedDistribution } from '@nettlespur/batch.speeds'
 import type { BatchState, Command, Placement } from '@nettlespur/batch.state'
 import { Wake, type Clock } from '@nettlespur/core.clock'
@@ -12,6 +17,7 @@
 import type { BatchTimings } from './batchTimings.js'
 import { buildSchedulerView, type ListRunsOptions } from './buildSchedulerView.js'
 import { Housekeeper } from './housekeeper.js'
+import { HeadroomLog } from './headroomLog.js'
 import type { JobClock } from './jobClock.js'
 import { listRunsCutShort } from './listRunsCutShort.js'
 import type { RetryBackoff } from './retryBackoff.js'
@@ -54,11 +60,18 @@
   readonly #opts: SchedulingRoundsOptions
   readonly #housekeeper: Housekeeper
   readonly #starvationWatch: StarvationWatch
+  /** Absent where no bounds are set. */
+  readonly #headroom: HeadroomWatch | undefined
+  readonly #headroomLog: HeadroomLog
   readonly #speedLog: SpeedLog
   readonly #wake = new Wake()
 
   constructor(opts: SchedulingRoundsOptions) {
     this.#opts = opts
+    const { claimBounds } = opts.timings
+    this.#headroom = HeadroomWatch.create(claimBounds)
+    const windowMs = claimBounds?.stopMsMax ?? 0
+    this.#headroomLog = new HeadroomLog({ ...opts, headroom: this.#headroom, windowMs })
     this.#speedLog = new SpeedLog(opts.metrics)
     this.#starvationWatch = new StarvationWatch({
       ...opts,
@@ -90,8 +103,10 @@
     const { clock, metrics, signal } = this.#opts
     const nowMs = clock.monotonicMs()
     this.#moveRunsCutShort(nowMs)
-    const { placements, preemptions, starving, speed } = this.#plan(nowMs)
+    const decision = this.#plan(nowMs)
+    const { placements, preemptions, starving, speed } = decision
     this.#starvationWatch.noteRound(starving, nowMs)
+    this.#headroomLog.noteRound(this.#headroom?.noteRound(decision, nowMs) ?? [], nowMs)
     this.#speedLog.noteRound(speed, nowMs)
     const tookMs = clock.monotonicMs() - nowMs
     metrics.recordMs('scheduling_round_ms', tookMs)
@@ -103,6 +118,7 @@
   #plan(nowMs: number): RoundDecision {
     const { getState, getSpeed, roster, jobClock, retryBackoff, timings } = this.#opts
     jobClock.update(getState(), nowMs)
+    this.#headroom?.noteJobs(getState().unsettled, nowMs)
     const view = buildSchedulerView({
       ...this.#createRunsOptions(nowMs),
       acceptedAtMs: jobClock.acceptedAtMs,
@@ -116,6 +132,7 @@
       isPaused: (task) => retryBackoff.isPaused(task, nowMs),
       starvedMs: (unit) => this.#starvationWatch.times.starvedMs(unit, nowMs),
       claimBounds: timings.claimBounds,
+      headroom: this.#headroom?.view(nowMs),
     })
     return planRound(view)
   }
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -1,5 +1,6 @@
 /** Plays a crowded day with the scheduler and the state of the product, in simulated time. */
 import {
+  HeadroomWatch,
   planRound,
   StarvationTimes,
   type StarvingUnit,
@@ -46,6 +47,7 @@
   readonly #roundsMs: number[] = []
   readonly #heldUp = new HeldUpWatch()
   readonly #starvation = new StarvationTimes()
+  #headroom: HeadroomWatch | undefined
   #leaving: readonly LeavingUpstream[] = []
   #hasLeader = true
   #nowMs = 0
@@ -53,6 +55,7 @@
   constructor(day: CrowdedDay, seed: number, parts: PolicyParts) {
     this.#day = day
     this.#parts = parts
+    this.#headroom = HeadroomWatch.create(day.claimBounds)
     const state = this.#state
     const speeds = new PlayedSpeeds({ state, parts, paces: day.troubles.paces })
     this.#speeds = speeds
@@ -93,6 +96,7 @@
   #isLeaderless(): boolean {
     const isLeaderless = this.#day.troubles.leaderless.some((span) => isWithin(span, this.#nowMs))
     if (this.#hasLeader && isLeaderless) this.#speeds.changeLeader(this.#runs.listTracks())
+    if (isLeaderless) this.#headroom = HeadroomWatch.create(this.#day.claimBounds)
     this.#hasLeader = !isLeaderless
     return isLeaderless
   }
@@ -179,14 +183,18 @@
       isPaused: () => false,
       starvedMs: (unit) => this.#starvation.starvedMs(unit, this.#nowMs),
       claimBounds: this.#day.claimBounds,
+      headroom: this.#headroom?.view(this.#nowMs),
     }
+    this.#headroom?.noteJobs(this.#state.unsettled, this.#nowMs)
     const view = buildSchedulerView(leaveOutParts(input, this.#parts))
-    const { placements, preemptions, starving } = planRound(view)
+    const decision = planRound(view)
+    const { placements, preemptions, starving } = decision
     this.#roundsMs.push(Number(process.hrtime.bigint() - begunAt) / 1e6)
     for (const { run } of preemptions) this.#runs.stop(run, this.#nowMs)
     this.#state.apply({ type: 'place-tasks', placements })
     this.#runs.start(placements, this.#nowMs)
     this.#starvation.noteRound(starving, this.#nowMs)
+    this.#headroom?.noteRound(decision, this.#nowMs)
     return starving
   }
 
--- a/bench/policy/src/policyParts.ts
+++ b/bench/policy/src/policyParts.ts
@@ -11,6 +11,8 @@
   readonly stability: boolean
   /** Guaranteed units that have to get their capacity at once go first. */
   readonly claims: boolean
+  /** Work with slack leaves capacity free for urgent work. */
+  readonly headroom: boolean
   /** Work that starves gives up its preferences. */
   readonly relaxation: boolean
 }
@@ -22,6 +24,7 @@
   knownSpeeds: false,
   stability: true,
   claims: true,
+  headroom: true,
   relaxation: true,
 }
 
@@ -30,6 +33,7 @@
   ...allParts,
   speeds: false,
   claims: false,
+  headroom: false,
 }
 
 /** Returns undefined if no part has this name. */
@@ -40,13 +44,14 @@
 /** Leaves the input of a round without what the missing parts would see. */
 export function leaveOutParts(
   opts: BuildSchedulerViewOptions,
-  { speeds, stability, claims, relaxation }: PolicyParts,
+  { speeds, stability, claims, headroom, relaxation }: PolicyParts,
 ): BuildSchedulerViewOptions {
   return {
     ...opts,
     ...(speeds ? {} : { getSpeed: () => unknownSpeed }),
     ...(stability ? {} : { isUnstable: () => false }),
     ...(claims ? {} : { claimBounds: undefined }),
+    ...(headroom ? {} : { headroom: undefined }),
     ...(relaxation ? {} : { starvedMs: () => 0 }),
   }
 }
--- a/settings/schemas/src/batchSettings.ts
+++ b/settings/schemas/src/batchSettings.ts
@@ -46,7 +46,10 @@
    * none are set.
    */
   guaranteedStartMsMax: z.number().positive().optional(),
-  /** The longest time that an upstream takes to stop a run. */
+  /**
+   * The longest time that an upstream takes to stop a run. What urgent work is expected to claim within it is kept free of
+   * work with slack.
+   */
   stopMsMax: z.number().nonnegative().optional(),
   /**
    * Whether the leader learns how fast each upstream works, from the progress of what runs there, and places work by it;
