test: the leader keeps capacity free for urgent work, and every job still ends

Guards against headroom that holds work back for good over leader changes, cuts and crashes, and against a leader that does not hand its demand to the rounds.

--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -118,6 +118,7 @@
         session: { leaseMs: 9500, holdWaitMs: 2000 },
         announceEveryMs,
         keepEndedMs: 1_000_000,
+        claimBounds: this.#opts.claimBounds,
       },
       port: this.port,
       jobClock: this.#jobClock,
--- a/batch/service/__utils__/fleetOptions.ts
+++ b/batch/service/__utils__/fleetOptions.ts
@@ -1,6 +1,7 @@
 /** The options of a fake fleet, and the faults that tests inject into it. */
 import type { RunRef } from '@nettlespur/batch.model'
 import type { Logger } from '@nettlespur/core.logger'
+import type { ClaimBounds } from '@nettlespur/batch.scheduler'
 import type { Command } from '@nettlespur/batch.state'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import type { UpstreamSpeedsMode } from '../src/index.js'
@@ -47,6 +48,8 @@
   speeds?: readonly number[]
   /** Whether the leaders learn the speeds; not by default. */
   upstreamSpeeds?: UpstreamSpeedsMode
+  /** Bounds on the start of guaranteed work and on stops; none by default. */
+  claimBounds?: ClaimBounds
   /** Whether a proposal of the leader fails; none does by default. */
   failsProposal?: (command: Command) => boolean
   /** The leaders' metrics; discarded by default. */
--- a/batch/service/test/batchLeader.test.ts
+++ b/batch/service/test/batchLeader.test.ts
@@ -1,5 +1,6 @@
 /** Single scenarios of the leader's work, on a manual clock. */
 import { createJob } from '@nettlespur/batch.samples'
+import { MetricsRegistry } from '@nettlespur/core.metrics'
 import test from 'ava'
 import { FakeFleet, settledMs, startFleet, upstreamCount } from '../__utils__/index.js'
 
@@ -73,6 +74,26 @@
   t.deepEqual(fleet.ledger.violations, [])
 })
 
+test('with bounds, work waits for urgent work only where that has come before', async (t) => {
+  const claimBounds = { guaranteedStartMsMax: 2900, stopMsMax: stopMs }
+  const metrics = new MetricsRegistry()
+  const fleet = await startFleet({ claimBounds, metrics })
+  fleet.submit(createWholeUpstreamJob('first', upstreamCount, 1000), 1)
+  await fleet.clock.advance(settledMs)
+  t.is(countStarted(fleet, 'first'), upstreamCount)
+  for (let job = 0; job < 20; job++) {
+    fleet.submit(createWholeUpstreamJob(`urgent${job}`, 1, 300), 0)
+    await fleet.clock.advance(stopMs)
+  }
+  fleet.submit(createWholeUpstreamJob('held', upstreamCount), 1)
+  await fleet.clock.advance(1000)
+  t.is(countStarted(fleet, 'held'), 0)
+  t.regex(metrics.render(), /headroom_accelerators 8/)
+  await fleet.clock.advance(30_000)
+  t.is(fleet.state.jobs.get('held')?.status, 'completed')
+  t.deepEqual(fleet.ledger.violations, [])
+})
+
 test('a gang with an unanswered start is stopped before its started members give up waiting for it', async (t) => {
   const fleet = await startFleet()
   fleet.inject({ kind: 'cut', upstream: 0, forMs: 20_000 })
--- a/batch/service/test/leaderModel.test.ts
+++ b/batch/service/test/leaderModel.test.ts
@@ -186,6 +186,15 @@
   t.pass()
 })
 
+test('with capacity kept free for urgent work, no task runs twice, too early or after its end, and every job ends', async (t) => {
+  const claimBounds = { guaranteedStartMsMax: 2900, stopMsMax: 400 }
+  await fc.assert(
+    fc.asyncProperty(schedule, (opts) => checkSchedule(opts, { claimBounds })),
+    { numRuns: 60, ...reporting },
+  )
+  t.pass()
+})
+
 const keptSchedules = {
   'late start orders of a former leader reach the next process of an upstream': [27, '9'],
   'a late start order reaches the next process of an upstream that had nothing placed': [39, '14'],
