--- a/batch/scheduler/src/headroomWatch.ts
+++ b/batch/scheduler/src/headroomWatch.ts
@@ -40,7 +40,7 @@
     return added
   }
 
-  /** What is kept free, by pool. */
+  /** What urgent work is expected to claim, by pool. */
   list(): ReadonlyMap<string, ExpectedClaims> {
     return new Map(
       this.#demand.pools.flatMap((pool) => {
--- a/batch/service/src/headroomLog.ts
+++ b/batch/service/src/headroomLog.ts
@@ -1,4 +1,4 @@
-/** Logs what is kept free for urgent work, at most once every ten seconds for a pool, and counts the units held back. */
+/** Logs what urgent work is expected to claim, at most once every ten seconds for a pool, and counts the units held back. */
 import type { UnitRef } from '@nettlespur/batch.model'
 import type { ExpectedClaims, HeadroomWatch } from '@nettlespur/batch.scheduler'
 import type { Logger } from '@nettlespur/core.logger'
@@ -26,7 +26,7 @@
 
   constructor(opts: HeadroomLogOptions) {
     this.#opts = opts
-    opts.metrics.gauge('headroom_accelerators', () => this.#sumAccelerators())
+    opts.metrics.gauge('headroom_wanted_accelerators', () => this.#sumAccelerators())
   }
 
   /** Call it after each round, with the units that were held back for the first time. */
@@ -45,7 +45,7 @@
     if (isRecent || logged?.taskCount === taskCount) return
     this.#logged.set(pool, { taskCount, atMs: nowMs })
     this.#opts.logger.info({
-      event: 'headroom.kept',
+      event: 'headroom.wanted',
       pool,
       taskCount,
       acceleratorsPerTask: taskNeeds.accelerators,
--- a/batch/service/test/batchLeader.test.ts
+++ b/batch/service/test/batchLeader.test.ts
@@ -88,7 +88,7 @@
   fleet.submit(createWholeUpstreamJob('held', upstreamCount), 1)
   await fleet.clock.advance(1000)
   t.is(countStarted(fleet, 'held'), 0)
-  t.regex(metrics.render(), /headroom_accelerators 8/)
+  t.regex(metrics.render(), /headroom_wanted_accelerators 8/)
   await fleet.clock.advance(30_000)
   t.is(fleet.state.jobs.get('held')?.status, 'completed')
   t.deepEqual(fleet.ledger.violations, [])
