--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -72,7 +72,7 @@
     this.#headroom = HeadroomWatch.create(claimBounds)
     const windowMs = claimBounds?.stopMsMax ?? 0
     this.#headroomLog = new HeadroomLog({ ...opts, headroom: this.#headroom, windowMs })
-    this.#speedLog = new SpeedLog(opts.metrics)
+    this.#speedLog = new SpeedLog(opts)
     this.#starvationWatch = new StarvationWatch({
       ...opts,
       describeFleet: () => ({
@@ -116,7 +116,7 @@
   }
 
   #plan(nowMs: number): RoundDecision {
-    const { getState, getSpeed, roster, jobClock, retryBackoff, timings } = this.#opts
+    const { getState, roster, jobClock, retryBackoff, timings } = this.#opts
     jobClock.update(getState(), nowMs)
     this.#headroom?.noteJobs(getState().unsettled, nowMs)
     const view = buildSchedulerView({
@@ -124,8 +124,7 @@
       acceptedAtMs: jobClock.acceptedAtMs,
       getAvailability: (upstream) => roster.getAvailability(upstream),
       isCold: ({ description }) => roster.isCold(description.upstreamId),
-      getSpeed: (upstreamId) => getSpeed(upstreamId, nowMs),
-      isUnstable: (upstream) => roster.isUnstable(upstream),
+      isUnstable: ({ description }) => roster.health.isUnstable(description, nowMs),
       hasTrial: ({ description }) =>
         roster.findSession(description.upstreamId)?.tracks.hasTrial === true,
       isQuiet: (upstream) => roster.isQuiet(upstream),
@@ -157,12 +156,13 @@
   }
 
   #createRunsOptions(nowMs: number): ListRunsOptions {
-    const { getState, roster, shouldStop, listPlacements } = this.#opts
+    const { getState, getSpeed, roster, shouldStop, listPlacements } = this.#opts
     return {
       state: getState(),
       listPlacements,
       nowMs,
       isStopping: shouldStop,
+      getSpeed: (upstreamId) => getSpeed(upstreamId, nowMs),
       findTrack: (placement) => roster.findSession(placement.upstreamId)?.tracks.find(placement),
     }
   }
--- a/batch/service/src/upstreamRegistrar.ts
+++ b/batch/service/src/upstreamRegistrar.ts
@@ -91,17 +91,14 @@
     return false
   }
 
-  /** Records that a new process has come at the address of one that had not announced a planned stop. */
+  /** Records that a new process has come at the address of another one. */
   #noteReturn({ upstreamId, address }: UpstreamDescription): void {
-    const isReturn = [...this.#state.upstreams.values()].some(
-      ({ description, isDraining, hasLeft }) =>
-        description.upstreamId !== upstreamId &&
-        description.address === address &&
-        !isDraining &&
-        !hasLeft,
-    )
     const { roster, clock } = this.#opts
-    if (isReturn) roster.health.noteDisturbance(address, clock.monotonicMs())
+    for (const former of this.#state.upstreams.values()) {
+      const { description } = former
+      if (description.address === address && description.upstreamId !== upstreamId)
+        roster.health.noteLoss(former, clock.monotonicMs())
+    }
   }
 
   /** `committedSequence` is that of the stored description; undefined if a later announcement was only heard. */
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -143,9 +143,8 @@
   #lose(machineId: string | undefined): void {
     if (machineId === undefined) return
     const upstreamId = this.#processes.getProcessId(machineId)
-    const { description, isDraining } = this.#state.upstreams.get(upstreamId) ?? {}
-    if (description !== undefined && isDraining === false)
-      this.#health.noteDisturbance(description.address, this.#nowMs)
+    const upstream = this.#state.upstreams.get(upstreamId)
+    if (upstream !== undefined) this.#health.noteLoss(upstream, this.#nowMs)
     this.#state.apply({ type: 'remove-upstream', upstreamId })
     this.#takeEnds(this.#runs.lose(upstreamId))
   }
@@ -168,6 +167,7 @@
       nowMs: this.#nowMs,
       listPlacements: (upstreamId) => this.#state.placements.getByUpstream(upstreamId),
       isStopping: (placement) => this.#runs.isStopping(placement),
+      getSpeed: (upstreamId) => this.#speeds.get(upstreamId),
       findTrack: (placement) => this.#runs.findTrack(placement),
     }
     for (const run of listRunsCutShort(this.#leaving, runs)) this.#runs.stop(run, this.#nowMs)
@@ -176,7 +176,6 @@
       acceptedAtMs: this.#acceptedAtMs,
       getAvailability: (upstream) => this.#getAvailability(upstream),
       isCold: () => false,
-      getSpeed: (upstreamId) => this.#speeds.get(upstreamId),
       isUnstable: ({ description }) => this.#health.isUnstable(description, this.#nowMs),
       hasTrial: ({ description }) => this.#runs.hasTrial(description.upstreamId),
       isQuiet: ({ description }) => this.#isQuiet(description),
--- a/bench/policy/src/playedSpeeds.ts
+++ b/bench/policy/src/playedSpeeds.ts
@@ -47,8 +47,9 @@
   }
 
   get(upstreamId: string): SpeedDistribution {
-    if (this.#opts.parts.knownSpeeds)
-      return this.#known.get(toMachineId(upstreamId)) ?? unknownSpeed
+    const { parts } = this.#opts
+    if (!parts.speeds) return unknownSpeed
+    if (parts.knownSpeeds) return this.#known.get(toMachineId(upstreamId)) ?? unknownSpeed
     return this.#learner?.get(upstreamId, this.#clock.nowMs) ?? unknownSpeed
   }
 
