--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -5,7 +5,9 @@
 import type { Placement } from '@nettlespur/batch.state'
 import { chooseUpstreams } from './chooseUpstreams.js'
 import { chooseVictims } from './chooseVictims.js'
+import { measureClaimWaitMsMax, type ClaimBounds } from './claimBounds.js'
 import { computeStopCostLimit, measureWaitingWork } from './computeStopCostLimit.js'
+import { Headroom } from './headroom.js'
 import { listGuaranteedJobs } from './listGuaranteedJobs.js'
 import { canFitWhenEmpty } from './listScopes.js'
 import { listStarvingUnits } from './listStarvingUnits.js'
@@ -48,9 +50,13 @@
 }
 
 /** Whether the unit may claim its guarantee in racks that it does not prefer. */
-function mayClaimAnyRack({ isGuaranteed, waitedMs, step }: RankedUnit): boolean {
+function mayClaimAnyRack(
+  { isGuaranteed, waitedMs, step }: RankedUnit,
+  bounds: ClaimBounds | undefined,
+): boolean {
   const prefersRacks = step.prefersOneRack || step.dataRack !== undefined
-  return isGuaranteed && prefersRacks && waitedMs >= guaranteedPreferenceWaitMs
+  const waitMsMax = bounds === undefined ? Infinity : measureClaimWaitMsMax(bounds)
+  return isGuaranteed && prefersRacks && waitedMs >= Math.min(guaranteedPreferenceWaitMs, waitMsMax)
 }
 
 function toAnyRack(unit: RankedUnit): RankedUnit {
@@ -71,11 +77,13 @@
   #urgentSearches = 0
   #speedSearches = 0
   readonly #speedPlacement: SpeedPlacement
+  readonly #headroom: Headroom
 
   constructor(view: SchedulerView, guaranteed: ReadonlySet<string>, allocations: RoundAllocations) {
     this.#view = view
     this.#guaranteed = guaranteed
     this.#allocations = allocations
+    this.#headroom = new Headroom(view.headroom, allocations)
     this.#speedPlacement = new SpeedPlacement(view, allocations)
   }
 
@@ -83,7 +91,7 @@
     const fastOnly = this.#speedPlacement.restrictToFast(ranked)
     if (fastOnly !== undefined && this.#decideFastOnly(fastOnly, ranked)) return
     const unit = this.#speedPlacement.addGroups(ranked)
-    const upstreamIds = this.#chooseUpstreams(unit)
+    const upstreamIds = this.#headroom.admit(unit, this.#chooseUpstreams(unit))
     if (upstreamIds.length > 0) this.#place(unit, upstreamIds)
     else this.#leftWaiting.push(unit)
     if (upstreamIds.length < unit.waiting.length) {
@@ -134,7 +142,9 @@
       listEvacuated: () => this.#view.evacuated,
     })
     const speed = this.#speedPlacement.finish()
-    return { placements, preemptions, starving, ...(speed !== undefined && { speed }) }
+    const decision = { placements, preemptions, starving, ...(speed !== undefined && { speed }) }
+    if (this.#view.headroom === undefined) return decision
+    return { ...decision, heldBack: this.#headroom.heldBack }
   }
 
   #chooseUpstreams(unit: RankedUnit): readonly string[] {
@@ -144,7 +154,7 @@
       return this.#chooseUpstreams({ ...unit, isOnTrial: false })
     }
     if (upstreamIds.length > 0) return upstreamIds
-    if (mayClaimAnyRack(unit)) {
+    if (mayClaimAnyRack(unit, this.#view.claimBounds)) {
       const inAnyRack = chooseUpstreams(toAnyRack(unit), this.#allocations)
       if (inAnyRack.length > 0) return inAnyRack
     }
@@ -201,7 +211,9 @@
     const search = { allocations: this.#allocations, victims, costMaxCoreSeconds }
     const choice =
       chooseVictims({ ...search, unit }) ??
-      (mayClaimAnyRack(unit) ? chooseVictims({ ...search, unit: toAnyRack(unit) }) : undefined)
+      (mayClaimAnyRack(unit, this.#view.claimBounds)
+        ? chooseVictims({ ...search, unit: toAnyRack(unit) })
+        : undefined)
     if (choice === undefined) return false
     if (choice.victims.length > 0) this.#victims = victims.without(choice.victims)
     for (const group of choice.victims) this.#preempt(group, unit)
--- a/batch/service/src/buildSchedulerView.ts
+++ b/batch/service/src/buildSchedulerView.ts
@@ -5,6 +5,8 @@
   measureCores,
   noResources,
   type ActiveRun,
+  type ClaimBounds,
+  type HeadroomView,
   type SchedulerView,
   type SchedulableUpstream,
   type UpstreamAvailability,
@@ -47,6 +49,10 @@
   isPaused: (task: TaskRef) => boolean
   /** See `SchedulerView`. */
   starvedMs: SchedulerView['starvedMs']
+  /** See `SchedulerView`. */
+  claimBounds?: ClaimBounds | undefined
+  /** See `SchedulerView`. */
+  headroom?: HeadroomView | undefined
 }
 
 export function buildSchedulerView(opts: BuildSchedulerViewOptions): SchedulerView {
@@ -80,6 +86,8 @@
     guarantees: new Map(
       workspaces.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]),
     ),
+    claimBounds: opts.claimBounds,
+    headroom: opts.headroom,
   }
 }
 
--- a/bench/policy/src/policyParts.ts
+++ b/bench/policy/src/policyParts.ts
@@ -8,6 +8,10 @@
   readonly knownSpeeds: boolean
   /** Gangs and urgent work avoid upstreams that have lately crashed, been lost or failed runs. */
   readonly stability: boolean
+  /** Guaranteed units that have to get their capacity at once go first. */
+  readonly claims: boolean
+  /** Work with slack leaves capacity free for urgent work. */
+  readonly headroom: boolean
   /** Work that starves gives up its preferences. */
   readonly relaxation: boolean
 }
@@ -18,11 +22,18 @@
   speeds: true,
   knownSpeeds: false,
   stability: true,
+  claims: true,
+  headroom: true,
   relaxation: true,
 }
 
 /** As with the settings of a control instance left out. */
-export const defaultParts: PolicyParts = { ...allParts, speeds: false }
+export const defaultParts: PolicyParts = {
+  ...allParts,
+  speeds: false,
+  claims: false,
+  headroom: false,
+}
 
 /** Returns undefined if no part has this name. */
 export function findPart(name: string): PolicyPart | undefined {
@@ -32,11 +43,13 @@
 /** Leaves the input of a round without what the missing parts would see; for `speeds` see `PlayedSpeeds`. */
 export function leaveOutParts(
   opts: BuildSchedulerViewOptions,
-  { stability, relaxation }: PolicyParts,
+  { stability, claims, headroom, relaxation }: PolicyParts,
 ): BuildSchedulerViewOptions {
   return {
     ...opts,
     ...(stability ? {} : { isUnstable: () => false }),
+    ...(claims ? {} : { claimBounds: undefined }),
+    ...(headroom ? {} : { headroom: undefined }),
     ...(relaxation ? {} : { starvedMs: () => 0 }),
   }
 }
--- a/settings/schemas/src/batchSettings.ts
+++ b/settings/schemas/src/batchSettings.ts
@@ -45,6 +45,10 @@
   relayFromUpstreams: z.int().positive().optional(),
   /** How long an ended job is still shown. */
   keepEndedMs: z.int().positive(),
+  /** Guaranteed work has to start this long after its acceptance at the latest. Set it together with `stopMsMax`. */
+  guaranteedStartMsMax: z.number().positive().optional(),
+  /** The longest time that a stop takes: what urgent work is expected to claim within it is kept free of other work. */
+  stopMsMax: z.number().nonnegative().optional(),
   /** Whether the leader learns how fast upstreams work, and places by it. Earlier builds cannot read what it commits. */
   upstreamSpeeds: z.enum(['learn', 'ignore']).optional(),
 })
