docs(batch): comments of the new parts name their subjects and match the code

Measured figures and the start bound of one deployment stood in comments.

Change: comments, and names within a file (windowCountMin, retentionMs, toThousandths, rangeCache, runningPercentMax). Ruled out: comments of the settings schema, from which the settings page is written, and all exported names.

--- a/batch/fakes/src/runProgress.ts
+++ b/batch/fakes/src/runProgress.ts
@@ -2,8 +2,8 @@
 import { runKey, type RunRef } from '@nettlespur/batch.model'
 import type { Clock } from '@nettlespur/core.clock'
 
-/** Until its end a run has not done all. */
-const percentMax = 99
+/** A run reports less than 100 % until it has ended. */
+const runningPercentMax = 99
 const wholePercent = 100
 
 export class RunProgress {
@@ -29,6 +29,6 @@
     if (span === undefined) return 0
     const { begunAtMs, runTimeMs } = span
     const percent = (wholePercent * (this.#clock.monotonicMs() - begunAtMs)) / runTimeMs
-    return Math.min(Math.floor(percent), percentMax)
+    return Math.min(Math.floor(percent), runningPercentMax)
   }
 }
--- a/batch/relays/src/executedCalls.ts
+++ b/batch/relays/src/executedCalls.ts
@@ -1,7 +1,7 @@
 /** The calls that a relay has taken for execution, so that a batch that is delivered twice is executed once. */
 
-/** Longer than an order may be under way: after that its time to be sent is over on any clock. */
-const keptBeyondMs = 30_000
+/** How long an id is kept beyond the latest time of its order: a copy that arrives even later is refused by that time. */
+const retentionMs = 30_000
 const countBeforePruning = 1024
 
 export class ExecutedCalls {
@@ -15,7 +15,7 @@
 
   add(term: number, callId: number, sendByMs: number, nowMs: number): void {
     if (this.#keptUntilMs.size >= this.#pruneAtCount) this.#prune(nowMs)
-    this.#keptUntilMs.set(keyOf(term, callId), Math.max(sendByMs, nowMs) + keptBeyondMs)
+    this.#keptUntilMs.set(keyOf(term, callId), Math.max(sendByMs, nowMs) + retentionMs)
   }
 
   #prune(nowMs: number): void {
--- a/batch/relays/src/pendingCall.ts
+++ b/batch/relays/src/pendingCall.ts
@@ -47,11 +47,12 @@
     })
   }
 
+  /** Time until the deadline. */
   get leftMs(): number {
     return this.#deadlineMs - this.#opts.clock.monotonicMs()
   }
 
-  /** An outcome of another type than the order's tells nothing of the call. */
+  /** Settles the call. An outcome of another type than the order's says nothing about it, and rejects it as unknown. */
   settle(outcome: CallOutcome): void {
     if (outcome.type === 'failed') this.#fail(outcome.kind, outcome.reason)
     else if (outcome.type !== this.order.type)
@@ -67,7 +68,7 @@
     this.#fail(this.mayHaveBeenSent ? 'outcome-unknown' : 'unreachable', reason)
   }
 
-  /** The relay has not sent the order to the upstream and will not send it. */
+  /** Rejects as `unreachable`: the relay has not sent the order to the upstream and will not send it. */
   refuse(reason: string): void {
     this.#fail('unreachable', reason)
   }
--- a/batch/relays/src/relay.ts
+++ b/batch/relays/src/relay.ts
@@ -21,7 +21,7 @@
   RelayReceipt,
 } from './relayMessages.js'
 
-/** Five times the pause between two messages of a leader that uses relays. */
+/** A leader that uses relays sends five messages in this time; without any, it is taken for lost. */
 const leaderHeardMsMax = 1000
 
 export interface RelayOptions {
@@ -31,7 +31,7 @@
 }
 
 export class Relay {
-  /** Another one after each start of the process: its monotonic clock and its executed calls begin anew. */
+  /** Changes with each start of the process, as the monotonic clock and the executed calls begin anew. */
   readonly relayId = randomUUID()
   readonly #opts: RelayOptions
   readonly #executed = new ExecutedCalls()
@@ -45,7 +45,7 @@
     this.#outcomes = new OutcomeQueue(opts.clock)
   }
 
-  /** Members that serve upstreams, as a leader that uses relays has said lately; empty if none has. */
+  /** Members that serve upstreams, according to a leader that uses relays; empty if none has sent a message lately. */
   get servingAddresses(): readonly string[] {
     const isHeard = this.#opts.clock.monotonicMs() - this.#leaderHeardAtMs <= leaderHeardMsMax
     return isHeard ? this.#servingAddresses : []
--- a/batch/relays/src/relayMember.ts
+++ b/batch/relays/src/relayMember.ts
@@ -22,7 +22,7 @@
 const answerWaitMs = 200
 /** Pause before the next request for answers after one that failed. */
 const retryPauseMs = 200
-/** Without a message for this long a relay is silent: three answers are missing. */
+/** A relay without a message for this long is silent: three answers are missing. */
 const silentMsMax = 700
 /**
  * Checks without a message before a relay is silent. A leader that stood still itself makes one check before it has read
@@ -97,7 +97,7 @@
     }
   }
 
-  /** To be called regularly. */
+  /** Takes the member out if it has been silent for too long. To be called at regular intervals. */
   checkSilence(): void {
     if (!this.#isServing) return
     this.#checksSinceHeard += 1
@@ -193,7 +193,7 @@
     this.#opts.logger.info({ event: 'relay.taken-in', address: this.address })
   }
 
-  /** Nobody listens at the member's address: its upstreams move at once. */
+  /** Takes the member out at once if nothing listens at its address. Other failures count as silence. */
   #noteFailure(thrown: unknown): void {
     const { kind, message } = toNettlespurError(thrown)
     if (kind === 'unreachable') this.takeOut(message)
--- a/batch/relays/src/relayMembers.ts
+++ b/batch/relays/src/relayMembers.ts
@@ -38,7 +38,7 @@
 export class RelayMembers {
   readonly #opts: RelayMembersOptions
   readonly #watched = new Map<string, WatchedMember>()
-  /** Addresses of the members that may serve: those watched besides only have calls in progress. */
+  /** Addresses of the members that may serve; all others that are watched only have calls in progress. */
   #wanted: ReadonlySet<string> = new Set()
   #isRelaying = false
   #callCount = 0
--- a/batch/relays/src/relayService.ts
+++ b/batch/relays/src/relayService.ts
@@ -14,7 +14,7 @@
   clock: Clock
   logger: Logger
   metrics: MetricsRegistry
-  /** The port of this member. */
+  /** The port over which this member itself calls upstreams. */
   port: UpstreamPort
   link: RelayLink
   /** The peer address of this member. */
@@ -54,7 +54,7 @@
     return this.#leaderPort === undefined && this.relay.servingAddresses.length > 0
   }
 
-  /** The peer address of the member to which the upstream announces itself; undefined if that is the leader. */
+  /** Returns the peer address of the member to which the upstream announces itself; undefined while no relays are used. */
   findAnnounceMember(upstreamAddress: string): string | undefined {
     const { servingAddresses } = this.#leaderPort ?? this.relay
     return assignMember(upstreamAddress, servingAddresses)
--- a/batch/relays/src/relayedUpstreamPort.ts
+++ b/batch/relays/src/relayedUpstreamPort.ts
@@ -1,6 +1,6 @@
 /**
- * The leader's port while relays may be used: each call goes to the member that the upstream is assigned to, or over the
- * member's own port. It belongs to one term, so that no order is ever sent in the name of another.
+ * The leader's port while relays may be used: each call goes through the member that the upstream is assigned to, or over
+ * the leader's own port. It belongs to one term, so that no order is ever sent in the name of another term.
  */
 import type {
   HoldAnswer,
@@ -18,7 +18,7 @@
 import { RelayMembers, type RelayMembersOptions } from './relayMembers.js'
 
 export interface RelayedUpstreamPortOptions extends Omit<RelayMembersOptions, 'signal'> {
-  /** The port of this member. */
+  /** The port over which this member itself calls upstreams. */
   port: UpstreamPort
 }
 
@@ -83,7 +83,7 @@
     return { type: 'gone', clockMs, ...(successorId === undefined ? {} : { successorId }) }
   }
 
-  /** Calls in progress end with their own timeouts; later ones go over the member's own port. */
+  /** Calls in progress end with their own timeouts; later ones go over this member's own port. */
   close(): void {
     this.#closing.abort()
   }
--- a/batch/scheduler/src/headroom.ts
+++ b/batch/scheduler/src/headroom.ts
@@ -10,14 +10,14 @@
 import type { RoundAllocations } from './roundAllocations.js'
 import type { ExpectedClaims } from './urgentDemand.js'
 
-/** For how long work of which nothing runs is held back: as long as for any preference, see `preferenceWaitMaxMs`. */
+/** For how long work of which nothing runs is held back: as long as for any preference (`preferenceWaitMaxMs` of a round). */
 const holdBackMsMax = 2000
 
-/** What is known from earlier rounds; see `HeadroomWatch`. */
+/** The demand and the held-back units of earlier rounds; see `HeadroomWatch`. */
 export interface HeadroomView {
   /** Returns undefined if nothing has to stay free in the pool. */
   readonly expect: (pool: string) => ExpectedClaims | undefined
-  /** Since the unit was first held back without a start since; 0 if it was not. */
+  /** How long ago the unit was first held back after its last start; 0 if it has not been held back since. */
   readonly heldBackMs: (unit: UnitRef) => number
 }
 
--- a/batch/scheduler/src/headroomWatch.ts
+++ b/batch/scheduler/src/headroomWatch.ts
@@ -1,4 +1,4 @@
-/** What headroom needs to know from earlier rounds: the demand of urgent work, and who was held back. Kept in memory. */
+/** What headroom needs from earlier rounds: the demand of urgent work, and the units held back. Both are kept in memory. */
 import { unitKey, type UnitRef } from '@nettlespur/batch.model'
 import type { JobRecord } from '@nettlespur/batch.state'
 import type { ClaimBounds } from './claimBounds.js'
--- a/batch/scheduler/src/jobRank.ts
+++ b/batch/scheduler/src/jobRank.ts
@@ -1,7 +1,10 @@
-/** The order in which jobs get capacity: guaranteed work first (due claims before others), then by timeliness, priority and latest start. */
+/**
+ * The order in which jobs get capacity: guaranteed work first, and due claims before its others; then by timeliness,
+ * priority and latest start.
+ */
 import type { JobRecord } from '@nettlespur/batch.state'
-import { computeTiming, type JobTiming, type Timeliness } from './jobTiming.js'
 import { isClaimDue } from './claimBounds.js'
+import { computeTiming, type JobTiming, type Timeliness } from './jobTiming.js'
 import type { SchedulerView } from './schedulerView.js'
 
 const timelinessRank: Readonly<Record<Timeliness, number>> = { 'on-time': 0, late: 1, none: 2 }
@@ -9,7 +12,7 @@
 export interface JobRank extends JobTiming {
   readonly job: JobRecord
   readonly isGuaranteed: boolean
-  /** It has to get its guaranteed capacity at once to start within its bound. */
+  /** Whether it has to get its guaranteed capacity at once to start within its bound. */
   readonly isDue: boolean
 }
 
--- a/batch/scheduler/src/neededSpeed.ts
+++ b/batch/scheduler/src/neededSpeed.ts
@@ -6,8 +6,8 @@
 const startMs = 100
 
 /**
- * Run times are declared for one task, the slowest task of a gang takes longer, and the scale of the learned speeds may be
- * off by a tenth.
+ * Run times are declared for one task, while the slowest task of a gang takes longer, and the scale of the learned speeds
+ * is not exact.
  */
 export const runTimeMargin = 1.15
 
--- a/batch/scheduler/src/roundAllocations.ts
+++ b/batch/scheduler/src/roundAllocations.ts
@@ -19,7 +19,7 @@
   /** Capacity that no run uses; some of it may be allocated to units that wait for other runs to stop. */
   idle: Resources
   readonly reservations: Reservation[] = []
-  /** How fast runs are expected to be here. */
+  /** The speed from which the ends of runs here are estimated; 1 in pools that are not placed by speed. */
   expectedSpeed = 1
   /** Set only in pools that call for placement by speed. */
   speedRange: SpeedRange | undefined
--- a/batch/scheduler/src/schedulerView.ts
+++ b/batch/scheduler/src/schedulerView.ts
@@ -31,7 +31,7 @@
   readonly isCold: boolean
   /** How fast it works, as far as that is known. */
   readonly speed: SpeedDistribution
-  /** It has lately crashed, been lost, come back or failed runs, and is likely to fail again. */
+  /** Whether it has lately crashed, been lost, come back or failed runs, so that it is likely to fail again. */
   readonly isUnstable: boolean
   /**
    * A crash could be attributed to a run that starts here: all other runs here are proven, and the upstream
--- a/batch/scheduler/src/speedPlacement.ts
+++ b/batch/scheduler/src/speedPlacement.ts
@@ -13,8 +13,8 @@
 import type { StartUnit } from './startUnit.js'
 
 /**
- * For how long after its acceptance an urgent job is held back for the sake of speed. Guaranteed work has to start
- * 2,900 ms after its acceptance; this leaves time to stop the runs that borrow its capacity.
+ * For how long after its acceptance an urgent job is held back for the sake of speed. The bound on the start of guaranteed
+ * work counts from its acceptance too; after the hold there is still time to stop the runs that borrow its capacity.
  */
 const holdMaxMs = 1000
 
@@ -39,8 +39,8 @@
   }
 
   /**
-   * Returns the unit restricted to upstreams that are not too slow for it, or undefined if it need not be: it takes any
-   * upstreams, or none is too slow.
+   * Returns the unit restricted to upstreams that are not too slow for it. Returns undefined if the unit takes any
+   * upstreams, or if none is too slow for it.
    */
   restrictToFast(unit: RankedUnit): RankedUnit | undefined {
     const pool = this.#getPool(unit)
--- a/batch/scheduler/src/speedRange.ts
+++ b/batch/scheduler/src/speedRange.ts
@@ -21,17 +21,17 @@
 /** Bounds the error of the bounds to half a percent. */
 const bisections = 10
 
-/** Distributions do not change, and most are the same in many rounds. */
-const ranges = new WeakMap<SpeedDistribution, SpeedRange>()
+/** Distributions are immutable, and most are the same in many rounds. */
+const rangeCache = new WeakMap<SpeedDistribution, SpeedRange>()
 
 export function getSpeedRange(speed: SpeedDistribution): SpeedRange {
-  const known = ranges.get(speed)
+  const known = rangeCache.get(speed)
   if (known !== undefined) return known
   const range = {
     surely: findHighestSpeed(speed, surelyFastProbability),
     possibly: findHighestSpeed(speed, possiblyFastProbability),
   }
-  ranges.set(speed, range)
+  rangeCache.set(speed, range)
   return range
 }
 
--- a/batch/scheduler/src/urgentDemand.ts
+++ b/batch/scheduler/src/urgentDemand.ts
@@ -1,7 +1,7 @@
 /**
  * Learns how much capacity urgent work claims within the time that it takes to stop other runs. It answers loads in which
- * stops take long against the slack of urgent work: what it claims meanwhile has to be free already. Kept in the leader's
- * memory; a new leader knows no demand until it has seen some windows.
+ * stops take long compared with the slack of urgent work: what it claims meanwhile has to be free already. The demand is
+ * kept in the leader's memory; a new leader knows none until it has seen some windows.
  */
 import type { Resources } from '@nettlespur/batch.model'
 import type { JobRecord } from '@nettlespur/batch.state'
@@ -14,10 +14,10 @@
   readonly taskCount: number
 }
 
-/** Windows that are remembered. */
+/** Number of past windows from which the demand is estimated. */
 const windowCountMax = 32
-/** Fewer windows are too few for a high quantile. */
-const windowCountLeast = 8
+/** A high quantile of fewer windows would depend on a single one. */
+const windowCountMin = 8
 const claimQuantile = 0.9
 
 interface Claim {
@@ -93,7 +93,7 @@
 }
 
 function computeExpected(windows: readonly Claim[][]): ExpectedClaims | undefined {
-  if (windows.length < windowCountLeast) return undefined
+  if (windows.length < windowCountMin) return undefined
   const sums = windows.map(sumAccelerators).sort((left, right) => left - right)
   const accelerators = sums[Math.floor(sums.length * claimQuantile)] ?? 0
   const taskNeeds = findUsualNeeds(windows.flat())
--- a/batch/service/src/batchApi.ts
+++ b/batch/service/src/batchApi.ts
@@ -73,7 +73,7 @@
     wait?: CallerWait,
   ): EitherAsync<NettlespurError, null>
   abstract announce(announcement: Announcement): EitherAsync<NettlespurError, null>
-  /** Announcements that a relay passes on together; resolves with the outcome of each. */
+  /** Takes the announcements that a relay passes on together. Resolves with the outcome of each, in their order. */
   announceMany(
     announcements: readonly Announcement[],
   ): EitherAsync<NettlespurError, RpcResult<null>[]> {
--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -49,7 +49,7 @@
   store: LogStore
   transport: RaftTransport
   port: UpstreamPort
-  /** Set if relays may be used; its own port is `port`. */
+  /** Set if relays may be used. It makes the calls of this member over `port` too. */
   relays?: RelayService
   timings: BatchTimings
   /** The data centres that operators may evacuate, besides those of the upstreams. None by default. */
--- a/batch/service/src/batchTimings.ts
+++ b/batch/service/src/batchTimings.ts
@@ -10,6 +10,6 @@
   readonly announceEveryMs: number
   /** How long a job stays readable after it has ended. */
   readonly keepEndedMs: number
-  /** See `SchedulerView`; absent where none are set. */
+  /** Absent where the settings have none. */
   readonly claimBounds?: ClaimBounds | undefined
 }
--- a/batch/service/src/listPacedUpstreams.ts
+++ b/batch/service/src/listPacedUpstreams.ts
@@ -1,4 +1,4 @@
-/** Lists the upstreams of which the pace of a run tells something. */
+/** Lists the upstreams whose speed shows in the pace of a run. */
 import type { BatchState, JobRecord, Placement } from '@nettlespur/batch.state'
 
 export interface ListPacedUpstreamsOptions {
@@ -10,7 +10,7 @@
 /**
  * Returns the upstream of a task, or those of all members of a gang. Returns none if the run is slowed down by something
  * else: by an upstream that has just started, by data in another rack, or by a gang that wants one rack and is spread
- * over several. Returns none either if the caller has not declared a run time to compare with.
+ * over several. Returns none if the caller has declared no run time to compare with.
  */
 export function listPacedUpstreams(
   { state, isCold }: ListPacedUpstreamsOptions,
--- a/batch/service/src/processSuccession.ts
+++ b/batch/service/src/processSuccession.ts
@@ -9,7 +9,7 @@
 export class ProcessSuccession {
   /** The successor of each replaced process, by upstream id. A successor has none itself. */
   readonly #successors = new Map<string, string>()
-  /** The values of `#successors`, since most upstreams have replaced no process. */
+  /** The values of `#successors`, so that the usual upstream, which has replaced no process, is recognised at once. */
   #successorIds: ReadonlySet<string> = new Set()
 
   /** Replaced processes that have not been forgotten, by upstream id. */
--- a/batch/service/src/recordFaultReporter.ts
+++ b/batch/service/src/recordFaultReporter.ts
@@ -22,7 +22,7 @@
   | 'config'
   | 'evacuation'
   | 'unknown-pool'
-  /** Progress that cannot be, so that no pace follows from it. */
+  /** Impossible progress of a run, from which no pace follows. */
   | 'pace'
 
 export interface RecordFault {
--- a/batch/service/src/reportSpeeds.ts
+++ b/batch/service/src/reportSpeeds.ts
@@ -1,4 +1,4 @@
-/** Registers the figures of what the leader knows of the speeds of upstreams. */
+/** Registers gauges of the upstream speeds that the leader knows. */
 import type { SpeedDistribution } from '@nettlespur/batch.speeds'
 import type { BatchState } from '@nettlespur/batch.state'
 import type { Clock } from '@nettlespur/core.clock'
@@ -10,7 +10,7 @@
   metrics: MetricsRegistry
   learner: SpeedLearner
   getState: () => BatchState
-  /** Aborted once this leader's term is over; the figures are 0 from then on. */
+  /** Aborted once this leader's term is over; the gauges are 0 from then on. */
   signal: AbortSignal
 }
 
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -60,7 +60,7 @@
   readonly #opts: SchedulingRoundsOptions
   readonly #housekeeper: Housekeeper
   readonly #starvationWatch: StarvationWatch
-  /** Absent where no bounds are set. */
+  /** Undefined where nothing has to be kept free. */
   readonly #headroom: HeadroomWatch | undefined
   readonly #headroomLog: HeadroomLog
   readonly #speedLog: SpeedLog
--- a/batch/service/src/speedLearner.ts
+++ b/batch/service/src/speedLearner.ts
@@ -1,6 +1,6 @@
 /**
- * What the leader learns of the speeds of upstreams: takes one observation for each run or gang attempt, and starts from
- * the estimates that earlier leaders committed.
+ * Learns the speeds of upstreams for the leader: takes one observation for each run or gang attempt, and starts from the
+ * estimates that earlier leaders committed.
  */
 import { PaceWatch, type RunPace } from '@nettlespur/batch.sessions'
 import { UpstreamSpeeds, type SpeedDistribution } from '@nettlespur/batch.speeds'
@@ -14,7 +14,7 @@
 export interface SpeedLearnerOptions {
   clock: Clock
   metrics: MetricsRegistry
-  /** Told of readings that cannot be. */
+  /** Receives reports of impossible progress. */
   faults: RecordFaultReporter
   getState: () => BatchState
   /** Whether the upstream has started lately and is slow for a while. */
--- a/batch/service/src/speedNotes.ts
+++ b/batch/service/src/speedNotes.ts
@@ -12,9 +12,9 @@
 const noteEveryMs = 2000
 /** Bounds the size of a command. The rest follows with the next one. */
 const notedMax = 64
-/** A mean that has moved by less decides nothing else. */
+/** A mean that has moved by less hardly changes a decision. */
 const movedShareMin = 0.1
-/** Upstreams named in a log line, those that have moved most. */
+/** The number of upstreams named in a log line: those whose estimates have moved most. */
 const namedMax = 8
 
 export interface SpeedNotesOptions {
@@ -79,14 +79,14 @@
       const { mean, logSpread } = learner.speeds.getEstimate(upstreamId, nowMs)
       const distance = Math.abs(Math.log(mean / (committed?.mean ?? 1)))
       if (committed !== undefined && distance < Math.log(1 + movedShareMin)) continue
-      const speed = { upstreamId, mean: round(mean), logSpread: round(logSpread) }
+      const speed = { upstreamId, mean: toThousandths(mean), logSpread: toThousandths(logSpread) }
       moves.push({ speed, distance })
     }
     return moves.sort((one, other) => other.distance - one.distance)
   }
 }
 
-/** To three digits after the point, which keeps commands and log lines short. */
-function round(value: number): number {
+/** Rounds to three decimal places, but not to 0. That keeps commands and log lines short. */
+function toThousandths(value: number): number {
   return Math.max(Math.round(value * 1000) / 1000, 0.001)
 }
--- a/batch/service/src/upstreamHealth.ts
+++ b/batch/service/src/upstreamHealth.ts
@@ -14,10 +14,13 @@
 
 /** How long after a crash an address counts as likely to crash again. */
 const crashedLatelyMs = 20_000
-/** Longer than upstreams that go down and up by turns stay up. Longer than the quarantine, so that single runs come first. */
+/**
+ * Longer than an upstream that goes down and up by turns stays up, and longer than the quarantine, so that single runs
+ * come before gangs.
+ */
 const unstableMs = 10_000
 
-/** Identifies an upstream, and the place at which the next process of it will be found. */
+/** Identifies an upstream, and the address at which its next process will be found. */
 export type UpstreamPlace = Pick<UpstreamDescription, 'upstreamId' | 'address'>
 
 /** An upstream that has become unstable, and why. */
@@ -59,7 +62,7 @@
     this.#noteDisturbance({ upstreamId, address, cause: 'crashed' }, nowMs)
   }
 
-  /** Records that the upstream's process is gone, or that another one has come at its address. A planned stop is none. */
+  /** Records that the upstream's process is gone or has been replaced at its address. A planned stop is not recorded. */
   noteLoss({ description, isDraining, hasLeft }: UpstreamRecord, nowMs: number): void {
     if (isDraining || hasLeft) return
     const { upstreamId, address } = description
@@ -93,6 +96,7 @@
     })
   }
 
+  /** Calls `record`, and reports the upstream if that has made it unstable. */
   #observe(notice: InstabilityNotice, nowMs: number, record: () => void): void {
     const wasUnstable = this.isUnstable(notice, nowMs)
     record()
--- a/batch/sessions/src/pollLoop.ts
+++ b/batch/sessions/src/pollLoop.ts
@@ -92,7 +92,7 @@
     else if (!mayStartArrive()) ending.giveUpRefused()
   }
 
-  /** Not while an order may still arrive: a later process, which has none of these leases, would execute it. */
+  /** Does nothing while a start order may still arrive: a later process, which has none of these leases, would execute it. */
   #giveUpAfterLease(cause: LossCause): void {
     const { lease, ending, mayStartArrive } = this.#opts
     if (!mayStartArrive()) ending.giveUpAfterLease(lease, cause)
--- a/batch/sessions/src/runPaces.ts
+++ b/batch/sessions/src/runPaces.ts
@@ -1,4 +1,4 @@
-/** Reads the pace of the runs that a session follows, and passes it on. */
+/** Measures the paces of the runs that a session follows, and passes them on to the session's `PaceWatch`. */
 import type { RunEnd } from '@nettlespur/batch.state'
 import { PaceMeter } from './paceMeter.js'
 import type { PaceWatch } from './paceWatch.js'
@@ -20,7 +20,7 @@
     this.#watch = watch
   }
 
-  /** `begunAtMs` is undefined if the run does not begin now, or not at 0 %. Returns undefined if nobody watches. */
+  /** `begunAtMs` is undefined if the run does not begin now, or not at 0 %. Returns undefined without a watch. */
   createMeter(begunAtMs: number | undefined): PaceMeter | undefined {
     return this.#watch === undefined ? undefined : new PaceMeter(begunAtMs)
   }
@@ -38,8 +38,8 @@
   }
 
   /**
-   * Call it before the end is committed. Ends other than `done` say nothing about the pace. Nor does an end after a call
-   * without an answer: it was read late, so that an upstream that was cut off for seconds would seem slow.
+   * Call it before the end is committed. Ends other than `done` say nothing about the pace. Neither does an end after an
+   * unanswered call: it was read late, so that an upstream that was cut off would seem slow.
    */
   noteEnd({ end: { outcome }, track, nowMs, unansweredAtMs }: NotedEnd): void {
     const meter = track?.pace
--- a/batch/sessions/src/runTrack.ts
+++ b/batch/sessions/src/runTrack.ts
@@ -35,7 +35,7 @@
   isProven: boolean
   /** Whether it is suspected of crashing upstreams: until it is proven, nothing else starts there. */
   readonly isOnTrial: boolean
-  /** Measures how fast it makes progress; undefined if nobody wants to know. */
+  /** Measures how fast it makes progress; undefined if the session has no `PaceWatch`. */
   pace?: PaceMeter | undefined
 }
 
--- a/batch/sessions/src/sessionOptions.ts
+++ b/batch/sessions/src/sessionOptions.ts
@@ -22,7 +22,7 @@
   /** When this leader took over, on its own clock; undefined if earlier leaders left no placed runs there. */
   takeoverMs: number | undefined
   signal: AbortSignal
-  /** Told how fast the runs make progress; nothing is measured without it. */
+  /** Receives the paces of the runs; without it none are measured. */
   paceWatch?: PaceWatch | undefined
 }
 
@@ -39,7 +39,7 @@
 export const trialPollWaitMs = 500
 /** Pause before the next call after a call without an answer, a rejected fence or a failed commit. */
 export const retryPauseMs = 250
-/** Polls in a row that have to find nothing listening: a process that restarts in between answers the second one. */
+/** This many polls in a row have to find nothing listening: a process that restarts in between answers the second one. */
 export const refusedPollsMin = 2
 /** Pause after an answer with unparsable rows, to avoid polling an upstream that answers at once in a tight loop. */
 export const unreadPauseMs = 100
--- a/batch/speeds/src/speedBelief.ts
+++ b/batch/speeds/src/speedBelief.ts
@@ -39,7 +39,7 @@
     return belief
   }
 
-  /** Whether there is evidence left; without, the speed is unknown. */
+  /** Whether there is evidence left; without any, the speed is unknown. */
   hasEvidence(nowMs: number): boolean {
     this.#decay(nowMs)
     return this.#evidence.length > 0
@@ -57,7 +57,7 @@
     return this.#distribution
   }
 
-  /** Adds an observation. `weight` below 1 counts it in part, as if it was not independent of earlier ones. */
+  /** Adds an observation. A `weight` below 1 counts it in part, for one that is not independent of earlier ones. */
   add(likelihood: GridWeights, weight: number, atMs: number): void {
     this.#decay(atMs)
     this.#setEvidence(
--- a/batch/speeds/src/stepPaces.ts
+++ b/batch/speeds/src/stepPaces.ts
@@ -7,7 +7,7 @@
   readonly logPace: number
 }
 
-/** More give hardly a better median. */
+/** Paces on more upstreams hardly improve the median. */
 const upstreamsMax = 16
 
 export class StepPaces {
@@ -16,6 +16,7 @@
   /** The newest paces, one for each of the upstreams seen last, the newest at the end. */
   readonly #byUpstream = new Map<string, number>()
   readonly #timesUsed = new Map<string, number>()
+  /** Number of paces noted, those no longer held included. */
   tasks = 0
 
   /** Number of paces and counts held. */
--- a/batch/state/src/lateEnd.ts
+++ b/batch/state/src/lateEnd.ts
@@ -1,6 +1,7 @@
 /**
  * Late ends: a run that was counted as lost, because its upstream stayed silent until the lease had expired, turns out to
- * have finished before that. Its work is done, so the task must not run again, and a run started in its place is stopped.
+ * have finished before the lease expired. Its work is done, so the task must not run again, and a run started in its place
+ * is stopped.
  */
 import type { RunRef } from '@nettlespur/batch.model'
 import type { Placement } from './command.js'
--- a/upstream/client/src/connectionPools.ts
+++ b/upstream/client/src/connectionPools.ts
@@ -1,7 +1,7 @@
 /**
  * Holds one connection pool per upstream address, created on first use. Unused pools are removed when a pool is to be
- * created and at least `poolCountBeforePruning` exist, and twice as many as were left the last time: a removal looks at
- * every pool, and for each new pool that would take longer than the calls.
+ * created while there are `poolCountBeforePruning` or more, and at least twice as many as the last removal left: a removal
+ * looks at every pool, which would take longer than the calls if it was done for each new pool.
  */
 import { ConnectionPool, type ConnectionPoolOptions } from './connectionPool.js'
 
--- a/upstream/client/src/idleConnections.ts
+++ b/upstream/client/src/idleConnections.ts
@@ -10,7 +10,7 @@
 
 export class IdleConnections {
   readonly #countMax: number
-  /** Since when each is idle, in this order. */
+  /** In the order in which they became idle. */
   readonly #idle = new Set<Duplex>()
   readonly #watched = new WeakSet<Duplex>()
 
@@ -22,7 +22,7 @@
     return this.#idle.size
   }
 
-  /** Counts the connections that `agent` keeps from now on. */
+  /** Bounds the connections that `agent` keeps from now on. */
   watch(agent: Agent): void {
     const keeping = agent as unknown as KeepAliveAgent
     const keep = keeping.keepSocketAlive.bind(keeping)
