--- a/bench/policy/src/crowdedDay.ts
+++ b/bench/policy/src/crowdedDay.ts
@@ -55,7 +55,7 @@
   readonly lengthMs: number
   /** After the last arrival jobs have this long to end. */
   readonly finishMs: number
-  /** Ends once all jobs have ended. */
+  /** Whether the day ends once all jobs have ended. */
   readonly endsEarly: boolean
   /** From the order to stop a run to its end. */
   readonly stopMs: number
@@ -69,7 +69,7 @@
 
 /** About the length of an hour's peak as its users replay it. */
 const lengthMs = 34_000
-/** The time within which all deployments want guaranteed work to start. */
+/** The time within which guaranteed work must start, unless the deployment states another. */
 const usualGuaranteedStartMs = 2900
 const usualFinishMs = 14_000
 /** From a placement to the task at work, and from a stop to its end: a commit, a call, an answer. */
@@ -80,7 +80,7 @@
 const lossesPerDay = 2
 /** The guarantees of all workspaces together, as a share of all accelerators. */
 const guaranteedShare = 0.62
-/** Before their ends at short notice upstreams say so. */
+/** How long before its end an upstream announces that it leaves. */
 const leavingNoticeMs = 5500
 
 export function createCrowdedDay(deployment: Deployment, seed: number): CrowdedDay {
@@ -156,7 +156,7 @@
   return isPaceUniform === true || paces !== undefined
 }
 
-/** They leave at the same moment, having said so. */
+/** Draws the upstreams that leave at short notice, all at the same moment. */
 function drawLeaving(random: SeededRandom, upstreamIds: readonly string[], share: number): Loss[] {
   const atMs = random.between(leavingNoticeMs, lengthMs)
   return upstreamIds
--- a/bench/policy/src/hardDeployments.ts
+++ b/bench/policy/src/hardDeployments.ts
@@ -3,7 +3,7 @@
 import { buildsGoal, rostersGoal } from './goal.js'
 import type { JobKind } from './jobKind.js'
 
-/** With it, three of ten workspaces send half of all jobs. */
+/** With this skew, three of ten workspaces send half of all jobs. */
 const workspaceSkew = 0.7
 const uncappedMs = Infinity
 const stragglers = { share: 0.03, times: 7 }
