--- a/batch/relays/__utils__/createRelay.ts
+++ b/batch/relays/__utils__/createRelay.ts
@@ -10,7 +10,7 @@
 import { Relay } from '../src/index.js'
 import type { OrderBatch, RelayedCall } from '../src/relayMessages.js'
 
-/** Its monotonic clock can stand still while time passes, and its wall clock can be set back. */
+/** Clocks of a relay: the monotonic one can stand still while time passes, and the wall clock can be set back. */
 export class SteppedClock implements Clock {
   readonly base = new ManualClock()
   suspendedMs = 0
--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -29,7 +29,7 @@
   readonly proven = new Set<string>()
   /** How long runs take, by job id; runs of other jobs end only when the test ends them. */
   readonly runTimesMs = new Map<string, number>()
-  /** When runs are expected to end, by job id; runs of other jobs `remainingRunMs` after each round. */
+  /** When runs are expected to end, by job id; runs of other jobs end `remainingRunMs` after each round. */
   readonly expectedEndsMs = new Map<string, number>()
   claimBounds: ClaimBounds | undefined
   /** Set it to keep capacity free for urgent work. */
--- a/batch/service/test/announcementBatches.test.ts
+++ b/batch/service/test/announcementBatches.test.ts
@@ -1,6 +1,6 @@
 /**
- * Announcements that a relay passes on together. One that were acknowledged without the leader would keep an upstream in
- * use, or a departure unknown, that the leader never heard of.
+ * Guards against announcements that a relay acknowledges although the leader never got them: the leader would not know that
+ * an upstream is there, or that it is leaving.
  */
 import type { Announcement } from '@nettlespur/batch.model'
 import { ManualClock } from '@nettlespur/core.clock'
--- a/batch/service/test/relayFailures.test.ts
+++ b/batch/service/test/relayFailures.test.ts
@@ -1,6 +1,6 @@
 /**
- * The leader's calls through relays, with one failure each. What must not happen: a call reported as never sent that an
- * upstream has executed, an order executed late or twice, and a relay that holds up the upstreams assigned to it.
+ * The leader's calls through relays, with one failure each. Guards against a call that is reported as never sent although
+ * an upstream has executed it, an order that is executed late or twice, and a relay that holds up its upstreams.
  */
 import test from 'ava'
 import { relayAddresses } from '../__utils__/index.js'
--- a/batch/service/test/rpcRelayLink.test.ts
+++ b/batch/service/test/rpcRelayLink.test.ts
@@ -1,4 +1,4 @@
-/** Orders and outcomes between two members over real connections, and members that carry no calls. */
+/** Guards against messages between members that get lost or change on real connections, and against relays that carry no calls. */
 import { Relay, RelayedUpstreamPort, type RelayLink } from '@nettlespur/batch.relays'
 import { SystemClock } from '@nettlespur/core.clock'
 import { toNettlespurError } from '@nettlespur/core.errors'
--- a/batch/service/test/speedLearner.test.ts
+++ b/batch/service/test/speedLearner.test.ts
@@ -1,4 +1,4 @@
-/** Of which runs the pace is taken, and what happens to readings that cannot be. */
+/** Guards against speeds learned from runs that something else slows down, and against impossible progress that is used. */
 import { createConfig, createJob, createUpstream } from '@nettlespur/batch.samples'
 import type { StepSpec } from '@nettlespur/batch.model'
 import { BatchState, type Placement } from '@nettlespur/batch.state'
--- a/batch/service/test/upstreamSpeeds.test.ts
+++ b/batch/service/test/upstreamSpeeds.test.ts
@@ -1,4 +1,4 @@
-/** What the leader learns of the speeds of upstreams, over leader changes and failed proposals, on a manual clock. */
+/** Guards against speeds that are lost with the leader, or that hold up work while proposals fail. Time is a manual clock. */
 import { createJob } from '@nettlespur/batch.samples'
 import type { Command } from '@nettlespur/batch.state'
 import { MetricsRegistry } from '@nettlespur/core.metrics'
--- a/batch/sessions/test/paceMeter.test.ts
+++ b/batch/sessions/test/paceMeter.test.ts
@@ -1,4 +1,4 @@
-/** How the pace of one run follows from its readings, and which readings give none. */
+/** Guards against paces from readings that say nothing about the upstream, which would make it seem fast or slow. */
 import test from 'ava'
 import fc from 'fast-check'
 import { PaceMeter } from '../src/paceMeter.js'
--- a/batch/sessions/test/runPaces.test.ts
+++ b/batch/sessions/test/runPaces.test.ts
@@ -1,4 +1,4 @@
-/** Of which ends the pace of a run is taken. */
+/** Guards against paces taken from ends that were read late. */
 import type { Placement } from '@nettlespur/batch.state'
 import test from 'ava'
 import { PaceWatch } from '../src/paceWatch.js'
--- a/batch/speeds/test/declarations.test.ts
+++ b/batch/speeds/test/declarations.test.ts
@@ -1,4 +1,4 @@
-/** What is learned of the errors of declared run times: those of one step, and those of a whole queue. */
+/** Guards against errors of declared run times, of one step or of a whole queue, that are taken for speed. */
 import test from 'ava'
 import { estimateDeclarationError } from '../src/estimateDeclarationError.js'
 import { QueueErrors } from '../src/queueErrors.js'
--- a/batch/speeds/test/speedDistribution.test.ts
+++ b/batch/speeds/test/speedDistribution.test.ts
@@ -1,4 +1,4 @@
-/** What is known of one upstream: the prior, the distributions for tests, and how they turn into probabilities. */
+/** Guards against probabilities that decide something without evidence, or that jump with the wanted speed. */
 import test from 'ava'
 import fc from 'fast-check'
 import { GridDistribution } from '../src/gridDistribution.js'
--- a/batch/state/test/lateEnds.test.ts
+++ b/batch/state/test/lateEnds.test.ts
@@ -1,4 +1,4 @@
-/** Ends that are reported only after their runs were counted as lost. */
+/** Guards against finished work that is done again because its end was reported only after the run was counted as lost. */
 import test from 'ava'
 import { createConfig, createJob, createUpstream } from '@nettlespur/batch.samples'
 import { BatchState, commandSchema, type Placement } from '../src/index.js'
--- a/batch/state/test/upstreamSpeeds.test.ts
+++ b/batch/state/test/upstreamSpeeds.test.ts
@@ -1,4 +1,4 @@
-/** Learned speeds in the replicated state, and snapshots with and without them. */
+/** Guards against learned speeds that are lost in snapshots or outlive their upstreams, and against unreadable snapshots. */
 import { createConfig, createUpstream } from '@nettlespur/batch.samples'
 import test from 'ava'
 import { BatchMachine, batchSnapshotSchema, BatchState, encodeCommand } from '../src/index.js'
