--- a/bench/policy/src/dayTroubles.ts
+++ b/bench/policy/src/dayTroubles.ts
@@ -16,9 +16,9 @@
 
 /** Shares of the upstreams that a trouble of each kind strikes on a troubled day. */
 export interface UpstreamTroubleShares extends Readonly<Record<UpstreamTroubleKind, number>> {
-  /** Down and up by turns; a new process comes up each time. */
+  /** Upstreams that go down and up by turns; a new process comes up each time. */
   readonly flapping: number
-  /** Lost after short notice. */
+  /** Upstreams that leave at short notice. */
   readonly leaving: number
 }
 
@@ -93,7 +93,7 @@
   }
 }
 
-/** One of `choices` for each upstream. */
+/** Draws one of `choices` for each upstream. */
 export function drawPaces(
   random: SeededRandom,
   upstreamIds: readonly string[],
--- a/bench/policy/src/demandCurve.ts
+++ b/bench/policy/src/demandCurve.ts
@@ -1,4 +1,4 @@
-/** How often jobs come over a day in waves and bursts, as a multiple of the mean. */
+/** Draws demand that comes in waves and bursts: how often jobs arrive over a day, as a multiple of the mean. */
 import type { SeededRandom } from '@nettlespur/bench.placement'
 import type { JobKind } from './jobKind.js'
 
@@ -9,8 +9,9 @@
   readonly lengthMs: number
 }
 
-/** Demand swings around its mean by this share. */
+/** Swings of the demand around its mean. */
 export interface Waves {
+  /** Largest deviation from the mean, as a share of it. */
   readonly share: number
   readonly periodMs: number
 }
@@ -78,7 +79,7 @@
   }
 }
 
-/** At least the first one. */
+/** Lists the crests up to `lastMs`, but always the first one. */
 function listCrestsMs(firstMs: number, periodMs: number, lastMs: number): number[] {
   const count = 1 + Math.max(0, Math.floor((lastMs - firstMs) / periodMs))
   return Array.from({ length: count }, (_, at) => firstMs + at * periodMs)
--- a/bench/policy/src/measureDay.ts
+++ b/bench/policy/src/measureDay.ts
@@ -13,7 +13,7 @@
   readonly worth: number
   /** What the day is worth by the deployment's goal. */
   readonly verdict: DayVerdict
-  /** Of all urgent jobs. */
+  /** Urgent jobs that ended on time, as a share of all urgent jobs. */
   readonly urgentOnTimeShare: number
   /** Run time that no checkpoint saved, in core-seconds. */
   readonly wastedCoreSeconds: number
@@ -27,7 +27,7 @@
   readonly heldUp: number
   /** Each time that a job was held up, at any time of the day. */
   readonly heldUpSpells: readonly HeldUpSpell[]
-  /** What building the view and deciding took, of each round. */
+  /** How long each round took, the building of its view included. */
   readonly roundsMs: readonly number[]
 }
 
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -92,7 +92,7 @@
     return this.#measure()
   }
 
-  /** Those who lead after such a time are new. */
+  /** Whether nobody leads now. As such a time begins, what the leader knew of speeds gives way to what the next one knows. */
   #isLeaderless(): boolean {
     const isLeaderless = this.#day.troubles.leaderless.some((span) => isWithin(span, this.#nowMs))
     if (this.#hasLeader && isLeaderless) this.#speeds.changeLeader(this.#runs.listTracks())
--- a/bench/policy/src/playedCrashes.ts
+++ b/bench/policy/src/playedCrashes.ts
@@ -1,4 +1,7 @@
-/** Upstreams that are down, by runs or by themselves, until their next lives answer: only then is it known what went down there. */
+/**
+ * Upstreams that are down, because of runs or by themselves, until their next processes answer: only then does the leader
+ * know which runs were lost there.
+ */
 
 /** From the start of a run that crashes its upstream until the crash. */
 const crashAfterMs = 10
@@ -42,7 +45,7 @@
     return (this.#revivesAtMs.get(upstreamId) ?? Infinity) <= nowMs
   }
 
-  /** Upstreams whose next lives answer by now; each is named once. */
+  /** Returns the upstreams whose next processes answer by now, each of them once. */
   takeRevived(nowMs: number): string[] {
     const revived = [...this.#revivesAtMs].flatMap(([upstreamId, atMs]) =>
       atMs <= nowMs ? [upstreamId] : [],
--- a/bench/policy/src/playedProcesses.ts
+++ b/bench/policy/src/playedProcesses.ts
@@ -8,7 +8,8 @@
 import type { Flap } from './dayTroubles.js'
 import type { PlayedCrashes } from './playedCrashes.js'
 
-const lifeMark = '~'
+/** Separates the machine's id from the number of the process. */
+const processMark = '~'
 
 export interface PlayedProcessesOptions {
   day: CrowdedDay
@@ -19,7 +20,8 @@
 
 export class PlayedProcesses {
   readonly #opts: PlayedProcessesOptions
-  readonly #lives = new Map<string, number>()
+  /** How often the process of each machine was replaced. */
+  readonly #replacements = new Map<string, number>()
   readonly #flaps: Flap[]
   readonly #flapping: ReadonlySet<string>
 
@@ -30,11 +32,11 @@
   }
 
   getProcessId(machineId: string): string {
-    const life = this.#lives.get(machineId) ?? 0
-    return life === 0 ? machineId : `${machineId}${lifeMark}${life}`
+    const count = this.#replacements.get(machineId) ?? 0
+    return count === 0 ? machineId : `${machineId}${processMark}${count}`
   }
 
-  /** Brings down what flaps. */
+  /** Brings down the processes whose flap is due. */
   advance(nowMs: number): void {
     for (;;) {
       const [flap] = this.#flaps
@@ -46,7 +48,7 @@
     }
   }
 
-  /** The leader learns of the processes that came up in place of those that went down. */
+  /** Tells the leader of the processes that came up in place of those that went down. */
   replaceRevived(nowMs: number): void {
     const { day, crashes, state, health } = this.#opts
     for (const machine of day.upstreams) {
@@ -56,7 +58,7 @@
       const lost = state.upstreams.get(upstreamId)
       if (lost !== undefined) health.noteLoss(lost, nowMs)
       state.apply({ type: 'remove-upstream', upstreamId })
-      this.#lives.set(machineId, (this.#lives.get(machineId) ?? 0) + 1)
+      this.#replacements.set(machineId, (this.#replacements.get(machineId) ?? 0) + 1)
       const description = { ...machine, upstreamId: this.getProcessId(machineId) }
       state.apply({ type: 'note-upstream', description })
     }
@@ -65,5 +67,5 @@
 
 /** Returns the machine on which a process runs. */
 export function toMachineId(processId: string): string {
-  return processId.split(lifeMark)[0] ?? processId
+  return processId.split(processMark)[0] ?? processId
 }
--- a/bench/policy/src/playedSpeeds.ts
+++ b/bench/policy/src/playedSpeeds.ts
@@ -9,9 +9,9 @@
 import { toMachineId } from './playedProcesses.js'
 import type { PolicyParts } from './policyParts.js'
 
-/** How long an upstream that has nothing to tell delays its answer to a poll. */
+/** Interval between two readings of an upstream: how long one without news delays its answer to a poll. */
 const readEveryMs = 2000
-/** Between two commits of estimates. */
+/** Interval between two commits of estimates. */
 const commitEveryMs = 2000
 const silentLogger: Logger = { debug: ignore, info: ignore, warn: ignore, error: ignore }
 
@@ -41,7 +41,7 @@
     this.#paces = new RunPaces(this.#learner)
   }
 
-  /** For a run that is ordered now. */
+  /** Creates the meter of a run that is ordered now. */
   createMeter(hasCheckpoint: boolean): RunTrack['pace'] {
     return this.#paces.createMeter(hasCheckpoint ? undefined : this.#clock.nowMs)
   }
@@ -75,13 +75,13 @@
     }
   }
 
-  /** To be called before the end is committed. The answer that tells it also tells how far other runs there are. */
+  /** To be called before the end is committed. The answer that reports it also reports the progress of other runs there. */
   noteEnd(end: RunEnd, track: RunTrack): void {
     this.#paces.noteEnd({ end, track, nowMs: this.#clock.nowMs, unansweredAtMs: -Infinity })
     this.#readAtMs.delete(end.upstreamId)
   }
 
-  /** The next leader knows the committed estimates, and not how runs began. */
+  /** Lets another leader take over, which knows the committed estimates but not how runs began. */
   changeLeader(tracks: Iterable<RunTrack>): void {
     this.#learner = this.#createLearner()
     this.#paces = new RunPaces(this.#learner)
--- a/bench/policy/src/policyParts.ts
+++ b/bench/policy/src/policyParts.ts
@@ -2,17 +2,17 @@
 import type { BuildSchedulerViewOptions } from '@nettlespur/batch.service'
 
 export interface PolicyParts {
-  /** The leader learns how fast upstreams are, and work is placed by it. */
+  /** Whether the leader learns how fast upstreams are, and places work by it. */
   readonly speeds: boolean
-  /** Instead of learning it the leader knows how fast upstreams are: what better learning could gain at most. */
+  /** Whether the leader knows how fast upstreams are without learning it, which shows what better learning could gain. */
   readonly knownSpeeds: boolean
-  /** Gangs and urgent work avoid upstreams that have lately crashed, been lost or failed runs. */
+  /** Whether gangs and urgent work avoid upstreams that have lately crashed, been lost or failed runs. */
   readonly stability: boolean
-  /** Guaranteed units that have to get their capacity at once go first. */
+  /** Whether guaranteed units that have to get their capacity at once go first. */
   readonly claims: boolean
-  /** Work with slack leaves capacity free for urgent work. */
+  /** Whether work with slack leaves capacity free for urgent work. */
   readonly headroom: boolean
-  /** Work that starves gives up its preferences. */
+  /** Whether work that starves gives up its preferences. */
   readonly relaxation: boolean
 }
 
@@ -27,7 +27,7 @@
   relaxation: true,
 }
 
-/** As with the settings of a control instance left out. */
+/** The parts that are on with the settings of a control instance left out. */
 export const defaultParts: PolicyParts = {
   ...allParts,
   speeds: false,
