fix(scheduler): the gate for placement by speed compares speeds with the usual one of the pool

Change: for the gate a speed counts against the middle of the known ones, if that is below 1; 0.15 of the known upstreams and at least eight open it, or a tenth of the pool beyond doubt.

--- a/batch/scheduler/src/poolSpeeds.ts
+++ b/batch/scheduler/src/poolSpeeds.ts
@@ -5,25 +5,24 @@
 import { runTimeMargin } from './neededSpeed.js'
 import type { UpstreamAllocation } from './roundAllocations.js'
 import type { SchedulableUpstream } from './schedulerView.js'
+import { possiblyFastProbability } from './speedRange.js'
 
 /** Below this share of slow upstreams, urgent work meets them too seldom to direct all other work there. */
 const slowShareMin = 0.1
+/** The probability of the needed speed below which an upstream is slow beyond doubt, however few others are known. */
+const certainlySlowProbability = 0.1
 /**
  * While most upstreams are not known, this share of the known ones has to be slow: more than are taken for slow by mistake.
  * Work that is spread over the others then shows how fast they are.
  */
-const slowShareOfKnownMin = 0.2
-const slowCountMin = 3
-/**
- * The probability of the needed speed below which an upstream counts for the gate. Where all are equally fast, some are taken
- * for slow by mistake; a lower bound than the one for choosing upstreams keeps the gate closed there.
- */
-const gateProbability = 0.1
+const slowShareOfKnownMin = 0.15
+/** With fewer, chance decides about shares of the known ones and about the speed in their middle. */
+const knownCountMin = 8
 
 export class PoolSpeeds {
   /** Whether the pool calls for placement by speed. */
   readonly isGraded: boolean
-  /** Number of upstreams that are known to be too slow for the most urgent queue. */
+  /** Number of known upstreams that are too slow for the most urgent queue, compared with the usual one of the pool. */
   readonly slowCount: number
   readonly count: number
   readonly hasUnstable: boolean
@@ -38,14 +37,17 @@
   constructor(upstreams: readonly UpstreamAllocation[], stretches: readonly number[]) {
     const views = upstreams.map(({ view }) => view)
     this.hasUnstable = views.some(({ isUnstable }) => isUnstable)
-    this.urgentSpeed = findUrgentSpeed(views, stretches)
     this.count = views.length
     const known = views.filter(({ speed }) => speed.isKnown)
-    this.slowCount = known.filter((view) => isSlow(view, this.urgentSpeed)).length
+    this.urgentSpeed = findUrgentSpeed(views, stretches)
+    const slowSpeed = this.urgentSpeed * findUsualSpeed(known)
+    const countBelow = (probability: number): number =>
+      known.filter(({ speed }) => speed.atLeast(slowSpeed) < probability).length
+    this.slowCount = countBelow(possiblyFastProbability)
+    const certainCount = countBelow(certainlySlowProbability)
     const isShareOfKnown =
-      this.slowCount >= slowCountMin && this.slowCount >= known.length * slowShareOfKnownMin
-    this.isGraded =
-      this.slowCount > 0 && (isShareOfKnown || this.slowCount >= this.count * slowShareMin)
+      this.slowCount >= knownCountMin && this.slowCount >= known.length * slowShareOfKnownMin
+    this.isGraded = isShareOfKnown || certainCount >= Math.max(1, this.count * slowShareMin)
     this.fastestSpeed = Infinity
     this.slowestSpeed = 0
     if (!this.isGraded) return
@@ -72,8 +74,14 @@
   return speedRange !== undefined && neededSpeed > speedRange.possibly
 }
 
-function isSlow({ speed }: SchedulableUpstream, urgentSpeed: number): boolean {
-  return speed.atLeast(urgentSpeed) < gateProbability
+/**
+ * Returns the speed of the upstream in the middle of the known ones, or 1 if that is faster. If callers declare run times
+ * that are too short, all upstreams seem slow, and only the slower ones among them are.
+ */
+function findUsualSpeed(known: readonly SchedulableUpstream[]): number {
+  if (known.length < knownCountMin) return 1
+  const speeds = known.map(({ speed }) => speed.mean).sort((left, right) => left - right)
+  return Math.min(1, speeds[Math.floor(speeds.length / 2)] ?? 1)
 }
 
 /** Queues whose objective no upstream could meet are left out. Returns 0 if no queue is left. */
