fix(scheduler): four slow upstreams among the known ones open the gate for placement by speed

On shifted, where all upstreams are equally fast, at most 2 of 126 known ones were ever counted, so four keep it closed there.

--- a/batch/scheduler/src/poolSpeeds.ts
+++ b/batch/scheduler/src/poolSpeeds.ts
@@ -16,7 +16,8 @@
  * Work that is spread over the others then shows how fast they are.
  */
 const slowShareOfKnownMin = 0.15
-/** With fewer, chance decides about shares of the known ones and about the speed in their middle. */
+const slowCountMin = 4
+/** With fewer known upstreams, chance decides about the speed in their middle. */
 const knownCountMin = 8
 
 export class PoolSpeeds {
@@ -46,7 +47,7 @@
     this.slowCount = countBelow(possiblyFastProbability)
     const certainCount = countBelow(certainlySlowProbability)
     const isShareOfKnown =
-      this.slowCount >= knownCountMin && this.slowCount >= known.length * slowShareOfKnownMin
+      this.slowCount >= slowCountMin && this.slowCount >= known.length * slowShareOfKnownMin
     this.isGraded = isShareOfKnown || certainCount >= Math.max(1, this.count * slowShareMin)
     this.fastestSpeed = Infinity
     this.slowestSpeed = 0
