review: each run.sh names the record.txt that its case writes

The harness wrote the file next to run.mjs, and nothing in a case's folder named it. run.sh now passes its path on. What a case does and checks is unchanged.

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -2,11 +2,15 @@
  * Workers are cut off from all machines for 5.5 s and run on; calls to them meet resets and refused connections. No task
  * may run twice at the same time.
  */
+import { fileURLToPath, URL } from 'node:url'
 import { createConfig, cutOff, openFleet, rejoin } from '../harness/fleet.mjs'
 import { listTwice } from '../harness/checkRuns.mjs'
 import { sleep } from '../harness/http.mjs'
 import { runCase } from '../harness/runCase.mjs'
 
+/** `record.txt` in this folder, as `run.sh` names it. */
+const recordFile = process.argv[2] ?? fileURLToPath(new URL('record.txt', import.meta.url))
+
 const workerCount = 6
 /** 1 of 6: a share of 0.17. */
 const cutCount = 1
@@ -14,7 +18,7 @@
 const workMs = 8500
 const jobCount = 8
 
-await runCase(import.meta.url, async ({ system, record, hasTrouble, own }) => {
+await runCase(recordFile, async ({ system, record, hasTrouble, own }) => {
   const jobs = new Map()
   const fleet = await openFleet({ system, record, own, count: workerCount, jobs })
   await system.configure(createConfig())
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,5 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
-exec node "$(dirname "$0")/run.mjs"
+# Writes what was sent, answered and run to record.txt in this folder.
+here="$(cd "$(dirname "$0")" && pwd)" || exit 2
+exec node "$here/run.mjs" "$here/record.txt"
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -2,11 +2,15 @@
  * Among the jobs of one minute is one with very many tasks, which cannot be done in the day. The other accepted jobs have to
  * be known and answered for `finish_s` after the traffic has ended. Processes that end are started again, as by the platform.
  */
+import { fileURLToPath, URL } from 'node:url'
 import { createConfig, openFleet } from '../harness/fleet.mjs'
 import { sleep } from '../harness/http.mjs'
 import { StarvationWatch } from '../harness/starvationWatch.mjs'
 import { runCase } from '../harness/runCase.mjs'
 
+/** `record.txt` in this folder, as `run.sh` names it. */
+const recordFile = process.argv[2] ?? fileURLToPath(new URL('record.txt', import.meta.url))
+
 const workerCount = 6
 const jobCount = 20
 const workMs = 2500
@@ -16,7 +20,7 @@
 const tasksEach = 3
 const restartAfterMs = 500
 
-await runCase(import.meta.url, async ({ system, record, hasTrouble, own }) => {
+await runCase(recordFile, async ({ system, record, hasTrouble, own }) => {
   const jobs = new Map()
   const fleet = await openFleet({ system, record, own, count: workerCount, jobs })
   for (const process of system.controls) keepRunning(process, { system, record })
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -2,10 +2,14 @@
  * One worker of twelve is unhealthy for 6.5 s: it answers each start with 503 and does nothing. All others are full. The number
  * of pending jobs has to be at least half of those that were accepted some time ago and of which no task has started.
  */
+import { fileURLToPath, URL } from 'node:url'
 import { createConfig, openFleet } from '../harness/fleet.mjs'
 import { sleep } from '../harness/http.mjs'
 import { runCase } from '../harness/runCase.mjs'
 
+/** `record.txt` in this folder, as `run.sh` names it. */
+const recordFile = process.argv[2] ?? fileURLToPath(new URL('record.txt', import.meta.url))
+
 /** 1 of 12: a share of 0.083. */
 const workerCount = 12
 const unhealthyMs = 6500
@@ -16,7 +20,7 @@
 /** `visible_ms` and 2 s. */
 const acceptedBeforeMs = 5000
 
-await runCase(import.meta.url, async ({ system, record, hasTrouble, own }) => {
+await runCase(recordFile, async ({ system, record, hasTrouble, own }) => {
   const jobs = new Map()
   const fleet = await openFleet({ system, record, own, count: workerCount, jobs })
   const routes = [
--- a/review/harness/runCase.mjs
+++ b/review/harness/runCase.mjs
@@ -1,6 +1,4 @@
 /** Runs one case: starts the system, plays the case, ends everything, and exits with the verdict. */
-import path from 'node:path'
-import { fileURLToPath } from 'node:url'
 import { sleep } from './http.mjs'
 import { Record } from './record.mjs'
 import { System } from './system.mjs'
@@ -11,11 +9,11 @@
 export const exitCodes = { held: 0, broken: 1, notRun: 2 }
 
 /**
- * `play` is called with `{ system, record, hasTrouble, own }` and resolves to a list of what broke the rule. `own` takes
- * what has to be closed at the end. An error means that the case could not run.
+ * The record goes to `recordFile`. `play` is called with `{ system, record, hasTrouble, own }` and resolves to a list of what
+ * broke the rule. `own` takes what has to be closed at the end. An error means that the case could not run.
  */
-export async function runCase(moduleUrl, play) {
-  const record = new Record(path.join(path.dirname(fileURLToPath(moduleUrl)), 'record.txt'))
+export async function runCase(recordFile, play) {
+  const record = new Record(recordFile)
   const hasTrouble = process.env.TROUBLE !== '0'
   const owned = []
   let system
