fix(sessions): a refused connection no longer ends the runs of an upstream that runs on

Cause: with refusedConnections: gone, which the platform's template set, two polls in a row that met ECONNREFUSED ended all runs of the upstream as crashed, whatever their lease. A refused connection tells that nothing answers at the address from here; no number of them tells a process that is gone from one that is cut off.

Evidence: the leader's log of the case has upstream.silent, 0.5 s later upstream.not-listening cause=crashed runs=8, and the second starts. Ruled out: an answer of another id (no upstream.gone or upstream.replaced) and a lease that is computed too short (no upstream.lease-over).

Change: refused connections count as silence: runs end with their lease, with a list that says so, or as another process answers. The port and its relays no longer tell not-listening. The fleet of fakes and the soak's links now refuse connections to upstreams that run on; before, both could not.

Conclusion: what it costs is the wait for the lease where an upstream has really crashed, up to 9.7 s for the gang of a member there.

--- a/batch/relays/src/relayMessages.ts
+++ b/batch/relays/src/relayMessages.ts
@@ -111,7 +111,6 @@
   }),
   z.object({ type: z.literal('fence'), clockMs }),
   z.object({ type: z.literal('gone'), successorId: z.string().optional(), clockMs }),
-  z.object({ type: z.literal('not-listening'), clockMs }),
 ])
 
 /** What came of one call, by the type of its order. */
--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -65,7 +65,6 @@
       nextLinkDelayMs: () => opts.linksMs[calls++ % opts.linksMs.length] ?? 1,
       nextLatenessMs: () => opts.lateMs,
       remembersCursor: opts.remembersCursor === true,
-      reportsRefusals: opts.reportsRefusals === true,
       onStartSent: ({ upstreamId }, run) => {
         this.#checkNotEvacuated(upstreamId, run)
       },
@@ -145,7 +144,7 @@
         this.#links.addFaults(fault.fault, fault.calls)
         return
       case 'cut':
-        this.#links.cut(addressOf(fault.upstream), fault.forMs)
+        this.#links.cut(addressOf(fault.upstream), fault)
         return
       case 'crash':
         this.#upstreams.crash(fault.upstream, fault.downMs ?? 0)
@@ -191,7 +190,7 @@
   /** One upstream crashes without notice, and nothing answers at its address any more. */
   crashForGood(at: number): void {
     this.#upstreams.find(at)?.crash()
-    this.#links.cut(addressOf(at), Infinity)
+    this.#links.cut(addressOf(at), { forMs: Infinity })
   }
 
   /** Changes the capacity of one upstream; its next announcement contains the new one. */
--- a/batch/service/__utils__/faultyPort.ts
+++ b/batch/service/__utils__/faultyPort.ts
@@ -58,20 +58,12 @@
   nextLatenessMs: () => number
   /** Whether upstreams remember cursors. A late poll then reaches no later process, which could not undo its cursor. */
   remembersCursor: boolean
-  /** Whether polls tell that nothing listens at an address, instead of failing as unreachable. */
-  reportsRefusals: boolean
   /** Called with each start that a leader sends. */
   onStartSent: (to: UpstreamTarget, run: RunRef) => void
   /** Whether the run is placed now. */
   isPlaced: (run: RunRef) => boolean
 }
 
-class NotListeningError extends NettlespurError {
-  constructor() {
-    super('unreachable', 'nobody listens')
-  }
-}
-
 export class FaultyPort extends UpstreamPort {
   /** Hold calls so far. Tests bound them, as an idle upstream must not be polled all the time. */
   holdCalls = 0
@@ -109,7 +101,7 @@
   override hold(to: UpstreamTarget, order: HoldOrder, timeoutMs: number): Promise<HoldAnswer> {
     this.holdCalls += 1
     const callNumber = this.holdCalls
-    return this.#callIfListening(to, timeoutMs, async (upstream, fault) => {
+    return this.#call<HoldAnswer>(to, timeoutMs, async (upstream, fault) => {
       if (upstream.processId !== to.upstreamId) return this.#holdLater(upstream, order, fault)
       const answer = await upstream.hold(order)
       if (fault === 'unread-rows') return leaveOutRows(answer, callNumber)
@@ -119,19 +111,6 @@
     })
   }
 
-  async #callIfListening(
-    to: UpstreamTarget,
-    timeoutMs: number,
-    run: (upstream: FakeUpstream, fault: LinkFault) => Promise<HoldAnswer>,
-  ): Promise<HoldAnswer> {
-    try {
-      return await this.#call(to, timeoutMs, run)
-    } catch (thrown) {
-      if (!this.#opts.reportsRefusals || !(thrown instanceof NotListeningError)) throw thrown
-      return { type: 'not-listening', clockMs: undefined }
-    }
-  }
-
   /** A poll that was meant for an earlier process. Only one that comes late carries its cursor and its lease. */
   async #holdLater(
     upstream: FakeUpstream,
@@ -157,7 +136,9 @@
     if (fault === 'refused') throw new NettlespurError('unreachable', 'refused')
     const carryOut = async (): Promise<T | { type: 'gone'; clockMs: undefined }> => {
       const upstream = findUpstream(address)
-      if (upstream?.isUp !== true) throw new NotListeningError()
+      if (upstream?.isUp !== true) {
+        throw new NettlespurError('unreachable', 'nobody listens')
+      }
       if (upstream.upstreamId !== getAnnouncedId(to)) return { type: 'gone', clockMs: undefined }
       return run(upstream, fault)
     }
--- a/batch/service/__utils__/fleetLinks.ts
+++ b/batch/service/__utils__/fleetLinks.ts
@@ -15,9 +15,20 @@
   return `centre${port % 2}`
 }
 
+export interface CutOptions {
+  forMs: number
+  /** Whether connections to the address are refused; otherwise calls get no answer. False by default. */
+  refuses?: boolean
+}
+
+interface Cut {
+  readonly untilMs: number
+  readonly refuses: boolean
+}
+
 export class FleetLinks {
   readonly #clock: Clock
-  readonly #cutUntilMs = new Map<string, number>()
+  readonly #cuts = new Map<string, Cut>()
   readonly #unhealthy = new Set<string>()
   /** What happens to the next calls, whatever upstream they go to. */
   #faults: LinkFault[] = []
@@ -30,8 +41,8 @@
     for (let call = 0; call < calls; call++) this.#faults.push(fault)
   }
 
-  cut(address: string, forMs: number): void {
-    this.#cutUntilMs.set(address, this.#clock.monotonicMs() + forMs)
+  cut(address: string, { forMs, refuses = false }: CutOptions): void {
+    this.#cuts.set(address, { untilMs: this.#clock.monotonicMs() + forMs, refuses })
   }
 
   /** From now on the upstream refuses every start as unhealthy. */
@@ -40,18 +51,24 @@
   }
 
   isCut(address: string): boolean {
-    return (this.#cutUntilMs.get(address) ?? 0) > this.#clock.monotonicMs()
+    return this.#findCut(address) !== undefined
   }
 
   /** Returns what happens to the next call to the address. */
   takeFault(address: string): LinkFault {
-    if (this.isCut(address)) return 'silent'
+    const cut = this.#findCut(address)
+    if (cut !== undefined) return cut.refuses ? 'refused' : 'silent'
     return this.#faults.shift() ?? (this.#unhealthy.has(address) ? 'unhealthy-starts' : 'none')
   }
 
   /** Ends cuts and faults; unhealthy upstreams stay so. */
   heal(): void {
     this.#faults = []
-    this.#cutUntilMs.clear()
+    this.#cuts.clear()
+  }
+
+  #findCut(address: string): Cut | undefined {
+    const cut = this.#cuts.get(address)
+    return cut !== undefined && cut.untilMs > this.#clock.monotonicMs() ? cut : undefined
   }
 }
--- a/batch/service/__utils__/fleetOptions.ts
+++ b/batch/service/__utils__/fleetOptions.ts
@@ -11,7 +11,8 @@
 
 export type FleetFault =
   | { kind: 'fault'; fault: LinkFault; calls: number }
-  | { kind: 'cut'; upstream: number; forMs: number }
+  /** Its calls get no answer; with `refuses`, its address refuses connections. */
+  | { kind: 'cut'; upstream: number; forMs: number; refuses?: boolean }
   /** It restarts after `downMs`, at once by default. */
   | { kind: 'crash'; upstream: number; downMs?: number }
   /** An announcement that the upstream makes now arrives after `delayMs`. */
@@ -47,8 +48,6 @@
   statesBirth?: boolean
   /** See `FakeUpstream`. */
   remembersCursor?: boolean
-  /** Whether polls tell that nothing listens at an address; false by default. */
-  reportsRefusals?: boolean
   /** How fast the upstreams work, by their numbers; they report progress only if it is set. */
   speeds?: readonly number[]
   /** Whether the leaders learn the speeds; not by default. */
--- a/batch/service/test/leaderModel.test.ts
+++ b/batch/service/test/leaderModel.test.ts
@@ -131,16 +131,13 @@
 
 type RestartSchedule = typeof restartSchedule extends fc.Arbitrary<infer T> ? T : never
 
-function checkRestarts(
-  { restarts, clockStepsMs, ...opts }: RestartSchedule,
-  port: Pick<FakeFleetOptions, 'reportsRefusals'> = {},
-): Promise<void> {
+function checkRestarts({ restarts, clockStepsMs, ...opts }: RestartSchedule): Promise<void> {
   const bornMs = (processNumber: number): number => {
     const stepMs = clockStepsMs[processNumber % clockStepsMs.length] ?? 0
     // The thousands are the clock's, so that no two processes are born at once.
     return 1_790_000_000_000 + 1000 * stepMs + processNumber
   }
-  return checkSchedule({ ...opts, faults: [...opts.faults, ...restarts] }, { bornMs, ...port })
+  return checkSchedule({ ...opts, faults: [...opts.faults, ...restarts] }, { bornMs })
 }
 
 const restartProperty = fc.asyncProperty(restartSchedule, (opts) => checkRestarts(opts))
@@ -151,9 +148,13 @@
   t.pass()
 })
 
-test('where nothing listens at an address until its upstream restarts, no task runs twice and every job ends', async (t) => {
+function refuseConnections({ atMs, fault }: Schedule['faults'][number]) {
+  return { atMs, fault: fault.kind === 'cut' ? { ...fault, refuses: true } : fault }
+}
+
+test('with addresses that refuse connections while their upstreams run on or restart, no task runs twice and every job ends', async (t) => {
   const property = fc.asyncProperty(restartSchedule, (opts) =>
-    checkRestarts(opts, { reportsRefusals: true }),
+    checkRestarts({ ...opts, faults: opts.faults.map(refuseConnections) }),
   )
   await fc.assert(property, { numRuns: 60, ...reporting })
   t.pass()
--- a/batch/service/test/refusedConnections.test.ts
+++ b/batch/service/test/refusedConnections.test.ts
@@ -1,113 +1,79 @@
 /**
- * Guards against gangs that wait out a lease for nothing: an upstream ends without saying so, and the run of a gang member
- * on it counts as running until its lease of 9.5 s is over, although nothing listens at the address any more.
+ * Guards against tasks that run twice: an upstream that is cut off refuses connections and runs on, and its runs are taken
+ * for ended before their lease is over.
  */
 import { createJob } from '@nettlespur/batch.samples'
-import { UpstreamPort, type HoldAnswer } from '@nettlespur/batch.sessions'
-import { ManualClock } from '@nettlespur/core.clock'
-import { NettlespurError } from '@nettlespur/core.errors'
-import test from 'ava'
+import type { StepSpec } from '@nettlespur/batch.model'
+import test, { type ExecutionContext } from 'ava'
 import {
-  openSession,
   settledMs,
-  SlowHost,
   startFleet,
   upstreamCount,
   type FakeFleet,
+  type FleetFault,
 } from '../__utils__/index.js'
 
 const needs = { cpuMillicores: 100, memoryMiB: 100, accelerators: 8 }
-const gang = { taskCount: 2, needs, isGang: true, expectedRunTimeMs: 4000 }
-/** Until the next process starts: longer than the lease. */
-const downMs = 20_000
-/** Two polls without an answer, and rounds and commits. */
-const noticedMs = 1500
+const runTimeMs = 8000
+/** Longer than the lease of 9.5 s, so that the runs of the upstream that is cut off lapse. */
+const longRunTimeMs = 12_000
+/** Shorter than the lease. */
+const cutMs = 5500
+/** The lease on a clock that is 2 % slow, and rounds and commits. */
+const leaseOverMs = 11_000
 
-/** Ends the process of an upstream on which the gang runs. */
-function endMember(fleet: FakeFleet): void {
-  const ids = fleet.state.jobs.get('job')?.steps[0]?.tasks.map(({ upstreamId }) => upstreamId) ?? []
-  const numbers = Array.from({ length: upstreamCount }, (_, at) => at)
-  const upstream = numbers.find((at) => ids.includes(fleet.upstreamIdOf(at))) ?? 0
-  fleet.inject({ kind: 'crash', upstream, downMs })
-}
+type UnitStep = Partial<StepSpec> & Pick<StepSpec, 'taskCount'>
 
-test('a gang starts again at once if nothing listens at the address of a member', async (t) => {
-  const fleet = await startFleet({ reportsRefusals: true })
-  fleet.submit(createJob('job', gang), 0)
-  await fleet.clock.advance(settledMs)
-  endMember(fleet)
-  await fleet.clock.advance(noticedMs)
-  t.is(fleet.ledger.starts.length, 2 * gang.taskCount)
-  await fleet.clock.advance(gang.expectedRunTimeMs + settledMs)
-  t.is(fleet.state.jobs.get('job')?.status, 'completed')
-  t.deepEqual(fleet.ledger.violations, [])
-})
+const steps: readonly (readonly [string, UnitStep])[] = [
+  ['task', { taskCount: 1, needs, expectedRunTimeMs: runTimeMs }],
+  ['gang', { taskCount: 2, needs, expectedRunTimeMs: runTimeMs, isGang: true }],
+]
 
-test('where a refused connection proves nothing, a gang waits until the lease of its member is over', async (t) => {
+/** Starts a job, and cuts off an upstream on which one of its tasks runs. */
+async function startCutOff(step: UnitStep, forMs: number): Promise<FakeFleet> {
   const fleet = await startFleet()
-  fleet.submit(createJob('job', gang), 0)
+  fleet.submit(createJob('job', step), 0)
   await fleet.clock.advance(settledMs)
-  endMember(fleet)
-  await fleet.clock.advance(noticedMs)
-  t.is(fleet.ledger.starts.length, gang.taskCount)
-})
-
-test('an upstream whose process restarts before the second poll is not given up for a refused connection', async (t) => {
-  const fleet = await startFleet({ reportsRefusals: true })
-  fleet.inject({ kind: 'fault', fault: 'refused', calls: 1 })
-  fleet.submit(createJob('job', { ...gang, taskCount: 1 }), 0)
-  await fleet.clock.advance(gang.expectedRunTimeMs + 2 * settledMs)
-  t.is(fleet.state.jobs.get('job')?.status, 'completed')
-  t.is(fleet.ledger.starts.length, 1)
-})
-
-/** Starts and stops what it is told. Polls are answered as `polls` says, in this order, and then not at all. */
-class ScriptedPort extends UpstreamPort {
-  readonly #clock: ManualClock
-  readonly #polls: ('refused' | 'silent')[]
-
-  constructor(clock: ManualClock, polls: ('refused' | 'silent')[]) {
-    super()
-    this.#clock = clock
-    this.#polls = polls
-  }
-
-  override start() {
-    return Promise.resolve({ type: 'started', clockMs: this.#clock.monotonicMs() } as const)
-  }
-
-  override stop() {
-    return Promise.resolve({ type: 'stopping', clockMs: this.#clock.monotonicMs() } as const)
-  }
+  const upstreamId = fleet.state.jobs.get('job')?.steps[0]?.tasks[0]?.upstreamId
+  const numbers = Array.from({ length: upstreamCount }, (_, at) => at)
+  const upstream = numbers.find((at) => fleet.upstreamIdOf(at) === upstreamId) ?? 0
+  fleet.inject({ kind: 'cut', upstream, forMs, refuses: true })
+  return fleet
+}
 
-  override async hold(): Promise<HoldAnswer> {
-    await this.#clock.sleep(100)
-    if (this.#polls.shift() === 'refused') return { type: 'not-listening', clockMs: undefined }
-    throw new NettlespurError('outcome-unknown', 'no answer')
+async function checkRunsOnce(
+  t: ExecutionContext,
+  step: UnitStep,
+  meanwhile: readonly FleetFault[] = [],
+): Promise<void> {
+  const fleet = await startCutOff(step, cutMs)
+  for (const fault of meanwhile) {
+    await fleet.clock.advance(cutMs / 3)
+    fleet.inject(fault)
   }
+  await fleet.clock.advance(runTimeMs + 2 * leaseOverMs)
+  t.deepEqual(fleet.ledger.violations, [])
+  t.is(fleet.ledger.starts.length, step.taskCount)
+  t.is(fleet.state.jobs.get('job')?.status, 'completed')
 }
 
-/** Longer than the polls of these tests take, and well within the lease. */
-const polledMs = 2500
+for (const [unit, step] of steps) {
+  test(`a ${unit} whose upstream refuses connections for a while and runs on is not started elsewhere`, async (t) => {
+    await checkRunsOnce(t, step)
+  })
 
-test('a refused connection and later polls without an answer do not end runs before their lease is over', async (t) => {
-  const clock = new ManualClock()
-  const host = new SlowHost(clock, 'u1')
-  const port = new ScriptedPort(clock, ['refused', 'silent', 'refused', 'silent'])
-  openSession({ clock, host, port }).start(host.place(0))
-  await clock.advance(polledMs)
-  t.is(host.listPlacements().size, 1)
-})
+  test(`a ${unit} is not started elsewhere if new leaders find that its upstream refuses connections`, async (t) => {
+    await checkRunsOnce(t, step, [
+      { kind: 'new-leader', zombieMs: 0 },
+      { kind: 'new-leader', zombieMs: 500 },
+    ])
+  })
 
-test('refused connections before a start was answered do not count against the run', async (t) => {
-  const clock = new ManualClock()
-  const host = new SlowHost(clock, 'u1')
-  const port = new ScriptedPort(clock, ['refused', 'refused', 'refused'])
-  const session = openSession({ clock, host, port })
-  session.start(host.place(0))
-  await clock.advance(polledMs)
-  t.is(host.listPlacements().size, 0)
-  session.start(host.place(0, 2))
-  await clock.advance(polledMs)
-  t.is(host.listPlacements().size, 1)
-})
+  test(`a ${unit} starts again once the lease of an upstream that refuses connections for good is over`, async (t) => {
+    const fleet = await startCutOff({ ...step, expectedRunTimeMs: longRunTimeMs }, Infinity)
+    await fleet.clock.advance(leaseOverMs + longRunTimeMs + settledMs)
+    t.deepEqual(fleet.ledger.violations, [])
+    t.is(fleet.ledger.starts.length, 2 * step.taskCount)
+    t.is(fleet.state.jobs.get('job')?.status, 'completed')
+  })
+}
--- a/batch/sessions/src/callAnswers.ts
+++ b/batch/sessions/src/callAnswers.ts
@@ -4,8 +4,6 @@
 export class CallAnswers {
   /** Consecutive calls without an answer. */
   unanswered = 0
-  /** Consecutive polls that found nothing listening at the upstream's address. */
-  refusedPolls = 0
   /** When the last unanswered call was given up. */
   unansweredAtMs = -Infinity
   /** When a start order was last sent, by whomever, that may have got no answer. */
@@ -35,28 +33,10 @@
 
   noteAnswered(nowMs: number): void {
     this.unanswered = 0
-    this.refusedPolls = 0
     if (this.firstAnswerAtMs === -Infinity) this.firstAnswerAtMs = nowMs
     this.#settleFirstCall()
   }
 
-  /** Records an answer to a start order: the process listens. */
-  noteStartAnswered(): void {
-    this.refusedPolls = 0
-  }
-
-  /** Records a poll that found nothing listening. */
-  noteRefusedPoll(nowMs: number): void {
-    this.refusedPolls += 1
-    this.noteUnanswered(nowMs)
-  }
-
-  /** Records a poll that got no answer although something may listen. */
-  noteUnansweredPoll(nowMs: number): void {
-    this.refusedPolls = 0
-    this.noteUnanswered(nowMs)
-  }
-
   noteUnanswered(nowMs: number): void {
     this.unanswered += 1
     this.unansweredAtMs = nowMs
--- a/batch/sessions/src/pollCalls.ts
+++ b/batch/sessions/src/pollCalls.ts
@@ -29,7 +29,7 @@
 
 /** An answer, and what the poll was like. */
 export interface AnsweredPoll {
-  readonly answer: Exclude<HoldAnswer, { type: 'not-listening' }>
+  readonly answer: HoldAnswer
   /** On the leader's clock. */
   readonly sentAtMs: number
   readonly cursor: number
@@ -53,16 +53,11 @@
     const order = { ...terms, fence: fence.token, cursor }
     try {
       const answer = await port.hold(target, order, order.waitMs + holdTimeoutMarginMs)
-      if (answer.type === 'not-listening') {
-        answers.noteRefusedPoll(clock.monotonicMs())
-        this.#logSilent('nothing listens at its address')
-        return undefined
-      }
       answers.noteAnswered(clock.monotonicMs())
       lease.clock.noteAnswer(answer.clockMs, clock.monotonicMs())
       return { answer, sentAtMs, cursor }
     } catch (thrown) {
-      answers.noteUnansweredPoll(clock.monotonicMs())
+      answers.noteUnanswered(clock.monotonicMs())
       this.#logSilent(toNettlespurError(thrown).message)
       return undefined
     }
--- a/batch/sessions/src/pollLoop.ts
+++ b/batch/sessions/src/pollLoop.ts
@@ -1,17 +1,16 @@
 /**
- * Polls one upstream for as long as runs are placed there, or may yet start there, and gives them up if it stays silent
- * or nothing listens at its address.
+ * Polls one upstream for as long as runs are placed there, or may yet start there, and gives them up once it has been
+ * silent until their lease is over.
  */
 import type { Placement } from '@nettlespur/batch.state'
 import type { Clock } from '@nettlespur/core.clock'
-import type { CallAnswers } from './callAnswers.js'
 import type { LeaseTracker } from './leaseTracker.js'
 import type { LossCause } from './lossCause.js'
 import type { AnsweredPoll, PollCalls } from './pollCalls.js'
 import type { PollLists } from './pollLists.js'
 import type { RunTracks } from './runTracks.js'
 import type { SessionHost } from './sessionHost.js'
-import { refusedPollsMin, retryPauseMs } from './sessionOptions.js'
+import { retryPauseMs } from './sessionOptions.js'
 import type { UpstreamEnding } from './upstreamEnding.js'
 import type { UpstreamTarget } from './upstreamPort.js'
 
@@ -19,7 +18,6 @@
   target: UpstreamTarget
   host: Pick<SessionHost, 'findUpstream'>
   lease: LeaseTracker
-  answers: CallAnswers
   tracks: RunTracks
   calls: PollCalls
   lists: PollLists
@@ -76,7 +74,7 @@
     const { target, host, tracks, ending, clock, signal } = this.#opts
     while (this.#shouldPoll()) {
       const isAnswered = await this.#poll()
-      if (!isAnswered) this.#giveUpIfLost()
+      if (!isAnswered) this.#giveUpAfterLease('lease-over')
       else if (tracks.hasLongUnlisted(clock.monotonicMs())) this.#giveUpAfterLease('unlisted')
       if (isAnswered) continue
       await clock.sleep(retryPauseMs, signal)
@@ -85,13 +83,6 @@
     }
   }
 
-  /** Called after a poll without an answer. */
-  #giveUpIfLost(): void {
-    const { answers, ending, mayStartArrive } = this.#opts
-    if (answers.refusedPolls < refusedPollsMin) this.#giveUpAfterLease('lease-over')
-    else if (!mayStartArrive()) ending.giveUpRefused()
-  }
-
   /** Does nothing while a start order may still arrive: a later process, which has none of these leases, would execute it. */
   #giveUpAfterLease(cause: LossCause): void {
     const { lease, ending, mayStartArrive } = this.#opts
--- a/batch/sessions/src/runStarts.ts
+++ b/batch/sessions/src/runStarts.ts
@@ -48,10 +48,7 @@
     const { placement } = track
     const reason = result.type === 'refused' ? result.reason : undefined
     const nowMs = clock.monotonicMs()
-    if ('clockMs' in result) {
-      answers.noteStartAnswered()
-      lease.clock.noteAnswer(result.clockMs, nowMs)
-    }
+    if ('clockMs' in result) lease.clock.noteAnswer(result.clockMs, nowMs)
     if (reason === 'no-room' || reason === 'unhealthy') answers.refusedAtMs = nowMs
     track.settledAtMs = nowMs
     if (result.type === 'in-doubt' || result.type === 'not-sent') answers.noteUnanswered(nowMs)
--- a/batch/sessions/src/sessionOptions.ts
+++ b/batch/sessions/src/sessionOptions.ts
@@ -39,8 +39,6 @@
 export const trialPollWaitMs = 500
 /** Pause before the next call after a call without an answer, a rejected fence or a failed commit. */
 export const retryPauseMs = 250
-/** This many polls in a row have to find nothing listening: a process that restarts in between answers the second one. */
-export const refusedPollsMin = 2
 /** Pause after an answer with unparsable rows, to avoid polling an upstream that answers at once in a tight loop. */
 export const unreadPauseMs = 100
 /** A row that was damaged once is intact a few polls later; a run that stays unlisted for longer cannot be followed. */
--- a/batch/sessions/src/upstreamEnding.ts
+++ b/batch/sessions/src/upstreamEnding.ts
@@ -41,21 +41,11 @@
 
   /** Ends all runs placed there if the lease has expired. The session continues, as the upstream may answer again. */
   giveUpAfterLease(lease: LeaseTracker, cause: LossCause): void {
-    if (!lease.hasExpired(this.#opts.clock.monotonicMs())) return
-    this.#giveUp('upstream.lease-over', cause)
-  }
-
-  /** Ends all runs placed there, as nothing listens at its address: they ended with the process, whatever their lease. */
-  giveUpRefused(): void {
-    this.#giveUp('upstream.not-listening', 'crashed')
-  }
-
-  #giveUp(event: string, cause: LossCause): void {
-    const { signal, host, logger, target, commitLost } = this.#opts
-    if (this.isOver || signal.aborted) return
+    const { clock, signal, host, logger, target, commitLost } = this.#opts
+    if (!lease.hasExpired(clock.monotonicMs()) || this.isOver || signal.aborted) return
     const { upstreamId } = target
     const runs = host.listPlacements(upstreamId).size
-    logger.info({ event, upstreamId, cause, runs })
+    logger.info({ event: 'upstream.lease-over', upstreamId, cause, runs })
     this.mayHaveLateEnds ||= runs > 0
     void commitLost(cause)
   }
--- a/batch/sessions/src/upstreamPort.ts
+++ b/batch/sessions/src/upstreamPort.ts
@@ -95,11 +95,12 @@
     | { readonly type: 'fence' }
     /** `successorId`: the process that executed the order instead; absent if none did. */
     | { readonly type: 'gone'; readonly successorId?: string }
-    /** Nothing listens at the address, so that the process has ended. */
-    | { readonly type: 'not-listening' }
   )
 
-/** Errors: all calls reject with `unreachable` if nothing was sent, and otherwise with `outcome-unknown`. */
+/**
+ * Errors: all calls reject with `unreachable` if nothing was sent, and otherwise with `outcome-unknown`. Neither tells
+ * whether the upstream's process runs: a connection may be refused by something in between.
+ */
 export abstract class UpstreamPort {
   abstract start(to: UpstreamTarget, order: StartOrder, timeoutMs: number): Promise<StartAnswer>
   abstract stop(to: UpstreamTarget, order: StopOrder, timeoutMs: number): Promise<StopAnswer>
--- a/net/client/src/index.ts
+++ b/net/client/src/index.ts
@@ -3,7 +3,6 @@
 export { callJson, type CallJsonOptions } from './callJson.js'
 export {
   createOutcomeUnknownError,
-  isRefusedConnection,
   openHttp,
   type StreamedAnswer,
   type OpenHttpOptions,
--- a/net/client/src/openHttp.ts
+++ b/net/client/src/openHttp.ts
@@ -47,12 +47,6 @@
   return toCallError(opts, true, cause)
 }
 
-/** Whether a call failed because nothing accepts connections at the address. */
-export function isRefusedConnection(error: unknown): boolean {
-  const cause = error instanceof NettlespurError ? error.cause : undefined
-  return cause instanceof Error && 'code' in cause && cause.code === 'ECONNREFUSED'
-}
-
 function sendRequest(opts: OpenHttpOptions): Promise<StreamedAnswer> {
   return new Promise((resolve, reject) => {
     const progress = { mayHaveBeenSent: false }
--- a/settings/schemas/src/batchSettings.ts
+++ b/settings/schemas/src/batchSettings.ts
@@ -39,7 +39,7 @@
   announceEveryMs: z.int().positive(),
   /** The longest lease that upstreams grant. */
   leaseMsMax: z.int().positive(),
-  /** What it means that an upstream refuses a connection: its process is `gone`, or (if left out) nothing. */
+  /** Has no effect; settings files of earlier versions hold it. */
   refusedConnections: z.enum(['gone', 'unknown']).optional(),
   /** From this number of upstreams on, other members carry the leader's calls and take announcements; else never. */
   relayFromUpstreams: z.int().positive().optional(),
