fix(state): a job has begun once a task of it has started, not once it is placed

Cause: hasStarted was set as a placement was committed, before its order was sent, and nothing took it back. The order may be refused, lost or in doubt.

Evidence: the leader's log of the case has run.start answer=refused for each of the four tries of each job, while the count stays 0. Ruled out: an answer that is taken for a start, a count that is only old.

Change: sessions tell their host of each answer that shows a placed run at work or ended; the leader keeps the jobs of these in memory, and counts and states ask it. Committed ends show it in the job's record (done, failed, a checkpoint); where an end leaves no trace there and the job goes on, the leader marks it with hasBegun, which the record keeps. So a job has begun for good, also if its only run is lost and the leader changes. Members of an earlier version refuse a marked end, as they do late ends, and diverge by nothing else; hasStarted is written as before.

--- a/batch/service/__utils__/index.ts
+++ b/batch/service/__utils__/index.ts
@@ -1,4 +1,5 @@
 /** Test utilities: fake upstreams behind faulty links for the leader's work, and fake members for its clients. */
+export { createFleetApi } from './createFleetApi.js'
 export { FakeFleet, upstreamCount } from './fakeFleet.js'
 export type { FakeFleetOptions, FleetFault } from './fleetOptions.js'
 export { relayAddresses } from './fleetRelays.js'
--- a/batch/service/__utils__/slowHost.ts
+++ b/batch/service/__utils__/slowHost.ts
@@ -58,6 +58,10 @@
     return false
   }
 
+  override noteBegun(): void {
+    // These tests do not ask which jobs have begun.
+  }
+
   override async commitEnds(ends: readonly RunEnd[]): Promise<boolean> {
     await this.#clock.sleep(SlowHost.commitMs)
     this.failingCommits -= 1
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -2,7 +2,7 @@
  * The leader's work during one term: keeps sessions with the upstreams, runs the scheduling rounds, and commits each
  * placement before it orders the upstream to start it.
  */
-import type { Announcement } from '@nettlespur/batch.model'
+import type { Announcement, RunRef } from '@nettlespur/batch.model'
 import {
   SessionHost,
   type Replacement,
@@ -24,6 +24,7 @@
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import { setMaxListeners } from 'node:events'
 import type { BatchTimings } from './batchTimings.js'
+import { BegunRuns } from './begunRuns.js'
 import { FenceIssuer } from './fenceIssuer.js'
 import type { JobClock } from './jobClock.js'
 import { logTakeover } from './logTakeover.js'
@@ -64,12 +65,14 @@
   readonly #registrar: UpstreamRegistrar
   readonly #retryBackoff = new RetryBackoff()
   readonly #fences: FenceIssuer
+  readonly #begun: BegunRuns
 
   constructor(opts: BatchLeaderOptions) {
     super()
     this.#opts = opts
     this.#tryPropose = createTryPropose(opts)
     this.#fences = new FenceIssuer(opts.term)
+    this.#begun = new BegunRuns(opts.getState)
     const { signal } = this.#stopController
     this.#speedLearner = createSpeedLearner({
       ...opts,
@@ -134,6 +137,7 @@
   /** Call it after each applied command. */
   handleAppliedCommand(command: Command): void {
     this.#stops.noteApplied(command)
+    this.#begun.noteApplied(command)
     // A round's own placements only take up resources, and rounds know the speeds before they are committed.
     const { type } = command
     if (type !== 'place-tasks' && type !== 'note-speeds') this.#rounds.requestRound()
@@ -183,9 +187,19 @@
     return this.#stops.shouldStop(placement)
   }
 
-  override async commitEnds(ends: readonly RunEnd[]): Promise<boolean> {
+  /** Whether a task of the job has begun, as far as the state or an answer to this leader shows. */
+  hasBegun(job: JobRecord): boolean {
+    return this.#begun.has(job.request.jobId)
+  }
+
+  override noteBegun(run: RunRef): void {
+    this.#begun.note(run)
+  }
+
+  override async commitEnds(reported: readonly RunEnd[]): Promise<boolean> {
+    const ends = reported.map((end) => this.#begun.markEnd(end))
     const active = listActiveJobs(this.#state, ends)
-    if (!(await this.#tryPropose({ type: 'end-runs', ends: [...ends] }))) return false
+    if (!(await this.#tryPropose({ type: 'end-runs', ends }))) return false
     const nowMs = this.#opts.clock.monotonicMs()
     reportEnds({ ...this.#opts, ends, jobs: active, nowMs })
     for (const end of ends) {
--- a/batch/service/src/leaderApi.ts
+++ b/batch/service/src/leaderApi.ts
@@ -28,7 +28,7 @@
 
 export interface LeaderApiOptions {
   clock: Clock
-  raft: RaftNode<CommandOutcome>
+  raft: Pick<RaftNode<CommandOutcome>, 'addMember' | 'propose' | 'readBarrier'>
   /** Data centres of the settings; those of the upstreams are known besides. */
   dataCentres: readonly string[]
   getState: () => BatchState
@@ -84,7 +84,8 @@
     return tryAsync(async () => {
       this.#opts.requireLeader()
       await this.#confirmRead()
-      return describeJob(await this.#findJob(call))
+      const job = await this.#findJob(call)
+      return describeJob(job, this.#opts.requireLeader().hasBegun(job))
     })
   }
 
@@ -93,10 +94,11 @@
       this.#opts.requireLeader()
       await this.#confirmRead()
       const { queue } = await this.#authorize(call, '')
+      const leader = this.#opts.requireLeader()
       let pending = 0
       for (const job of this.#state.unsettled.values()) {
-        const isPending = job.status === 'active' && !job.hasStarted
-        if (isPending && job.queue.name === queue.name) pending += 1
+        const isOfQueue = job.status === 'active' && job.queue.name === queue.name
+        if (isOfQueue && !leader.hasBegun(job)) pending += 1
       }
       return pending
     })
--- a/batch/sessions/src/pollLists.ts
+++ b/batch/sessions/src/pollLists.ts
@@ -18,7 +18,7 @@
 
 export interface PollListsOptions {
   target: UpstreamTarget
-  host: Pick<SessionHost, 'findJob'>
+  host: Pick<SessionHost, 'findJob' | 'noteBegun'>
   tracks: RunTracks
   lostRuns: LostRuns
   stops: RunStops
@@ -46,6 +46,7 @@
     const { tracks, stops, clock, signal, listPlacements } = this.#opts
     const placed = listPlacements()
     const reading = interpretPoll(poll, placed, tracks.byKey)
+    for (const end of reading.ends) this.#opts.host.noteBegun(end)
     for (const run of tracks.noteRunning(poll.running, placed)) {
       this.#log('run.stray', { jobId: run.jobId, attempt: run.attempt })
       void stops.stop(run)
--- a/batch/sessions/src/runStarts.ts
+++ b/batch/sessions/src/runStarts.ts
@@ -56,6 +56,7 @@
       track.phase = 'refused'
       return endCrashed()
     }
+    if (result.type === 'started') host.noteBegun(placement)
     if (result.type === 'started' || reason === 'superseded') {
       track.phase = 'settled'
       stops.stopIfNeeded(placement)
--- a/batch/sessions/src/runTracks.ts
+++ b/batch/sessions/src/runTracks.ts
@@ -107,6 +107,7 @@
         strays.push(run)
         continue
       }
+      this.#host.noteBegun(run)
       if (track.phase === 'inherited') track.phase = 'settled'
       track.phaseBeforeCrash = undefined
       track.isProven ||= track.phase === 'settled' && nowMs - track.settledAtMs >= provenAfterMs
--- a/batch/sessions/src/sessionHost.ts
+++ b/batch/sessions/src/sessionHost.ts
@@ -1,4 +1,5 @@
 /** What a session needs from the leader that owns it. */
+import type { RunRef } from '@nettlespur/batch.model'
 import type { RunTrack } from './runTrack.js'
 import type { UpstreamTarget } from './upstreamPort.js'
 import type { JobRecord, Placement, RunEnd, UpstreamRecord } from '@nettlespur/batch.state'
@@ -22,6 +23,8 @@
   abstract listPlacements(upstreamId: string): ReadonlyMap<string, Placement>
   /** Whether the run must be stopped: its job or gang attempt has ended, or it is preempted. */
   abstract shouldStop(placement: Placement): boolean
+  /** Called whenever an answer of the upstream shows that a placed run has begun. */
+  abstract noteBegun(run: RunRef): void
   /** Commits ends of runs. Resolves to false if that failed; the session then retries. */
   abstract commitEnds(ends: readonly RunEnd[]): Promise<boolean>
   /** Called if a run may not start in time: stops all members of its gang, if it belongs to one. */
--- a/batch/state/src/batchState.ts
+++ b/batch/state/src/batchState.ts
@@ -6,6 +6,7 @@
 import { evacuationSchema, EvacuationTable } from '@nettlespur/core.evacuations'
 import { isDeepStrictEqual } from 'node:util'
 import { z } from 'zod'
+import { BegunJobs } from './begunJobs.js'
 import type { Command, CommandOf, CommandOutcome, Placement, RunEnd } from './command.js'
 import { createJobRecord } from './createJobRecord.js'
 import { endRun } from './endRun.js'
@@ -52,6 +53,8 @@
   /** Learned speeds by upstream id, of upstreams that the state holds. */
   readonly speeds = new Map<string, UpstreamSpeed>()
   readonly placements = new PlacementIndex()
+  /** The jobs of which committed ends show that a task has begun; what runs now is known to the leader alone. */
+  readonly begunJobs = new BegunJobs()
   evacuations = new EvacuationTable([])
   #acceptedJobs = 0
 
@@ -67,6 +70,7 @@
     for (const job of snapshot.jobs) {
       state.jobs.set(job.request.jobId, job)
       state.placements.addJob(job)
+      state.begunJobs.addJob(job)
       state.#updateUnsettled(job)
     }
     return state
@@ -190,6 +194,7 @@
       const endedPlacements = endRun(job, end)
       if (endedPlacements === undefined) continue
       outcome = 'done'
+      this.begunJobs.noteEnd(end)
       for (const placement of endedPlacements) this.placements.remove(placement)
       this.#updateUnsettled(job)
     }
@@ -233,7 +238,9 @@
   }
 
   #forgetJob(jobId: string): void {
-    if (!this.unsettled.has(jobId)) this.jobs.delete(jobId)
+    if (this.unsettled.has(jobId)) return
+    this.jobs.delete(jobId)
+    this.begunJobs.forget(jobId)
   }
 
   /** Adds the job to `unsettled` while it is active or has placed runs, and removes it otherwise. */
--- a/batch/state/src/command.ts
+++ b/batch/state/src/command.ts
@@ -39,6 +39,11 @@
    * versions can read the end; they reject a late one instead of ignoring it, as their states would differ.
    */
   isLate: z.literal(true).optional(),
+  /**
+   * Set if a task of the job has begun, neither the end nor the job's record shows it, and the job goes on. Absent
+   * otherwise, as for `isLate`.
+   */
+  hasBegun: z.literal(true).optional(),
 })
 export type RunEnd = z.infer<typeof runEndSchema>
 
--- a/batch/state/src/describeJob.ts
+++ b/batch/state/src/describeJob.ts
@@ -2,7 +2,8 @@
 import type { JobState } from '@nettlespur/batch.model'
 import type { JobRecord } from './records.js'
 
-export function describeJob({ status, hasStarted }: JobRecord): JobState {
+/** `hasBegun`: whether any task of the job has begun. */
+export function describeJob({ status }: JobRecord, hasBegun: boolean): JobState {
   if (status !== 'active') return status
-  return hasStarted ? 'running' : 'queued'
+  return hasBegun ? 'running' : 'queued'
 }
--- a/batch/state/src/endRun.ts
+++ b/batch/state/src/endRun.ts
@@ -25,6 +25,7 @@
   const endedPlacements =
     isGang && end.outcome === 'done' ? listStepPlacements(job, end.step) : [toPlacement(end)]
   releaseTask(task)
+  if (end.hasBegun === true) job.hasBegun = true
   if (end.outcome === 'crashed') {
     const { attempt, blame = defaultBlame } = end
     task.crashes = countCrash(task.crashes, { attempt, blame })
--- a/batch/state/src/index.ts
+++ b/batch/state/src/index.ts
@@ -9,6 +9,7 @@
 } from './batchState.js'
 export * from './command.js'
 export type { CrashBlame } from './crashRecord.js'
+export { showsBegunTask } from './begunJobs.js'
 export { describeJob } from './describeJob.js'
 export { isSuspectTask } from './isSuspectTask.js'
 export { isInUnit, isLateDone } from './lateEnd.js'
--- a/batch/state/src/records.ts
+++ b/batch/state/src/records.ts
@@ -62,8 +62,12 @@
   status: jobStatusSchema,
   /** Only set with status `failed`, and absent there if an earlier version failed the job. */
   failure: jobFailureSchema.optional(),
-  /** Whether any task has ever been placed. */
+  /** Whether any task has ever been placed. That a task has begun is told by `hasBegunTask`. */
   hasStarted: z.boolean(),
+  /**
+   * Set if a task has begun that left no other trace in the record. Absent otherwise, so that earlier versions can read it.
+   */
+  hasBegun: z.literal(true).optional(),
   /** Sequence number of acceptance: orders jobs identically on every member. */
   number: countSchema,
   steps: z.array(stepRecordSchema),
--- a/batch/state/test/batchState.test.ts
+++ b/batch/state/test/batchState.test.ts
@@ -136,13 +136,20 @@
 test('a state restored from its snapshot equals the original, including its placements', (t) => {
   const state = createState()
   submit(state, createJob('j', { taskCount: 2 }, { dependsOn: [0] }))
-  place(state, { attempt: 1 })
+  const placed = place(state, { attempt: 1 })
   const restored = BatchState.restore(structuredClone(state.snapshot()))
   t.deepEqual(restored.snapshot(), state.snapshot())
   t.deepEqual(
     [...restored.placements.getByUpstream('u1').keys()],
     [...state.placements.getByUpstream('u1').keys()],
   )
-  const job = restored.jobs.get('j')
-  t.is(job === undefined ? undefined : describeJob(job), 'running')
+  t.is(showState(restored), 'queued')
+  end(state, placed, 'done')
+  t.is(showState(state), 'running')
+  t.is(showState(BatchState.restore(structuredClone(state.snapshot()))), 'running')
 })
+
+function showState({ jobs, begunJobs }: BatchState): string | undefined {
+  const job = jobs.get('j')
+  return job && describeJob(job, begunJobs.has('j'))
+}
