fix(sessions): the runs of an upstream that has announced its departure end with their lease too

Behind a cut of one direction it may have sent its departure and run on, and a late order may still reach a later process under its id.

Change: silence after a departure ends runs once the lease is over, as any silence does; a session without runs still ends at once.

Tests: batchLeader.test.ts: a run is not started elsewhere while an upstream that has announced its departure runs on, cut off (red before: a second run beside the first). The test that such a run starts elsewhere at once asserted the fault; it now asserts the start once the lease is over.

--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -187,6 +187,12 @@
     this.crashForGood(at)
   }
 
+  /** One upstream tells the leader that it leaves and runs on, and neither hears the other any more. */
+  leaveCutOff(at: number): void {
+    void this.#leader?.leave(this.upstreamIdOf(at))
+    this.#links.cut(addressOf(at), { forMs: Infinity })
+  }
+
   /** One upstream crashes without notice, and nothing answers at its address any more. */
   crashForGood(at: number): void {
     this.#upstreams.find(at)?.crash()
--- a/batch/sessions/src/lossCause.ts
+++ b/batch/sessions/src/lossCause.ts
@@ -2,7 +2,7 @@
 export type LossCause =
   /** Another process answers at the upstream's address. Counts as a crash unless the upstream was draining. */
   | 'crashed'
-  /** The upstream had announced its shutdown. */
+  /** The upstream had announced its shutdown, and was silent until the lease had certainly expired. */
   | 'left'
   /** The upstream did not answer until its lease had certainly expired. */
   | 'lease-over'
--- a/batch/sessions/src/pollLoop.ts
+++ b/batch/sessions/src/pollLoop.ts
@@ -71,18 +71,28 @@
   }
 
   async #pollWhileNeeded(): Promise<void> {
-    const { target, host, tracks, ending, clock, signal } = this.#opts
+    const { tracks, ending, clock, signal, listPlacements } = this.#opts
     while (this.#shouldPoll()) {
       const isAnswered = await this.#poll()
-      if (!isAnswered) this.#giveUpAfterLease('lease-over')
+      if (!isAnswered) this.#giveUpIfSilent()
       else if (tracks.hasLongUnlisted(clock.monotonicMs())) this.#giveUpAfterLease('unlisted')
       if (isAnswered) continue
       await clock.sleep(retryPauseMs, signal)
       // Its shutdown may have been announced as the connection broke; another poll could wait in vain for seconds.
-      if (host.findUpstream(target.upstreamId)?.hasLeft === true) await ending.end('left')
+      if (this.#hasLeft() && listPlacements().size === 0) await ending.end('left')
     }
   }
 
+  /** An upstream that has announced its shutdown may run on for a moment, cut off from here, so that its lease counts too. */
+  #giveUpIfSilent(): void {
+    this.#giveUpAfterLease(this.#hasLeft() ? 'left' : 'lease-over')
+  }
+
+  #hasLeft(): boolean {
+    const { target, host } = this.#opts
+    return host.findUpstream(target.upstreamId)?.hasLeft === true
+  }
+
   /** Does nothing while a start order may still arrive: a later process, which has none of these leases, would execute it. */
   #giveUpAfterLease(cause: LossCause): void {
     const { lease, ending, mayStartArrive } = this.#opts
--- a/batch/state/src/records.ts
+++ b/batch/state/src/records.ts
@@ -80,7 +80,7 @@
   sequence: z.number().optional(),
   /** Whether it accepts no new work. */
   isDraining: z.boolean(),
-  /** Whether it has announced its shutdown: its runs are over once it stops answering. */
+  /** Whether it has announced its shutdown: it gets no orders any more. */
   hasLeft: z.boolean(),
 })
 export type UpstreamRecord = z.infer<typeof upstreamRecordSchema>
