--- a/batch/fakes/src/fleetLedger.ts
+++ b/batch/fakes/src/fleetLedger.ts
@@ -2,6 +2,7 @@
 import { taskKey, type JobRequest, type Resources, type RunRef } from '@nettlespur/batch.model'
 import type { FinishedOutcome } from '@nettlespur/batch.sessions'
 import type { Clock } from '@nettlespur/core.clock'
+import { minOf } from '@nettlespur/core.lists'
 import { GiveUpReasons } from './giveUpReasons.js'
 import type { FakeUpstream } from './fakeUpstream.js'
 import { RunProgress } from './runProgress.js'
@@ -153,7 +154,7 @@
     const size = this.#stepOf(run)?.taskCount ?? 0
     if (members.length === size) {
       const outcome = this.#opts.decideOutcome(run)
-      const slowest = Math.min(...members.map((member) => this.#speedOf(member)))
+      const slowest = minOf(members.map((member) => this.#speedOf(member)))
       const runTimeMs = (this.#stepOf(run)?.expectedRunTimeMs ?? 0) / slowest
       this.#progress.begin(members, runTimeMs)
       this.#opts.clock.setTimer(runTimeMs, () => {
--- a/batch/scheduler/src/chooseVictims.ts
+++ b/batch/scheduler/src/chooseVictims.ts
@@ -4,6 +4,7 @@
  * for a task that needs several on one upstream. Members of a gang are stopped together, as stopping one ends the
  * others; the capacity of all of them counts.
  */
+import { addAll } from '@nettlespur/core.lists'
 import { trackScopes, type FitScope } from './fitTracker.js'
 import { sumCost, type VictimGroup } from './listVictimGroups.js'
 import type { RoundAllocations } from './roundAllocations.js'
@@ -47,7 +48,7 @@
   while (!scope.fits) {
     const cheapest = search.chooseCheapest()
     if (cheapest === undefined) return undefined
-    chosen.push(...cheapest)
+    addAll(chosen, cheapest)
   }
   const victims = dropUnneededVictims(scope, chosen, () => scope.fits)
   return { victims, upstreamIds: scope.chooseUpstreams() }
--- a/batch/scheduler/src/fillGroups.ts
+++ b/batch/scheduler/src/fillGroups.ts
@@ -1,4 +1,5 @@
 /** Assigns the tasks of a unit to upstreams, group by group in the order of the unit's preference. */
+import { addAll } from '@nettlespur/core.lists'
 import { fillTightest, type UpstreamFit } from './fillTightest.js'
 import type { UpstreamAllocation } from './roundAllocations.js'
 import type { UpstreamGroup } from './upstreamGroup.js'
@@ -31,7 +32,7 @@
     const isSpreadHere = isSpread && at === 0
     const members = left.filter(({ allocation }) => isMember(allocation))
     const offered = isSpreadHere ? members.map((fit) => ({ ...fit, count: 1 })) : members
-    upstreamIds.push(...fillTightest(offered, wanted - upstreamIds.length))
+    addAll(upstreamIds, fillTightest(offered, wanted - upstreamIds.length))
     left = isSpreadHere
       ? left.map((fit) => (isMember(fit.allocation) ? { ...fit, count: fit.count - 1 } : fit))
       : left.filter(({ allocation }) => !isMember(allocation))
--- a/batch/scheduler/src/index.ts
+++ b/batch/scheduler/src/index.ts
@@ -4,6 +4,8 @@
 export type { ExpectedClaims } from './urgentDemand.js'
 export type { HeadroomView } from './headroom.js'
 export { planRound } from './planRound.js'
+export { planRoundSafely, type JobFault } from './planRoundSafely.js'
+export { placementsPerRoundMax } from './roundLimits.js'
 export type { Preference } from './preference.js'
 export { addResources, countFitting, measureCores, noResources } from './resources.js'
 export type {
--- a/batch/scheduler/src/jobTiming.ts
+++ b/batch/scheduler/src/jobTiming.ts
@@ -1,6 +1,7 @@
 /** Objectives of jobs and the latest starts that meet them. */
 import type { StepSpec } from '@nettlespur/batch.model'
 import type { JobRecord } from '@nettlespur/batch.state'
+import { maxOf } from '@nettlespur/core.lists'
 
 /** A job that ends later than this many times its objective has no value. */
 export const lateLimitFactor = 3
@@ -11,10 +12,13 @@
 export function measureCriticalPathMs(steps: readonly StepSpec[]): number {
   const endsMs: number[] = []
   for (const { dependsOn, expectedRunTimeMs } of steps) {
-    const startMs = Math.max(0, ...dependsOn.map((number) => endsMs[number] ?? 0))
+    const startMs = maxOf(
+      dependsOn.map((number) => endsMs[number] ?? 0),
+      0,
+    )
     endsMs.push(startMs + expectedRunTimeMs)
   }
-  return Math.max(0, ...endsMs)
+  return maxOf(endsMs, 0)
 }
 
 /** The expected time of the longest chain of dependent steps that are not done. */
--- a/batch/scheduler/src/listGuaranteedJobs.ts
+++ b/batch/scheduler/src/listGuaranteedJobs.ts
@@ -1,5 +1,6 @@
 /** Selects the jobs that may claim the guaranteed accelerators of their workspace, even if other work uses them now. */
 import type { JobRecord } from '@nettlespur/batch.state'
+import { maxOf } from '@nettlespur/core.lists'
 
 /** Only jobs of this priority use the guarantee. */
 const guaranteedPriority = 0
@@ -23,5 +24,5 @@
 
 /** Returns the accelerators of the job's largest step. */
 function countPeakAccelerators({ request: { steps } }: JobRecord): number {
-  return Math.max(...steps.map(({ taskCount, needs }) => taskCount * needs.accelerators))
+  return maxOf(steps.map(({ taskCount, needs }) => taskCount * needs.accelerators))
 }
--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -3,6 +3,7 @@
  * Guaranteed and urgent work that does not fit may preempt other runs, and the capacity they release is kept for it.
  */
 import type { Placement } from '@nettlespur/batch.state'
+import { addAll } from '@nettlespur/core.lists'
 import { chooseUpstreams } from './chooseUpstreams.js'
 import { chooseVictims } from './chooseVictims.js'
 import { measureClaimWaitMsMax, type ClaimBounds } from './claimBounds.js'
@@ -17,6 +18,7 @@
 import { isPastGrace, promoteOverdueGang } from './promoteOverdueGang.js'
 import { chooseRelaxed } from './chooseRelaxed.js'
 import { reserveForGang } from './reserveForGang.js'
+import { placementsPerRoundMax } from './roundLimits.js'
 import { RoundAllocations } from './roundAllocations.js'
 import type { ActiveRun, Preemption, RoundDecision, SchedulerView } from './schedulerView.js'
 import { SpeedPlacement } from './speedPlacement.js'
@@ -87,7 +89,9 @@
     this.#speedPlacement = new SpeedPlacement(view, allocations)
   }
 
-  decide(ranked: RankedUnit): void {
+  decide(unlimited: RankedUnit): void {
+    const ranked = this.#limit(unlimited)
+    if (ranked === undefined) return
     const fastOnly = this.#speedPlacement.restrictToFast(ranked)
     if (fastOnly !== undefined && this.#decideFastOnly(fastOnly, ranked)) return
     const unit = this.#speedPlacement.addGroups(ranked)
@@ -104,6 +108,14 @@
     }
   }
 
+  /** Returns the unit with no more tasks than the round may still place; undefined if that leaves it to the next round. */
+  #limit(unit: RankedUnit): RankedUnit | undefined {
+    const left = placementsPerRoundMax - this.placements.length
+    if (left <= 0) return undefined
+    if (unit.step.isGang || unit.waiting.length <= left) return unit
+    return { ...unit, waiting: unit.waiting.slice(0, left) }
+  }
+
   /**
    * Places the unit only on upstreams that are not too slow for it. Otherwise it may preempt there, or it is held back.
    * Returns false if it cannot fit there even when they are empty.
@@ -189,7 +201,7 @@
     this.#allocations.place(upstreamIds, unit.step)
     if (unit.isOnTrial) this.#allocations.blockStarts(upstreamIds)
     const placed = createPlacements(unit, upstreamIds)
-    this.placements.push(...placed)
+    addAll(this.placements, placed)
     const estimateEndMs = this.#allocations.estimateEnds(upstreamIds, unit.step)
     const { needs } = unit.step
     for (const placement of placed) {
--- a/batch/scheduler/src/poolSpeeds.ts
+++ b/batch/scheduler/src/poolSpeeds.ts
@@ -2,6 +2,7 @@
  * What a round has to know of the speeds and the stability of one pool. Placement by speed answers fleets on which a known
  * part of the upstreams is so slow that urgent work is late there however early it starts. On all others it is off.
  */
+import { maxOf, minOf } from '@nettlespur/core.lists'
 import { runTimeMargin } from './neededSpeed.js'
 import type { UpstreamAllocation } from './roundAllocations.js'
 import type { SchedulableUpstream } from './schedulerView.js'
@@ -53,10 +54,8 @@
     this.slowestSpeed = 0
     if (!this.isGraded) return
     for (const upstream of upstreams) upstream.applySpeed()
-    this.fastestSpeed = Math.max(...upstreams.map(({ speedRange }) => speedRange?.surely ?? 0))
-    this.slowestSpeed = Math.min(
-      ...upstreams.map(({ speedRange }) => speedRange?.possibly ?? Infinity),
-    )
+    this.fastestSpeed = maxOf(upstreams.map(({ speedRange }) => speedRange?.surely ?? 0))
+    this.slowestSpeed = minOf(upstreams.map(({ speedRange }) => speedRange?.possibly ?? Infinity))
   }
 
   /** Whether the upstream is too slow for the most urgent queue. */
@@ -90,7 +89,13 @@
   upstreams: readonly SchedulableUpstream[],
   stretches: readonly number[],
 ): number {
-  const fastestMean = Math.max(0, ...upstreams.map(({ speed }) => speed.mean))
+  const fastestMean = maxOf(
+    upstreams.map(({ speed }) => speed.mean),
+    0,
+  )
   const speeds = stretches.map((stretch) => runTimeMargin / stretch)
-  return Math.max(0, ...speeds.filter((speed) => speed <= fastestMean))
+  return maxOf(
+    speeds.filter((speed) => speed <= fastestMean),
+    0,
+  )
 }
--- a/batch/scheduler/src/roundAllocations.ts
+++ b/batch/scheduler/src/roundAllocations.ts
@@ -1,5 +1,6 @@
 /** Tracks the capacity allocated within one round: each decision leaves less for the next ones. */
 import type { Resources, StepSpec } from '@nettlespur/batch.model'
+import { minOf } from '@nettlespur/core.lists'
 import { addResources, countFitting, noResources } from './resources.js'
 import type { SchedulableUpstream } from './schedulerView.js'
 import { getSpeedRange, type SpeedRange } from './speedRange.js'
@@ -111,7 +112,7 @@
   estimateEnds(upstreamIds: readonly string[], step: StepSpec): (upstreamId: string) => number {
     const speedOf = (id: string): number => this.#byId.get(id)?.expectedSpeed ?? 1
     if (!step.isGang) return (upstreamId) => this.estimateEndMs(step, speedOf(upstreamId))
-    const endMs = this.estimateEndMs(step, Math.min(...upstreamIds.map(speedOf)))
+    const endMs = this.estimateEndMs(step, minOf(upstreamIds.map(speedOf)))
     return () => endMs
   }
 
@@ -208,9 +209,12 @@
 }
 
 /** Limits a count to the waiting tasks and to the step's maximum per upstream. */
-function limitTasks({ step, record, waiting }: StartUnit, upstreamId: string, fitting: number) {
+function limitTasks(
+  { step, countPlacedOn, waiting }: StartUnit,
+  upstreamId: string,
+  fitting: number,
+): number {
   const count = Math.min(fitting, waiting.length)
   if (step.tasksPerUpstreamMax === undefined || count === 0) return count
-  const placedThere = record.tasks.filter((task) => task.upstreamId === upstreamId).length
-  return Math.min(count, Math.max(0, step.tasksPerUpstreamMax - placedThere))
+  return Math.min(count, Math.max(0, step.tasksPerUpstreamMax - countPlacedOn(upstreamId)))
 }
--- a/batch/scheduler/src/speedPlacement.ts
+++ b/batch/scheduler/src/speedPlacement.ts
@@ -3,6 +3,7 @@
  * that are too slow have room is held back for a short time, as long as it would be on time on others.
  */
 import type { UnitRef } from '@nettlespur/batch.model'
+import { minOf } from '@nettlespur/core.lists'
 import { isExploring, isUrgent, listFastGroups, listGroups } from './listGroups.js'
 import { computeNeededSpeed } from './neededSpeed.js'
 import type { RankedUnit } from './orderUnits.js'
@@ -68,7 +69,7 @@
       jobId: unit.job.request.jobId,
       step: unit.stepNumber,
       neededSpeed: needed.speed,
-      lowestSpeed: Math.min(...chosen.map(({ view }) => view.speed.mean)),
+      lowestSpeed: minOf(chosen.map(({ view }) => view.speed.mean)),
       isTooSlow: chosen.some((upstream) => isTooSlow(upstream, needed.speed)),
     })
   }
--- a/batch/scheduler/src/startUnit.ts
+++ b/batch/scheduler/src/startUnit.ts
@@ -5,10 +5,13 @@
   type JobRecord,
   type Placement,
   type StepRecord,
+  type TaskRecord,
 } from '@nettlespur/batch.state'
+import { maxOf } from '@nettlespur/core.lists'
 import { noRelaxedPreferences, type Preference } from './preference.js'
 import type { SchedulerView } from './schedulerView.js'
 import { limitTrials } from './limitTrials.js'
+import { placementsPerRoundMax } from './roundLimits.js'
 import type { UpstreamGroup } from './upstreamGroup.js'
 
 export interface StartUnit {
@@ -16,8 +19,10 @@
   readonly stepNumber: number
   readonly step: StepSpec
   readonly record: StepRecord
-  /** Indexes of the waiting tasks. */
+  /** Indexes of the waiting tasks: all of a gang, and otherwise no more than a round places. */
   readonly waiting: readonly number[]
+  /** Returns how many of the step's tasks are placed on an upstream. */
+  readonly countPlacedOn: (upstreamId: string) => number
   /** Upstreams on which one of these tasks has failed. */
   readonly avoided: ReadonlySet<string>
   /** Suspected of crashing the upstreams that start it: for a while nothing else may start on the same upstream. */
@@ -38,17 +43,20 @@
   { isProven, isPaused }: Pick<SchedulerView, 'isProven' | 'isPaused'>,
 ): StartUnit[] {
   if (job.status !== 'active') return []
+  const isStepDone = createStepCheck(job)
   return job.request.steps.flatMap((step, stepNumber) => {
     const record = job.steps[stepNumber]
-    if (record === undefined || !areStepsDone(job, step.dependsOn)) return []
+    if (record === undefined || !step.dependsOn.every(isStepDone)) return []
     const { jobId } = job.request
-    const waiting = listWaiting(record).filter(
+    const waiting = listWaiting(
+      record,
       (index) => !isPaused({ jobId, step: stepNumber, index }),
+      step.isGang ? Infinity : placementsPerRoundMax,
     )
     // A gang starts as a whole, after every member of its previous attempt has ended.
     const isStartable = step.isGang ? waiting.length === step.taskCount : waiting.length > 0
     if (!isStartable) return []
-    const unit = { job, stepNumber, step, record }
+    const unit = { job, stepNumber, step, record, countPlacedOn: createPlacedCounter(record) }
     if (step.isGang) return [createUnit(unit, waiting, isSuspectTask(job, firstTask(stepNumber)))]
     const { suspects, others } = limitTrials({ job, stepNumber, record, waiting, isProven })
     const trials = suspects.map((index) => createUnit(unit, [index], true))
@@ -62,7 +70,7 @@
 }
 
 function createUnit(
-  unit: Pick<StartUnit, 'job' | 'stepNumber' | 'step' | 'record'>,
+  unit: Pick<StartUnit, 'job' | 'stepNumber' | 'step' | 'record' | 'countPlacedOn'>,
   waiting: readonly number[],
   isOnTrial: boolean,
 ): StartUnit {
@@ -74,7 +82,7 @@
 /** Assigns the waiting tasks, in order, to the given upstreams. */
 export function createPlacements(unit: StartUnit, upstreamIds: readonly string[]): Placement[] {
   const { job, stepNumber, step, record, waiting } = unit
-  const gangAttempt = Math.max(...record.tasks.map(({ attempt }) => attempt)) + 1
+  const gangAttempt = step.isGang ? maxOf(record.tasks.map(({ attempt }) => attempt)) + 1 : 0
   return upstreamIds.flatMap((upstreamId, at) => {
     const index = waiting[at]
     if (index === undefined) return []
@@ -83,12 +91,41 @@
   })
 }
 
-function areStepsDone(job: JobRecord, stepNumbers: readonly number[]): boolean {
-  return stepNumbers.every((number) =>
-    job.steps[number]?.tasks.every(({ phase }) => phase === 'done'),
-  )
+/** Returns a function that tells whether all tasks of a step are done. It goes over the tasks of each step once. */
+function createStepCheck({ steps }: JobRecord): (stepNumber: number) => boolean {
+  const known = new Map<number, boolean>()
+  return (stepNumber) => {
+    const isDone =
+      known.get(stepNumber) ??
+      steps[stepNumber]?.tasks.every(({ phase }) => phase === 'done') === true
+    known.set(stepNumber, isDone)
+    return isDone
+  }
 }
 
-function listWaiting({ tasks }: StepRecord): number[] {
-  return tasks.flatMap(({ phase }, index) => (phase === 'waiting' ? [index] : []))
+/** Returns a counter that goes over the tasks of the step once, and not before it is called. */
+function createPlacedCounter({ tasks }: StepRecord): StartUnit['countPlacedOn'] {
+  let counts: ReadonlyMap<string, number> | undefined
+  return (upstreamId) => (counts ??= countByUpstream(tasks)).get(upstreamId) ?? 0
+}
+
+function countByUpstream(tasks: readonly TaskRecord[]): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>()
+  for (const { upstreamId } of tasks) {
+    if (upstreamId !== undefined) counts.set(upstreamId, (counts.get(upstreamId) ?? 0) + 1)
+  }
+  return counts
+}
+
+/** Returns the indexes of the first `countMax` waiting tasks that may start. */
+function listWaiting(
+  { tasks }: StepRecord,
+  mayStart: (index: number) => boolean,
+  countMax: number,
+): number[] {
+  const waiting: number[] = []
+  for (let index = 0; index < tasks.length && waiting.length < countMax; index++) {
+    if (tasks[index]?.phase === 'waiting' && mayStart(index)) waiting.push(index)
+  }
+  return waiting
 }
--- a/batch/scheduler/src/urgentDemand.ts
+++ b/batch/scheduler/src/urgentDemand.ts
@@ -83,7 +83,7 @@
     const opened = Math.min(passed, windowCountMax)
     for (const [pool, demand] of this.#byPool) {
       const { windows } = demand
-      windows.push(...Array.from({ length: opened }, () => []))
+      for (let count = 0; count < opened; count++) windows.push([])
       windows.splice(0, Math.max(0, windows.length - windowCountMax - 1))
       demand.expected = computeExpected(windows.slice(0, -1))
       // A pool without urgent work for that long is forgotten.
--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -134,6 +134,9 @@
       jobClock: this.#jobClock,
       getState: () => this.state,
       propose: (command) => EitherAsync.fromPromise(() => this.#propose(command, term)),
+      onFailing: () => {
+        this.elect()
+      },
     })
     this.#leader.start()
   }
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -19,7 +19,7 @@
   type UpstreamRecord,
 } from '@nettlespur/batch.state'
 import type { Clock } from '@nettlespur/core.clock'
-import { unwrap } from '@nettlespur/core.errors'
+import { describeFault, unwrap } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import { setMaxListeners } from 'node:events'
@@ -33,6 +33,7 @@
 import { RetryBackoff } from './retryBackoff.js'
 import { SchedulingRounds } from './schedulingRounds.js'
 import { createSpeedLearner, noteSpeeds } from './learnSpeeds.js'
+import { splitEnds } from './splitEnds.js'
 import type { SpeedLearner } from './speedLearner.js'
 import type { UpstreamSpeedsMode } from './upstreamSpeedsMode.js'
 import { StopRequests } from './stopRequests.js'
@@ -50,6 +51,8 @@
   jobClock: JobClock
   getState: () => BatchState
   propose: Propose
+  /** Called if this leader cannot decide any more, whatever jobs it leaves out: another member should lead. */
+  onFailing: () => void
   /** Whether the speeds of upstreams are learned; `ignore` by default. */
   upstreamSpeeds?: UpstreamSpeedsMode | undefined
 }
@@ -112,8 +115,12 @@
 
   /** Takes over the runs that earlier leaders placed, then starts the scheduling rounds. */
   start(): void {
+    const { logger, term, onFailing } = this.#opts
     logTakeover({ ...this.#opts, state: this.#state })
-    void this.#scheduleAfterTakeover()
+    void this.#scheduleAfterTakeover().catch((thrown: unknown) => {
+      logger.error({ event: 'leader.failed', term, ...describeFault(thrown) })
+      onFailing()
+    })
     const { signal } = this.#stopController
     const learner = this.#speedLearner
     void noteSpeeds({ ...this.#opts, learner, tryPropose: this.#tryPropose, signal })
@@ -199,7 +206,9 @@
   override async commitEnds(reported: readonly RunEnd[]): Promise<boolean> {
     const ends = reported.map((end) => this.#begun.markEnd(end))
     const active = listActiveJobs(this.#state, ends)
-    if (!(await this.#tryPropose({ type: 'end-runs', ends }))) return false
+    for (const batch of splitEnds(ends)) {
+      if (!(await this.#tryPropose({ type: 'end-runs', ends: batch }))) return false
+    }
     const nowMs = this.#opts.clock.monotonicMs()
     reportEnds({ ...this.#opts, ends, jobs: active, nowMs })
     for (const end of ends) {
--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -24,7 +24,7 @@
   type LeadershipState,
 } from '@nettlespur/consensus.raft'
 import type { Clock } from '@nettlespur/core.clock'
-import { NettlespurError } from '@nettlespur/core.errors'
+import { describeFault, NettlespurError } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import type { LogStore } from '@nettlespur/storage.log'
@@ -159,7 +159,7 @@
   }
 
   #handleStanding({ role, term }: LeadershipState): void {
-    if (role === 'leader') void this.#startLeading(term)
+    if (role === 'leader') void this.#startLeading(term).catch(this.#createFailureHandler(term))
     else this.#stopLeading()
   }
 
@@ -194,10 +194,26 @@
       jobClock: this.#jobClock,
       getState: () => this.#state,
       propose: (command) => this.raft.propose(encodeCommand(command)),
+      onFailing: () => void this.#handOver(term),
     })
     this.#leader.start()
   }
 
+  /** Returns a handler of what a leader's start throws. */
+  #createFailureHandler(term: number): (thrown: unknown) => void {
+    return (thrown) => {
+      this.#opts.logger.error({ event: 'leader.failed', term, ...describeFault(thrown) })
+      void this.#handOver(term)
+    }
+  }
+
+  /** Lets another member lead, as this one cannot decide any more. If none takes over, this one goes on. */
+  async #handOver(term: number): Promise<void> {
+    if (!this.#leadsIn(term)) return
+    const isHandedOver = await this.raft.transferLeadership()
+    this.#opts.logger.warn({ event: 'leader.gave-up', term, isHandedOver })
+  }
+
   #leadsIn(term: number): boolean {
     const { role, term: nowTerm } = this.raft.describe()
     return role === 'leader' && nowTerm === term
--- a/batch/service/src/buildSchedulerView.ts
+++ b/batch/service/src/buildSchedulerView.ts
@@ -45,6 +45,8 @@
   hasTrial: (upstream: UpstreamRecord) => boolean
   /** See `UpstreamRoom`. */
   isQuiet: (upstream: UpstreamRecord) => boolean
+  /** Whether the job is not to be decided for now. */
+  isLeftOut: (jobId: string) => boolean
   /** Whether the task is in backoff after failed starts. */
   isPaused: (task: TaskRef) => boolean
   /** See `SchedulerView`. */
@@ -67,7 +69,7 @@
   return {
     nowMs,
     queues: state.config?.queues ?? [],
-    jobs: [...state.unsettled.values()],
+    jobs: [...state.unsettled.values()].filter(({ request }) => !opts.isLeftOut(request.jobId)),
     acceptedAtMs,
     upstreams,
     // Computed on demand: only rounds that leave units waiting look at them.
--- /dev/null
+++ b/batch/service/src/faultyJobs.ts
@@ -0,0 +1,41 @@
+/**
+ * Jobs that made a scheduling round fail. They are left out of rounds for a while and then tried again, as what brought the fault
+ * about may have passed. It is kept in the leader's memory.
+ */
+import type { JobFault } from '@nettlespur/batch.scheduler'
+import { describeFault } from '@nettlespur/core.errors'
+import type { Logger } from '@nettlespur/core.logger'
+import type { MetricsRegistry } from '@nettlespur/core.metrics'
+
+/** Each try costs two rounds and a search for the jobs at fault. */
+const retryAfterMs = 10_000
+
+export interface FaultyJobsOptions {
+  logger: Logger
+  metrics: MetricsRegistry
+}
+
+export class FaultyJobs {
+  readonly #opts: FaultyJobsOptions
+  readonly #untilMs = new Map<string, number>()
+
+  constructor(opts: FaultyJobsOptions) {
+    this.#opts = opts
+  }
+
+  note(faults: readonly JobFault[], nowMs: number): void {
+    const { logger, metrics } = this.#opts
+    for (const { jobId, cause } of faults) {
+      this.#untilMs.set(jobId, nowMs + retryAfterMs)
+      logger.error({ event: 'job.left-out', jobId, ...describeFault(cause), retryAfterMs })
+      metrics.count('jobs_left_out_total')
+    }
+  }
+
+  isLeftOut(jobId: string, nowMs: number): boolean {
+    const untilMs = this.#untilMs.get(jobId)
+    if (untilMs === undefined || nowMs < untilMs) return untilMs !== undefined
+    this.#untilMs.delete(jobId)
+    return false
+  }
+}
--- /dev/null
+++ b/batch/service/src/jobAdmission.ts
@@ -0,0 +1,56 @@
+/**
+ * Decides whether a job is small enough to be accepted. Every member holds each job in memory until some minutes after its end, and
+ * reads all of them anew after a restart: without a limit, what a few callers hand in could end all members, again and again.
+ */
+import { findSizeFault, type JobRequest } from '@nettlespur/batch.model'
+import { measureJobSize, type BatchState } from '@nettlespur/batch.state'
+import { NettlespurError } from '@nettlespur/core.errors'
+
+/** In sizes of tasks. A member with a heap of 156 MB reads a snapshot of 400,000 at most. */
+const heldSizeMax = 300_000
+/** A job may take this share of what is left, so that large jobs leave room for small ones of other callers. */
+const shareOfRestMax = 0.25
+/** Room comes back as ended jobs are forgotten. */
+const retryAfterMs = 5000
+
+export class JobAdmission {
+  readonly #getState: () => Pick<BatchState, 'jobs' | 'heldSize'>
+  /** Sizes of the jobs that are being proposed, by job id. */
+  readonly #proposed = new Map<string, number>()
+
+  constructor(getState: () => Pick<BatchState, 'jobs' | 'heldSize'>) {
+    this.#getState = getState
+  }
+
+  /**
+   * Calls `propose` if the job is admitted. One that is stored, or may yet be by an earlier call, is always proposed again: its
+   * caller must not be told that it never runs. Errors: `over-limit` and `queue-full`, and those of `propose`.
+   */
+  async propose<T>(request: JobRequest, propose: () => Promise<T>): Promise<T> {
+    const { jobId } = request
+    if (this.#getState().jobs.has(jobId) || this.#proposed.has(jobId)) return propose()
+    this.#check(request)
+    this.#proposed.set(jobId, measureJobSize(request))
+    try {
+      return await propose()
+    } finally {
+      this.#proposed.delete(jobId)
+    }
+  }
+
+  #check(request: JobRequest): void {
+    const fault = findSizeFault(request)
+    if (fault !== undefined) throw new NettlespurError('over-limit', fault)
+    const rest = heldSizeMax - this.#getState().heldSize - this.#sumProposed()
+    const size = measureJobSize(request)
+    if (size <= rest * shareOfRestMax) return
+    const message = `a job of size ${size} is too large while ${rest} of ${heldSizeMax} is left`
+    throw new NettlespurError('queue-full', message, { retryAfterMs })
+  }
+
+  #sumProposed(): number {
+    let sum = 0
+    for (const size of this.#proposed.values()) sum += size
+    return sum
+  }
+}
--- a/batch/service/src/leaderApi.ts
+++ b/batch/service/src/leaderApi.ts
@@ -18,6 +18,7 @@
 import { BatchApi, type JobCall, type QueueCall, type SubmitCall } from './batchApi.js'
 import type { BatchLeader } from './batchLeader.js'
 import { describeStep } from './describeStep.js'
+import { JobAdmission } from './jobAdmission.js'
 import { reportEvacuation } from './reportEvacuation.js'
 import { createUnknownRouteError, authorizeCall, type AuthorizedCall } from './authorizeCall.js'
 
@@ -40,10 +41,13 @@
 
 export class LeaderApi extends BatchApi {
   readonly #opts: LeaderApiOptions
+  readonly #admission: JobAdmission
 
   constructor(opts: LeaderApiOptions) {
     super()
     this.#opts = opts
+    this.#admission = new JobAdmission(opts.getState)
+    opts.metrics.gauge('jobs_held_size', () => opts.getState().heldSize)
   }
 
   override submitJob(call: SubmitCall): EitherAsync<NettlespurError, null> {
@@ -52,7 +56,9 @@
       const { queue, workspace } = await this.#authorize(call, call.request.jobId)
       const { request } = call
       const queueName = queue.name
-      const outcome = await this.#propose({ type: 'submit-job', request, workspace, queueName })
+      const outcome = await this.#admission.propose(request, () =>
+        this.#propose({ type: 'submit-job', request, workspace, queueName }),
+      )
       const { jobId } = request
       this.#opts.logger.info({
         event: 'job.submitted',
--- a/batch/service/src/leaderFinder.ts
+++ b/batch/service/src/leaderFinder.ts
@@ -3,6 +3,7 @@
  * searches, and all waiting calls share its result.
  */
 import { setDeadline, waitFor, type Timer } from '@nettlespur/core.clock'
+import { maxOf } from '@nettlespur/core.lists'
 import type { RpcClient } from '@nettlespur/rpc.peer'
 import { setMaxListeners } from 'node:events'
 import { BehaviorSubject } from 'rxjs'
@@ -147,7 +148,7 @@
 
   /** Time since any member last answered, in milliseconds; undefined if none has yet. */
   get quietMs(): number | undefined {
-    const answeredAtMs = Math.max(...this.#answeredAtMs.values())
+    const answeredAtMs = maxOf(this.#answeredAtMs.values())
     return answeredAtMs === -Infinity ? undefined : this.#opts.clock.monotonicMs() - answeredAtMs
   }
 
--- a/batch/service/src/leaderSearch.ts
+++ b/batch/service/src/leaderSearch.ts
@@ -2,6 +2,7 @@
  * Collects the members' answers in one search for the leader, and tells whether further answers could change the result.
  * A member's own answer overrides the claims of others: former followers still name a leader that has stepped down.
  */
+import { maxOf } from '@nettlespur/core.lists'
 import type { LeaderView } from './batchApi.js'
 
 /** A statement, by the member itself or by another, that a member leads in a term. */
@@ -29,7 +30,7 @@
    */
   get isDecided(): boolean {
     const views = [...this.#views]
-    const newestTerm = Math.max(...views.map(([, { term }]) => term))
+    const newestTerm = maxOf(views.map(([, { term }]) => term))
     const leader = views.find(([address, { leaderAddress, term }]) => {
       return leaderAddress === address && term === newestTerm
     })
--- a/batch/service/src/reportSpeeds.ts
+++ b/batch/service/src/reportSpeeds.ts
@@ -2,6 +2,7 @@
 import type { SpeedDistribution } from '@nettlespur/batch.speeds'
 import type { BatchState } from '@nettlespur/batch.state'
 import type { Clock } from '@nettlespur/core.clock'
+import { maxOf, minOf } from '@nettlespur/core.lists'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import type { SpeedLearner } from './speedLearner.js'
 
@@ -31,8 +32,8 @@
   }
   const listMeans = (): number[] => listKnown().map(({ mean }) => mean)
   metrics.gauge('upstream_speeds_known', () => listKnown().length)
-  metrics.gauge('upstream_speed_slowest', () => orZero(Math.min(...listMeans())))
-  metrics.gauge('upstream_speed_fastest', () => orZero(Math.max(...listMeans())))
+  metrics.gauge('upstream_speed_slowest', () => orZero(minOf(listMeans())))
+  metrics.gauge('upstream_speed_fastest', () => orZero(maxOf(listMeans())))
 }
 
 function orZero(value: number): number {
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -5,17 +5,20 @@
 import { runFields, runKey } from '@nettlespur/batch.model'
 import {
   HeadroomWatch,
-  planRound,
+  placementsPerRoundMax,
+  planRoundSafely,
   type Preemption,
   type RoundDecision,
 } from '@nettlespur/batch.scheduler'
 import type { SpeedDistribution } from '@nettlespur/batch.speeds'
 import type { BatchState, Command, Placement } from '@nettlespur/batch.state'
 import { Wake, type Clock } from '@nettlespur/core.clock'
+import { describeFault } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import type { BatchTimings } from './batchTimings.js'
 import { buildSchedulerView, type ListRunsOptions } from './buildSchedulerView.js'
+import { FaultyJobs } from './faultyJobs.js'
 import { Housekeeper } from './housekeeper.js'
 import { HeadroomLog } from './headroomLog.js'
 import type { JobClock } from './jobClock.js'
@@ -30,6 +33,9 @@
 /** A round that took longer is followed by a pause of the same length, which leaves half of the time for calls. */
 const shortRoundMs = 2
 
+/** After this many failed rounds in a row another leader is to try. */
+const failedRoundsMax = 3
+
 /** Reasons for stopping a run, for the log. */
 const cutShortReason = 'its upstream leaves before it can end'
 const guaranteedReason = 'its resources are guaranteed to another job'
@@ -52,6 +58,8 @@
   preempt: (runs: readonly Placement[]) => void
   /** Resolves to false if the command was not committed or its outcome is unknown. */
   tryPropose: (command: Command) => Promise<boolean>
+  /** Called each time that rounds have failed `failedRoundsMax` times in a row, whatever jobs are left out. */
+  onFailing: () => void
   /** Ends the rounds. */
   signal: AbortSignal
 }
@@ -64,7 +72,9 @@
   readonly #headroom: HeadroomWatch | undefined
   readonly #headroomLog: HeadroomLog
   readonly #speedLog: SpeedLog
+  readonly #faultyJobs: FaultyJobs
   readonly #wake = new Wake()
+  #failedRounds = 0
 
   constructor(opts: SchedulingRoundsOptions) {
     this.#opts = opts
@@ -73,6 +83,7 @@
     const windowMs = claimBounds?.stopMsMax ?? 0
     this.#headroomLog = new HeadroomLog({ ...opts, headroom: this.#headroom, windowMs })
     this.#speedLog = new SpeedLog(opts)
+    this.#faultyJobs = new FaultyJobs(opts)
     this.#starvationWatch = new StarvationWatch({
       ...opts,
       describeFleet: () => ({
@@ -89,13 +100,29 @@
     this.#wake.notify()
   }
 
+  /** Never rejects: a round that fails is logged, and the next one is tried. */
   async run(): Promise<void> {
     const { clock, signal } = this.#opts
     const isOver = (): boolean => signal.aborted
     while (!isOver()) {
       await this.#wake.wait(clock, idleRoundIntervalMs, signal)
-      if (!isOver()) await this.#runRound()
-      if (!isOver()) await this.#housekeeper.cleanUp()
+      if (!isOver()) await this.#tryRound()
+    }
+  }
+
+  async #tryRound(): Promise<void> {
+    const { clock, logger, metrics, signal, onFailing } = this.#opts
+    try {
+      await this.#runRound()
+      if (!signal.aborted) await this.#housekeeper.cleanUp()
+      this.#failedRounds = 0
+    } catch (thrown) {
+      this.#failedRounds += 1
+      const failures = this.#failedRounds
+      logger.error({ event: 'round.failed', failures, ...describeFault(thrown) })
+      metrics.count('scheduling_rounds_failed_total')
+      if (failures % failedRoundsMax === 0) onFailing()
+      await clock.sleep(idleRoundIntervalMs, signal)
     }
   }
 
@@ -112,6 +139,7 @@
     metrics.recordMs('scheduling_round_ms', tookMs)
     this.#preempt(preemptions)
     if (placements.length > 0) await this.#place(placements)
+    if (placements.length >= placementsPerRoundMax) this.requestRound()
     if (tookMs > shortRoundMs) await clock.sleep(tookMs, signal)
   }
 
@@ -129,12 +157,15 @@
       hasTrial: ({ description }) =>
         roster.findSession(description.upstreamId)?.tracks.hasTrial === true,
       isQuiet: (upstream) => roster.isQuiet(upstream),
+      isLeftOut: (jobId) => this.#faultyJobs.isLeftOut(jobId, nowMs),
       isPaused: (task) => retryBackoff.isPaused(task, nowMs),
       starvedMs: (unit) => this.#starvationWatch.times.starvedMs(unit, nowMs),
       claimBounds: timings.claimBounds,
       headroom: this.#headroom?.view(nowMs),
     })
-    return planRound(view)
+    const { decision, faults } = planRoundSafely(view)
+    this.#faultyJobs.note(faults, nowMs)
+    return decision
   }
 
   /** Stops runs that cannot end before their upstream leaves, so that they start again elsewhere. */
--- a/batch/service/src/stopRequests.ts
+++ b/batch/service/src/stopRequests.ts
@@ -2,8 +2,10 @@
 import { runKey } from '@nettlespur/batch.model'
 import {
   listPlacements,
+  listStepPlacements,
   type BatchState,
   type Command,
+  type JobRecord,
   type Placement,
 } from '@nettlespur/batch.state'
 import { listAffectedJobs } from './listAffectedJobs.js'
@@ -54,7 +56,7 @@
     for (const run of stopSupersededRuns({ command, state, sessions })) this.forget(run)
     for (const jobId of listAffectedJobs(command)) {
       const job = state.jobs.get(jobId)
-      if (job !== undefined) this.#request(listPlacements(job))
+      if (job !== undefined) this.#request(listStoppable(job))
     }
   }
 
@@ -72,3 +74,11 @@
     for (const run of runs) this.#opts.roster.findSession(run.upstreamId)?.stops.stopIfNeeded(run)
   }
 }
+
+/** The runs of which the end of another run may demand the stop: all once the job has ended, and else those of gangs. */
+function listStoppable(job: JobRecord): Placement[] {
+  if (job.status !== 'active') return listPlacements(job)
+  return job.request.steps.flatMap(({ isGang }, step) =>
+    isGang ? listStepPlacements(job, step) : [],
+  )
+}
--- a/batch/sessions/src/endCursor.ts
+++ b/batch/sessions/src/endCursor.ts
@@ -1,4 +1,5 @@
 /** Tracks which reported ends of runs are committed, so that the upstream may forget them. */
+import { maxOf } from '@nettlespur/core.lists'
 import type { FinishedRun } from './upstreamPort.js'
 
 export class EndCursor {
@@ -21,7 +22,10 @@
   }
 
   noteReported(finished: readonly FinishedRun[]): void {
-    this.#reported = Math.max(this.#reported, ...finished.map(({ number }) => number))
+    this.#reported = maxOf(
+      finished.map(({ number }) => number),
+      this.#reported,
+    )
   }
 
   /** To be called once all ends reported so far are committed. */
--- a/batch/sessions/src/pollLoop.ts
+++ b/batch/sessions/src/pollLoop.ts
@@ -4,6 +4,8 @@
  */
 import type { Placement } from '@nettlespur/batch.state'
 import type { Clock } from '@nettlespur/core.clock'
+import { describeFault } from '@nettlespur/core.errors'
+import type { Logger } from '@nettlespur/core.logger'
 import type { LeaseTracker } from './leaseTracker.js'
 import type { LossCause } from './lossCause.js'
 import type { AnsweredPoll, PollCalls } from './pollCalls.js'
@@ -23,6 +25,7 @@
   lists: PollLists
   ending: UpstreamEnding
   clock: Clock
+  logger: Logger
   signal: AbortSignal
   /** The runs placed on the upstream, by run key. */
   listPlacements: () => ReadonlyMap<string, Placement>
@@ -49,13 +52,23 @@
   start(): void {
     if (this.#isPolling) return
     this.#isPolling = true
-    void this.#pollWhileNeeded().finally(() => {
-      const { tracks, listPlacements } = this.#opts
-      this.#isPolling = false
-      // Nothing else drops a run that is no longer placed, and one on trial would block the upstream for good.
-      tracks.keepOnly(listPlacements())
-      if (this.#shouldPoll()) this.start()
-    })
+    void this.#pollUntilStopped()
+  }
+
+  /** Never rejects: a fault of the program ends the polls for a moment, and they go on. */
+  async #pollUntilStopped(): Promise<void> {
+    const { target, tracks, clock, logger, signal, listPlacements } = this.#opts
+    try {
+      await this.#pollWhileNeeded()
+    } catch (thrown) {
+      const { upstreamId } = target
+      logger.error({ event: 'session.failed', upstreamId, ...describeFault(thrown) })
+      await clock.sleep(retryPauseMs, signal)
+    }
+    this.#isPolling = false
+    // Nothing else drops a run that is no longer placed, and one on trial would block the upstream for good.
+    tracks.keepOnly(listPlacements())
+    if (this.#shouldPoll()) this.start()
   }
 
   /** Polls at least once even if nothing is placed there. */
--- a/batch/speeds/src/speedBelief.ts
+++ b/batch/speeds/src/speedBelief.ts
@@ -2,6 +2,7 @@
  * What observations say about the speed of one upstream. Evidence loses half of its weight in each half-life, so that the
  * distribution returns to the prior, and is bounded, so that a change of speed is noticed however much evidence there is.
  */
+import { maxOf, minOf } from '@nettlespur/core.lists'
 import { GridDistribution } from './gridDistribution.js'
 import { priorMoments, priorProbabilities } from './prior.js'
 import type { SpeedEstimate } from './speedEstimate.js'
@@ -69,7 +70,7 @@
   }
 
   #setEvidence(evidence: GridWeights): void {
-    const best = Math.max(...evidence)
+    const best = maxOf(evidence)
     this.#evidence = evidence.map((value) => Math.max(value - best, -evidenceMax))
   }
 
@@ -80,6 +81,6 @@
     this.#distribution = undefined
     const kept = 0.5 ** (elapsedMs / halfLifeMs)
     this.#evidence = this.#evidence.map((value) => value * kept)
-    if (Math.min(...this.#evidence) > -evidenceMin) this.#evidence = []
+    if (minOf(this.#evidence) > -evidenceMin) this.#evidence = []
   }
 }
--- a/batch/state/src/batchState.ts
+++ b/batch/state/src/batchState.ts
@@ -10,6 +10,7 @@
 import type { Command, CommandOf, CommandOutcome, Placement, RunEnd } from './command.js'
 import { createJobRecord } from './createJobRecord.js'
 import { endRun } from './endRun.js'
+import { measureJobSize } from './measureJobSize.js'
 import { hasPlacements, PlacementIndex } from './placementIndex.js'
 import { upstreamSpeedSchema, type UpstreamSpeed } from './upstreamSpeed.js'
 import {
@@ -57,6 +58,7 @@
   readonly begunJobs = new BegunJobs()
   evacuations = new EvacuationTable([])
   #acceptedJobs = 0
+  #heldSize = 0
 
   static restore(snapshot: BatchSnapshot): BatchState {
     const state = new BatchState()
@@ -68,7 +70,7 @@
     }
     for (const speed of snapshot.speeds ?? []) state.speeds.set(speed.upstreamId, speed)
     for (const job of snapshot.jobs) {
-      state.jobs.set(job.request.jobId, job)
+      state.#addJob(job)
       state.placements.addJob(job)
       state.begunJobs.addJob(job)
       state.#updateUnsettled(job)
@@ -88,6 +90,11 @@
     }
   }
 
+  /** The sizes of all jobs that the state holds, ended ones included; see `measureJobSize`. */
+  get heldSize(): number {
+    return this.#heldSize
+  }
+
   /** Whether the data centre of the upstream is evacuated, so that nothing may start there. */
   isEvacuated(upstreamId: string): boolean {
     const dataCentre = this.upstreams.get(upstreamId)?.description.dataCentre
@@ -143,11 +150,16 @@
     if (queue === undefined) return 'unknown-queue'
     this.#acceptedJobs += 1
     const job = createJobRecord({ request, workspace, queue, number: this.#acceptedJobs })
-    this.jobs.set(request.jobId, job)
+    this.#addJob(job)
     this.#updateUnsettled(job)
     return 'done'
   }
 
+  #addJob(job: JobRecord): void {
+    this.jobs.set(job.request.jobId, job)
+    this.#heldSize += measureJobSize(job.request)
+  }
+
   #cancelJob(jobId: string): CommandOutcome {
     const job = this.jobs.get(jobId)
     if (job === undefined) return 'unknown-job'
@@ -238,8 +250,10 @@
   }
 
   #forgetJob(jobId: string): void {
-    if (this.unsettled.has(jobId)) return
+    const job = this.jobs.get(jobId)
+    if (job === undefined || this.unsettled.has(jobId)) return
     this.jobs.delete(jobId)
+    this.#heldSize -= measureJobSize(job.request)
     this.begunJobs.forget(jobId)
   }
 
--- a/batch/state/src/endRun.ts
+++ b/batch/state/src/endRun.ts
@@ -32,7 +32,7 @@
   }
   if (isGang) endGangMember(step, task, end)
   else endTask(task, end)
-  if (job.status === 'active') updateJobStatus(job)
+  if (job.status === 'active') updateJobStatus(job, end)
   return endedPlacements
 }
 
@@ -47,7 +47,7 @@
     releaseTask(task)
     task.phase = 'done'
   }
-  updateJobStatus(job)
+  updateJobStatus(job, end)
   return superseded
 }
 
@@ -95,13 +95,17 @@
   delete task.upstreamId
 }
 
-function updateJobStatus(job: JobRecord): void {
-  const failure = findFailure(job)
+function updateJobStatus(job: JobRecord, end: RunEnd): void {
+  const failure = findFailure(job, end)
   if (failure !== undefined) {
     job.status = 'failed'
     job.failure = failure
     return
   }
-  const isDone = job.steps.every(({ tasks }) => tasks.every(({ phase }) => phase === 'done'))
-  if (isDone) job.status = 'completed'
+  if (job.steps.every(isStepDone)) job.status = 'completed'
+}
+
+/** Tasks start in order, so that one that is not done is found soonest from the end. */
+function isStepDone({ tasks }: StepRecord): boolean {
+  return tasks.findLast(({ phase }) => phase !== 'done') === undefined
 }
--- a/batch/state/src/index.ts
+++ b/batch/state/src/index.ts
@@ -13,5 +13,11 @@
 export { describeJob } from './describeJob.js'
 export { isSuspectTask } from './isSuspectTask.js'
 export { isInUnit, isLateDone } from './lateEnd.js'
-export { hasPlacements, listPlacements, PlacementIndex } from './placementIndex.js'
+export { measureJobSize } from './measureJobSize.js'
+export {
+  hasPlacements,
+  listPlacements,
+  listStepPlacements,
+  PlacementIndex,
+} from './placementIndex.js'
 export type { JobRecord, JobStatus, StepRecord, TaskRecord, UpstreamRecord } from './records.js'
--- /dev/null
+++ b/batch/state/src/measureJobSize.ts
@@ -0,0 +1,9 @@
+/** Measures how much memory a job takes, in sizes of one task. */
+import { countTasks, type JobRequest } from '@nettlespur/batch.model'
+
+/** What a job takes besides its tasks. */
+const ownSize = 10
+
+export function measureJobSize(request: Pick<JobRequest, 'steps'>): number {
+  return ownSize + countTasks(request)
+}
--- a/bench/capacity/src/slopes/measureCapacity.ts
+++ b/bench/capacity/src/slopes/measureCapacity.ts
@@ -2,6 +2,7 @@
  * What control and an entry spend against upstreams, tasks, contracts, contract changes and entries, each
  * at several sizes on the real daemons. The slopes run side by side, on a cluster each.
  */
+import { maxOf } from '@nettlespur/core.lists'
 import type { FigureRow } from '../figureRow.js'
 import { describeSlope, type Point } from './describeSlope.js'
 import { measureRelaxed } from './measureRelaxed.js'
@@ -64,7 +65,7 @@
     ended.abort()
     await changing
   }
-  const slowest = Math.max(...inForceMs)
+  const slowest = maxOf(inForceMs)
   const mean = inForceMs.reduce((sum, value) => sum + value, 0) / inForceMs.length
   return [
     ...describeSlope('changes', 'change', points),
--- a/bench/placement/src/measureTraces.ts
+++ b/bench/placement/src/measureTraces.ts
@@ -1,4 +1,5 @@
 /** Completion times and fragmentation of the policy against the baselines, as ratios in one run. */
+import { addAll, minOf } from '@nettlespur/core.lists'
 import { createPolicy, RunTimeCorrection, type Objective } from '@nettlespur/placement.engine'
 import * as hdr from 'hdr-histogram-js'
 import { BestFitPolicy } from './bestFitPolicy.js'
@@ -53,7 +54,7 @@
       for (const seed of seeds) {
         const trace = createTrace({ deployment, seed, load, windowMs })
         const name = `placement.${deployment.name}.${loadName}.seed${seed}`
-        rows.push(...(await measureTrace(name, trace, objective)))
+        addAll(rows, await measureTrace(name, trace, objective))
       }
     }
   }
@@ -81,7 +82,7 @@
 /** Fragmentation is set against first-fit, the rest against the best of the baselines. */
 function compare(name: string, trace: Trace, ours: Figures, baselines: readonly Figures[]): Row[] {
   const floorMs = findFloorMs(trace)
-  const best = (field: keyof Figures): number => Math.min(...baselines.map((one) => one[field]))
+  const best = (field: keyof Figures): number => minOf(baselines.map((one) => one[field]))
   const ratio = (field: keyof Figures, against: number): number => ours[field] / against
   const firstFit = baselines[0]
   const row = (what: string, value: number): Row => {
--- a/bench/policy/src/boundEarnings.ts
+++ b/bench/policy/src/boundEarnings.ts
@@ -11,6 +11,7 @@
  * those before it.
  */
 import type { Resources } from '@nettlespur/batch.model'
+import { minOf } from '@nettlespur/core.lists'
 import type { CrowdedDay, DayJob } from './crowdedDay.js'
 import { isWithin } from './dayTroubles.js'
 import { lateLimitTimes, measureObjectiveMs } from './sumEarnings.js'
@@ -36,7 +37,7 @@
     const inTime = jobs.map((job) => room.toOffer(job, 1, job.value - lateWorthOf(job)))
     return (room.admitBest(late) + room.admitBest(inTime)) / owed
   })
-  return Math.min(...bounds)
+  return minOf(bounds)
 }
 
 function lateWorthOf({ kind, value }: DayJob): number {
--- a/bench/policy/src/createDayJob.ts
+++ b/bench/policy/src/createDayJob.ts
@@ -2,6 +2,7 @@
 import type { Resources, StepSpec } from '@nettlespur/batch.model'
 import { countFitting } from '@nettlespur/batch.scheduler'
 import type { SeededRandom } from '@nettlespur/bench.placement'
+import { maxOf } from '@nettlespur/core.lists'
 import type { DayJob } from './crowdedDay.js'
 import { acceleratorsPerUpstream, type Deployment } from './deployment.js'
 import type { JobKind } from './jobKind.js'
@@ -90,7 +91,7 @@
 function drawTaskTimes(random: SeededRandom, kind: JobKind, taskCount: number): TaskTimes {
   if (!hasVariation(kind)) return { times: [], longest: 1 }
   const drawn = Array.from({ length: taskCount }, () => drawAround(random, 1, kind.taskSpread ?? 0))
-  const longest = Math.max(...drawn)
+  const longest = maxOf(drawn)
   return { times: drawn.map((times) => times / longest), longest }
 }
 
--- a/bench/policy/src/judgeDay.ts
+++ b/bench/policy/src/judgeDay.ts
@@ -1,4 +1,5 @@
 /** What a day is worth to its users, part by part. */
+import { minOf } from '@nettlespur/core.lists'
 import type { DayJob } from './crowdedDay.js'
 import type { Goal } from './goal.js'
 
@@ -44,8 +45,8 @@
   const parts: DayParts = {
     wholeDay: shareOf(outcomes),
     worstWindows: worst.reduce((sum, share) => sum + share, 0) / worst.length,
-    worstKind: Math.min(...shareBy(outcomes, ({ kind }) => kind.name)),
-    worstWorkspace: Math.min(...shareBy(outcomes, ({ workspace }) => workspace)),
+    worstKind: minOf(shareBy(outcomes, ({ kind }) => kind.name)),
+    worstWorkspace: minOf(shareBy(outcomes, ({ workspace }) => workspace)),
     servedInNines: Math.min(1, Math.log(unserved) / Math.log(unservedLeast)),
   }
   const owed = outcomes.reduce((sum, { job }) => sum + job.value, 0)
--- a/bench/policy/src/measurePolicy.ts
+++ b/bench/policy/src/measurePolicy.ts
@@ -1,5 +1,6 @@
 /** What jobs earn on crowded days, and what a round of decisions costs as the deployment grows. */
 import type { Row } from '@nettlespur/bench.placement'
+import { minOf } from '@nettlespur/core.lists'
 import { boundEarnings } from './boundEarnings.js'
 import { createCrashingDay, createCrowdedDay, createTroubledDay } from './crowdedDay.js'
 import { cscfba, fsww, growDeployment, shifted, thapa, type Deployment } from './deployment.js'
@@ -48,7 +49,7 @@
     { name: `${prefix}.worth`, value: meanOf(worths), unit: 'ratio' },
     { name: `${prefix}.bound`, value: meanOf(bounds), unit: 'ratio' },
     { name: `${prefix}.of_bound`, value: meanOf(worths) / meanOf(bounds), unit: 'ratio' },
-    { name: `${prefix}.worst`, value: Math.min(...worths), unit: 'ratio' },
+    { name: `${prefix}.worst`, value: minOf(worths), unit: 'ratio' },
     ...kinds,
     { name: `${prefix}.held_up_days`, value: heldUpDays / results.length, unit: 'ratio' },
     { name: `${prefix}.wasted`, value: meanOf(wasted), unit: 'core_s' },
--- a/bench/policy/src/playDay.ts
+++ b/bench/policy/src/playDay.ts
@@ -172,6 +172,7 @@
     for (const run of listRunsCutShort(this.#leaving, runs)) this.#runs.stop(run, this.#nowMs)
     const input: BuildSchedulerViewOptions = {
       ...runs,
+      isLeftOut: () => false,
       getSpeed: (upstreamId) => this.#speeds.get(upstreamId),
       acceptedAtMs: this.#acceptedAtMs,
       getAvailability: (upstream) => this.#getAvailability(upstream),
--- a/bench/policy/src/playedRuns.ts
+++ b/bench/policy/src/playedRuns.ts
@@ -10,6 +10,7 @@
   type RunOutcome,
 } from '@nettlespur/batch.state'
 import type { SeededRandom } from '@nettlespur/bench.placement'
+import { addAll, minOf } from '@nettlespur/core.lists'
 import type { CrowdedDay, DayJob } from './crowdedDay.js'
 import { createPlayedRun } from './createPlayedRun.js'
 import { PlayedCrashes } from './playedCrashes.js'
@@ -84,7 +85,7 @@
       const paces = gang.map(({ placement: { upstreamId } }) =>
         this.crashes.isDown(upstreamId) ? 0 : measurePace(troubles, upstreamId, nowMs),
       )
-      const pace = Math.min(...paces)
+      const pace = minOf(paces)
       for (const run of gang) {
         const workedMs = Math.min(byMs, Math.max(0, nowMs - run.startsAtMs))
         run.doneMs = Math.min(run.endsAtDoneMs, run.doneMs + workedMs * pace)
@@ -102,8 +103,8 @@
     for (const run of [...this.#runs.values()]) {
       if (!this.#runs.has(runKey(run.placement))) continue
       if (this.crashes.isDown(run.placement.upstreamId)) continue
-      if ((run.stopAtMs ?? Infinity) <= nowMs) ends.push(...this.#end(run, 'stopped'))
-      else if (isOver(run)) ends.push(...this.#end(run, run.outcome))
+      if ((run.stopAtMs ?? Infinity) <= nowMs) addAll(ends, this.#end(run, 'stopped'))
+      else if (isOver(run)) addAll(ends, this.#end(run, run.outcome))
     }
     return ends
   }
--- a/cli/nettlespur/src/formatTable.ts
+++ b/cli/nettlespur/src/formatTable.ts
@@ -1,13 +1,12 @@
 /** Tables for people: left-aligned columns under headings. */
+import { maxOf } from '@nettlespur/core.lists'
 
 export function formatTable(
   headings: readonly string[],
   rows: readonly (readonly (string | number)[])[],
 ): string {
   const lines = [headings, ...rows].map((row) => row.map(String))
-  const widths = headings.map((_, column) =>
-    Math.max(...lines.map((line) => line[column]?.length ?? 0)),
-  )
+  const widths = headings.map((_, column) => maxOf(lines.map((line) => line[column]?.length ?? 0)))
   return lines
     .map((line) =>
       line
--- a/consensus/raft/src/entryLog.ts
+++ b/consensus/raft/src/entryLog.ts
@@ -2,6 +2,7 @@
  * The log of one member: the entries in its store, followed by those that it, as leader, replicates while its own
  * write is still pending. The newest entries are cached in memory, so that steady replication does not read the disk.
  */
+import { addAll } from '@nettlespur/core.lists'
 import type { LogEntry, LogStore, Snapshot } from '@nettlespur/storage.log'
 
 const cacheSlack = 2
@@ -63,7 +64,7 @@
   /** Errors: rejects as the store does. */
   async append(entries: readonly LogEntry[]): Promise<void> {
     await this.#store.append(entries)
-    this.#cache.push(...entries)
+    addAll(this.#cache, entries)
     this.#writtenIndex = this.lastIndex
     this.#trim()
   }
--- a/control/gangs/src/gangRunner.ts
+++ b/control/gangs/src/gangRunner.ts
@@ -5,6 +5,7 @@
  */
 import type { Placement } from '@nettlespur/api.schemas'
 import type { Command, CommandResult, JobRecord } from '@nettlespur/control.state'
+import { minOf } from '@nettlespur/core.lists'
 import { filter, type BehaviorSubject } from 'rxjs'
 import { chooseCommand } from './chooseCommand.js'
 import { collectAnswer } from './collectAnswer.js'
@@ -126,7 +127,7 @@
       if (verdict !== undefined) return verdict
       const stop = await this.#checkStopRequest()
       if (stop !== undefined) return stop
-      const dueMs = Math.min(pauseMs, ...this.#members.map((member) => member.renewalDueMs))
+      const dueMs = Math.min(pauseMs, minOf(this.#members.map((member) => member.renewalDueMs)))
       const woken = wake.pipe(filter((version) => version > seen))
       await waitForWake(clock, dueMs, woken, this.#signal)
       this.#signal.throwIfAborted()
--- a/control/service/src/placementLoop.ts
+++ b/control/service/src/placementLoop.ts
@@ -6,6 +6,7 @@
 import { waitForWake, type GangManager } from '@nettlespur/control.gangs'
 import { readJob } from '@nettlespur/control.state'
 import { toNettlespurError } from '@nettlespur/core.errors'
+import { minOf } from '@nettlespur/core.lists'
 import type { PlaceDecision } from '@nettlespur/placement.engine'
 import { describeShapes } from '@nettlespur/placement.plan'
 import { filter, merge, type BehaviorSubject } from 'rxjs'
@@ -194,6 +195,6 @@
       .filter((job) => job.state === 'queued' && job.retryAt !== undefined)
       .map((job) => Date.parse(job.retryAt ?? '') - nowMs)
       .filter((leftMs) => leftMs > 0)
-    return Math.min(tickMs, ...due)
+    return Math.min(tickMs, minOf(due))
   }
 }
--- a/entry/requests/src/requestQueue.ts
+++ b/entry/requests/src/requestQueue.ts
@@ -8,7 +8,7 @@
 import { NettlespurError } from '@nettlespur/core.errors'
 import type { ClusterView } from '@nettlespur/entry.view'
 import { EitherAsync, Left, Right, type Either } from 'purify-ts'
-import { merge, NEVER, type Observable, type Subscription } from 'rxjs'
+import { from, mergeAll, NEVER, type Observable, type Subscription } from 'rxjs'
 import { createCancelledError, createDeadlineError, createNoShareError } from './queueErrors.js'
 import type { ShortRequest } from './shortRequest.js'
 import type { SlotSource } from './slotSource.js'
@@ -43,9 +43,11 @@
     this.#opts = opts
     const { contracts, upstreams, entries, lease } = opts.view
     const changes = [contracts, upstreams, entries, lease.held, opts.pickerChanges ?? NEVER]
-    this.#changes = merge(...changes).subscribe(() => {
-      this.#serveLines()
-    })
+    this.#changes = from(changes)
+      .pipe(mergeAll())
+      .subscribe(() => {
+        this.#serveLines()
+      })
   }
 
   /** Number of requests waiting now. */
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,6 +15,18 @@
       '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
     },
   },
+  {
+    files: ['**/src/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: 'CallExpression > SpreadElement',
+          message: 'Fails for long lists: use maxOf, minOf or addAll of @nettlespur/core.lists.',
+        },
+      ],
+    },
+  },
   {
     files: ['**/*.js', '**/*.mjs'],
     languageOptions: { globals: { process: 'readonly', console: 'readonly' } },
--- a/net/keys/src/readKeyFile.ts
+++ b/net/keys/src/readKeyFile.ts
@@ -1,4 +1,5 @@
 /** Reads key files: one key per line; blank lines and lines that start with "#" are ignored. */
+import { minOf } from '@nettlespur/core.lists'
 import { readFileSync } from 'node:fs'
 import { NettlespurError } from '@nettlespur/core.errors'
 import { Left, Right, type Either } from 'purify-ts'
@@ -22,7 +23,7 @@
     .filter((line) => line !== '' && !line.startsWith('#'))
   if (keys.length === 0)
     return Left(new NettlespurError('invalid-settings', `${file}: holds no key`))
-  const shortest = Math.min(...keys.map((key) => key.length))
+  const shortest = minOf(keys.map((key) => key.length))
   if (shortest >= minKeyLength) return Right(keys)
   return Left(
     new NettlespurError(
--- a/net/server/src/connectionWatch.ts
+++ b/net/server/src/connectionWatch.ts
@@ -1,4 +1,5 @@
 /** Reports when connections of a server open and end, and which of them end with unanswered requests. */
+import { minOf } from '@nettlespur/core.lists'
 import type http from 'node:http'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import https from 'node:https'
@@ -69,7 +70,7 @@
   #describe(endedBy: CutConnection['endedBy']): CutConnection {
     const nowMs = this.#clock.monotonicMs()
     const waiting = [...this.#pending.values()]
-    const oldestMs = Math.min(...waiting.map(({ sinceMs }) => sinceMs))
+    const oldestMs = minOf(waiting.map(({ sinceMs }) => sinceMs))
     return {
       unanswered: waiting.map(({ call }) => call),
       answered: this.#answered,
--- a/storage/log/src/scanSegment.ts
+++ b/storage/log/src/scanSegment.ts
@@ -1,4 +1,5 @@
 /** Reads all records of one segment, and distinguishes a torn tail from damage. */
+import { addAll } from '@nettlespur/core.lists'
 import { decodeFrame, findLaterFrame, frameHeaderBytes } from './frame.js'
 import { decodeRecord, recordHeaderBytes, type LogRecord } from './logRecord.js'
 import { readNonce, segmentHeaderBytes, type SegmentId } from './segmentHeader.js'
@@ -40,7 +41,7 @@
       checkTornTail(opts, endBytes, nonce, frames)
       break
     }
-    records.push(...scanBody(body, endBytes + frameHeaderBytes, file))
+    addAll(records, scanBody(body, endBytes + frameHeaderBytes, file))
     endBytes += frameHeaderBytes + body.length
     frames++
   }
--- a/storage/log/src/segmentedLog.ts
+++ b/storage/log/src/segmentedLog.ts
@@ -2,6 +2,7 @@
  * The segments of one data folder, oldest first. Only the last one is written to; when it is full, a new one is
  * created. Compaction removes the oldest first, so that a crash at any step leaves no gap.
  */
+import { maxOf } from '@nettlespur/core.lists'
 import type { FileSystem } from './fileSystem.js'
 import type { LogChange } from './logChange.js'
 import type { LogIndex } from './logIndex.js'
@@ -36,7 +37,7 @@
   async write(changes: readonly LogChange[]): Promise<void> {
     const body = Buffer.concat(changes.map((change) => change.body))
     const segment = await this.#pickSegment(body.length)
-    const highest = Math.max(...changes.map((change) => change.nextIndex))
+    const highest = maxOf(changes.map((change) => change.nextIndex))
     let offsetBytes = await segment.writeFrame(body, highest)
     for (const change of changes) {
       change.markDurable(segment, offsetBytes)
