fix(sessions): runs whose ends are not listed yet are not taken for ended

Cause: an upstream lists 500 ends at a time; a placed run in neither of its lists was taken for one that it has forgotten.

Change: lists with 500 ends or more prove nothing of runs that they lack; their ends are committed and acknowledged, and the session polls on while there may be more, also if nothing is placed. The fake upstream lists 500 ends at a time.

--- a/batch/fakes/src/endList.ts
+++ b/batch/fakes/src/endList.ts
@@ -2,6 +2,9 @@
 import type { RunRef } from '@nettlespur/batch.model'
 import type { FinishedOutcome, FinishedRun } from '@nettlespur/batch.sessions'
 
+/** As the platform's agreement says. */
+const listedMax = 500
+
 export interface EndListOptions {
   /** See `FakeUpstreamOptions`. */
   remembersCursor: boolean
@@ -25,8 +28,9 @@
     return this.#ends.length === 0
   }
 
+  /** Returns the oldest ends, `listedMax` at most. */
   list(): FinishedRun[] {
-    return [...this.#ends]
+    return this.#ends.slice(0, listedMax)
   }
 
   add(run: RunRef, outcome: FinishedOutcome): void {
--- a/batch/sessions/src/interpretPoll.ts
+++ b/batch/sessions/src/interpretPoll.ts
@@ -2,6 +2,7 @@
 import { runKey } from '@nettlespur/batch.model'
 import type { Placement, RunEnd, RunOutcome } from '@nettlespur/batch.state'
 import type { RunTrack } from './runTrack.js'
+import { endsListedMax } from './sessionOptions.js'
 import type { FinishedOutcome, FinishedRun, RunningRun } from './upstreamPort.js'
 
 const outcomes: Readonly<Record<FinishedOutcome, RunOutcome>> = {
@@ -25,6 +26,8 @@
 export interface PollReading {
   /** Reported ends of placed runs. */
   readonly ends: readonly RunEnd[]
+  /** Whether the upstream may have more ends than it has listed. */
+  readonly mayHaveMoreEnds: boolean
   /** Runs of which neither the run nor its end is listed: they have certainly ended or will never start. */
   readonly absent: readonly RunTrack[]
   /** Such runs that were placed on a process that this one has replaced. */
@@ -48,11 +51,15 @@
     return track !== undefined && isSettledBefore(track, poll.sentAtMs) ? [track] : []
   })
   const ends = listReportedEnds(poll, placements)
+  const mayHaveMoreEnds = poll.finished.length + poll.unreadRows >= endsListedMax
   const mayAcknowledge = isComplete || missing.length === 0
-  if (!isComplete) return { ends, absent: [], crashed: [], unlisted: settled, mayAcknowledge }
+  const reading = { ends, mayHaveMoreEnds, mayAcknowledge, absent: [], crashed: [], unlisted: [] }
+  if (!isComplete) return { ...reading, unlisted: settled }
+  // The end of a missing run may be among those that are listed once these are acknowledged.
+  if (mayHaveMoreEnds) return reading
   const crashed = settled.filter(({ phaseBeforeCrash }) => phaseBeforeCrash !== undefined)
   const absent = settled.filter(({ phaseBeforeCrash }) => phaseBeforeCrash === undefined)
-  return { ends, absent, crashed, unlisted: [], mayAcknowledge }
+  return { ...reading, absent, crashed }
 }
 
 function listReportedEnds(
--- a/batch/sessions/src/pollLists.ts
+++ b/batch/sessions/src/pollLists.ts
@@ -36,6 +36,8 @@
 
 export class PollLists {
   readonly cursor = new EndCursor()
+  /** Whether the upstream may have more ends than its last lists contained. */
+  mayHaveMoreEnds = false
   readonly #opts: PollListsOptions
 
   constructor(opts: PollListsOptions) {
@@ -46,6 +48,7 @@
     const { tracks, stops, clock, signal, listPlacements } = this.#opts
     const placed = listPlacements()
     const reading = interpretPoll(poll, placed, tracks.byKey)
+    this.mayHaveMoreEnds = reading.mayHaveMoreEnds
     for (const end of reading.ends) this.#opts.host.noteBegun(end)
     for (const run of tracks.noteRunning(poll.running, placed)) {
       this.#log('run.stray', { jobId: run.jobId, attempt: run.attempt })
--- a/batch/sessions/src/pollLoop.ts
+++ b/batch/sessions/src/pollLoop.ts
@@ -80,7 +80,8 @@
   #shouldPoll(): boolean {
     const { lists, isOver, isWatched } = this.#opts
     if (isOver()) return false
-    return this.#isPollRequested || lists.cursor.hasUnacknowledged || isWatched()
+    if (this.#isPollRequested || lists.mayHaveMoreEnds) return true
+    return lists.cursor.hasUnacknowledged || isWatched()
   }
 
   async #pollWhileNeeded(): Promise<void> {
--- a/batch/sessions/src/sessionOptions.ts
+++ b/batch/sessions/src/sessionOptions.ts
@@ -50,3 +50,5 @@
 export const provenAfterMs = 1000
 /** How long after it was sent an order may still be executed, as the platform's agreement says: some seconds. */
 export const lateOrderMsMax = 12_000
+/** An upstream lists the oldest ends, no more than this many at a time, as the platform's agreement says. */
+export const endsListedMax = 500
