--- a/batch/model/src/jobLimits.ts
+++ b/batch/model/src/jobLimits.ts
@@ -6,6 +6,7 @@
 /** The members of a gang are placed in one command. */
 export const tasksPerGangMax = 1000
 
+/** Returns the number of tasks of all steps. */
 export function countTasks({ steps }: Pick<JobRequest, 'steps'>): number {
   return steps.reduce((sum, { taskCount }) => sum + taskCount, 0)
 }
--- a/batch/service/src/begunRuns.ts
+++ b/batch/service/src/begunRuns.ts
@@ -1,6 +1,6 @@
 /**
- * The jobs of which a task has begun, as answers of upstreams have shown this leader. The replicated state learns it with the
- * end of a run, so that the next leader knows it of runs that are lost.
+ * The jobs of which a task has begun, as answers of upstreams have shown this leader. The replicated state learns it as a run
+ * ends, so that the next leader knows it although the run is gone.
  */
 import type { RunRef } from '@nettlespur/batch.model'
 import { showsBegunTask, type BatchState, type Command, type RunEnd } from '@nettlespur/batch.state'
--- a/batch/service/src/faultyJobs.ts
+++ b/batch/service/src/faultyJobs.ts
@@ -1,6 +1,6 @@
 /**
- * Jobs that made a scheduling round fail. They are left out of rounds for a while and then tried again, as what brought the fault
- * about may have passed. It is kept in the leader's memory.
+ * The jobs that make scheduling rounds fail. Each is left out of rounds for a while and then tried again, as the cause may have
+ * passed. The list is kept in the leader's memory.
  */
 import type { JobFault } from '@nettlespur/batch.scheduler'
 import { describeFault } from '@nettlespur/core.errors'
--- a/batch/service/src/jobAdmission.ts
+++ b/batch/service/src/jobAdmission.ts
@@ -6,7 +6,7 @@
 import { measureJobSize, type BatchState } from '@nettlespur/batch.state'
 import { NettlespurError } from '@nettlespur/core.errors'
 
-/** In sizes of tasks. A member with a heap of 156 MB reads a snapshot of 400,000 at most. */
+/** In sizes of one task. A member that restarts needs memory for a snapshot and for the state that it reads from it. */
 const heldSizeMax = 300_000
 /** A job may take this share of what is left, so that large jobs leave room for small ones of other callers. */
 const shareOfRestMax = 0.25
--- a/batch/state/src/batchMachine.ts
+++ b/batch/state/src/batchMachine.ts
@@ -1,7 +1,8 @@
 /** The Raft state machine: applies committed commands to the batch state. Commands and snapshots are JSON. */
 import { readStoredJson, StateMachine } from '@nettlespur/consensus.raft'
 import { Subject } from 'rxjs'
-import { batchSnapshotSchema, BatchState } from './batchState.js'
+import { batchSnapshotSchema } from './batchSnapshot.js'
+import { BatchState } from './batchState.js'
 import { commandSchema, type Command, type CommandOutcome } from './command.js'
 
 export class BatchMachine extends StateMachine<CommandOutcome> {
--- a/batch/state/src/batchState.ts
+++ b/batch/state/src/batchState.ts
@@ -2,48 +2,19 @@
  * The replicated state of all control members: the configuration, the jobs with the placement of each task, and
  * the upstreams. Applying a command is deterministic, so every member computes the same state.
  */
-import { clusterConfigSchema, unitKey, type ClusterConfig } from '@nettlespur/batch.model'
-import { evacuationSchema, EvacuationTable } from '@nettlespur/core.evacuations'
+import { unitKey, type ClusterConfig } from '@nettlespur/batch.model'
+import { EvacuationTable } from '@nettlespur/core.evacuations'
 import { isDeepStrictEqual } from 'node:util'
-import { z } from 'zod'
+import type { BatchSnapshot } from './batchSnapshot.js'
 import { BegunJobs } from './begunJobs.js'
 import type { Command, CommandOf, CommandOutcome, Placement, RunEnd } from './command.js'
 import { createJobRecord } from './createJobRecord.js'
 import { endRun } from './endRun.js'
+import { isStaleAnnouncement } from './isStaleAnnouncement.js'
 import { measureJobSize } from './measureJobSize.js'
 import { hasPlacements, PlacementIndex } from './placementIndex.js'
-import { upstreamSpeedSchema, type UpstreamSpeed } from './upstreamSpeed.js'
-import {
-  jobRecordSchema,
-  upstreamRecordSchema,
-  type JobRecord,
-  type UpstreamRecord,
-} from './records.js'
-
-/** Rejects unknown fields, as all stored schemas do: dropping a field of a newer version would lose its effect. */
-export const batchSnapshotSchema = z.strictObject({
-  config: clusterConfigSchema.optional(),
-  jobs: z.array(jobRecordSchema),
-  upstreams: z.array(upstreamRecordSchema),
-  acceptedJobs: z.int().nonnegative(),
-  /** Absent if no data centre was ever evacuated, so that earlier versions can read the snapshot. */
-  evacuations: z.array(evacuationSchema).optional(),
-  /** Absent if no speed was ever noted, so that earlier versions can read the snapshot. */
-  speeds: z.array(upstreamSpeedSchema).optional(),
-})
-export type BatchSnapshot = z.infer<typeof batchSnapshotSchema>
-
-/**
- * Whether the stored description comes from a newer announcement than `sequence`. Announcements may arrive out of order,
- * and an older one may state capacity that the upstream no longer has.
- */
-export function isStaleAnnouncement(
-  known: UpstreamRecord | undefined,
-  sequence: number | undefined,
-): boolean {
-  if (known?.sequence === undefined || sequence === undefined) return false
-  return sequence < known.sequence
-}
+import type { UpstreamSpeed } from './upstreamSpeed.js'
+import type { JobRecord, UpstreamRecord } from './records.js'
 
 export class BatchState {
   config: ClusterConfig | undefined
