refactor(batch): one check of done steps, one place where a leader's failure is handled, plainer names

- isStepDone stood in three forms (the end of a run, dependencies, timing) and twice in watches; batch.state has it now.
- The failure of a leader's takeover was logged and handed over in BatchLeader and again in BatchNode.
BatchLeader.run (was start) rejects, and BatchNode alone handles it.
- BegunRuns held jobs and was easily taken for BegunJobs of the state: it is ObservedStarts.
- abandonGang listed all runs of a job to keep those of one step: it calls listStepPlacements.

--- a/batch/scheduler/__utils__/delayWatch.ts
+++ b/batch/scheduler/__utils__/delayWatch.ts
@@ -2,7 +2,7 @@
  * Watches for jobs that callers would find delayed without need, independently of what the scheduler counts: nothing of
  * the job runs, less than half of the accelerators are in use, and the upstreams have room for the job twice over.
  */
-import { listPlacements, type JobRecord } from '@nettlespur/batch.state'
+import { isStepDone, listPlacements, type JobRecord } from '@nettlespur/batch.state'
 import { addResources, countFitting, noResources } from '../src/index.js'
 import type { Fleet } from './fleet.js'
 
@@ -32,7 +32,7 @@
 
 function isDelayed(job: JobRecord, { state }: Fleet): boolean {
   if (job.status !== 'active' || listPlacements(job).length > 0) return false
-  const at = job.steps.findIndex(({ tasks }) => tasks.some(({ phase }) => phase !== 'done'))
+  const at = job.steps.findIndex((record) => !isStepDone(record))
   const step = job.request.steps[at]
   if (step === undefined) return false
   const free = [...state.upstreams.values()].map(({ description: { upstreamId, capacity } }) => {
--- a/batch/scheduler/src/jobTiming.ts
+++ b/batch/scheduler/src/jobTiming.ts
@@ -1,6 +1,6 @@
 /** Objectives of jobs and the latest starts that meet them. */
 import type { StepSpec } from '@nettlespur/batch.model'
-import type { JobRecord } from '@nettlespur/batch.state'
+import { isStepDone, type JobRecord } from '@nettlespur/batch.state'
 import { maxOf } from '@nettlespur/core.lists'
 
 /** A job that ends later than this many times its objective has no value. */
@@ -32,7 +32,8 @@
 }
 
 function isOpen({ steps }: JobRecord, at: number): boolean {
-  return steps[at]?.tasks.some(({ phase }) => phase !== 'done') === true
+  const step = steps[at]
+  return step !== undefined && !isStepDone(step)
 }
 
 /** The expected run time of the longest step that is not done. */
--- a/batch/scheduler/src/startUnit.ts
+++ b/batch/scheduler/src/startUnit.ts
@@ -1,6 +1,7 @@
 /** A unit of scheduling: a whole gang, or waiting tasks of a step that may start independently. */
 import type { StepSpec } from '@nettlespur/batch.model'
 import {
+  isStepDone,
   isSuspectTask,
   type JobRecord,
   type Placement,
@@ -43,10 +44,10 @@
   { isProven, isPaused }: Pick<SchedulerView, 'isProven' | 'isPaused'>,
 ): StartUnit[] {
   if (job.status !== 'active') return []
-  const isStepDone = createStepCheck(job)
+  const isDone = createStepCheck(job)
   return job.request.steps.flatMap((step, stepNumber) => {
     const record = job.steps[stepNumber]
-    if (record === undefined || !step.dependsOn.every(isStepDone)) return []
+    if (record === undefined || !step.dependsOn.every(isDone)) return []
     const { jobId } = job.request
     const waiting = listWaiting(
       record,
@@ -82,11 +83,11 @@
 /** Assigns the waiting tasks, in order, to the given upstreams. */
 export function createPlacements(unit: StartUnit, upstreamIds: readonly string[]): Placement[] {
   const { job, stepNumber, step, record, waiting } = unit
-  const gangAttempt = step.isGang ? maxOf(record.tasks.map(({ attempt }) => attempt)) + 1 : 0
+  const gangAttempt = step.isGang ? maxOf(record.tasks.map((task) => task.attempt)) + 1 : undefined
   return upstreamIds.flatMap((upstreamId, at) => {
     const index = waiting[at]
     if (index === undefined) return []
-    const attempt = step.isGang ? gangAttempt : (record.tasks[index]?.attempt ?? 0) + 1
+    const attempt = gangAttempt ?? (record.tasks[index]?.attempt ?? 0) + 1
     return [{ jobId: job.request.jobId, step: stepNumber, index, attempt, upstreamId }]
   })
 }
@@ -95,9 +96,8 @@
 function createStepCheck({ steps }: JobRecord): (stepNumber: number) => boolean {
   const known = new Map<number, boolean>()
   return (stepNumber) => {
-    const isDone =
-      known.get(stepNumber) ??
-      steps[stepNumber]?.tasks.every(({ phase }) => phase === 'done') === true
+    const record = steps[stepNumber]
+    const isDone = known.get(stepNumber) ?? (record !== undefined && isStepDone(record))
     known.set(stepNumber, isDone)
     return isDone
   }
--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -138,7 +138,7 @@
         this.elect()
       },
     })
-    this.#leader.start()
+    void this.#leader.run()
   }
 
   inject(fault: FleetFault): void {
--- a/batch/service/__utils__/faultyPort.ts
+++ b/batch/service/__utils__/faultyPort.ts
@@ -136,9 +136,7 @@
     if (fault === 'refused') throw new NettlespurError('unreachable', 'refused')
     const carryOut = async (): Promise<T | { type: 'gone'; clockMs: undefined }> => {
       const upstream = findUpstream(address)
-      if (upstream?.isUp !== true) {
-        throw new NettlespurError('unreachable', 'nobody listens')
-      }
+      if (upstream?.isUp !== true) throw new NettlespurError('unreachable', 'nobody listens')
       if (upstream.upstreamId !== getAnnouncedId(to)) return { type: 'gone', clockMs: undefined }
       return run(upstream, fault)
     }
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -19,15 +19,15 @@
   type UpstreamRecord,
 } from '@nettlespur/batch.state'
 import type { Clock } from '@nettlespur/core.clock'
-import { describeFault, unwrap } from '@nettlespur/core.errors'
+import { unwrap } from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import { setMaxListeners } from 'node:events'
 import type { BatchTimings } from './batchTimings.js'
-import { BegunRuns } from './begunRuns.js'
 import { FenceIssuer } from './fenceIssuer.js'
 import type { JobClock } from './jobClock.js'
 import { logTakeover } from './logTakeover.js'
+import { ObservedStarts } from './observedStarts.js'
 import { createTryPropose, type Propose, type TryPropose } from './proposer.js'
 import { listActiveJobs, reportEnds } from './reportEnds.js'
 import { RetryBackoff } from './retryBackoff.js'
@@ -68,14 +68,14 @@
   readonly #registrar: UpstreamRegistrar
   readonly #retryBackoff = new RetryBackoff()
   readonly #fences: FenceIssuer
-  readonly #begun: BegunRuns
+  readonly #observedStarts: ObservedStarts
 
   constructor(opts: BatchLeaderOptions) {
     super()
     this.#opts = opts
     this.#tryPropose = createTryPropose(opts)
     this.#fences = new FenceIssuer(opts.term)
-    this.#begun = new BegunRuns(opts.getState)
+    this.#observedStarts = new ObservedStarts(opts.getState)
     const { signal } = this.#stopController
     this.#speedLearner = createSpeedLearner({
       ...opts,
@@ -113,17 +113,17 @@
     return this.#opts.getState()
   }
 
-  /** Takes over the runs that earlier leaders placed, then starts the scheduling rounds. */
-  start(): void {
-    const { logger, term, onFailing } = this.#opts
+  /**
+   * Takes over the runs that earlier leaders placed, then runs the scheduling rounds. Resolves once the leader has been
+   * stopped; rejects if the takeover fails.
+   */
+  async run(): Promise<void> {
     logTakeover({ ...this.#opts, state: this.#state })
-    void this.#scheduleAfterTakeover().catch((thrown: unknown) => {
-      logger.error({ event: 'leader.failed', term, ...describeFault(thrown) })
-      onFailing()
-    })
+    const scheduling = this.#scheduleAfterTakeover()
     const { signal } = this.#stopController
     const learner = this.#speedLearner
     void noteSpeeds({ ...this.#opts, learner, tryPropose: this.#tryPropose, signal })
+    await scheduling
   }
 
   async #scheduleAfterTakeover(): Promise<void> {
@@ -144,7 +144,7 @@
   /** Call it after each applied command. */
   handleAppliedCommand(command: Command): void {
     this.#stops.noteApplied(command)
-    this.#begun.noteApplied(command)
+    this.#observedStarts.noteApplied(command)
     // A round's own placements only take up resources, and rounds know the speeds before they are committed.
     const { type } = command
     if (type !== 'place-tasks' && type !== 'note-speeds') this.#rounds.requestRound()
@@ -196,15 +196,15 @@
 
   /** Whether a task of the job has begun, as far as the state or an answer to this leader shows. */
   hasBegun(job: JobRecord): boolean {
-    return this.#begun.has(job.request.jobId)
+    return this.#observedStarts.has(job.request.jobId)
   }
 
   override noteBegun(run: RunRef): void {
-    this.#begun.note(run)
+    this.#observedStarts.note(run)
   }
 
   override async commitEnds(reported: readonly RunEnd[]): Promise<boolean> {
-    const ends = reported.map((end) => this.#begun.markEnd(end))
+    const ends = reported.map((end) => this.#observedStarts.markEnd(end))
     const active = listActiveJobs(this.#state, ends)
     for (const batch of splitEnds(ends)) {
       if (!(await this.#tryPropose({ type: 'end-runs', ends: batch }))) return false
--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -159,7 +159,7 @@
   }
 
   #handleStanding({ role, term }: LeadershipState): void {
-    if (role === 'leader') void this.#startLeading(term).catch(this.#createFailureHandler(term))
+    if (role === 'leader') void this.#leadOrHandOver(term)
     else this.#stopLeading()
   }
 
@@ -169,8 +169,17 @@
     this.#opts.relays?.closeLeaderPort()
   }
 
-  /** Starts the leader's work once all that was committed in earlier terms is applied. */
-  async #startLeading(term: number): Promise<void> {
+  async #leadOrHandOver(term: number): Promise<void> {
+    try {
+      await this.#lead(term)
+    } catch (thrown) {
+      this.#opts.logger.error({ event: 'leader.failed', term, ...describeFault(thrown) })
+      await this.#handOver(term)
+    }
+  }
+
+  /** Does the leader's work until it is stopped, once all that was committed in earlier terms is applied. */
+  async #lead(term: number): Promise<void> {
     if (!this.#leadsIn(term)) return
     // Opened before the barrier, so that the relays have answered when the upstreams are asked.
     const port = this.#openLeaderPort(term)
@@ -179,7 +188,7 @@
     if (ready.isLeft()) {
       this.#opts.logger.warn({ event: 'leader.not-ready', term, reason: String(ready.extract()) })
       await this.#opts.clock.sleep(retryAfterMs)
-      return this.#startLeading(term)
+      return this.#lead(term)
     }
     const { clock, logger, metrics, timings, upstreamSpeeds } = this.#opts
     this.#leader?.stop()
@@ -196,15 +205,7 @@
       propose: (command) => this.raft.propose(encodeCommand(command)),
       onFailing: () => void this.#handOver(term),
     })
-    this.#leader.start()
-  }
-
-  /** Returns a handler of what a leader's start throws. */
-  #createFailureHandler(term: number): (thrown: unknown) => void {
-    return (thrown) => {
-      this.#opts.logger.error({ event: 'leader.failed', term, ...describeFault(thrown) })
-      void this.#handOver(term)
-    }
+    await this.#leader.run()
   }
 
   /** Lets another member lead, as this one cannot decide any more. If none takes over, this one goes on. */
--- a/batch/service/src/begunRuns.ts
+++ b/batch/service/src/observedStarts.ts
@@ -5,7 +5,7 @@
 import type { RunRef } from '@nettlespur/batch.model'
 import { showsBegunTask, type BatchState, type Command, type RunEnd } from '@nettlespur/batch.state'
 
-export class BegunRuns {
+export class ObservedStarts {
   readonly #getState: () => BatchState
   readonly #jobIds = new Set<string>()
 
--- a/batch/service/src/stopRequests.ts
+++ b/batch/service/src/stopRequests.ts
@@ -43,10 +43,7 @@
   abandonGang({ jobId, step, attempt }: Placement): void {
     const job = this.#opts.getState().jobs.get(jobId)
     if (job?.request.steps[step]?.isGang !== true) return
-    const members = listPlacements(job).filter(
-      (run) => run.step === step && run.attempt === attempt,
-    )
-    this.preempt(members)
+    this.preempt(listStepPlacements(job, step).filter((run) => run.attempt === attempt))
   }
 
   /** Requests the stops that are due now that the command has been applied. */
--- a/batch/state/src/endRun.ts
+++ b/batch/state/src/endRun.ts
@@ -2,6 +2,7 @@
 import type { Placement, RunEnd } from './command.js'
 import { countCrash } from './crashRecord.js'
 import { findFailure } from './findFailure.js'
+import { isStepDone } from './isStepDone.js'
 import { isLateDone, listPlacedInUnit, listUnitTasks } from './lateEnd.js'
 import { listStepPlacements } from './placementIndex.js'
 import type { JobRecord, StepRecord, TaskRecord } from './records.js'
@@ -104,8 +105,3 @@
   }
   if (job.steps.every(isStepDone)) job.status = 'completed'
 }
-
-/** Tasks start in order, so that one that is not done is found soonest from the end. */
-function isStepDone({ tasks }: StepRecord): boolean {
-  return tasks.findLast(({ phase }) => phase !== 'done') === undefined
-}
--- a/bench/policy/src/heldUpWatch.ts
+++ b/bench/policy/src/heldUpWatch.ts
@@ -1,6 +1,11 @@
 /** Watches which jobs are held up: they have nothing running though they may start and there is ample room. */
 import type { StarvationReason, StarvingUnit } from '@nettlespur/batch.scheduler'
-import type { BatchState, JobRecord, Placement } from '@nettlespur/batch.state'
+import {
+  isStepDone,
+  type BatchState,
+  type JobRecord,
+  type Placement,
+} from '@nettlespur/batch.state'
 
 /** As the users judge it at the end of a day. */
 const heldUpAfterMs = 3000
@@ -92,7 +97,7 @@
 
 function hasRoom(job: JobRecord, { capacity, used, runningJobIds }: PoolUse): boolean {
   if (job.status !== 'active' || runningJobIds.has(job.request.jobId)) return false
-  const at = job.steps.findIndex(({ tasks }) => tasks.some(({ phase }) => phase !== 'done'))
+  const at = job.steps.findIndex((record) => !isStepDone(record))
   const step = job.request.steps[at]
   if (step === undefined || used >= capacity * mostUsedShare) return false
   const needed = step.needs.accelerators * (step.isGang ? step.taskCount : 1)
