feat(load): metrics and a log line of how late the event loop of a process is, and of what its time goes into

No log line and no metric showed that a process is short of processor time, so a saturated leader was seen only by what it causes.

--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -25,6 +25,7 @@
 } from '@nettlespur/consensus.raft'
 import type { Clock } from '@nettlespur/core.clock'
 import { describeFault, NettlespurError } from '@nettlespur/core.errors'
+import { measureWork } from '@nettlespur/core.load'
 import type { Logger } from '@nettlespur/core.logger'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import type { LogStore } from '@nettlespur/storage.log'
@@ -102,7 +103,7 @@
 
   /** Errors: rejects with `storage-damaged` and `storage-failed`. */
   static async open(opts: BatchNodeOptions): Promise<BatchNode> {
-    const machine = new BatchMachine()
+    const machine = new BatchMachine({ measure: (apply) => measureWork(opts, 'apply', apply) })
     const { memberId, initialMembers, clock, logger, store, transport, timings, random } = opts
     const raft = await RaftNode.open({
       memberId,
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -14,6 +14,7 @@
 import type { BatchState, Command, Placement } from '@nettlespur/batch.state'
 import { Wake, type Clock } from '@nettlespur/core.clock'
 import { describeFault } from '@nettlespur/core.errors'
+import { measureWork } from '@nettlespur/core.load'
 import type { Logger } from '@nettlespur/core.logger'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import type { BatchTimings } from './batchTimings.js'
@@ -130,7 +131,7 @@
     const { clock, metrics, signal } = this.#opts
     const nowMs = clock.monotonicMs()
     this.#moveRunsCutShort(nowMs)
-    const decision = this.#plan(nowMs)
+    const decision = measureWork(this.#opts, 'round', () => this.#plan(nowMs))
     const { placements, preemptions, starving, speed } = decision
     this.#starvationWatch.noteRound(starving, nowMs)
     this.#headroomLog.noteRound(this.#headroom?.noteRound(decision, nowMs) ?? [], nowMs)
--- a/batch/state/src/batchMachine.ts
+++ b/batch/state/src/batchMachine.ts
@@ -5,12 +5,27 @@
 import { BatchState } from './batchState.js'
 import { commandSchema, type Command, type CommandOutcome } from './command.js'
 
+export interface BatchMachineOptions {
+  /** Called to run each application of a command, which it may time. */
+  measure?: (apply: () => CommandOutcome) => CommandOutcome
+}
+
 export class BatchMachine extends StateMachine<CommandOutcome> {
   state = new BatchState()
   /** Emits each command after it has been applied. */
   readonly applied = new Subject<Command>()
+  readonly #measure: (apply: () => CommandOutcome) => CommandOutcome
+
+  constructor({ measure = (apply) => apply() }: BatchMachineOptions = {}) {
+    super()
+    this.#measure = measure
+  }
 
   apply(index: number, command: Buffer): CommandOutcome {
+    return this.#measure(() => this.#apply(index, command))
+  }
+
+  #apply(index: number, command: Buffer): CommandOutcome {
     const parsed = readStoredJson(commandSchema, command, `the command at ${index}`)
     const outcome = this.state.apply(parsed)
     this.applied.next(parsed)
