perf(clock): waits that are ended early cost no abort signal

Cause: each wait of a replication task, of the round loop and of a read created an AbortController and aborted it; the exception that an abort captures took 2 % of a leader's processor time (profile of a control process on loopback, 245 stand-in upstreams). Change: startSleep, a sleep that its owner can end; a value that passes at once needs no timer.

--- a/core/clock/src/waitFor.ts
+++ b/core/clock/src/waitFor.ts
@@ -1,6 +1,7 @@
 /** Waiting for a value that changes over time, with a deadline. */
 import type { Clock } from './clock.js'
 import { filter, type Observable } from 'rxjs'
+import { startSleep } from './startSleep.js'
 
 /** True where a value passed before the deadline, the end of `values` and the abortion of `signal`. */
 export async function waitFor<T>(
@@ -9,22 +10,28 @@
   passes: (value: T) => boolean,
   opts: { timeoutMs: number; signal?: AbortSignal | undefined },
 ): Promise<boolean> {
-  const done = new AbortController()
   let passed = false
-  const abort = (): void => {
-    done.abort()
+  let isOver = opts.signal?.aborted === true
+  let wake = (): void => undefined
+  const finish = (): void => {
+    isOver = true
+    wake()
   }
   const watching = values.pipe(filter(passes)).subscribe({
     next: () => {
       passed = true
-      abort()
+      finish()
     },
-    complete: abort,
+    complete: finish,
   })
-  if (opts.signal?.aborted === true) abort()
-  opts.signal?.addEventListener('abort', abort, { once: true })
-  await clock.sleep(opts.timeoutMs, done.signal)
-  opts.signal?.removeEventListener('abort', abort)
+  // Most values pass at once, and then need no timer.
+  if (!isOver) {
+    const { ended, end } = startSleep(clock, opts.timeoutMs)
+    wake = end
+    opts.signal?.addEventListener('abort', end, { once: true })
+    await ended
+    opts.signal?.removeEventListener('abort', end)
+  }
   watching.unsubscribe()
   return passed
 }
--- a/core/clock/src/wake.ts
+++ b/core/clock/src/wake.ts
@@ -1,5 +1,6 @@
 /** Wakes the one task that waits on it. A call made while the task is busy counts for its next wait. */
 import type { Clock } from './clock.js'
+import { startSleep } from './startSleep.js'
 
 export class Wake {
   #pending = false
@@ -17,14 +18,11 @@
   }
 
   async #sleep(clock: Clock, durationMs: number, signal: AbortSignal): Promise<void> {
-    const awake = new AbortController()
-    const abort = (): void => {
-      awake.abort()
-    }
-    this.#resume = abort
-    signal.addEventListener('abort', abort, { once: true })
-    await clock.sleep(durationMs, awake.signal)
-    signal.removeEventListener('abort', abort)
+    const { ended, end } = startSleep(clock, durationMs)
+    this.#resume = end
+    signal.addEventListener('abort', end, { once: true })
+    await ended
+    signal.removeEventListener('abort', end)
     this.#resume = undefined
   }
 }
