perf(net): bodies are read by the events of their stream

Cause: an async iterator over each request and answer cost several times what a small body does; bodies were read by two copies of the same loop. Change: net/body reads them for client and server. A body that ends early, or is too large, ends as before: the message is destroyed, and the caller gets the same error kinds.

--- a/net/client/src/callHttp.ts
+++ b/net/client/src/callHttp.ts
@@ -1,6 +1,7 @@
 /** Makes an HTTP call with a deadline and reads the whole answer into memory, up to a size limit. */
-import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
+import type { IncomingHttpHeaders } from 'node:http'
 import { errorBodySchema, fromErrorBody, NettlespurError, tryAsync } from '@nettlespur/core.errors'
+import { readWholeBody } from '@nettlespur/net.body'
 import type { EitherAsync } from 'purify-ts'
 import { createOutcomeUnknownError, openHttp, type OpenHttpOptions } from './openHttp.js'
 
@@ -19,7 +20,7 @@
 /** Resolves with the whole answer, whatever its status. Errors: `unreachable`, `outcome-unknown`. */
 export function callHttp(opts: CallHttpOptions): EitherAsync<NettlespurError, HttpAnswer> {
   return openHttp(opts).chain(({ status, headers, stream }) =>
-    tryAsync(() => readBody(stream, opts.answerBytesMax ?? defaultAnswerBytesMax))
+    tryAsync(() => readWholeBody(stream, opts.answerBytesMax ?? defaultAnswerBytesMax))
       .mapLeft((error) => createOutcomeUnknownError(opts, error))
       .map((body) => ({ status, headers, body })),
   )
@@ -38,15 +39,3 @@
   }
   return new NettlespurError('outcome-unknown', `the other side answered ${answer.status}`)
 }
-
-async function readBody(stream: IncomingMessage, answerBytesMax: number): Promise<Buffer> {
-  const chunks: Buffer[] = []
-  let size = 0
-  for await (const chunk of stream as AsyncIterable<Buffer>) {
-    size += chunk.length
-    if (size > answerBytesMax) throw new Error(`the answer is larger than ${answerBytesMax} bytes`)
-    chunks.push(chunk)
-  }
-  if (!stream.complete) throw new Error('the answer was cut short')
-  return Buffer.concat(chunks)
-}
--- a/net/server/src/httpRequest.ts
+++ b/net/server/src/httpRequest.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import { parseValue } from '@nettlespur/api.schemas'
 import { NettlespurError } from '@nettlespur/core.errors'
+import { BodyTooLargeError, readWholeBody } from '@nettlespur/net.body'
 import { EitherAsync, Left, Right, type Either } from 'purify-ts'
 import type { z } from 'zod'
 
@@ -61,18 +62,12 @@
   async #collect(): Promise<Either<NettlespurError, Buffer>> {
     const declaredBytes = Number(this.header('content-length') ?? 0)
     if (declaredBytes > this.#bodyBytesMax) return Left(this.#createTooLargeError())
-    const chunks: Buffer[] = []
-    let size = 0
     try {
-      for await (const chunk of this.raw as AsyncIterable<Buffer>) {
-        size += chunk.length
-        if (size > this.#bodyBytesMax) return Left(this.#createTooLargeError())
-        chunks.push(chunk)
-      }
+      return Right(await readWholeBody(this.raw, this.#bodyBytesMax))
     } catch (cause) {
+      if (cause instanceof BodyTooLargeError) return Left(this.#createTooLargeError())
       return Left(new NettlespurError('malformed-json', 'the body ended early', { cause }))
     }
-    return Right(Buffer.concat(chunks))
   }
 
   #createTooLargeError(): NettlespurError {
