perf(rpc): a call to a peer aborts no signal of its own

tRPC's observableToPromise creates a controller for each call and aborts it at its end. Only the first result is awaited here, so a plain promise does.

--- a/rpc/peer/src/peerCalls.ts
+++ b/rpc/peer/src/peerCalls.ts
@@ -13,7 +13,6 @@
   type TRPCClientRuntime,
 } from '@trpc/client'
 import type { AnyTRPCRouter } from '@trpc/server'
-import { observableToPromise } from '@trpc/server/observable'
 import { CallCancellation } from './callCancellation.js'
 import { readCallLimits, type CallLimits } from './callLimits.js'
 import { PeerConnection } from './peerConnection.js'
@@ -130,6 +129,7 @@
   }
 }
 
+/** Resolves with the first result. Cheaper than the promise of tRPC's own, which aborts a signal for each call. */
 function send(
   connection: PeerConnection,
   runtime: TRPCClientRuntime,
@@ -139,5 +139,7 @@
   const next = (): never => {
     throw new Error('wsLink is the last link of the chain and must not call the next one')
   }
-  return observableToPromise(link(runtime)({ op, next })) as Promise<PeerResult>
+  return new Promise((resolve, reject) => {
+    link(runtime)({ op, next }).subscribe({ next: resolve, error: reject })
+  })
 }
