fix(relays): a leader of a grown pool leaves the calls to upstreams to the other members

What callers saw: too little served on the grown sites; urgent jobs late, gangs broken. Cause: all polls, starts, stops and announcements of 245 upstreams passed through the one thread of the leader, busy 96 to 99 % of the time under load, while the other four members were idle at a tenth of a core. Relays existed for that from 600 upstreams on.

--- a/batch/relays/src/relayMembers.ts
+++ b/batch/relays/src/relayMembers.ts
@@ -5,8 +5,8 @@
 import type { Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
-import { assignMember } from './assignMember.js'
 import type { Leadership } from './leadership.js'
+import { MemberAssignment } from './memberAssignment.js'
 import type { RelayLink } from './relayLink.js'
 import { RelayMember } from './relayMember.js'
 
@@ -15,6 +15,8 @@
 /** A message to a relay costs the leader as much as several calls, so with more relays each gets them less often. */
 const batchMsMin = 10
 const batchMsPerRelay = 5
+/** With this many relays the leader makes no calls itself: what it decides for all upstreams takes its time as it is. */
+const relaysWithoutLeaderMin = 2
 /** Relaying ends only this far below the number from which it begins, so that it does not switch back and forth. */
 const endShare = 0.9
 
@@ -38,6 +40,7 @@
 export class RelayMembers {
   readonly #opts: RelayMembersOptions
   readonly #watched = new Map<string, WatchedMember>()
+  readonly #assignment = new MemberAssignment()
   /** Addresses of the members that may serve; all others that are watched only have calls in progress. */
   #wanted: ReadonlySet<string> = new Set()
   #isRelaying = false
@@ -58,19 +61,19 @@
     void this.#run()
   }
 
-  /** Peer addresses of the members that serve upstreams, this one included; empty while no relays are used. */
+  /** Peer addresses of the members that serve upstreams; empty while no relays are used. */
   get servingAddresses(): readonly string[] {
     if (!this.#isRelaying) return []
     const others = [...this.#wanted].filter(
       (address) => this.#watched.get(address)?.member.isServing === true,
     )
-    return [this.#opts.ownAddress, ...others]
+    return others.length >= relaysWithoutLeaderMin ? others : [this.#opts.ownAddress, ...others]
   }
 
   /** Returns the relay that the upstream is assigned to; undefined if this member calls it itself. */
   assign(upstreamAddress: string): RelayMember | undefined {
     if (!this.#isRelaying || this.#opts.signal.aborted) return undefined
-    const address = assignMember(upstreamAddress, this.servingAddresses)
+    const address = this.#assignment.find(upstreamAddress, this.servingAddresses)
     return address === undefined ? undefined : this.#watched.get(address)?.member
   }
 
--- a/batch/relays/src/relayMessages.ts
+++ b/batch/relays/src/relayMessages.ts
@@ -57,7 +57,7 @@
   term: z.number(),
   /** The process of the relay that is meant; empty as long as the leader does not know it. */
   relayId: z.string(),
-  /** Peer addresses of the members that serve upstreams now, the leader's included; empty if the leader uses no relays. */
+  /** Peer addresses of the members that serve upstreams now; empty if the leader uses no relays. */
   servingAddresses: z.array(addressSchema),
 })
 export type LeaderHeader = z.infer<typeof leaderHeader>
--- a/batch/relays/src/relayService.ts
+++ b/batch/relays/src/relayService.ts
@@ -3,9 +3,9 @@
 import type { Clock } from '@nettlespur/core.clock'
 import type { Logger } from '@nettlespur/core.logger'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
-import { assignMember } from './assignMember.js'
 import type { ClosablePort } from './closablePort.js'
 import type { Leadership } from './leadership.js'
+import { MemberAssignment } from './memberAssignment.js'
 import { Relay } from './relay.js'
 import { RelayedUpstreamPort } from './relayedUpstreamPort.js'
 import type { RelayLink } from './relayLink.js'
@@ -26,15 +26,13 @@
 export class RelayService {
   readonly relay: Relay
   readonly #opts: RelayServiceOptions
+  readonly #assignment = new MemberAssignment()
   #leaderPort: RelayedUpstreamPort | undefined
 
   constructor(opts: RelayServiceOptions) {
     this.#opts = opts
     this.relay = new Relay(opts)
-    opts.metrics.gauge(
-      'relay_members_in_use',
-      () => this.#leaderPort?.servingAddresses.slice(1).length ?? 0,
-    )
+    opts.metrics.gauge('relay_members_in_use', () => this.#countRelays())
   }
 
   /** Opens the port of a leadership that begins. The caller closes it when the leadership ends. */
@@ -57,6 +55,12 @@
   /** Returns the peer address of the member to which the upstream announces itself; undefined while no relays are used. */
   findAnnounceMember(upstreamAddress: string): string | undefined {
     const { servingAddresses } = this.#leaderPort ?? this.relay
-    return assignMember(upstreamAddress, servingAddresses)
+    return this.#assignment.find(upstreamAddress, servingAddresses)
+  }
+
+  #countRelays(): number {
+    const { ownAddress } = this.#opts
+    const serving = this.#leaderPort?.servingAddresses ?? []
+    return serving.filter((address) => address !== ownAddress).length
   }
 }
--- a/batch/relays/src/relayedUpstreamPort.ts
+++ b/batch/relays/src/relayedUpstreamPort.ts
@@ -15,6 +15,7 @@
 import { runFields } from '@nettlespur/batch.model'
 import { NettlespurError } from '@nettlespur/core.errors'
 import { ClosablePort } from './closablePort.js'
+import type { RelayMember } from './relayMember.js'
 import { RelayMembers, type RelayMembersOptions } from './relayMembers.js'
 
 export interface RelayedUpstreamPortOptions extends Omit<RelayMembersOptions, 'signal'> {
@@ -33,7 +34,7 @@
     this.#members = new RelayMembers({ ...opts, signal: this.#closing.signal })
   }
 
-  /** Peer addresses of the members that serve upstreams, this one included; empty while no relays are used. */
+  /** Peer addresses of the members that serve upstreams; empty while no relays are used. */
   get servingAddresses(): readonly string[] {
     return this.#members.servingAddresses
   }
@@ -73,7 +74,23 @@
   ): Promise<HoldAnswer> {
     const member = this.#members.assign(to.address)
     if (member === undefined) return this.#own.hold(to, order, timeoutMs)
-    const { leaseEndMs, fence, cursor, waitMs } = order
+    try {
+      return await this.#holdThrough(member, to, order, timeoutMs)
+    } catch (thrown) {
+      // The loss of the relay says nothing about the upstream, and a poll may be repeated without harm.
+      if (member.isServing || this.#closing.signal.aborted) throw thrown
+      const next = this.#members.assign(to.address)
+      if (next === undefined) return this.#own.hold(to, order, timeoutMs)
+      return this.#holdThrough(next, to, order, timeoutMs)
+    }
+  }
+
+  async #holdThrough(
+    member: RelayMember,
+    to: UpstreamTarget,
+    { leaseEndMs, fence, cursor, waitMs }: HoldOrder,
+    timeoutMs: number,
+  ): Promise<HoldAnswer> {
     const relayed = { type: 'hold' as const, leaseEndMs, fence, cursor, waitMs }
     const outcome = await member.call(to, relayed, timeoutMs)
     if (outcome.type !== 'hold') throw createMismatchError()
