fix(scheduler): rounds take at most a fifth of a busy leader's time

Cause: a round was followed by a pause of its own length, so that under load, when each end calls for a round, half of the leader's thread went into deciding anew on what its calls had not brought about yet; and each round listed all upstreams with what runs there, also where nothing waited. Change: a pause of four times the round, 100 ms at most, and upstreams are listed only where something waits.

--- a/batch/scheduler/src/planRound.ts
+++ b/batch/scheduler/src/planRound.ts
@@ -44,10 +44,12 @@
 
 export function planRound(view: SchedulerView): RoundDecision {
   const guaranteed = listGuaranteedJobs(view.jobs, view.guarantees)
-  const allocations = new RoundAllocations(view.upstreams, view.nowMs)
+  const units = orderUnits(view, guaranteed)
+  // Most rounds of a pool with room find nothing that waits, and need no upstream for that.
+  const upstreams = units.length === 0 ? [] : view.upstreams
+  const allocations = new RoundAllocations(upstreams, view.nowMs)
   const round = new Round(view, guaranteed, allocations)
-  for (const unit of promoteOverdueGang(orderUnits(view, guaranteed), allocations))
-    round.decide(unit)
+  for (const unit of promoteOverdueGang(units, allocations)) round.decide(unit)
   return round.finish()
 }
 
--- a/batch/service/src/buildSchedulerView.ts
+++ b/batch/service/src/buildSchedulerView.ts
@@ -61,17 +61,18 @@
   const { state, nowMs, acceptedAtMs } = opts
   let runs: readonly ActiveRun[] | undefined
   let evacuated: readonly SchedulableUpstream[] | undefined
-  const upstreams = [...state.upstreams.values()].flatMap((upstream) => {
-    const availability = opts.getAvailability(upstream)
-    return availability === undefined ? [] : [buildCapacity(opts, upstream, availability)]
-  })
+  let upstreams: readonly SchedulableUpstream[] | undefined
+  const getUpstreams = (): readonly SchedulableUpstream[] => (upstreams ??= listUpstreams(opts))
   const workspaces = state.config?.workspaces ?? []
   return {
     nowMs,
     queues: state.config?.queues ?? [],
     jobs: [...state.unsettled.values()].filter(({ request }) => !opts.isLeftOut(request.jobId)),
     acceptedAtMs,
-    upstreams,
+    // Computed on demand: only rounds in which something waits look at them.
+    get upstreams() {
+      return getUpstreams()
+    },
     // Computed on demand: only rounds that leave units waiting look at them.
     get evacuated() {
       return (evacuated ??= listEvacuated(opts))
@@ -81,7 +82,7 @@
     isProven: (placement) => opts.findTrack(placement)?.isProven === true,
     // Computed on demand: only rounds in which something does not fit look at the runs.
     get runs() {
-      return (runs ??= upstreams
+      return (runs ??= getUpstreams()
         .filter(({ availability }) => availability !== 'excluded')
         .flatMap(({ upstreamId }) => listRuns(opts, upstreamId)))
     },
@@ -93,6 +94,14 @@
   }
 }
 
+/** Lists the upstreams that neither drain, have left nor are evacuated. */
+function listUpstreams(opts: BuildSchedulerViewOptions): SchedulableUpstream[] {
+  return [...opts.state.upstreams.values()].flatMap((upstream) => {
+    const availability = opts.getAvailability(upstream)
+    return availability === undefined ? [] : [buildCapacity(opts, upstream, availability)]
+  })
+}
+
 function buildCapacity(
   opts: BuildSchedulerViewOptions,
   upstream: UpstreamRecord,
--- a/batch/service/src/schedulingRounds.ts
+++ b/batch/service/src/schedulingRounds.ts
@@ -31,8 +31,15 @@
 
 /** Rounds are due without an event too: as time passes, quarantines end and jobs can no longer meet their objective. */
 const idleRoundIntervalMs = 500
-/** A round that took longer is followed by a pause of the same length, which leaves half of the time for calls. */
+/**
+ * Rounds take no more than this share of the time while every change calls for another one: while calls wait for the
+ * processor, each round decides on what the others have not brought about yet.
+ */
+const roundShareMax = 0.2
+/** Rounds this short leave enough time for calls. */
 const shortRoundMs = 2
+/** A decision is never later than by this for the sake of calls. */
+const roundPauseMsMax = 100
 
 /** After this many failed rounds in a row another leader is to try. */
 const failedRoundsMax = 3
@@ -141,7 +148,7 @@
     this.#preempt(preemptions)
     if (placements.length > 0) await this.#place(placements)
     if (placements.length >= placementsPerRoundMax) this.requestRound()
-    if (tookMs > shortRoundMs) await clock.sleep(tookMs, signal)
+    if (tookMs > shortRoundMs) await clock.sleep(computeRoundPauseMs(tookMs), signal)
   }
 
   #plan(nowMs: number): RoundDecision {
@@ -223,3 +230,8 @@
     this.#opts.logger.info({ event, ...runFields(run), upstreamId, ...fields })
   }
 }
+
+/** Returns how long to leave the processor to calls after a round. */
+function computeRoundPauseMs(tookMs: number): number {
+  return Math.min(roundPauseMsMax, tookMs / roundShareMax - tookMs)
+}
