fix(relays): a leader that stood still reads the outcomes of its calls before it gives them up

Cause: the deadline of a call through a relay was a plain timer, and after a standstill timers run before what has arrived is read; calls of the leader's own port have had a deadline that reads first. It matters more now that all calls go through relays. Evidence: the twelve start orders carried the same attempts, so they were second tries after 500 ms. Change: setDeadline. The test of a late timer failed before. The run that failed was not brought about again in three runs of the test beside ten busy loops.

--- a/batch/relays/src/pendingCall.ts
+++ b/batch/relays/src/pendingCall.ts
@@ -1,6 +1,6 @@
 /** One call that the leader makes through a relay, from its order to its outcome or deadline. */
 import type { UpstreamTarget } from '@nettlespur/batch.sessions'
-import type { Clock, Timer } from '@nettlespur/core.clock'
+import { setDeadline, type Clock, type Timer } from '@nettlespur/core.clock'
 import { NettlespurError } from '@nettlespur/core.errors'
 import type { CallOutcome, RelayedOrder } from './relayMessages.js'
 
@@ -42,7 +42,7 @@
     })
     this.#resolve = resolveOutcome
     this.#reject = rejectOutcome
-    this.#timer = clock.setTimer(timeoutMs, () => {
+    this.#timer = setDeadline(clock, timeoutMs, () => {
       this.giveUp(`no answer within ${timeoutMs} ms`)
     })
   }
