--- /dev/null
+++ b/review/harness-2/record.mjs
@@ -0,0 +1,18 @@
+/** What a case sent, what was answered and what ran, with the time since its start. */
+import { writeFileSync } from 'node:fs'
+import path from 'node:path'
+import { performance } from 'node:perf_hooks'
+
+export class Record {
+  #lines = []
+  #startMs = performance.now()
+
+  note(line) {
+    const seconds = ((performance.now() - this.#startMs) / 1000).toFixed(3)
+    this.#lines.push(`${seconds.padStart(8)} ${line}`)
+  }
+
+  save(folder) {
+    writeFileSync(path.join(folder, 'record.txt'), `${this.#lines.join('\n')}\n`)
+  }
+}
