--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,69 +1,107 @@
 /**
- * A worker crashes a second after each of its starts, some times in a row, and stays up from then on. A job needs its
- * label; the job's task never fails. The job's state is asked for until it has ended.
+ * Clients hand in jobs while the operator takes their key away. The control process that leads is killed some
+ * milliseconds after the change was sent, and starts again. Each client makes one attempt, as the answers 200 and 401
+ * are final. No task may start of a job whose only attempt was refused.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { createConfiguration, createJobId, host } from '../harness-2/configuration.mjs'
+import { call } from '../harness-2/http.mjs'
 import { expectStatus, runCase } from '../harness-2/runCase.mjs'
 
-const key = 'key-of-tenant-a'
-const workers = 10
-/** One worker of ten: a share of 0.1, of 0.14 at most. */
-const crashing = 0
-const label = 'large-memory'
-const crashes = 5
-const upMs = 1000
-/** `for_s` is 4.5 at most. */
-const downMs = 2000
-const taskMs = 3000
-const waitMs = 45_000
+/** One round takes about 11 s. */
+const rounds = 8
+const handInMs = 30
+/** `after_ack_kill` with `timed` strikes 5 to 400 ms after the change was sent. */
+const killAfterMs = [14, 18, 22, 27, 33, 40, 17, 24]
+const downMs = 3000
+/** `catch-up-s` is 6: until then the machine counts as lost, and no other is touched. */
+const catchUpMs = 6500
+const refused = [401, 404, 429, 503]
+
+const createKey = (round) => `key-${round}-of-tenant-a`
+const step = { count: 1, cpu: 100, 'mem-mb': 64, 'est-runtime-ms': 200 }
+const job = { spec: '{"ms":200,"gpu":0}', steps: [step] }
+
+/** The keys of the rounds that are still to come. */
+function createVersion(round) {
+  const keys = Array.from({ length: rounds + 1 }, (_, at) => createKey(at)).slice(round)
+  const tenant = { name: 'tenant-a', 'api-keys': keys, priority: 1, guaranteed: { gpu: 0 } }
+  return createConfiguration({ version: round + 1, tenants: [tenant] })
+}
+
+/** Heartbeats are answered with the address of the member that leads. */
+async function findLeader(deployment, worker) {
+  for (let tries = 0; tries < 20; tries++) {
+    const asked = deployment.controlAddresses[tries % deployment.controls.length]
+    const at = deployment.controlAddresses.indexOf(await worker.announceNow(asked))
+    if (at >= 0) return at
+    await sleep(200)
+  }
+  throw new Error('nobody leads')
+}
 
 await runCase({
   folder: import.meta.dirname,
   deployment: { controls: 3, entries: 1, maxHoldMs: 10_000 },
   play: async ({ deployment, note, hasTrouble, startWorkers }) => {
-    const json = createConfiguration({ version: 1 })
-    const configured = await deployment.operate({ method: 'PUT', path: '/config', json })
-    expectStatus('the configuration', configured, 200)
-    const all = await startWorkers(workers, (at) => ({
-      labels: [at === crashing ? label : 'a', at < workers / 2 ? 'rack-0' : 'rack-1'],
+    const started = new Set()
+    const first = createVersion(0)
+    const configured = await deployment.operate({ method: 'PUT', path: '/config', json: first })
+    expectStatus('the first configuration', configured, 200)
+    const workers = await startWorkers(4, () => ({
+      onStart: ({ task }) => {
+        started.add(task.split('.')[0])
+      },
     }))
     await sleep(3000)
 
-    const jobId = createJobId()
-    const path = `/queue-a/${jobId}`
-    const step = { count: 1, cpu: 4000, 'mem-mb': 1024, gpu: 1, 'est-runtime-ms': taskMs }
-    const job = {
-      spec: JSON.stringify({ ms: taskMs, gpu: 1 }),
-      steps: [{ ...step, 'required-label': label }],
-    }
-    const accepted = await deployment.call({ method: 'POST', path, host, key, json: job })
-    note(`client hands in job ${jobId}: answered ${accepted.status}`)
-    expectStatus('the job', accepted, 200)
+    let accepted = 0
+    for (let round = 0; round < rounds; round++) {
+      const leader = await findLeader(deployment, workers[0])
+      const answers = new Map()
+      const attempts = []
+      const handIn = () => {
+        const jobId = createJobId()
+        const path = `/queue-a/${jobId}`
+        const key = createKey(round)
+        const attempt = deployment.call({ method: 'POST', path, host, key, json: job })
+        attempts.push(attempt.then((answer) => answers.set(jobId, answer)))
+      }
+      const next = createVersion(round + 1)
+      const startMs = Date.now()
+      while (Date.now() - startMs < handInMs) {
+        handIn()
+        await sleep(1)
+      }
+      const address = deployment.controlAddresses[leader]
+      const change = call({ address, method: 'PUT', path: '/config', json: next })
+      note(`operator sends version ${next.version}, without ${createKey(round)}, to ${address}`)
+      if (hasTrouble) {
+        const waitMs = killAfterMs[round % killAfterMs.length]
+        await sleep(waitMs)
+        note(`control-${leader}, which leads, is killed ${waitMs} ms later`)
+        await deployment.controls[leader].end('SIGKILL')
+      }
+      note(`operator's change: answered ${(await change).status}`)
+      const resent = await deployment.operate({ method: 'PUT', path: '/config', json: next })
+      note(`operator's change, sent again: answered ${resent.status}`)
+      await Promise.all(attempts)
+      await sleep(downMs)
 
-    const crash = async () => {
-      for (let times = 0; times < crashes; times++) {
-        await sleep(times === 0 ? upMs / 2 : upMs)
-        await all[crashing].crash()
-        await sleep(downMs)
-        await all[crashing].start()
+      const broken = []
+      for (const [jobId, { status, body }] of answers) {
+        const hasStarted = started.has(jobId)
+        const text = `${status} ${JSON.stringify(body ?? '')}`
+        note(`client hands in ${jobId}: ${text}; ${hasStarted ? 'its task started' : 'no start'}`)
+        if (status === 200) accepted += 1
+        if (refused.includes(status) && hasStarted) broken.push(jobId)
       }
-      note(`${all[crashing].name} stays up from now on`)
-    }
-    const crashed = hasTrouble ? crash() : Promise.resolve()
-    const endMs = Date.now() + waitMs
-    let state = ''
-    while (Date.now() < endMs && !['completed', 'failed', 'cancelled'].includes(state)) {
-      await sleep(500)
-      const answer = await deployment.call({ method: 'GET', path, host, key })
-      state = answer.body?.state ?? ''
-      note(`client asks for job ${jobId}: ${answer.status} ${state}`)
+      note(`round ${round}: ${broken.length} of ${answers.size} jobs were refused and started`)
+      if (broken.length > 0) return 'broken'
+      if (hasTrouble) deployment.controls[leader].start()
+      await sleep(catchUpMs)
     }
-    await crashed
-    const { body } = await deployment.call({ method: 'GET', path, host, key })
-    note(`client asks for job ${jobId} at the end: ${body?.state ?? ''}`)
-    if (state === 'failed' || state === 'cancelled') return 'broken'
-    if (state === 'completed') return 'held'
-    throw new Error(`the job is shown as ${state} after ${waitMs} ms`)
+    if (accepted === 0) throw new Error('no job was accepted')
+    return 'held'
   },
 })
--- a/review/harness-2/deployment.mjs
+++ b/review/harness-2/deployment.mjs
@@ -130,14 +130,14 @@
     return last
   }
 
-  /** As a client: one call to an entry, with the deadline that clients give. */
-  call({ method, path: target, host, key, json, at = 0, deadlineMs = 3000 }) {
+  /** As a client: one call to an entry, with the deadline that clients give; it leaves after `timeoutMs`. */
+  call({ method, path: target, host, key, json, at = 0, deadlineMs = 3000, timeoutMs }) {
     return call({
       address: this.entryAddresses[at],
       method,
       path: target,
       json,
-      timeoutMs: deadlineMs + 200,
+      timeoutMs: timeoutMs ?? deadlineMs + 200,
       headers: { host, authorization: `Bearer ${key}`, 'deadline-ms': String(deadlineMs) },
     })
   }
