--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -17,7 +17,6 @@
 const readBackMs = 10_000
 
 await runCase({
-  folder: import.meta.dirname,
   deployment: { controls: 3, entries: 1, maxHoldMs: 10_000 },
   play: async ({ deployment, note, hasTrouble, startWorkers }) => {
     const put = async (text) => {
--- a/review/harness-2/record.mjs
+++ b/review/harness-2/record.mjs
@@ -1,6 +1,5 @@
 /** What a case sent, what was answered and what ran, with the time since its start. */
 import { writeFileSync } from 'node:fs'
-import path from 'node:path'
 import { performance } from 'node:perf_hooks'
 
 export class Record {
@@ -12,7 +11,7 @@
     this.#lines.push(`${seconds.padStart(8)} ${line}`)
   }
 
-  save(folder) {
-    writeFileSync(path.join(folder, 'record.txt'), `${this.#lines.join('\n')}\n`)
+  save(file) {
+    writeFileSync(file, `${this.#lines.join('\n')}\n`)
   }
 }
--- a/review/harness-2/runCase.mjs
+++ b/review/harness-2/runCase.mjs
@@ -15,11 +15,12 @@
 const workersPerRack = 8
 
 /**
- * `play` gets the deployment, the record, whether there is trouble, and `startWorkers`. It resolves to `held` or
- * `broken`, and throws where the case cannot be judged.
+ * `play` gets the deployment, a function that notes a line, whether there is trouble, and `startWorkers`. It resolves to
+ * `held` or `broken`, and throws where the case cannot be judged. The record goes to the file that the command line names.
  */
-export async function runCase({ folder, deployment: options, play }) {
+export async function runCase({ deployment: options, play }) {
   const hasTrouble = process.env.TROUBLE !== '0'
+  const [, , recordFile] = process.argv
   const record = new Record()
   const note = (line) => {
     record.note(line)
@@ -48,6 +49,7 @@
   let verdict = 'notRun'
   try {
     deployment = await Deployment.start(options)
+    endOnSignals(deployment)
     const played = play({ deployment, note, hasTrouble, startWorkers })
     const tooLong = sleep(limitMs, undefined, { ref: false }).then(() => {
       throw new Error('the case took too long')
@@ -59,11 +61,21 @@
   await Promise.all(workers.map((worker) => worker.stop()))
   await deployment?.stop()
   note(`verdict: ${verdict}`)
-  record.save(folder)
+  if (recordFile !== undefined) record.save(recordFile)
   console.log(`${hasTrouble ? 'with trouble' : 'without trouble'}: ${verdict}`)
   process.exit(exitCodes[verdict])
 }
 
+/** Nothing that was started is left where the script is ended from outside. */
+function endOnSignals(deployment) {
+  for (const name of ['SIGINT', 'SIGTERM']) {
+    process.once(name, () => {
+      for (const one of deployment.processes) one.signal('SIGKILL')
+      process.exit(exitCodes.notRun)
+    })
+  }
+}
+
 /** Errors: throws if the status is another one. */
 export function expectStatus(what, answer, status) {
   if (answer.status === status) return
