fix(consensus): a change that the members could not read is refused before it enters the log

A job with such an est-runtime-ms was answered 504 after 2.8 s, each time it was sent.

Hypotheses: (1) the value is committed and no member can apply it: then each member logs raft.apply-failed for the same index; (2) JSON turns the number into null on its way; (3) the scheduler throws on it: then round.failed is logged and members stay. Evidence: a run on the code as found logs "raft.apply-failed ... the command at 8 cannot be read: too_big, Integers must be within the safe integer range, path config.queues" on two of three members, no round.failed.

Cause: two descriptions of one value. The boundary took any number, the log demanded a safe integer, and nothing compared them before the entry was proposed.

Why it works: what cannot be read is refused by the leader before any member stores it, with a definite answer.

--- a/batch/model/src/clusterConfig.ts
+++ b/batch/model/src/clusterConfig.ts
@@ -1,5 +1,5 @@
 /** The configuration of the whole cluster. It is replaced as one document; the highest version is in force. */
-import { countSchema, durationMsSchema } from '@nettlespur/api.schemas'
+import { countSchema } from '@nettlespur/api.schemas'
 import { z } from 'zod'
 
 /** A queue to which jobs are submitted, and how its jobs are scheduled. */
@@ -17,7 +17,8 @@
   attemptsMax: countSchema,
   /** A job is on time within this many times its longest chain of dependent steps, plus `targetLatencyMs`. */
   stretch: z.number().nonnegative(),
-  targetLatencyMs: durationMsSchema,
+  /** In milliseconds. Earlier versions committed numbers beyond the safe integers, which must stay readable. */
+  targetLatencyMs: z.number().nonnegative(),
   /** Calls are accepted without a key. */
   anonymous: z.boolean(),
 })
--- a/batch/state/src/batchMachine.ts
+++ b/batch/state/src/batchMachine.ts
@@ -1,5 +1,5 @@
 /** The Raft state machine: applies committed commands to the batch state. Commands and snapshots are JSON. */
-import { readStoredJson, StateMachine } from '@nettlespur/consensus.raft'
+import { findStoredFault, readStoredJson, StateMachine } from '@nettlespur/consensus.raft'
 import { Subject } from 'rxjs'
 import { batchSnapshotSchema } from './batchSnapshot.js'
 import { BatchState } from './batchState.js'
@@ -21,6 +21,10 @@
     this.#measure = measure
   }
 
+  findFault(command: Buffer): string | undefined {
+    return findStoredFault(commandSchema, command)
+  }
+
   apply(index: number, command: Buffer): CommandOutcome {
     return this.#measure(() => this.#apply(index, command))
   }
--- a/consensus/raft/__utils__/recordingMachine.ts
+++ b/consensus/raft/__utils__/recordingMachine.ts
@@ -14,6 +14,10 @@
     this.#history = history
   }
 
+  findFault(): undefined {
+    return undefined
+  }
+
   apply(_index: number, command: Buffer): number {
     this.#record(command.toString('utf8'))
     return this.applied.length
--- a/consensus/raft/src/raftNode.ts
+++ b/consensus/raft/src/raftNode.ts
@@ -7,6 +7,7 @@
 import type { Observable } from 'rxjs'
 import { handleAppend } from './appendHandler.js'
 import { ApplyLoop } from './applyLoop.js'
+import { checkMember, checkProposal } from './checkProposal.js'
 import { confirmLeadership } from './confirmLeadership.js'
 import { describeNode, type NodeDescription } from './describeNode.js'
 import { Election } from './election.js'
@@ -96,6 +97,11 @@
     return findMember(committed, memberId) !== undefined || hasRecentLeader
   }
 
+  /** The error that keeps this member from taking part until a restart; undefined while it takes part. */
+  get fault(): NettlespurError | undefined {
+    return this.#replica.fault
+  }
+
   /** Emits the index of the newest applied entry on subscription, then each change. */
   get applied(): Observable<number> {
     return this.#replica.appliedIndex
@@ -103,7 +109,8 @@
 
   /**
    * Resolves once the command is committed and applied on this member. Errors: `not-leader` and `no-quorum` if the
-   * command certainly never takes effect, `disk-full` if this is the only member, `outcome-unknown`.
+   * command certainly never takes effect, `invalid-field` if the state machine could not read it, `disk-full` if this is
+   * the only member, `outcome-unknown`.
    */
   propose(command: Buffer): EitherAsync<NettlespurError, R> {
     return tryAsync(() => {
@@ -112,6 +119,7 @@
       if (this.#proposals.size >= this.#replica.limits.waitingProposals) {
         throw createNoQuorum('too many changes wait for their commit')
       }
+      checkProposal(this.#replica, command)
       return this.#proposals.wait(leader.push(encodeCommand(command)))
     })
   }
@@ -121,9 +129,13 @@
     return tryAsync(async () => confirmLeadership(this.#requireLeading().leader))
   }
 
-  /** Errors: `membership-refused`, `outcome-unknown`, `not-leader`. */
+  /** Errors: `membership-refused`, `invalid-field`, `unknown-field`, `outcome-unknown`, `not-leader`. */
   addMember(member: Member): EitherAsync<NettlespurError, void> {
-    return tryAsync(async () => this.#requireLeading().membershipManager.add(member))
+    return tryAsync(async () => {
+      const { membershipManager } = this.#requireLeading()
+      checkMember(member)
+      await membershipManager.add(member)
+    })
   }
 
   /** Errors: as `addMember`, and `unknown-member`. */
--- a/consensus/raft/src/readStoredJson.ts
+++ b/consensus/raft/src/readStoredJson.ts
@@ -2,6 +2,11 @@
 import { NettlespurError } from '@nettlespur/core.errors'
 import type { z } from 'zod'
 
+/** Returns why the bytes are no JSON of this schema; undefined if they are. */
+export function findStoredFault(schema: z.ZodType, bytes: Buffer): string | undefined {
+  return schema.safeParse(parseJson(bytes)).error?.message
+}
+
 /** `what` names the data in the error. Errors: throws `storage-damaged` if the bytes are invalid. */
 export function readStoredJson<T>(schema: z.ZodType<T>, bytes: Buffer, what: string): T {
   const parsed = schema.safeParse(parseJson(bytes))
--- a/control/log/src/controlMachine.ts
+++ b/control/log/src/controlMachine.ts
@@ -1,5 +1,5 @@
 /** Applies committed commands to the control state. Commands and snapshots are JSON, validated when read. */
-import { readStoredJson, StateMachine } from '@nettlespur/consensus.raft'
+import { findStoredFault, readStoredJson, StateMachine } from '@nettlespur/consensus.raft'
 import {
   commandSchema,
   stateSnapshotSchema,
@@ -16,6 +16,10 @@
     this.#holder = holder
   }
 
+  findFault(command: Buffer): string | undefined {
+    return findStoredFault(commandSchema, command)
+  }
+
   apply(index: number, command: Buffer): CommandResult {
     return this.#holder.apply(
       index,
