fix(control): a claim whose deadline lies beyond the calendar is applied and restored

Entries bound the deadlines of callers, so only a peer could send it. The sum is capped at the last time stamp of four-digit years. Three tests, red before (RangeError: Invalid time value).

--- a/control/state/src/changeClaim.ts
+++ b/control/state/src/changeClaim.ts
@@ -8,6 +8,7 @@
   type ClaimChange,
   type ClaimOutcome,
 } from '@nettlespur/api.schemas'
+import { addMs } from './addMs.js'
 import { isResolved } from './claimTable.js'
 import type { CommandOf } from './command.js'
 import { refuse, type CommandResult } from './commandResult.js'
@@ -72,7 +73,7 @@
       },
     )
   }
-  const resolveFrom = new Date(Date.parse(at) + change.remainingMs).toISOString()
+  const resolveFrom = addMs(at, change.remainingMs)
   const fields = { workspace, key, bodySha256, entryId, target }
   return putClaim(data, { ...fields, fence: index, changedAt: at, resolveFrom })
 }
--- a/control/state/src/upstreamHealth.ts
+++ b/control/state/src/upstreamHealth.ts
@@ -6,6 +6,7 @@
  * until the quarantine ends.
  */
 import { z } from 'zod'
+import { addMs } from './addMs.js'
 import type { TaskFailure } from './command.js'
 import type { JobRecord } from './jobRecord.js'
 import type { StateData } from './stateData.js'
@@ -114,7 +115,3 @@
     quarantine: { ...quarantine, pauseMs, probeAt, admittedGangs: 1, probed: true },
   }
 }
-
-function addMs(at: string, durationMs: number): string {
-  return new Date(Date.parse(at) + durationMs).toISOString()
-}
--- a/control/state/test/claims.test.ts
+++ b/control/state/test/claims.test.ts
@@ -149,3 +149,13 @@
   t.like(state.getClaim({ workspace, key: 'k0' })?.outcome, { bodyBytes, bodyBase64: undefined })
   t.like(state.getClaim({ workspace, key: 'k1' })?.outcome, { bodyBytes, bodyBase64 })
 })
+
+// Guards against a command that is valid and cannot be applied: every member stopped at it, and again after each restart.
+for (const remainingMs of [Number.MAX_SAFE_INTEGER, 8_000_000_000_000_000, 253_402_300_800_000]) {
+  test(`a claim that is open for ${remainingMs} ms is applied, and its state can be restored`, (t) => {
+    const state = createState()
+    const result = apply(state, { ...createOpenChange('a'), remainingMs } as ClaimChange)
+    t.is(result.type, 'claim')
+    t.deepEqual(restoreFrom(state).snapshot(), state.snapshot())
+  })
+}
