fix(rpc): a call that a peer cannot read or carry is refused at once as not run

What callers saw: a configuration of 20,000 routes got no clear answer at any member (504, "no member leads"), and neither did a job of 45,000 steps, sent again and again; a job whose form a member refused was answered 504 after 2.5 s.

Cause: outer boundaries took what inner ones cannot. A message over 8 MiB made the peer close the connection, which also failed all other calls on it; an entry over 6 MB was appended to the leader's log although no append request could carry it, so that nothing after it was committed and the leader stepped down. And the client took a peer's refusal of the form of a call for "may have run".

A refusal by tRPC that no procedure was executed for is `version-mismatch` (503, not run, tried at another member): after the decoders' own check of content, only a peer of another version refuses a form.

--- a/batch/service/__utils__/group/memberTransport.ts
+++ b/batch/service/__utils__/group/memberTransport.ts
@@ -13,6 +13,7 @@
 import type { MemberProcess, MemberLinks } from './memberLinks.js'
 
 export class MemberTransport extends RaftTransport {
+  override readonly payloadBytesMax = Infinity
   readonly #links: MemberLinks
   readonly #from: MemberProcess
 
--- a/batch/service/src/callOutcomes.ts
+++ b/batch/service/src/callOutcomes.ts
@@ -2,7 +2,14 @@
 import { NettlespurError } from '@nettlespur/core.errors'
 
 /** Kinds after which the call has certainly not run; another member may accept it. */
-const notRunKinds = new Set(['not-leader', 'unreachable', 'no-quorum', 'draining', 'disk-full'])
+const notRunKinds = new Set([
+  'not-leader',
+  'unreachable',
+  'no-quorum',
+  'draining',
+  'version-mismatch',
+  'disk-full',
+])
 /** Kinds after which the call may have run; retrying is safe because calls are idempotent. */
 const inDoubtKinds = new Set(['outcome-unknown', 'storage-failed', 'internal'])
 
--- a/consensus/raft/__utils__/memoryLinks.ts
+++ b/consensus/raft/__utils__/memoryLinks.ts
@@ -58,8 +58,8 @@
     for (const resume of waiting) resume()
   }
 
-  createTransport(from: string): RaftTransport {
-    return new LinkTransport(this, from)
+  createTransport(from: string, payloadBytesMax = Infinity): RaftTransport {
+    return new LinkTransport(this, from, payloadBytesMax)
   }
 
   async send<T>(
@@ -108,11 +108,13 @@
 }
 
 class LinkTransport extends RaftTransport {
+  readonly payloadBytesMax: number
   readonly #links: MemoryLinks
   readonly #from: string
 
-  constructor(links: MemoryLinks, from: string) {
+  constructor(links: MemoryLinks, from: string, payloadBytesMax: number) {
     super()
+    this.payloadBytesMax = payloadBytesMax
     this.#links = links
     this.#from = from
   }
--- a/consensus/raft/__utils__/testCluster.ts
+++ b/consensus/raft/__utils__/testCluster.ts
@@ -31,6 +31,8 @@
   slowShare?: number
   timings?: Partial<RaftTimings>
   limits?: Partial<RaftLimits>
+  /** Longest payload that the links carry; unlimited by default. */
+  payloadBytesMax?: number
   /** Passed to each node as `RaftOptions.leaseReads`; true by default. */
   leaseReads?: boolean
 }
@@ -100,7 +102,7 @@
         write: (line) => this.logLines.push(line),
       }),
       store,
-      transport: this.links.createTransport(memberId),
+      transport: this.links.createTransport(memberId, this.#opts.payloadBytesMax),
       machine,
       timings: { ...defaultTimings, ...this.#opts.timings },
       limits: this.#opts.limits ?? {},
--- a/consensus/raft/src/checkProposal.ts
+++ b/consensus/raft/src/checkProposal.ts
@@ -7,8 +7,16 @@
 import { memberSchema, type Member } from './member.js'
 import type { Replica } from './replica.js'
 
-/** Errors: throws `invalid-field` if the state machine cannot read the command. */
-export function checkProposal<R>({ opts }: Replica<R>, command: Buffer): void {
+/**
+ * `payload` is that of the entry that would hold `command`. Errors: throws `invalid-field` if the state machine cannot read
+ * the command, and `body-too-large` if no message to a follower can carry the payload.
+ */
+export function checkProposal<R>({ opts }: Replica<R>, command: Buffer, payload: Buffer): void {
+  const { payloadBytesMax } = opts.transport
+  if (payload.length > payloadBytesMax) {
+    const message = `the change takes ${payload.length} bytes, and the log at most ${payloadBytesMax}`
+    throw new NettlespurError('body-too-large', message)
+  }
   const fault = opts.machine.findFault(command)
   if (fault === undefined) return
   opts.logger.error({ event: 'raft.proposal-refused', bytes: command.length, reason: fault })
--- a/consensus/raft/src/raftNode.ts
+++ b/consensus/raft/src/raftNode.ts
@@ -109,8 +109,8 @@
 
   /**
    * Resolves once the command is committed and applied on this member. Errors: `not-leader` and `no-quorum` if the
-   * command certainly never takes effect, `invalid-field` if the state machine could not read it, `disk-full` if this is
-   * the only member, `outcome-unknown`.
+   * command certainly never takes effect, `invalid-field` if the state machine could not read it, `body-too-large`,
+   * `disk-full` if this is the only member, `outcome-unknown`.
    */
   propose(command: Buffer): EitherAsync<NettlespurError, R> {
     return tryAsync(() => {
@@ -119,8 +119,9 @@
       if (this.#proposals.size >= this.#replica.limits.waitingProposals) {
         throw createNoQuorum('too many changes wait for their commit')
       }
-      checkProposal(this.#replica, command)
-      return this.#proposals.wait(leader.push(encodeCommand(command)))
+      const payload = encodeCommand(command)
+      checkProposal(this.#replica, command, payload)
+      return this.#proposals.wait(leader.push(payload))
     })
   }
 
--- a/consensus/raft/src/raftTransport.ts
+++ b/consensus/raft/src/raftTransport.ts
@@ -14,6 +14,8 @@
 } from './messages.js'
 
 export abstract class RaftTransport {
+  /** Longest payload of one entry that an append request can carry, in bytes. */
+  abstract readonly payloadBytesMax: number
   abstract requestVote(to: Member, request: VoteRequest): Promise<VoteAnswer>
   abstract appendEntries(to: Member, request: AppendRequest): Promise<AppendAnswer>
   abstract installSnapshot(to: Member, request: InstallRequest): Promise<InstallAnswer>
--- a/control/log/src/raftWire.ts
+++ b/control/log/src/raftWire.ts
@@ -6,8 +6,19 @@
   type AppendRequest,
   type InstallRequest,
 } from '@nettlespur/consensus.raft'
+import { messageBytesMax } from '@nettlespur/rpc.peer'
 import { z } from 'zod'
 
+/** What an append request with one entry has besides the payload. */
+const envelopeBytesMax = 4096
+/** Base64 takes four characters for three bytes. */
+const bytesPerBase64Character = 3 / 4
+
+/** Longest payload of one entry that fits into a message to a peer. */
+export const wirePayloadBytesMax = Math.floor(
+  (messageBytesMax - envelopeBytesMax) * bytesPerBase64Character,
+)
+
 const bytesSchema = z.base64().transform((text) => Buffer.from(text, 'base64'))
 
 export const wireAppendSchema = appendRequestSchema.extend({
--- a/control/log/src/rpcTransport.ts
+++ b/control/log/src/rpcTransport.ts
@@ -17,7 +17,7 @@
 import { unwrap, type RpcResult } from '@nettlespur/core.errors'
 import { callPeer, RpcClients, type RpcClient } from '@nettlespur/rpc.peer'
 import type { RaftRouter } from './createRaftRouter.js'
-import { toWireAppend, toWireInstall } from './raftWire.js'
+import { toWireAppend, toWireInstall, wirePayloadBytesMax } from './raftWire.js'
 
 export interface RpcTransportOptions {
   clock: Clock
@@ -32,6 +32,7 @@
 type Caller = RpcClient<RaftRouter>['call']['raft']
 
 export class RpcTransport extends RaftTransport {
+  readonly payloadBytesMax = wirePayloadBytesMax
   readonly #clients: RpcClients<RaftRouter>
 
   constructor(opts: RpcTransportOptions) {
--- a/core/errors/src/errorAnswers.ts
+++ b/core/errors/src/errorAnswers.ts
@@ -64,6 +64,7 @@
   'no-quorum': later(503),
   'contract-lease-expired': later(503),
   draining: later(503),
+  'version-mismatch': later(503),
   'cancelled-before-start': refused(409),
   'cancelled-after-start': ran(409),
   'job-failed': ran(502),
--- a/core/errors/src/errorKind.ts
+++ b/core/errors/src/errorKind.ts
@@ -34,6 +34,8 @@
   'no-quorum',
   'contract-lease-expired',
   'draining',
+  /** A peer of another version cannot read the call. */
+  'version-mismatch',
   'cancelled-before-start',
   'cancelled-after-start',
   'job-failed',
--- a/rpc/peer/src/callPeer.ts
+++ b/rpc/peer/src/callPeer.ts
@@ -8,9 +8,14 @@
 import { TRPCClientError } from '@trpc/client'
 import { EitherAsync } from 'purify-ts'
 
+/** tRPC's codes for a call that no procedure was executed for: its input is invalid, or the procedure does not exist. */
+const unreadCodes: ReadonlySet<unknown> = new Set(['BAD_REQUEST', 'NOT_FOUND', 'PARSE_ERROR'])
+/** By then another member may lead. */
+const retryAfterMs = 1000
+
 /**
  * Runs one procedure that answers with an RpcResult. Errors: those of the procedure, `unauthorized`, `unreachable`,
- * `outcome-unknown`.
+ * `body-too-large`, `version-mismatch`, `outcome-unknown`.
  */
 export function callPeer<T>(run: () => Promise<RpcResult<T>>): EitherAsync<NettlespurError, T> {
   return EitherAsync<unknown, RpcResult<T>>(run)
@@ -21,5 +26,16 @@
 function toPeerError(thrown: unknown): NettlespurError {
   const cause = thrown instanceof TRPCClientError ? (thrown.cause ?? thrown) : thrown
   if (cause instanceof NettlespurError) return cause
+  if (isRefusedUnread(thrown)) {
+    const message = `the peer cannot read the call: ${toNettlespurError(cause).message}`
+    return new NettlespurError('version-mismatch', message, { retryAfterMs, cause })
+  }
   return new NettlespurError('outcome-unknown', toNettlespurError(cause).message, { cause })
 }
+
+/** Whether the peer's answer shows that it has executed nothing of the call. */
+function isRefusedUnread(thrown: unknown): boolean {
+  if (!(thrown instanceof TRPCClientError)) return false
+  const data: unknown = thrown.data
+  return typeof data === 'object' && data !== null && 'code' in data && unreadCodes.has(data.code)
+}
