fix(errors): a call says that it has not run only if none of its attempts may have

Hypotheses: (1) an entry forgets its first attempt, which got no answer, when a later one is refused for good; (2) the leader refuses a job that it has stored itself; (3) a follower answers from old state. They differ in the entry's line of the call: with (1) it has two attempts, the first without an answer. Evidence: the test against a stand-in leader fails on the code as found with [outcome-unknown and executed, unauthorized], shrunk from 36 random scripts; with a refusal as the first answer nothing was ever stored.

Cause: one call makes several attempts, and the last answer was told as if it were the only one. The same stood in askControl (any final refusal went before an attempt in doubt) and in the sender of claims. Whether an error is in doubt or another member may do better was kept in four lists beside the table of errors; storage-damaged, in doubt by the table, counted as final by the lists.

Change: AttemptHistory holds the rule in one place: record each attempt's error; a summary that says "not run" becomes outcome-unknown if an attempt may have been executed. The table says of each kind whether a client calls again by itself (isTransient), and the lists are gone. So a member with damaged storage no longer ends a call, and calls to control are also retried past members that drain or whose disk failed.

Weighed: acknowledging a stored job whose key is gone by now would be more definite, but PROTOCOL.md has an unknown key answered 401, and such a 200 would run a dropped key after config-apply-ms. So the call is answered 504 at once; sent again it gets 401. `ran` speaks of the call that it answers.

--- a/batch/service/src/leaderCaller.ts
+++ b/batch/service/src/leaderCaller.ts
@@ -4,7 +4,7 @@
 import { callPeer, type CallLimits } from '@nettlespur/rpc.peer'
 import type { EitherAsync } from 'purify-ts'
 import type { BatchApi } from './batchApi.js'
-import { isFinal, type AttemptResult } from './callOutcomes.js'
+import type { AttemptResult } from './attemptResult.js'
 import type { CallTrace } from './callTrace.js'
 import type { LeaderFinder } from './leaderFinder.js'
 import type { Operation } from './operation.js'
@@ -98,7 +98,7 @@
   /** Drops the presumed leader, unless the error is the leader's own answer. */
   #handleFailure(address: string, error: NettlespurError): void {
     const { finder } = this.#opts
-    if (isFinal(error) || finder.leaderAddress !== address) return
+    if (!error.answer.isTransient || finder.leaderAddress !== address) return
     // A member that gave no answer is rejected too: followers name a killed leader until they elect another.
     finder.rejectLeader(
       address,
--- a/batch/service/src/operationRunner.ts
+++ b/batch/service/src/operationRunner.ts
@@ -1,9 +1,13 @@
 /** Sends one call to the current leader, retries it until it has an answer or its time is up, and logs the outcome. */
 import type { Clock } from '@nettlespur/core.clock'
-import { NettlespurError, toNettlespurError, tryAsync } from '@nettlespur/core.errors'
+import {
+  AttemptHistory,
+  NettlespurError,
+  toNettlespurError,
+  tryAsync,
+} from '@nettlespur/core.errors'
 import type { EitherAsync } from 'purify-ts'
 import type { CallLog, CallLogOptions } from './callLog.js'
-import { isFinal, isInDoubt } from './callOutcomes.js'
 import { CallTrace } from './callTrace.js'
 import type { CallerWait } from './callerWait.js'
 import { LeaderCaller, type LeaderCallerOptions } from './leaderCaller.js'
@@ -72,18 +76,19 @@
 
   /** Runs one attempt after the other, so that this process never has a change in flight twice. */
   async #runSequentially<T>(operation: Operation<T>, trace: CallTrace): Promise<T> {
-    let mayHaveRun = false
+    const history = new AttemptHistory()
     let backoffMs = initialBackoffMs
     for (;;) {
-      const limitMs = this.#computeTimeLimitMs(operation, trace, mayHaveRun)
+      const limitMs = this.#computeTimeLimitMs(operation, trace, history)
       const searchMs = Math.max(0, Math.min(searchSliceMs, limitMs - trace.tookMs))
       const attempt = await this.#caller.tryOnce(operation, { trace, searchMs, limits: {} })
       if (!(attempt instanceof NettlespurError)) return attempt.value
-      mayHaveRun ||= isInDoubt(attempt)
-      if (isFinal(attempt)) throw attempt
+      history.record(attempt)
       const isOver =
-        trace.isCallerGone || trace.tookMs >= this.#computeTimeLimitMs(operation, trace, mayHaveRun)
-      if (isOver) throw toFinalError(attempt, mayHaveRun)
+        !attempt.answer.isTransient ||
+        trace.isCallerGone ||
+        trace.tookMs >= this.#computeTimeLimitMs(operation, trace, history)
+      if (isOver) throw history.summarize(attempt)
       await this.#clock.sleep(backoffMs)
       backoffMs = Math.min(maxBackoffMs, backoffMs * backoffFactor)
     }
@@ -97,7 +102,7 @@
   #computeTimeLimitMs(
     operation: Operation<unknown>,
     { deadlineMs }: CallTrace,
-    mayHaveRun: boolean,
+    { mayHaveRun }: AttemptHistory,
   ): number {
     const { finder } = this.#opts
     const { patienceMs = this.#opts.patienceMs } = operation
@@ -109,9 +114,3 @@
       : Math.min(patienceMs, Math.max(0, callerTimeLimitMs))
   }
 }
-
-/** The error that the caller gets once the time of its call is up. */
-function toFinalError(last: NettlespurError, mayHaveRun: boolean): NettlespurError {
-  if (!mayHaveRun) return last
-  return new NettlespurError('outcome-unknown', last.message, { cause: last })
-}
--- a/batch/service/src/runHedgedRead.ts
+++ b/batch/service/src/runHedgedRead.ts
@@ -5,7 +5,7 @@
  */
 import { Wake, type Clock } from '@nettlespur/core.clock'
 import { NettlespurError } from '@nettlespur/core.errors'
-import { isFinal, isInDoubt, type AttemptResult } from './callOutcomes.js'
+import type { AttemptResult } from './attemptResult.js'
 import type { CallTrace } from './callTrace.js'
 import type { LeaderCaller } from './leaderCaller.js'
 import type { Operation } from './operation.js'
@@ -98,8 +98,9 @@
   /** Throws if the error is the leader's answer, if no leader was reached for `patienceMs`, or if the caller is gone. */
   #throwIfFinal(error: NettlespurError): void {
     const { trace, patienceMs } = this.#opts
-    const isRefused = !isInDoubt(error) && trace.tookMs >= patienceMs
-    if (isFinal(error) || isRefused || trace.isCallerGone) throw error
+    const { ran, isTransient } = error.answer
+    const isRefused = ran === 'no' && trace.tookMs >= patienceMs
+    if (!isTransient || isRefused || trace.isCallerGone) throw error
   }
 
   #createTimeoutError(cause: AttemptResult<T> | undefined): NettlespurError {
--- /dev/null
+++ b/core/errors/src/attemptHistory.ts
@@ -0,0 +1,28 @@
+/**
+ * What the failed attempts of one call say together. An attempt that got no answer may have been executed, or may yet be,
+ * whatever a later attempt is told: the later answer may come from another leader, under a newer configuration.
+ */
+import { NettlespurError } from './nettlespurError.js'
+
+export class AttemptHistory {
+  #inDoubt: NettlespurError | undefined
+
+  /** Whether an attempt so far may have been executed. */
+  get mayHaveRun(): boolean {
+    return this.#inDoubt !== undefined
+  }
+
+  /** Records the error of one attempt. */
+  record(error: NettlespurError): void {
+    if (error.answer.ran === 'unknown') this.#inDoubt ??= error
+  }
+
+  /**
+   * Returns the error to report for the whole call: `last`, unless it says that nothing has run while an earlier attempt may
+   * have; then `outcome-unknown`. `last` is recorded already.
+   */
+  summarize(last: NettlespurError): NettlespurError {
+    if (this.#inDoubt === undefined || last.answer.ran !== 'no') return last
+    return new NettlespurError('outcome-unknown', last.message, { cause: last })
+  }
+}
--- a/core/errors/src/errorAnswers.ts
+++ b/core/errors/src/errorAnswers.ts
@@ -1,10 +1,11 @@
 /**
  * The one table from error kind to answer: the HTTP status a caller gets, whether the work may have run,
- * the exit code of the command line, and whether coming back later can help.
+ * the exit code of the command line, whether coming back later can help, and whether the process that got the
+ * error calls again by itself.
  */
 import type { ErrorKind } from './errorKind.js'
 
-/** Whether the work a failed call asked for has run. */
+/** Whether the work that the failed call asked for has run. It says nothing of other calls for the same work. */
 export type Ran = 'no' | 'unknown' | 'yes'
 
 /** Exit codes of the command line. */
@@ -23,8 +24,14 @@
   readonly exitCode: number
   /** True where the same call may succeed later without being changed. */
   readonly retryable: boolean
+  /**
+   * True if another member may accept the same call now, or the same member after a change of leader: clients of a group of
+   * members call again, as far as the call is idempotent.
+   */
+  readonly isTransient: boolean
 }
 
+const transient = (found: ErrorAnswer): ErrorAnswer => ({ ...found, isTransient: true })
 const refused = (httpStatus: number): ErrorAnswer =>
   answer(httpStatus, 'no', exitCodes.refused, false)
 const later = (httpStatus: number): ErrorAnswer => answer(httpStatus, 'no', exitCodes.refused, true)
@@ -60,28 +67,28 @@
   'no-upstream': later(503),
   'upstream-refused': later(503),
   'no-config': later(503),
-  'not-leader': later(503),
-  'no-quorum': later(503),
+  'not-leader': transient(later(503)),
+  'no-quorum': transient(later(503)),
   'contract-lease-expired': later(503),
-  draining: later(503),
-  'version-mismatch': later(503),
+  draining: transient(later(503)),
+  'version-mismatch': transient(later(503)),
   'cancelled-before-start': refused(409),
   'cancelled-after-start': ran(409),
   'job-failed': ran(502),
   'upstream-failed': ran(502),
   'answer-expired': ran(410),
-  'outcome-unknown': unknown(504),
+  'outcome-unknown': transient(unknown(504)),
   'fence-too-low': refused(409),
   'membership-refused': refused(409),
-  'disk-full': later(507),
-  'storage-damaged': unknown(500),
-  'storage-failed': unknown(500),
+  'disk-full': transient(later(507)),
+  'storage-damaged': transient(unknown(500)),
+  'storage-failed': transient(unknown(500)),
   'invalid-settings': usage(400),
   'invalid-usage': usage(400),
-  unreachable: answer(503, 'no', exitCodes.unreachable, true),
-  internal: unknown(500),
+  unreachable: transient(answer(503, 'no', exitCodes.unreachable, true)),
+  internal: transient(unknown(500)),
 }
 
 function answer(httpStatus: number, ran: Ran, exitCode: number, retryable: boolean): ErrorAnswer {
-  return { httpStatus, ran, exitCode, retryable }
+  return { httpStatus, ran, exitCode, retryable, isTransient: false }
 }
--- a/core/errors/src/index.ts
+++ b/core/errors/src/index.ts
@@ -1,4 +1,5 @@
 /** The closed list of error kinds and the table from kind to answer. */
+export { AttemptHistory } from './attemptHistory.js'
 export { describeFault, type FaultFields } from './describeFault.js'
 export { errorAnswers, exitCodes, type ErrorAnswer, type Ran } from './errorAnswers.js'
 export { errorBodySchema, fromErrorBody, toErrorBody, type ErrorBody } from './errorBody.js'
--- a/entry/claims/src/claimChangeSender.ts
+++ b/entry/claims/src/claimChangeSender.ts
@@ -6,11 +6,11 @@
 import type { ControlApi } from '@nettlespur/control.api'
 import type { Clock } from '@nettlespur/core.clock'
 import {
+  AttemptHistory,
   fromRpcResult,
   NettlespurError,
   toNettlespurError,
   unwrap,
-  type ErrorKind,
 } from '@nettlespur/core.errors'
 import { Left, type Either } from 'purify-ts'
 
@@ -18,14 +18,6 @@
 const concurrentCallsMax = 4
 const retryPauseMs = 100
 
-/** Failures after which a call is retried: control may or may not have applied it, or its leader is changing. */
-export const transientKinds: ReadonlySet<ErrorKind> = new Set([
-  'outcome-unknown',
-  'unreachable',
-  'not-leader',
-  'no-quorum',
-])
-
 type ClaimResult = Either<NettlespurError, Claim>
 
 interface PendingChange {
@@ -44,14 +36,19 @@
     this.#control = control
   }
 
-  /** Returns the claim after the change. Throws control's refusal, or the last transient failure at the deadline. */
+  /**
+   * Returns the claim after the change. Throws control's refusal, or the last transient failure at the deadline; either as
+   * `outcome-unknown` if an attempt may have changed the claim.
+   */
   async commit(change: ClaimChange, deadlineAtMs: number): Promise<Claim> {
+    const history = new AttemptHistory()
     for (;;) {
       const result = await this.#send(change)
       if (result.isRight()) return result.unsafeCoerce()
       const error = toNettlespurError(result.extract())
-      if (!transientKinds.has(error.kind)) throw error
-      if (this.#clock.monotonicMs() + retryPauseMs >= deadlineAtMs) throw error
+      history.record(error)
+      const isOver = this.#clock.monotonicMs() + retryPauseMs >= deadlineAtMs
+      if (!error.answer.isTransient || isOver) throw history.summarize(error)
       await this.#clock.sleep(retryPauseMs)
     }
   }
--- a/entry/claims/src/claimingRouter.ts
+++ b/entry/claims/src/claimingRouter.ts
@@ -12,7 +12,7 @@
 import { RequestRouter, type ShortAnswer, type ShortRequest } from '@nettlespur/entry.requests'
 import type { EitherAsync } from 'purify-ts'
 import type { AnswerCollector } from './answerCollector.js'
-import { ClaimChangeSender, transientKinds } from './claimChangeSender.js'
+import { ClaimChangeSender } from './claimChangeSender.js'
 import { createOutcomeUnknownError, OutcomeReader } from './outcomeReader.js'
 import { RequestClaim } from './requestClaim.js'
 
@@ -116,7 +116,7 @@
     if (claim.committed !== undefined)
       return this.#settleNotRun(request, claim, claim.committed, error)
     if (claim.hasAskedControl) {
-      throw transientKinds.has(error.kind) ? createOutcomeUnknownError(error.message, error) : error
+      throw error.answer.isTransient ? createOutcomeUnknownError(error.message, error) : error
     }
     const known = await this.#outcomes.find(request, key)
     if (known === null || known.outcome?.kind === 'not-run') throw error
--- a/entry/claims/src/outcomeReader.ts
+++ b/entry/claims/src/outcomeReader.ts
@@ -6,7 +6,6 @@
 import type { ShortAnswer, ShortRequest } from '@nettlespur/entry.requests'
 import type { TypedAnswer } from '@nettlespur/upstream.client'
 import type { AnswerCollector } from './answerCollector.js'
-import { transientKinds } from './claimChangeSender.js'
 
 const awaitCallMsMax = 1000
 const retryPauseMs = 100
@@ -70,7 +69,7 @@
       const asked = await control.awaitClaim({ workspace, key, waitMs }).run()
       if (asked.isRight()) return asked.extract()
       const error = toNettlespurError(asked.extract())
-      if (!transientKinds.has(error.kind) || clock.monotonicMs() + retryPauseMs >= endMs) {
+      if (!error.answer.isTransient || clock.monotonicMs() + retryPauseMs >= endMs) {
         throw createOutcomeUnknownError('control did not return the claim of its key', error)
       }
       await clock.sleep(retryPauseMs)
@@ -113,7 +112,7 @@
         )
       } catch (thrown) {
         const error = toNettlespurError(thrown)
-        const isTransient = transientKinds.has(error.kind)
+        const { isTransient } = error.answer
         if (!isTransient || clock.monotonicMs() + retryPauseMs >= request.deadlineAtMs) {
           throw new NettlespurError(
             'answer-expired',
--- a/entry/service/src/askControl.ts
+++ b/entry/service/src/askControl.ts
@@ -4,7 +4,12 @@
  * error says so.
  */
 import type { Clock } from '@nettlespur/core.clock'
-import { NettlespurError, toNettlespurError, type ErrorKind } from '@nettlespur/core.errors'
+import {
+  AttemptHistory,
+  NettlespurError,
+  toNettlespurError,
+  type ErrorKind,
+} from '@nettlespur/core.errors'
 import type { EitherAsync } from 'purify-ts'
 
 /** `read` changes nothing. `idempotent` may be sent again. `once` must not be sent again if it may have arrived. */
@@ -15,14 +20,6 @@
 const retryPauseMaxMs = 250
 const retryAfterMs = 1000
 
-/** Failures that may be due to a change of leader. */
-const transientKinds: ReadonlySet<ErrorKind> = new Set([
-  'outcome-unknown',
-  'unreachable',
-  'not-leader',
-  'no-quorum',
-])
-
 export interface AskControlOptions {
   clock: Clock
   effect: CallEffect
@@ -30,37 +27,40 @@
   random?: () => number
 }
 
-/** Errors: throws control's own error, or after the last retry the one that describes all failed calls; see `chooseError`. */
+/** Errors: throws control's own error, or after the last retry the one that describes all failed calls. */
 export async function askControl<T>(
   opts: AskControlOptions,
   ask: () => EitherAsync<NettlespurError, T>,
 ): Promise<T> {
   const endMs = opts.clock.monotonicMs() + retryPeriodMs
-  let unknown: NettlespurError | undefined
+  const history = new AttemptHistory()
   for (;;) {
     const outcome = await ask().run()
     if (outcome.isRight()) return outcome.extract()
     const error = toNettlespurError(outcome.extract())
-    if (error.kind === 'outcome-unknown') unknown = error
-    const canRetry =
-      transientKinds.has(error.kind) && (opts.effect !== 'once' || unknown === undefined)
+    history.record(error)
+    const canRetry = error.answer.isTransient && (opts.effect !== 'once' || !history.mayHaveRun)
     if (!canRetry || opts.clock.monotonicMs() >= endMs) {
-      throw chooseError(opts.effect, error, unknown)
+      throw opts.effect === 'read' ? toReadError(error) : toChangeError(history.summarize(error))
     }
     await opts.clock.sleep(choosePauseMs(opts.random ?? Math.random))
   }
 }
 
-/** Chooses the error to report: that of a change that may have been applied goes before the last one. */
-function chooseError(
-  effect: CallEffect,
-  last: NettlespurError,
-  unknown: NettlespurError | undefined,
-): NettlespurError {
-  if (!transientKinds.has(last.kind)) return last
-  if (effect !== 'read' && unknown !== undefined) return unknown
+/** A read that got no answer has changed nothing. */
+function toReadError(last: NettlespurError): NettlespurError {
+  if (!last.answer.isTransient) return last
   const kind = last.kind === 'outcome-unknown' ? 'unreachable' : last.kind
-  return new NettlespurError(kind, last.message, { hint: last.hint, retryAfterMs, cause: last })
+  return withRetryDelay(kind, last)
+}
+
+function toChangeError(error: NettlespurError): NettlespurError {
+  const { isTransient, ran } = error.answer
+  return isTransient && ran === 'no' ? withRetryDelay(error.kind, error) : error
+}
+
+function withRetryDelay(kind: ErrorKind, cause: NettlespurError): NettlespurError {
+  return new NettlespurError(kind, cause.message, { hint: cause.hint, retryAfterMs, cause })
 }
 
 function choosePauseMs(random: () => number): number {
