fix(service): a leader confirms that it still leads before it refuses a job for want of room

A member that was cut off and still believes that it leads refused a job with queue-full or over-limit (429, "never runs") or no-config (503) by its own state, while another leader may have stored the job on an earlier attempt, made through another entry that remembers nothing of it. The refusal now waits for a confirmed read and looks the job up again; 401 and 404 did so already. Accepted jobs wait for nothing more.

--- a/batch/service/src/leaderApi.ts
+++ b/batch/service/src/leaderApi.ts
@@ -46,7 +46,10 @@
   constructor(opts: LeaderApiOptions) {
     super()
     this.#opts = opts
-    this.#admission = new JobAdmission(opts.getState)
+    this.#admission = new JobAdmission({
+      getState: opts.getState,
+      confirmRead: () => this.#confirmRead(),
+    })
     opts.metrics.gauge('jobs_held_size', () => opts.getState().heldSize)
   }
 
@@ -212,8 +215,9 @@
 
   /** Authorizes the call. A refusal may rest on stale state, so it is checked again after a confirmed read. */
   async #authorize(call: QueueCall, pathSuffix: string): Promise<AuthorizedCall> {
-    const known = authorizeCall(this.#requireConfig(), call, pathSuffix)
-    if (!(known instanceof NettlespurError)) return known
+    const { config } = this.#state
+    const known = config === undefined ? undefined : authorizeCall(config, call, pathSuffix)
+    if (known !== undefined && !(known instanceof NettlespurError)) return known
     await this.#confirmRead()
     const newest = authorizeCall(this.#requireConfig(), call, pathSuffix)
     if (newest instanceof NettlespurError) throw newest
--- a/batch/service/test/jobAdmission.test.ts
+++ b/batch/service/test/jobAdmission.test.ts
@@ -8,7 +8,10 @@
 function createAdmission() {
   const state = new BatchState()
   state.apply({ type: 'apply-config', config: createConfig(1) })
-  const admission = new JobAdmission(() => state)
+  const admission = new JobAdmission({
+    getState: () => state,
+    confirmRead: () => Promise.resolve(),
+  })
   const submit = (jobId: string, taskCount: number, isGang = false): Promise<string> => {
     const request = createJob(jobId, { taskCount, isGang })
     return admission.propose(request, () =>
