refactor(scheduler): no file of batch/scheduler names another in a circle

Ten files did: claimBounds took its input from orderUnits, schedulerView the view of the headroom from the code that decides with it, and units, groups and allocations named each other. Now the shared types and constants stand alone (headroomView, expectedClaims, urgentPriority), the allocation of one upstream has its own file beside that of a round, and a claim's wait is a type of claimBounds.

--- a/batch/scheduler/src/chooseUpstreams.ts
+++ b/batch/scheduler/src/chooseUpstreams.ts
@@ -3,11 +3,12 @@
  * gangs, and a single rack for gangs that are slow across racks. Groups of upstreams that the unit prefers are tried in
  * order (see `listGroups`). Urgent work runs on cold upstreams only if the warm ones cannot take it now.
  */
-import { urgentPriority } from './computeStopCostLimit.js'
+import { urgentPriority } from './urgentPriority.js'
 import { fillGangGroups, fillGroups, sumFits, type ScopeFit } from './fillGroups.js'
 import { fillEmptiest, fillTightest } from './fillTightest.js'
 import { listScopes } from './listScopes.js'
-import type { UpstreamAllocation, RoundAllocations } from './roundAllocations.js'
+import type { RoundAllocations } from './roundAllocations.js'
+import type { UpstreamAllocation } from './upstreamAllocation.js'
 import type { StartUnit } from './startUnit.js'
 
 /**
--- a/batch/scheduler/src/claimBounds.ts
+++ b/batch/scheduler/src/claimBounds.ts
@@ -2,8 +2,6 @@
  * Bounds of the platform on the start of guaranteed work and on stops. They answer loads in which stops take a large part of
  * the time that guaranteed work has: what was stopped for a claim must not go to another, and a preference must end in time.
  */
-import type { RankedUnit } from './orderUnits.js'
-
 export interface ClaimBounds {
   /** Guaranteed work has to start this long after its acceptance at the latest. */
   readonly guaranteedStartMsMax: number
@@ -22,9 +20,16 @@
   return Math.max(0, guaranteedStartMsMax - stopMsMax - orderMarginMs)
 }
 
+/** What decides whether a claim is due. */
+export interface ClaimWait {
+  readonly isGuaranteed: boolean
+  /** Since the acceptance of the job. */
+  readonly waitedMs: number
+}
+
 /** Whether a guaranteed unit has to get its capacity at once to start within its bound. */
 export function isClaimDue(
-  { isGuaranteed, waitedMs }: Pick<RankedUnit, 'isGuaranteed' | 'waitedMs'>,
+  { isGuaranteed, waitedMs }: ClaimWait,
   bounds: ClaimBounds | undefined,
 ): boolean {
   return bounds !== undefined && isGuaranteed && waitedMs >= measureClaimWaitMsMax(bounds)
--- a/batch/scheduler/src/computeStopCostLimit.ts
+++ b/batch/scheduler/src/computeStopCostLimit.ts
@@ -7,9 +7,8 @@
 import type { RankedUnit } from './orderUnits.js'
 import { measureCores } from './resources.js'
 import type { StartUnit } from './startUnit.js'
+import { urgentPriority } from './urgentPriority.js'
 
-/** Priority of queues whose callers wait for the answer. */
-export const urgentPriority = 0
 const millisecondsPerSecond = 1000
 
 /** Returns the limit in core-seconds; 0 if the unit may preempt nothing. */
--- a/batch/scheduler/src/fillGroups.ts
+++ b/batch/scheduler/src/fillGroups.ts
@@ -1,7 +1,7 @@
 /** Assigns the tasks of a unit to upstreams, group by group in the order of the unit's preference. */
 import { addAll } from '@nettlespur/core.lists'
 import { fillTightest, type UpstreamFit } from './fillTightest.js'
-import type { UpstreamAllocation } from './roundAllocations.js'
+import type { UpstreamAllocation } from './upstreamAllocation.js'
 import type { UpstreamGroup } from './upstreamGroup.js'
 
 export interface AllocationFit extends UpstreamFit {
--- a/batch/scheduler/src/headroom.ts
+++ b/batch/scheduler/src/headroom.ts
@@ -4,23 +4,16 @@
  */
 import type { UnitRef } from '@nettlespur/batch.model'
 import { hasPlacements } from '@nettlespur/batch.state'
-import { urgentPriority } from './computeStopCostLimit.js'
+import type { ExpectedClaims } from './expectedClaims.js'
+import type { HeadroomView } from './headroomView.js'
 import type { RankedUnit } from './orderUnits.js'
 import { addResources, countFitting } from './resources.js'
 import type { RoundAllocations } from './roundAllocations.js'
-import type { ExpectedClaims } from './urgentDemand.js'
+import { urgentPriority } from './urgentPriority.js'
 
 /** For how long work of which nothing runs is held back: as long as for any preference (`preferenceWaitMaxMs` of a round). */
 const holdBackMsMax = 2000
 
-/** The demand and the held-back units of earlier rounds; see `HeadroomWatch`. */
-export interface HeadroomView {
-  /** Returns undefined if nothing has to stay free in the pool. */
-  readonly expect: (pool: string) => ExpectedClaims | undefined
-  /** How long ago the unit was first held back after its last start; 0 if it has not been held back since. */
-  readonly heldBackMs: (unit: UnitRef) => number
-}
-
 export class Headroom {
   readonly #view: HeadroomView | undefined
   readonly #allocations: RoundAllocations
--- a/batch/scheduler/src/headroomWatch.ts
+++ b/batch/scheduler/src/headroomWatch.ts
@@ -2,9 +2,10 @@
 import { unitKey, type UnitRef } from '@nettlespur/batch.model'
 import type { JobRecord } from '@nettlespur/batch.state'
 import type { ClaimBounds } from './claimBounds.js'
-import type { HeadroomView } from './headroom.js'
+import type { HeadroomView } from './headroomView.js'
 import type { RoundDecision } from './schedulerView.js'
-import { UrgentDemand, type ExpectedClaims } from './urgentDemand.js'
+import { UrgentDemand } from './urgentDemand.js'
+import type { ExpectedClaims } from './expectedClaims.js'
 
 interface HeldBackUnit extends UnitRef {
   readonly sinceMs: number
--- a/batch/scheduler/src/index.ts
+++ b/batch/scheduler/src/index.ts
@@ -1,8 +1,8 @@
 /** Decides which tasks start on which upstreams, and which runs are preempted. */
 export type { ClaimBounds } from './claimBounds.js'
 export { HeadroomWatch } from './headroomWatch.js'
-export type { ExpectedClaims } from './urgentDemand.js'
-export type { HeadroomView } from './headroom.js'
+export type { ExpectedClaims } from './expectedClaims.js'
+export type { HeadroomView } from './headroomView.js'
 export { planRound } from './planRound.js'
 export { planRoundSafely, type JobFault } from './planRoundSafely.js'
 export { placementsPerRoundMax } from './roundLimits.js'
--- a/batch/scheduler/src/listGroups.ts
+++ b/batch/scheduler/src/listGroups.ts
@@ -4,7 +4,7 @@
  * either slow upstreams or others, and mix them only if neither have room. The failure of one member ends the whole gang,
  * so that gangs and urgent work get unstable upstreams last among those of the same speed.
  */
-import { urgentPriority } from './computeStopCostLimit.js'
+import { urgentPriority } from './urgentPriority.js'
 import type { NeededSpeed } from './neededSpeed.js'
 import { isFastEnough, isTooSlow, type PoolSpeeds } from './poolSpeeds.js'
 import type { StartUnit } from './startUnit.js'
--- a/batch/scheduler/src/listScopes.ts
+++ b/batch/scheduler/src/listScopes.ts
@@ -1,9 +1,6 @@
 /** Placement scopes: groups of upstreams over which a unit may be spread. A gang has to fit within one of them. */
-import {
-  countWhenEmpty,
-  type UpstreamAllocation,
-  type RoundAllocations,
-} from './roundAllocations.js'
+import { countWhenEmpty, type RoundAllocations } from './roundAllocations.js'
+import type { UpstreamAllocation } from './upstreamAllocation.js'
 import type { StartUnit } from './startUnit.js'
 
 /** Returns the scopes of `listUnrestrictedScopes`, reduced to the upstreams that the unit takes for now. */
--- a/batch/scheduler/src/listVictimGroups.ts
+++ b/batch/scheduler/src/listVictimGroups.ts
@@ -1,7 +1,7 @@
 /** Lists the runs that may be preempted: all but those of guaranteed jobs and those being stopped already. */
 import { runKey, type Resources } from '@nettlespur/batch.model'
 import type { JobRecord, Placement } from '@nettlespur/batch.state'
-import { urgentPriority } from './computeStopCostLimit.js'
+import { urgentPriority } from './urgentPriority.js'
 import { rankJob, type JobRank } from './jobRank.js'
 import type { ActiveRun, SchedulerView } from './schedulerView.js'
 
--- a/batch/scheduler/src/poolCapacities.ts
+++ b/batch/scheduler/src/poolCapacities.ts
@@ -1,7 +1,7 @@
 /** Total and free capacity of each pool, to tell whether a unit waits for lack of capacity or for another reason. */
 import type { Resources } from '@nettlespur/batch.model'
 import { addResources, noResources } from './resources.js'
-import type { UpstreamAllocation } from './roundAllocations.js'
+import type { UpstreamAllocation } from './upstreamAllocation.js'
 import type { StartUnit } from './startUnit.js'
 
 /** If this share of a pool is free, a unit waits only because of where it, or other work, may run. */
--- a/batch/scheduler/src/poolSpeeds.ts
+++ b/batch/scheduler/src/poolSpeeds.ts
@@ -4,7 +4,7 @@
  */
 import { maxOf, minOf } from '@nettlespur/core.lists'
 import { runTimeMargin } from './neededSpeed.js'
-import type { UpstreamAllocation } from './roundAllocations.js'
+import type { UpstreamAllocation } from './upstreamAllocation.js'
 import type { SchedulableUpstream } from './schedulerView.js'
 import { possiblyFastProbability } from './speedRange.js'
 
--- a/batch/scheduler/src/schedulerView.ts
+++ b/batch/scheduler/src/schedulerView.ts
@@ -3,7 +3,7 @@
 import type { QueueConfig, Resources, TaskRef, UnitRef } from '@nettlespur/batch.model'
 import type { SpeedDistribution } from '@nettlespur/batch.speeds'
 import type { ClaimBounds } from './claimBounds.js'
-import type { HeadroomView } from './headroom.js'
+import type { HeadroomView } from './headroomView.js'
 import type { StarvingUnit } from './starvingUnit.js'
 import type { SpeedDecisions } from './speedDecisions.js'
 
--- a/batch/scheduler/src/upstreamGroup.ts
+++ b/batch/scheduler/src/upstreamGroup.ts
@@ -1,5 +1,5 @@
 /** A group of upstreams that a unit prefers, given by its members. A unit tries its groups in order. */
-import type { UpstreamAllocation } from './roundAllocations.js'
+import type { UpstreamAllocation } from './upstreamAllocation.js'
 
 export type UpstreamGroup = (upstream: UpstreamAllocation) => boolean
 
--- a/batch/scheduler/src/urgentDemand.ts
+++ b/batch/scheduler/src/urgentDemand.ts
@@ -5,14 +5,8 @@
  */
 import type { Resources } from '@nettlespur/batch.model'
 import type { JobRecord } from '@nettlespur/batch.state'
-import { urgentPriority } from './computeStopCostLimit.js'
-
-/** Capacity that urgent work is expected to claim. */
-export interface ExpectedClaims {
-  /** Needs of a usual urgent task: half of the claimed accelerators are for tasks that are no larger. */
-  readonly taskNeeds: Resources
-  readonly taskCount: number
-}
+import type { ExpectedClaims } from './expectedClaims.js'
+import { urgentPriority } from './urgentPriority.js'
 
 /** Number of past windows from which the demand is estimated. */
 const windowCountMax = 32
