fix(control): a shape is not refused for a job that another leader may have stored under its key

The same class as a refusal for want of room: JobCalls looked the job's key up in its own state, which may be old on an instance that leads no more, and refused the shape as not run. A job with a key now waits for a confirmed read before the refusal. One test, red before.

--- a/control/service/src/jobCalls.ts
+++ b/control/service/src/jobCalls.ts
@@ -4,6 +4,7 @@
   type JobExplanation,
   type JobRequest,
   type JobView,
+  type UpstreamView,
 } from '@nettlespur/api.schemas'
 import type { AnswerRequest, JobOutcome, JobReference } from '@nettlespur/control.api'
 import { waitForWake } from '@nettlespur/control.gangs'
@@ -25,7 +26,7 @@
   }
 
   async submit(request: JobRequest): Promise<JobView> {
-    this.#checkFeasible(request)
+    await this.#checkFeasible(request)
     return this.#createView(await this.#commit({ type: 'job.submit', at: this.#now(), request }))
   }
 
@@ -64,21 +65,35 @@
     )
   }
 
-  /** Refuses a job that the upstreams can never hold, once they have had the time to announce themselves. */
-  #checkFeasible(request: JobRequest): void {
-    const { holder, policy } = this.#opts
-    const { workspace, jobKey, gang } = request
-    if (!this.#session.knowsUpstreams) return
-    if (holder.state.getContract(workspace) === undefined) return
-    if (jobKey !== undefined && holder.state.hasJobKey(workspace, jobKey)) return
+  /**
+   * Refuses a job that the upstreams can never hold, once they have had the time to announce themselves. One that is stored
+   * under its key is never refused, so the refusal of a job with a key waits for a confirmed read: this instance may lead no
+   * more, and another leader have stored the job. Errors: throws `impossible-shape`, `not-leader` and `no-quorum`.
+   */
+  async #checkFeasible(request: JobRequest): Promise<void> {
     const upstreams = this.#session.upstreams.list()
-    if (policy.canEverFit(request, upstreams)) return
+    if (this.#mayBeStored(request) || this.#mayFit(request, upstreams)) return
+    if (request.jobKey !== undefined) await unwrap(this.#opts.log.readBarrier())
+    if (this.#mayBeStored(request)) return
+    const { gang, cpuCores, memoryBytes } = request
     throw new NettlespurError(
       'impossible-shape',
-      `none of the ${upstreams.length} known upstreams, nor several of them together, can hold ${gang.accelerators} accelerators with adjacency ${gang.adjacency}, ${request.cpuCores} cores and ${request.memoryBytes} bytes`,
+      `none of the ${upstreams.length} known upstreams, nor several of them together, can hold ${gang.accelerators} accelerators with adjacency ${gang.adjacency}, ${cpuCores} cores and ${memoryBytes} bytes`,
     )
   }
 
+  #mayBeStored({ workspace, jobKey }: JobRequest): boolean {
+    return jobKey !== undefined && this.#opts.holder.state.hasJobKey(workspace, jobKey)
+  }
+
+  /** Also true while the upstreams or the contract are not known. */
+  #mayFit(request: JobRequest, upstreams: readonly UpstreamView[]): boolean {
+    const { holder, policy } = this.#opts
+    if (!this.#session.knowsUpstreams) return true
+    if (holder.state.getContract(request.workspace) === undefined) return true
+    return policy.canEverFit(request, upstreams)
+  }
+
   async #readJob({ workspace, jobId }: JobReference): Promise<JobRecord> {
     await unwrap(this.#opts.log.readBarrier())
     const job = this.#opts.holder.state.getJob(workspace, jobId)
--- a/control/service/test/controlNode.test.ts
+++ b/control/service/test/controlNode.test.ts
@@ -1,8 +1,9 @@
 import type { Announcement } from '@nettlespur/api.schemas'
 import type { WatchRequest } from '@nettlespur/control.api'
 import { createJobRequest } from '@nettlespur/control.fakes'
-import { unwrap } from '@nettlespur/core.errors'
+import { NettlespurError, unwrap } from '@nettlespur/core.errors'
 import test from 'ava'
+import { EitherAsync, Left } from 'purify-ts'
 import {
   announcement,
   createContractChange,
@@ -120,6 +121,19 @@
   t.like(refused, { kind: 'impossible-shape' })
 })
 
+// Guards against a refusal that rests on old state: another leader may have stored the job under its key meanwhile.
+test('a shape is not refused for a job with a key while it is not certain that the node still leads', async (t) => {
+  const { node, clock, log } = await startNode(t)
+  await unwrap(node.applyContract(createContractChange('one', 0)))
+  await unwrap(node.announce({ items: [{ upstreamId: 'u1', announcement }] }))
+  await clock.advance(timings.upstreamSuspectMs)
+  const cutOff = new NettlespurError('no-quorum', 'no majority answers')
+  log.readBarrier = () => EitherAsync.liftEither(Left(cutOff))
+  const gang = { accelerators: 9, adjacency: 'upstream' as const }
+  const refused = (await node.submitJob(createJobRequest({ gang, jobKey: 'key' })).run()).extract()
+  t.like(refused, { kind: 'no-quorum' })
+})
+
 test('a call that waits for an answer returns the current job when its wait time is over', async (t) => {
   const node = await startNode(t)
   await unwrap(node.node.applyContract(createContractChange('one', 0)))
