refactor(control): no file of control/service, control/state and consensus/raft names another in a circle

The record of an upstream's health, the options of a placement round and the default lifetime of a claim stand in files of their own or with the options of a node, and the logger of slow reads names what it needs of a leadership. Types and constants are moved; nothing else changes.

--- a/consensus/raft/src/slowReadLogger.ts
+++ b/consensus/raft/src/slowReadLogger.ts
@@ -2,7 +2,8 @@
  * Logs reads whose confirmation was slow or refused, with the step that caused it and the voters that were silent. At
  * most one line a second is written, with the count of those left out, as many reads can wait for the same answers.
  */
-import type { Leader } from './leader.js'
+import type { PeerProgress } from './peerProgress.js'
+import type { Replica } from './replica.js'
 
 const lineEveryMs = 1000
 
@@ -15,12 +16,21 @@
   readonly tookMs: number
 }
 
+/** The leadership whose reads are logged. */
+export interface ReadingLeader<R> {
+  readonly replica: Replica<R>
+  readonly term: number
+  /** Aborted when the leadership ends. */
+  readonly ended: AbortSignal
+  getProgress(memberId: string): PeerProgress | undefined
+}
+
 export class SlowReadLogger<R> {
-  readonly #leader: Leader<R>
+  readonly #leader: ReadingLeader<R>
   #lineMs = -Infinity
   #unwritten = 0
 
-  constructor(leader: Leader<R>) {
+  constructor(leader: ReadingLeader<R>) {
     this.#leader = leader
   }
 
--- a/control/service/src/claimCalls.ts
+++ b/control/service/src/claimCalls.ts
@@ -6,9 +6,7 @@
 import { EitherAsync } from 'purify-ts'
 import { filter } from 'rxjs'
 import type { LeaderSession } from './leaderSession.js'
-import type { ControlNodeOptions } from './nodeOptions.js'
-
-export const defaultClaimLifetimeMs = 600_000
+import { defaultClaimLifetimeMs, type ControlNodeOptions } from './nodeOptions.js'
 
 export class ClaimCalls {
   readonly #opts: ControlNodeOptions
--- a/control/service/src/claimResolver.ts
+++ b/control/service/src/claimResolver.ts
@@ -16,9 +16,8 @@
 import type { TaskReference } from '@nettlespur/upstream.client'
 import { EitherAsync } from 'purify-ts'
 import { filter } from 'rxjs'
-import { defaultClaimLifetimeMs } from './claimCalls.js'
 import type { EntryTable } from './entryTable.js'
-import type { ControlNodeOptions, NodeTimings } from './nodeOptions.js'
+import { defaultClaimLifetimeMs, type ControlNodeOptions, type NodeTimings } from './nodeOptions.js'
 
 const tickMs = 250
 const shortestPauseMs = 250
--- a/control/service/src/decideProbes.ts
+++ b/control/service/src/decideProbes.ts
@@ -3,7 +3,7 @@
 import type { JobRecord } from '@nettlespur/control.state'
 import type { PlaceDecision, WaitingJob } from '@nettlespur/placement.engine'
 import { ClusterMap, fitGang, FreeChooser } from '@nettlespur/placement.topology'
-import type { DecideRoundOptions } from './decideRound.js'
+import type { DecideRoundOptions } from './decideRoundOptions.js'
 
 /** Waiting jobs that are considered for each upstream. */
 const candidatesMax = 50
--- a/control/service/src/decideRound.ts
+++ b/control/service/src/decideRound.ts
@@ -3,25 +3,17 @@
  * where its tasks have failed, as long as other upstreams can hold it, and probes quarantined upstreams with
  * repeatable jobs.
  */
-import type { ControlState } from '@nettlespur/control.state'
 import {
   createPlacedGang,
   type PlaceDecision,
   type PlacementDecision,
-  type PlacementPolicy,
   type PlacementView,
   type WaitingJob,
 } from '@nettlespur/placement.engine'
 import { decideProbes } from './decideProbes.js'
+import type { DecideRoundOptions } from './decideRoundOptions.js'
 import type { Preemption } from './listMoves.js'
 
-export interface DecideRoundOptions {
-  policy: PlacementPolicy
-  view: PlacementView
-  state: ControlState
-  now: Date
-}
-
 export type RoundDecision = PlacementDecision | Preemption
 
 export function decideRound(opts: DecideRoundOptions): PlacementDecision[] {
--- a/control/service/src/nodeOptions.ts
+++ b/control/service/src/nodeOptions.ts
@@ -8,6 +8,8 @@
 import type { PlacementPolicy } from '@nettlespur/placement.engine'
 import type { UpstreamClient } from '@nettlespur/upstream.client'
 
+export const defaultClaimLifetimeMs = 600_000
+
 export interface NodeTimings extends GangTimings {
   /** How long an entry may enforce its contracts without hearing from control. */
   readonly contractLeaseMs: number
--- a/control/state/src/controlState.ts
+++ b/control/state/src/controlState.ts
@@ -24,7 +24,7 @@
 import { readSnapshot, takeSnapshot, type StateSnapshot } from './stateSnapshot.js'
 import { submitJob } from './submitJob.js'
 import { takeClaim } from './takeClaim.js'
-import type { UpstreamHealth } from './upstreamHealth.js'
+import type { UpstreamHealth } from './upstreamHealthRecord.js'
 
 export class ControlState {
   readonly #data: StateData
--- a/control/state/src/index.ts
+++ b/control/state/src/index.ts
@@ -25,6 +25,6 @@
   endedJobMaxAgeMs,
   endedJobsMax,
 } from './retention.js'
-export { type UpstreamHealth } from './upstreamHealth.js'
+export { type UpstreamHealth } from './upstreamHealthRecord.js'
 export { StateHolder } from './stateHolder.js'
 export { stateSnapshotSchema, type StateSnapshot } from './stateSnapshot.js'
--- a/control/state/src/stateData.ts
+++ b/control/state/src/stateData.ts
@@ -3,7 +3,7 @@
 import { EvacuationTable } from '@nettlespur/core.evacuations'
 import { ClaimTable } from './claimTable.js'
 import type { JobRecord } from './jobRecord.js'
-import type { UpstreamHealth } from './upstreamHealth.js'
+import type { UpstreamHealth } from './upstreamHealthRecord.js'
 
 /** An accepted contract change. If the change is resent, its first result is rebuilt from this record. */
 export interface ChangeRecord {
--- a/control/state/src/stateSnapshot.ts
+++ b/control/state/src/stateSnapshot.ts
@@ -15,7 +15,7 @@
   type StateData,
   type WorkspaceHistory,
 } from './stateData.js'
-import { upstreamHealthSchema } from './upstreamHealth.js'
+import { upstreamHealthSchema } from './upstreamHealthRecord.js'
 
 const changeSchema = z.object({
   digest: z.string(),
--- a/control/state/src/upstreamHealth.ts
+++ b/control/state/src/upstreamHealth.ts
@@ -5,11 +5,11 @@
  * the upstream. After a pause the upstream is probed; each success doubles the number of gangs it may hold,
  * until the quarantine ends.
  */
-import { z } from 'zod'
 import { addMs } from './addMs.js'
 import type { TaskFailure } from './command.js'
 import type { JobRecord } from './jobRecord.js'
 import type { StateData } from './stateData.js'
+import type { Quarantine, UpstreamHealth } from './upstreamHealthRecord.js'
 
 /** Number of distinct jobs whose marks quarantine an upstream. */
 export const quarantineMarkCount = 3
@@ -18,24 +18,6 @@
 const initialPauseMs = 10_000
 const longestPauseMs = 600_000
 
-const quarantineSchema = z.object({
-  since: z.iso.datetime(),
-  /** The upstream is not probed before this time. */
-  probeAt: z.iso.datetime(),
-  pauseMs: z.int().positive(),
-  /** Number of gangs the upstream may hold at once from `probeAt` on. */
-  admittedGangs: z.int().positive(),
-  /** True once a probe has failed or succeeded. From then on, removing marks no longer ends the quarantine. */
-  probed: z.boolean(),
-})
-
-export const upstreamHealthSchema = z.object({
-  /** Jobs whose failures mark the upstream. */
-  markedBy: z.array(z.string()),
-  quarantine: quarantineSchema.optional(),
-})
-export type UpstreamHealth = z.infer<typeof upstreamHealthSchema>
-
 /** The fields of a command that ends an attempt. */
 interface AttemptEnd {
   readonly at: string
@@ -97,7 +79,7 @@
   else data.upstreamHealth.delete(upstreamId)
 }
 
-function startQuarantine(at: string): z.infer<typeof quarantineSchema> {
+function startQuarantine(at: string): Quarantine {
   const probeAt = addMs(at, initialPauseMs)
   return { since: at, probeAt, pauseMs: initialPauseMs, admittedGangs: 1, probed: false }
 }
