--- a/batch/fakes/src/fleetLedger.ts
+++ b/batch/fakes/src/fleetLedger.ts
@@ -4,7 +4,6 @@
 import type { Clock } from '@nettlespur/core.clock'
 import { minOf } from '@nettlespur/core.lists'
 import { GiveUpReasons } from './giveUpReasons.js'
-import type { FakeUpstream } from './fakeUpstream.js'
 import { RunProgress } from './runProgress.js'
 
 const gangWaitMs = 3000
@@ -12,6 +11,16 @@
 const crashesMax = 3
 const noNeeds: Resources = { cpuMillicores: 0, memoryMiB: 0, accelerators: 0 }
 
+/** An upstream, as far as the ledger needs it. */
+export interface RunHolder {
+  /** How fast it works; 1 if undefined. */
+  readonly speed: number | undefined
+  /** Whether the run is in progress there. */
+  holds(run: RunRef): boolean
+  /** Ends the run with this outcome. */
+  end(run: RunRef, outcome: FinishedOutcome): void
+}
+
 export interface FleetLedgerOptions {
   clock: Clock
   acceleratorsEach: number
@@ -32,7 +41,7 @@
   readonly doneTasks = new Set<string>()
   readonly #opts: FleetLedgerOptions
   readonly #jobs = new Map<string, JobRequest>()
-  readonly #upstreams: FakeUpstream[] = []
+  readonly #upstreams: RunHolder[] = []
   readonly #running = new Map<string, RunRef>()
   /** The last run of each task that ended `done`, acknowledged or not, by task key. */
   readonly lastDoneRuns = new Map<string, RunRef>()
@@ -53,7 +62,7 @@
     this.#jobs.set(request.jobId, request)
   }
 
-  addUpstream(upstream: FakeUpstream): void {
+  addUpstream(upstream: RunHolder): void {
     this.#upstreams.push(upstream)
   }
 
@@ -72,7 +81,7 @@
     )
   }
 
-  noteStart(run: RunRef, upstream: FakeUpstream): void {
+  noteStart(run: RunRef, upstream: RunHolder): void {
     const key = taskKey(run)
     const name = `${key}#${run.attempt}`
     this.starts.push(run)
@@ -98,7 +107,7 @@
   }
 
   /** Returns the progress of a run in percent: 0 before its gang is complete, or if the upstream reports none. */
-  readProgress(run: RunRef, { speed }: FakeUpstream): number {
+  readProgress(run: RunRef, { speed }: RunHolder): number {
     return speed === undefined ? 0 : this.#progress.read(run)
   }
 
@@ -140,7 +149,7 @@
     }
   }
 
-  #scheduleEnd(run: RunRef, upstream: FakeUpstream): void {
+  #scheduleEnd(run: RunRef, upstream: RunHolder): void {
     const outcome = this.#opts.decideOutcome(run)
     const runTimeMs = (this.#stepOf(run)?.expectedRunTimeMs ?? 0) / (upstream.speed ?? 1)
     this.#progress.begin([run], runTimeMs)
