--- a/bench/policy/src/boundEarnings.ts
+++ b/bench/policy/src/boundEarnings.ts
@@ -12,7 +12,8 @@
  */
 import type { Resources } from '@nettlespur/batch.model'
 import { minOf } from '@nettlespur/core.lists'
-import type { CrowdedDay, DayJob } from './crowdedDay.js'
+import type { CrowdedDay } from './crowdedDay.js'
+import type { DayJob } from './dayJob.js'
 import { isWithin } from './dayTroubles.js'
 import { lateLimitTimes, measureObjectiveMs } from './sumEarnings.js'
 import { WorkSlots, type Work } from './workSlots.js'
--- a/bench/policy/src/createPlayedRun.ts
+++ b/bench/policy/src/createPlayedRun.ts
@@ -2,7 +2,8 @@
 import { createRunTrack } from '@nettlespur/batch.sessions'
 import { isSuspectTask, type BatchState, type Placement } from '@nettlespur/batch.state'
 import type { SeededRandom } from '@nettlespur/bench.placement'
-import { orderMs, type CrowdedDay, type DayJob } from './crowdedDay.js'
+import { orderMs, type CrowdedDay } from './crowdedDay.js'
+import type { DayJob } from './dayJob.js'
 import { isFailing, type PlayedRun } from './playedRun.js'
 import type { PlayedSpeeds } from './playedSpeeds.js'
 
--- a/bench/policy/src/crowdedDay.ts
+++ b/bench/policy/src/crowdedDay.ts
@@ -1,8 +1,9 @@
 /** A crowded day of one deployment from a seed; it is the same for every policy. */
-import type { ClusterConfig, JobRequest, UpstreamDescription } from '@nettlespur/batch.model'
+import type { ClusterConfig, UpstreamDescription } from '@nettlespur/batch.model'
 import type { ClaimBounds } from '@nettlespur/batch.scheduler'
 import { SeededRandom } from '@nettlespur/bench.placement'
 import { createDayJob } from './createDayJob.js'
+import type { DayJob } from './dayJob.js'
 import {
   drawCrashingJobs,
   drawFlaps,
@@ -18,19 +19,6 @@
 import type { JobKind } from './jobKind.js'
 import { listWorkspaces } from './workspaces.js'
 
-export interface DayJob {
-  readonly kind: JobKind
-  readonly workspace: string
-  readonly arriveMs: number
-  readonly request: JobRequest
-  /** What the tasks of each step take in the right place; where they differ, the longest. */
-  readonly runTimesMs: readonly number[]
-  /** What each task of each step takes as a share of `runTimesMs`; all the same by default. */
-  readonly taskTimes?: readonly (readonly number[])[]
-  /** What it earns in time. */
-  readonly value: number
-}
-
 /** An upstream that is lost. */
 export interface Loss {
   readonly upstreamId: string
--- a/bench/policy/src/judgeDay.ts
+++ b/bench/policy/src/judgeDay.ts
@@ -1,6 +1,6 @@
 /** What a day is worth to its users, part by part. */
 import { minOf } from '@nettlespur/core.lists'
-import type { DayJob } from './crowdedDay.js'
+import type { DayJob } from './dayJob.js'
 import type { Goal } from './goal.js'
 
 const windowMs = 2000
--- a/bench/policy/src/measureDay.ts
+++ b/bench/policy/src/measureDay.ts
@@ -1,6 +1,7 @@
 /** What a day that was played is worth, and what it cost. */
 import type { BatchState } from '@nettlespur/batch.state'
-import type { CrowdedDay, DayJob } from './crowdedDay.js'
+import type { CrowdedDay } from './crowdedDay.js'
+import type { DayJob } from './dayJob.js'
 import type { HeldUpSpell, HeldUpWatch } from './heldUpWatch.js'
 import { judgeDay, type DayVerdict, type JobOutcome } from './judgeDay.js'
 import type { PlayedRuns } from './playedRuns.js'
--- a/bench/policy/src/sumEarnings.ts
+++ b/bench/policy/src/sumEarnings.ts
@@ -1,5 +1,5 @@
 /** What the jobs of a day earn by when they ended, as their users value them. */
-import type { DayJob } from './crowdedDay.js'
+import type { DayJob } from './dayJob.js'
 import type { JobOutcome } from './judgeDay.js'
 
 /** A job that ends later than this many times its objective earns nothing. */
--- a/bench/policy/src/thinnedDay.ts
+++ b/bench/policy/src/thinnedDay.ts
@@ -1,7 +1,8 @@
 /** Troubled days on which jobs that are not urgent name the racks where their data is, and upstreams leave until some racks are nearly empty. */
 import type { StepSpec } from '@nettlespur/batch.model'
 import { SeededRandom } from '@nettlespur/bench.placement'
-import { createTroubledDay, type CrowdedDay, type DayJob, type Loss } from './crowdedDay.js'
+import { createTroubledDay, type CrowdedDay, type Loss } from './crowdedDay.js'
+import type { DayJob } from './dayJob.js'
 import type { Deployment } from './deployment.js'
 
 const dataRackShare = 0.3
