--- a/consensus/raft/src/readStoredJson.ts
+++ b/consensus/raft/src/readStoredJson.ts
@@ -1,10 +1,12 @@
 /** Parses stored JSON, such as commands and snapshots, and validates it against a schema. */
+import { parseValue } from '@nettlespur/api.schemas'
 import { NettlespurError } from '@nettlespur/core.errors'
 import type { z } from 'zod'
 
-/** Returns why the bytes are no JSON of this schema; undefined if they are. */
+/** Returns the first reason why the bytes are no JSON of this schema; undefined if they are. */
 export function findStoredFault(schema: z.ZodType, bytes: Buffer): string | undefined {
-  return schema.safeParse(parseJson(bytes)).error?.message
+  const fault = parseValue(schema, parseJson(bytes)).swap().toMaybe().extract()
+  return fault?.message
 }
 
 /** `what` names the data in the error. Errors: throws `storage-damaged` if the bytes are invalid. */
