perf(consensus): a leader reads its own proposals once, and the size of a call is checked as it is sent

A state machine now prepares a command: it reads it and returns what applies it. A proposal keeps that until its entry is committed, so the leader reads each command once, as before the check. The size of a call is taken from the text that is sent; calls made at the same time, which tRPC puts in one message, are sent one by one where only together they are too large (before, the peer closed the connection on them). A fault of stored data is told by its first reason, not by all.

--- a/batch/service/src/batchNode.ts
+++ b/batch/service/src/batchNode.ts
@@ -103,7 +103,7 @@
 
   /** Errors: rejects with `storage-damaged` and `storage-failed`. */
   static async open(opts: BatchNodeOptions): Promise<BatchNode> {
-    const machine = new BatchMachine({ measure: (apply) => measureWork(opts, 'apply', apply) })
+    const machine = new BatchMachine({ measure: (work) => measureWork(opts, 'apply', work) })
     const { memberId, initialMembers, clock, logger, store, transport, timings, random } = opts
     const raft = await RaftNode.open({
       memberId,
--- a/consensus/raft/__utils__/recordingMachine.ts
+++ b/consensus/raft/__utils__/recordingMachine.ts
@@ -2,7 +2,7 @@
  * A state machine whose state is the list of applied commands. Applying a command throws if another node has applied
  * a different one at the same position.
  */
-import { StateMachine } from '../src/index.js'
+import { StateMachine, type PreparedCommand } from '../src/index.js'
 
 export class RecordingMachine extends StateMachine<number> {
   readonly applied: string[] = []
@@ -14,13 +14,11 @@
     this.#history = history
   }
 
-  findFault(): undefined {
-    return undefined
-  }
-
-  apply(_index: number, command: Buffer): number {
-    this.#record(command.toString('utf8'))
-    return this.applied.length
+  prepare(command: Buffer): PreparedCommand<number> {
+    return () => {
+      this.#record(command.toString('utf8'))
+      return this.applied.length
+    }
   }
 
   takeSnapshot(): Buffer {
--- a/consensus/raft/src/applyLoop.ts
+++ b/consensus/raft/src/applyLoop.ts
@@ -75,10 +75,10 @@
   }
 
   #apply(entry: LogEntry): void {
-    const { opts, appliedIndex } = this.#replica
+    const { appliedIndex } = this.#replica
     const content = decodePayload(entry.payload)
     if (content.type === 'command') {
-      this.#proposals.applied(entry, opts.machine.apply(entry.index, content.command))
+      this.#proposals.applied(entry, this.#applyCommand(entry, content.command))
     } else {
       this.#proposals.rejectDisplaced(entry.index)
     }
@@ -87,6 +87,12 @@
     appliedIndex.next(entry.index)
   }
 
+  #applyCommand(entry: LogEntry, command: Buffer): R {
+    const prepared = this.#proposals.findPrepared(entry)
+    if (prepared !== undefined) return prepared(entry.index)
+    return this.#replica.opts.machine.apply(entry.index, command)
+  }
+
   #isSnapshotDue(): boolean {
     const { snapshotEveryEntries, snapshotEveryBytes } = this.#replica.limits
     return (
--- a/consensus/raft/src/proposals.ts
+++ b/consensus/raft/src/proposals.ts
@@ -4,9 +4,11 @@
  */
 import { NettlespurError } from '@nettlespur/core.errors'
 import type { LogEntry } from '@nettlespur/storage.log'
+import type { PreparedCommand } from './stateMachine.js'
 
 interface Waiting<R> {
   readonly term: number
+  readonly prepared: PreparedCommand<R>
   readonly resolve: (result: R) => void
   readonly reject: (error: NettlespurError) => void
 }
@@ -18,15 +20,22 @@
     return this.#waiting.size
   }
 
-  wait({ index, term }: LogEntry): Promise<R> {
+  /** Waits for the outcome of the entry, whose command `prepared` applies. */
+  wait({ index, term }: LogEntry, prepared: PreparedCommand<R>): Promise<R> {
     this.#waiting
       .get(index)
       ?.reject(createUnknown('another entry replaced it before it was committed'))
     return new Promise<R>((resolve, reject) => {
-      this.#waiting.set(index, { term, resolve, reject })
+      this.#waiting.set(index, { term, prepared, resolve, reject })
     })
   }
 
+  /** Returns what applies the command of the entry; undefined unless this very entry was proposed here. */
+  findPrepared({ index, term }: LogEntry): PreparedCommand<R> | undefined {
+    const waiting = this.#waiting.get(index)
+    return waiting?.term === term ? waiting.prepared : undefined
+  }
+
   applied(entry: LogEntry, result: R): void {
     const waiting = this.#waiting.get(entry.index)
     if (waiting === undefined) return
--- a/consensus/raft/src/raftNode.ts
+++ b/consensus/raft/src/raftNode.ts
@@ -7,11 +7,9 @@
 import type { Observable } from 'rxjs'
 import { handleAppend } from './appendHandler.js'
 import { ApplyLoop } from './applyLoop.js'
-import { checkMember, checkProposal } from './checkProposal.js'
 import { confirmLeadership } from './confirmLeadership.js'
 import { describeNode, type NodeDescription } from './describeNode.js'
 import { Election } from './election.js'
-import { encodeCommand } from './entryPayload.js'
 import { createNoQuorum, Leader } from './leader.js'
 import { findMember, type Member } from './member.js'
 import { MembershipManager } from './membershipManager.js'
@@ -24,6 +22,7 @@
   VoteAnswer,
   VoteRequest,
 } from './messages.js'
+import { checkMember, prepareProposal } from './prepareProposal.js'
 import { createUnknown, Proposals } from './proposals.js'
 import type { RaftOptions } from './raftOptions.js'
 import { Replica, type LeadershipState } from './replica.js'
@@ -119,9 +118,8 @@
       if (this.#proposals.size >= this.#replica.limits.waitingProposals) {
         throw createNoQuorum('too many changes wait for their commit')
       }
-      const payload = encodeCommand(command)
-      checkProposal(this.#replica, command, payload)
-      return this.#proposals.wait(leader.push(payload))
+      const { payload, prepared } = prepareProposal(this.#replica, command)
+      return this.#proposals.wait(leader.push(payload), prepared)
     })
   }
 
--- a/consensus/raft/src/readStoredJson.ts
+++ b/consensus/raft/src/readStoredJson.ts
@@ -3,17 +3,16 @@
 import { NettlespurError } from '@nettlespur/core.errors'
 import type { z } from 'zod'
 
-/** Returns the first reason why the bytes are no JSON of this schema; undefined if they are. */
-export function findStoredFault(schema: z.ZodType, bytes: Buffer): string | undefined {
-  const fault = parseValue(schema, parseJson(bytes)).swap().toMaybe().extract()
-  return fault?.message
-}
-
-/** `what` names the data in the error. Errors: throws `storage-damaged` if the bytes are invalid. */
+/** `what` names the data in the error. Errors: throws `storage-damaged`, with the first fault, if the bytes are invalid. */
 export function readStoredJson<T>(schema: z.ZodType<T>, bytes: Buffer, what: string): T {
-  const parsed = schema.safeParse(parseJson(bytes))
-  if (parsed.success) return parsed.data
-  throw new NettlespurError('storage-damaged', `${what} cannot be read: ${parsed.error.message}`)
+  return parseValue(schema, parseJson(bytes))
+    .mapLeft(({ message }) => {
+      return new NettlespurError('storage-damaged', `${what} cannot be read: ${message}`)
+    })
+    .ifLeft((error) => {
+      throw error
+    })
+    .unsafeCoerce()
 }
 
 /** Returns undefined, which no schema of stored data accepts, if the bytes are not JSON. */
--- a/control/log/src/controlMachine.ts
+++ b/control/log/src/controlMachine.ts
@@ -1,5 +1,5 @@
 /** Applies committed commands to the control state. Commands and snapshots are JSON, validated when read. */
-import { findStoredFault, readStoredJson, StateMachine } from '@nettlespur/consensus.raft'
+import { readStoredJson, StateMachine, type PreparedCommand } from '@nettlespur/consensus.raft'
 import {
   commandSchema,
   stateSnapshotSchema,
@@ -16,15 +16,9 @@
     this.#holder = holder
   }
 
-  findFault(command: Buffer): string | undefined {
-    return findStoredFault(commandSchema, command)
-  }
-
-  apply(index: number, command: Buffer): CommandResult {
-    return this.#holder.apply(
-      index,
-      readStoredJson(commandSchema, command, `the command at ${index}`),
-    )
+  override prepare(command: Buffer, what: string): PreparedCommand<CommandResult> {
+    const parsed = readStoredJson(commandSchema, command, what)
+    return (index) => this.#holder.apply(index, parsed)
   }
 
   takeSnapshot(): Buffer {
--- a/rpc/peer/src/callPeer.ts
+++ b/rpc/peer/src/callPeer.ts
@@ -7,6 +7,7 @@
 } from '@nettlespur/core.errors'
 import { TRPCClientError } from '@trpc/client'
 import { EitherAsync } from 'purify-ts'
+import { tooLargeCode } from './messageCodec.js'
 
 /** tRPC's codes for a call that no procedure was executed for: its input is invalid, or the procedure does not exist. */
 const unreadCodes: ReadonlySet<unknown> = new Set(['BAD_REQUEST', 'NOT_FOUND', 'PARSE_ERROR'])
@@ -26,16 +27,17 @@
 function toPeerError(thrown: unknown): NettlespurError {
   const cause = thrown instanceof TRPCClientError ? (thrown.cause ?? thrown) : thrown
   if (cause instanceof NettlespurError) return cause
-  if (isRefusedUnread(thrown)) {
-    const message = `the peer cannot read the call: ${toNettlespurError(cause).message}`
-    return new NettlespurError('version-mismatch', message, { retryAfterMs, cause })
-  }
-  return new NettlespurError('outcome-unknown', toNettlespurError(cause).message, { cause })
+  const { message } = toNettlespurError(cause)
+  const code = readCode(thrown)
+  if (code === tooLargeCode) return new NettlespurError('body-too-large', message, { cause })
+  if (!unreadCodes.has(code)) return new NettlespurError('outcome-unknown', message, { cause })
+  const reason = `the peer cannot read the call: ${message}`
+  return new NettlespurError('version-mismatch', reason, { retryAfterMs, cause })
 }
 
-/** Whether the peer's answer shows that it has executed nothing of the call. */
-function isRefusedUnread(thrown: unknown): boolean {
-  if (!(thrown instanceof TRPCClientError)) return false
+/** Returns tRPC's code of an error that the peer has answered; undefined if it has answered none. */
+function readCode(thrown: unknown): unknown {
+  if (!(thrown instanceof TRPCClientError)) return undefined
   const data: unknown = thrown.data
-  return typeof data === 'object' && data !== null && 'code' in data && unreadCodes.has(data.code)
+  return typeof data === 'object' && data !== null && 'code' in data ? data.code : undefined
 }
--- a/rpc/peer/src/peerCalls.ts
+++ b/rpc/peer/src/peerCalls.ts
@@ -13,16 +13,11 @@
   type TRPCClientRuntime,
 } from '@trpc/client'
 import type { AnyTRPCRouter } from '@trpc/server'
-import { NettlespurError } from '@nettlespur/core.errors'
 import { CallCancellation } from './callCancellation.js'
 import { readCallLimits, type CallLimits } from './callLimits.js'
-import { messageBytesMax } from './messageCodec.js'
 import { PeerConnection } from './peerConnection.js'
 import type { RpcClientOptions } from './rpcClientOptions.js'
 
-/** What tRPC adds to the input and the path of a call. */
-const envelopeBytesMax = 1024
-
 export type PeerResult = OperationResultEnvelope<unknown, TRPCClientError<AnyTRPCRouter>>
 
 export class PeerCalls {
@@ -41,11 +36,10 @@
   }
 
   /**
-   * Errors: rejects with `body-too-large` if no message can carry the call, with `unauthorized` if the peer refuses the key, with `unreachable` if the call cannot have been
+   * Errors: rejects with `unauthorized` if the peer refuses the key, with `unreachable` if the call cannot have been
    * sent, otherwise with `outcome-unknown` or the error of tRPC's link.
    */
   async run(runtime: TRPCClientRuntime, op: Operation): Promise<PeerResult> {
-    checkSize(op)
     const connection = this.#getOrOpenConnection()
     const callNumber = connection.startCall()
     const limits = readCallLimits(op)
@@ -135,18 +129,6 @@
   }
 }
 
-/**
- * Checked before the call is sent: the peer closes the connection on a message that is too large, which fails all other
- * calls on it. Errors: throws `body-too-large`.
- */
-function checkSize({ input, path }: Operation): void {
-  const text = JSON.stringify(input) as string | undefined
-  const bytes = Buffer.byteLength(text ?? '') + Buffer.byteLength(path) + envelopeBytesMax
-  if (bytes <= messageBytesMax) return
-  const message = `the call takes ${bytes} bytes, and a message at most ${messageBytesMax}`
-  throw new NettlespurError('body-too-large', message)
-}
-
 /** Resolves with the first result. Cheaper than the promise of tRPC's own, which aborts a signal for each call. */
 function send(
   connection: PeerConnection,
--- a/rpc/peer/src/peerConnection.ts
+++ b/rpc/peer/src/peerConnection.ts
@@ -5,7 +5,8 @@
 import { NettlespurError } from '@nettlespur/core.errors'
 import { createUnauthorizedError, formatBearerKey } from '@nettlespur/net.keys'
 import { createWSClient, type TRPCWebSocketClient } from '@trpc/client'
-import { WebSocket } from 'ws'
+import type { WebSocket } from 'ws'
+import { LimitedSocket } from './limitedSocket.js'
 import { compression, messageBytesMax } from './messageCodec.js'
 
 const unauthorizedStatus = 401
@@ -120,7 +121,7 @@
 
 /** Returns a WebSocket class for the tRPC client that passes the socket to `onSocket` on construction. */
 function createSocketClass(opts: PeerConnectionOptions, onSocket: (socket: WebSocket) => void) {
-  return class extends WebSocket {
+  return class extends LimitedSocket {
     constructor(url: string) {
       super(url, {
         headers: { authorization: formatBearerKey(opts.peerKey) },
--- a/rpc/peer/test/refusedCalls.test.ts
+++ b/rpc/peer/test/refusedCalls.test.ts
@@ -71,6 +71,16 @@
   t.deepEqual(executed, ['before', 'after'])
 })
 
+test('calls made at the same time that fit into a message only one by one are all carried', async (t) => {
+  const { store } = await startPeer(t)
+  const length = Math.ceil(messageBytesMax * 0.6)
+  const [first, second] = await Promise.all([
+    store('x'.repeat(length)).run(),
+    store('y'.repeat(length)).run(),
+  ])
+  t.deepEqual([first.extract(), second.extract()], [length, length])
+})
+
 test('a call just below the limit is carried', async (t) => {
   const { store } = await startPeer(t)
   const length = messageBytesMax - 2000
