refactor(errors): the way from an Either into straight-line code stands once, and an attempt history keeps one flag

AttemptHistory kept an error of which only its presence was asked; LeaderApi.#authorize tested two conditions for one. Behaviour and messages are the same.

--- a/batch/service/src/leaderApi.ts
+++ b/batch/service/src/leaderApi.ts
@@ -11,7 +11,13 @@
 } from '@nettlespur/batch.state'
 import type { Member, RaftNode } from '@nettlespur/consensus.raft'
 import type { Clock } from '@nettlespur/core.clock'
-import { NettlespurError, tryAsync, unwrap, type RpcResult } from '@nettlespur/core.errors'
+import {
+  NettlespurError,
+  tryAsync,
+  unwrap,
+  unwrapEither,
+  type RpcResult,
+} from '@nettlespur/core.errors'
 import type { Logger } from '@nettlespur/core.logger'
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import type { EitherAsync } from 'purify-ts'
@@ -196,9 +202,7 @@
     const confirmed = await raft.readBarrier().run()
     metrics.recordMs('read_confirmation_ms', clock.monotonicMs() - startMs)
     if (confirmed.isLeft()) metrics.count('read_confirmations_refused_total')
-    confirmed.ifLeft((error) => {
-      throw error
-    })
+    unwrapEither(confirmed)
   }
 
   #propose(command: Command): Promise<CommandOutcome> {
@@ -216,8 +220,10 @@
   /** Authorizes the call. A refusal may rest on stale state, so it is checked again after a confirmed read. */
   async #authorize(call: QueueCall, pathSuffix: string): Promise<AuthorizedCall> {
     const { config } = this.#state
-    const known = config === undefined ? undefined : authorizeCall(config, call, pathSuffix)
-    if (known !== undefined && !(known instanceof NettlespurError)) return known
+    if (config !== undefined) {
+      const known = authorizeCall(config, call, pathSuffix)
+      if (!(known instanceof NettlespurError)) return known
+    }
     await this.#confirmRead()
     const newest = authorizeCall(this.#requireConfig(), call, pathSuffix)
     if (newest instanceof NettlespurError) throw newest
--- a/cli/nettlespur/src/cluster.ts
+++ b/cli/nettlespur/src/cluster.ts
@@ -1,13 +1,12 @@
 /** The cluster as the command line reaches it: one entry, with a key and a deadline for each call. */
 import { addressSchema } from '@nettlespur/api.schemas'
 import { SystemClock } from '@nettlespur/core.clock'
-import { NettlespurError, unwrap } from '@nettlespur/core.errors'
+import { NettlespurError, unwrap, unwrapEither } from '@nettlespur/core.errors'
 import { callHttp, toAnswerError, type HttpAnswer } from '@nettlespur/net.client'
 import { formatBearerKey, readKeyFile } from '@nettlespur/net.keys'
 import type { z } from 'zod'
 import type { CommonArgValues } from './commonArgs.js'
 import { readCount, readFileOf } from './readArgs.js'
-import { unwrapEither } from './unwrapEither.js'
 import { createUsageError } from './usageError.js'
 
 const endpointPattern = /^(https?):\/\/([^/]+)\/?$/
--- a/cli/nettlespur/src/commands/contractApply.ts
+++ b/cli/nettlespur/src/commands/contractApply.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto'
 import { contractSchema, idempotencyKeySchema, type Contract } from '@nettlespur/api.schemas'
 import { contractViewSchema } from '@nettlespur/control.api'
-import { NettlespurError } from '@nettlespur/core.errors'
+import { NettlespurError, unwrapEither } from '@nettlespur/core.errors'
 import { readSettingsFile } from '@nettlespur/settings.reader'
 import { z } from 'zod'
 import { createCliCommand } from '../cliCommand.js'
@@ -12,7 +12,6 @@
 import { printAnswer } from '../printAnswer.js'
 import { readAs, readCount } from '../readArgs.js'
 import { addResendHint } from '../resendHint.js'
-import { unwrapEither } from '../unwrapEither.js'
 
 /** Entries are told only where the cluster was asked to wait for them. */
 const appliedSchema = contractViewSchema
--- a/cli/nettlespur/src/commands/settingsCheck.ts
+++ b/cli/nettlespur/src/commands/settingsCheck.ts
@@ -1,5 +1,5 @@
 /** `nettlespur settings check FILE` */
-import { NettlespurError } from '@nettlespur/core.errors'
+import { NettlespurError, unwrapEither } from '@nettlespur/core.errors'
 import {
   detectSettingsKind,
   parseSettings,
@@ -13,7 +13,6 @@
 import { createCliCommand } from '../cliCommand.js'
 import { jsonArg } from '../commonArgs.js'
 import { printText } from '../output.js'
-import { unwrapEither } from '../unwrapEither.js'
 
 const anyMapping = z.record(z.string(), z.unknown())
 
--- a/cli/nettlespur/src/jobRequestArgs.ts
+++ b/cli/nettlespur/src/jobRequestArgs.ts
@@ -1,9 +1,9 @@
 /** The options of `job submit`, and the job they describe. */
 import { jobRequestSchema, type JobRequest } from '@nettlespur/api.schemas'
+import { unwrapEither } from '@nettlespur/core.errors'
 import { readSettingsFile } from '@nettlespur/settings.reader'
 import type { ArgsDef } from 'citty'
 import { readCount, readFileOf, readNumber } from './readArgs.js'
-import { unwrapEither } from './unwrapEither.js'
 import { createUsageError } from './usageError.js'
 
 const defaultExpectedRunTimeMs = 60_000
--- a/consensus/raft/src/prepareProposal.ts
+++ b/consensus/raft/src/prepareProposal.ts
@@ -3,7 +3,7 @@
  * restart: one that cannot be read would stop all of them for good.
  */
 import { parseValue } from '@nettlespur/api.schemas'
-import { NettlespurError, toNettlespurError } from '@nettlespur/core.errors'
+import { NettlespurError, toNettlespurError, unwrapEither } from '@nettlespur/core.errors'
 import { encodeCommand } from './entryPayload.js'
 import { memberSchema, type Member } from './member.js'
 import type { Replica } from './replica.js'
@@ -38,7 +38,5 @@
 
 /** Errors: throws `invalid-field` and `unknown-field` if a membership with this member could not be read. */
 export function checkMember(member: Member): void {
-  parseValue(memberSchema, member).ifLeft((error) => {
-    throw error
-  })
+  unwrapEither(parseValue(memberSchema, member))
 }
--- a/consensus/raft/src/readStoredJson.ts
+++ b/consensus/raft/src/readStoredJson.ts
@@ -1,18 +1,13 @@
 /** Parses stored JSON, such as commands and snapshots, and validates it against a schema. */
 import { parseValue } from '@nettlespur/api.schemas'
-import { NettlespurError } from '@nettlespur/core.errors'
+import { NettlespurError, unwrapEither } from '@nettlespur/core.errors'
 import type { z } from 'zod'
 
 /** `what` names the data in the error. Errors: throws `storage-damaged`, with the first fault, if the bytes are invalid. */
 export function readStoredJson<T>(schema: z.ZodType<T>, bytes: Buffer, what: string): T {
-  return parseValue(schema, parseJson(bytes))
-    .mapLeft(({ message }) => {
-      return new NettlespurError('storage-damaged', `${what} cannot be read: ${message}`)
-    })
-    .ifLeft((error) => {
-      throw error
-    })
-    .unsafeCoerce()
+  const toDamaged = ({ message }: NettlespurError): NettlespurError =>
+    new NettlespurError('storage-damaged', `${what} cannot be read: ${message}`)
+  return unwrapEither(parseValue(schema, parseJson(bytes)).mapLeft(toDamaged))
 }
 
 /** Returns undefined, which no schema of stored data accepts, if the bytes are not JSON. */
--- a/core/errors/src/attemptHistory.ts
+++ b/core/errors/src/attemptHistory.ts
@@ -5,16 +5,16 @@
 import { NettlespurError } from './nettlespurError.js'
 
 export class AttemptHistory {
-  #inDoubt: NettlespurError | undefined
+  #mayHaveRun = false
 
   /** Whether an attempt so far may have been executed. */
   get mayHaveRun(): boolean {
-    return this.#inDoubt !== undefined
+    return this.#mayHaveRun
   }
 
   /** Records the error of one attempt. */
   record(error: NettlespurError): void {
-    if (error.answer.ran === 'unknown') this.#inDoubt ??= error
+    this.#mayHaveRun ||= error.answer.ran === 'unknown'
   }
 
   /**
@@ -22,7 +22,7 @@
    * have; then `outcome-unknown`. `last` is recorded already.
    */
   summarize(last: NettlespurError): NettlespurError {
-    if (this.#inDoubt === undefined || last.answer.ran !== 'no') return last
+    if (!this.#mayHaveRun || last.answer.ran !== 'no') return last
     return new NettlespurError('outcome-unknown', last.message, { cause: last })
   }
 }
--- a/core/errors/src/index.ts
+++ b/core/errors/src/index.ts
@@ -10,3 +10,4 @@
   type NettlespurErrorOptions,
 } from './nettlespurError.js'
 export { fromRpcResult, toRpcResult, tryAsync, unwrap, type RpcResult } from './rpcResult.js'
+export { unwrapEither } from './unwrapEither.js'
