--- a/scripts/checkCircles.mjs
+++ b/scripts/checkCircles.mjs
@@ -2,21 +2,18 @@
  * Fails if source files of one package import each other in a circle, directly or through others. Types count: a reader
  * who follows the imports of such a file never reaches one that stands alone.
  */
-import { existsSync, readdirSync, readFileSync } from 'node:fs'
+import { readFileSync } from 'node:fs'
 import path from 'node:path'
+import { listNames, listPackages } from './listPackages.mjs'
 
 const root = path.resolve(import.meta.dirname, '..')
-const { workspaces } = JSON.parse(readFileSync(path.join(root, 'package.json'), 'utf8'))
-const circles = workspaces.flatMap((pattern) => {
-  const domain = path.join(root, path.dirname(pattern))
-  return list(domain).flatMap((name) => findCircles(path.join(domain, name, 'src')))
-})
+const circles = listPackages(root).flatMap((folder) => findCircles(path.join(folder, 'src')))
 for (const circle of circles) console.error(`imports in a circle: ${circle}`)
 process.exit(circles.length === 0 ? 0 : 1)
 
 /** Returns one line for each file from which its own imports lead back to it. */
 function findCircles(folder) {
-  const files = list(folder).filter((file) => file.endsWith('.ts'))
+  const files = listNames(folder).filter((file) => file.endsWith('.ts'))
   const imports = new Map(files.map((file) => [file, listImports(path.join(folder, file))]))
   return files
     .filter((file) => listReachable(imports, file).has(file))
@@ -40,7 +37,3 @@
   }
   return reached
 }
-
-function list(folder) {
-  return existsSync(folder) ? readdirSync(folder) : []
-}
--- a/scripts/syncPackages.mjs
+++ b/scripts/syncPackages.mjs
@@ -3,13 +3,17 @@
  * package.json, and the list of all packages in the root tsconfig.json. `--check` writes nothing and fails
  * on any difference, or when two packages ask for different versions of one library.
  */
-import { existsSync, readFileSync, readdirSync, statSync, writeFileSync } from 'node:fs'
+import { existsSync, readFileSync, writeFileSync } from 'node:fs'
 import path from 'node:path'
+import { listPackages } from './listPackages.mjs'
 
 const check = process.argv.includes('--check')
 const root = path.resolve(import.meta.dirname, '..')
 const faults = []
-const packages = listPackages()
+const packages = listPackages(root).map((dir) => ({
+  dir,
+  manifest: JSON.parse(readFileSync(path.join(dir, 'package.json'), 'utf8')),
+}))
 const byName = new Map(packages.map((entry) => [entry.manifest.name, entry]))
 
 checkVersions()
@@ -20,21 +24,6 @@
   process.exit(1)
 }
 
-function listPackages() {
-  const { workspaces } = JSON.parse(readFileSync(path.join(root, 'package.json'), 'utf8'))
-  return workspaces.flatMap((pattern) => {
-    const domain = path.join(root, path.dirname(pattern))
-    if (!existsSync(domain)) return []
-    return readdirSync(domain)
-      .map((name) => path.join(domain, name))
-      .filter((dir) => statSync(dir).isDirectory() && existsSync(path.join(dir, 'package.json')))
-      .map((dir) => ({
-        dir,
-        manifest: JSON.parse(readFileSync(path.join(dir, 'package.json'), 'utf8')),
-      }))
-  })
-}
-
 function checkVersions() {
   const seen = new Map()
   for (const { manifest } of packages) {
