--- a/batch/scheduler/src/chooseUpstreams.ts
+++ b/batch/scheduler/src/chooseUpstreams.ts
@@ -3,13 +3,13 @@
  * gangs, and a single rack for gangs that are slow across racks. Groups of upstreams that the unit prefers are tried in
  * order (see `listGroups`). Urgent work runs on cold upstreams only if the warm ones cannot take it now.
  */
-import { urgentPriority } from './urgentPriority.js'
 import { fillGangGroups, fillGroups, sumFits, type ScopeFit } from './fillGroups.js'
 import { fillEmptiest, fillTightest } from './fillTightest.js'
 import { listScopes } from './listScopes.js'
 import type { RoundAllocations } from './roundAllocations.js'
-import type { UpstreamAllocation } from './upstreamAllocation.js'
 import type { StartUnit } from './startUnit.js'
+import type { UpstreamAllocation } from './upstreamAllocation.js'
+import { urgentPriority } from './urgentPriority.js'
 
 /**
  * Returns an upstream for each task, in the order of the waiting tasks: for all tasks of a gang, otherwise for as
--- a/batch/scheduler/src/claimBounds.ts
+++ b/batch/scheduler/src/claimBounds.ts
@@ -2,6 +2,7 @@
  * Bounds of the platform on the start of guaranteed work and on stops. They answer loads in which stops take a large part of
  * the time that guaranteed work has: what was stopped for a claim must not go to another, and a preference must end in time.
  */
+
 export interface ClaimBounds {
   /** Guaranteed work has to start this long after its acceptance at the latest. */
   readonly guaranteedStartMsMax: number
