feat(service): the verdict on a failed job is logged with its counts, and an upstream that answers again is told

The lines so far gave the reason of a failed job, and the cause of each lost run, but not the limit that its failures were held against nor the crashes that were counted; and nothing told that an upstream whose runs had been given up answers again as the same process. job.ended has them now, run.ended has the blame, and upstream.answers-again is new. No decision changes.

--- a/batch/service/src/reportEnds.ts
+++ b/batch/service/src/reportEnds.ts
@@ -34,12 +34,13 @@
   nowMs,
 }: ReportEndsOptions): void {
   for (const end of ends) {
-    const { upstreamId, outcome } = end
-    logger.info({ event: 'run.ended', ...runFields(end), upstreamId, outcome })
+    const { upstreamId, outcome, blame } = end
+    logger.info({ event: 'run.ended', ...runFields(end), upstreamId, outcome, blame })
     metrics.count(`runs_${outcome}_total`)
   }
-  for (const { status, failure, request, queue } of jobs) {
-    const { jobId } = request
+  for (const job of jobs) {
+    const { status, queue } = job
+    const { jobId } = job.request
     if (status === 'active' || !jobClock.noteEnded(jobId)) continue
     const tookMs = Math.round(jobClock.waitedMs(jobId, nowMs))
     logger.info({
@@ -47,12 +48,24 @@
       jobId,
       queue: queue.name,
       status,
-      reason: failure?.reason,
-      step: failure?.step,
-      index: failure?.index,
+      ...describeFailure(job),
       tookMs,
     })
     metrics.count(`jobs_${status}_total`)
     metrics.recordMs('job_completion_ms', tookMs)
   }
 }
+
+/** Why the job failed, and the counts by which that was decided. */
+function describeFailure({ failure, queue, steps }: JobRecord): object {
+  if (failure === undefined) return {}
+  const step = steps[failure.step]
+  const task = step?.tasks[failure.index ?? 0]
+  return {
+    ...failure,
+    attempt: task?.attempt,
+    failures: failure.index === undefined ? step?.gangFailures : task?.failures,
+    attemptsMax: queue.attemptsMax,
+    ...task?.crashes,
+  }
+}
--- a/batch/sessions/src/upstreamEnding.ts
+++ b/batch/sessions/src/upstreamEnding.ts
@@ -22,8 +22,8 @@
 export class UpstreamEnding {
   /** Whether all runs have ended and the host has been told, so that the session is over. */
   isOver = false
-  /** Whether runs were given up of which the upstream may still report that they were done. */
-  mayHaveLateEnds = false
+  /** Runs given up since the upstream last answered, of which it may still report that they were done. */
+  givenUpRuns = 0
   readonly #opts: UpstreamEndingOptions
   #ending: Promise<void> | undefined
 
@@ -46,7 +46,7 @@
     const { upstreamId } = target
     const runs = host.listPlacements(upstreamId).size
     logger.info({ event: 'upstream.lease-over', upstreamId, cause, runs })
-    this.mayHaveLateEnds ||= runs > 0
+    this.givenUpRuns += runs
     void commitLost(cause)
   }
 
--- a/batch/sessions/src/upstreamSession.ts
+++ b/batch/sessions/src/upstreamSession.ts
@@ -107,7 +107,7 @@
 
   /** Reads the ends of runs that were given up. To be called as the upstream is heard of again. */
   readLateEnds(): void {
-    if (this.#ending.mayHaveLateEnds) this.pollOnce()
+    if (this.#ending.givenUpRuns > 0) this.pollOnce()
   }
 
   /** Polls at least once even if nothing is placed there, to learn whether the upstream answers and read its clock. */
@@ -177,13 +177,21 @@
       this.#fence.renew()
       return this.#opts.clock.sleep(retryPauseMs, this.#opts.signal)
     }
-    this.#ending.mayHaveLateEnds = false
+    this.#noteAnsweredAgain()
     this.#noteListed()
     if (this.#opts.host.noteAnswered(this.#opts.target, sentAtMs))
       await this.#lists.apply({ ...answer, sentAtMs, cursor })
     else this.pollOnce()
   }
 
+  /** Its runs were given up, and it is the same process: it has not crashed. */
+  #noteAnsweredAgain(): void {
+    const { givenUpRuns } = this.#ending
+    if (givenUpRuns === 0) return
+    this.#ending.givenUpRuns = 0
+    this.#log('upstream.answers-again', { givenUpRuns })
+  }
+
   #noteListed(): void {
     if (this.answers.hasListed) return
     this.answers.hasListed = true
