fix(batch): silence of an upstream is no crash, and a job is given up only for what is certain

Cause: an upstream that did not answer until its lease was over counted as crashed under each run there, whether it had crashed or ran on behind a cut. Five such ends, or three and two starts, gave the job up, which cannot be taken back.

Change: such a run ends as `silent`. The leader asks on and commits what became of the upstream: taken back if the same process answers, a crash if another one answers in its place. Only certain crashes give a task up. Silences under runs that nobody had seen at work hold starts back where as many crashes would give the task up, so a crashing task stays within its starts also where no upstream comes back. Former ends without the new mark are counted as before, so that members of both versions agree; the first end that a new leader commits for such a task removes the former counts. Members of earlier versions refuse the new ends.

Why it works: a silence can only delay now.

--- a/batch/scheduler/__utils__/fleet.ts
+++ b/batch/scheduler/__utils__/fleet.ts
@@ -149,7 +149,8 @@
 
   /** Ends the run as the one blamed for a crash of its upstream. */
   crash(run: Placement): void {
-    this.state.apply({ type: 'end-runs', ends: [{ ...run, outcome: 'crashed', blame: 'blamed' }] })
+    const end = { ...run, outcome: 'crashed', isCertain: true, blame: 'blamed' } as const
+    this.state.apply({ type: 'end-runs', ends: [end] })
   }
 
   end(run: Placement, outcome: 'done' | 'failed' | 'stopped'): void {
--- a/batch/scheduler/src/limitTrials.ts
+++ b/batch/scheduler/src/limitTrials.ts
@@ -29,7 +29,7 @@
 export function limitTrials(opts: LimitTrialsOptions): TrialLimit {
   const { job, stepNumber, record, waiting } = opts
   const isSuspect = (index: number): boolean => isSuspectTask(job, { step: stepNumber, index })
-  if (!record.tasks.some(({ crashes }) => crashes !== undefined)) {
+  if (!record.tasks.some(({ crashes, losses }) => (losses ?? crashes) !== undefined)) {
     return { suspects: [], others: waiting }
   }
   const { provenCount, startingCount, hasOpenTrial } = countStarted(opts, isSuspect)
--- a/batch/scheduler/src/startUnit.ts
+++ b/batch/scheduler/src/startUnit.ts
@@ -1,6 +1,7 @@
 /** A unit of scheduling: a whole gang, or waiting tasks of a step that may start independently. */
 import type { StepSpec } from '@nettlespur/batch.model'
 import {
+  isHeldBack,
   isStepDone,
   isSuspectTask,
   type JobRecord,
@@ -125,7 +126,9 @@
 ): number[] {
   const waiting: number[] = []
   for (let index = 0; index < tasks.length && waiting.length < countMax; index++) {
-    if (tasks[index]?.phase === 'waiting' && mayStart(index)) waiting.push(index)
+    const task = tasks[index]
+    if (task?.phase !== 'waiting' || isHeldBack(task)) continue
+    if (mayStart(index)) waiting.push(index)
   }
   return waiting
 }
--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -19,6 +19,7 @@
 import type { Logger } from '@nettlespur/core.logger'
 import type { FakeFleetOptions, FleetFault } from './fleetOptions.js'
 
+/** How many upstreams a fleet has by default. */
 export const upstreamCount = 4
 const acceleratorsEach = 8
 const commitMs = 8
@@ -81,7 +82,8 @@
       state: this.state,
     })
     this.commit({ type: 'apply-config', config: createFleetConfig() })
-    for (let at = 0; at < upstreamCount; at++) this.#upstreams.start(at)
+    const { upstreamCount: count = upstreamCount } = opts
+    for (let at = 0; at < count; at++) this.#upstreams.start(at)
     this.#announcer = new FleetAnnouncer({
       clock,
       links: this.#links,
--- a/batch/service/__utils__/fleetOptions.ts
+++ b/batch/service/__utils__/fleetOptions.ts
@@ -37,6 +37,10 @@
   linksMs: readonly number[]
   /** Whether the run crashes the upstream that starts it. */
   crashes?: (run: RunRef) => boolean
+  /** From the crash of an upstream by a run until its next process answers; 3000 by default, never if Infinity. */
+  downMs?: number
+  /** 4 by default. */
+  upstreamCount?: number
   /** Whether upstreams refuse starts that do not fit; true by default. */
   guardsCapacity?: boolean
   /**
--- a/batch/service/__utils__/fleetUpstreams.ts
+++ b/batch/service/__utils__/fleetUpstreams.ts
@@ -4,12 +4,17 @@
 import { addressOf } from './fleetLinks.js'
 import type { FakeFleetOptions } from './fleetOptions.js'
 
-/** From the crash of an upstream by a run until its next process answers at the same address. */
-const restartDelayMs = 3000
+const defaultDownMs = 3000
 
 export interface FleetUpstreamsOptions extends Pick<
   FakeFleetOptions,
-  'clockRate' | 'guardsCapacity' | 'remembersCursor' | 'bornMs' | 'statesBirth' | 'speeds'
+  | 'clockRate'
+  | 'downMs'
+  | 'guardsCapacity'
+  | 'remembersCursor'
+  | 'bornMs'
+  | 'statesBirth'
+  | 'speeds'
 > {
   clock: Clock
   ledger: FleetLedger
@@ -33,7 +38,7 @@
     return this.#byAddress.get(addressOf(at))
   }
 
-  /** The process crashes, and the next one starts after `downMs`. */
+  /** The process crashes, and the next one starts after `downMs`, if that is finite. */
   crash(at: number, downMs: number): void {
     const upstream = this.find(at)
     if (upstream?.isUp !== true) return
@@ -42,6 +47,7 @@
       this.start(at)
       return
     }
+    if (downMs === Infinity) return
     this.#opts.clock.setTimer(downMs, () => {
       this.start(at)
     })
@@ -65,7 +71,7 @@
       guardsCapacity,
       remembersCursor,
       onCrashingRun: () => {
-        this.crash(at, restartDelayMs)
+        this.crash(at, this.#opts.downMs ?? defaultDownMs)
       },
     })
     upstream.statesBirth = this.#opts.statesBirth ?? true
--- a/batch/service/src/batchLeader.ts
+++ b/batch/service/src/batchLeader.ts
@@ -25,15 +25,18 @@
 import { setMaxListeners } from 'node:events'
 import type { BatchTimings } from './batchTimings.js'
 import { FenceIssuer } from './fenceIssuer.js'
+import { GoneUpstreams } from './goneUpstreams.js'
 import type { JobClock } from './jobClock.js'
 import { logTakeover } from './logTakeover.js'
+import { markFormerCrashes } from './markFormerCrashes.js'
 import { ObservedStarts } from './observedStarts.js'
 import { createTryPropose, type Propose, type TryPropose } from './proposer.js'
 import { listActiveJobs, reportEnds } from './reportEnds.js'
 import { RetryBackoff } from './retryBackoff.js'
 import { SchedulingRounds } from './schedulingRounds.js'
 import { createSpeedLearner, noteSpeeds } from './learnSpeeds.js'
-import { splitEnds } from './splitEnds.js'
+import { SilenceWatch } from './silenceWatch.js'
+import { splitBatches } from './splitBatches.js'
 import type { SpeedLearner } from './speedLearner.js'
 import type { UpstreamSpeedsMode } from './upstreamSpeedsMode.js'
 import { StopRequests } from './stopRequests.js'
@@ -69,6 +72,8 @@
   readonly #retryBackoff = new RetryBackoff()
   readonly #fences: FenceIssuer
   readonly #observedStarts: ObservedStarts
+  readonly #silences: SilenceWatch
+  readonly #goneUpstreams: GoneUpstreams
 
   constructor(opts: BatchLeaderOptions) {
     super()
@@ -97,6 +102,9 @@
       tryPropose: this.#tryPropose,
       signal,
     })
+    const shared = { ...opts, roster: this.#roster, tryPropose: this.#tryPropose, signal }
+    this.#silences = new SilenceWatch(shared)
+    this.#goneUpstreams = new GoneUpstreams({ ...shared, silences: this.#silences })
     this.#registrar = new UpstreamRegistrar({
       ...opts,
       roster: this.#roster,
@@ -123,6 +131,7 @@
     const { signal } = this.#stopController
     const learner = this.#speedLearner
     void noteSpeeds({ ...this.#opts, learner, tryPropose: this.#tryPropose, signal })
+    void this.#silences.run()
     await scheduling
   }
 
@@ -181,12 +190,12 @@
   }
 
   override noteAnswered(target: UpstreamTarget, sentAtMs: number): boolean {
+    this.#silences.noteAlive(target.upstreamId)
     return this.#roster.noteAnswered(target, sentAtMs)
   }
 
   override noteReplaced(replacement: Replacement): void {
-    this.#roster.replace(replacement)
-    this.#removeSettledProcesses()
+    this.#goneUpstreams.noteReplaced(replacement)
     this.#rounds.requestRound()
   }
 
@@ -204,9 +213,9 @@
   }
 
   override async commitEnds(reported: readonly RunEnd[]): Promise<boolean> {
-    const ends = reported.map((end) => this.#observedStarts.markEnd(end))
+    const ends = reported.map((end) => this.#markEnd(end))
     const active = listActiveJobs(this.#state, ends)
-    for (const batch of splitEnds(ends)) {
+    for (const batch of splitBatches(ends)) {
       if (!(await this.#tryPropose({ type: 'end-runs', ends: batch }))) return false
     }
     const nowMs = this.#opts.clock.monotonicMs()
@@ -217,7 +226,7 @@
       this.#roster.health.noteEnd(end, address, nowMs)
       this.#retryBackoff.noteEnd(end, nowMs)
     }
-    this.#removeSettledProcesses()
+    this.#goneUpstreams.removeSettled()
     return true
   }
 
@@ -226,17 +235,11 @@
   }
 
   override noteGone(upstreamId: string): void {
-    this.#roster.forget(upstreamId)
-    if (this.findUpstream(upstreamId)?.hasLeft === true) return
-    void this.#tryPropose({ type: 'remove-upstream', upstreamId })
+    this.#goneUpstreams.noteGone(upstreamId)
   }
 
-  /** Removes replaced processes of which no run is placed any more. */
-  #removeSettledProcesses(): void {
-    const { placements } = this.#state
-    for (const upstreamId of [...this.#roster.succession.replacedIds]) {
-      if (placements.getByUpstream(upstreamId).size === 0) this.noteGone(upstreamId)
-    }
+  #markEnd(end: RunEnd): RunEnd {
+    return markFormerCrashes(this.#observedStarts.markEnd(end), this.#state)
   }
 
   /** Errors: rejects as proposals do. */
--- a/batch/service/src/retryBackoff.ts
+++ b/batch/service/src/retryBackoff.ts
@@ -1,5 +1,5 @@
 /**
- * Backoff of tasks whose runs were lost or crashed. Such ends draw on no retry budget, so without a backoff a task that
+ * Backoff of tasks whose runs were lost, alone or with their upstreams. Such ends draw on no retry budget, so without a backoff a task that
  * every upstream refuses would be placed and refused as fast as commits allow. It is kept in the leader's memory: a new
  * leader starts without it and soon reaches the same delays.
  */
@@ -13,6 +13,8 @@
 const maxBackoffMs = 2000
 const retentionMs = 30_000
 
+const delayingOutcomes: ReadonlySet<RunEnd['outcome']> = new Set(['lost', 'crashed', 'silent'])
+
 interface FailedStarts {
   readonly count: number
   readonly untilMs: number
@@ -21,10 +23,10 @@
 export class RetryBackoff {
   readonly #byTask = new Map<string, FailedStarts>()
 
-  /** Starts or extends the backoff, on the clock of `nowMs`, if the run was lost or crashed; any other end clears it. */
+  /** Starts or extends the backoff, on the clock of `nowMs`, if the run was lost in any way; any other end clears it. */
   noteEnd(end: RunEnd, nowMs: number): void {
     const key = taskKey(end)
-    if (end.outcome !== 'lost' && end.outcome !== 'crashed') {
+    if (!delayingOutcomes.has(end.outcome)) {
       this.#byTask.delete(key)
       return
     }
--- a/batch/service/src/upstreamHealth.ts
+++ b/batch/service/src/upstreamHealth.ts
@@ -25,7 +25,7 @@
 
 /** An upstream that has become unstable, and why. */
 export interface InstabilityNotice extends UpstreamPlace {
-  readonly cause: 'crashed' | 'replaced' | 'failed-runs'
+  readonly cause: 'crashed' | 'silent' | 'replaced' | 'failed-runs'
 }
 
 interface FailureRecord {
@@ -57,9 +57,15 @@
       this.#observe({ upstreamId, address: address ?? '', cause: 'failed-runs' }, nowMs, () => {
         this.#noteFailure(upstreamId, jobId, nowMs)
       })
-    if (outcome !== 'crashed' || address === undefined) return
-    this.#crashes.note(address, nowMs)
-    this.#noteDisturbance({ upstreamId, address, cause: 'crashed' }, nowMs)
+    if (address === undefined) return
+    if (outcome === 'crashed') this.noteCrash({ upstreamId, address }, nowMs)
+    if (outcome === 'silent') this.#noteDisturbance({ upstreamId, address, cause: 'silent' }, nowMs)
+  }
+
+  /** Records that the upstream has certainly crashed. */
+  noteCrash(place: UpstreamPlace, nowMs: number): void {
+    this.#crashes.note(place.address, nowMs)
+    this.#noteDisturbance({ ...place, cause: 'crashed' }, nowMs)
   }
 
   /** Records that the upstream's process is gone or has been replaced at its address. A planned stop is not recorded. */
--- a/batch/service/test/endedTrial.test.ts
+++ b/batch/service/test/endedTrial.test.ts
@@ -37,7 +37,7 @@
   const crashed = host.place(0)
   host.state.apply({
     type: 'end-runs',
-    ends: [{ ...crashed, outcome: 'crashed', blame: 'suspected' }],
+    ends: [{ ...crashed, outcome: 'crashed', isCertain: true, blame: 'suspected' }],
   })
   const session = openSession({ clock, host, port: new UnlistedPort(clock) })
   const member = host.place(0, 2)
--- a/batch/sessions/src/lossCause.ts
+++ b/batch/sessions/src/lossCause.ts
@@ -4,7 +4,7 @@
   | 'crashed'
   /** The upstream had announced its shutdown, and was silent until the lease had certainly expired. */
   | 'left'
-  /** The upstream did not answer until its lease had certainly expired. */
+  /** The upstream did not answer until its lease had certainly expired. It may have crashed, and it may run on. */
   | 'lease-over'
   /** The upstream answers, but its lists with unparsable rows omitted the run until the lease had certainly expired. */
   | 'unlisted'
--- a/batch/sessions/src/lostRuns.ts
+++ b/batch/sessions/src/lostRuns.ts
@@ -7,13 +7,12 @@
 import type { RunTracks } from './runTracks.js'
 import type { UpstreamSessionOptions } from './sessionOptions.js'
 
-const mayBeCrash: Readonly<Record<LossCause, boolean>> = {
-  crashed: true,
-  'lease-over': true,
-  left: false,
-  unlisted: false,
-  absent: false,
-  'not-started': false,
+/** What a run ends as whose upstream crashed, or may have; absent if the upstream certainly did not. */
+const crashEnds: Readonly<
+  Partial<Record<LossCause, Readonly<Pick<RunEnd, 'outcome' | 'isCertain'>>>>
+> = {
+  crashed: { outcome: 'crashed', isCertain: true },
+  'lease-over': { outcome: 'silent' },
 }
 
 /** An inherited run has most likely started: leaders send the start order as soon as the placement is committed. */
@@ -87,8 +86,10 @@
       const blame = blames.get(runKey(placement))
       this.#log(placement, cause, blame)
       const checkpoint = this.#opts.tracks.find(placement)?.checkpoint
-      if (blame === undefined) return { ...placement, outcome: 'lost', checkpoint }
-      return { ...placement, outcome: 'crashed', checkpoint, blame }
+      const crashEnd = crashEnds[cause]
+      if (blame === undefined || crashEnd === undefined)
+        return { ...placement, outcome: 'lost', checkpoint }
+      return { ...placement, ...crashEnd, checkpoint, blame }
     })
   }
 
@@ -99,7 +100,7 @@
     upstreamId: string,
   ): ReadonlyMap<string, CrashBlame> {
     const upstream = this.#opts.host.findUpstream(upstreamId)
-    if (!mayBeCrash[cause] || upstream?.isDraining === true) return new Map()
+    if (crashEnds[cause] === undefined || upstream?.isDraining === true) return new Map()
     const runs = placements
       .map((placement) => this.#describe(placement))
       .filter(({ phase }) => phase !== 'refused')
--- a/batch/state/src/batchState.ts
+++ b/batch/state/src/batchState.ts
@@ -9,10 +9,11 @@
 import { BegunJobs } from './begunJobs.js'
 import type { Command, CommandOf, CommandOutcome, Placement, RunEnd } from './command.js'
 import { createJobRecord } from './createJobRecord.js'
-import { endRun } from './endRun.js'
+import { endRun, settleRun } from './endRun.js'
 import { isStaleAnnouncement } from './isStaleAnnouncement.js'
 import { measureJobSize } from './measureJobSize.js'
 import { hasPlacements, PlacementIndex } from './placementIndex.js'
+import { SilenceIndex } from './silenceIndex.js'
 import type { UpstreamSpeed } from './upstreamSpeed.js'
 import type { JobRecord, UpstreamRecord } from './records.js'
 
@@ -25,6 +26,8 @@
   /** Learned speeds by upstream id, of upstreams that the state holds. */
   readonly speeds = new Map<string, UpstreamSpeed>()
   readonly placements = new PlacementIndex()
+  /** Of active jobs: the runs that ended with a silence of their upstreams, as long as it is not settled. */
+  readonly silences = new SilenceIndex()
   /** The jobs of which committed ends show that a task has begun; what runs now is known to the leader alone. */
   readonly begunJobs = new BegunJobs()
   evacuations = new EvacuationTable([])
@@ -44,6 +47,7 @@
       state.#addJob(job)
       state.placements.addJob(job)
       state.begunJobs.addJob(job)
+      if (job.status === 'active') state.silences.addJob(job)
       state.#updateUnsettled(job)
     }
     return state
@@ -84,6 +88,8 @@
         return this.#placeTasks(command)
       case 'end-runs':
         return this.#endRuns(command.ends)
+      case 'settle-silences':
+        return this.#settleSilences(command)
       case 'note-upstream':
         return this.#noteUpstream(command)
       case 'drain-upstream':
@@ -178,12 +184,25 @@
       if (endedPlacements === undefined) continue
       outcome = 'done'
       this.begunJobs.noteEnd(end)
+      if (end.outcome === 'silent') this.silences.add(end)
       for (const placement of endedPlacements) this.placements.remove(placement)
       this.#updateUnsettled(job)
     }
     return outcome
   }
 
+  #settleSilences({ runs, hasCrashed }: CommandOf<'settle-silences'>): CommandOutcome {
+    let outcome: CommandOutcome = 'unchanged'
+    for (const run of runs) {
+      this.silences.remove(run)
+      const job = this.jobs.get(run.jobId)
+      if (job === undefined || !settleRun(job, run, hasCrashed)) continue
+      outcome = 'done'
+      this.#updateUnsettled(job)
+    }
+    return outcome
+  }
+
   #noteUpstream({ description, sequence }: CommandOf<'note-upstream'>): CommandOutcome {
     const known = this.upstreams.get(description.upstreamId)
     if (isStaleAnnouncement(known, sequence)) return 'unchanged'
@@ -231,6 +250,7 @@
   /** Adds the job to `unsettled` while it is active or has placed runs, and removes it otherwise. */
   #updateUnsettled(job: JobRecord): void {
     const { jobId } = job.request
+    if (job.status !== 'active') this.silences.removeJob(job)
     const isOpen = job.status === 'active' || hasPlacements(job)
     if (isOpen) this.unsettled.set(jobId, job)
     else this.unsettled.delete(jobId)
--- a/batch/state/src/command.ts
+++ b/batch/state/src/command.ts
@@ -18,8 +18,10 @@
   'stopped',
   /** Its lease expired, its upstream left, or it was never started and will not be. */
   'lost',
-  /** Its upstream crashed, or stayed silent until the lease had expired. */
+  /** Its upstream crashed; without `isCertain` it may also have been silent, as earlier versions did not distinguish. */
   'crashed',
+  /** Its upstream was silent until the lease had expired: it crashed, or it runs on and cannot be reached. */
+  'silent',
   /** Another member of its gang ended, or not all members started in time. */
   'broken',
 ])
@@ -32,8 +34,15 @@
   outcome: runOutcomeSchema,
   /** Absent or empty if the run saved none. */
   checkpoint: z.string().optional(),
-  /** Only set with outcome `crashed`, and absent there if an earlier version proposed the end. */
+  /** Only set with outcomes `crashed` and `silent`, and absent there if an earlier version proposed the end. */
   blame: crashBlameSchema.optional(),
+  /** Set with outcome `crashed`. Absent if an earlier version proposed the end. */
+  isCertain: z.literal(true).optional(),
+  /**
+   * Set if the task's record holds crashes as earlier versions counted them, which the end removes: they may have been
+   * silences. Absent otherwise, as for `isLate`.
+   */
+  dropsFormerCrashes: z.literal(true).optional(),
   /**
    * Set if the run was counted as lost before its upstream reported that it is done. Absent otherwise, so that earlier
    * versions can read the end; they reject a late one instead of ignoring it, as their states would differ.
@@ -58,6 +67,12 @@
   z.strictObject({ type: z.literal('cancel-job'), jobId: z.string() }),
   z.strictObject({ type: z.literal('place-tasks'), placements: z.array(placementSchema) }),
   z.strictObject({ type: z.literal('end-runs'), ends: z.array(runEndSchema) }),
+  /** What became of an upstream that was silent under these runs. */
+  z.strictObject({
+    type: z.literal('settle-silences'),
+    runs: z.array(placementSchema),
+    hasCrashed: z.boolean(),
+  }),
   z.strictObject({
     type: z.literal('note-upstream'),
     description: upstreamDescriptionSchema,
--- a/batch/state/src/crashRecord.ts
+++ b/batch/state/src/crashRecord.ts
@@ -1,6 +1,6 @@
 /**
  * Counts the upstream crashes during a task's runs and decides when it is a poison task: one that crashes every upstream
- * that starts it, along with all other runs there. Gang members are counted separately, because a crash under one
+ * that starts it, along with all other runs there. Which losses count as crashes is up to the caller. Gang members are counted separately, because a crash under one
  * member and a later one under another are no evidence against either.
  *
  * A crash counts for every run on the upstream, but with different blame: a run crashes its upstream as it starts, so
@@ -12,7 +12,7 @@
 
 /** How likely it is that a run caused the crash of its upstream. */
 export const crashBlameSchema = z.enum([
-  /** It had been running for a while and others had just started, or it had not been started. */
+  /** It had been running for a while, and others had just started or the upstream was only silent; or it had not been started. */
   'none',
   /** It may be the cause, but it is uncertain whether the upstream crashed, the run had started or another run did it. */
   'suspected',
@@ -22,7 +22,7 @@
 export type CrashBlame = z.infer<typeof crashBlameSchema>
 
 export const crashRecordSchema = z.strictObject({
-  /** Runs that ended because their upstream crashed, or stayed silent until the lease had expired. */
+  /** Runs that ended because their upstream crashed. */
   crashes: countSchema,
   /** Crashes with blame `suspected` or `blamed`. */
   suspected: countSchema,
--- a/batch/state/src/endRun.ts
+++ b/batch/state/src/endRun.ts
@@ -6,8 +6,9 @@
 import { isLateDone, listPlacedInUnit, listUnitTasks } from './lateEnd.js'
 import { listStepPlacements } from './placementIndex.js'
 import type { JobRecord, StepRecord, TaskRecord } from './records.js'
+import { addLoss, settleSilence } from './upstreamLosses.js'
 
-/** Blame of a `crashed` end that carries none. */
+/** Blame of a `crashed` or `silent` end that carries none. */
 const defaultBlame = 'suspected'
 
 /**
@@ -27,16 +28,34 @@
     isGang && end.outcome === 'done' ? listStepPlacements(job, end.step) : [toPlacement(end)]
   releaseTask(task)
   if (end.hasBegun === true) job.hasBegun = true
-  if (end.outcome === 'crashed') {
-    const { attempt, blame = defaultBlame } = end
-    task.crashes = countCrash(task.crashes, { attempt, blame })
-  }
+  noteLoss(task, end)
   if (isGang) endGangMember(step, task, end)
   else endTask(task, end)
   if (job.status === 'active') updateJobStatus(job, end)
   return endedPlacements
 }
 
+/**
+ * Applies what became of an upstream that was silent under the run. Returns false, and changes nothing, if the job has
+ * ended or the silence was settled before.
+ */
+export function settleRun(job: JobRecord, run: Placement, hasCrashed: boolean): boolean {
+  const task = job.steps[run.step]?.tasks[run.index]
+  if (job.status !== 'active' || task === undefined) return false
+  if (!settleSilence(task, run, hasCrashed)) return false
+  updateJobStatus(job, run)
+  return true
+}
+
+function noteLoss(task: TaskRecord, end: RunEnd): void {
+  const { outcome, attempt, upstreamId, blame = defaultBlame, isCertain = false } = end
+  if (end.dropsFormerCrashes === true) delete task.crashes
+  if (outcome === 'silent') addLoss(task, { attempt, upstreamId, blame, isCrash: false })
+  if (outcome !== 'crashed') return
+  if (isCertain) addLoss(task, { attempt, upstreamId, blame, isCrash: true })
+  else task.crashes = countCrash(task.crashes, { attempt, blame })
+}
+
 /**
  * Completes the task, or the gang, and returns the placements of the later attempt that it makes superfluous: none if the
  * task waits. Returns undefined, and changes nothing, if the end is not a late one.
@@ -96,8 +115,8 @@
   delete task.upstreamId
 }
 
-function updateJobStatus(job: JobRecord, end: RunEnd): void {
-  const failure = findFailure(job, end)
+function updateJobStatus(job: JobRecord, changed: Placement): void {
+  const failure = findFailure(job, changed)
   if (failure !== undefined) {
     job.status = 'failed'
     job.failure = failure
--- a/batch/state/src/findFailure.ts
+++ b/batch/state/src/findFailure.ts
@@ -2,6 +2,7 @@
 import type { QueueConfig } from '@nettlespur/batch.model'
 import { isPoison } from './crashRecord.js'
 import type { JobFailure, JobRecord, TaskRecord } from './records.js'
+import { isPoisonTask } from './upstreamLosses.js'
 
 /** The queue by which all tasks of a job were last checked. */
 const checkedQueues = new WeakMap<JobRecord, QueueConfig>()
@@ -49,5 +50,7 @@
   if (task === undefined) return undefined
   const { failures, crashes, attempt, phase } = task
   if (failures >= attemptsMax) return 'attempts-used-up'
-  return phase === 'waiting' && isPoison(crashes, attempt) ? 'crashes-upstreams' : undefined
+  const mayStart = phase === 'waiting'
+  const crashesUpstreams = isPoisonTask(task) || isPoison(crashes, attempt)
+  return mayStart && crashesUpstreams ? 'crashes-upstreams' : undefined
 }
--- a/batch/state/src/index.ts
+++ b/batch/state/src/index.ts
@@ -10,6 +10,7 @@
 export { isStaleAnnouncement } from './isStaleAnnouncement.js'
 export { isStepDone } from './isStepDone.js'
 export { isSuspectTask } from './isSuspectTask.js'
+export { countCrashes, isHeldBack, listSilences } from './upstreamLosses.js'
 export { isInUnit, isLateDone } from './lateEnd.js'
 export { measureJobSize } from './measureJobSize.js'
 export {
--- a/batch/state/src/records.ts
+++ b/batch/state/src/records.ts
@@ -7,6 +7,7 @@
 } from '@nettlespur/batch.model'
 import { z } from 'zod'
 import { crashRecordSchema } from './crashRecord.js'
+import { upstreamLossSchema } from './upstreamLosses.js'
 
 export const taskRecordSchema = z.strictObject({
   /** `placed`: committed to an upstream, which may be running it or may yet start it. */
@@ -21,8 +22,10 @@
   checkpoint: z.string(),
   /** Upstreams on which it has failed. */
   failedOn: z.array(z.string()),
-  /** Absent before the first crash. */
+  /** Crashes as earlier versions counted them, which took silent upstreams for crashed ones. Absent if there are none. */
   crashes: crashRecordSchema.optional(),
+  /** Runs lost with their upstreams, in the order of their attempts. Absent if there are none. */
+  losses: z.array(upstreamLossSchema).optional(),
 })
 export type TaskRecord = z.infer<typeof taskRecordSchema>
 
@@ -45,7 +48,7 @@
   reason: z.enum([
     /** A task or gang has failed `attemptsMax` times. */
     'attempts-used-up',
-    /** A task or gang member is a poison task: upstreams keep crashing while it runs. */
+    /** A task or gang member is a poison task: upstreams certainly crash while it runs, again and again. */
     'crashes-upstreams',
   ]),
   step: countSchema,
--- a/batch/state/test/crashes.test.ts
+++ b/batch/state/test/crashes.test.ts
@@ -17,11 +17,12 @@
   return placement
 }
 
-/** Places one task for each entry of `blames`, then ends each run as crashed with that blame. */
+/** Places one task for each entry of `blames`, then ends each run as certainly crashed with that blame. */
 function crash(state: BatchState, attempt: number, blames: readonly CrashBlame[]): void {
   const placements = blames.map((_, index) => place(state, index, attempt))
   placements.forEach((placement, index) => {
-    const end = { ...placement, outcome: 'crashed' as const, blame: blames[index] }
+    const blame = blames[index]
+    const end = { ...placement, outcome: 'crashed' as const, isCertain: true as const, blame }
     state.apply({ type: 'end-runs', ends: [end] })
   })
 }
@@ -70,7 +71,8 @@
     const placements = [0, 1, 2, 3].map((index) => place(state, index, member + 1))
     const ends = placements.map((placement, index) => {
       if (index !== member) return { ...placement, outcome: 'broken' as const }
-      return { ...placement, outcome: 'crashed' as const, blame: 'blamed' as const }
+      const blame = 'blamed' as const
+      return { ...placement, outcome: 'crashed' as const, isCertain: true as const, blame }
     })
     state.apply({ type: 'end-runs', ends })
   }
--- a/bench/policy/src/playedRuns.ts
+++ b/bench/policy/src/playedRuns.ts
@@ -199,9 +199,9 @@
     const ended = isGang ? members : [run]
     const others = outcome === 'done' ? 'done' : 'broken'
     if (outcome === 'done') this.#opts.speeds.noteEnd({ ...run.placement, outcome }, run.track)
-    const ends = ended.map((member) => {
+    const ends = ended.map((member): RunEnd => {
       const blame = blames?.get(runKey(member.placement))
-      if (blame !== undefined) return { ...this.#toEnd(member, 'crashed'), blame }
+      if (blame !== undefined) return { ...this.#toEnd(member, 'crashed'), isCertain: true, blame }
       return this.#toEnd(member, member === run ? outcome : others)
     })
     for (const member of ended) this.#runs.delete(runKey(member.placement))
