fix(sessions): a run that an earlier leader started is not blamed for a crash as if it had just started

What callers could see: a sound job shown as failed after three crashes of its upstreams soon after changes of leader.

Cause: a new leader has not seen the runs that it inherits at work, and what it had not seen at work it took for just started. How long such a run has been at work is not known, so it may only be suspected: a third blame ends the job, a third suspicion does not.

Evidence: the new test failed before: three crashes, each right after an election, of a task at work for 5 s before each, blamed three times and given up. Now it is suspected three times and goes on.

Why it works: blame asks for a start that this leader saw. Counting it as a suspicion keeps the bound on starts as it was.

--- a/batch/service/test/crashingTasks.test.ts
+++ b/batch/service/test/crashingTasks.test.ts
@@ -67,6 +67,24 @@
   t.deepEqual(fleet.ledger.violations, [])
 })
 
+test('a run that was at work under former leaders is not blamed for a crash as if it had just started', async (t) => {
+  const fleet = startFleet(() => false)
+  fleet.submit(createJob('sound', { expectedRunTimeMs: 60_000 }), 0)
+  for (let crash = 0; crash < 3; crash++) {
+    await fleet.clock.advance(5000)
+    const upstreamId = fleet.state.jobs.get('sound')?.steps[0]?.tasks[0]?.upstreamId ?? ''
+    fleet.elect()
+    fleet.inject({ kind: 'crash', upstream: fleet.listUpstreamIds().indexOf(upstreamId) })
+  }
+  await fleet.clock.advance(5000)
+  const losses = fleet.state.jobs.get('sound')?.steps[0]?.tasks[0]?.losses ?? []
+  t.deepEqual(
+    losses.map(({ blame }) => blame),
+    ['suspected', 'suspected', 'suspected'],
+  )
+  t.is(statusOf(fleet, 'sound'), 'active')
+})
+
 test('no sound job is given up because an upstream keeps crashing by itself', async (t) => {
   const fleet = startFleet(() => false)
   for (let at = 0; at < 6; at++) {
--- a/batch/sessions/src/blameCrash.ts
+++ b/batch/sessions/src/blameCrash.ts
@@ -8,10 +8,11 @@
   /** Whether it has been seen running for `provenAfterMs` since its start. */
   readonly isProven: boolean
   /**
-   * `no`: the start order is still in flight, and may reach only the restarted upstream.
-   * `unknown`: the start order got no answer.
+   * `not-yet`: the start order is still in flight, and may reach only the restarted upstream.
+   * `unknown`: the start order got no answer, or an earlier leader sent it, so that the run may have been at work for long.
+   * `seen`: this leader started it.
    */
-  readonly hasStarted: 'no' | 'unknown' | 'yes'
+  readonly start: 'not-yet' | 'unknown' | 'seen'
 }
 
 /**
@@ -22,13 +23,13 @@
   runs: readonly CrashedRun[],
   isCertain: boolean,
 ): ReadonlyMap<string, CrashBlame> {
-  const started = runs.filter(({ hasStarted }) => hasStarted !== 'no')
+  const started = runs.filter(({ start }) => start !== 'not-yet')
   const hasUnprovenRun = started.some(({ isProven }) => !isProven)
-  const assignBlame = ({ isProven, hasStarted }: CrashedRun): CrashBlame => {
-    if (hasStarted === 'no') return 'none'
+  const assignBlame = ({ isProven, start }: CrashedRun): CrashBlame => {
+    if (start === 'not-yet') return 'none'
     // If every started run is proven, any of them may have caused a crash; a mere silence has likelier causes.
     if (isProven) return hasUnprovenRun || !isCertain ? 'none' : 'suspected'
-    return isCertain && hasStarted === 'yes' ? 'blamed' : 'suspected'
+    return isCertain && start === 'seen' ? 'blamed' : 'suspected'
   }
   return new Map(runs.map((run) => [runKey(run.placement), assignBlame(run)]))
 }
--- a/batch/sessions/src/lostRuns.ts
+++ b/batch/sessions/src/lostRuns.ts
@@ -15,13 +15,12 @@
   'lease-over': { outcome: 'silent' },
 }
 
-/** An inherited run has most likely started: leaders send the start order as soon as the placement is committed. */
-const hasStartedByPhase: Readonly<Record<RunPhase, CrashedRun['hasStarted']>> = {
-  starting: 'no',
-  refused: 'no',
+const startByPhase: Readonly<Record<RunPhase, CrashedRun['start']>> = {
+  starting: 'not-yet',
+  refused: 'not-yet',
   'in-doubt': 'unknown',
-  inherited: 'yes',
-  settled: 'yes',
+  inherited: 'unknown',
+  settled: 'seen',
 }
 
 /** Tells a run that never started from one whose end the upstream has forgotten. */
@@ -111,7 +110,8 @@
     const track = this.#opts.tracks.find(placement)
     const phase = track?.phaseBeforeCrash ?? track?.phase ?? 'starting'
     const isProven = track?.isProven === true
-    return { placement, phase, isProven, hasStarted: hasStartedByPhase[phase] }
+    const start = track?.wasInherited === true ? 'unknown' : startByPhase[phase]
+    return { placement, phase, isProven, start }
   }
 
   #log(
--- a/batch/sessions/src/runTrack.ts
+++ b/batch/sessions/src/runTrack.ts
@@ -15,6 +15,8 @@
 export interface RunTrack {
   readonly placement: Placement
   phase: RunPhase
+  /** Whether an earlier leader started it, so that this one does not know for how long it has been running. */
+  readonly wasInherited: boolean
   /**
    * The phase as its process was replaced. Set until the successor lists the run: the order to start it may have reached
    * the successor.
@@ -44,6 +46,7 @@
 export function createRunTrack(run: NewRunTrack): RunTrack {
   return {
     ...run,
+    wasInherited: run.phase === 'inherited',
     settledAtMs: run.startedAtMs,
     progressPercent: 0,
     checkpoint: '',
--- a/bench/policy/src/playedRuns.ts
+++ b/bench/policy/src/playedRuns.ts
@@ -129,7 +129,7 @@
     const runs = this.#listOn(upstreamId)
     const blames = blameCrash(
       runs.map(({ placement, track }) => {
-        return { placement, isProven: track.isProven, hasStarted: 'yes' as const }
+        return { placement, isProven: track.isProven, start: 'seen' as const }
       }),
       true,
     )
