--- a/batch/state/src/batchState.ts
+++ b/batch/state/src/batchState.ts
@@ -10,10 +10,10 @@
 import type { Command, CommandOf, CommandOutcome, Placement, RunEnd } from './command.js'
 import { createJobRecord } from './createJobRecord.js'
 import { endRun, settleRun } from './endRun.js'
-import { isStaleAnnouncement } from './isStaleAnnouncement.js'
 import { measureJobSize } from './measureJobSize.js'
 import { hasPlacements, PlacementIndex } from './placementIndex.js'
 import { SilenceIndex } from './silenceIndex.js'
+import { changeUpstream, noteUpstream } from './upstreamRecords.js'
 import type { UpstreamSpeed } from './upstreamSpeed.js'
 import type { JobRecord, UpstreamRecord } from './records.js'
 
@@ -91,11 +91,14 @@
       case 'settle-silences':
         return this.#settleSilences(command)
       case 'note-upstream':
-        return this.#noteUpstream(command)
+        return noteUpstream(this.upstreams, command)
       case 'drain-upstream':
-        return this.#changeUpstream(command.upstreamId, { isDraining: true })
+        return changeUpstream(this.upstreams, command.upstreamId, { isDraining: true })
       case 'remove-upstream':
-        return this.#changeUpstream(command.upstreamId, { isDraining: true, hasLeft: true })
+        return changeUpstream(this.upstreams, command.upstreamId, {
+          isDraining: true,
+          hasLeft: true,
+        })
       case 'change-evacuation':
         return this.evacuations.change(command.change)
       case 'note-speeds':
@@ -203,25 +206,6 @@
     return outcome
   }
 
-  #noteUpstream({ description, sequence }: CommandOf<'note-upstream'>): CommandOutcome {
-    const known = this.upstreams.get(description.upstreamId)
-    if (isStaleAnnouncement(known, sequence)) return 'unchanged'
-    this.upstreams.set(description.upstreamId, {
-      description,
-      ...(sequence === undefined ? {} : { sequence }),
-      isDraining: known?.isDraining ?? false,
-      hasLeft: known?.hasLeft ?? false,
-    })
-    return 'done'
-  }
-
-  #changeUpstream(upstreamId: string, change: Partial<UpstreamRecord>): CommandOutcome {
-    const known = this.upstreams.get(upstreamId)
-    if (known === undefined) return 'unchanged'
-    this.upstreams.set(upstreamId, { ...known, ...change })
-    return 'done'
-  }
-
   /** Leaves out upstreams that were forgotten meanwhile. */
   #noteSpeeds(speeds: readonly UpstreamSpeed[]): CommandOutcome {
     const known = speeds.filter(({ upstreamId }) => this.upstreams.has(upstreamId))
