test(service): each test that plays a fleet checks that no job is given up without cause

Cause: no model and no property test in batch/service asked whether a job that is shown as failed had a cause (`canBeGivenUp`); only the soak did. Change: the fake fleet checks each job as it fails and records a violation, so that the tests that expect no violations check it. The check of starts in evacuated data centres moves beside it. Fleets may have more than four upstreams, and upstreams that stay down.

--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -1,5 +1,5 @@
-/** A leader with four fake upstreams over faulty links, on a manual clock. Commits take a few milliseconds. */
-import { runKey, type JobRequest, type RunRef } from '@nettlespur/batch.model'
+/** A leader with fake upstreams, four by default, over faulty links, on a manual clock. Commits take a few milliseconds. */
+import type { JobRequest } from '@nettlespur/batch.model'
 import { BatchState, type Command, type CommandOutcome } from '@nettlespur/batch.state'
 import { ManualClock } from '@nettlespur/core.clock'
 import { NettlespurError } from '@nettlespur/core.errors'
@@ -14,6 +14,7 @@
 import { EvacuationOperator } from './evacuationOperator.js'
 import { FaultyPort } from './faultyPort.js'
 import { FleetAnnouncer } from './fleetAnnouncer.js'
+import { FleetChecks } from './fleetChecks.js'
 import { addressOf, FleetLinks } from './fleetLinks.js'
 import { FleetUpstreams } from './fleetUpstreams.js'
 import type { Logger } from '@nettlespur/core.logger'
@@ -40,6 +41,7 @@
   readonly #announcer: FleetAnnouncer
   readonly relays: FleetRelays
   readonly #operator: EvacuationOperator
+  readonly #checks: FleetChecks
 
   constructor(opts: FakeFleetOptions) {
     const { clock } = this
@@ -57,6 +59,7 @@
       },
       ...(opts.crashes === undefined ? {} : { crashes: opts.crashes }),
     })
+    this.#checks = new FleetChecks({ state: this.state, ledger: this.ledger })
     this.#upstreams = new FleetUpstreams({ ...opts, clock, ledger: this.ledger })
     this.port = new FaultyPort({
       clock,
@@ -66,7 +69,7 @@
       nextLatenessMs: () => opts.lateMs,
       remembersCursor: opts.remembersCursor === true,
       onStartSent: ({ upstreamId }, run) => {
-        this.#checkNotEvacuated(upstreamId, run)
+        this.#checks.checkStart(upstreamId, run)
       },
       isPlaced: ({ jobId, step, index, attempt }) => {
         const task = this.state.jobs.get(jobId)?.steps[step]?.tasks[index]
@@ -81,7 +84,7 @@
       state: this.state,
     })
     this.commit({ type: 'apply-config', config: createFleetConfig() })
-    for (let at = 0; at < upstreamCount; at++) this.#upstreams.start(at)
+    for (let at = 0; at < (opts.upstreamCount ?? upstreamCount); at++) this.#upstreams.start(at)
     this.#announcer = new FleetAnnouncer({
       clock,
       links: this.#links,
@@ -102,6 +105,7 @@
 
   commit(command: Command): CommandOutcome {
     const outcome = this.state.apply(command)
+    this.#checks.checkFailedJobs()
     this.#jobClock.noteApplied(command, this.state, this.clock.monotonicMs())
     this.#leader?.handleAppliedCommand(command)
     return outcome
@@ -227,7 +231,7 @@
   }
 
   listUpstreamIds(): string[] {
-    return Array.from({ length: upstreamCount }, (_, at) => this.upstreamIdOf(at))
+    return [...this.#upstreams.byAddress.values()].map(({ processId }) => processId)
   }
 
   healLinks(): void {
@@ -242,9 +246,4 @@
     if (term === this.#term) return Right(this.commit(command))
     return Left(new NettlespurError('not-leader', 'another member leads'))
   }
-
-  #checkNotEvacuated(upstreamId: string, run: RunRef): void {
-    if (this.state.isEvacuated(upstreamId))
-      this.ledger.violations.push(`${runKey(run)} was sent to ${upstreamId}, which is evacuated`)
-  }
 }
--- a/batch/service/__utils__/fleetOptions.ts
+++ b/batch/service/__utils__/fleetOptions.ts
@@ -27,6 +27,10 @@
   | ({ kind: 'evacuate' } & EvacuationOrderPlan)
 
 export interface FakeFleetOptions {
+  /** The exported `upstreamCount` by default. */
+  upstreamCount?: number
+  /** Numbers of the upstreams that stay down once a run or a fault has crashed them; none by default. */
+  neverRestarted?: readonly number[]
   /** Rate of the upstreams' clocks relative to the leader's. */
   clockRate: number
   /** The delay after which a late order is carried out. */
--- a/batch/service/__utils__/fleetUpstreams.ts
+++ b/batch/service/__utils__/fleetUpstreams.ts
@@ -9,7 +9,13 @@
 
 export interface FleetUpstreamsOptions extends Pick<
   FakeFleetOptions,
-  'clockRate' | 'guardsCapacity' | 'remembersCursor' | 'bornMs' | 'statesBirth' | 'speeds'
+  | 'clockRate'
+  | 'guardsCapacity'
+  | 'remembersCursor'
+  | 'bornMs'
+  | 'statesBirth'
+  | 'speeds'
+  | 'neverRestarted'
 > {
   clock: Clock
   ledger: FleetLedger
@@ -33,11 +39,12 @@
     return this.#byAddress.get(addressOf(at))
   }
 
-  /** The process crashes, and the next one starts after `downMs`. */
+  /** The process crashes, and the next one, if any, starts after `downMs`. */
   crash(at: number, downMs: number): void {
     const upstream = this.find(at)
     if (upstream?.isUp !== true) return
     upstream.crash()
+    if (this.#opts.neverRestarted?.includes(at) === true) return
     if (downMs === 0) {
       this.start(at)
       return
