fix(gangs): a gang whose upstreams were only silent is no failed attempt

Cause: `control/gangs` counted every attempt that had started and not finished, for whatever reason, and ended the job as `failed` at the eighth. An upstream that is cut off until the lease is over runs on or is killed by its lease; neither is the job's fault, and the verdict could not be taken back.

Evidence: `silence.test.ts`, "however often its upstreams are silent": as found the job is `failed` at attempt 8, with the change it runs its thirteenth attempt. The other two tests hold before and after: eight attempts that upstreams report as lost still end the job, also where the upstream answers only the stop.

Change: the outcome `lost` is split. `lost` is reported by an upstream (start refused, task stopped, no record of the task), `silent` is concluded from a lease that is over or from an upstream presumed dead. Only `failed` and `lost` count. A silent gang whose upstream answers the stop without a record of the task becomes `lost`. What holds back a job whose upstreams never answer again: from the eighth attempt on its backoff is bounded by 120 s instead of 15 s.

Why it works: what counts now is said by a process that answers.

--- a/control/gangs/src/chooseCommand.ts
+++ b/control/gangs/src/chooseCommand.ts
@@ -4,10 +4,13 @@
 
 /** Once its tasks have failed on this many upstreams, the job itself is taken to be faulty and ends as failed. */
 export const failedUpstreamsMax = 3
-/** Unfinished attempts that may have run, after which the job ends as failed. */
+/** Attempts that may have run and are known to have failed or to be lost, after which the job ends as failed. */
 const failedAttemptsMax = 8
 const retryBaseMs = 100
 const retryCapMs = 15_000
+/** From this many attempts on, `manyAttemptsRetryCapMs` bounds the delay: the job may be what silences its upstreams. */
+const manyAttempts = 8
+const manyAttemptsRetryCapMs = 120_000
 
 export interface ChooseCommandOptions {
   job: JobRecord
@@ -40,7 +43,7 @@
     return { type: 'job.ended', ...head, outcome: end.state, reason: end.reason, failure }
   }
   const retryAt = new Date(now.getTime() + computeRetryDelayMs(opts)).toISOString()
-  const countsAsFailure = mayHaveRun
+  const countsAsFailure = mayHaveRun && outcome.kind !== 'silent'
   return { type: 'job.requeue', ...head, reason, retryAt, startSent, countsAsFailure, failure }
 }
 
@@ -79,6 +82,7 @@
   if (retriesPerSecond === 0) {
     return { state: 'failed', reason: `${reason}; its contract allows no retries` }
   }
+  if (kind === 'silent') return undefined
   const attempts = job.failedAttempts + 1
   if (attempts < failedAttemptsMax) return undefined
   return { state: 'failed', reason: `${reason}; ${attempts} attempts did not finish` }
@@ -86,6 +90,7 @@
 
 /** Adds the delay that the retry budgets ask for to exponential backoff with full jitter. */
 function computeRetryDelayMs({ job, random, takeRetry }: ChooseCommandOptions): number {
-  const boundMs = Math.min(retryCapMs, retryBaseMs * 2 ** Math.min(job.attempts, 16))
+  const capMs = job.attempts < manyAttempts ? retryCapMs : manyAttemptsRetryCapMs
+  const boundMs = Math.min(capMs, retryBaseMs * 2 ** Math.min(job.attempts, 16))
   return Math.round(takeRetry() + random() * boundMs)
 }
--- a/control/gangs/src/collectAnswer.ts
+++ b/control/gangs/src/collectAnswer.ts
@@ -18,7 +18,7 @@
   for (const [rank, member] of members.entries()) {
     const body = bodies[rank]
     if (body === undefined)
-      return createStoppedOutcome('lost', `the answer of ${member.upstreamId} is gone`)
+      return createStoppedOutcome('silent', `the answer of ${member.upstreamId} is gone`)
     if (!isUtf8(body))
       return createStoppedOutcome('failed', `the answer of ${member.upstreamId} is not UTF-8`)
     const { taskId } = member.task
@@ -27,7 +27,7 @@
   return { kind: 'finished', parts }
 }
 
-function createStoppedOutcome(kind: 'lost' | 'failed', reason: string): GangOutcome {
+function createStoppedOutcome(kind: 'silent' | 'failed', reason: string): GangOutcome {
   return { kind, reason, startSent: true }
 }
 
--- a/control/gangs/src/gangMember.ts
+++ b/control/gangs/src/gangMember.ts
@@ -36,6 +36,7 @@
   #state: TaskState | undefined
   #failure: string | undefined
   #startRefused = false
+  #wasSeenRunning = false
   #mayHaveSentStart = false
   #earliestLeaseEndMs = 0
   #latestLeaseEndMs = 0
@@ -69,6 +70,20 @@
     return this.#state !== 'finished' && this.#state !== 'failed'
   }
 
+  /**
+   * Whether the loss of this member is certain: its upstream refused the start, stopped the task, or has no record of it any
+   * more. An expired lease is no such report: the upstream lives, and was not heard.
+   */
+  get isReportedLost(): boolean {
+    return this.#startRefused || this.#state === 'stopped' || this.isForgotten
+  }
+
+  /** Whether its upstream answers and has no record of the start: another process answers. */
+  get isForgotten(): boolean {
+    if (this.#state === 'unknown') return true
+    return this.#state === 'never-runs' && this.#wasSeenRunning
+  }
+
   /** Time until the next renewal is due: sooner after a failed call, infinite once the task has ended. */
   get renewalDueMs(): number {
     if (!this.#mayBeRunning) return Number.POSITIVE_INFINITY
@@ -184,6 +199,7 @@
   /** A status with another fence only shows that this task is not on the upstream. */
   #recordStatus(status: TaskStatus): TaskState {
     this.#state = status.fence === this.task.fence ? status.state : 'unknown'
+    this.#wasSeenRunning ||= this.#state === 'running'
     this.#failure = status.failure
     return this.#state
   }
--- a/control/gangs/src/gangOutcome.ts
+++ b/control/gangs/src/gangOutcome.ts
@@ -8,9 +8,12 @@
   readonly parts: JobAnswer['parts']
 }
 
-/** A task failed on its own, a member was lost, or the caller cancelled the job. */
+/**
+ * A task failed on its own (`failed`), an upstream reported that it no longer has a task (`lost`), an upstream was not heard
+ * until the lease of its task was over (`silent`), or the caller cancelled the job.
+ */
 export interface GangAborted {
-  readonly kind: 'failed' | 'lost' | 'cancelled'
+  readonly kind: 'failed' | 'lost' | 'silent' | 'cancelled'
   readonly reason: string
   /** False only if it is certain that no start had an effect. */
   readonly startSent: boolean
@@ -52,7 +55,10 @@
     }
   }
   const lost = members.find((member) => member.isLost)
-  if (lost !== undefined) return { kind: 'lost', reason: describeLost(lost), startSent }
+  if (lost !== undefined) {
+    const kind = members.some((member) => member.isReportedLost) ? 'lost' : 'silent'
+    return { kind, reason: describeLost(lost), startSent }
+  }
   return members.every((member) => member.state === 'finished') ? 'finished' : undefined
 }
 
--- a/control/gangs/src/gangRunner.ts
+++ b/control/gangs/src/gangRunner.ts
@@ -137,7 +137,7 @@
 
   /** Stops all members unless the gang has finished, then commits the end or the requeueing of the job. */
   async #stopAndCommitEnd(outcome: GangOutcome): Promise<void> {
-    if (outcome.kind === 'lost') await this.#log.confirmLeadership()
+    if (outcome.kind === 'lost' || outcome.kind === 'silent') await this.#log.confirmLeadership()
     const finalOutcome = outcome.kind === 'finished' ? outcome : await this.#stopAll(outcome)
     for (let tries = 0; tries < endCommitTriesMax; tries++) {
       const job = this.#readJob()
@@ -177,10 +177,16 @@
   async #stopAll(outcome: GangStopped): Promise<GangOutcome> {
     const stops = await Promise.all(this.#members.map((member) => member.stop(this.#signal)))
     const requested = outcome.kind === 'cancelled' || outcome.kind === 'preempted'
-    if (!requested || stops.some((stop) => stop !== 'finished')) return outcome
+    if (!requested || stops.some((stop) => stop !== 'finished')) return this.#confirmLoss(outcome)
     return collectAnswer(this.#opts, this.#members, this.#signal)
   }
 
+  /** A silent gang is lost for certain once one of its upstreams has answered a stop that it has no record of the task. */
+  #confirmLoss(outcome: GangStopped): GangStopped {
+    const isReportedLost = this.#members.some((member) => member.isForgotten)
+    return outcome.kind === 'silent' && isReportedLost ? { ...outcome, kind: 'lost' } : outcome
+  }
+
   /** Returns the current job, or undefined if it has ended or has another placement. */
   #readJob(): JobRecord | undefined {
     const job = this.#opts.holder.state.getLiveJob(this.#jobId)
--- /dev/null
+++ b/control/gangs/test/silence.test.ts
@@ -0,0 +1,71 @@
+/** What silence of upstreams may end for good: nothing that a later answer could contradict. */
+import test from 'ava'
+import {
+  allLeasesExpiredMs,
+  createGangFixture,
+  placeGang,
+  readState,
+  startGang,
+  timings,
+  type GangFixture,
+} from './createGangFixture.js'
+
+/** More attempts than those after which a job that fails is given up. */
+const manyAttempts = 12
+const longestRetryMs = 120_000
+
+/** Places the job again once it may be, as the placement loop would. */
+async function startAgain(
+  gangs: GangFixture,
+  jobId: string,
+  manager: ReturnType<GangFixture['createManager']>,
+) {
+  await gangs.clock.advance(longestRetryMs)
+  const job = await placeGang(gangs, jobId)
+  manager.start(job)
+  await gangs.clock.advance(1)
+  return job
+}
+
+// Guards against a job that is given up because its upstreams were cut off again and again, and ran on.
+test('a repeatable job is not given up however often its upstreams are silent until its leases end', async (t) => {
+  const gangs = await createGangFixture()
+  const { job, manager } = await startGang(gangs, { repeatable: true })
+  for (let attempt = 1; attempt <= manyAttempts; attempt++) {
+    gangs.client.unreachable.add('a1')
+    await gangs.clock.advance(allLeasesExpiredMs)
+    t.like(readState(gangs, job), { state: 'queued', attempts: attempt })
+    gangs.client.unreachable.delete('a1')
+    await startAgain(gangs, job.jobId, manager)
+  }
+  t.is(readState(gangs, job)?.state, 'running')
+})
+
+// Guards against a job that crashes its upstreams for ever because nothing counts.
+test('a repeatable job is given up after eight attempts that its upstreams report as lost', async (t) => {
+  const gangs = await createGangFixture()
+  const { job, manager } = await startGang(gangs, { repeatable: true })
+  for (let attempt = 1; attempt < 8; attempt++) {
+    gangs.client.restartUpstream('a1')
+    await gangs.clock.advance(timings.renewTasksEveryMs)
+    t.like(readState(gangs, job), { state: 'queued', attempts: attempt })
+    await startAgain(gangs, job.jobId, manager)
+  }
+  gangs.client.restartUpstream('a1')
+  await gangs.clock.advance(timings.renewTasksEveryMs)
+  t.is(readState(gangs, job)?.state, 'failed')
+})
+
+// Guards against a crash that is taken for a silence because the upstream answers only once the gang is being stopped.
+test('an upstream that was silent and answers the stop without a record of the task counts as lost', async (t) => {
+  const gangs = await createGangFixture()
+  const { job } = await startGang(gangs, { repeatable: true })
+  gangs.client.unreachable.add('a1')
+  gangs.silentUpstreams.add('u1')
+  await gangs.clock.advance(timings.renewTasksEveryMs + 2000)
+  t.is(readState(gangs, job)?.state, 'running')
+  gangs.client.restartUpstream('a1')
+  gangs.client.unreachable.delete('a1')
+  await gangs.clock.advance(timings.renewTasksEveryMs)
+  t.like(readState(gangs, job), { state: 'queued', failedAttempts: 1 })
+})
--- a/control/state/src/command.ts
+++ b/control/state/src/command.ts
@@ -119,7 +119,7 @@
   retryAt: at,
   /** False only if it is certain that no start request of this attempt was sent. */
   startSent: z.boolean(),
-  /** True if the attempt was started and did not finish. */
+  /** True if the attempt was started and is known to have failed or to be lost. */
   countsAsFailure: z.boolean(),
   /** A checkpoint of the whole gang, from which the next attempt resumes. */
   checkpointId: z.string().optional(),
--- a/control/state/src/jobRecord.ts
+++ b/control/state/src/jobRecord.ts
@@ -22,7 +22,7 @@
   state: jobStateSchema,
   reason: z.string(),
   attempts: countSchema,
-  /** Number of attempts that were started and did not finish. */
+  /** Number of attempts that were started and are known to have failed or to be lost. */
   failedAttempts: countSchema,
   submittedAt: z.iso.datetime(),
   startedAt: z.iso.datetime().optional(),
