fix(gangs): a job that can't run again is not ended by a silence shorter than its leases

Cause: after two unanswered renewals on an upstream that is silent while others are heard, its member is presumed dead before its lease is over (3 s + 1 s of 15 s with the default settings). For a repeatable job that costs an attempt. A job that is not repeatable was stopped and ended as `unknown` for good.

Evidence: the test "outlives a silence that is shorter than its leases": as found the other member is stopped and the job is over while the cut lasts; now it finishes after the cut.

Why it works: only the lease, which the upstream itself enforces, ends such a gang. The price is bounded: accelerators of a job that is not repeatable and whose upstream is gone are held for the rest of its lease, 15 s by default.

--- a/control/gangs/src/gangMember.ts
+++ b/control/gangs/src/gangMember.ts
@@ -5,6 +5,7 @@
  * later one.
  */
 import type { PlacementMember, ReserveTask, TaskState, TaskStatus } from '@nettlespur/api.schemas'
+import type { JobRecord } from '@nettlespur/control.state'
 import type { NettlespurError } from '@nettlespur/core.errors'
 import type { TaskReference } from '@nettlespur/upstream.client'
 import type { Either, EitherAsync } from 'purify-ts'
@@ -33,6 +34,7 @@
   readonly task: TaskReference
   readonly #opts: GangOptions
   readonly #jobId: string
+  readonly #mayRunAgain: boolean
   #state: TaskState | undefined
   #failure: string | undefined
   #startRefused = false
@@ -42,9 +44,10 @@
   #latestLeaseEndMs = 0
   #failedCalls = 0
 
-  constructor(opts: GangOptions, jobId: string, member: PlacementMember, fence: number) {
+  constructor(opts: GangOptions, job: JobRecord, member: PlacementMember, fence: number) {
     this.#opts = opts
-    this.#jobId = jobId
+    this.#jobId = job.jobId
+    this.#mayRunAgain = job.request.repeatable
     this.upstreamId = member.upstreamId
     this.task = { address: member.address, taskId: member.taskId, fence }
   }
@@ -97,8 +100,12 @@
     return this.#earliestLeaseEndMs - this.#opts.clock.monotonicMs()
   }
 
-  /** Whether renewals have failed repeatedly and the upstream is silent while others are not. */
+  /**
+   * Whether renewals have failed repeatedly and the upstream is silent while others are not. Never presumed where the job
+   * could not run again: it would end for good, though its upstream may answer before the lease is over.
+   */
   get #isPresumedDead(): boolean {
+    if (!this.#mayRunAgain) return false
     const hasFailedCalls = this.#failedCalls >= failedCallsMax
     return hasFailedCalls && this.#opts.isUpstreamSilent(this.upstreamId)
   }
--- a/control/gangs/src/gangRunner.ts
+++ b/control/gangs/src/gangRunner.ts
@@ -52,7 +52,7 @@
     this.#opts = opts
     this.#jobId = job.jobId
     this.#placement = placement
-    this.#members = members.map((member) => new GangMember(opts, job.jobId, member, fence))
+    this.#members = members.map((member) => new GangMember(opts, job, member, fence))
     this.#log = new LeaderLog(opts, signal)
     this.#signal = signal
   }
--- a/control/gangs/test/silence.test.ts
+++ b/control/gangs/test/silence.test.ts
@@ -69,3 +69,22 @@
   await gangs.clock.advance(timings.renewTasksEveryMs)
   t.like(readState(gangs, job), { state: 'queued', failedAttempts: 1 })
 })
+
+// Guards against a job that is ended for good because its upstream was silent for seconds, well before its lease was over.
+test('a job that is not repeatable outlives a silence that is shorter than its leases', async (t) => {
+  const gangs = await createGangFixture()
+  const { job, first, second } = await startGang(gangs, { repeatable: false })
+  gangs.client.unreachable.add('a1')
+  gangs.silentUpstreams.add('u1')
+  gangs.upstreamChanges.next('u1')
+  await gangs.clock.advance(timings.taskLeaseMs - timings.renewTasksEveryMs)
+  t.is(readState(gangs, job)?.state, 'running')
+  gangs.client.unreachable.delete('a1')
+  gangs.silentUpstreams.delete('u1')
+  gangs.upstreamChanges.next('u1')
+  await gangs.clock.advance(timings.renewTasksEveryMs)
+  gangs.client.finish(first, 'one')
+  gangs.client.finish(second, 'two')
+  await gangs.clock.advance(timings.renewTasksEveryMs)
+  t.is(readState(gangs, job)?.state, 'finished')
+})
