fix(gangs): a gang that had finished behind a cut gives its answer when it answers the stop

Cause: the stop of a gang that was taken to be lost waits for the state of each member, and then ignored it unless a caller or a preemption had asked for the stop. Where all members answered `finished`, a job that is not repeatable still ended as `unknown`, and a repeatable one ran again.

Evidence: the tests "had finished behind a cut gives its answer if it answers the stop": `unknown` and `queued` as found, `finished` now.

Why it works: what an upstream reports goes before what was concluded from its silence. A gang with a member that failed is left out, as before, so an answer that is too large to keep isn't fetched again.

--- a/control/gangs/src/gangRunner.ts
+++ b/control/gangs/src/gangRunner.ts
@@ -173,12 +173,12 @@
     })
   }
 
-  /** Stops all members. A cancelled or preempted gang that has finished in the meantime still gives its answer. */
+  /** Stops all members. A gang that has finished in the meantime still gives its answer, unless a member has failed. */
   async #stopAll(outcome: GangStopped): Promise<GangOutcome> {
     const stops = await Promise.all(this.#members.map((member) => member.stop(this.#signal)))
-    const requested = outcome.kind === 'cancelled' || outcome.kind === 'preempted'
-    if (!requested || stops.some((stop) => stop !== 'finished')) return this.#confirmLoss(outcome)
-    return collectAnswer(this.#opts, this.#members, this.#signal)
+    const hasFinished = outcome.kind !== 'failed' && stops.every((stop) => stop === 'finished')
+    if (hasFinished) return collectAnswer(this.#opts, this.#members, this.#signal)
+    return this.#confirmLoss(outcome)
   }
 
   /** A silent gang is lost for certain once one of its upstreams has answered a stop that it has no record of the task. */
--- a/control/gangs/test/silence.test.ts
+++ b/control/gangs/test/silence.test.ts
@@ -88,3 +88,20 @@
   await gangs.clock.advance(timings.renewTasksEveryMs)
   t.is(readState(gangs, job)?.state, 'finished')
 })
+
+// Guards against a gang that has finished and is ended as unknown, or run again, because one answer came late.
+for (const repeatable of [false, true]) {
+  const kind = repeatable ? 'repeatable' : 'not repeatable'
+  test(`a gang that had finished behind a cut gives its answer if it answers the stop, ${kind}`, async (t) => {
+    const gangs = await createGangFixture()
+    const { job, first, second } = await startGang(gangs, { repeatable })
+    gangs.client.unreachable.add('a1')
+    gangs.client.finish(first, 'one')
+    gangs.client.finish(second, 'two')
+    await gangs.clock.advance(timings.taskLeaseMs + timings.clockDriftMarginMs / 2)
+    t.truthy(readState(gangs, job)?.placement)
+    gangs.client.unreachable.delete('a1')
+    await gangs.clock.advance(timings.renewTasksEveryMs)
+    t.is(readState(gangs, job)?.state, 'finished')
+  })
+}
