fix(gangs): a job without retries ends as unknown, not as failed, after a silence

Cause: where the contract allows no retries, any attempt that didn't finish ended the job as `failed`, also one whose upstream was only silent until its lease was over and may have finished.

Why it works: the job still ends, as its contract says, but the state claims only what is known. `unknown` is what a job that is not repeatable has always shown there.

--- a/api/schemas/src/job.ts
+++ b/api/schemas/src/job.ts
@@ -43,7 +43,7 @@
   'unknown',
 ] as const
 export const jobStateSchema = z.enum(jobStates)
-/** `unknown`: a job that is not repeatable was lost after its start, and its outcome can't be learned. */
+/** `unknown`: a job that is not repeatable, or has no retries, was lost after its start, and its outcome can't be learned. */
 export type JobState = z.infer<typeof jobStateSchema>
 
 /** States after which nothing about the job changes. */
--- a/control/gangs/src/chooseCommand.ts
+++ b/control/gangs/src/chooseCommand.ts
@@ -80,7 +80,8 @@
     return { state: 'failed', reason: `${reason}; it failed on ${[...upstreams].join(', ')}` }
   }
   if (retriesPerSecond === 0) {
-    return { state: 'failed', reason: `${reason}; its contract allows no retries` }
+    const state = kind === 'silent' ? 'unknown' : 'failed'
+    return { state, reason: `${reason}; its contract allows no retries` }
   }
   if (kind === 'silent') return undefined
   const attempts = job.failedAttempts + 1
--- a/control/gangs/test/silence.test.ts
+++ b/control/gangs/test/silence.test.ts
@@ -1,4 +1,6 @@
 /** What silence of upstreams may end for good: nothing that a later answer could contradict. */
+import { createContract } from '@nettlespur/control.fakes'
+import { unwrap } from '@nettlespur/core.errors'
 import test from 'ava'
 import {
   allLeasesExpiredMs,
@@ -14,6 +16,13 @@
 const manyAttempts = 12
 const longestRetryMs = 120_000
 
+async function forbidRetries({ log, clock }: GangFixture): Promise<void> {
+  const contract = createContract('demo')
+  const limits = { ...contract.limits, retriesPerSecond: 0 }
+  const change = { changeId: 'none', expectedRevision: 1, contract: { ...contract, limits } }
+  await unwrap(log.propose({ type: 'contract.apply', at: clock.now().toISOString(), change }))
+}
+
 /** Places the job again once it may be, as the placement loop would. */
 async function startAgain(
   gangs: GangFixture,
@@ -105,3 +114,17 @@
     t.is(readState(gangs, job)?.state, 'finished')
   })
 }
+
+// Guards against a claim that a job has failed where nothing is known of its end.
+test('a repeatable job without retries ends unknown after a silence, and failed after a failure', async (t) => {
+  const gangs = await createGangFixture()
+  await forbidRetries(gangs)
+  const { job: silent, manager } = await startGang(gangs, { repeatable: true })
+  const { job: failed, second } = await startGang(gangs, { repeatable: true }, manager, 1)
+  gangs.client.fail(second, 'out of memory')
+  await gangs.clock.advance(timings.renewTasksEveryMs)
+  gangs.client.unreachable.add('a1')
+  await gangs.clock.advance(allLeasesExpiredMs)
+  t.is(readState(gangs, failed)?.state, 'failed')
+  t.is(readState(gangs, silent)?.state, 'unknown')
+})
