fix(placement): a job is not ended because the upstreams that can hold it are silent

Cause: a job that had waited for ten minutes, and that "no set of the known upstreams" could hold for one minute more, was ended as `cancelled` or `failed` for good. The known upstreams are those that this leader has heard: after a change of leader those behind a cut are not among them (3 s after its start), and one that is silent for ten minutes is forgotten. Silence ended jobs.

Evidence: the test "waits for as long as the only upstream that can hold it is silent": as found `cancelled` a minute after the upstream was forgotten, now queued with the reason, and running once the upstream is back.

Change: such a job waits, and its reason says that no known upstreams can hold it (that reason was there for its first ten minutes). A job is still ended after a minute if it exceeds what its contract allows at once: that is what the operator has ordered. `upstreamsKnown` has no reader any more and goes. A shape that no upstream can hold is refused at submission, as before.

Why it works: what is left to end a queued job for good is an order. The price: a job whose upstreams never come back counts against `queuedJobs` of its workspace until it is cancelled.

--- a/bench/placement/src/measureDecisionCost.ts
+++ b/bench/placement/src/measureDecisionCost.ts
@@ -76,7 +76,7 @@
   })
   const waiting = Array.from({ length: size.waiting }, (_, index) => createWaiting(size, index))
   const contracts = createContracts(deployment)
-  return { nowMs: 1e7, upstreams, upstreamsKnown: true, running, waiting, contracts }
+  return { nowMs: 1e7, upstreams, running, waiting, contracts }
 }
 
 function scaleUp({ upstreams, workspaces }: Size): Deployment {
--- a/bench/placement/src/traceRun.ts
+++ b/bench/placement/src/traceRun.ts
@@ -223,7 +223,6 @@
     return {
       nowMs,
       upstreams: this.#upstreams.createView(nowMs),
-      upstreamsKnown: true,
       running: live.flatMap(({ gang, stopAtMs }) =>
         gang === undefined ? [] : [{ ...gang, isStopping: stopAtMs !== undefined }],
       ),
--- a/control/service/src/createPlacementView.ts
+++ b/control/service/src/createPlacementView.ts
@@ -8,19 +8,16 @@
   state: ControlState
   upstreams: readonly UpstreamView[]
   now: Date
-  /** Whether upstreams have had the time to announce themselves; false by default. */
-  upstreamsKnown?: boolean
   /** Corrects declared run times; they are used unchanged without it. */
   correction?: RunTimeCorrection
 }
 
 export function createPlacementView(opts: PlacementViewOptions): PlacementView {
-  const { state, upstreams, now, upstreamsKnown = false } = opts
+  const { state, upstreams, now } = opts
   const jobs = state.listLiveJobs()
   return {
     nowMs: now.getTime(),
     upstreams,
-    upstreamsKnown,
     running: jobs.flatMap((job) => toRunningGang(opts, job)),
     waiting: jobs.filter((job) => job.state === 'queued').map((job) => toWaitingJob(opts, job)),
     contracts: state.listContracts().map(({ contract }) => contract),
--- a/control/service/src/placementLoop.ts
+++ b/control/service/src/placementLoop.ts
@@ -88,7 +88,6 @@
       state,
       upstreams: views,
       now,
-      upstreamsKnown: this.#opts.knowsUpstreams(),
       correction: this.#learner.correction,
     })
     const reasons = new Map<string, string>()
--- a/control/service/test/placementLoop.test.ts
+++ b/control/service/test/placementLoop.test.ts
@@ -16,6 +16,8 @@
   type TestNode,
 } from './startNode.js'
 
+/** Longer than an upstream may be silent before its leader forgets it. */
+const forgottenAfterMs = 610_000
 const gang = { accelerators: 8, adjacency: 'upstream' as const }
 
 /** Returns decisions that a test adds, followed by those of the `completionTime` policy. */
@@ -92,6 +94,26 @@
   t.is(ended?.startedAt, undefined)
 })
 
+// Guards against a job that is ended for good because the upstreams that can hold it have been silent for minutes.
+test('a job waits for as long as the only upstream that can hold it is silent, and runs once that is back', async (t) => {
+  const { node } = await startScripted(t)
+  await node.clock.advance(timings.upstreamSuspectMs)
+  const jobId = await submit(node, { gang, repeatable: true })
+  const small = { ...announcement, address: '127.0.0.1:8', accelerators: 4 }
+  await node.clock.advance(forgottenAfterMs)
+  for (let seconds = 0; seconds < 70; seconds++) {
+    await unwrap(node.node.announce({ items: [{ upstreamId: 'u2', announcement: small }] }))
+    await node.clock.advance(1000)
+  }
+  t.is(node.holder.state.getJob('demo', jobId)?.state, 'queued')
+  t.regex(
+    (await unwrap(node.node.getJob({ workspace: 'demo', jobId }))).reason,
+    /no set of the known upstreams can hold/,
+  )
+  await announce(node, 'u1', 'ready')
+  await runUntil(node, () => node.client.getState(`${jobId}.1.0`) === 'running')
+})
+
 test('an explanation names the requested shape, the holders of the accelerators and the jobs ahead', async (t) => {
   const { node } = await startScripted(t)
   const holder = await submit(node, { gang, repeatable: true })
--- a/placement/engine/src/jobAdmission.ts
+++ b/placement/engine/src/jobAdmission.ts
@@ -8,8 +8,6 @@
 import type { WaitingJob } from './placementView.js'
 import type { Block } from '@nettlespur/placement.topology'
 
-/** A job that no set of known upstreams can hold is refused after waiting this long. */
-const refuseInfeasibleAfterMs = 600_000
 /** Cost that keeps gangs of other shapes from splitting a reservation. */
 const splitReservationCost = 100_000
 
@@ -121,17 +119,13 @@
     return this.#onAllUpstreams.isFeasible(job)
   }
 
+  /** A job that no known upstreams can hold is not refused: those that can may only be silent. It waits, and says why. */
   #findRefusal(job: WaitingJob): string | undefined {
-    const { view, contracts } = this.#round
-    const limits = contracts.get(job.workspace)?.limits
+    const limits = this.#round.contracts.get(job.workspace)?.limits
     if (limits !== undefined && job.gang.accelerators > limits.concurrentAccelerators) {
       return `the contract of ${job.workspace} allows ${limits.concurrentAccelerators} accelerators at once`
     }
-    const waitedMs = view.nowMs - job.submittedAtMs
-    if (!view.upstreamsKnown || waitedMs < refuseInfeasibleAfterMs || this.isFeasible(job)) {
-      return undefined
-    }
-    return `no set of the known upstreams can hold ${describeGang(job)}, now or when all are up`
+    return undefined
   }
 
   #hasOwnReservation(job: WaitingJob): boolean {
--- a/placement/engine/src/placementView.ts
+++ b/placement/engine/src/placementView.ts
@@ -21,8 +21,6 @@
 export interface PlacementView {
   readonly nowMs: number
   readonly upstreams: readonly UpstreamView[]
-  /** Whether all running upstreams have had enough time to announce themselves. */
-  readonly upstreamsKnown: boolean
   /** All gangs that hold accelerators, including those that reserve or stop. */
   readonly running: readonly RunningGang[]
   /** Sorted by time of submission. */
--- a/placement/engine/test/fakeCluster.ts
+++ b/placement/engine/test/fakeCluster.ts
@@ -57,7 +57,7 @@
 
   get view(): PlacementView {
     const { nowMs, upstreams, running, waiting, contracts } = this
-    return { nowMs, upstreams, running, waiting, contracts, upstreamsKnown: true }
+    return { nowMs, upstreams, running, waiting, contracts }
   }
 
   submit(job: WaitingJob): void {
--- a/placement/engine/test/objectivePolicy.test.ts
+++ b/placement/engine/test/objectivePolicy.test.ts
@@ -12,7 +12,7 @@
 import { createJob } from './fakeCluster.js'
 
 const contracts = ['a', 'other'].map((workspace) => createContract(workspace))
-const base = { nowMs: 0, upstreamsKnown: true, contracts }
+const base = { nowMs: 0, contracts }
 const sizes = fc.constantFrom(1, 2, 3, 4, 5, 8, 12, 16, 20)
 const adjacencies = fc.constantFrom('upstream' as const, 'rack' as const, 'none' as const)
 
