fix(gangs): the answer of a finished job that can't run again is fetched for minutes, not for one lease

Cause: once all members have finished, the answer is fetched for as long as a task lease (15 s). If one upstream was cut off for that long, a job that is not repeatable ended as `unknown` for good, though it was known to have finished.

Evidence: the test "has finished gives its answer after a cut of several leases": `unknown` as found after four leases, now the job goes on and gives its answer once the cut is over.

Why it works: what is known (finished) stays, and what is not (the answer) delays, for 300 s at most; upstreams keep answers for ten minutes by default. A repeatable job runs again after one lease, as before: that is sooner. Meanwhile the job holds its accelerators.

--- a/control/gangs/src/collectAnswer.ts
+++ b/control/gangs/src/collectAnswer.ts
@@ -6,8 +6,13 @@
 import type { GangOutcome } from './gangOutcome.js'
 
 const collectRetryMs = 250
+/** For a job that can't run again. Less than the ten minutes for which upstreams keep answers by default. */
+const collectMsMax = 300_000
 
-/** Retries each part until it is received, its member is lost, or a task lease has passed since the first try. */
+/**
+ * Retries each part until it is received, its member is lost, or a task lease has passed since the first try; `collectMsMax`
+ * if the job can't run again.
+ */
 export async function collectAnswer(
   opts: GangOptions,
   members: readonly GangMember[],
@@ -36,7 +41,8 @@
   member: GangMember,
   signal: AbortSignal,
 ): Promise<Buffer | undefined> {
-  const deadlineMs = opts.clock.monotonicMs() + opts.timings.taskLeaseMs
+  const limitMs = member.mayRunAgain ? opts.timings.taskLeaseMs : collectMsMax
+  const deadlineMs = opts.clock.monotonicMs() + limitMs
   for (;;) {
     signal.throwIfAborted()
     const answer = await member.getAnswer().run()
--- a/control/gangs/src/gangMember.ts
+++ b/control/gangs/src/gangMember.ts
@@ -32,9 +32,10 @@
 export class GangMember {
   readonly upstreamId: string
   readonly task: TaskReference
+  /** Whether the job may be started once more after this attempt. */
+  readonly mayRunAgain: boolean
   readonly #opts: GangOptions
   readonly #jobId: string
-  readonly #mayRunAgain: boolean
   #state: TaskState | undefined
   #failure: string | undefined
   #startRefused = false
@@ -47,7 +48,7 @@
   constructor(opts: GangOptions, job: JobRecord, member: PlacementMember, fence: number) {
     this.#opts = opts
     this.#jobId = job.jobId
-    this.#mayRunAgain = job.request.repeatable
+    this.mayRunAgain = job.request.repeatable
     this.upstreamId = member.upstreamId
     this.task = { address: member.address, taskId: member.taskId, fence }
   }
@@ -105,7 +106,7 @@
    * could not run again: it would end for good, though its upstream may answer before the lease is over.
    */
   get #isPresumedDead(): boolean {
-    if (!this.#mayRunAgain) return false
+    if (!this.mayRunAgain) return false
     const hasFailedCalls = this.#failedCalls >= failedCallsMax
     return hasFailedCalls && this.#opts.isUpstreamSilent(this.upstreamId)
   }
--- a/control/gangs/src/gangOutcome.ts
+++ b/control/gangs/src/gangOutcome.ts
@@ -62,6 +62,12 @@
   return members.every((member) => member.state === 'finished') ? 'finished' : undefined
 }
 
+/** A silent gang is lost for certain once one of its upstreams has answered the stop without a record of the task. */
+export function confirmLoss(members: readonly GangMember[], outcome: GangStopped): GangStopped {
+  const isForgotten = members.some((member) => member.isForgotten)
+  return outcome.kind === 'silent' && isForgotten ? { ...outcome, kind: 'lost' } : outcome
+}
+
 function describeLost({ upstreamId, state }: GangMember): string {
   return `lost its member on ${upstreamId}, last known as ${state ?? 'silent'}`
 }
--- a/control/gangs/src/gangRunner.ts
+++ b/control/gangs/src/gangRunner.ts
@@ -13,7 +13,7 @@
 import type { EndedGangLog } from './endedGangLog.js'
 import { GangMember } from './gangMember.js'
 import type { GangOptions } from './gangOptions.js'
-import { evaluateMembers, type GangOutcome, type GangStopped } from './gangOutcome.js'
+import { confirmLoss, evaluateMembers, type GangOutcome, type GangStopped } from './gangOutcome.js'
 import { LeaderLog } from './leaderLog.js'
 import type { RetryBudget } from './retryBudget.js'
 import { takeCheckpoint } from './takeCheckpoint.js'
@@ -178,13 +178,7 @@
     const stops = await Promise.all(this.#members.map((member) => member.stop(this.#signal)))
     const hasFinished = outcome.kind !== 'failed' && stops.every((stop) => stop === 'finished')
     if (hasFinished) return collectAnswer(this.#opts, this.#members, this.#signal)
-    return this.#confirmLoss(outcome)
-  }
-
-  /** A silent gang is lost for certain once one of its upstreams has answered a stop that it has no record of the task. */
-  #confirmLoss(outcome: GangStopped): GangStopped {
-    const isReportedLost = this.#members.some((member) => member.isForgotten)
-    return outcome.kind === 'silent' && isReportedLost ? { ...outcome, kind: 'lost' } : outcome
+    return confirmLoss(this.#members, outcome)
   }
 
   /** Returns the current job, or undefined if it has ended or has another placement. */
--- a/control/gangs/test/silence.test.ts
+++ b/control/gangs/test/silence.test.ts
@@ -128,3 +128,23 @@
   t.is(readState(gangs, failed)?.state, 'failed')
   t.is(readState(gangs, silent)?.state, 'unknown')
 })
+
+// Guards against a job that is known to have finished and ends as unknown since its answer could not be fetched for seconds.
+test('a job that is not repeatable and has finished gives its answer after a cut of several leases', async (t) => {
+  const gangs = await createGangFixture()
+  const { job, first, second } = await startGang(gangs, { repeatable: false })
+  gangs.client.finish(first, 'one')
+  gangs.client.finish(second, 'two')
+  const getAnswer = gangs.client.getAnswer.bind(gangs.client)
+  gangs.client.getAnswer = (task) => {
+    gangs.client.unreachable.add('a1')
+    return getAnswer(task)
+  }
+  await gangs.clock.advance(timings.renewTasksEveryMs)
+  await gangs.clock.advance(4 * timings.taskLeaseMs)
+  t.is(readState(gangs, job)?.state, 'running')
+  gangs.client.getAnswer = getAnswer
+  gangs.client.unreachable.delete('a1')
+  await gangs.clock.advance(timings.renewTasksEveryMs)
+  t.is(readState(gangs, job)?.state, 'finished')
+})
