fix(gangs): an upstream that crashes at the start is told from one that was only silent

Cause: since silent attempts don't count, a job that crashes its upstream before the start is answered could be tried without end: its member was never seen running, and the next process answers the stop with `never-runs`, as one does that never got the start.

Change: a member keeps the session of the first answer, and another session means that its task is gone. The stand-in names its session in the answers to reservations and starts too, as it did for stops and renewals; the field was optional on all of them.

Why it works: a session names one process, so the conclusion is certain. Upstreams that name none are told apart as before.

--- a/control/fakes/src/fakeUpstreams.ts
+++ b/control/fakes/src/fakeUpstreams.ts
@@ -14,6 +14,8 @@
   readonly taskId: string
   readonly jobId: string
   readonly fence: number
+  /** Names the process of the upstream that has the task. */
+  readonly session: string
   readonly acceleratorIndexes: readonly number[]
   state: TaskState
   leaseEndMs: number
@@ -40,6 +42,8 @@
   readonly started: string[] = []
   readonly #clock: Clock
   readonly #tasks = new Map<string, FakeTask>()
+  /** How often each upstream has restarted, by address. */
+  readonly #restarts = new Map<string, number>()
 
   constructor(clock: Clock) {
     super()
@@ -71,6 +75,7 @@
 
   /** Restarts the upstream: its tasks end, and it has no record of them. */
   restartUpstream(address: string): void {
+    this.#restarts.set(address, (this.#restarts.get(address) ?? 0) + 1)
     for (const task of this.#tasks.values()) {
       if (task.address === address) this.#tasks.delete(task.taskId)
     }
@@ -91,6 +96,7 @@
         taskId,
         jobId,
         fence,
+        session: this.#sessionOf(address),
         acceleratorIndexes,
         state: 'reserved',
         leaseEndMs: this.#clock.monotonicMs() + leaseMs,
@@ -139,6 +145,7 @@
         taskId,
         jobId,
         fence,
+        session: this.#sessionOf(address),
         leaseEndMs,
         acceleratorIndexes: [],
         answer: '',
@@ -172,6 +179,10 @@
     })
   }
 
+  #sessionOf(address: string): string {
+    return `${address}/${this.#restarts.get(address) ?? 0}`
+  }
+
   #endTask(taskId: string, state: TaskState, change: (task: FakeTask) => void): void {
     const task = this.#tasks.get(taskId)
     if (task?.state !== 'running') throw new Error(`${taskId} does not run`)
@@ -221,8 +232,8 @@
   }
 }
 
-function toStatus({ taskId, fence, state, failure }: FakeTask): TaskStatus {
-  return { taskId, fence, state, failure }
+function toStatus({ taskId, fence, state, failure, session }: FakeTask): TaskStatus {
+  return { taskId, fence, state, failure, session }
 }
 
 function createError<T>(kind: ErrorKind): Either<NettlespurError, T> {
--- a/control/gangs/src/gangMember.ts
+++ b/control/gangs/src/gangMember.ts
@@ -40,6 +40,9 @@
   #failure: string | undefined
   #startRefused = false
   #wasSeenRunning = false
+  /** The process of the upstream that answered first, and whether another one has answered since. */
+  #session: string | undefined
+  #isReplaced = false
   #mayHaveSentStart = false
   #earliestLeaseEndMs = 0
   #latestLeaseEndMs = 0
@@ -84,7 +87,7 @@
 
   /** Whether its upstream answers and has no record of the start: another process answers. */
   get isForgotten(): boolean {
-    if (this.#state === 'unknown') return true
+    if (this.#isReplaced || this.#state === 'unknown') return true
     return this.#state === 'never-runs' && this.#wasSeenRunning
   }
 
@@ -208,6 +211,8 @@
   #recordStatus(status: TaskStatus): TaskState {
     this.#state = status.fence === this.task.fence ? status.state : 'unknown'
     this.#wasSeenRunning ||= this.#state === 'running'
+    this.#session ??= status.session
+    this.#isReplaced ||= status.session !== undefined && status.session !== this.#session
     this.#failure = status.failure
     return this.#state
   }
--- a/control/gangs/test/silence.test.ts
+++ b/control/gangs/test/silence.test.ts
@@ -148,3 +148,43 @@
   await gangs.clock.advance(timings.renewTasksEveryMs)
   t.is(readState(gangs, job)?.state, 'finished')
 })
+
+// Guards against a job that crashes its upstreams as it starts and is never given up, as each crash looks like a silence.
+test('an upstream that crashes at the start and answers the stop as another process counts as lost', async (t) => {
+  const gangs = await createGangFixture()
+  const { client, silentUpstreams, clock } = gangs
+  const start = client.start.bind(client)
+  client.start = (task) => {
+    if (task.address !== 'a1') return start(task)
+    client.restartUpstream('a1')
+    client.mute.add('a1')
+    silentUpstreams.add('u1')
+    return start(task)
+  }
+  const { job } = await startGang(gangs, { repeatable: true })
+  client.unreachable.add('a1')
+  await clock.advance(timings.renewTasksEveryMs + 2000)
+  t.is(readState(gangs, job)?.state, 'running')
+  client.mute.delete('a1')
+  client.unreachable.delete('a1')
+  await clock.advance(timings.renewTasksEveryMs)
+  t.like(readState(gangs, job), { state: 'queued', failedAttempts: 1 })
+})
+
+// Guards against a crash that is seen where there was none: the start was lost on its way.
+test('an upstream that never got the start and answers the stop counts as silent', async (t) => {
+  const gangs = await createGangFixture()
+  const { client, silentUpstreams, clock } = gangs
+  const start = client.start.bind(client)
+  client.start = (task) => {
+    if (task.address !== 'a1') return start(task)
+    silentUpstreams.add('u1')
+    client.unreachable.add('a1')
+    return start(task)
+  }
+  const { job } = await startGang(gangs, { repeatable: true })
+  await clock.advance(timings.renewTasksEveryMs + 2000)
+  client.unreachable.delete('a1')
+  await clock.advance(timings.renewTasksEveryMs)
+  t.like(readState(gangs, job), { state: 'queued', failedAttempts: 0 })
+})
--- a/upstream/standIn/src/gangCalls.ts
+++ b/upstream/standIn/src/gangCalls.ts
@@ -50,13 +50,13 @@
 
   start(taskId: string, fence: number): TaskResult {
     return this.#admitKnown(taskId, fence).chain((task) => {
-      if (task.state.value !== 'reserved') return tellUnlessNeverStarted(task)
+      if (task.state.value !== 'reserved') return this.#tellUnlessNeverStarted(task)
       if (!this.#fences.mayStart(jobIdOf(task), fence)) {
         task.end('never-runs')
         return refuse(`task ${taskId}: its job was stopped under this fence`)
       }
       task.start(this.#opts.faults.settings.failStarts)
-      return Right(task.status())
+      return Right(this.#tell(task))
     })
   }
 
@@ -86,7 +86,7 @@
     this.#fences.forbidStarts(known?.reservation?.jobId ?? body.jobId, body.fence)
     const task = known ?? tasks.addTombstone(taskId, body.fence)
     task.stop({ graceMs: body.graceMs, ignored: faults.settings.ignoreStops })
-    return Right({ ...task.status(), session: tasks.session })
+    return Right(this.#tell(task))
   }
 
   /** Renews the leases held under the fences given; the answer has one status for each, in order. */
@@ -103,7 +103,7 @@
     if (known.reservation !== undefined && known.reservation.jobId !== body.jobId) {
       return refuse(`task ${known.taskId} belongs to another job`)
     }
-    return tellUnlessNeverStarted(known)
+    return this.#tellUnlessNeverStarted(known)
   }
 
   #reserveNew(taskId: string, body: ReserveTask): TaskResult {
@@ -124,7 +124,7 @@
       reservation: body,
     })
     task.holdLease(body.leaseMs)
-    return Right(task.status())
+    return Right(this.#tell(task))
   }
 
   /** A gang member reserved under exactly this fence. */
@@ -138,6 +138,17 @@
     })
   }
 
+  /** A refusal says that nothing ran, so it is not for a task that was started once. */
+  #tellUnlessNeverStarted(task: StandInTask): TaskResult {
+    if (task.isLive || task.startedCount > 0) return Right(this.#tell(task))
+    return refuse(`task ${task.taskId} ended before its start: ${task.state.value}`)
+  }
+
+  /** Names this process: a leader that saw another one before knows that its task is gone. */
+  #tell(task: StandInTask): TaskStatus {
+    return { ...task.status(), session: this.#opts.tasks.session }
+  }
+
   #admitRunning(taskId: string, fence: number): Either<NettlespurError, StandInTask> {
     return this.#admitKnown(taskId, fence).chain((task) =>
       task.state.value === 'running' ? Right(task) : refuse(`task ${taskId} is not running`),
@@ -145,12 +156,6 @@
   }
 }
 
-/** A refusal says that nothing ran, so it is not for a task that was started once. */
-function tellUnlessNeverStarted(task: StandInTask): TaskResult {
-  if (task.isLive || task.startedCount > 0) return Right(task.status())
-  return refuse(`task ${task.taskId} ended before its start: ${task.state.value}`)
-}
-
 function jobIdOf(task: StandInTask): string {
   return task.reservation?.jobId ?? task.taskId
 }
--- a/upstream/standIn/test/gangProtocol.test.ts
+++ b/upstream/standIn/test/gangProtocol.test.ts
@@ -133,3 +133,20 @@
   await clock.advance(0)
   t.is(await tell(client.getTask(standIn.address, 't1')), 'stopped')
 })
+
+// Guards against a crash that a leader takes for a silence: only the session tells it that another process answers.
+test('the answers to a reservation, a start, a renewal and a stop name the process that gives them', async (t) => {
+  const { standIn, client, refer } = await createTrial(t)
+  const task = refer('t1', 5)
+  const lease = { taskId: 't1', fence: 5, leaseMs: 1000 }
+  const answers = [
+    await client.reserve(standIn.address, 't1', createReservation()).run(),
+    await client.start(task).run(),
+    (await client.renew(standIn.address, { leases: [lease] }).run()).map(([status]) => status),
+    await client.stop(task, { jobId: 'j1', graceMs: 0 }).run(),
+  ]
+  const sessions = answers.map((answer) => answer.unsafeCoerce()?.session)
+  t.is(sessions.length, 4)
+  t.truthy(sessions[0])
+  t.is(new Set(sessions).size, 1)
+})
