--- a/control/gangs/src/gangMember.ts
+++ b/control/gangs/src/gangMember.ts
@@ -5,6 +5,7 @@
  * later one.
  */
 import type { PlacementMember, ReserveTask, TaskState, TaskStatus } from '@nettlespur/api.schemas'
+import type { JobRecord } from '@nettlespur/control.state'
 import type { NettlespurError } from '@nettlespur/core.errors'
 import type { TaskReference } from '@nettlespur/upstream.client'
 import type { Either, EitherAsync } from 'purify-ts'
@@ -31,19 +32,26 @@
 export class GangMember {
   readonly upstreamId: string
   readonly task: TaskReference
+  /** Whether the job may be started once more after this attempt. */
+  readonly mayRunAgain: boolean
   readonly #opts: GangOptions
   readonly #jobId: string
   #state: TaskState | undefined
   #failure: string | undefined
   #startRefused = false
+  #wasSeenRunning = false
+  /** The process of the upstream that answered first, and whether another one has answered since. */
+  #session: string | undefined
+  #isReplaced = false
   #mayHaveSentStart = false
   #earliestLeaseEndMs = 0
   #latestLeaseEndMs = 0
   #failedCalls = 0
 
-  constructor(opts: GangOptions, jobId: string, member: PlacementMember, fence: number) {
+  constructor(opts: GangOptions, job: JobRecord, member: PlacementMember, fence: number) {
     this.#opts = opts
-    this.#jobId = jobId
+    this.#jobId = job.jobId
+    this.mayRunAgain = job.request.repeatable
     this.upstreamId = member.upstreamId
     this.task = { address: member.address, taskId: member.taskId, fence }
   }
@@ -69,6 +77,20 @@
     return this.#state !== 'finished' && this.#state !== 'failed'
   }
 
+  /**
+   * Whether the loss of this member is certain: its upstream refused the start, stopped the task, or has no record of it any
+   * more. An expired lease is no such report: the upstream lives, and was not heard.
+   */
+  get isReportedLost(): boolean {
+    return this.#startRefused || this.#state === 'stopped' || this.isForgotten
+  }
+
+  /** Whether its upstream answers and has no record of the start: another process answers. */
+  get isForgotten(): boolean {
+    if (this.#isReplaced || this.#state === 'unknown') return true
+    return this.#state === 'never-runs' && this.#wasSeenRunning
+  }
+
   /** Time until the next renewal is due: sooner after a failed call, infinite once the task has ended. */
   get renewalDueMs(): number {
     if (!this.#mayBeRunning) return Number.POSITIVE_INFINITY
@@ -82,8 +104,12 @@
     return this.#earliestLeaseEndMs - this.#opts.clock.monotonicMs()
   }
 
-  /** Whether renewals have failed repeatedly and the upstream is silent while others are not. */
+  /**
+   * Whether renewals have failed repeatedly and the upstream is silent while others are not. Never presumed where the job
+   * could not run again: it would end for good, though its upstream may answer before the lease is over.
+   */
   get #isPresumedDead(): boolean {
+    if (!this.mayRunAgain) return false
     const hasFailedCalls = this.#failedCalls >= failedCallsMax
     return hasFailedCalls && this.#opts.isUpstreamSilent(this.upstreamId)
   }
@@ -184,6 +210,9 @@
   /** A status with another fence only shows that this task is not on the upstream. */
   #recordStatus(status: TaskStatus): TaskState {
     this.#state = status.fence === this.task.fence ? status.state : 'unknown'
+    this.#wasSeenRunning ||= this.#state === 'running'
+    this.#session ??= status.session
+    this.#isReplaced ||= status.session !== undefined && status.session !== this.#session
     this.#failure = status.failure
     return this.#state
   }
--- a/control/gangs/src/gangRunner.ts
+++ b/control/gangs/src/gangRunner.ts
@@ -13,7 +13,7 @@
 import type { EndedGangLog } from './endedGangLog.js'
 import { GangMember } from './gangMember.js'
 import type { GangOptions } from './gangOptions.js'
-import { evaluateMembers, type GangOutcome, type GangStopped } from './gangOutcome.js'
+import { confirmLoss, evaluateMembers, type GangOutcome, type GangStopped } from './gangOutcome.js'
 import { LeaderLog } from './leaderLog.js'
 import type { RetryBudget } from './retryBudget.js'
 import { takeCheckpoint } from './takeCheckpoint.js'
@@ -52,7 +52,7 @@
     this.#opts = opts
     this.#jobId = job.jobId
     this.#placement = placement
-    this.#members = members.map((member) => new GangMember(opts, job.jobId, member, fence))
+    this.#members = members.map((member) => new GangMember(opts, job, member, fence))
     this.#log = new LeaderLog(opts, signal)
     this.#signal = signal
   }
@@ -137,7 +137,7 @@
 
   /** Stops all members unless the gang has finished, then commits the end or the requeueing of the job. */
   async #stopAndCommitEnd(outcome: GangOutcome): Promise<void> {
-    if (outcome.kind === 'lost') await this.#log.confirmLeadership()
+    if (outcome.kind === 'lost' || outcome.kind === 'silent') await this.#log.confirmLeadership()
     const finalOutcome = outcome.kind === 'finished' ? outcome : await this.#stopAll(outcome)
     for (let tries = 0; tries < endCommitTriesMax; tries++) {
       const job = this.#readJob()
@@ -173,12 +173,12 @@
     })
   }
 
-  /** Stops all members. A cancelled or preempted gang that has finished in the meantime still gives its answer. */
+  /** Stops all members. A gang that has finished in the meantime still gives its answer, unless a member has failed. */
   async #stopAll(outcome: GangStopped): Promise<GangOutcome> {
     const stops = await Promise.all(this.#members.map((member) => member.stop(this.#signal)))
-    const requested = outcome.kind === 'cancelled' || outcome.kind === 'preempted'
-    if (!requested || stops.some((stop) => stop !== 'finished')) return outcome
-    return collectAnswer(this.#opts, this.#members, this.#signal)
+    const hasFinished = outcome.kind !== 'failed' && stops.every((stop) => stop === 'finished')
+    if (hasFinished) return collectAnswer(this.#opts, this.#members, this.#signal)
+    return confirmLoss(this.#members, outcome)
   }
 
   /** Returns the current job, or undefined if it has ended or has another placement. */
