fix(service): a late announcement of a former process bars the present one for one interval at most

What callers could see: an upstream that answers and announces itself gets no work until the leader changes.

Cause: the process whose first announcement came last counted as the one at an address. A first announcement that was held up on its way and came after that of the next process made the next one count as replaced, for the rest of the term, unless a start order went to the former one and was answered by the other.

Evidence: lateFormerProcess.test.ts, "costs the next one no work that comes after 20000 ms", failed before and passes.

Why it works: the process that announced itself last counts, so the next announcement of the one that is there, one interval later, takes the conclusion back.

--- a/batch/service/src/announcementTable.ts
+++ b/batch/service/src/announcementTable.ts
@@ -20,7 +20,7 @@
 
 export class AnnouncementTable {
   readonly #lastByUpstream = new Map<string, LastAnnouncement>()
-  /** The upstream whose first announcement is the latest, by address. */
+  /** The upstream that announced itself last, by address. */
   readonly #newestByAddress = new Map<string, string>()
 
   /** Returns false, and changes nothing, if a newer announcement of the upstream has arrived before. */
@@ -29,7 +29,7 @@
     const warmAtMs = nowMs + (announcement.coldRemainingMs ?? 0)
     const known = this.#lastByUpstream.get(upstreamId)
     if (known !== undefined && sequence <= known.sequence) return false
-    if (known === undefined) this.#newestByAddress.set(address, upstreamId)
+    this.#newestByAddress.set(address, upstreamId)
     const leavesAtMs = drainRemainingMs === undefined ? undefined : nowMs + drainRemainingMs
     const announcedId = getAnnouncedId(announcement)
     const last = { sequence, heardAtMs: nowMs, address, announcedId, leavesAtMs, warmAtMs }
