fix(scheduler): a task that is held back counts as a trial of its step that has not ended

What callers could see: a step of crashing tasks took one upstream after another while none came back: six tasks, 30 upstreams.

Cause: tasks that are held back are not among the waiting ones, so their step looked as if nothing in it were suspected.

Evidence: silenceVerdicts.test.ts, "a job of crashing tasks costs no more upstreams than its first task may while none comes back": 30 starts before, 10 now.

Why it works: tasks of a step run the same program; others of it start only as far as some of it have been proven.

--- a/batch/scheduler/src/limitTrials.ts
+++ b/batch/scheduler/src/limitTrials.ts
@@ -4,10 +4,12 @@
  * earlier ones are proven. Otherwise a step of many such tasks would crash as many upstreams at once.
  */
 import {
+  isHeldBack,
   isSuspectTask,
   type JobRecord,
   type Placement,
   type StepRecord,
+  type TaskRecord,
 } from '@nettlespur/batch.state'
 
 export interface LimitTrialsOptions {
@@ -35,14 +37,20 @@
   const { provenCount, startingCount, hasOpenTrial } = countStarted(opts, isSuspect)
   const suspects = waiting.filter(isSuspect)
   const others = waiting.filter((index) => !isSuspect(index))
-  if (suspects.length === 0 && !hasOpenTrial) return { suspects, others }
-  const allowed = Math.max(0, Math.max(1, provenCount) - startingCount)
+  const heldBackCount = record.tasks.filter(isWaitingHeldBack).length
+  if (suspects.length === 0 && !hasOpenTrial && heldBackCount === 0) return { suspects, others }
+  // A task that is held back counts as a trial that has not ended.
+  const allowed = Math.max(0, Math.max(1, provenCount) - startingCount - heldBackCount)
   return {
     suspects: suspects.slice(0, allowed),
     others: others.slice(0, Math.max(0, allowed - suspects.length)),
   }
 }
 
+function isWaitingHeldBack(task: TaskRecord): boolean {
+  return task.phase === 'waiting' && isHeldBack(task)
+}
+
 interface StartedCounts {
   /** Number of tasks that are done or proven. */
   readonly provenCount: number
