fix(batch): silences are settled by what was learned, and hold back for a bounded time what had been at work

Change: a verdict is alive, crashed or unknown: nothing learned for 60 s. Silences under runs that had been at work hold back until then only; those under other runs as long as nothing is learned, but they tip the scale after two certain crashes, which suffice by themselves as agreed with the users. One that turns out a crash has the blame that a certain one would have. The index of silences is kept by job as well, and an upstream's findings alone are committed before it is removed.

--- a/batch/service/src/goneUpstreams.ts
+++ b/batch/service/src/goneUpstreams.ts
@@ -7,7 +7,7 @@
 
 export interface GoneUpstreamsOptions {
   roster: Pick<UpstreamRoster, 'forget' | 'replace' | 'succession'>
-  silences: Pick<SilenceWatch, 'noteGone' | 'commitVerdicts'>
+  silences: Pick<SilenceWatch, 'noteAlive' | 'noteGone' | 'commitFindings'>
   getState: () => BatchState
   tryPropose: TryPropose
 }
@@ -22,7 +22,10 @@
   /** See `SessionHost`. */
   noteReplaced(replacement: Replacement): void {
     const { roster, silences } = this.#opts
-    silences.noteGone(replacement.target.upstreamId)
+    const { upstreamId, announcedId } = replacement.target
+    // Of a process that did not say when it was born, the successor may be the same one, which now does.
+    if (announcedId === undefined) silences.noteAlive(upstreamId)
+    else silences.noteGone(upstreamId)
     roster.replace(replacement)
     this.removeSettled()
   }
@@ -47,6 +50,7 @@
   /** Settles its silences first: the next leader would take one that is removed for one that has announced its leave. */
   async #remove(upstreamId: string): Promise<void> {
     const { silences, tryPropose } = this.#opts
-    if (await silences.commitVerdicts()) await tryPropose({ type: 'remove-upstream', upstreamId })
+    if (!(await silences.commitFindings(upstreamId))) return
+    await tryPropose({ type: 'remove-upstream', upstreamId })
   }
 }
--- a/batch/state/src/batchState.ts
+++ b/batch/state/src/batchState.ts
@@ -188,18 +188,19 @@
       outcome = 'done'
       this.begunJobs.noteEnd(end)
       if (end.outcome === 'silent') this.silences.add(end)
+      if (end.outcome === 'done') this.silences.removeDone(job, end)
       for (const placement of endedPlacements) this.placements.remove(placement)
       this.#updateUnsettled(job)
     }
     return outcome
   }
 
-  #settleSilences({ runs, hasCrashed }: CommandOf<'settle-silences'>): CommandOutcome {
+  #settleSilences({ runs, verdict }: CommandOf<'settle-silences'>): CommandOutcome {
     let outcome: CommandOutcome = 'unchanged'
     for (const run of runs) {
-      this.silences.remove(run)
+      if (verdict !== 'unknown') this.silences.remove(run)
       const job = this.jobs.get(run.jobId)
-      if (job === undefined || !settleRun(job, run, hasCrashed)) continue
+      if (job === undefined || !settleRun(job, run, verdict)) continue
       outcome = 'done'
       this.#updateUnsettled(job)
     }
@@ -234,7 +235,7 @@
   /** Adds the job to `unsettled` while it is active or has placed runs, and removes it otherwise. */
   #updateUnsettled(job: JobRecord): void {
     const { jobId } = job.request
-    if (job.status !== 'active') this.silences.removeJob(job)
+    if (job.status !== 'active') this.silences.removeJob(job.request.jobId)
     const isOpen = job.status === 'active' || hasPlacements(job)
     if (isOpen) this.unsettled.set(jobId, job)
     else this.unsettled.delete(jobId)
--- a/batch/state/src/command.ts
+++ b/batch/state/src/command.ts
@@ -8,6 +8,7 @@
 import { evacuationChangeSchema } from '@nettlespur/core.evacuations'
 import { z } from 'zod'
 import { crashBlameSchema } from './crashRecord.js'
+import { silenceVerdictSchema } from './upstreamLosses.js'
 import { upstreamSpeedSchema } from './upstreamSpeed.js'
 
 /** How a run ended. */
@@ -36,11 +37,13 @@
   checkpoint: z.string().optional(),
   /** Only set with outcomes `crashed` and `silent`, and absent there if an earlier version proposed the end. */
   blame: crashBlameSchema.optional(),
+  /** Set with outcome `silent` if the run had been seen at work. */
+  wasAtWork: z.literal(true).optional(),
   /** Set with outcome `crashed`. Absent if an earlier version proposed the end. */
   isCertain: z.literal(true).optional(),
   /**
-   * Set if the task's record holds crashes as earlier versions counted them, which the end removes: they may have been
-   * silences. Absent otherwise, as for `isLate`.
+   * Set if the task's record holds crashes as earlier versions counted them. The end removes those without certain guilt, as
+   * they may have been silences. Absent otherwise, as for `isLate`.
    */
   dropsFormerCrashes: z.literal(true).optional(),
   /**
@@ -67,11 +70,11 @@
   z.strictObject({ type: z.literal('cancel-job'), jobId: z.string() }),
   z.strictObject({ type: z.literal('place-tasks'), placements: z.array(placementSchema) }),
   z.strictObject({ type: z.literal('end-runs'), ends: z.array(runEndSchema) }),
-  /** What became of an upstream that was silent under these runs. */
+  /** What was learned of upstreams that were silent under these runs. */
   z.strictObject({
     type: z.literal('settle-silences'),
     runs: z.array(placementSchema),
-    hasCrashed: z.boolean(),
+    verdict: silenceVerdictSchema,
   }),
   z.strictObject({
     type: z.literal('note-upstream'),
--- a/batch/state/src/crashRecord.ts
+++ b/batch/state/src/crashRecord.ts
@@ -12,7 +12,7 @@
 
 /** How likely it is that a run caused the crash of its upstream. */
 export const crashBlameSchema = z.enum([
-  /** It had been running for a while, and others had just started or the upstream was only silent; or it had not been started. */
+  /** It had been running for a while and others had just started, or it had not been started. */
   'none',
   /** It may be the cause, but it is uncertain whether the upstream crashed, the run had started or another run did it. */
   'suspected',
--- a/batch/state/src/endRun.ts
+++ b/batch/state/src/endRun.ts
@@ -6,7 +6,7 @@
 import { isLateDone, listPlacedInUnit, listUnitTasks } from './lateEnd.js'
 import { listStepPlacements } from './placementIndex.js'
 import type { JobRecord, StepRecord, TaskRecord } from './records.js'
-import { addLoss, settleSilence } from './upstreamLosses.js'
+import { addLoss, settleSilence, type SilenceVerdict } from './upstreamLosses.js'
 
 /** Blame of a `crashed` or `silent` end that carries none. */
 const defaultBlame = 'suspected'
@@ -36,26 +36,35 @@
 }
 
 /**
- * Applies what became of an upstream that was silent under the run. Returns false, and changes nothing, if the job has
- * ended or the silence was settled before.
+ * Applies what was learned of an upstream that was silent under the run. Returns false, and changes nothing, if the job has
+ * ended or nothing new was learned.
  */
-export function settleRun(job: JobRecord, run: Placement, hasCrashed: boolean): boolean {
+export function settleRun(job: JobRecord, run: Placement, verdict: SilenceVerdict): boolean {
   const task = job.steps[run.step]?.tasks[run.index]
   if (job.status !== 'active' || task === undefined) return false
-  if (!settleSilence(task, run, hasCrashed)) return false
+  if (!settleSilence(task, run, verdict)) return false
   updateJobStatus(job, run)
   return true
 }
 
 function noteLoss(task: TaskRecord, end: RunEnd): void {
   const { outcome, attempt, upstreamId, blame = defaultBlame, isCertain = false } = end
-  if (end.dropsFormerCrashes === true) delete task.crashes
-  if (outcome === 'silent') addLoss(task, { attempt, upstreamId, blame, isCrash: false })
+  const loss = { attempt, upstreamId, blame, wasAtWork: end.wasAtWork === true }
+  if (end.dropsFormerCrashes === true) dropFormerCrashes(task)
+  if (outcome === 'silent') addLoss(task, { ...loss, fate: 'open' })
   if (outcome !== 'crashed') return
-  if (isCertain) addLoss(task, { attempt, upstreamId, blame, isCrash: true })
+  if (isCertain) addLoss(task, { ...loss, fate: 'crashed' })
   else task.crashes = countCrash(task.crashes, { attempt, blame })
 }
 
+/** Keeps the crashes with certain guilt, which were never silences. Their attempts are not known any more. */
+function dropFormerCrashes(task: TaskRecord): void {
+  const loss = { attempt: 0, upstreamId: '', blame: 'blamed', wasAtWork: false } as const
+  const { blamed = 0 } = task.crashes ?? {}
+  for (let crash = 0; crash < blamed; crash++) addLoss(task, { ...loss, fate: 'crashed' })
+  delete task.crashes
+}
+
 /**
  * Completes the task, or the gang, and returns the placements of the later attempt that it makes superfluous: none if the
  * task waits. Returns undefined, and changes nothing, if the end is not a late one.
--- a/batch/state/src/index.ts
+++ b/batch/state/src/index.ts
@@ -10,7 +10,13 @@
 export { isStaleAnnouncement } from './isStaleAnnouncement.js'
 export { isStepDone } from './isStepDone.js'
 export { isSuspectTask } from './isSuspectTask.js'
-export { countCrashes, isHeldBack, listSilences } from './upstreamLosses.js'
+export {
+  countCrashes,
+  isHeldBack,
+  listSilences,
+  type SilenceVerdict,
+  type UpstreamLoss,
+} from './upstreamLosses.js'
 export { isInUnit, isLateDone } from './lateEnd.js'
 export { measureJobSize } from './measureJobSize.js'
 export {
--- a/batch/state/test/silences.test.ts
+++ b/batch/state/test/silences.test.ts
@@ -12,6 +12,7 @@
   type CrashBlame,
   type Placement,
   type RunEnd,
+  type SilenceVerdict,
   type TaskRecord,
 } from '../src/index.js'
 
@@ -41,8 +42,8 @@
   end(state, attempt, { outcome: 'silent', blame })
 }
 
-function settle(state: BatchState, attempt: number, hasCrashed: boolean) {
-  return state.apply({ type: 'settle-silences', runs: [placeOn(attempt)], hasCrashed })
+function settle(state: BatchState, attempt: number, verdict: SilenceVerdict) {
+  return state.apply({ type: 'settle-silences', runs: [placeOn(attempt)], verdict })
 }
 
 function taskOf(state: BatchState): TaskRecord {
@@ -93,10 +94,10 @@
 test('a silence is taken back once its upstream is known to live', (t) => {
   const state = createState()
   for (let attempt = 1; attempt <= crashesMax; attempt++) fallSilent(state, attempt)
-  t.is(settle(state, 1, false), 'done')
-  t.is(settle(state, 1, false), 'unchanged')
+  t.is(settle(state, 1, 'alive'), 'done')
+  t.is(settle(state, 1, 'alive'), 'unchanged')
   t.false(isHeldBack(taskOf(state)))
-  for (let attempt = 2; attempt <= crashesMax; attempt++) settle(state, attempt, false)
+  for (let attempt = 2; attempt <= crashesMax; attempt++) settle(state, attempt, 'alive')
   t.false(isSuspect(state))
   t.is(taskOf(state).losses, undefined)
 })
@@ -104,12 +105,12 @@
 test('a task is given up as soon as its silences are known to have been crashes', (t) => {
   const state = createState()
   for (let attempt = 1; attempt <= crashesMax; attempt++) fallSilent(state, attempt)
-  for (const attempt of [5, 2, 4]) settle(state, attempt, true)
+  for (const attempt of [5, 2, 4]) settle(state, attempt, 'crashed')
   t.is(state.jobs.get('j')?.status, 'active')
   t.true(isHeldBack(taskOf(state)))
-  settle(state, 1, true)
+  settle(state, 1, 'crashed')
   t.is(state.jobs.get('j')?.status, 'active')
-  settle(state, 3, true)
+  settle(state, 3, 'crashed')
   t.deepEqual(state.jobs.get('j')?.failure, { reason: 'crashes-upstreams', ...ref })
   t.false(state.unsettled.has('j'))
 })
@@ -120,7 +121,7 @@
   for (const attempt of [2, 3])
     end(state, attempt, { outcome: 'crashed', isCertain: true, blame: 'suspected' })
   end(state, 4, { outcome: 'stopped' })
-  settle(state, 1, true)
+  settle(state, 1, 'crashed')
   t.is(countCrashes(taskOf(state))?.thirdAttempt, 3)
   t.is(state.jobs.get('j')?.status, 'active')
   end(state, 5, { outcome: 'stopped' })
@@ -141,7 +142,7 @@
   }
   t.is(state.jobs.get('j')?.status, 'active')
   t.true(isHeldBack(taskOf(state)))
-  settle(state, 3, false)
+  settle(state, 3, 'alive')
   t.false(isHeldBack(taskOf(state)))
 })
 
@@ -154,7 +155,7 @@
   t.deepEqual([...restored.silences.getByUpstream('u2').values()], [placeOn(2)])
   restored.apply({ type: 'cancel-job', jobId: 'j' })
   t.deepEqual([...restored.silences.upstreamIds], [])
-  t.is(settle(restored, 2, true), 'unchanged')
+  t.is(settle(restored, 2, 'crashed'), 'unchanged')
   t.is(restored.jobs.get('j')?.status, 'cancelled')
 })
 
@@ -189,17 +190,65 @@
   const state = createState()
   end(state, 1, { outcome: 'silent' })
   t.deepEqual(listSilences(taskOf(state)), [
-    { attempt: 1, upstreamId: 'u1', blame: 'suspected', isCrash: false },
+    { attempt: 1, upstreamId: 'u1', blame: 'suspected', wasAtWork: false, fate: 'open' },
   ])
 })
 
-test('silences of upstreams on which a run had been at work hold nothing back, and count if they were crashes', (t) => {
+test('silences under runs that had been at work hold a task back only until nothing more is learned of them', (t) => {
+  const state = createState()
+  for (const attempt of [1, 2, 3, 4, 5])
+    end(state, attempt, { outcome: 'silent', blame: 'suspected', wasAtWork: true })
+  t.true(isHeldBack(taskOf(state)))
+  settle(state, 1, 'unknown')
+  t.false(isHeldBack(taskOf(state)))
+  for (const attempt of [2, 3, 4, 5]) settle(state, attempt, 'unknown')
+  t.false(isSuspect(state))
+  for (const attempt of [1, 2, 3]) settle(state, attempt, 'crashed')
+  t.is(state.jobs.get('j')?.status, 'failed')
+})
+
+test('silences of upstreams on which others had just started hold nothing back, and count if they were crashes', (t) => {
   const state = createState()
   for (let attempt = 1; attempt <= 2 * crashesMax; attempt++) fallSilent(state, attempt, 'none')
   t.false(isHeldBack(taskOf(state)))
   t.false(isSuspect(state))
-  for (let attempt = 1; attempt < crashesMax; attempt++) settle(state, attempt, true)
+  for (let attempt = 1; attempt < crashesMax; attempt++) settle(state, attempt, 'crashed')
   t.is(state.jobs.get('j')?.status, 'active')
-  settle(state, crashesMax, true)
+  settle(state, crashesMax, 'crashed')
   t.is(state.jobs.get('j')?.status, 'failed')
 })
+
+test('a task with two certain crashes is given up once nothing is learned of its silent upstreams, and not before', (t) => {
+  const state = createState()
+  for (const attempt of [1, 2])
+    end(state, attempt, { outcome: 'crashed', isCertain: true, blame: 'suspected' })
+  for (const attempt of [3, 4]) fallSilent(state, attempt)
+  end(state, 5, { outcome: 'stopped' })
+  t.true(isHeldBack(taskOf(state)))
+  settle(state, 4, 'unknown')
+  t.is(state.jobs.get('j')?.status, 'active')
+  t.is(settle(state, 3, 'unknown'), 'done')
+  t.deepEqual(state.jobs.get('j')?.failure, { reason: 'crashes-upstreams', ...ref })
+})
+
+test('a task with fewer than two certain crashes waits although nothing is learned of its silent upstreams', (t) => {
+  const state = createState()
+  end(state, 1, { outcome: 'crashed', isCertain: true, blame: 'suspected' })
+  for (const attempt of [2, 3, 4, 5]) fallSilent(state, attempt)
+  for (const attempt of [2, 3, 4, 5]) settle(state, attempt, 'unknown')
+  t.is(state.jobs.get('j')?.status, 'active')
+  t.true(isHeldBack(taskOf(state)))
+  t.is(settle(state, 2, 'unknown'), 'unchanged')
+  for (const attempt of [2, 3]) settle(state, attempt, 'alive')
+  t.false(isHeldBack(taskOf(state)))
+})
+
+test('one silence holds no task back that went down with its neighbours otherwise', (t) => {
+  const state = createState()
+  fallSilent(state, 1)
+  for (const attempt of [2, 3, 4])
+    end(state, attempt, { outcome: 'crashed', isCertain: true, blame: 'none' })
+  for (const attempt of [5, 6]) end(state, attempt, { outcome: 'stopped' })
+  t.false(isHeldBack(taskOf(state)))
+  t.is(state.jobs.get('j')?.status, 'active')
+})
