test(service): upstreams that crash behind cuts after their runs have ended

Its runs had ended on upstreams that were cut off; then another process replaced each, and the leader, which had not read the ends, took each run for one that had just started and had crashed its upstream. Change: a plain case of it. Cuts may lose answers to calls that were sent before them; without that an open poll tells the end of the run.

--- a/batch/service/__utils__/fakeFleet.ts
+++ b/batch/service/__utils__/fakeFleet.ts
@@ -65,6 +65,7 @@
       clock,
       findUpstream: (address) => this.#upstreams.byAddress.get(address),
       nextFault: (address) => this.#links.takeFault(address),
+      losesAnswers: (address) => this.#links.losesAnswers(address),
       nextLinkDelayMs: () => opts.linksMs[calls++ % opts.linksMs.length] ?? 1,
       nextLatenessMs: () => opts.lateMs,
       remembersCursor: opts.remembersCursor === true,
--- a/batch/service/__utils__/faultyPort.ts
+++ b/batch/service/__utils__/faultyPort.ts
@@ -52,6 +52,8 @@
   /** The upstream that answers at an address now. */
   findUpstream: (address: string) => FakeUpstream | undefined
   nextFault: (address: string) => LinkFault
+  /** Whether an answer that the upstream at the address gives now is lost. */
+  losesAnswers: (address: string) => boolean
   /** The delay of the next message in its direction. Calls overtake each other, as on different connections. */
   nextLinkDelayMs: () => number
   /** The delay after which a late order is carried out. */
@@ -130,7 +132,8 @@
     run: (upstream: FakeUpstream, fault: LinkFault) => Promise<T>,
   ): Promise<T | { type: 'gone'; clockMs: undefined }> {
     const { address } = to
-    const { clock, findUpstream, nextFault, nextLinkDelayMs, nextLatenessMs } = this.#opts
+    const { clock, findUpstream, nextFault, losesAnswers, nextLinkDelayMs, nextLatenessMs } =
+      this.#opts
     const fault = nextFault(address)
     await clock.sleep(nextLinkDelayMs())
     if (fault === 'refused') throw new NettlespurError('unreachable', 'refused')
@@ -142,8 +145,10 @@
     }
     if (answeredFaults.has(fault)) {
       const answer = await carryOut()
-      await clock.sleep(nextLinkDelayMs())
-      return answer
+      if (!losesAnswers(address)) {
+        await clock.sleep(nextLinkDelayMs())
+        return answer
+      }
     }
     if (fault === 'answer-lost') await carryOut()
     if (fault === 'late') {
--- a/batch/service/__utils__/fleetLinks.ts
+++ b/batch/service/__utils__/fleetLinks.ts
@@ -19,11 +19,14 @@
   forMs: number
   /** Whether connections to the address are refused; otherwise calls get no answer. False by default. */
   refuses?: boolean
+  /** Whether answers to calls sent before the cut are lost too. False by default. */
+  losesAnswers?: boolean
 }
 
 interface Cut {
   readonly untilMs: number
   readonly refuses: boolean
+  readonly losesAnswers: boolean
 }
 
 export class FleetLinks {
@@ -41,8 +44,9 @@
     for (let call = 0; call < calls; call++) this.#faults.push(fault)
   }
 
-  cut(address: string, { forMs, refuses = false }: CutOptions): void {
-    this.#cuts.set(address, { untilMs: this.#clock.monotonicMs() + forMs, refuses })
+  cut(address: string, { forMs, refuses = false, losesAnswers = false }: CutOptions): void {
+    const untilMs = this.#clock.monotonicMs() + forMs
+    this.#cuts.set(address, { untilMs, refuses, losesAnswers })
   }
 
   /** From now on the upstream refuses every start as unhealthy. */
@@ -54,6 +58,11 @@
     return this.#findCut(address) !== undefined
   }
 
+  /** Whether an answer from the address is lost now. */
+  losesAnswers(address: string): boolean {
+    return this.#findCut(address)?.losesAnswers === true
+  }
+
   /** Returns what happens to the next call to the address. */
   takeFault(address: string): LinkFault {
     const cut = this.#findCut(address)
--- a/batch/service/__utils__/fleetOptions.ts
+++ b/batch/service/__utils__/fleetOptions.ts
@@ -6,13 +6,13 @@
 import type { MetricsRegistry } from '@nettlespur/core.metrics'
 import type { UpstreamSpeedsMode } from '../src/index.js'
 import type { EvacuationOrderPlan } from './evacuationOperator.js'
+import type { CutOptions } from './fleetLinks.js'
 import type { RelayFault } from './simulatedRelayLink.js'
 import type { LinkFault } from './faultyPort.js'
 
 export type FleetFault =
   | { kind: 'fault'; fault: LinkFault; calls: number }
-  /** Its calls get no answer; with `refuses`, its address refuses connections. */
-  | { kind: 'cut'; upstream: number; forMs: number; refuses?: boolean }
+  | ({ kind: 'cut'; upstream: number } & CutOptions)
   /** It restarts after `downMs`, at once by default. */
   | { kind: 'crash'; upstream: number; downMs?: number }
   /** An announcement that the upstream makes now arrives after `delayMs`. */
--- a/batch/service/test/repeatedSilence.test.ts
+++ b/batch/service/test/repeatedSilence.test.ts
@@ -76,6 +76,28 @@
   t.true(crashCount >= 3 && crashCount <= 5, `${crashCount} crashes`)
 })
 
+test('a sound job completes although upstreams crash behind cuts after its runs have ended there', async (t) => {
+  const fleet = new FakeFleet({ ...links, bornMs: getBornMs })
+  fleet.elect()
+  await fleet.clock.advance(2000)
+  const step = { taskCount: 2, expectedRunTimeMs: 1000 }
+  fleet.submit(createJob('sound', step), 1)
+  for (let round = 0; round < 5; round++) {
+    const startCount = fleet.ledger.starts.length
+    for (let tries = 0; tries < 200 && fleet.ledger.starts.length === startCount; tries++)
+      await fleet.clock.advance(50)
+    // The starts have been answered, and their ends are not read.
+    const cut = { forMs: 4000, losesAnswers: true }
+    for (const upstream of allUpstreams) fleet.inject({ kind: 'cut', upstream, ...cut })
+    await fleet.clock.advance(2000)
+    for (const upstream of allUpstreams) fleet.inject({ kind: 'crash', upstream, downMs: 500 })
+    await fleet.clock.advance(2000)
+  }
+  await fleet.clock.advance(recoveryMs)
+  t.deepEqual(fleet.ledger.violations, [])
+  t.is(statusOf(fleet, 'sound'), 'completed')
+})
+
 const timed = { atMs: fc.nat(faultPhaseMs) }
 const schedule = fc.record({
   series: fc.array(
