fix(sessions): a run that a later process has listed leaves a silence of that process

What callers could see: a task that crashes its upstreams is started three times more after its third crash.

Cause: ends a run as `lost` if the upstream that fell silent is a later process than the one that it was placed on. One of the crashes of a crashing task was lost that way, and its third crash was counted one late.

Change: if the later process has listed the run, it was there, and the silence is kept with that process: taken back if it answers, a crash if it is replaced. If it hasn't, the run was the former one's, and the silence is kept with that.

--- a/batch/scheduler/test/trials.test.ts
+++ b/batch/scheduler/test/trials.test.ts
@@ -56,3 +56,47 @@
   const { placements } = fleet.decide()
   t.is(placements.filter(({ jobId }) => jobId === 'sound').length, 5)
 })
+
+/** Starts the tasks `indexes` of the job `suspect` five times, and lets their upstreams fall silent each time. */
+function holdBack(fleet: Fleet, indexes: readonly number[]): void {
+  for (let attempt = 11; attempt <= 15; attempt++) {
+    const runs = indexes.map((index) => {
+      return { jobId: 'suspect', step: 0, index, attempt, upstreamId: `silent${attempt}` }
+    })
+    fleet.state.apply({ type: 'place-tasks', placements: runs })
+    const ends = runs.map((run) => ({ ...run, outcome: 'silent', blame: 'suspected' }) as const)
+    fleet.state.apply({ type: 'end-runs', ends })
+  }
+}
+
+test('a task that is held back does not start, and its step waits until some of it is proven', (t) => {
+  const fleet = new Fleet('r1', 'r1')
+  fleet.submit(createJob('suspect', { taskCount: 3, needs: small }))
+  holdBack(fleet, [0])
+  t.deepEqual(fleet.decide().placements, [])
+  fleet.submit(createJob('sound', { taskCount: 2, needs: small }))
+  t.is(fleet.decide().placements.length, 2)
+})
+
+test('other tasks of a step start beside one that is held back as far as some are proven', (t) => {
+  const fleet = new Fleet('r1', 'r1')
+  fleet.submit(createJob('suspect', { taskCount: 8, needs: small }))
+  for (const index of [1, 2, 3]) {
+    const run = { jobId: 'suspect', step: 0, index, attempt: 1, upstreamId: 'u0' }
+    fleet.state.apply({ type: 'place-tasks', placements: [run] })
+    fleet.end(run, 'done')
+  }
+  holdBack(fleet, [0])
+  const { placements } = fleet.decide()
+  t.deepEqual(
+    placements.map(({ index }) => index),
+    [4, 5],
+  )
+})
+
+test('a gang with a member that is held back does not start', (t) => {
+  const fleet = new Fleet('r1', 'r1')
+  fleet.submit(createJob('suspect', { taskCount: 2, isGang: true, needs: small }))
+  holdBack(fleet, [0])
+  t.deepEqual(fleet.decide().placements, [])
+})
--- a/batch/service/test/silenceVerdicts.test.ts
+++ b/batch/service/test/silenceVerdicts.test.ts
@@ -1,7 +1,13 @@
 /** What leaders learn of upstreams that were silent, and what they do with it. */
 import type { RunRef } from '@nettlespur/batch.model'
 import { createJob } from '@nettlespur/batch.samples'
-import { BatchState, isHeldBack, type Command, type TaskRecord } from '@nettlespur/batch.state'
+import {
+  BatchState,
+  isHeldBack,
+  type Command,
+  type Placement,
+  type TaskRecord,
+} from '@nettlespur/batch.state'
 import { ManualClock } from '@nettlespur/core.clock'
 import { MetricsRegistry } from '@nettlespur/core.metrics'
 import test from 'ava'
@@ -23,6 +29,11 @@
   return task
 }
 
+function placementOf(fleet: FakeFleet): Placement {
+  const { attempt, upstreamId = '' } = taskOf(fleet)
+  return { jobId: 'task', step: 0, index: 0, attempt, upstreamId }
+}
+
 /** The number of the upstream on which the task is placed; -1 if it is placed on none. */
 function findHolder(fleet: FakeFleet): number {
   const { upstreamId } = taskOf(fleet)
@@ -205,3 +216,87 @@
   t.deepEqual([...fleet.state.silences.upstreamIds], [])
   t.true(fleet.state.upstreams.get(former)?.hasLeft)
 })
+
+test('an upstream that no longer announces itself is asked until it answers', async (t) => {
+  const fleet = await startFleet()
+  fleet.submit(createJob('task', { expectedRunTimeMs: runTimeMs }), 0)
+  await fleet.clock.advance(500)
+  const upstream = findHolder(fleet)
+  fleet.stopAnnouncing(upstream)
+  fleet.inject({ kind: 'cut', upstream, forMs: cutMs + 2000 })
+  await fleet.clock.advance(cutMs + 1500)
+  t.is([...fleet.state.silences.upstreamIds].length, 1)
+  await fleet.clock.advance(reachedMs)
+  t.deepEqual([...fleet.state.silences.upstreamIds], [])
+})
+
+test('an upstream that announces its leave after it was silent has not crashed, although it never answers', async (t) => {
+  const fleet = await startFleet()
+  fleet.submit(createJob('task', { expectedRunTimeMs: runTimeMs }), 0)
+  await fleet.clock.advance(500)
+  const upstream = findHolder(fleet)
+  fleet.inject({ kind: 'cut', upstream, forMs: Infinity })
+  await fleet.clock.advance(cutMs + 1500)
+  t.is(taskOf(fleet).losses?.length, 1)
+  fleet.leaveCutOff(upstream)
+  await fleet.clock.advance(reachedMs)
+  t.is(taskOf(fleet).losses, undefined)
+})
+
+test('a replaced upstream is not removed before it is committed what its silence was', async (t) => {
+  let isFailing = true
+  const failsProposal = ({ type }: Command): boolean => isFailing && type === 'settle-silences'
+  const fleet = await startFleet({ failsProposal })
+  fleet.submit(createJob('task', { expectedRunTimeMs: runTimeMs }), 0)
+  await fleet.clock.advance(500)
+  const upstream = findHolder(fleet)
+  const former = fleet.upstreamIdOf(upstream)
+  fleet.inject({ kind: 'crash', upstream, downMs: cutMs })
+  await fleet.clock.advance(cutMs + reachedMs)
+  t.false(fleet.state.upstreams.get(former)?.hasLeft)
+  isFailing = false
+  fleet.elect()
+  await fleet.clock.advance(2 * reachedMs)
+  t.is(taskOf(fleet).losses?.[0]?.fate, 'crashed')
+  t.true(fleet.state.upstreams.get(former)?.hasLeft)
+})
+
+test('a job with four silences that an earlier version counted as crashes completes after a fifth', async (t) => {
+  const fleet = await startFleet()
+  fleet.submit(createJob('task', { expectedRunTimeMs: 2 * cutMs }), 0)
+  await fleet.clock.advance(500)
+  fleet.commit({ type: 'end-runs', ends: [{ ...placementOf(fleet), outcome: 'lost' }] })
+  for (const attempt of [11, 12, 13, 14]) {
+    const run = { jobId: 'task', step: 0, index: 0, attempt, upstreamId: `former${attempt}` }
+    fleet.commit({ type: 'place-tasks', placements: [run] })
+    const blame = 'suspected' as const
+    fleet.commit({ type: 'end-runs', ends: [{ ...run, outcome: 'crashed', blame }] })
+  }
+  await fleet.clock.advance(reachedMs)
+  fleet.inject({ kind: 'cut', upstream: findHolder(fleet), forMs: cutMs })
+  await fleet.clock.advance(4 * cutMs)
+  t.is(fleet.state.jobs.get('task')?.status, 'completed')
+})
+
+test('the other runs of a job stop once it is given up for what a silence was', async (t) => {
+  const fleet = await startFleet()
+  fleet.submit(createJob('task', { taskCount: 2, expectedRunTimeMs: runTimeMs }), 0)
+  await fleet.clock.advance(500)
+  const first = placementOf(fleet)
+  fleet.commit({ type: 'end-runs', ends: [{ ...first, outcome: 'lost' }] })
+  const silences = [11, 12, 13].map((attempt) => ({ ...first, attempt, upstreamId: `u${attempt}` }))
+  for (const run of silences) {
+    fleet.commit({ type: 'place-tasks', placements: [run] })
+    fleet.commit({ type: 'end-runs', ends: [{ ...run, outcome: 'silent', blame: 'suspected' }] })
+  }
+  for (const attempt of [14, 15]) {
+    const run = { ...first, attempt, upstreamId: `u${attempt}` }
+    fleet.commit({ type: 'place-tasks', placements: [run] })
+    fleet.commit({ type: 'end-runs', ends: [{ ...run, outcome: 'stopped' }] })
+  }
+  t.true(isHeldBack(taskOf(fleet)))
+  fleet.commit({ type: 'settle-silences', runs: silences, verdict: 'crashed' })
+  t.is(fleet.state.jobs.get('task')?.status, 'failed')
+  await fleet.clock.advance(reachedMs)
+  t.deepEqual([...fleet.state.placements.upstreamIds], [])
+})
--- a/batch/sessions/src/lostRuns.ts
+++ b/batch/sessions/src/lostRuns.ts
@@ -90,14 +90,22 @@
       if (blame === undefined) return { ...placement, outcome: 'lost', checkpoint }
       if (cause === 'crashed')
         return { ...placement, outcome: 'crashed', isCertain: true, checkpoint, blame }
-      // Its order went to the process before this one, and either may have started it.
-      if (placement.upstreamId !== upstreamId) return { ...placement, outcome: 'lost', checkpoint }
-      const isProven = this.#opts.tracks.find(placement)?.isProven === true
-      const silence = { ...placement, outcome: 'silent', checkpoint, blame } as const
-      return isProven ? { ...silence, wasAtWork: true } : silence
+      return { ...this.#toSilentEnd(placement, upstreamId), checkpoint, blame }
     })
   }
 
+  #toSilentEnd(placement: Placement, upstreamId: string): RunEnd {
+    const track = this.#opts.tracks.find(placement)
+    // A later process has listed the run, so that it was there as this one fell silent.
+    const isElsewhere = placement.upstreamId !== upstreamId && track?.phaseBeforeCrash === undefined
+    return {
+      ...placement,
+      outcome: 'silent',
+      ...(isElsewhere ? { silentUpstreamId: upstreamId } : {}),
+      ...(track?.isProven === true ? { wasAtWork: true } : {}),
+    }
+  }
+
   /** Returns an empty map if the upstream cannot have crashed, and omits refused runs, which never reached it. */
   #blame(
     placements: readonly Placement[],
--- a/batch/state/src/batchState.ts
+++ b/batch/state/src/batchState.ts
@@ -9,7 +9,7 @@
 import { BegunJobs } from './begunJobs.js'
 import type { Command, CommandOf, CommandOutcome, Placement, RunEnd } from './command.js'
 import { createJobRecord } from './createJobRecord.js'
-import { endRun, settleRun } from './endRun.js'
+import { endRun, settleRun, toSilentRun } from './endRun.js'
 import { measureJobSize } from './measureJobSize.js'
 import { hasPlacements, PlacementIndex } from './placementIndex.js'
 import { SilenceIndex } from './silenceIndex.js'
@@ -187,7 +187,7 @@
       if (endedPlacements === undefined) continue
       outcome = 'done'
       this.begunJobs.noteEnd(end)
-      if (end.outcome === 'silent') this.silences.add(end)
+      if (end.outcome === 'silent') this.silences.add(toSilentRun(end))
       if (end.outcome === 'done') this.silences.removeDone(job, end)
       for (const placement of endedPlacements) this.placements.remove(placement)
       this.#updateUnsettled(job)
--- a/batch/state/src/command.ts
+++ b/batch/state/src/command.ts
@@ -37,6 +37,8 @@
   checkpoint: z.string().optional(),
   /** Only set with outcomes `crashed` and `silent`, and absent there if an earlier version proposed the end. */
   blame: crashBlameSchema.optional(),
+  /** Set with outcome `silent` if a later process than the one that it was placed on ran it, and fell silent. */
+  silentUpstreamId: z.string().optional(),
   /** Set with outcome `silent` if the run had been seen at work. */
   wasAtWork: z.literal(true).optional(),
   /** Set with outcome `crashed`. Absent if an earlier version proposed the end. */
--- a/batch/state/src/endRun.ts
+++ b/batch/state/src/endRun.ts
@@ -48,7 +48,8 @@
 }
 
 function noteLoss(task: TaskRecord, end: RunEnd): void {
-  const { outcome, attempt, upstreamId, blame = defaultBlame, isCertain = false } = end
+  const { outcome, attempt, blame = defaultBlame, isCertain = false } = end
+  const { upstreamId } = toSilentRun(end)
   const loss = { attempt, upstreamId, blame, wasAtWork: end.wasAtWork === true }
   if (end.dropsFormerCrashes === true) dropFormerCrashes(task)
   if (outcome === 'silent') addLoss(task, { ...loss, fate: 'open' })
@@ -57,6 +58,12 @@
   else task.crashes = countCrash(task.crashes, { attempt, blame })
 }
 
+/** Returns the run on the upstream that fell silent. */
+export function toSilentRun(end: RunEnd): Placement {
+  const { jobId, step, index, attempt, upstreamId, silentUpstreamId = upstreamId } = end
+  return { jobId, step, index, attempt, upstreamId: silentUpstreamId }
+}
+
 /** Keeps the crashes with certain guilt, which were never silences. Their attempts are not known any more. */
 function dropFormerCrashes(task: TaskRecord): void {
   const loss = { attempt: 0, upstreamId: '', blame: 'blamed', wasAtWork: false } as const
