fix(relays): a deadline that passes while the leader stands still no longer ends calls that their relay has confirmed

What is seen: beside load, the starts of a job are sent a second time under the same attempt, and a second time-out leaves them in doubt, so that gangs whose members run are broken. No task runs twice: an upstream answers 200 to a run that is already there.

Cause: the leader gave up a relayed call by its own timer alone, and threw away the outcome that came afterwards.

Change: a relay that has confirmed an order has an outcome by its deadline. A confirmed call past its deadline ends at the first answer to a request that came after the deadline, unless that answer is a full one, or with its relay (silent for 700 ms, as before). Calls without a confirmation end at their deadlines, as before. A first try so ends some 200 ms later at most while its relay answers.

Why it works: the request after the deadline brings what the relay had. The tests fail without the change (4 of the 5 new ones; the fifth guards the end of a leadership).

--- a/batch/relays/src/outcomeQueue.ts
+++ b/batch/relays/src/outcomeQueue.ts
@@ -1,11 +1,9 @@
 /** The outcomes of calls that a relay keeps until the leader takes them. */
 import type { Clock } from '@nettlespur/core.clock'
-import type { RelayAnswers } from './relayMessages.js'
+import { outcomesMax, type RelayAnswers } from './relayMessages.js'
 
 type CallOutcomes = RelayAnswers['outcomes']
 
-/** Outcomes in one answer: lists of running runs are the largest, a few kilobytes each. */
-const batchCountMax = 256
 /** If the leader takes none, its calls have long been given up: the oldest outcomes are dropped. */
 const countMax = 8192
 
@@ -39,7 +37,7 @@
 
   /** Returns the outcomes that are there. */
   takeReady(): CallOutcomes {
-    return this.#outcomes.splice(0, batchCountMax)
+    return this.#outcomes.splice(0, outcomesMax)
   }
 
   /**
--- a/batch/relays/src/pendingCall.ts
+++ b/batch/relays/src/pendingCall.ts
@@ -12,6 +12,8 @@
   clock: Clock
   /** Called when the call has its outcome or is given up. */
   onSettled: () => void
+  /** Called in place of `giveUp` when the deadline passes of an order that the relay has confirmed. */
+  onOverdue: (call: PendingCall) => void
 }
 
 export class PendingCall {
@@ -21,6 +23,8 @@
   readonly outcome: Promise<CallOutcome>
   /** Whether the order may have reached the relay. */
   mayHaveBeenSent = false
+  /** Whether the relay has confirmed that it executes the order: it will have an outcome by the deadline. */
+  isConfirmed = false
   readonly #opts: PendingCallOptions
   readonly #deadlineMs: number
   readonly #timer: Timer
@@ -43,7 +47,8 @@
     this.#resolve = resolveOutcome
     this.#reject = rejectOutcome
     this.#timer = setDeadline(clock, timeoutMs, () => {
-      this.giveUp(`no answer within ${timeoutMs} ms`)
+      if (this.isConfirmed) opts.onOverdue(this)
+      else this.giveUp(`no answer within ${timeoutMs} ms`)
     })
   }
 
--- a/batch/relays/src/relayMember.ts
+++ b/batch/relays/src/relayMember.ts
@@ -8,12 +8,13 @@
 import { PendingCall } from './pendingCall.js'
 import { RelayClock } from './relayClock.js'
 import type { RelayLink } from './relayLink.js'
-import type {
-  CallOutcome,
-  LeaderHeader,
-  RelayAnswers,
-  RelayedOrder,
-  RelayReceipt,
+import {
+  outcomesMax,
+  type CallOutcome,
+  type LeaderHeader,
+  type RelayAnswers,
+  type RelayedOrder,
+  type RelayReceipt,
 } from './relayMessages.js'
 
 /** The answer to a request for outcomes waits this much longer than orders do: a receipt that comes first brings them. */
@@ -47,10 +48,14 @@
   readonly #opts: RelayMemberOptions
   readonly #clock = new RelayClock()
   readonly #calls = new Map<number, PendingCall>()
+  /** Confirmed calls whose deadline has passed, and whose outcomes may be waiting at the relay. */
+  readonly #overdue = new Set<PendingCall>()
   #queue: PendingCall[] = []
   /** Empty until the member has answered. */
   #relayId = ''
   #isServing = false
+  /** Whether it is asked for outcomes. */
+  #isAsked = false
   #heardAtMs = -Infinity
   #checksSinceHeard = 0
 
@@ -77,8 +82,13 @@
     const callId = nextCallId()
     const onSettled = (): void => {
       this.#calls.delete(callId)
+      this.#overdue.delete(call)
     }
-    const call = new PendingCall({ callId, to, order, timeoutMs, clock, onSettled })
+    const onOverdue = (): void => {
+      this.#handleOverdue(call)
+    }
+    const opts = { callId, to, order, timeoutMs, clock, onSettled, onOverdue }
+    const call: PendingCall = new PendingCall(opts)
     this.#calls.set(callId, call)
     if (this.#queue.length === 0) {
       clock.setTimer(this.#opts.getBatchMs(), () => {
@@ -91,10 +101,13 @@
 
   /** Takes answers until `signal` is aborted. */
   async run(signal: AbortSignal): Promise<void> {
+    this.#isAsked = true
     while (!signal.aborted) {
       const isAnswered = await this.#takeAnswers()
       if (!isAnswered) await this.#opts.clock.sleep(retryPauseMs, signal)
     }
+    this.#isAsked = false
+    this.#giveUpOverdue([...this.#overdue])
   }
 
   /** Takes the member out if it has been silent for too long. To be called at regular intervals. */
@@ -126,9 +139,12 @@
     const { link, createHeader, getBatchMs } = this.#opts
     const batchMs = getBatchMs() + receiptsFirstMs
     const request = { ...createHeader(this.#relayId), waitMs: answerWaitMs, batchMs }
+    const overdueBefore = [...this.#overdue]
     try {
       const answers = await link.takeAnswers(this.address, request)
       this.#noteOutcomes(answers)
+      // More outcomes may be left after a full message.
+      if (answers.outcomes.length < outcomesMax) this.#giveUpOverdue(overdueBefore)
       this.#noteMessage(answers)
       return answers.acceptsTerm
     } catch (thrown) {
@@ -137,6 +153,18 @@
     }
   }
 
+  /** Either side may have stood still: what came meanwhile is still to be asked for. */
+  #handleOverdue(call: PendingCall): void {
+    this.#overdue.add(call)
+    if (!this.#isAsked) this.#giveUpOverdue([call])
+  }
+
+  #giveUpOverdue(calls: readonly PendingCall[]): void {
+    for (const call of calls) {
+      if (this.#overdue.has(call)) call.giveUp('the relay had no outcome after the deadline')
+    }
+  }
+
   #sendQueue(): void {
     const waiting = this.#queue.splice(0).filter(({ callId }) => this.#calls.has(callId))
     for (const calls of splitBatches(waiting)) void this.#sendOrders(calls)
@@ -157,6 +185,7 @@
       const batch = { ...createHeader(relayId), calls: relayedCalls }
       const receipt = await link.sendOrders(this.address, batch)
       this.#handleRefusals(receipt, relayId)
+      if (receipt.relayId === relayId) for (const call of calls) call.isConfirmed = true
       this.#noteOutcomes(receipt)
       this.#noteMessage(receipt)
     } catch (thrown) {
--- a/batch/relays/src/relayMessages.ts
+++ b/batch/relays/src/relayMessages.ts
@@ -132,6 +132,9 @@
   reason: 'the outcome could not be read',
 }
 
+/** Outcomes in one message: lists of running runs are the largest, a few kilobytes each. */
+export const outcomesMax = 256
+
 export const relayAnswersSchema = receiptSchema.extend({
   // An outcome that cannot be read must not lose the others.
   outcomes: z.array(
--- a/batch/relays/test/pendingCall.test.ts
+++ b/batch/relays/test/pendingCall.test.ts
@@ -21,6 +21,7 @@
     timeoutMs: 500,
     clock,
     onSettled: () => undefined,
+    onOverdue: () => undefined,
   })
   call.mayHaveBeenSent = true
   return call
--- a/batch/relays/test/relayMember.test.ts
+++ b/batch/relays/test/relayMember.test.ts
@@ -1,13 +1,33 @@
-/** When the leader takes a relay out: too early moves all its upstreams for nothing, too late holds them up. */
+/**
+ * When the leader takes a relay out: too early moves all its upstreams for nothing, too late holds them up. And when it gives
+ * up a call: too early repeats a start that has been answered.
+ */
+import { toNettlespurError } from '@nettlespur/core.errors'
 import { MetricsRegistry } from '@nettlespur/core.metrics'
 import test from 'ava'
 import { SteppedClock } from '../__utils__/createRelay.js'
 import { RelayLink } from '../src/index.js'
 import { RelayMember } from '../src/relayMember.js'
-import type { AnswerRequest, RelayAnswers, RelayReceipt } from '../src/relayMessages.js'
+import {
+  outcomesMax,
+  type AnswerRequest,
+  type RelayAnswers,
+  type RelayReceipt,
+} from '../src/relayMessages.js'
 
+type CallOutcomes = RelayAnswers['outcomes']
+
+const timeoutMs = 500
+const stoppedCall = {
+  callId: 1,
+  outcome: { type: 'stop' as const, answer: { type: 'stopping' as const } },
+}
+
+/** Confirms all orders at once, and answers each request after its wait with the outcomes that are there. */
 class AnsweringLink extends RelayLink {
   isSilent = false
+  /** The outcomes of the next answers, one list for each. */
+  readonly answers: CallOutcomes[] = []
   readonly #clock: SteppedClock
 
   constructor(clock: SteppedClock) {
@@ -16,13 +36,17 @@
   }
 
   override sendOrders(): Promise<RelayReceipt> {
-    return Promise.reject(new Error('no orders are expected'))
+    return Promise.resolve({ ...this.#createAnswers([]), refusedCallIds: [] })
   }
 
   override async takeAnswers(_address: string, request: AnswerRequest): Promise<RelayAnswers> {
     await this.#clock.sleep(this.isSilent ? 1e9 : request.waitMs)
+    return this.#createAnswers(this.answers.shift() ?? [])
+  }
+
+  #createAnswers(outcomes: CallOutcomes): RelayAnswers {
     const clock = { monotonicMs: 0, wallMs: 0 }
-    return { relayId: 'relay', clock, acceptsTerm: true, outcomes: [] }
+    return { relayId: 'relay', clock, acceptsTerm: true, outcomes }
   }
 }
 
@@ -40,9 +64,25 @@
     getBatchMs: () => 10,
     createHeader: (relayId) => ({ term: 1, relayId, servingAddresses: [] }),
   })
-  void member.run(new AbortController().signal)
+  const leaving = new AbortController()
+  void member.run(leaving.signal)
   await clock.base.advance(250)
-  return { clock, link, member }
+  /** Makes a call whose deadline passes at 750 ms, between the answers at 600 and 800 ms. */
+  const makeCall = (): { result: string | undefined } => {
+    const call: { result: string | undefined } = { result: undefined }
+    const run = { jobId: 'job', step: 0, index: 0, attempt: 1 }
+    const order = { type: 'stop' as const, run, fence: 1 }
+    member.call({ upstreamId: 'u', address: '127.0.0.1:9000' }, order, timeoutMs).then(
+      ({ type }) => {
+        call.result = type
+      },
+      (thrown: unknown) => {
+        call.result = toNettlespurError(thrown).kind
+      },
+    )
+    return call
+  }
+  return { clock, link, member, leaving, makeCall }
 }
 
 test('a relay is silent after 700 ms and three checks without a message', async (t) => {
@@ -69,3 +109,58 @@
   member.checkSilence()
   t.true(member.isServing, 'the relay has answered meanwhile')
 })
+
+test('a call that the relay has confirmed is not given up while its outcome may be waiting there', async (t) => {
+  const { clock, link, makeCall } = await startMember()
+  const call = makeCall()
+  link.answers.push([], [], [stoppedCall])
+  await clock.base.advance(timeoutMs + 20)
+  t.is(call.result, undefined)
+  await clock.base.advance(50)
+  t.is(call.result, 'stop')
+})
+
+test('a call that the relay has confirmed is given up at the first answer to a request that came after its deadline', async (t) => {
+  const { clock, makeCall } = await startMember()
+  const call = makeCall()
+  await clock.base.advance(700)
+  t.is(call.result, undefined)
+  await clock.base.advance(100)
+  t.is(call.result, 'outcome-unknown')
+})
+
+test('a call past its deadline is not given up at a full answer, after which its outcome may be left', async (t) => {
+  const { clock, link, makeCall } = await startMember()
+  const call = makeCall()
+  const others = Array.from({ length: outcomesMax }, (_, at) => ({
+    ...stoppedCall,
+    callId: at + 2,
+  }))
+  link.answers.push([], [], [], others, [stoppedCall])
+  await clock.base.advance(800)
+  t.is(call.result, undefined)
+  await clock.base.advance(200)
+  t.is(call.result, 'stop')
+})
+
+test('a call past its deadline ends with its relay', async (t) => {
+  const { clock, link, member, makeCall } = await startMember()
+  const call = makeCall()
+  link.isSilent = true
+  await clock.base.advance(1500)
+  t.is(call.result, undefined)
+  for (let checks = 0; checks < 3; checks++) member.checkSilence()
+  await clock.base.advance(1)
+  t.false(member.isServing)
+  t.is(call.result, 'outcome-unknown')
+})
+
+test('a call whose deadline passes after the relay is asked no more ends at its deadline', async (t) => {
+  const { clock, leaving, makeCall } = await startMember()
+  const call = makeCall()
+  leaving.abort()
+  await clock.base.advance(timeoutMs - 1)
+  t.is(call.result, undefined)
+  await clock.base.advance(20)
+  t.is(call.result, 'outcome-unknown')
+})
