fix(relays): an order whose time is over before it is sent counts as never sent

What is seen: after the leader has stood still, start orders go to a relay with a time to live below zero, the relay can only refuse them, and the leader has already reported them as perhaps executed. A start that nobody sent is thus in doubt after its second try, and its gang is broken.

Cause: orders wait 10 ms or more for others of their batch. A leader that stands still meanwhile runs the timer of the batch first and sends what is in it, and then ends the calls at their deadlines as `outcome-unknown`, as they count as sent.

Change: calls past their deadline are given up as the batch is put together, before they count as sent, so they are `unreachable`. The test fails without the change.

Orders that a relay reads too late are still refused by it, as docs/design/relays.md says.

--- a/batch/relays/src/relayMember.ts
+++ b/batch/relays/src/relayMember.ts
@@ -166,7 +166,10 @@
   }
 
   #sendQueue(): void {
-    const waiting = this.#queue.splice(0).filter(({ callId }) => this.#calls.has(callId))
+    const queued = this.#queue.splice(0)
+    // A leader that stood still would send orders that the relay can only refuse.
+    for (const call of queued) if (call.leftMs <= 0) call.giveUp('its time was over unsent')
+    const waiting = queued.filter(({ callId }) => this.#calls.has(callId))
     for (const calls of splitBatches(waiting)) void this.#sendOrders(calls)
   }
 
--- a/batch/relays/test/relayMember.test.ts
+++ b/batch/relays/test/relayMember.test.ts
@@ -26,6 +26,7 @@
 /** Confirms all orders at once, and answers each request after its wait with the outcomes that are there. */
 class AnsweringLink extends RelayLink {
   isSilent = false
+  orderBatches = 0
   /** The outcomes of the next answers, one list for each. */
   readonly answers: CallOutcomes[] = []
   readonly #clock: SteppedClock
@@ -36,6 +37,7 @@
   }
 
   override sendOrders(): Promise<RelayReceipt> {
+    this.orderBatches += 1
     return Promise.resolve({ ...this.#createAnswers([]), refusedCallIds: [] })
   }
 
@@ -164,3 +166,12 @@
   await clock.base.advance(20)
   t.is(call.result, 'outcome-unknown')
 })
+
+test('an order that a leader which stood still has not sent in its time is not sent any more, and counts as never sent', async (t) => {
+  const { clock, link, makeCall } = await startMember()
+  const call = makeCall()
+  clock.suspendedMs = -2 * timeoutMs
+  await clock.base.advance(20)
+  t.is(link.orderBatches, 0)
+  t.is(call.result, 'unreachable')
+})
