refactor(state): the two indexes of runs share their table

silenceIndex brought a second copy of what placementIndex does by upstream; runTable.ts serves both. No behaviour changes: the tests of batch/state pass, the property on the index of silences among them.

--- a/batch/state/src/placementIndex.ts
+++ b/batch/state/src/placementIndex.ts
@@ -1,34 +1,27 @@
 /** Index of placed runs by upstream, updated with the jobs so that looking up an upstream need not scan them. */
-import { runKey } from '@nettlespur/batch.model'
 import type { Placement } from './command.js'
 import type { JobRecord } from './records.js'
-
-const noPlacements: ReadonlyMap<string, Placement> = new Map()
+import { RunTable } from './runTable.js'
 
 export class PlacementIndex {
-  readonly #byUpstream = new Map<string, Map<string, Placement>>()
+  readonly #byUpstream = new RunTable()
 
   /** Upstreams with at least one placed run. */
   get upstreamIds(): IterableIterator<string> {
-    return this.#byUpstream.keys()
+    return this.#byUpstream.keys
   }
 
   /** The runs placed on the upstream, by run key. */
   getByUpstream(upstreamId: string): ReadonlyMap<string, Placement> {
-    return this.#byUpstream.get(upstreamId) ?? noPlacements
+    return this.#byUpstream.get(upstreamId)
   }
 
   add(placement: Placement): void {
-    const { upstreamId } = placement
-    const runs = this.#byUpstream.get(upstreamId) ?? new Map<string, Placement>()
-    runs.set(runKey(placement), placement)
-    this.#byUpstream.set(upstreamId, runs)
+    this.#byUpstream.add(placement.upstreamId, placement)
   }
 
   remove(placement: Placement): void {
-    const runs = this.#byUpstream.get(placement.upstreamId)
-    runs?.delete(runKey(placement))
-    if (runs?.size === 0) this.#byUpstream.delete(placement.upstreamId)
+    this.#byUpstream.remove(placement.upstreamId, placement)
   }
 
   /** Adds all placed runs of a job. */
--- a/batch/state/src/silenceIndex.ts
+++ b/batch/state/src/silenceIndex.ts
@@ -1,18 +1,17 @@
 /** Index of the silences of active jobs by upstream, so that what became of an upstream is applied without a scan. */
-import { runKey, type RunRef, type TaskRef } from '@nettlespur/batch.model'
+import type { RunRef, TaskRef } from '@nettlespur/batch.model'
 import type { Placement } from './command.js'
 import type { JobRecord, TaskRecord } from './records.js'
+import { RunTable } from './runTable.js'
 import { listSilences } from './upstreamLosses.js'
 
-const noRuns: ReadonlyMap<string, Placement> = new Map()
-
 export class SilenceIndex {
   readonly #byUpstream = new RunTable()
   readonly #byJob = new RunTable()
 
   /** Upstreams that were silent under a run, and of which it is not known whether they crashed. */
   get upstreamIds(): IterableIterator<string> {
-    return this.#byUpstream.keys()
+    return this.#byUpstream.keys
   }
 
   /** The runs that ended with a silence of the upstream, by run key. */
@@ -53,30 +52,6 @@
   }
 }
 
-/** Runs by a key of theirs. */
-class RunTable {
-  readonly #runs = new Map<string, Map<string, Placement>>()
-
-  keys(): IterableIterator<string> {
-    return this.#runs.keys()
-  }
-
-  get(key: string): ReadonlyMap<string, Placement> {
-    return this.#runs.get(key) ?? noRuns
-  }
-
-  add(key: string, run: Placement): void {
-    const runs = this.#runs.get(key) ?? new Map<string, Placement>()
-    this.#runs.set(key, runs.set(runKey(run), run))
-  }
-
-  remove(key: string, run: Placement): void {
-    const runs = this.#runs.get(key)
-    runs?.delete(runKey(run))
-    if (runs?.size === 0) this.#runs.delete(key)
-  }
-}
-
 /** Lists the runs of a job that ended with a silence that is not settled, but for tasks that are done. */
 function listSilentRuns({ request: { jobId }, steps }: JobRecord): Placement[] {
   return steps.flatMap(({ tasks }, step) =>
